--- /dev/null
+++ b/leverproxy/src/config.rs
@@ -0,0 +1,157 @@
+//! Configuration: the only place where it is read, checked and given defaults.
+
+use crate::discovery::wire::{Listing, ListingError};
+use mountshift_settings::{BadSetting, Decoded};
+use serde::Deserialize;
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+/// What is wrong with which key.
+#[derive(Debug, PartialEq, Eq)]
+pub struct ConfigError {
+    pub key: String,
+    pub problem: String,
+}
+
+impl ConfigError {
+    fn new(key: impl Into<String>, problem: impl ToString) -> ConfigError {
+        ConfigError { key: key.into(), problem: problem.to_string() }
+    }
+}
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "configuration: {}: {}", self.key, self.problem)
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+/// Everything a proxy is told before it starts, checked.
+#[derive(Debug)]
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub limits: Limits,
+    /// The list as this proxy last had it, maybe old.
+    pub known: Listing,
+    pub platform: Decoded,
+    pub dial_timeout: Duration,
+    /// Idle connections to record servers are closed after this, before the servers do it.
+    pub idle_limit: Duration,
+}
+
+/// How the descriptors are shared out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    pub clients: usize,
+    pub upstream: usize,
+}
+
+/// Kept for the listener, epoll, signals, discovery, the standard streams and a margin.
+const SPARE_SOCKETS: usize = 32;
+const DEFAULT_SOCKETS: usize = 1_024;
+const LEAST_SOCKETS: usize = 64;
+const DEFAULT_DIAL_TIMEOUT: Duration = Duration::from_millis(250);
+const DEFAULT_IDLE: Duration = Duration::from_secs(30);
+/// Share of the time that a server keeps an idle connection after which it is closed here: a request written
+/// while the server closes would be lost.
+const IDLE_SHARE: f64 = 0.8;
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct File {
+    name: Option<String>,
+    listen: Option<String>,
+    discovery: Option<String>,
+    seed: Option<String>,
+    limits: FileLimits,
+    known: Option<serde_json::Value>,
+    settings: Option<serde_json::Value>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct FileLimits {
+    sockets: Option<usize>,
+}
+
+/// Reads `LB_CONFIG` and what the other variables say over it.
+pub fn from_env(variable: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
+    let path = variable("LB_CONFIG").ok_or_else(|| ConfigError::new("LB_CONFIG", "is not set"))?;
+    let text = std::fs::read(Path::new(&path))
+        .map_err(|e| ConfigError::new("LB_CONFIG", format!("{path} cannot be read: {e}")))?;
+    parse(&text, variable)
+}
+
+pub fn parse(text: &[u8], variable: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
+    let mut json = serde_json::Deserializer::from_slice(text);
+    let file: File = serde_path_to_error::deserialize(&mut json)
+        .map_err(|e| ConfigError::new(e.path().to_string(), e.inner()))?;
+    let stated = |name: &str, key: &str, in_file: Option<String>| {
+        variable(name).or(in_file).ok_or_else(|| ConfigError::new(key, format!("missing (or set {name})")))
+    };
+    let address = |key: &str, text: String| {
+        text.parse::<SocketAddr>()
+            .map_err(|_| ConfigError::new(key, format!("{text:?} is not an address like 10.0.0.4:5433")))
+    };
+    let listen = address("listen", stated("LB_LISTEN", "listen", file.listen)?)?;
+    let discovery = address("discovery", stated("LB_DISCOVERY", "discovery", file.discovery)?)?;
+    let settings = file.settings.ok_or_else(|| ConfigError::new("settings", "missing"))?;
+    let platform = mountshift_settings::decode(settings.to_string().as_bytes())
+        .map_err(|BadSetting { key, problem }| ConfigError::new(format!("settings.{key}"), problem))?;
+    check(&platform)?;
+    let known = match file.known {
+        Some(value) => Listing::parse(value.to_string().as_bytes())
+            .map_err(|ListingError(problem)| ConfigError::new("known", problem))?,
+        None => Listing::default(),
+    };
+    let seed = match file.seed {
+        Some(text) => u64::from_str_radix(&text, 16)
+            .map_err(|_| ConfigError::new("seed", format!("{text:?} is not a hexadecimal number")))?,
+        None => u64::from(std::process::id()),
+    };
+    let or_default = |stated: Duration, default| if stated.is_zero() { default } else { stated };
+    Ok(Config {
+        name: variable("LB_NAME").or(file.name).unwrap_or_else(|| "leverproxy".into()),
+        listen,
+        discovery,
+        seed,
+        limits: share_out(file.limits.sockets.unwrap_or(DEFAULT_SOCKETS))?,
+        known,
+        dial_timeout: or_default(crate::clock::duration(platform.dial_timeout), DEFAULT_DIAL_TIMEOUT),
+        idle_limit: or_default(crate::clock::duration(platform.settings.keepalive), DEFAULT_IDLE)
+            .mul_f64(IDLE_SHARE),
+        platform,
+    })
+}
+
+fn share_out(sockets: usize) -> Result<Limits, ConfigError> {
+    if sockets < LEAST_SOCKETS {
+        return Err(ConfigError::new("limits.sockets", format!("{sockets} is under {LEAST_SOCKETS}")));
+    }
+    // A request takes a client's connection for all its time and a record server's for a part of it.
+    let shared = sockets - SPARE_SOCKETS;
+    let clients = shared * 3 / 5;
+    Ok(Limits { clients, upstream: shared - clients })
+}
+
+fn check(platform: &Decoded) -> Result<(), ConfigError> {
+    if platform.settings.classes.is_empty() {
+        return Err(ConfigError::new("settings.Classes", "names no class"));
+    }
+    for (i, (class, name)) in platform.settings.classes.iter().zip(&platform.names.classes).enumerate() {
+        let key = |name| format!("settings.Classes[{i}].{name}");
+        if name.is_empty() {
+            return Err(ConfigError::new(key("Name"), "missing"));
+        }
+        if class.deadline.0 == 0 {
+            return Err(ConfigError::new(key("Deadline"), "missing or zero"));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/leverproxy/src/discovery/wire.rs
@@ -0,0 +1,46 @@
+//! Discovery's JSON.
+
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+/// The whole list of record servers or what changed in it.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub struct Listing {
+    pub index: u64,
+    pub snapshot: bool,
+    pub endpoints: Vec<Endpoint>,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct Endpoint {
+    pub name: String,
+    /// Absent where a change tells of an end alone.
+    pub address: Option<SocketAddr>,
+    #[serde(default)]
+    pub zone: String,
+    #[serde(default, rename = "type")]
+    pub kind: String,
+    pub group: Option<u32>,
+    pub status: Status,
+    #[serde(default)]
+    pub since_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+pub enum Status {
+    Ready,
+    Terminating,
+    Gone,
+}
+
+#[derive(Debug)]
+pub struct ListingError(pub String);
+
+impl Listing {
+    pub fn parse(json: &[u8]) -> Result<Listing, ListingError> {
+        let mut json = serde_json::Deserializer::from_slice(json);
+        serde_path_to_error::deserialize(&mut json)
+            .map_err(|e| ListingError(format!("{}: {}", e.path(), e.inner())))
+    }
+}
--- /dev/null
+++ b/leverproxy/src/front.rs
@@ -0,0 +1,296 @@
+//! The clients' side: accepts connections, reads requests off them and writes answers in their order.
+
+use crate::net::{self, Filled, Refusal, Stream};
+use crate::pg::server::{self, Asked, Startup};
+use crate::pg::statement::{self, Query};
+use crate::pg::Malformed;
+use crate::reactor::{Interest, Key, Reactor, Slots, Token};
+use crate::request::{Answer, Request, Ticket};
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
+use std::time::Instant;
+
+/// Unanswered commands of one connection; more wait in its socket.
+const PIPELINE_LIMIT: usize = 64;
+/// Unsent bytes of answers beyond which nothing more is read from a client.
+const UNSENT_LIMIT: usize = 256 << 10;
+
+#[derive(Debug)]
+pub enum Event {
+    Asked(Ticket, Request),
+    /// Nobody waits for the answer any more.
+    Left(Ticket),
+}
+
+pub struct Front {
+    listener: Option<OwnedFd>,
+    /// At the limit of clients the listener is not looked at.
+    accepting: bool,
+    limit: usize,
+    clients: Slots<Client>,
+    events: VecDeque<Event>,
+    /// No more than what is under way is served: each client goes once it waits for nothing.
+    closing: bool,
+}
+
+struct Client {
+    stream: Stream,
+    greeted: bool,
+    /// Ignores messages until Sync, as after any error in the extended protocol.
+    skipping: bool,
+    /// No more is read; the connection ends once everything is written.
+    ending: bool,
+    answers: VecDeque<Option<Vec<u8>>>,
+    /// The number of the first of these.
+    first: u64,
+    quiet_since: Instant,
+}
+
+impl Client {
+    fn idle(&self) -> bool {
+        self.answers.is_empty() && self.stream.unsent() == 0 && self.stream.input.is_empty()
+    }
+
+    fn expect(&mut self, answer: Option<Vec<u8>>) -> u64 {
+        self.answers.push_back(answer);
+        self.first + self.answers.len() as u64 - 1
+    }
+
+    /// Room for more commands, and a peer that takes its answers.
+    fn takes_more(&self) -> bool {
+        !self.ending && self.answers.len() < PIPELINE_LIMIT && self.stream.unsent() < UNSENT_LIMIT
+    }
+}
+
+impl Front {
+    pub fn listen(address: SocketAddr, limit: usize, reactor: &Reactor) -> io::Result<Front> {
+        let listener = net::listen(address)?;
+        reactor.add(&listener, Token::Listener, Interest::READ)?;
+        Ok(Front {
+            listener: Some(listener),
+            accepting: true,
+            limit,
+            clients: Slots::default(),
+            events: VecDeque::new(),
+            closing: false,
+        })
+    }
+
+    pub fn local_address(&self) -> Option<SocketAddr> {
+        let name = rustix::net::getsockname(self.listener.as_ref()?).ok()?;
+        SocketAddr::try_from(name).ok()
+    }
+
+    pub fn pop(&mut self) -> Option<Event> {
+        self.events.pop_front()
+    }
+
+    pub fn clients(&self) -> usize {
+        self.clients.len()
+    }
+
+    pub fn accept(&mut self, now: Instant, reactor: &Reactor) {
+        loop {
+            if self.clients.len() >= self.limit && !self.evict() {
+                return self.pause(true, reactor);
+            }
+            let Some(listener) = &self.listener else { return };
+            match net::accept(listener) {
+                Ok(stream) => self.adopt(stream, now, reactor),
+                Err(Refusal::Empty) => return,
+                Err(Refusal::Exhausted) => {
+                    log::warn!("front: no descriptor left, {} clients", self.clients.len());
+                    if !self.evict() {
+                        return self.pause(true, reactor);
+                    }
+                }
+            }
+        }
+    }
+
+    fn adopt(&mut self, stream: Stream, now: Instant, reactor: &Reactor) {
+        let key = self.clients.insert(Client {
+            stream,
+            greeted: false,
+            skipping: false,
+            ending: false,
+            answers: VecDeque::new(),
+            first: 0,
+            quiet_since: now,
+        });
+        // What a client writes right behind connecting is often there already.
+        self.ready(key, now, reactor);
+    }
+
+    /// While the listener is full it must not be waited on: it would be ready all the time.
+    fn pause(&mut self, pause: bool, reactor: &Reactor) {
+        let Some(listener) = self.listener.as_ref().filter(|_| self.accepting == pause) else { return };
+        let interest = Interest { read: !pause, write: false };
+        if reactor.change(listener, Token::Listener, interest).is_ok() {
+            self.accepting = !pause;
+        }
+    }
+
+    /// Closes the client that has been quiet the longest, between its requests, to make room for another.
+    fn evict(&mut self) -> bool {
+        let quiet = self.clients.iter().filter(|(_, c)| c.greeted && c.idle());
+        let Some((key, _)) = quiet.min_by_key(|(_, c)| c.quiet_since) else { return false };
+        self.clients.remove(key).is_some()
+    }
+
+    pub fn ready(&mut self, key: Key, now: Instant, reactor: &Reactor) {
+        let Some(client) = self.clients.get_mut(key) else { return };
+        let filled = match client.takes_more() {
+            true => client.stream.fill(server::INPUT_LIMIT),
+            false => Filled::Open,
+        };
+        self.read(key, now);
+        if filled == Filled::Ended {
+            return self.drop_client(key, reactor);
+        }
+        self.write(key, now, reactor);
+    }
+
+    /// Turns what has come into requests, as far as the client may have more.
+    fn read(&mut self, key: Key, now: Instant) {
+        let Some(client) = self.clients.get_mut(key) else { return };
+        while client.takes_more() {
+            let step = if client.greeted { command(client, key, now) } else { greet(client) };
+            match step {
+                Ok(Step::Wait) => break,
+                Ok(Step::Next) => {}
+                Ok(Step::Asked(ticket, request)) => self.events.push_back(Event::Asked(ticket, request)),
+                Err(why) => {
+                    log::warn!("front: a client is not understood: {why}");
+                    client.expect(Some(server::fatal(&why)));
+                    client.ending = true;
+                }
+            }
+        }
+    }
+
+    /// The final answer to a request; it goes out when all before it on the connection have.
+    pub fn answer(&mut self, ticket: Ticket, answer: Answer, now: Instant, reactor: &Reactor) {
+        let Some(client) = self.clients.get_mut(ticket.client) else { return };
+        let place = ticket.number.checked_sub(client.first).and_then(|n| usize::try_from(n).ok());
+        let Some(place) = place.and_then(|n| client.answers.get_mut(n)) else { return };
+        *place = Some(server::answer(answer));
+        self.write(ticket.client, now, reactor);
+    }
+
+    fn write(&mut self, key: Key, now: Instant, reactor: &Reactor) {
+        loop {
+            let Some(client) = self.clients.get_mut(key) else { return };
+            let full = !client.takes_more();
+            while let Some(Some(_)) = client.answers.front() {
+                if let Some(bytes) = client.answers.pop_front().flatten() {
+                    client.stream.push(&bytes);
+                    client.first += 1;
+                    client.quiet_since = now;
+                }
+            }
+            let Ok(written) = client.stream.flush() else { return self.drop_client(key, reactor) };
+            let over = client.answers.is_empty() && (client.ending || self.closing && client.idle());
+            if written && over {
+                return self.drop_client(key, reactor);
+            }
+            // Commands that had to wait for room are in the buffer, not in the socket: no event tells of them.
+            if full && client.takes_more() && !client.stream.input.is_empty() {
+                self.read(key, now);
+                continue;
+            }
+            let interest = Interest { read: client.takes_more(), write: !written };
+            if client.stream.watch(reactor, Token::Client(key), interest).is_err() {
+                self.drop_client(key, reactor);
+            }
+            return;
+        }
+    }
+
+    fn drop_client(&mut self, key: Key, reactor: &Reactor) {
+        let Some(client) = self.clients.remove(key) else { return };
+        for (number, answer) in (client.first..).zip(&client.answers) {
+            if answer.is_none() {
+                self.events.push_back(Event::Left(Ticket { client: key, number }));
+            }
+        }
+        self.pause(false, reactor);
+    }
+
+    /// Takes no new connection from now on, once those that wait are taken, and closes each connection as
+    /// soon as nothing is owed on it.
+    pub fn close(&mut self, now: Instant, reactor: &Reactor) {
+        self.accept(now, reactor);
+        self.listener = None;
+        self.closing = true;
+        for key in self.clients.keys() {
+            // A request that has come already is read and answered, not cut off.
+            self.ready(key, now, reactor);
+        }
+    }
+}
+
+enum Step {
+    /// The next message has not come in full.
+    Wait,
+    Next,
+    Asked(Ticket, Request),
+}
+
+fn greet(client: &mut Client) -> Result<Step, Malformed> {
+    let Some((startup, used)) = server::startup(client.stream.input.unused())? else { return Ok(Step::Wait) };
+    client.stream.input.consume(used);
+    match startup {
+        Startup::Session(welcome) => {
+            client.greeted = true;
+            client.expect(Some(welcome));
+        }
+        Startup::Encryption => _ = client.expect(Some(b"N".to_vec())),
+        Startup::Cancel => client.ending = true,
+    }
+    Ok(Step::Next)
+}
+
+fn command(client: &mut Client, key: Key, now: Instant) -> Result<Step, Malformed> {
+    let Some((asked, used)) = server::asked(client.stream.input.unused())? else { return Ok(Step::Wait) };
+    let mut request = None;
+    let answer = match asked {
+        Asked::Terminate => {
+            client.ending = true;
+            None
+        }
+        Asked::Sync => {
+            client.skipping = false;
+            Some(server::ready())
+        }
+        Asked::Unsupported(tag) if !client.skipping => {
+            client.skipping = true;
+            Some(server::unsupported(tag))
+        }
+        Asked::Unsupported(_) => None,
+        Asked::Query(_) if client.skipping => None,
+        Asked::Query(text) => match statement::parse(text, now) {
+            Ok(Query::Empty) => Some(server::empty_query()),
+            Ok(Query::Setting(tag)) => Some(server::done(tag)),
+            Ok(Query::Request(read)) => {
+                request = Some(read);
+                None
+            }
+            Err(why) => {
+                log::warn!("front: a statement is not understood: {why}");
+                Some(server::answer(Answer::Rejected(why)))
+            }
+        },
+    };
+    client.stream.input.consume(used);
+    if let Some(request) = request {
+        let number = client.expect(None);
+        return Ok(Step::Asked(Ticket { client: key, number }, request));
+    }
+    if answer.is_some() {
+        client.expect(answer);
+    }
+    Ok(Step::Next)
+}
--- /dev/null
+++ b/leverproxy/src/main.rs
@@ -0,0 +1,5 @@
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    leverproxy::cli::main()
+}
--- /dev/null
+++ b/leverproxy/src/net.rs
@@ -0,0 +1,186 @@
+//! Non-blocking TCP connections with bounded buffers on both sides.
+
+use crate::reactor::{Interest, Reactor, Token};
+use rustix::io::Errno;
+use rustix::net::{self, sockopt, AddressFamily, SendFlags, SocketFlags, SocketType};
+use std::io;
+use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
+
+const NON_BLOCKING: SocketFlags = SocketFlags::NONBLOCK.union(SocketFlags::CLOEXEC);
+const BACKLOG: i32 = 1_024;
+const CHUNK: usize = 16 << 10;
+/// A buffer that grew past this gives its memory back once it is empty.
+const KEPT: usize = 16 << 10;
+
+fn socket(address: &SocketAddr) -> io::Result<OwnedFd> {
+    let family = if address.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+    Ok(net::socket_with(family, SocketType::STREAM, NON_BLOCKING, None)?)
+}
+
+pub fn listen(address: SocketAddr) -> io::Result<OwnedFd> {
+    let fd = socket(&address)?;
+    // A restarted proxy takes its address again while connections of its former life linger.
+    sockopt::set_socket_reuseaddr(&fd, true)?;
+    net::bind(&fd, &address)?;
+    net::listen(&fd, BACKLOG)?;
+    Ok(fd)
+}
+
+/// What an accept that yields no connection means.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// Nobody waits.
+    Empty,
+    /// No descriptor is left for it: it stays in the backlog.
+    Exhausted,
+}
+
+pub fn accept(listener: &OwnedFd) -> Result<Stream, Refusal> {
+    loop {
+        match net::accept_with(listener, NON_BLOCKING) {
+            Ok(fd) => {
+                // Small answers must not wait for the acknowledgement of the one before.
+                _ = sockopt::set_tcp_nodelay(&fd, true);
+                return Ok(Stream::new(fd));
+            }
+            Err(Errno::INTR | Errno::CONNABORTED) => {}
+            Err(Errno::MFILE | Errno::NFILE | Errno::NOBUFS | Errno::NOMEM) => {
+                return Err(Refusal::Exhausted)
+            }
+            Err(_) => return Err(Refusal::Empty),
+        }
+    }
+}
+
+/// Bytes with a mark up to which they have been used.
+#[derive(Debug, Default)]
+pub struct Buffer {
+    bytes: Vec<u8>,
+    used: usize,
+}
+
+impl Buffer {
+    pub fn unused(&self) -> &[u8] {
+        &self.bytes[self.used..]
+    }
+
+    pub fn len(&self) -> usize {
+        self.bytes.len() - self.used
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    pub fn push(&mut self, bytes: &[u8]) {
+        if self.used > 0 && self.bytes.len() + bytes.len() > self.bytes.capacity() {
+            self.bytes.drain(..self.used);
+            self.used = 0;
+        }
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    pub fn consume(&mut self, n: usize) {
+        self.used += n;
+        if self.used == self.bytes.len() {
+            self.used = 0;
+            self.bytes.clear();
+            if self.bytes.capacity() > KEPT {
+                self.bytes = Vec::new();
+            }
+        }
+    }
+}
+
+/// What reading came to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Filled {
+    /// The peer may send more.
+    Open,
+    /// The peer has ended its side or the connection is broken; what came before is in the buffer.
+    Ended,
+}
+
+#[derive(Debug)]
+pub struct Stream {
+    fd: OwnedFd,
+    pub input: Buffer,
+    output: Buffer,
+    interest: Option<Interest>,
+}
+
+impl Stream {
+    fn new(fd: OwnedFd) -> Stream {
+        Stream { fd, input: Buffer::default(), output: Buffer::default(), interest: None }
+    }
+
+    /// Begins a connection; it is up once it turns writable and [`Stream::connected`] agrees.
+    pub fn dial(address: SocketAddr) -> io::Result<Stream> {
+        let fd = socket(&address)?;
+        sockopt::set_tcp_nodelay(&fd, true)?;
+        match net::connect(&fd, &address) {
+            // An interrupted connect goes on in the background like any other.
+            Ok(()) | Err(Errno::INPROGRESS | Errno::INTR) => Ok(Stream::new(fd)),
+            Err(e) => Err(e.into()),
+        }
+    }
+
+    pub fn connected(&self) -> io::Result<()> {
+        Ok(sockopt::socket_error(&self.fd)??)
+    }
+
+    /// Reads what there is until `limit` bytes wait to be used.
+    pub fn fill(&mut self, limit: usize) -> Filled {
+        let mut chunk = [0; CHUNK];
+        while self.input.len() < limit {
+            match rustix::io::read(&self.fd, &mut chunk) {
+                Ok(0) => return Filled::Ended,
+                Ok(n) => {
+                    self.input.push(&chunk[..n]);
+                    if n < chunk.len() {
+                        // Level-triggered: what came meanwhile is told again.
+                        break;
+                    }
+                }
+                Err(Errno::AGAIN) => break,
+                Err(Errno::INTR) => {}
+                Err(_) => return Filled::Ended,
+            }
+        }
+        Filled::Open
+    }
+
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.output.push(bytes);
+    }
+
+    /// Bytes that the peer has not taken yet.
+    pub fn unsent(&self) -> usize {
+        self.output.len()
+    }
+
+    /// Writes what the socket takes; true once all is written.
+    pub fn flush(&mut self) -> io::Result<bool> {
+        while !self.output.is_empty() {
+            match net::send(&self.fd, self.output.unused(), SendFlags::NOSIGNAL) {
+                Ok(n) => self.output.consume(n),
+                Err(Errno::AGAIN) => return Ok(false),
+                Err(Errno::INTR) => {}
+                Err(e) => return Err(e.into()),
+            }
+        }
+        Ok(true)
+    }
+
+    /// Sets what the stream waits for, with a system call only where that changes.
+    pub fn watch(&mut self, reactor: &Reactor, token: Token, interest: Interest) -> io::Result<()> {
+        match self.interest {
+            Some(now) if now == interest => return Ok(()),
+            Some(_) => reactor.change(&self.fd, token, interest)?,
+            None => reactor.add(&self.fd, token, interest)?,
+        }
+        self.interest = Some(interest);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/leverproxy/src/reactor.rs
@@ -0,0 +1,228 @@
+//! What the single thread waits on: descriptors with tokens, timers, and signals.
+
+use rustix::event::{epoll, Timespec};
+use rustix::io::Errno;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::io;
+use std::os::fd::{AsFd, OwnedFd};
+use std::time::{Duration, Instant};
+
+/// A place in [`Slots`]. The generation tells apart those that had the same index one after the other: an
+/// event that was fetched before its connection closed never reaches the next one in its place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Key {
+    index: u32,
+    generation: u32,
+}
+
+/// An arena whose keys go stale when what they name is removed.
+#[derive(Debug)]
+pub struct Slots<T> {
+    entries: Vec<(u32, Option<T>)>,
+    free: Vec<u32>,
+}
+
+impl<T> Default for Slots<T> {
+    fn default() -> Self {
+        Slots { entries: Vec::new(), free: Vec::new() }
+    }
+}
+
+/// Generations wrap within what a token has room for.
+const GENERATIONS: u32 = 1 << 24;
+
+impl<T> Slots<T> {
+    pub fn insert(&mut self, value: T) -> Key {
+        let index = self.free.pop().unwrap_or_else(|| {
+            self.entries.push((0, None));
+            self.entries.len() as u32 - 1
+        });
+        let entry = &mut self.entries[index as usize];
+        entry.1 = Some(value);
+        Key { index, generation: entry.0 }
+    }
+
+    pub fn remove(&mut self, key: Key) -> Option<T> {
+        let entry = self.entries.get_mut(key.index as usize).filter(|e| e.0 == key.generation)?;
+        let value = entry.1.take()?;
+        entry.0 = (entry.0 + 1) % GENERATIONS;
+        self.free.push(key.index);
+        Some(value)
+    }
+
+    pub fn get(&self, key: Key) -> Option<&T> {
+        self.entries.get(key.index as usize).filter(|e| e.0 == key.generation)?.1.as_ref()
+    }
+
+    pub fn get_mut(&mut self, key: Key) -> Option<&mut T> {
+        self.entries.get_mut(key.index as usize).filter(|e| e.0 == key.generation)?.1.as_mut()
+    }
+
+    pub fn len(&self) -> usize {
+        self.entries.len() - self.free.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (Key, &T)> {
+        let used = |(index, (generation, value)): (usize, &'_ (u32, Option<T>))| {
+            (Key { index: index as u32, generation: *generation }, value.is_some())
+        };
+        self.entries.iter().enumerate().map(used).filter(|u| u.1).filter_map(|u| Some((u.0, self.get(u.0)?)))
+    }
+
+    pub fn keys(&self) -> Vec<Key> {
+        self.iter().map(|(key, _)| key).collect()
+    }
+}
+
+/// Whose descriptor an event is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Token {
+    Listener,
+    Signals,
+    Discovery(Key),
+    Client(Key),
+    Upstream(Key),
+}
+
+impl Token {
+    fn encode(self) -> u64 {
+        let (kind, key) = match self {
+            Token::Listener => (0, None),
+            Token::Signals => (1, None),
+            Token::Discovery(key) => (2, Some(key)),
+            Token::Client(key) => (3, Some(key)),
+            Token::Upstream(key) => (4, Some(key)),
+        };
+        let key = key.map_or(0, |k| u64::from(k.generation) << 32 | u64::from(k.index));
+        kind << 56 | key
+    }
+
+    fn decode(raw: u64) -> Option<Token> {
+        let key = Key { index: raw as u32, generation: (raw >> 32) as u32 % GENERATIONS };
+        Some(match raw >> 56 {
+            0 => Token::Listener,
+            1 => Token::Signals,
+            2 => Token::Discovery(key),
+            3 => Token::Client(key),
+            4 => Token::Upstream(key),
+            _ => return None,
+        })
+    }
+}
+
+/// What a descriptor is watched for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Interest {
+    pub read: bool,
+    pub write: bool,
+}
+
+impl Interest {
+    pub const READ: Interest = Interest { read: true, write: false };
+    pub const WRITE: Interest = Interest { read: false, write: true };
+
+    fn flags(self) -> epoll::EventFlags {
+        let mut flags = epoll::EventFlags::empty();
+        flags.set(epoll::EventFlags::IN, self.read);
+        flags.set(epoll::EventFlags::OUT, self.write);
+        flags
+    }
+}
+
+/// A descriptor is ready; an error or hang-up shows as both, and the call that follows tells which.
+#[derive(Clone, Copy, Debug)]
+pub struct Ready {
+    pub token: Token,
+    pub readable: bool,
+    pub writable: bool,
+}
+
+pub struct Reactor {
+    epoll: OwnedFd,
+    buffer: Vec<epoll::Event>,
+}
+
+/// Events fetched at once.
+const BATCH: usize = 256;
+
+impl Reactor {
+    pub fn new() -> io::Result<Reactor> {
+        Ok(Reactor { epoll: epoll::create(epoll::CreateFlags::CLOEXEC)?, buffer: Vec::with_capacity(BATCH) })
+    }
+
+    pub fn add(&self, fd: impl AsFd, token: Token, interest: Interest) -> io::Result<()> {
+        let data = epoll::EventData::new_u64(token.encode());
+        Ok(epoll::add(&self.epoll, fd, data, interest.flags())?)
+    }
+
+    pub fn change(&self, fd: impl AsFd, token: Token, interest: Interest) -> io::Result<()> {
+        let data = epoll::EventData::new_u64(token.encode());
+        Ok(epoll::modify(&self.epoll, fd, data, interest.flags())?)
+    }
+
+    /// Waits for the first event or until `until`; an interrupted wait returns nothing.
+    pub fn wait(&mut self, until: Option<Instant>, ready: &mut Vec<Ready>) -> io::Result<()> {
+        ready.clear();
+        let timeout = until.map(|at| {
+            let left = at.saturating_duration_since(Instant::now());
+            Timespec { tv_sec: left.as_secs().min(3_600) as i64, tv_nsec: left.subsec_nanos().into() }
+        });
+        self.buffer.clear();
+        match epoll::wait(&self.epoll, rustix::buffer::spare_capacity(&mut self.buffer), timeout.as_ref()) {
+            Ok(_) => {}
+            Err(Errno::INTR) => return Ok(()),
+            Err(e) => return Err(e.into()),
+        }
+        for event in &self.buffer {
+            let (flags, data) = (event.flags, event.data);
+            let broken = flags.intersects(epoll::EventFlags::ERR | epoll::EventFlags::HUP);
+            if let Some(token) = Token::decode(data.u64()) {
+                let readable = broken || flags.contains(epoll::EventFlags::IN);
+                let writable = broken || flags.contains(epoll::EventFlags::OUT);
+                ready.push(Ready { token, readable, writable });
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Due times. Nothing is taken back: whoever set one checks on its call whether it still means something.
+#[derive(Debug)]
+pub struct Timers<T> {
+    heap: BinaryHeap<Reverse<(Instant, u64, T)>>,
+    set: u64,
+}
+
+impl<T: Ord> Default for Timers<T> {
+    fn default() -> Self {
+        Timers { heap: BinaryHeap::new(), set: 0 }
+    }
+}
+
+impl<T: Ord> Timers<T> {
+    pub fn set(&mut self, at: Instant, what: T) {
+        self.set += 1;
+        self.heap.push(Reverse((at, self.set, what)));
+    }
+
+    pub fn next(&self) -> Option<Instant> {
+        self.heap.peek().map(|Reverse((at, ..))| *at)
+    }
+
+    pub fn pop_due(&mut self, now: Instant) -> Option<T> {
+        if self.next()? > now {
+            return None;
+        }
+        self.heap.pop().map(|Reverse((.., what))| what)
+    }
+}
+
+/// A time so far off that the sum would not fit is never reached; a day stands for it.
+pub fn later(now: Instant, by: Duration) -> Instant {
+    now + by.min(Duration::from_secs(86_400))
+}
--- /dev/null
+++ b/leverproxy/src/request.rs
@@ -0,0 +1,82 @@
+//! What passes between a protocol's front, the stages and the upstream side, in no protocol's words.
+
+use crate::reactor::Key;
+use mountshift::{AttemptNo, Note, RequestId, StoreId};
+use std::time::{Duration, Instant};
+
+/// Where the answer to a request goes: which client's connection, and which of its requests in order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Ticket {
+    pub client: Key,
+    pub number: u64,
+}
+
+/// A request as a front has read it.
+#[derive(Debug)]
+pub struct Request {
+    pub class: String,
+    pub tenant: Option<String>,
+    pub group: u32,
+    pub session: Option<u64>,
+    /// How long the client waits, from its send.
+    pub wait: Duration,
+    /// Unix time of the commit that a read must see.
+    pub after: Option<Duration>,
+    pub repeated: bool,
+    pub command: Command,
+    pub read_at: Instant,
+}
+
+/// The command in the words of its protocol, in two parts with the time to wait between them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Command {
+    pub before_wait: Vec<u8>,
+    pub after_wait: Vec<u8>,
+}
+
+/// The final answer to a request.
+#[derive(Debug)]
+pub enum Answer {
+    /// As the record server gave it.
+    Served(Vec<u8>),
+    /// Nothing ran that a repeat could double; the client may come back after so long.
+    Refused(Option<Duration>),
+    Failed,
+    /// The request makes no sense.
+    Rejected(String),
+}
+
+/// What an upstream exchange is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Purpose {
+    Attempt(RequestId, AttemptNo),
+    Probe,
+}
+
+/// How an exchange with a record server ended.
+#[derive(Debug, PartialEq)]
+pub enum Verdict {
+    Served(Vec<u8>),
+    Miss,
+    Failed,
+    /// Turned away unseen.
+    Full,
+    /// Its last byte was never written.
+    ConnectFailed,
+    /// The connection broke after that.
+    Reset,
+    TimedOut,
+    /// Called off by the module.
+    Cancelled,
+    /// Dropped before it was written, since the server leaves.
+    NeverSent,
+}
+
+#[derive(Debug)]
+pub struct Done {
+    pub purpose: Purpose,
+    pub store: StoreId,
+    pub verdict: Verdict,
+    pub elapsed: Duration,
+    pub note: Note,
+}
--- /dev/null
+++ b/leverproxy/src/stages/book.rs
@@ -0,0 +1,50 @@
+//! Book: how an exchange ended, as the module is told of it.
+
+use crate::clock::span;
+use crate::pg::client;
+use crate::request::{Done, Purpose, Verdict};
+use mountshift::{Ended, Event, Outcome, Report, Time};
+
+/// `last`: the request is owed nothing more.
+pub fn book(done: &Done, last: bool) -> Event {
+    match done.purpose {
+        Purpose::Attempt(id, attempt) => Event::Ended(Ended {
+            id,
+            attempt,
+            store: done.store,
+            outcome: outcome(&done.verdict),
+            elapsed: span(done.elapsed),
+            last,
+            note: done.note,
+        }),
+        Purpose::Probe => {
+            let report = match &done.verdict {
+                Verdict::Served(relayed) => client::first_value(relayed).map(report),
+                _ => None,
+            };
+            let ok = report.is_some();
+            let (store, elapsed) = (done.store, span(done.elapsed));
+            Event::Probed { store, ok, elapsed, report: report.unwrap_or_default() }
+        }
+    }
+}
+
+fn outcome(verdict: &Verdict) -> Outcome {
+    match verdict {
+        Verdict::Served(_) => Outcome::Ok,
+        Verdict::Miss => Outcome::Miss,
+        Verdict::Failed => Outcome::Failed,
+        Verdict::Full => Outcome::Full,
+        Verdict::ConnectFailed => Outcome::ConnectFailed,
+        Verdict::Reset => Outcome::Reset,
+        Verdict::TimedOut => Outcome::TimedOut,
+        Verdict::Cancelled => Outcome::Cancelled,
+        Verdict::NeverSent => Outcome::Moot,
+    }
+}
+
+/// On sockets all positions are Unix times.
+fn report(text: &str) -> Report {
+    let fields = client::load_fields(text).map(|(name, value)| (mountshift_settings::field(name), value));
+    mountshift_settings::report(Time(0), fields)
+}
--- /dev/null
+++ b/leverproxy/src/stages/mod.rs
@@ -0,0 +1,220 @@
+//! The chain that a request passes: take in, admit, route, send, relay, book.
+
+pub mod admit;
+pub mod book;
+pub mod relay;
+pub mod route;
+pub mod send;
+pub mod take_in;
+
+use crate::clock::{duration, Clock};
+use crate::counters::Counters;
+use crate::discovery::directory::{Change, Directory};
+use crate::discovery::wire::Listing;
+use crate::discovery::{Discovery, News};
+use crate::front::{self, Front};
+use crate::reactor::{later, Reactor, Timers};
+use crate::request::{Answer, Done, Purpose, Request, Ticket};
+use crate::upstream::{Due, Upstream};
+use mountshift::{Action, Event, ListNews, RequestId, Settings, StoreId, TimerToken};
+use mountshift_settings::Names;
+use std::time::{Duration, Instant};
+
+/// What a timer is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Timer {
+    Module(u32),
+    Upstream(Due),
+    Watch,
+    /// New connections have stopped coming: the listener may go.
+    Close,
+}
+
+/// The sides that the chain works on.
+pub struct Sides {
+    pub reactor: Reactor,
+    pub timers: Timers<Timer>,
+    pub front: Front,
+    pub upstream: Upstream,
+    pub discovery: Discovery,
+}
+
+pub struct Chain {
+    clock: Clock,
+    names: Names,
+    probe_time: Duration,
+    directory: Directory,
+    ledger: admit::Ledger,
+    route: route::Route,
+    pub counters: Counters,
+}
+
+impl Chain {
+    pub fn new(
+        settings: Settings,
+        names: Names,
+        max_open: usize,
+        seed: u64,
+        probe_time: Duration,
+        now: Instant,
+    ) -> Chain {
+        let clock = Clock::start();
+        Chain {
+            names,
+            probe_time,
+            directory: Directory::default(),
+            ledger: admit::Ledger::new(max_open),
+            route: route::Route::new(settings, seed, clock.unix(now)),
+            counters: Counters::default(),
+            clock,
+        }
+    }
+
+    /// The list as the proxy last had it, before anything else.
+    pub fn start(&mut self, known: Listing, sides: &mut Sides, now: Instant) {
+        let (news, changes) = self.directory.learn(Listing { snapshot: true, ..known }, &self.names);
+        let news = match news {
+            ListNews::Complete(entries) => ListNews::Cached(entries),
+            other => other,
+        };
+        self.listed(news, changes, sides, now);
+    }
+
+    /// Works through all that the sides have to tell.
+    pub fn turn(&mut self, sides: &mut Sides, now: Instant) {
+        loop {
+            if let Some(news) = sides.discovery.pop() {
+                self.on_news(news, sides, now);
+            } else if let Some(done) = sides.upstream.pop() {
+                self.on_done(done, sides, now);
+            } else if let Some(event) = sides.front.pop() {
+                match event {
+                    front::Event::Asked(ticket, request) => self.on_request(ticket, request, sides, now),
+                    front::Event::Left(ticket) => self.on_left(ticket, sides, now),
+                }
+            } else {
+                break;
+            }
+        }
+        for (at, due) in sides.upstream.take_due() {
+            sides.timers.set(at, Timer::Upstream(due));
+        }
+    }
+
+    pub fn on_module_timer(&mut self, token: u32, sides: &mut Sides, now: Instant) {
+        self.decide(Event::Timer(TimerToken(token)), sides, now);
+    }
+
+    fn on_request(&mut self, ticket: Ticket, request: Request, sides: &mut Sides, now: Instant) {
+        let id = self.ledger.next_id();
+        let arrival = match take_in::take_in(id, &request, &self.names, &self.clock, now) {
+            Ok(arrival) => arrival,
+            Err(why) => {
+                log::warn!("front: a request is rejected: {why}");
+                self.counters.rejected += 1;
+                return sides.front.answer(ticket, Answer::Rejected(why), now, &sides.reactor);
+            }
+        };
+        self.counters.taken(&request.class);
+        let class = request.class.clone();
+        if !self.ledger.admit(id, ticket, request.class, request.command) {
+            let answer = Answer::Refused(None);
+            self.counters.answered(&class, &answer);
+            return sides.front.answer(ticket, answer, now, &sides.reactor);
+        }
+        self.decide(Event::Arrived(arrival), sides, now);
+    }
+
+    fn on_left(&mut self, ticket: Ticket, sides: &mut Sides, now: Instant) {
+        let Some(id) = self.ledger.id(ticket) else { return };
+        if let Some(open) = self.ledger.close(id) {
+            self.counters.left(&open.class);
+            self.decide(Event::Left(id), sides, now);
+        }
+    }
+
+    fn on_done(&mut self, mut done: Done, sides: &mut Sides, now: Instant) {
+        let Purpose::Attempt(id, _) = done.purpose else {
+            self.counters.ended("", done.purpose, &done.verdict);
+            return self.decide(book::book(&done, true), sides, now);
+        };
+        let class = self.ledger.get_mut(id).map_or("of answered requests", |open| &open.class).to_owned();
+        self.counters.ended(&class, done.purpose, &done.verdict);
+        if let Some((open, answer)) = relay::served(id, &mut done.verdict, &mut self.ledger) {
+            self.counters.answered(&open.class, &answer);
+            sides.front.answer(open.ticket, answer, now, &sides.reactor);
+        }
+        let last = self.ledger.get_mut(id).is_none();
+        self.decide(book::book(&done, last), sides, now);
+    }
+
+    fn on_news(&mut self, news: News, sides: &mut Sides, now: Instant) {
+        match news {
+            News::Listing(listing) => {
+                self.counters.lists += 1;
+                let (news, changes) = self.directory.learn(listing, &self.names);
+                self.listed(news, changes, sides, now);
+            }
+            News::Failed => {
+                self.counters.watches_lost += 1;
+                self.decide(Event::List(ListNews::Failed), sides, now);
+            }
+        }
+    }
+
+    /// The module hears of a list before the attempts that it ends are reported.
+    fn listed(&mut self, news: ListNews, changes: Vec<Change>, sides: &mut Sides, now: Instant) {
+        for change in changes {
+            match change {
+                Change::Serves(store, address) => sides.upstream.serves(store, address),
+                Change::Leaves(store) => sides.upstream.leaves(store, now),
+            }
+        }
+        self.decide(Event::List(news), sides, now);
+    }
+
+    fn decide(&mut self, event: Event, sides: &mut Sides, now: Instant) {
+        for action in self.route.decide(self.clock.unix(now), event) {
+            self.act(action, sides, now);
+        }
+    }
+
+    fn act(&mut self, action: Action, sides: &mut Sides, now: Instant) {
+        match action {
+            Action::Send { id, store, time_out } => {
+                let Some(open) = self.ledger.get_mut(id) else { return };
+                let exchange = send::attempt(id, open, duration(time_out), now);
+                sides.upstream.start(store, exchange, now, &sides.reactor);
+            }
+            Action::Probe { store } => self.probe(store, sides, now),
+            Action::Cancel { id, attempt } => sides.upstream.cancel(Purpose::Attempt(id, attempt), now),
+            Action::Refuse { id, come_back } => {
+                self.answer(id, Answer::Refused(come_back.map(duration)), sides, now);
+            }
+            Action::Fail { id } => self.answer(id, Answer::Failed, sides, now),
+            Action::Timer { after, token } => {
+                sides.timers.set(later(now, duration(after)), Timer::Module(token.0));
+            }
+            Action::Subscribe => {
+                let due = sides.discovery.subscribe(self.directory.index(), now, &sides.reactor);
+                sides.timers.set(due, Timer::Watch);
+            }
+        }
+    }
+
+    fn probe(&mut self, store: StoreId, sides: &mut Sides, now: Instant) {
+        self.counters.probe_sent();
+        sides.upstream.start(store, send::probe(self.probe_time, now), now, &sides.reactor);
+    }
+
+    fn answer(&mut self, id: RequestId, answer: Answer, sides: &mut Sides, now: Instant) {
+        let Some(open) = self.ledger.close(id) else { return };
+        self.counters.answered(&open.class, &answer);
+        sides.front.answer(open.ticket, answer, now, &sides.reactor);
+    }
+
+    /// Nothing is owed to any client.
+    pub fn settled(&self) -> bool {
+        self.ledger.is_empty()
+    }
+}
--- /dev/null
+++ b/leverproxy/src/stages/route.rs
@@ -0,0 +1,19 @@
+//! Route: the one place where the module is asked. It alone decides.
+
+use mountshift::{Action, Event, Router, Settings, Time};
+
+pub struct Route {
+    router: Router,
+}
+
+impl Route {
+    pub fn new(settings: Settings, seed: u64, now: Time) -> Route {
+        Route { router: Router::new(settings, seed, now) }
+    }
+
+    pub fn decide(&mut self, now: Time, event: Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.router.handle(now, event, &mut actions);
+        actions
+    }
+}
--- /dev/null
+++ b/leverproxy/src/stages/send.rs
@@ -0,0 +1,28 @@
+//! Send: an attempt or a probe that the module wants becomes an exchange with a record server.
+
+use super::admit::Open;
+use crate::pg::client;
+use crate::request::Purpose;
+use crate::upstream::Exchange;
+use mountshift::RequestId;
+use std::time::{Duration, Instant};
+
+/// An attempt tells the record server how long it is waited for; else it passes the command on as it came.
+pub fn attempt(id: RequestId, open: &mut Open, time_out: Duration, now: Instant) -> Exchange {
+    Exchange {
+        purpose: Purpose::Attempt(id, open.next_attempt()),
+        bytes: client::query(&open.command, time_out),
+        sent: now,
+        until: crate::reactor::later(now, time_out),
+    }
+}
+
+/// A probe waits as long as a dial does: a server that takes longer counts as silent.
+pub fn probe(time_out: Duration, now: Instant) -> Exchange {
+    Exchange {
+        purpose: Purpose::Probe,
+        bytes: client::load_query(),
+        sent: now,
+        until: crate::reactor::later(now, time_out),
+    }
+}
--- /dev/null
+++ b/leverproxy/src/stages/take_in.rs
@@ -0,0 +1,43 @@
+//! Take in: a request in the words of its protocol becomes one in the module's ids.
+
+use crate::clock::{span, Clock};
+use crate::request::Request;
+use mountshift::{Arrival, ClassId, GroupId, RequestId, SessionKey, TenantId};
+use mountshift_settings::Names;
+use std::time::{Duration, Instant};
+
+/// The client's time counts from its send, and an answer has to reach it inside that time: this much is kept
+/// back for both ways and for the proxy's own delays.
+pub const MARGIN: Duration = Duration::from_millis(10);
+
+/// The arrival, or what the client is told of a request that makes no sense.
+pub fn take_in(
+    id: RequestId,
+    request: &Request,
+    names: &Names,
+    clock: &Clock,
+    now: Instant,
+) -> Result<Arrival, String> {
+    let place = |names: &[String], name: &str| {
+        names.iter().position(|n| n == name).and_then(|at| u16::try_from(at).ok())
+    };
+    let class = place(&names.classes, &request.class)
+        .map(ClassId)
+        .ok_or_else(|| format!("class {:?} is not known", request.class))?;
+    let tenant = match &request.tenant {
+        Some(name) => place(&names.tenants, name).ok_or_else(|| format!("tenant {name:?} is not known"))?,
+        None => 0,
+    };
+    let spent = now.saturating_duration_since(request.read_at) + MARGIN;
+    let unix_now = clock.unix(now);
+    Ok(Arrival {
+        id,
+        class,
+        tenant: TenantId(tenant),
+        group: GroupId(request.group),
+        session: request.session.map(SessionKey),
+        time_left: span(request.wait.saturating_sub(spent)),
+        wrote_ago: request.after.map(|at| unix_now.since(crate::clock::time(at))),
+        repeated: request.repeated,
+    })
+}
--- /dev/null
+++ b/leverproxy/src/upstream.rs
@@ -0,0 +1,401 @@
+//! The record servers' side: pools of connections, dials, and the exchanges on them.
+//!
+//! An exchange takes the connection that was used last, or waits for the first that is dialled or comes free.
+//! Nothing is ever sent a second time from here: what can't be finished is reported, and the module decides.
+
+use crate::net::{Filled, Stream};
+use crate::pg::client::{self, AnswerReader};
+use crate::reactor::{Interest, Key, Reactor, Slots, Token};
+use crate::request::{Done, Purpose, Verdict};
+use mountshift::{Note, StoreId};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Dials under way to one server; further exchanges wait for these or for a connection to come free.
+const DIALS_AT_ONCE: usize = 32;
+
+/// One exchange: bytes out, one answer back.
+#[derive(Debug)]
+pub struct Exchange {
+    pub purpose: Purpose,
+    pub bytes: Vec<u8>,
+    pub sent: Instant,
+    /// Nobody waits for it after this.
+    pub until: Instant,
+}
+
+/// What to look after when a timer is due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Due {
+    Connection(Key),
+    Queue(StoreId),
+}
+
+pub struct Upstream {
+    connections: Slots<Connection>,
+    pools: BTreeMap<StoreId, Pool>,
+    done: VecDeque<Done>,
+    /// Timers asked for.
+    due: Vec<(Instant, Due)>,
+    limit: usize,
+    dial_timeout: Duration,
+    idle_limit: Duration,
+    pub dials: u64,
+}
+
+struct Pool {
+    address: SocketAddr,
+    /// The most recently used last.
+    idle: Vec<Key>,
+    waiting: VecDeque<Exchange>,
+    dialling: usize,
+}
+
+struct Connection {
+    stream: Stream,
+    store: StoreId,
+    state: State,
+    /// When the present state has lasted too long.
+    until: Instant,
+}
+
+enum State {
+    Connecting,
+    /// Up; the server's welcome has not come in full.
+    Greeting(AnswerReader),
+    Idle,
+    Busy {
+        exchange: Exchange,
+        reader: AnswerReader,
+        /// Its last byte is with the system: from here on it may have run.
+        written: bool,
+    },
+}
+
+impl Upstream {
+    pub fn new(limit: usize, dial_timeout: Duration, idle_limit: Duration) -> Upstream {
+        Upstream {
+            connections: Slots::default(),
+            pools: BTreeMap::new(),
+            done: VecDeque::new(),
+            due: Vec::new(),
+            limit,
+            dial_timeout,
+            idle_limit,
+            dials: 0,
+        }
+    }
+
+    pub fn pop(&mut self) -> Option<Done> {
+        self.done.pop_front()
+    }
+
+    pub fn take_due(&mut self) -> Vec<(Instant, Due)> {
+        std::mem::take(&mut self.due)
+    }
+
+    pub fn connections(&self) -> usize {
+        self.connections.len()
+    }
+
+    /// The server is there and takes requests.
+    pub fn serves(&mut self, store: StoreId, address: SocketAddr) {
+        let pool = self.pools.entry(store).or_insert_with(|| Pool {
+            address,
+            idle: Vec::new(),
+            waiting: VecDeque::new(),
+            dialling: 0,
+        });
+        if pool.address != address {
+            pool.address = address;
+            for key in std::mem::take(&mut pool.idle) {
+                self.connections.remove(key);
+            }
+        }
+    }
+
+    /// The server drains or is gone: nothing new may reach it, so what is not written yet is called off. What
+    /// is written goes on.
+    pub fn leaves(&mut self, store: StoreId, now: Instant) {
+        let Some(mut pool) = self.pools.remove(&store) else { return };
+        for exchange in pool.waiting.drain(..) {
+            self.finish(exchange, store, Verdict::NeverSent, Note::default(), now);
+        }
+        for key in self.connections.keys() {
+            let Some(connection) = self.connections.get(key).filter(|c| c.store == store) else { continue };
+            let written = matches!(connection.state, State::Busy { written: true, .. });
+            if !written {
+                self.close(key, Verdict::NeverSent, now);
+            }
+        }
+    }
+
+    pub fn start(&mut self, store: StoreId, exchange: Exchange, now: Instant, reactor: &Reactor) {
+        let Some(pool) = self.pools.get_mut(&store) else {
+            return self.finish(exchange, store, Verdict::NeverSent, Note::default(), now);
+        };
+        let queue_until = exchange.until.min(exchange.sent + self.dial_timeout);
+        pool.waiting.push_back(exchange);
+        self.due.push((queue_until, Due::Queue(store)));
+        self.serve_queue(store, now, reactor);
+    }
+
+    /// Gives waiting exchanges the idle connections, and dials for the rest.
+    fn serve_queue(&mut self, store: StoreId, now: Instant, reactor: &Reactor) {
+        while let Some(pool) = self.pools.get_mut(&store).filter(|p| !p.waiting.is_empty()) {
+            let Some(key) = pool.idle.pop() else { break };
+            // Its end may have come unnoticed: a request written then would count as one that may have run.
+            let Some(connection) = self.connections.get_mut(key) else { continue };
+            if connection.stream.fill(1) == Filled::Ended || !connection.stream.input.is_empty() {
+                self.connections.remove(key);
+                continue;
+            }
+            let Some(exchange) = pool.waiting.pop_front() else { break };
+            self.give(key, exchange, now, reactor);
+        }
+        self.dial_for_queue(store, now, reactor);
+    }
+
+    fn dial_for_queue(&mut self, store: StoreId, now: Instant, reactor: &Reactor) {
+        while let Some(pool) = self.pools.get_mut(&store) {
+            if pool.waiting.len() <= pool.dialling || pool.dialling >= DIALS_AT_ONCE {
+                return;
+            }
+            let address = pool.address;
+            if self.connections.len() >= self.limit && !self.evict() {
+                // What waits gets the next connection that comes free, or runs out of time.
+                return;
+            }
+            let until = now + self.dial_timeout;
+            self.dials += 1;
+            let stream = match Stream::dial(address) {
+                Ok(stream) => stream,
+                Err(e) => {
+                    log::debug!("upstream: cannot dial {address}: {e}");
+                    self.fail_first_waiting(store, Verdict::ConnectFailed, now);
+                    continue;
+                }
+            };
+            let connection = Connection { stream, store, state: State::Connecting, until };
+            let key = self.connections.insert(connection);
+            self.due.push((until, Due::Connection(key)));
+            if let Some(pool) = self.pools.get_mut(&store) {
+                pool.dialling += 1;
+            }
+            let watched = self
+                .connections
+                .get_mut(key)
+                .map(|c| c.stream.watch(reactor, Token::Upstream(key), Interest::WRITE));
+            if let Some(Err(_)) = watched {
+                self.close(key, Verdict::ConnectFailed, now);
+            }
+        }
+    }
+
+    /// Closes the idle connection whose turn to end comes first; false: there is none.
+    fn evict(&mut self) -> bool {
+        let idle = self.connections.iter().filter(|(_, c)| matches!(c.state, State::Idle));
+        let Some((key, store)) = idle.min_by_key(|(_, c)| c.until).map(|(key, c)| (key, c.store)) else {
+            return false;
+        };
+        if let Some(pool) = self.pools.get_mut(&store) {
+            pool.idle.retain(|&k| k != key);
+        }
+        self.connections.remove(key).is_some()
+    }
+
+    fn give(&mut self, key: Key, exchange: Exchange, now: Instant, reactor: &Reactor) {
+        let Some(connection) = self.connections.get_mut(key) else { return };
+        connection.stream.push(&exchange.bytes);
+        connection.until = exchange.until;
+        self.due.push((exchange.until, Due::Connection(key)));
+        connection.state = State::Busy { exchange, reader: AnswerReader::default(), written: false };
+        self.advance(key, now, reactor);
+    }
+
+    pub fn ready(&mut self, key: Key, now: Instant, reactor: &Reactor) {
+        let Some(connection) = self.connections.get_mut(key) else { return };
+        if let State::Connecting = connection.state {
+            if let Err(e) = connection.stream.connected() {
+                log::debug!("upstream: dial failed: {e}");
+                return self.close(key, Verdict::ConnectFailed, now);
+            }
+            connection.stream.push(&client::startup());
+            connection.state = State::Greeting(AnswerReader::default());
+        }
+        self.advance(key, now, reactor);
+    }
+
+    /// Writes and reads what there is, and acts on an answer that is whole or a connection that has ended.
+    fn advance(&mut self, key: Key, now: Instant, reactor: &Reactor) {
+        let Some(connection) = self.connections.get_mut(key) else { return };
+        let flushed = connection.stream.flush();
+        if let (State::Busy { written, .. }, Ok(true)) = (&mut connection.state, &flushed) {
+            *written = true;
+        }
+        let filled = connection.stream.fill(client::INPUT_LIMIT);
+        let taken = match &mut connection.state {
+            State::Connecting => Ok((0, false)),
+            State::Idle if connection.stream.input.is_empty() => Ok((0, false)),
+            State::Idle => Err(crate::pg::Malformed("bytes that nobody asked for".into())),
+            State::Greeting(reader) | State::Busy { reader, .. } => {
+                reader.take(connection.stream.input.unused())
+            }
+        };
+        match taken {
+            Ok((used, whole)) => {
+                connection.stream.input.consume(used);
+                if whole {
+                    return self.answered(key, filled == Filled::Ended, now, reactor);
+                }
+            }
+            Err(why) => {
+                log::warn!("upstream: a record server is not understood: {why}");
+                return self.broken(key, now);
+            }
+        }
+        let Ok(written) = flushed else { return self.broken(key, now) };
+        if filled == Filled::Ended {
+            return self.broken(key, now);
+        }
+        let interest = Interest { read: true, write: !written };
+        if connection.stream.watch(reactor, Token::Upstream(key), interest).is_err() {
+            self.broken(key, now);
+        }
+    }
+
+    /// ReadyForQuery has come: the connection is free again.
+    fn answered(&mut self, key: Key, ended: bool, now: Instant, reactor: &Reactor) {
+        let Some(connection) = self.connections.get_mut(key) else { return };
+        let store = connection.store;
+        let half_written = matches!(connection.state, State::Busy { written: false, .. });
+        connection.until = now + self.idle_limit;
+        match std::mem::replace(&mut connection.state, State::Idle) {
+            State::Busy { exchange, reader, .. } => {
+                let (verdict, note) = reader.verdict();
+                self.finish(exchange, store, verdict, note, now);
+            }
+            State::Greeting(reader) => {
+                self.dial_over(store);
+                if reader.conclusive() {
+                    self.connections.remove(key);
+                    return self.fail_first_waiting(store, reader.verdict().0, now);
+                }
+            }
+            State::Connecting | State::Idle => {}
+        }
+        let watched = self.connections.get_mut(key).is_some_and(|c| {
+            c.stream.input.is_empty() && c.stream.watch(reactor, Token::Upstream(key), Interest::READ).is_ok()
+        });
+        let Some(pool) = self.pools.get_mut(&store).filter(|_| !ended && !half_written && watched) else {
+            // The server has left, or the connection is of no more use.
+            self.connections.remove(key);
+            return self.serve_queue(store, now, reactor);
+        };
+        pool.idle.push(key);
+        self.due.push((now + self.idle_limit, Due::Connection(key)));
+        self.serve_queue(store, now, reactor);
+    }
+
+    /// The connection has ended or makes no sense.
+    fn broken(&mut self, key: Key, now: Instant) {
+        let verdict = match self.connections.get(key).map(|c| &c.state) {
+            Some(State::Busy { written: true, .. }) => Verdict::Reset,
+            _ => Verdict::ConnectFailed,
+        };
+        self.close(key, verdict, now);
+    }
+
+    /// Ends a connection; what it was for ends with `verdict`, unless an error that came says better.
+    fn close(&mut self, key: Key, verdict: Verdict, now: Instant) {
+        let Some(connection) = self.connections.remove(key) else { return };
+        let store = connection.store;
+        match connection.state {
+            State::Busy { exchange, reader, .. } => {
+                let (verdict, note) =
+                    if reader.conclusive() { reader.verdict() } else { (verdict, Note::default()) };
+                self.finish(exchange, store, verdict, note, now);
+            }
+            State::Idle => {
+                if let Some(pool) = self.pools.get_mut(&store) {
+                    pool.idle.retain(|&k| k != key);
+                }
+            }
+            State::Connecting => {
+                self.dial_over(store);
+                self.fail_first_waiting(store, verdict, now);
+            }
+            State::Greeting(reader) => {
+                self.dial_over(store);
+                let verdict = if reader.conclusive() { reader.verdict().0 } else { verdict };
+                self.fail_first_waiting(store, verdict, now);
+            }
+        }
+    }
+
+    fn dial_over(&mut self, store: StoreId) {
+        if let Some(pool) = self.pools.get_mut(&store) {
+            pool.dialling = pool.dialling.saturating_sub(1);
+        }
+    }
+
+    /// A dial that failed takes one exchange with it: the one that has waited longest.
+    fn fail_first_waiting(&mut self, store: StoreId, verdict: Verdict, now: Instant) {
+        if let Some(exchange) = self.pools.get_mut(&store).and_then(|p| p.waiting.pop_front()) {
+            self.finish(exchange, store, verdict, Note::default(), now);
+        }
+    }
+
+    fn finish(&mut self, exchange: Exchange, store: StoreId, verdict: Verdict, note: Note, now: Instant) {
+        let elapsed = now.saturating_duration_since(exchange.sent);
+        self.done.push_back(Done { purpose: exchange.purpose, store, verdict, elapsed, note });
+    }
+
+    /// Calls off an attempt; its connection ends with it if it is on one.
+    pub fn cancel(&mut self, purpose: Purpose, now: Instant) {
+        let on =
+            |c: &Connection| matches!(&c.state, State::Busy { exchange, .. } if exchange.purpose == purpose);
+        let found = self.connections.iter().find(|(_, c)| on(c)).map(|(key, _)| key);
+        if let Some(key) = found {
+            return self.close(key, Verdict::Cancelled, now);
+        }
+        let mut called_off = Vec::new();
+        for (&store, pool) in &mut self.pools {
+            if let Some(at) = pool.waiting.iter().position(|e| e.purpose == purpose) {
+                called_off.extend(pool.waiting.remove(at).map(|e| (store, e)));
+            }
+        }
+        for (store, exchange) in called_off {
+            self.finish(exchange, store, Verdict::Cancelled, Note::default(), now);
+        }
+    }
+
+    pub fn on_due(&mut self, due: Due, now: Instant, reactor: &Reactor) {
+        match due {
+            Due::Connection(key) => {
+                let Some(connection) = self.connections.get(key).filter(|c| c.until <= now) else { return };
+                let store = connection.store;
+                match connection.state {
+                    State::Busy { written: true, .. } => self.close(key, Verdict::TimedOut, now),
+                    State::Busy { .. } | State::Idle => self.close(key, Verdict::ConnectFailed, now),
+                    State::Connecting | State::Greeting(_) => {
+                        // What waits has a time of its own: a slow dial takes nothing with it.
+                        self.connections.remove(key);
+                        self.dial_over(store);
+                        self.dial_for_queue(store, now, reactor);
+                    }
+                }
+            }
+            Due::Queue(store) => {
+                let Some(pool) = self.pools.get_mut(&store) else { return };
+                let over = |e: &Exchange| e.until.min(e.sent + self.dial_timeout) <= now;
+                let (over, left): (VecDeque<_>, VecDeque<_>) = pool.waiting.drain(..).partition(over);
+                pool.waiting = left;
+                for exchange in over {
+                    self.finish(exchange, store, Verdict::ConnectFailed, Note::default(), now);
+                }
+            }
+        }
+    }
+}
--- a/simhost/src/conf.rs
+++ b/settings/src/lib.rs
@@ -1,13 +1,18 @@
-//! Start-up settings: from the wire's JSON to the module's `Settings`. Unknown keys are ignored.
+//! Start-up settings: from the platform's JSON to the module's `Settings`, and what else every host of
+//! routers reads from it: names, limits of sockets and the meaning of load reports. Unknown keys are ignored.
+#![forbid(unsafe_code)]
 
-use mountshift::{Checks, Class, Effect, Need, Scope, Settings, Span, Tenant, Time, ZoneId};
+use mountshift::{Checks, Class, Effect, Need, Report, Scope, Settings, Span, Tenant, Time, ZoneId};
 use serde::Deserialize;
+use std::fmt;
 
 #[derive(Deserialize, Default)]
 #[serde(rename_all = "PascalCase", default)]
 struct Conf {
     balancers: u32,
     my_zone: u16,
+    zones: Vec<String>,
+    host_types: Vec<String>,
     classes: Vec<ConfClass>,
     realms: Vec<Realm>,
     over_share_worth: Option<f64>,
@@ -27,12 +32,14 @@
     group: String,
     importance: Option<f64>,
     late_value: f64,
+    name: String,
     window: u64,
 }
 
 #[derive(Deserialize, Default)]
 #[serde(rename_all = "PascalCase", default)]
 struct Realm {
+    name: String,
     quota_per_s: f64,
 }
 
@@ -57,7 +64,9 @@
 #[serde(rename_all = "PascalCase", default)]
 struct Limits {
     may_cancel: bool,
+    dial_timeout: u64,
     keepalive: u64,
+    max_open: usize,
     max_retry_after: u64,
     probing: bool,
     retry_after: bool,
@@ -86,17 +95,78 @@
     Unused,
 }
 
-/// What reading the wire needs to know, beside the module's settings.
+/// Names as peers write them, each list in the order of the module's ids.
+#[derive(Debug, Default)]
+pub struct Names {
+    pub classes: Vec<String>,
+    pub tenants: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+}
+
+/// What a host needs to know, beside the module's settings.
 #[derive(Debug)]
 pub struct Decoded {
     pub settings: Settings,
+    pub names: Names,
     pub fields: Vec<Field>,
     /// Positions count from here.
     pub zero: Time,
+    /// A connection not made by then has failed; none is stated as zero.
+    pub dial_timeout: Span,
+    /// Requests open at once; 0: no limit.
+    pub max_open: usize,
+}
+
+/// A setting that can't be read: which, and why.
+#[derive(Debug)]
+pub struct BadSetting {
+    pub key: String,
+    pub problem: String,
+}
+
+impl fmt::Display for BadSetting {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.key, self.problem)
+    }
+}
+
+impl std::error::Error for BadSetting {}
+
+/// The meaning of a report's field, named in the words of the platform or of the simulator.
+pub fn field(name: &str) -> Field {
+    match name {
+        "x0" => Field::Position,
+        "x1" => Field::Primary,
+        "outstanding" | "inflight" => Field::InFlight,
+        "backlog" | "queue" => Field::Queued,
+        _ => Field::Unused,
+    }
+}
+
+/// A load report from the fields that came, positions in seconds after `zero`.
+pub fn report(zero: Time, values: impl IntoIterator<Item = (Field, f64)>) -> Report {
+    let mut report = Report::default();
+    for (field, value) in values {
+        match field {
+            Field::Position => report.position = position(zero, value),
+            Field::Primary => report.primary = Some(value == 1.0),
+            Field::InFlight => report.in_flight = Some(value),
+            Field::Queued => report.queued = Some(value),
+            Field::Unused => {}
+        }
+    }
+    report
+}
+
+fn position(zero: Time, seconds: f64) -> Option<Time> {
+    (seconds.is_finite() && seconds > 0.0).then(|| zero.plus(Span((seconds * 1e6) as u64)))
 }
 
-pub fn decode(json: &[u8]) -> Result<Decoded, serde_json::Error> {
-    let conf: Conf = serde_json::from_slice(json)?;
+pub fn decode(json: &[u8]) -> Result<Decoded, BadSetting> {
+    let mut json = serde_json::Deserializer::from_slice(json);
+    let conf: Conf = serde_path_to_error::deserialize(&mut json)
+        .map_err(|e| BadSetting { key: e.path().to_string(), problem: e.inner().to_string() })?;
     let info = &conf.family_info;
     let class = |(i, c): (usize, &ConfClass)| Class {
         need: match info.needs_by_class.get(i).map_or("", String::as_str) {
@@ -151,13 +221,17 @@
         tip_after: Span(conf.rules.tip_after),
         keepalive: Span(conf.policy_limits.keepalive),
     };
-    let field = |name: &String| match name.as_str() {
-        "x0" => Field::Position,
-        "x1" => Field::Primary,
-        "outstanding" => Field::InFlight,
-        "backlog" => Field::Queued,
-        _ => Field::Unused,
-    };
-    let fields = conf.load_report.fields.iter().map(field).collect();
-    Ok(Decoded { settings, fields, zero: Time(info.counted_from) })
+    Ok(Decoded {
+        settings,
+        fields: conf.load_report.fields.iter().map(|name| field(name)).collect(),
+        names: Names {
+            classes: conf.classes.into_iter().map(|c| c.name).collect(),
+            tenants: conf.realms.into_iter().map(|r| r.name).collect(),
+            zones: conf.zones,
+            kinds: conf.host_types,
+        },
+        zero: Time(info.counted_from),
+        dial_timeout: Span(conf.policy_limits.dial_timeout),
+        max_open: conf.policy_limits.max_open,
+    })
 }
--- a/simhost/src/host.rs
+++ b/simhost/src/host.rs
@@ -1,8 +1,8 @@
 //! The loop: a batch in, every instance's router in turn, a reply out. Instances share nothing.
 
-use crate::conf::{self, Field};
 use crate::wire::{batch_header, ListKind, Malformed, Reader, Record, Reply, BATCH_HEADER};
 use mountshift::{Action, Ended, Entry, Event, ListNews, Note, Outcome, Report, Router, Span, Time};
+use mountshift_settings::{self as conf, Field};
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 
@@ -20,27 +20,13 @@
     reply: Reply,
 }
 
-/// A position told in seconds as a 32-bit float: a step down undoes any rounding up.
-fn told_position(zero: Time, seconds: f32) -> Option<Time> {
-    if !seconds.is_finite() || seconds <= 0.0 {
-        return None;
-    }
-    let down = f32::from_bits(seconds.to_bits() - 1);
-    Some(zero.plus(Span((f64::from(down) * 1e6) as u64)))
-}
-
+/// Figures come as 32-bit floats: for a position a step down undoes any rounding up.
 fn report(fields: &[Field], zero: Time, gauge: &[f32]) -> Report {
-    let mut report = Report::default();
-    for (field, &value) in fields.iter().zip(gauge) {
-        match field {
-            Field::Position => report.position = told_position(zero, value),
-            Field::Primary => report.primary = Some(value == 1.0),
-            Field::InFlight => report.in_flight = Some(value.into()),
-            Field::Queued => report.queued = Some(value.into()),
-            Field::Unused => {}
-        }
-    }
-    report
+    let exact = |(&field, &value): (&Field, &f32)| match field {
+        Field::Position if value > 0.0 => (field, f32::from_bits(value.to_bits() - 1).into()),
+        _ => (field, value.into()),
+    };
+    conf::report(zero, fields.iter().zip(gauge).map(exact))
 }
 
 fn note(zero: Time, raw: u32) -> Note {
--- a/simhost/src/lib.rs
+++ b/simhost/src/lib.rs
@@ -1,6 +1,5 @@
 //! The simulator's wire: decodes batches, hosts one router an instance, encodes replies.
 #![forbid(unsafe_code)]
 
-pub mod conf;
 pub mod host;
 pub mod wire;
--- a/simhost/tests/codec.rs
+++ b/simhost/tests/codec.rs
@@ -1,7 +1,7 @@
 //! Sample frames of the wire, decoded and answered.
 
 use mountshift::*;
-use mountshift_simhost::conf;
+use mountshift_settings as conf;
 use mountshift_simhost::host::{run, Host};
 use mountshift_simhost::wire::{batch_header, ListKind, Reader, Record, Reply};
 
