Retire Span: every span of the module and its hosts is a std Duration

Time is now a newtype of Duration since an origin, averages and costs are Durations too, and microseconds as integers are left to the codecs.

--- a/leverproxy/src/config.rs
+++ b/leverproxy/src/config.rs
@@ -123,9 +123,8 @@
         seed,
         limits: share_out(file.limits.sockets.unwrap_or(DEFAULT_SOCKETS))?,
         known,
-        dial_timeout: or_default(crate::clock::duration(platform.dial_timeout), DEFAULT_DIAL_TIMEOUT),
-        idle_limit: or_default(crate::clock::duration(platform.settings.keepalive), DEFAULT_IDLE)
-            .mul_f64(IDLE_SHARE),
+        dial_timeout: or_default(platform.dial_timeout, DEFAULT_DIAL_TIMEOUT),
+        idle_limit: or_default(platform.settings.keepalive, DEFAULT_IDLE).mul_f64(IDLE_SHARE),
         platform,
     })
 }
@@ -149,7 +148,7 @@
         if name.is_empty() {
             return Err(ConfigError::new(key("Name"), "missing"));
         }
-        if class.deadline.0 == 0 {
+        if class.deadline.is_zero() {
             return Err(ConfigError::new(key("Deadline"), "missing or zero"));
         }
     }
--- a/leverproxy/src/discovery/directory.rs
+++ b/leverproxy/src/discovery/directory.rs
@@ -105,7 +105,7 @@
 }
 
 fn started(since_ms: u64) -> Time {
-    crate::clock::time(Duration::from_millis(since_ms))
+    Time(Duration::from_millis(since_ms))
 }
 
 /// The id of a name; names that the settings do not hold share one that none of theirs has.
--- a/leverproxy/src/pg/client.rs
+++ b/leverproxy/src/pg/client.rs
@@ -1,9 +1,8 @@
 //! The side that record servers see: queries written, their answers read and understood.
 
 use super::{error_field, message, put, sqlstate, text, Malformed, ANSWER_LIMIT};
-use crate::clock;
 use crate::request::{Command, Verdict};
-use mountshift::Note;
+use mountshift::{Note, Time};
 use std::time::Duration;
 
 pub const INPUT_LIMIT: usize = ANSWER_LIMIT + (8 << 10);
@@ -75,7 +74,7 @@
             Some(("role", "replica")) => self.note.primary = Some(false),
             Some(("applied_ms", value)) => {
                 let position = value.parse().ok().filter(|&ms: &u64| ms > 0).map(Duration::from_millis);
-                self.note.position = position.map(clock::time);
+                self.note.position = position.map(Time);
             }
             _ => {}
         }
--- a/leverproxy/src/stages/book.rs
+++ b/leverproxy/src/stages/book.rs
@@ -1,6 +1,5 @@
 //! Book: how an exchange ended, as the module is told of it.
 
-use crate::clock::span;
 use crate::pg::client;
 use crate::request::{Done, Purpose, Verdict};
 use mountshift::{Ended, Event, Outcome, Report, Time};
@@ -13,7 +12,7 @@
             attempt,
             store: done.store,
             outcome: outcome(&done.verdict),
-            elapsed: span(done.elapsed),
+            elapsed: done.elapsed,
             last,
             note: done.note,
         }),
@@ -23,7 +22,7 @@
                 _ => None,
             };
             let ok = report.is_some();
-            let (store, elapsed) = (done.store, span(done.elapsed));
+            let (store, elapsed) = (done.store, done.elapsed);
             Event::Probed { store, ok, elapsed, report: report.unwrap_or_default() }
         }
     }
@@ -46,5 +45,5 @@
 /// On sockets all positions are Unix times.
 fn report(text: &str) -> Report {
     let fields = client::load_fields(text).map(|(name, value)| (mountshift_settings::field(name), value));
-    mountshift_settings::report(Time(0), fields)
+    mountshift_settings::report(Time::ZERO, fields)
 }
--- a/leverproxy/src/stages/mod.rs
+++ b/leverproxy/src/stages/mod.rs
@@ -7,7 +7,7 @@
 pub mod send;
 pub mod take_in;
 
-use crate::clock::{duration, Clock};
+use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::discovery::directory::{Change, Directory};
 use crate::discovery::wire::Listing;
@@ -183,17 +183,17 @@
         match action {
             Action::Send { id, store, time_out } => {
                 let Some(open) = self.ledger.get_mut(id) else { return };
-                let exchange = send::attempt(id, open, duration(time_out), now);
+                let exchange = send::attempt(id, open, time_out, now);
                 sides.upstream.start(store, exchange, now, &sides.reactor);
             }
             Action::Probe { store } => self.probe(store, sides, now),
             Action::Cancel { id, attempt } => sides.upstream.cancel(Purpose::Attempt(id, attempt), now),
             Action::Refuse { id, come_back } => {
-                self.answer(id, Answer::Refused(come_back.map(duration)), sides, now);
+                self.answer(id, Answer::Refused(come_back), sides, now);
             }
             Action::Fail { id } => self.answer(id, Answer::Failed, sides, now),
             Action::Timer { after, token } => {
-                sides.timers.set(later(now, duration(after)), Timer::Module(token.0));
+                sides.timers.set(later(now, after), Timer::Module(token.0));
             }
             Action::Subscribe => {
                 let due = sides.discovery.subscribe(self.directory.index(), now, &sides.reactor);
--- a/leverproxy/src/stages/take_in.rs
+++ b/leverproxy/src/stages/take_in.rs
@@ -1,8 +1,8 @@
 //! Take in: a request in the words of its protocol becomes one in the module's ids.
 
-use crate::clock::{span, Clock};
+use crate::clock::Clock;
 use crate::request::Request;
-use mountshift::{Arrival, ClassId, GroupId, RequestId, SessionKey, TenantId};
+use mountshift::{Arrival, ClassId, GroupId, RequestId, SessionKey, TenantId, Time};
 use mountshift_settings::Names;
 use std::time::{Duration, Instant};
 
@@ -36,8 +36,8 @@
         tenant: TenantId(tenant),
         group: GroupId(request.group),
         session: request.session.map(SessionKey),
-        time_left: span(request.wait.saturating_sub(spent)),
-        wrote_ago: request.after.map(|at| unix_now.since(crate::clock::time(at))),
+        time_left: request.wait.saturating_sub(spent),
+        wrote_ago: request.after.map(|at| unix_now.since(Time(at))),
         repeated: request.repeated,
     })
 }
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -2,9 +2,10 @@
 //! routers reads from it: names, limits of sockets and the meaning of load reports. Unknown keys are ignored.
 #![forbid(unsafe_code)]
 
-use mountshift::{Checks, Class, Effect, Need, Report, Scope, Settings, Span, Tenant, Time, ZoneId};
+use mountshift::{Checks, Class, Effect, Need, Report, Scope, Settings, Tenant, Time, ZoneId};
 use serde::Deserialize;
 use std::fmt;
+use std::time::Duration;
 
 #[derive(Deserialize, Default)]
 #[serde(rename_all = "PascalCase", default)]
@@ -113,7 +114,7 @@
     /// Positions count from here.
     pub zero: Time,
     /// A connection not made by then has failed; none is stated as zero.
-    pub dial_timeout: Span,
+    pub dial_timeout: Duration,
     /// Requests open at once; 0: no limit.
     pub max_open: usize,
 }
@@ -160,7 +161,7 @@
 }
 
 fn position(zero: Time, seconds: f64) -> Option<Time> {
-    (seconds.is_finite() && seconds > 0.0).then(|| zero.plus(Span((seconds * 1e6) as u64)))
+    (seconds.is_finite() && seconds > 0.0).then(|| zero.plus(Duration::from_micros((seconds * 1e6) as u64)))
 }
 
 pub fn decode(json: &[u8]) -> Result<Decoded, BadSetting> {
@@ -172,7 +173,9 @@
         need: match info.needs_by_class.get(i).map_or("", String::as_str) {
             "update" => Need::Write,
             "own_writes" => Need::Session,
-            "recent" => Need::Bounded(Span(info.staleness_bound.get(i).copied().unwrap_or(0))),
+            "recent" => {
+                Need::Bounded(Duration::from_micros(info.staleness_bound.get(i).copied().unwrap_or(0)))
+            }
             "loose" => Need::Any,
             // "latest", and the safe reading of a word not known.
             _ => Need::Fresh,
@@ -185,12 +188,12 @@
                     "zone" => Scope::Zone,
                     _ => Scope::Group,
                 },
-                window: Span(c.window),
+                window: Duration::from_micros(c.window),
             },
             _ => Effect::Unsafe,
         },
-        aim: Span(c.goal_time),
-        deadline: Span(c.deadline),
+        aim: Duration::from_micros(c.goal_time),
+        deadline: Duration::from_micros(c.deadline),
         worth: c.importance.unwrap_or(1.0),
         late_worth: c.late_value,
     };
@@ -202,7 +205,7 @@
         over_share_worth: conf.over_share_worth.unwrap_or(1.0),
         checks: match info.behind.as_str() {
             "reject" => Checks::Refuse,
-            "hold" => Checks::Wait(Span(info.holds_for)),
+            "hold" => Checks::Wait(Duration::from_micros(info.holds_for)),
             _ => Checks::None,
         },
         tokens_carried: info.token_mode == "client",
@@ -211,15 +214,15 @@
         may_cancel: conf.policy_limits.may_cancel,
         second_copies: conf.policy_limits.second_copies,
         retry_after: conf.policy_limits.retry_after,
-        max_retry_after: Span(conf.policy_limits.max_retry_after),
+        max_retry_after: Duration::from_micros(conf.policy_limits.max_retry_after),
         try_limit: conf.policy_limits.try_limit,
-        drain_grace: Span(conf.rules.stop_sending_within),
+        drain_grace: Duration::from_micros(conf.rules.stop_sending_within),
         soft_removal: conf.rules.soft_removal,
         cold_share: conf.rules.start_capacity.unwrap_or(1.0),
-        warm_after: Span(conf.rules.warm_after),
+        warm_after: Duration::from_micros(conf.rules.warm_after),
         overload_factor: conf.rules.overload_factor.unwrap_or(1.0),
-        tip_after: Span(conf.rules.tip_after),
-        keepalive: Span(conf.policy_limits.keepalive),
+        tip_after: Duration::from_micros(conf.rules.tip_after),
+        keepalive: Duration::from_micros(conf.policy_limits.keepalive),
     };
     Ok(Decoded {
         settings,
@@ -230,8 +233,8 @@
             zones: conf.zones,
             kinds: conf.host_types,
         },
-        zero: Time(info.counted_from),
-        dial_timeout: Span(conf.policy_limits.dial_timeout),
+        zero: Time::from_micros(info.counted_from),
+        dial_timeout: Duration::from_micros(conf.policy_limits.dial_timeout),
         max_open: conf.policy_limits.max_open,
     })
 }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -16,6 +16,7 @@
 
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 /// Weight of a new run time in the moving average: about ten answers of memory, since run times scatter
 /// about as widely as their mean.
@@ -37,7 +38,7 @@
 const RECHECK: f64 = 0.1;
 /// First wait before the list is asked for again, and the longest; doubled and jittered between. The list
 /// is seconds late by itself, so asking faster gains nothing and slower adds to that.
-const LIST_WAIT: (u64, u64) = (250_000, 4_000_000);
+const LIST_WAIT: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(4));
 /// Of the multiple of a cold store's capacity that makes it collapse, this share is used: the routers do
 /// not see each other, the work of single requests scatters, connections cost, and clients ask again.
 const COLD_CAUTION: f64 = 0.5;
@@ -71,6 +72,11 @@
 /// Held requests looked at for one piece of news, the most valuable first: bounds the time an event takes.
 const WAKE_LOOK: usize = 16;
 
+/// Stands for the tightest aim where no class states one.
+const AIM_UNSTATED: Duration = Duration::from_secs(1);
+/// Stands for spans of nothing where they divide or must count.
+const LEAST: Duration = Duration::from_micros(1);
+
 type Out = Vec<Action>;
 
 #[derive(Default)]
@@ -95,7 +101,7 @@
     probed: Time,
     /// Attempts out: class and time sent.
     out: BTreeMap<(RequestId, AttemptNo), (ClassId, Time)>,
-    run_time: Vec<Option<f64>>,
+    run_time: Vec<Option<Duration>>,
     /// Own attempts it is trusted to bear at once, and when that was last cut.
     room: f64,
     room_cut: Time,
@@ -173,28 +179,29 @@
     written: BTreeMap<SessionKey, Time>,
     forgotten: Time,
     /// What each class takes unhindered, over all stores.
-    work: Vec<f64>,
+    work: Vec<Duration>,
     agenda: BTreeSet<(Time, Task)>,
     alarm: Option<Time>,
-    tightest_aim: f64,
-    tightest_bound: f64,
+    tightest_aim: Duration,
+    tightest_bound: Duration,
     list_failures: u32,
     /// Part of its requests that it takes in, when that was last judged, and their usual value.
     door: f64,
     door_judged: Time,
     usual_value: f64,
     /// Mean age of a report on arrival, as the primaries' positions show it.
-    report_age: f64,
+    report_age: Duration,
 }
 
 impl Router {
     pub fn new(settings: Settings, seed: u64, now: Time) -> Router {
-        let shortest = |spans: Vec<u64>| spans.into_iter().filter(|&s| s > 0).min().map(|s| s as f64);
-        let tightest_aim = shortest(settings.classes.iter().map(|c| c.aim.0).collect()).unwrap_or(1e6);
-        let bounds = settings.classes.iter().map(|c| if let Need::Bounded(b) = c.need { b.0 } else { 0 });
-        let tightest_bound = shortest(bounds.collect()).unwrap_or(tightest_aim);
+        let aims = settings.classes.iter().map(|c| c.aim);
+        let tightest_aim = aims.filter(|aim| !aim.is_zero()).min().unwrap_or(AIM_UNSTATED);
+        let bound = |c: &Class| if let Need::Bounded(b) = c.need { Some(b) } else { None };
+        let bounds = settings.classes.iter().filter_map(bound);
+        let tightest_bound = bounds.filter(|bound| !bound.is_zero()).min().unwrap_or(tightest_aim);
         Router {
-            work: settings.classes.iter().map(|c| c.aim.0 as f64).collect(),
+            work: settings.classes.iter().map(|c| c.aim).collect(),
             set: settings,
             now,
             random: seed,
@@ -205,7 +212,7 @@
             requests: BTreeMap::new(),
             held: BTreeSet::new(),
             written: BTreeMap::new(),
-            forgotten: Time(0),
+            forgotten: Time::ZERO,
             agenda: BTreeSet::new(),
             alarm: None,
             tightest_aim,
@@ -214,7 +221,7 @@
             door: 1.0,
             door_judged: now,
             usual_value: 0.0,
-            report_age: 0.0,
+            report_age: Duration::ZERO,
         }
     }
 
@@ -243,13 +250,9 @@
         }
     }
 
-    fn after(&self, micros: f64) -> Time {
-        self.now.plus(Span(micros as u64))
-    }
-
     /// What is left of a memory of that time.
     fn kept(&self, since: Time) -> f64 {
-        (-(self.now.since(since).0 as f64) / (FORGET * self.tightest_aim)).exp()
+        (-self.now.since(since).div_duration_f64(self.tightest_aim.mul_f64(FORGET))).exp()
     }
 
     fn chance(&mut self) -> f64 {
@@ -270,10 +273,10 @@
                 (entries, true)
             }
             ListNews::Failed => {
-                let wait = (LIST_WAIT.0 << self.list_failures.min(16)).min(LIST_WAIT.1) as f64;
+                let wait = (LIST_WAIT.0 * (1 << self.list_failures.min(16))).min(LIST_WAIT.1);
                 self.list_failures += 1;
-                let wait = wait * (0.5 + self.chance());
-                self.agenda.insert((self.after(wait), Task::AskList));
+                let wait = wait.mul_f64(0.5 + self.chance());
+                self.agenda.insert((self.now.plus(wait), Task::AskList));
                 return;
             }
         };
@@ -299,7 +302,7 @@
                 // A new life: what it was before says nothing of it now.
                 store.started = e.started;
                 store.role = store.role.filter(|&(_, as_of)| as_of > e.started);
-                (store.setbacks, store.rests_until) = (0, Time(0));
+                (store.setbacks, store.rests_until) = (0, Time::ZERO);
             }
             store.listed_primary = e.primary;
             store.zone = e.zone;
@@ -333,7 +336,7 @@
             (None, Some(key)) if !self.set.tokens_carried => {
                 self.written.get(&key).copied().unwrap_or(self.forgotten)
             }
-            _ => Time(0),
+            _ => Time::ZERO,
         };
         let deadline = self.now.plus(arrival.time_left);
         let known = self.known(arrival.class);
@@ -408,7 +411,7 @@
             return self.rest(id, REST_FIRST);
         }
         store.heard = Some(now);
-        (store.setbacks, store.rests_until) = (0, Time(0));
+        (store.setbacks, store.rests_until) = (0, Time::ZERO);
         if report.position.is_some() {
             store.position = store.position.max(report.position);
             (store.told, store.missed) = (now, None);
@@ -420,7 +423,7 @@
                 store.role = Some((primary, as_of));
             }
             if let Some(at) = report.position.filter(|_| primary) {
-                self.report_age += RUN_WEIGHT * (now.since(at).0 as f64 - self.report_age);
+                self.report_age = drawn(self.report_age, now.since(at), RUN_WEIGHT);
             }
         }
         self.wake(id, out);
@@ -430,10 +433,10 @@
     fn learn(&mut self, class: ClassId, sent: Time, ended: Ended) {
         let (now, Ended { store: id, outcome, elapsed, note, .. }) = (self.now, ended);
         let Class { need, aim, deadline, late_worth, .. } = *self.class(class);
-        let (write, aim, deadline) = (need == Need::Write, aim.0.max(1) as f64, deadline.0 as f64);
+        let (write, aim) = (need == Need::Write, aim.max(LEAST));
         let took = match outcome {
-            Outcome::Ok | Outcome::TimedOut => Some(elapsed.0 as f64 / aim),
-            Outcome::Full => Some(deadline / aim),
+            Outcome::Ok | Outcome::TimedOut => Some(elapsed.div_duration_f64(aim)),
+            Outcome::Full => Some(deadline.div_duration_f64(aim)),
             _ => None,
         };
         if let Some(took) = took {
@@ -456,10 +459,10 @@
         // store that loses work, or fails it quickly, looks no worse than others, and one that hangs only
         // while attempts are out there.
         let in_vain = matches!(outcome, Outcome::Failed | Outcome::ConnectFailed);
-        let spent = if in_vain { aim } else { elapsed.0 as f64 };
+        let spent = if in_vain { aim } else { elapsed };
         if in_vain || matches!(outcome, Outcome::Ok | Outcome::TimedOut) {
             let average = &mut store.run_time[usize::from(class.0)];
-            *average = Some(average.map_or(spent, |a| a + RUN_WEIGHT * (spent - a)));
+            *average = Some(average.map_or(spent, |a| drawn(a, spent, RUN_WEIGHT)));
         }
         if let Some(took) = took {
             store.pressure += memory.max(ROOM_WEIGHT) * (took - store.pressure);
@@ -468,11 +471,12 @@
         match outcome {
             Outcome::Ok => {
                 let work = &mut self.work[usize::from(class.0)];
-                *work += (spent - *work) * if spent < *work { RUN_WEIGHT } else { RUN_WEIGHT * WORK_RISE };
+                let weight = if spent < *work { RUN_WEIGHT } else { RUN_WEIGHT * WORK_RISE };
+                *work = drawn(*work, spent, weight);
                 // Guards against queues that grow out of the routers' sight (overload, slow stores, others'
                 // load): answers near their aim shrink the room, early ones that used it widen it.
                 let easy = store.pressure < ROOM_EASY * ROOM_LATE;
-                if store.pressure > ROOM_LATE && spent > ROOM_LATE * aim {
+                if store.pressure > ROOM_LATE && spent > aim.mul_f64(ROOM_LATE) {
                     cut_room(store, now, sent);
                 } else if easy && store.out.len() as f64 + 2.0 > store.room {
                     store.room += 1.0 / store.room;
@@ -489,7 +493,7 @@
             Outcome::Failed | Outcome::Miss => {}
         }
         store.heard = Some(now);
-        (store.setbacks, store.rests_until) = (0, Time(0));
+        (store.setbacks, store.rests_until) = (0, Time::ZERO);
     }
 
     fn remember_write(&mut self, key: SessionKey, commit: Time) {
@@ -511,8 +515,8 @@
     /// News of a store: whatever is held in its group gets another look, the most valuable first.
     fn wake(&mut self, store: StoreId, out: &mut Out) {
         let Some(group) = self.stores.get(&store).map(|s| s.group) else { return };
-        let first = (group, Time(0), RequestId(0));
-        let last = (group, Time(u64::MAX), RequestId(u64::MAX));
+        let first = (group, Time::ZERO, RequestId(0));
+        let last = (group, Time::MAX, RequestId(u64::MAX));
         let here = self.held.range(first..=last).map(|h| h.2);
         // Of equal value the newest first: it has the most time left to be served in, while the oldest
         // would be served just too late, all of them, whenever more waits than can be served.
@@ -541,7 +545,7 @@
                 if let Choice::Ask(whom) = hold {
                     self.ask(group, whom, out);
                 }
-                let recheck = self.after(RECHECK * self.tightest_aim);
+                let recheck = self.now.plus(self.tightest_aim.mul_f64(RECHECK));
                 self.agenda.insert((recheck, Task::Recheck(id)));
                 let Some(request) = self.requests.get_mut(&id) else { return };
                 if !request.held {
@@ -562,12 +566,12 @@
         if self.now >= worth_until || self.now >= request.deadline {
             return Choice::GiveUp;
         }
-        let time_left = worth_until.since(self.now).0 as f64;
+        let time_left = worth_until.since(self.now);
         let primary = self.primary(request.arrival.group);
         let needs_primary = matches!(class.need, Need::Write | Need::Fresh);
         let spares_primary = matches!(class.need, Need::Bounded(_) | Need::Any);
         // (kept for when no replica meets the need, cost, member, may go now)
-        let mut best: Option<(bool, f64, StoreId, bool)> = None;
+        let mut best: Option<(bool, Duration, StoreId, bool)> = None;
         let (mut some_later, mut busy) = (false, false);
         for &id in self.members(request.arrival.group) {
             let is_primary = primary == Some(id);
@@ -580,12 +584,12 @@
             if needs_primary && !is_primary || self.now < store.rests_until || request.avoid.contains(&id) {
                 continue;
             }
-            let wait = if is_primary { 0.0 } else { self.catch_up(request, store) };
+            let wait = if is_primary { Duration::ZERO } else { self.catch_up(request, store) };
             let run = self.run_time(store, request.arrival.class);
-            if wait > 0.0 && wait + run > time_left {
+            if !wait.is_zero() && wait + run > time_left {
                 continue;
             }
-            let asking = if bar.is_none() { 0.0 } else { RECHECK * self.tightest_aim };
+            let asking = if bar.is_none() { Duration::ZERO } else { self.tightest_aim.mul_f64(RECHECK) };
             let cost = self.remaining_work(store) + wait + run + asking;
             let candidate = (spares_primary && is_primary, cost, id, bar.is_none());
             let share = if is_primary { self.primary_share(request.arrival.class) } else { 1.0 };
@@ -603,7 +607,7 @@
             None if busy && self.work[usize::from(request.arrival.class.0)] < time_left => Choice::Hold,
             None if busy => Choice::GiveUp,
             None => {
-                let patience = Span((request.arrival.time_left.0 as f64 * HOLD_SHARE) as u64);
+                let patience = request.arrival.time_left.mul_f64(HOLD_SHARE);
                 if some_later && self.now < request.came.plus(patience) {
                     Choice::Ask(None)
                 } else {
@@ -617,7 +621,7 @@
         if matches!(self.class(class).need, Need::Write | Need::Fresh) {
             return 1.0;
         }
-        let value = |(class, work): (&Class, &f64)| class.worth / work;
+        let value = |(class, work): (&Class, &Duration)| class.worth / work.as_secs_f64();
         let classes = self.set.classes.iter().zip(&self.work);
         let best_write = classes.filter(|(c, _)| c.need == Need::Write).map(value).fold(0.0, f64::max);
         let own = value((self.class(class), &self.work[usize::from(class.0)]));
@@ -641,10 +645,9 @@
     /// Own requests in flight there: for each the average less the time spent. One that has outlived its
     /// average counts for as long as it has done so: floored at zero, a hung store would look idle. Harms
     /// where run times fall into two kinds.
-    fn remaining_work(&self, store: &Store) -> f64 {
-        let left = |&(class, sent): &(ClassId, Time)| {
-            (self.run_time(store, class) - self.now.since(sent).0 as f64).abs()
-        };
+    fn remaining_work(&self, store: &Store) -> Duration {
+        let left =
+            |&(class, sent): &(ClassId, Time)| self.run_time(store, class).abs_diff(self.now.since(sent));
         store.out.values().map(left).sum()
     }
 
@@ -654,21 +657,20 @@
     /// guess back (`missed`); elsewhere the member is asked first (`guard`). Guards against reports older
     /// than the bound, and against all reads crowding the primaries where a router knows few positions: at
     /// start, with little traffic. Does harm where misses or probes are dear.
-    fn catch_up(&self, request: &Request, store: &Store) -> f64 {
-        let Some(need) = self.needed(request) else { return 0.0 };
-        let gap = |from: Time, at: Time, age: f64| {
-            let passed = self.now.since(at).0 as f64 + age;
-            need.since(from).0 as f64 - if from < need { passed } else { 0.0 }
-        };
+    fn catch_up(&self, request: &Request, store: &Store) -> Duration {
+        let Some(need) = self.needed(request) else { return Duration::ZERO };
+        let gap =
+            |from: Time, at: Time, age: Duration| need.since(from).saturating_sub(self.now.since(at) + age);
         let missed = store.missed.filter(|&(from, _)| store.position.is_none_or(|told| told < from));
-        let behind = missed.map_or(0.0, |(from, at)| gap(from, at, 0.0).max(1.0));
-        let told = store.position.map_or(0.0, |position| gap(position, store.told, self.report_age));
-        told.max(behind).max(0.0)
+        let behind = missed.map_or(Duration::ZERO, |(from, at)| gap(from, at, Duration::ZERO).max(LEAST));
+        let told =
+            store.position.map_or(Duration::ZERO, |position| gap(position, store.told, self.report_age));
+        told.max(behind)
     }
 
     /// The moving average there; where nothing was answered yet, what the class takes elsewhere: with the aim
     /// as the seed, far above what most take, a router would stay with the first members it tried.
-    fn run_time(&self, store: &Store, class: ClassId) -> f64 {
+    fn run_time(&self, store: &Store, class: ClassId) -> Duration {
         store.run_time[usize::from(class.0)].unwrap_or(self.work[usize::from(class.0)])
     }
 
@@ -677,7 +679,7 @@
         match self.class(request.arrival.class).need {
             Need::Write | Need::Any => None,
             Need::Fresh => Some(request.came),
-            Need::Session => Some(request.token).filter(|t| t.0 > 0),
+            Need::Session => Some(request.token).filter(|&t| t > Time::ZERO),
             Need::Bounded(bound) => Some(self.now.minus(bound)),
         }
     }
@@ -690,7 +692,7 @@
                 _ if store.told_leaving.is_some() => None,
                 Some((true, as_of)) => Some((true, as_of)),
                 Some((false, _)) => None,
-                None => store.listed_primary.then_some((false, Time(0))),
+                None => store.listed_primary.then_some((false, Time::ZERO)),
             }
         };
         self.members(group).iter().filter(|id| rank(id).is_some()).max_by_key(rank).copied()
@@ -714,7 +716,7 @@
             let class = self.class(request.arrival.class);
             let late = self.now >= self.aim_end(request);
             class.worth * if late { class.late_worth } else { 1.0 }
-                / self.work[usize::from(request.arrival.class.0)]
+                / self.work[usize::from(request.arrival.class.0)].as_secs_f64()
         })
     }
 
@@ -766,8 +768,8 @@
             let told = store.position.is_some_and(|position| position >= need);
             let tolerated = match self.set.checks {
                 Checks::None => false,
-                Checks::Refuse => self.catch_up(request, store) <= 0.0,
-                Checks::Wait(span) => self.catch_up(request, store) <= span.0 as f64,
+                Checks::Refuse => self.catch_up(request, store).is_zero(),
+                Checks::Wait(span) => self.catch_up(request, store) <= span,
             };
             if !told && !tolerated {
                 return Err(Bar::Stale);
@@ -783,8 +785,8 @@
     /// each send just one; keeps no count, so it holds for any number of them, however unequal. Harms where a
     /// group has far less traffic than it could take.
     fn cold_room(&self, request: &Request, id: StoreId, store: &Store, primary: bool) -> bool {
-        let warmth = self.now.since(store.started).0 as f64 / self.set.warm_after.0.max(1) as f64;
-        if store.started.0 == 0 || warmth >= 1.0 {
+        let warmth = self.now.since(store.started).div_duration_f64(self.set.warm_after.max(LEAST));
+        if store.started == Time::ZERO || warmth >= 1.0 {
             return true;
         }
         let capacity = self.set.cold_share + (1.0 - self.set.cold_share) * warmth;
@@ -824,11 +826,11 @@
     /// The store is down, cut off or full: it is left alone for a while, longer each time.
     fn rest(&mut self, id: StoreId, first: f64) {
         let jitter = 0.5 + self.chance();
-        let (first, most) = (first * self.tightest_aim, REST_MAX * self.tightest_aim);
+        let (first, most) = (self.tightest_aim.mul_f64(first), self.tightest_aim.mul_f64(REST_MAX));
         if let Some(store) = self.stores.get_mut(&id) {
-            let rest = (first * f64::from(1u32 << store.setbacks.min(16))).min(most) * jitter;
+            let rest = first.saturating_mul(1 << store.setbacks.min(16)).min(most).mul_f64(jitter);
             store.setbacks += 1;
-            store.rests_until = self.now.plus(Span(rest as u64));
+            store.rests_until = self.now.plus(rest);
         }
     }
 
@@ -840,10 +842,10 @@
     /// slowly: asked for at every look they cost most where connects fail. Harms where round trips are long.
     fn ask(&mut self, group: GroupId, whom: Option<StoreId>, out: &mut Out) {
         let role = self.tightest_bound.max(self.tightest_aim);
-        let spacing = if whom.is_none() { role } else { ASK_AGAIN * self.tightest_bound };
+        let spacing = if whom.is_none() { role } else { self.tightest_bound.mul_f64(ASK_AGAIN) };
         let may = |id: &StoreId| {
             let store = &self.stores[id];
-            let due = store.probed.0 == 0 || self.now.since(store.probed).0 as f64 >= spacing;
+            let due = store.probed == Time::ZERO || self.now.since(store.probed) >= spacing;
             due && !store.probe_out && self.now >= store.rests_until && store.told_leaving.is_none()
         };
         let longest =
@@ -878,7 +880,7 @@
             Some(Effect::Keyed { .. } | Effect::Unsafe) | None => clean,
         };
         if harmless {
-            let come_back = Span((REST_MAX * self.tightest_aim) as u64).min(self.set.max_retry_after);
+            let come_back = self.tightest_aim.mul_f64(REST_MAX).min(self.set.max_retry_after);
             out.push(Action::Refuse { id, come_back: self.set.retry_after.then_some(come_back) });
         } else {
             out.push(Action::Fail { id });
@@ -887,6 +889,14 @@
     }
 }
 
+/// A moving average drawn towards a new span by this weight.
+fn drawn(average: Duration, new: Duration, weight: f64) -> Duration {
+    match new >= average {
+        true => average + (new - average).mul_f64(weight),
+        false => average - (average - new).mul_f64(weight),
+    }
+}
+
 /// A number from 0 to 1 that looks random and is the same for the same `seed`.
 fn share_of(seed: u64) -> f64 {
     let z = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -2,26 +2,32 @@
 //!
 //! Plain data only. Whatever is decided is decided in `decide.rs`.
 
-/// An instant on the router's clock, in microseconds from an arbitrary origin.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Time(pub u64);
+use std::time::Duration;
 
-/// A length of time in microseconds.
+/// An instant on the router's clock, as the time since an arbitrary origin.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Span(pub u64);
+pub struct Time(pub Duration);
 
 impl Time {
-    pub fn plus(self, span: Span) -> Time {
-        Time(self.0.saturating_add(span.0))
+    /// The origin; where an instant may be absent it stands for that.
+    pub const ZERO: Time = Time(Duration::ZERO);
+    pub const MAX: Time = Time(Duration::MAX);
+
+    pub const fn from_micros(since_origin: u64) -> Time {
+        Time(Duration::from_micros(since_origin))
+    }
+
+    pub fn plus(self, span: Duration) -> Time {
+        Time(self.0.saturating_add(span))
     }
 
-    pub fn minus(self, span: Span) -> Time {
-        Time(self.0.saturating_sub(span.0))
+    pub fn minus(self, span: Duration) -> Time {
+        Time(self.0.saturating_sub(span))
     }
 
     /// How long ago `earlier` was; zero if it lies ahead.
-    pub fn since(self, earlier: Time) -> Span {
-        Span(self.0.saturating_sub(earlier.0))
+    pub fn since(self, earlier: Time) -> Duration {
+        self.0.saturating_sub(earlier.0)
     }
 }
 
@@ -66,7 +72,7 @@
     /// Must see what its session has written.
     Session,
     /// Data no older than this when it is sent.
-    Bounded(Span),
+    Bounded(Duration),
     /// Any member may answer.
     Any,
 }
@@ -83,7 +89,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
     Safe,
-    Keyed { scope: Scope, window: Span },
+    Keyed { scope: Scope, window: Duration },
     Unsafe,
 }
 
@@ -92,8 +98,8 @@
     pub need: Need,
     pub effect: Effect,
     /// Answers within this earn the full worth.
-    pub aim: Span,
-    pub deadline: Span,
+    pub aim: Duration,
+    pub deadline: Duration,
     pub worth: f64,
     /// Share of the worth that a late answer earns.
     pub late_worth: f64,
@@ -113,7 +119,7 @@
     /// Turns it away untouched.
     Refuse,
     /// Waits this long to catch up, then turns it away untouched.
-    Wait(Span),
+    Wait(Duration),
 }
 
 #[derive(Clone, Debug)]
@@ -133,23 +139,23 @@
     pub may_cancel: bool,
     pub second_copies: bool,
     pub retry_after: bool,
-    pub max_retry_after: Span,
+    pub max_retry_after: Duration,
     /// Attempts allowed for a request; 0: no limit.
     pub try_limit: u16,
     /// Sends to a draining or removed store stop within this.
-    pub drain_grace: Span,
+    pub drain_grace: Duration,
     /// Removal without a drain does not bind.
     pub soft_removal: bool,
     /// A starting store has at least this share of its capacity ...
     pub cold_share: f64,
     /// ... and all of it after this.
-    pub warm_after: Span,
+    pub warm_after: Duration,
     /// More than this multiple of its present capacity ...
     pub overload_factor: f64,
     /// ... for this long, from all routers together, makes it collapse.
-    pub tip_after: Span,
+    pub tip_after: Duration,
     /// An idle connection is closed after this.
-    pub keepalive: Span,
+    pub keepalive: Duration,
 }
 
 /// A store's word on itself. Absent where the deployment does not report it.
@@ -227,9 +233,9 @@
     pub group: GroupId,
     pub session: Option<SessionKey>,
     /// Until the client gives up this try.
-    pub time_left: Span,
+    pub time_left: Duration,
     /// Age of the session's last write, where carried.
-    pub wrote_ago: Option<Span>,
+    pub wrote_ago: Option<Duration>,
     /// The client says that it repeats itself.
     pub repeated: bool,
 }
@@ -241,7 +247,7 @@
     pub attempt: AttemptNo,
     pub store: StoreId,
     pub outcome: Outcome,
-    pub elapsed: Span,
+    pub elapsed: Duration,
     /// The request needs no further answer.
     pub last: bool,
     pub note: Note,
@@ -255,7 +261,7 @@
     Probed {
         store: StoreId,
         ok: bool,
-        elapsed: Span,
+        elapsed: Duration,
         report: Report,
     },
     /// The client left.
@@ -268,7 +274,7 @@
     Send {
         id: RequestId,
         store: StoreId,
-        time_out: Span,
+        time_out: Duration,
     },
     Cancel {
         id: RequestId,
@@ -277,7 +283,7 @@
     /// Final answer: nothing ran that a repeat could double.
     Refuse {
         id: RequestId,
-        come_back: Option<Span>,
+        come_back: Option<Duration>,
     },
     /// Final answer: no promise.
     Fail {
@@ -287,7 +293,7 @@
         store: StoreId,
     },
     Timer {
-        after: Span,
+        after: Duration,
         token: TimerToken,
     },
     Subscribe,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //!
 //! ```
 //! use mountshift::*;
+//! use std::time::Duration;
 //!
 //! let settings = Settings {
 //!     routers: 1,
@@ -12,8 +13,8 @@
 //!     classes: vec![Class {
 //!         need: Need::Any,
 //!         effect: Effect::Safe,
-//!         aim: Span(200_000),
-//!         deadline: Span(1_000_000),
+//!         aim: Duration::from_millis(200),
+//!         deadline: Duration::from_secs(1),
 //!         worth: 1.0,
 //!         late_worth: 0.0,
 //!     }],
@@ -26,18 +27,18 @@
 //!     may_cancel: true,
 //!     second_copies: true,
 //!     retry_after: true,
-//!     max_retry_after: Span(500_000),
+//!     max_retry_after: Duration::from_millis(500),
 //!     try_limit: 4,
-//!     drain_grace: Span(250_000),
+//!     drain_grace: Duration::from_millis(250),
 //!     soft_removal: false,
 //!     cold_share: 0.25,
-//!     warm_after: Span(10_000_000),
+//!     warm_after: Duration::from_secs(10),
 //!     overload_factor: 3.0,
-//!     tip_after: Span(1_000_000),
-//!     keepalive: Span(15_000_000),
+//!     tip_after: Duration::from_secs(1),
+//!     keepalive: Duration::from_secs(15),
 //! };
 //! let mut actions = Vec::new();
-//! let mut router = Router::new(settings, 7, Time(0));
+//! let mut router = Router::new(settings, 7, Time::ZERO);
 //! let replica = Entry {
 //!     store: StoreId(1),
 //!     group: GroupId(0),
@@ -45,20 +46,20 @@
 //!     kind: KindId(0),
 //!     listed: Listed::Ready,
 //!     primary: false,
-//!     started: Time(0),
+//!     started: Time::ZERO,
 //! };
-//! router.handle(Time(0), Event::List(ListNews::Complete(vec![replica])), &mut actions);
+//! router.handle(Time::ZERO, Event::List(ListNews::Complete(vec![replica])), &mut actions);
 //! let read = Arrival {
 //!     id: RequestId(42),
 //!     class: ClassId(0),
 //!     tenant: TenantId(0),
 //!     group: GroupId(0),
 //!     session: None,
-//!     time_left: Span(1_000_000),
+//!     time_left: Duration::from_secs(1),
 //!     wrote_ago: None,
 //!     repeated: false,
 //! };
-//! router.handle(Time(1_000), Event::Arrived(read), &mut actions);
+//! router.handle(Time::from_micros(1_000), Event::Arrived(read), &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { store: StoreId(1), .. })));
 //! ```
 #![forbid(unsafe_code)]
