Stories over loopback sockets, and the faults that they brought to light

Found by the stories and by reading, each now guarded: - front.rs, accept: at the limit of clients an idle one was closed before anybody was there for its place. The one that gives way is now closed when another has come. - upstream.rs, answered/close: an error to the startup of a connection counted as one that may have run; nothing has run before a request is written. - front.rs, ready: requests of a client that had already closed were still sent. - upstream.rs, on_due: a dial that timed out took another waiting exchange with it. - a stop closed connections whose startup was still on its way, with what came behind it. - the reactor's buffer kept a proxy from being moved to a thread; a library needs that.

The proxy no longer registers signals by itself: the program does, through Control.

--- a/leverproxy/src/cli.rs
+++ b/leverproxy/src/cli.rs
@@ -73,7 +73,8 @@
         Ok(config) => config,
         Err(error) => return misuse(&error),
     };
-    let served = Proxy::start(config).and_then(|mut proxy| {
+    let served = Proxy::start(config).and_then(|(mut proxy, control)| {
+        control.heed_signals()?;
         let served = proxy.run();
         proxy.report();
         served
--- a/leverproxy/src/config.rs
+++ b/leverproxy/src/config.rs
@@ -43,6 +43,12 @@
     pub dial_timeout: Duration,
     /// Idle connections to record servers are closed after this, before the servers do it.
     pub idle_limit: Duration,
+    /// A watch on discovery that says nothing for this long is broken.
+    pub watch_silence: Duration,
+    /// After being told to stop, new connections are taken for this long.
+    pub linger: Duration,
+    /// After that much more, what is still owed is given up.
+    pub last_answers: Duration,
 }
 
 /// How the descriptors are shared out.
@@ -58,6 +64,13 @@
 const LEAST_SOCKETS: usize = 64;
 const DEFAULT_DIAL_TIMEOUT: Duration = Duration::from_millis(250);
 const DEFAULT_IDLE: Duration = Duration::from_secs(30);
+/// A watch speaks every two seconds at the least, and a cut connection stays open and silent. What it would
+/// have told counts as told six seconds later, so a silent one has to be replaced before that.
+const WATCH_SILENCE: Duration = Duration::from_millis(3_000);
+/// After SIGTERM new connections go on coming for up to 0.4 s.
+const LINGER: Duration = Duration::from_millis(500);
+/// Beyond the longest deadline of a class, for answers on their way out.
+const LAST_MARGIN: Duration = Duration::from_millis(100);
 /// Share of the time that a server keeps an idle connection after which it is closed here: a request written
 /// while the server closes would be lost.
 const IDLE_SHARE: f64 = 0.8;
@@ -125,6 +138,10 @@
         known,
         dial_timeout: or_default(platform.dial_timeout, DEFAULT_DIAL_TIMEOUT),
         idle_limit: or_default(platform.settings.keepalive, DEFAULT_IDLE).mul_f64(IDLE_SHARE),
+        watch_silence: WATCH_SILENCE,
+        linger: LINGER,
+        last_answers: platform.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default()
+            + LAST_MARGIN,
         platform,
     })
 }
--- /dev/null
+++ b/leverproxy/src/control.rs
@@ -0,0 +1,91 @@
+//! Words from outside to a running proxy: from an embedding program by [`Control`], or by signals.
+
+use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
+use std::io::{self, Read, Write};
+use std::os::fd::{AsFd, BorrowedFd};
+use std::os::unix::net::UnixStream;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+
+#[derive(Debug, Default)]
+struct Wishes {
+    stop: Arc<AtomicBool>,
+    report: Arc<AtomicBool>,
+}
+
+/// Tells a proxy to stop or to report, from any thread.
+#[derive(Debug)]
+pub struct Control {
+    wishes: Arc<Wishes>,
+    wake: UnixStream,
+}
+
+impl Control {
+    /// Answer what has been taken, then end.
+    pub fn stop(&self) {
+        self.wish(&self.wishes.stop);
+    }
+
+    /// Print the counters.
+    pub fn report(&self) {
+        self.wish(&self.wishes.report);
+    }
+
+    fn wish(&self, flag: &AtomicBool) {
+        flag.store(true, Ordering::SeqCst);
+        // A full socket wakes the loop as well as one more byte would.
+        _ = (&self.wake).write(&[1]);
+    }
+
+    /// SIGTERM and SIGINT stop the proxy, SIGUSR1 makes it report.
+    pub fn heed_signals(&self) -> io::Result<()> {
+        let Wishes { stop, report } = &*self.wishes;
+        for (signal, flag) in [(SIGTERM, stop), (SIGINT, stop), (SIGUSR1, report)] {
+            // The flag first: it is set when the byte wakes the loop.
+            signal_hook::flag::register(signal, Arc::clone(flag))?;
+            signal_hook::low_level::pipe::register(signal, self.wake.try_clone()?)?;
+        }
+        Ok(())
+    }
+}
+
+/// The proxy's end.
+#[derive(Debug)]
+pub struct Listener {
+    wishes: Arc<Wishes>,
+    wake: UnixStream,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wish {
+    Stop,
+    Report,
+}
+
+pub fn pair() -> io::Result<(Control, Listener)> {
+    let (near, far) = UnixStream::pair()?;
+    near.set_nonblocking(true)?;
+    far.set_nonblocking(true)?;
+    let wishes = Arc::new(Wishes::default());
+    Ok((Control { wishes: Arc::clone(&wishes), wake: far }, Listener { wishes, wake: near }))
+}
+
+impl Listener {
+    pub fn take(&mut self) -> Vec<Wish> {
+        let mut bytes = [0; 64];
+        while matches!(self.wake.read(&mut bytes), Ok(n) if n > 0) {}
+        let mut wishes = Vec::new();
+        for (flag, wish) in [(&self.wishes.stop, Wish::Stop), (&self.wishes.report, Wish::Report)] {
+            if flag.swap(false, Ordering::SeqCst) {
+                wishes.push(wish);
+            }
+        }
+        wishes
+    }
+}
+
+impl AsFd for Listener {
+    fn as_fd(&self) -> BorrowedFd<'_> {
+        self.wake.as_fd()
+    }
+}
--- a/leverproxy/src/discovery/mod.rs
+++ b/leverproxy/src/discovery/mod.rs
@@ -12,9 +12,6 @@
 use std::time::{Duration, Instant};
 use wire::{Listing, ListingError};
 
-/// A watch that says nothing for this long is broken: it speaks every two seconds at the least, and a cut
-/// connection stays open and silent. What it would have told counts as told six seconds later.
-pub const SILENCE: Duration = Duration::from_millis(3_000);
 const INPUT_LIMIT: usize = 256 << 10;
 
 #[derive(Debug)]
@@ -25,6 +22,8 @@
 
 pub struct Discovery {
     address: SocketAddr,
+    /// Longest that a watch may say nothing.
+    silence: Duration,
     watches: Slots<Watch>,
     current: Option<Key>,
     news: VecDeque<News>,
@@ -38,8 +37,8 @@
 }
 
 impl Discovery {
-    pub fn new(address: SocketAddr) -> Discovery {
-        Discovery { address, watches: Slots::default(), current: None, news: VecDeque::new() }
+    pub fn new(address: SocketAddr, silence: Duration) -> Discovery {
+        Discovery { address, silence, watches: Slots::default(), current: None, news: VecDeque::new() }
     }
 
     pub fn pop(&mut self) -> Option<News> {
@@ -71,7 +70,7 @@
                 self.news.push_back(News::Failed);
             }
         }
-        now + SILENCE
+        now + self.silence
     }
 
     pub fn ready(&mut self, key: Key, now: Instant, reactor: &Reactor) {
@@ -83,7 +82,7 @@
     /// Breaks a watch that has been silent for too long; else returns when to look again.
     pub fn check(&mut self, now: Instant) -> Option<Instant> {
         let key = self.current?;
-        let due = self.watches.get(key)?.heard + SILENCE;
+        let due = self.watches.get(key)?.heard + self.silence;
         if due <= now {
             self.fail(key, "silent for too long");
             return None;
--- a/leverproxy/src/front.rs
+++ b/leverproxy/src/front.rs
@@ -10,12 +10,14 @@
 use std::io;
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Unanswered commands of one connection; more wait in its socket.
-const PIPELINE_LIMIT: usize = 64;
+const PIPELINE_LIMIT: usize = 32;
 /// Unsent bytes of answers beyond which nothing more is read from a client.
-const UNSENT_LIMIT: usize = 256 << 10;
+const UNSENT_LIMIT: usize = 64 << 10;
+/// Whoever has not said a whole thing for this long may lose its place to another.
+const PATIENCE: Duration = Duration::from_secs(5);
 
 #[derive(Debug)]
 pub enum Event {
@@ -42,6 +44,8 @@
     skipping: bool,
     /// No more is read; the connection ends once everything is written.
     ending: bool,
+    /// It has said that it goes: no answer is of use any more.
+    gone: bool,
     answers: VecDeque<Option<Vec<u8>>>,
     /// The number of the first of these.
     first: u64,
@@ -93,16 +97,24 @@
 
     pub fn accept(&mut self, now: Instant, reactor: &Reactor) {
         loop {
-            if self.clients.len() >= self.limit && !self.evict() {
+            let full = self.clients.len() >= self.limit;
+            // Who would give way; nobody does before another client is there for the place.
+            let quiet = self.quietest();
+            if full && quiet.is_none() {
                 return self.pause(true, reactor);
             }
             let Some(listener) = &self.listener else { return };
             match net::accept(listener) {
-                Ok(stream) => self.adopt(stream, now, reactor),
+                Ok(stream) => {
+                    if let Some(key) = quiet.filter(|_| full) {
+                        self.clients.remove(key);
+                    }
+                    self.adopt(stream, now, reactor);
+                }
                 Err(Refusal::Empty) => return,
                 Err(Refusal::Exhausted) => {
                     log::warn!("front: no descriptor left, {} clients", self.clients.len());
-                    if !self.evict() {
+                    if quiet.and_then(|key| self.clients.remove(key)).is_none() {
                         return self.pause(true, reactor);
                     }
                 }
@@ -116,12 +128,13 @@
             greeted: false,
             skipping: false,
             ending: false,
+            gone: false,
             answers: VecDeque::new(),
             first: 0,
             quiet_since: now,
         });
         // What a client writes right behind connecting is often there already.
-        self.ready(key, now, reactor);
+        self.ready(key, false, now, reactor);
     }
 
     /// While the listener is full it must not be waited on: it would be ready all the time.
@@ -133,23 +146,34 @@
         }
     }
 
-    /// Closes the client that has been quiet the longest, between its requests, to make room for another.
-    fn evict(&mut self) -> bool {
-        let quiet = self.clients.iter().filter(|(_, c)| c.greeted && c.idle());
-        let Some((key, _)) = quiet.min_by_key(|(_, c)| c.quiet_since) else { return false };
-        self.clients.remove(key).is_some()
+    /// The listener is not looked at until a client has left or [`Front::resume`] is called.
+    pub fn paused(&self) -> bool {
+        !self.accepting
+    }
+
+    pub fn resume(&mut self, reactor: &Reactor) {
+        self.pause(false, reactor);
+    }
+
+    /// The client that has been quiet the longest, between its requests: it may give way to another. One that
+    /// never gets to the end of its startup or a request keeps its place for a while only.
+    fn quietest(&self) -> Option<Key> {
+        let stuck = |c: &Client| c.answers.is_empty() && c.quiet_since.elapsed() >= PATIENCE;
+        let quiet = self.clients.iter().filter(|(_, c)| c.greeted && c.idle() || stuck(c));
+        quiet.min_by_key(|(_, c)| c.quiet_since).map(|(key, _)| key)
     }
 
-    pub fn ready(&mut self, key: Key, now: Instant, reactor: &Reactor) {
+    /// `ended`: the client is known to have closed its side. One that has is gone, even with answers to come.
+    pub fn ready(&mut self, key: Key, ended: bool, now: Instant, reactor: &Reactor) {
         let Some(client) = self.clients.get_mut(key) else { return };
-        let filled = match client.takes_more() {
-            true => client.stream.fill(server::INPUT_LIMIT),
-            false => Filled::Open,
+        let gone = match client.takes_more() {
+            true => client.stream.fill(server::INPUT_LIMIT) == Filled::Ended,
+            false => ended,
         };
-        self.read(key, now);
-        if filled == Filled::Ended {
+        if gone {
             return self.drop_client(key, reactor);
         }
+        self.read(key, now);
         self.write(key, now, reactor);
     }
 
@@ -160,6 +184,10 @@
             let step = if client.greeted { command(client, key, now) } else { greet(client) };
             match step {
                 Ok(Step::Wait) => break,
+                Ok(Step::Gone) => {
+                    client.gone = true;
+                    break;
+                }
                 Ok(Step::Next) => {}
                 Ok(Step::Asked(ticket, request)) => self.events.push_back(Event::Asked(ticket, request)),
                 Err(why) => {
@@ -183,6 +211,9 @@
     fn write(&mut self, key: Key, now: Instant, reactor: &Reactor) {
         loop {
             let Some(client) = self.clients.get_mut(key) else { return };
+            if client.gone {
+                return self.drop_client(key, reactor);
+            }
             let full = !client.takes_more();
             while let Some(Some(_)) = client.answers.front() {
                 if let Some(bytes) = client.answers.pop_front().flatten() {
@@ -192,7 +223,8 @@
                 }
             }
             let Ok(written) = client.stream.flush() else { return self.drop_client(key, reactor) };
-            let over = client.answers.is_empty() && (client.ending || self.closing && client.idle());
+            let leaving = client.ending || self.closing && client.greeted && client.idle();
+            let over = leaving && client.answers.is_empty();
             if written && over {
                 return self.drop_client(key, reactor);
             }
@@ -220,14 +252,14 @@
     }
 
     /// Takes no new connection from now on, once those that wait are taken, and closes each connection as
-    /// soon as nothing is owed on it.
+    /// soon as nothing is owed on it. One that has not sent its startup may have a request right behind it.
     pub fn close(&mut self, now: Instant, reactor: &Reactor) {
         self.accept(now, reactor);
         self.listener = None;
         self.closing = true;
         for key in self.clients.keys() {
             // A request that has come already is read and answered, not cut off.
-            self.ready(key, now, reactor);
+            self.ready(key, false, now, reactor);
         }
     }
 }
@@ -236,6 +268,8 @@
     /// The next message has not come in full.
     Wait,
     Next,
+    /// The client takes its leave.
+    Gone,
     Asked(Ticket, Request),
 }
 
@@ -248,7 +282,7 @@
             client.expect(Some(welcome));
         }
         Startup::Encryption => _ = client.expect(Some(b"N".to_vec())),
-        Startup::Cancel => client.ending = true,
+        Startup::Cancel => return Ok(Step::Gone),
     }
     Ok(Step::Next)
 }
@@ -257,10 +291,7 @@
     let Some((asked, used)) = server::asked(client.stream.input.unused())? else { return Ok(Step::Wait) };
     let mut request = None;
     let answer = match asked {
-        Asked::Terminate => {
-            client.ending = true;
-            None
-        }
+        Asked::Terminate => return Ok(Step::Gone),
         Asked::Sync => {
             client.skipping = false;
             Some(server::ready())
--- a/leverproxy/src/lib.rs
+++ b/leverproxy/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod cli;
 pub mod clock;
 pub mod config;
+pub mod control;
 pub mod counters;
 pub mod discovery;
 pub mod front;
@@ -14,6 +15,5 @@
 pub mod proxy;
 pub mod reactor;
 pub mod request;
-pub mod signals;
 pub mod stages;
 pub mod upstream;
--- a/leverproxy/src/proxy.rs
+++ b/leverproxy/src/proxy.rs
@@ -1,37 +1,48 @@
 //! The loop of the one thread: waits, lets the sides take what has come, and runs the chain over it.
 
 use crate::config::Config;
+use crate::control::{self, Control, Wish};
 use crate::discovery::Discovery;
 use crate::front::Front;
 use crate::reactor::{Interest, Reactor, Ready, Timers, Token};
-use crate::signals::{Signal, Signals};
 use crate::stages::{Chain, Sides, Timer};
 use crate::upstream::Upstream;
-use std::io;
+use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// After SIGTERM new connections go on coming for up to 0.4 s; they are taken for as long, and a little more.
-const LINGER: Duration = Duration::from_millis(500);
+/// A listener that was full is looked at again after this, even if no client has left.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(100);
 
 pub struct Proxy {
     sides: Sides,
     chain: Chain,
-    signals: Signals,
-    closing: bool,
-    closed: bool,
+    wishes: control::Listener,
+    linger: Duration,
+    last_answers: Duration,
+    phase: Phase,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Phase {
+    Serving,
+    /// Told to stop; new connections may still come.
+    Lingering,
+    /// No more are taken.
+    Closing,
+    Over,
 }
 
 impl Proxy {
     /// Listens, and begins with the list of record servers as it was last known.
-    pub fn start(config: Config) -> io::Result<Proxy> {
+    pub fn start(config: Config) -> io::Result<(Proxy, Control)> {
         let now = Instant::now();
         let reactor = Reactor::new()?;
-        let signals = Signals::register()?;
-        reactor.add(&signals, Token::Signals, Interest::READ)?;
+        let (control, wishes) = control::pair()?;
+        reactor.add(&wishes, Token::Control, Interest::READ)?;
         let front = Front::listen(config.listen, config.limits.clients, &reactor)?;
         let upstream = Upstream::new(config.limits.upstream, config.dial_timeout, config.idle_limit);
-        let discovery = Discovery::new(config.discovery);
+        let discovery = Discovery::new(config.discovery, config.watch_silence);
         let platform = config.platform;
         let mut sides = Sides { reactor, timers: Timers::default(), front, upstream, discovery };
         let mut chain = Chain::new(
@@ -44,7 +55,8 @@
         );
         log::info!("{}: serving on {}", config.name, config.listen);
         chain.start(config.known, &mut sides, now);
-        Ok(Proxy { sides, chain, signals, closing: false, closed: false })
+        let (linger, last_answers) = (config.linger, config.last_answers);
+        Ok((Proxy { sides, chain, wishes, linger, last_answers, phase: Phase::Serving }, control))
     }
 
     pub fn local_address(&self) -> Option<SocketAddr> {
@@ -56,7 +68,8 @@
         let mut ready = Vec::new();
         loop {
             self.chain.turn(&mut self.sides, Instant::now());
-            if self.closed && self.sides.front.clients() == 0 && self.chain.settled() {
+            let settled = self.sides.front.clients() == 0 && self.chain.settled();
+            if self.phase == Phase::Over || self.phase == Phase::Closing && settled {
                 return Ok(());
             }
             let until = self.sides.timers.next();
@@ -73,12 +86,17 @@
 
     fn on_ready(&mut self, ready: Ready) {
         let now = Instant::now();
-        let Sides { reactor, front, upstream, discovery, .. } = &mut self.sides;
+        let Sides { reactor, timers, front, upstream, discovery } = &mut self.sides;
         match ready.token {
-            Token::Listener => front.accept(now, reactor),
-            Token::Signals => self.on_signals(now),
+            Token::Listener => {
+                front.accept(now, reactor);
+                if front.paused() {
+                    timers.set(now + ACCEPT_AGAIN, Timer::Accept);
+                }
+            }
+            Token::Control => self.on_wishes(now),
             Token::Discovery(key) => discovery.ready(key, now, reactor),
-            Token::Client(key) => front.ready(key, now, reactor),
+            Token::Client(key) => front.ready(key, ready.ended, now, reactor),
             Token::Upstream(key) => upstream.ready(key, now, reactor),
         }
         // Each event is worked through at once: the next may be about what this one changed.
@@ -94,36 +112,40 @@
                     self.sides.timers.set(again, Timer::Watch);
                 }
             }
+            Timer::Accept => self.sides.front.resume(&self.sides.reactor),
             Timer::Close => {
                 self.sides.front.close(now, &self.sides.reactor);
-                self.closed = true;
+                self.phase = Phase::Closing;
+                self.sides.timers.set(now + self.last_answers, Timer::End);
             }
+            Timer::End => self.phase = Phase::Over,
         }
         self.chain.turn(&mut self.sides, now);
     }
 
-    fn on_signals(&mut self, now: Instant) {
-        for signal in self.signals.take() {
-            match signal {
-                Signal::Stop if !self.closing => {
+    fn on_wishes(&mut self, now: Instant) {
+        for wish in self.wishes.take() {
+            match wish {
+                Wish::Stop if self.phase == Phase::Serving => {
                     log::info!("told to stop: answering what has come");
-                    self.closing = true;
-                    self.sides.timers.set(now + LINGER, Timer::Close);
+                    self.phase = Phase::Lingering;
+                    self.sides.timers.set(now + self.linger, Timer::Close);
                 }
-                Signal::Stop => {}
-                Signal::Report => self.report(),
+                Wish::Stop => {}
+                Wish::Report => self.report(),
             }
         }
     }
 
     /// The counters, on standard error: whoever asks wants them at any log level.
     pub fn report(&self) {
-        eprintln!("{}", self.chain.counters);
-        eprintln!(
-            "connections: clients {}; upstream {}; dials {}",
-            self.sides.front.clients(),
-            self.sides.upstream.connections(),
-            self.sides.upstream.dials,
+        let Sides { front, upstream, .. } = &self.sides;
+        let (clients, connections, dials) = (front.clients(), upstream.connections(), upstream.dials);
+        // Nobody may read standard error; that is no reason to stop serving.
+        _ = writeln!(
+            io::stderr(),
+            "{}\nconnections: clients {clients}; upstream {connections}; dials {dials}",
+            self.chain.counters,
         );
     }
 }
--- a/leverproxy/src/reactor.rs
+++ b/leverproxy/src/reactor.rs
@@ -5,6 +5,7 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::io;
+use std::mem::MaybeUninit;
 use std::os::fd::{AsFd, OwnedFd};
 use std::time::{Duration, Instant};
 
@@ -83,7 +84,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Token {
     Listener,
-    Signals,
+    Control,
     Discovery(Key),
     Client(Key),
     Upstream(Key),
@@ -93,7 +94,7 @@
     fn encode(self) -> u64 {
         let (kind, key) = match self {
             Token::Listener => (0, None),
-            Token::Signals => (1, None),
+            Token::Control => (1, None),
             Token::Discovery(key) => (2, Some(key)),
             Token::Client(key) => (3, Some(key)),
             Token::Upstream(key) => (4, Some(key)),
@@ -106,7 +107,7 @@
         let key = Key { index: raw as u32, generation: (raw >> 32) as u32 % GENERATIONS };
         Some(match raw >> 56 {
             0 => Token::Listener,
-            1 => Token::Signals,
+            1 => Token::Control,
             2 => Token::Discovery(key),
             3 => Token::Client(key),
             4 => Token::Upstream(key),
@@ -127,24 +128,24 @@
     pub const WRITE: Interest = Interest { read: false, write: true };
 
     fn flags(self) -> epoll::EventFlags {
-        let mut flags = epoll::EventFlags::empty();
+        // The end of a peer is told even while nothing is read from it.
+        let mut flags = epoll::EventFlags::RDHUP;
         flags.set(epoll::EventFlags::IN, self.read);
         flags.set(epoll::EventFlags::OUT, self.write);
         flags
     }
 }
 
-/// A descriptor is ready; an error or hang-up shows as both, and the call that follows tells which.
+/// A descriptor is ready for what it is watched for; the calls that follow tell for what.
 #[derive(Clone, Copy, Debug)]
 pub struct Ready {
     pub token: Token,
-    pub readable: bool,
-    pub writable: bool,
+    /// The peer has ended its side, or the connection is broken.
+    pub ended: bool,
 }
 
 pub struct Reactor {
     epoll: OwnedFd,
-    buffer: Vec<epoll::Event>,
 }
 
 /// Events fetched at once.
@@ -152,7 +153,7 @@
 
 impl Reactor {
     pub fn new() -> io::Result<Reactor> {
-        Ok(Reactor { epoll: epoll::create(epoll::CreateFlags::CLOEXEC)?, buffer: Vec::with_capacity(BATCH) })
+        Ok(Reactor { epoll: epoll::create(epoll::CreateFlags::CLOEXEC)? })
     }
 
     pub fn add(&self, fd: impl AsFd, token: Token, interest: Interest) -> io::Result<()> {
@@ -166,25 +167,24 @@
     }
 
     /// Waits for the first event or until `until`; an interrupted wait returns nothing.
-    pub fn wait(&mut self, until: Option<Instant>, ready: &mut Vec<Ready>) -> io::Result<()> {
+    pub fn wait(&self, until: Option<Instant>, ready: &mut Vec<Ready>) -> io::Result<()> {
         ready.clear();
         let timeout = until.map(|at| {
             let left = at.saturating_duration_since(Instant::now());
             Timespec { tv_sec: left.as_secs().min(3_600) as i64, tv_nsec: left.subsec_nanos().into() }
         });
-        self.buffer.clear();
-        match epoll::wait(&self.epoll, rustix::buffer::spare_capacity(&mut self.buffer), timeout.as_ref()) {
-            Ok(_) => {}
+        let mut buffer = [const { MaybeUninit::uninit() }; BATCH];
+        let events = match epoll::wait(&self.epoll, &mut buffer[..], timeout.as_ref()) {
+            Ok((events, _)) => events,
             Err(Errno::INTR) => return Ok(()),
             Err(e) => return Err(e.into()),
-        }
-        for event in &self.buffer {
+        };
+        for event in events {
             let (flags, data) = (event.flags, event.data);
             let broken = flags.intersects(epoll::EventFlags::ERR | epoll::EventFlags::HUP);
             if let Some(token) = Token::decode(data.u64()) {
-                let readable = broken || flags.contains(epoll::EventFlags::IN);
-                let writable = broken || flags.contains(epoll::EventFlags::OUT);
-                ready.push(Ready { token, readable, writable });
+                let ended = broken || flags.contains(epoll::EventFlags::RDHUP);
+                ready.push(Ready { token, ended });
             }
         }
         Ok(())
--- a/leverproxy/src/stages/mod.rs
+++ b/leverproxy/src/stages/mod.rs
@@ -26,8 +26,12 @@
     Module(u32),
     Upstream(Due),
     Watch,
+    /// The listener, full before, may be looked at again.
+    Accept,
     /// New connections have stopped coming: the listener may go.
     Close,
+    /// What is still owed is given up.
+    End,
 }
 
 /// The sides that the chain works on.
--- a/leverproxy/src/stages/take_in.rs
+++ b/leverproxy/src/stages/take_in.rs
@@ -25,8 +25,10 @@
         .map(ClassId)
         .ok_or_else(|| format!("class {:?} is not known", request.class))?;
     let tenant = match &request.tenant {
-        Some(name) => place(&names.tenants, name).ok_or_else(|| format!("tenant {name:?} is not known"))?,
-        None => 0,
+        Some(name) if !names.tenants.is_empty() => {
+            place(&names.tenants, name).ok_or_else(|| format!("tenant {name:?} is not known"))?
+        }
+        _ => 0,
     };
     let spent = now.saturating_duration_since(request.read_at) + MARGIN;
     let unix_now = clock.unix(now);
--- a/leverproxy/src/upstream.rs
+++ b/leverproxy/src/upstream.rs
@@ -137,8 +137,10 @@
         };
         let queue_until = exchange.until.min(exchange.sent + self.dial_timeout);
         pool.waiting.push_back(exchange);
-        self.due.push((queue_until, Due::Queue(store)));
         self.serve_queue(store, now, reactor);
+        if self.pools.get(&store).is_some_and(|pool| !pool.waiting.is_empty()) {
+            self.due.push((queue_until, Due::Queue(store)));
+        }
     }
 
     /// Gives waiting exchanges the idle connections, and dials for the rest.
@@ -280,7 +282,7 @@
                 self.dial_over(store);
                 if reader.conclusive() {
                     self.connections.remove(key);
-                    return self.fail_first_waiting(store, reader.verdict().0, now);
+                    return self.fail_first_waiting(store, not_welcome(reader), now);
                 }
             }
             State::Connecting | State::Idle => {}
@@ -312,9 +314,12 @@
         let Some(connection) = self.connections.remove(key) else { return };
         let store = connection.store;
         match connection.state {
-            State::Busy { exchange, reader, .. } => {
-                let (verdict, note) =
-                    if reader.conclusive() { reader.verdict() } else { (verdict, Note::default()) };
+            State::Busy { exchange, reader, written } => {
+                let (verdict, note) = match reader.conclusive() {
+                    true if written => reader.verdict(),
+                    true => (not_welcome(reader), Note::default()),
+                    false => (verdict, Note::default()),
+                };
                 self.finish(exchange, store, verdict, note, now);
             }
             State::Idle => {
@@ -328,7 +333,7 @@
             }
             State::Greeting(reader) => {
                 self.dial_over(store);
-                let verdict = if reader.conclusive() { reader.verdict().0 } else { verdict };
+                let verdict = if reader.conclusive() { not_welcome(reader) } else { verdict };
                 self.fail_first_waiting(store, verdict, now);
             }
         }
@@ -399,3 +404,12 @@
         }
     }
 }
+
+/// An error to a connection that no request has been written to in full: none of them has run, whatever the
+/// error is.
+fn not_welcome(reader: AnswerReader) -> Verdict {
+    match reader.verdict().0 {
+        Verdict::Full => Verdict::Full,
+        _ => Verdict::ConnectFailed,
+    }
+}
--- /dev/null
+++ b/leverproxy/tests/common/mod.rs
@@ -0,0 +1,302 @@
+//! Scripted peers round a real proxy: discovery, record servers and clients, all on loopback.
+#![allow(dead_code)]
+
+use leverproxy::config::{self, Config};
+use leverproxy::control::Control;
+use leverproxy::pg::{self, server};
+use leverproxy::proxy::Proxy;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Receiver, RecvTimeoutError};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+/// No story waits longer than this for anything.
+pub const PATIENCE: Duration = Duration::from_secs(10);
+
+pub const SETTINGS: &str = r#"{"Balancers": 1, "Zones": ["a"], "HostTypes": ["m"],
+ "Classes": [{"Name": "any", "Effect": "safe", "Deadline": 2000000, "GoalTime": 1000000, "LateValue": 0.5},
+             {"Name": "book", "Effect": "unsafe", "Deadline": 2000000, "GoalTime": 1000000, "LateValue": 0.5}],
+ "FamilyInfo": {"Behind": "reject", "NeedsByClass": ["loose", "update"], "StalenessBound": [0, 0],
+                "TokenMode": "client"},
+ "LoadReport": {"Fields": ["x0", "x1", "backlog"], "How": "on_probe"},
+ "PolicyLimits": {"DialTimeout": 250000, "Keepalive": 30000000, "MaxRetryAfter": 2000000, "Probing": true,
+                  "RetryAfter": true, "SecondCopies": true, "TryLimit": 8},
+ "Realms": [{"Name": "acme", "QuotaPerS": 100.0}], "RegistryMode": "on_request",
+ "Rules": {"StopSendingWithin": 500000, "StartCapacity": 0.15, "OverloadFactor": 2.0}}"#;
+
+/// A peer that listens; a thread of its own takes connections, so that a story can wait for one with a limit.
+pub struct Listener {
+    pub address: SocketAddr,
+    accepted: Receiver<TcpStream>,
+}
+
+impl Listener {
+    pub fn new() -> Listener {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (send, accepted) = channel();
+        thread::spawn(move || {
+            while let Ok((stream, _)) = listener.accept() {
+                if send.send(stream).is_err() {
+                    break;
+                }
+            }
+        });
+        Listener { address, accepted }
+    }
+
+    pub fn accept(&self) -> Peer {
+        Peer::new(self.accepted.recv_timeout(PATIENCE).expect("a connection"))
+    }
+
+    /// Nobody connects for `span`.
+    pub fn left_alone(&self, span: Duration) -> bool {
+        matches!(self.accepted.recv_timeout(span), Err(RecvTimeoutError::Timeout))
+    }
+
+    /// A connection from the proxy, welcomed as a record server does.
+    pub fn welcome(&self) -> Peer {
+        let mut peer = self.accept();
+        peer.startup();
+        peer
+    }
+
+    /// An entry of the list that names this server.
+    pub fn listed(&self, name: &str, status: &str) -> String {
+        format!(
+            r#"{{"name":"{name}","address":"{}","zone":"a","type":"m","group":3,"status":"{status}","since_ms":0}}"#,
+            self.address
+        )
+    }
+}
+
+/// A connection as its other end sees it.
+pub struct Peer {
+    pub stream: TcpStream,
+    input: Vec<u8>,
+}
+
+/// What came for a query.
+#[derive(Debug, Default, PartialEq)]
+pub struct Reply {
+    pub value: Option<String>,
+    pub code: Option<String>,
+    pub detail: Option<String>,
+}
+
+impl Peer {
+    pub fn new(stream: TcpStream) -> Peer {
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.set_nodelay(true).unwrap();
+        Peer { stream, input: Vec::new() }
+    }
+
+    pub fn write(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).unwrap();
+    }
+
+    fn more(&mut self) -> io::Result<()> {
+        let mut bytes = [0; 4096];
+        match self.stream.read(&mut bytes)? {
+            0 => Err(io::ErrorKind::UnexpectedEof.into()),
+            n => {
+                self.input.extend_from_slice(&bytes[..n]);
+                Ok(())
+            }
+        }
+    }
+
+    /// The next message: its tag and body.
+    pub fn message(&mut self) -> io::Result<(u8, Vec<u8>)> {
+        loop {
+            if let Some(message) = pg::message(&self.input, 1 << 20).unwrap() {
+                let (tag, body, used) = (message.tag, message.body.to_vec(), message.raw.len());
+                self.input.drain(..used);
+                return Ok((tag, body));
+            }
+            self.more()?;
+        }
+    }
+
+    /// Reads up to a blank line.
+    pub fn head(&mut self) -> String {
+        loop {
+            if let Some(end) = self.input.windows(4).position(|w| w == b"\r\n\r\n") {
+                return String::from_utf8(self.input.drain(..end + 4).collect()).unwrap();
+            }
+            self.more().unwrap();
+        }
+    }
+
+    /// True once the other side has ended the connection.
+    pub fn ended(&mut self) -> bool {
+        loop {
+            match self.more() {
+                Ok(()) => {}
+                Err(e) => return !matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut),
+            }
+        }
+    }
+
+    // ---- As a record server ----
+
+    pub fn startup(&mut self) {
+        while server::startup(&self.input).unwrap().is_none() {
+            self.more().unwrap();
+        }
+        let Some((server::Startup::Session(welcome), used)) = server::startup(&self.input).unwrap() else {
+            panic!("no session is asked for");
+        };
+        self.input.drain(..used);
+        self.write(&welcome);
+    }
+
+    pub fn query(&mut self) -> String {
+        let (tag, body) = self.message().expect("a query");
+        assert_eq!(tag, b'Q');
+        String::from_utf8(body[..body.len() - 1].to_vec()).unwrap()
+    }
+
+    pub fn answer(&mut self, value: &str, parameters: &[(&str, &str)]) {
+        let mut out = Vec::new();
+        pg::put(&mut out, b'T', |body| {
+            body.extend([0, 1]);
+            pg::put_text(body, "doc");
+            body.extend([0; 18]);
+        });
+        pg::put(&mut out, b'D', |body| {
+            body.extend([0, 1]);
+            body.extend((value.len() as u32).to_be_bytes());
+            body.extend(value.as_bytes());
+        });
+        pg::put(&mut out, b'C', |body| pg::put_text(body, "SELECT 1"));
+        for (name, value) in parameters {
+            pg::put(&mut out, b'S', |body| {
+                pg::put_text(body, name);
+                pg::put_text(body, value);
+            });
+        }
+        pg::put_ready(&mut out);
+        self.write(&out);
+    }
+
+    pub fn error(&mut self, code: &str) {
+        let mut out = Vec::new();
+        pg::put_error(&mut out, "ERROR", code, "scripted", None);
+        pg::put_ready(&mut out);
+        self.write(&out);
+    }
+
+    /// Answers the probe that asks for the load report, as the primary.
+    pub fn report_primary(&mut self) {
+        assert_eq!(self.query(), "SHOW load");
+        self.answer("x0=1.0,x1=1,backlog=0", &[]);
+    }
+
+    // ---- As discovery ----
+
+    /// Answers a call for a watch with the head of a stream; the call's first line.
+    pub fn watch(&mut self) -> String {
+        let call = self.head();
+        self.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        call.lines().next().unwrap().to_owned()
+    }
+
+    pub fn tell(&mut self, index: u64, entries: &[String]) {
+        let line = format!(r#"{{"index":{index},"snapshot":false,"endpoints":[{}]}}"#, entries.join(","));
+        self.write(format!("{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes());
+    }
+
+    // ---- As a client ----
+
+    pub fn connect(address: SocketAddr) -> Peer {
+        Peer::new(TcpStream::connect(address).unwrap())
+    }
+
+    /// A client that has been welcomed.
+    pub fn client(address: SocketAddr) -> Peer {
+        let mut peer = Peer::connect(address);
+        peer.write(&server::startup_packet("app", "shop"));
+        assert_eq!(peer.reply(), Reply::default());
+        peer
+    }
+
+    pub fn ask(&mut self, query: &str) {
+        let mut out = Vec::new();
+        pg::put(&mut out, b'Q', |body| pg::put_text(body, query));
+        self.write(&out);
+    }
+
+    /// Everything up to ReadyForQuery, or up to the end after a fatal error.
+    pub fn reply(&mut self) -> Reply {
+        let mut reply = Reply::default();
+        loop {
+            match self.message() {
+                Ok((b'Z', _)) => return reply,
+                Ok((b'D', body)) => reply.value = Some(String::from_utf8(body[6..].to_vec()).unwrap()),
+                Ok((b'E', body)) => {
+                    reply.code = pg::error_field(&body, b'C').map(str::to_owned);
+                    reply.detail = pg::error_field(&body, b'D').map(str::to_owned);
+                }
+                Ok(_) => {}
+                Err(e) => {
+                    assert!(reply.code.is_some(), "the connection ended without an answer: {e}");
+                    return reply;
+                }
+            }
+        }
+    }
+}
+
+pub fn read(id: u32, class: &str, wait_ms: u32) -> String {
+    format!(
+        "SELECT doc FROM items WHERE id = '7f3a' /* id={id:016x},c={class},t=acme,d={wait_ms},cluster=3 */"
+    )
+}
+
+/// A proxy with one thread, and the watch that it has opened on a scripted discovery.
+pub struct Stage {
+    pub address: SocketAddr,
+    pub control: Control,
+    pub discovery: Listener,
+    pub watch: Peer,
+    running: Option<JoinHandle<io::Result<()>>>,
+}
+
+impl Stage {
+    /// `servers` are listed as known from the start.
+    pub fn new(servers: &[(&str, &Listener)]) -> Stage {
+        Stage::with(servers, |_| {})
+    }
+
+    pub fn with(servers: &[(&str, &Listener)], adjust: impl FnOnce(&mut Config)) -> Stage {
+        let discovery = Listener::new();
+        let known: Vec<String> = servers.iter().map(|(name, s)| s.listed(name, "Ready")).collect();
+        let text = format!(
+            r#"{{"name":"n1","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f30d27a5be964",
+                "known":{{"index":41,"snapshot":true,"endpoints":[{}]}},"settings":{SETTINGS}}}"#,
+            discovery.address,
+            known.join(",")
+        );
+        let mut config = config::parse(text.as_bytes(), |_| None).unwrap();
+        adjust(&mut config);
+        let (mut proxy, control) = Proxy::start(config).unwrap();
+        let address = proxy.local_address().unwrap();
+        let running = Some(thread::spawn(move || proxy.run()));
+        let mut watch = discovery.accept();
+        assert_eq!(watch.watch(), "GET /catalog/members?watch=1&after=41 HTTP/1.1");
+        Stage { address, control, discovery, watch, running }
+    }
+
+    /// Waits until the proxy has ended by itself.
+    pub fn end(&mut self) {
+        self.running.take().unwrap().join().unwrap().unwrap();
+    }
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        self.control.stop();
+    }
+}
--- /dev/null
+++ b/leverproxy/tests/stories.rs
@@ -0,0 +1,217 @@
+//! Stories over loopback: a real proxy between scripted clients, record servers and discovery.
+
+mod common;
+use common::{read, Listener, Peer, Reply, Stage, PATIENCE};
+use std::time::{Duration, Instant};
+
+/// The statement and its id pass unchanged, `d` tells the rest of the time, the value comes as it was given.
+#[test]
+fn a_read_is_served_as_a_record_server_gave_it() {
+    let server = Listener::new();
+    let stage = Stage::new(&[("s-1", &server)]);
+    // The first query comes right behind the startup.
+    let mut client = Peer::connect(stage.address);
+    client.write(&leverproxy::pg::server::startup_packet("app", "shop"));
+    client.ask(&read(1, "any", 1900));
+    assert_eq!(client.reply(), Reply::default(), "the welcome");
+    let mut upstream = server.welcome();
+    let passed = upstream.query();
+    let wait = passed.split(",d=").nth(1).and_then(|rest| rest.split(',').next()).unwrap();
+    assert!((1..1900).contains(&wait.parse::<u32>().unwrap()), "{passed}");
+    assert_eq!(passed.replacen(&format!(",d={wait}"), ",d=1900", 1), read(1, "any", 1900));
+    upstream.answer("\\x9f03", &[("role", "replica"), ("applied_ms", "1767225600123")]);
+    assert_eq!(client.reply(), Reply { value: Some("\\x9f03".into()), ..Reply::default() });
+    for nothing in ["", " ; ", "SET a = 1"] {
+        client.ask(nothing);
+        assert_eq!(client.reply(), Reply::default(), "{nothing:?}");
+    }
+}
+
+/// Answers on a connection come in the order of its commands, whatever order they were ready in.
+#[test]
+fn pipelined_queries_are_answered_in_order() {
+    let server = Listener::new();
+    let stage = Stage::new(&[("s-1", &server)]);
+    let mut client = Peer::client(stage.address);
+    // The second is not understood and is answered while the first is still out.
+    client.ask(&read(1, "any", 1900));
+    client.ask(&read(2, "unheard-of", 1900));
+    let mut upstream = server.welcome();
+    upstream.query();
+    upstream.answer("first", &[]);
+    assert_eq!(client.reply().value.as_deref(), Some("first"));
+    assert_eq!(client.reply().code.as_deref(), Some("42601"));
+}
+
+/// A write whose connection breaks after its last byte may have run: it fails, and is never sent again.
+#[test]
+fn a_write_that_may_have_run_is_not_sent_again() {
+    let server = Listener::new();
+    let stage = Stage::new(&[("s-1", &server)]);
+    let mut client = Peer::client(stage.address);
+    client.ask(&read(1, "book", 1900));
+    let mut upstream = server.welcome();
+    upstream.report_primary();
+    upstream.query();
+    drop(upstream);
+    assert_eq!(client.reply(), Reply { code: Some("08007".into()), ..Reply::default() });
+    assert!(server.left_alone(Duration::from_millis(100)));
+}
+
+/// A pooled connection that the server has closed is found out before anything is written to it.
+#[test]
+fn a_write_does_not_go_out_on_a_stale_connection() {
+    let server = Listener::new();
+    let stage = Stage::new(&[("s-1", &server)]);
+    let mut client = Peer::client(stage.address);
+    client.ask(&read(1, "book", 1900));
+    let mut upstream = server.welcome();
+    upstream.report_primary();
+    upstream.query();
+    upstream.answer("one", &[("role", "primary")]);
+    assert_eq!(client.reply().value.as_deref(), Some("one"));
+    drop(upstream);
+    client.ask(&read(2, "book", 1900));
+    let mut upstream = server.welcome();
+    upstream.query();
+    upstream.answer("two", &[("role", "primary")]);
+    assert_eq!(client.reply().value.as_deref(), Some("two"));
+}
+
+/// An error to the startup proves that no request ran, whatever its code: a write may go out again.
+#[test]
+fn a_refused_connection_proves_that_nothing_ran() {
+    let server = Listener::new();
+    let stage = Stage::new(&[("s-1", &server)]);
+    let mut client = Peer::client(stage.address);
+    client.ask(&read(1, "book", 1900));
+    let mut upstream = server.welcome();
+    upstream.report_primary();
+    upstream.query();
+    // The second write has to dial, for the only connection is taken.
+    let mut other = Peer::client(stage.address);
+    upstream.answer("one", &[("role", "primary")]);
+    assert_eq!(client.reply().value.as_deref(), Some("one"));
+    drop(upstream);
+    other.ask(&read(2, "book", 1900));
+    server.accept().error("XX000");
+    let mut upstream = server.welcome();
+    upstream.query();
+    upstream.answer("two", &[("role", "primary")]);
+    assert_eq!(other.reply().value.as_deref(), Some("two"));
+}
+
+/// Told that a server drains, the proxy calls off what still waits for a connection there.
+#[test]
+fn a_drain_calls_off_what_is_not_written_yet() {
+    let (first, second) = (Listener::new(), Listener::new());
+    let mut stage = Stage::new(&[("s-1", &first)]);
+    let mut client = Peer::client(stage.address);
+    client.ask(&read(1, "any", 1900));
+    // Accepted but not welcomed: the query waits.
+    let mut dialled = first.accept();
+    stage.watch.tell(42, &[first.listed("s-1", "Terminating"), second.listed("s-2", "Ready")]);
+    let mut upstream = second.welcome();
+    upstream.query();
+    upstream.answer("moved", &[]);
+    assert_eq!(client.reply().value.as_deref(), Some("moved"));
+    assert!(dialled.ended(), "the dial is called off");
+}
+
+/// A watch that is cut off stays open and says nothing: it is replaced, and goes on where the list was.
+#[test]
+fn a_silent_watch_is_replaced() {
+    let server = Listener::new();
+    let mut stage = Stage::with(&[], |config| config.watch_silence = Duration::from_millis(200));
+    stage.watch.tell(57, &[server.listed("s-1", "Ready")]);
+    let mut again = stage.discovery.accept();
+    assert_eq!(again.watch(), "GET /catalog/members?watch=1&after=57 HTTP/1.1");
+    assert!(stage.watch.ended());
+    // What is no list breaks the watch too, and the proxy lives on.
+    again.write(b"5\r\n{\"in\n\r\n");
+    assert!(again.ended());
+    stage.discovery.accept().watch();
+}
+
+/// A server that takes a request and says nothing: the client is refused in time, and told when to come back.
+#[test]
+fn a_silent_server_costs_no_deadline() {
+    let server = Listener::new();
+    let stage = Stage::new(&[("s-1", &server)]);
+    let mut client = Peer::client(stage.address);
+    let asked = Instant::now();
+    client.ask(&read(1, "any", 300));
+    let mut upstream = server.welcome();
+    upstream.query();
+    let reply = client.reply();
+    assert_eq!(reply.code.as_deref(), Some("53300"));
+    assert!(reply.detail.unwrap().parse::<u32>().unwrap() > 0);
+    assert!(asked.elapsed() < Duration::from_secs(2));
+    assert!(upstream.ended(), "a time-out closes the connection");
+}
+
+/// Nothing that a client sends brings the proxy down, and each gets a clear error.
+#[test]
+fn bad_input_is_answered_with_an_error() {
+    let server = Listener::new();
+    let stage = Stage::new(&[("s-1", &server)]);
+    for startup in [&[0, 0, 0, 4, 0, 0, 0, 0][..], &[0xff; 8], &[0, 0, 0, 9, 0, 3, 0, 0, 0]] {
+        let mut client = Peer::connect(stage.address);
+        client.write(startup);
+        assert_eq!(client.reply().code.as_deref(), Some("08P01"), "{startup:?}");
+        assert!(client.ended());
+    }
+    let mut client = Peer::client(stage.address);
+    let no_number = read(1, "any", 300).replace("cluster=3", "cluster=x");
+    let bad = [read(1, "unheard-of", 300), "SELECT 1".into(), no_number, "SELECT 1 /* id=1".into()];
+    for query in bad {
+        client.ask(&query);
+        assert_eq!(client.reply().code.as_deref(), Some("42601"), "{query}");
+    }
+    client.write(&[b'Q', 0x7f, 0xff, 0xff, 0xff]);
+    assert_eq!(client.reply().code.as_deref(), Some("08P01"), "an oversized length");
+    assert!(client.ended());
+}
+
+/// Told to stop, the proxy takes what still comes, answers it, closes what is idle and ends.
+#[test]
+fn a_stop_answers_what_was_taken() {
+    let server = Listener::new();
+    let mut stage = Stage::with(&[("s-1", &server)], |config| config.linger = Duration::from_millis(300));
+    let mut idle = Peer::client(stage.address);
+    let mut busy = Peer::client(stage.address);
+    busy.ask(&read(1, "any", 1900));
+    let mut upstream = server.welcome();
+    upstream.query();
+    stage.control.stop();
+    let mut late = Peer::client(stage.address);
+    late.ask(&read(2, "any", 1900));
+    assert!(idle.ended(), "closed between requests, once new connections have stopped coming");
+    upstream.answer("busy", &[]);
+    assert_eq!(busy.reply().value.as_deref(), Some("busy"));
+    // The late one may have waited for this connection or for another.
+    upstream.query();
+    upstream.answer("late", &[]);
+    assert_eq!(late.reply().value.as_deref(), Some("late"));
+    assert!(busy.ended() && late.ended());
+    stage.end();
+}
+
+/// A client that leaves is owed nothing, and its place is free for the next one at the limit.
+#[test]
+fn a_full_house_takes_the_next_client() {
+    let server = Listener::new();
+    let stage = Stage::with(&[("s-1", &server)], |config| config.limits.clients = 1);
+    let mut first = Peer::client(stage.address);
+    first.ask(&read(1, "any", 1900));
+    let mut upstream = server.welcome();
+    upstream.query();
+    let mut second = Peer::connect(stage.address);
+    second.write(&leverproxy::pg::server::startup_packet("app", "shop"));
+    drop(first);
+    assert_eq!(second.reply(), Reply::default());
+    // Between requests a connection gives way to one that waits.
+    let _third = Peer::client(stage.address);
+    assert!(second.ended());
+    upstream.stream.set_read_timeout(Some(PATIENCE)).unwrap();
+}
--- /dev/null
+++ b/leverproxy/tests/units.rs
@@ -0,0 +1,98 @@
+//! What needs no socket: codecs fed byte by byte, keys that go stale, and the configuration's messages.
+
+use leverproxy::config;
+use leverproxy::http::LineReader;
+use leverproxy::pg::client::AnswerReader;
+use leverproxy::pg::statement::{self, Query};
+use leverproxy::pg::{self, ANSWER_LIMIT};
+use leverproxy::reactor::Slots;
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+#[test]
+fn a_key_does_not_reach_what_took_its_place() {
+    let mut slots = Slots::default();
+    let old = slots.insert("old");
+    assert_eq!(slots.remove(old), Some("old"));
+    let new = slots.insert("new");
+    assert_eq!(slots.remove(old), None);
+    assert_eq!((slots.get(old), slots.get(new)), (None, Some(&"new")));
+    assert_eq!((slots.len(), slots.keys()), (1, vec![new]));
+}
+
+#[test]
+fn a_chunked_stream_may_be_cut_anywhere() {
+    let stream = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n{\"a\r\n4;x=1\r\n\":1}\r\n2\r\n\n\n\r\n0\r\n";
+    let (mut reader, mut lines, mut kept) = (LineReader::default(), vec![], vec![]);
+    for byte in stream {
+        kept.push(*byte);
+        let used = reader.take(&kept, &mut lines).unwrap();
+        kept.drain(..used);
+    }
+    assert_eq!(lines, [b"{\"a\":1}".to_vec(), vec![]]);
+    assert!(reader.done());
+    let broken: [&[u8]; 3] = [
+        b"HTTP/1.1 503 Busy\r\n\r\n",
+        b"SSH-2.0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+    ];
+    for bytes in broken {
+        assert!(LineReader::default().take(bytes, &mut vec![]).is_err());
+    }
+}
+
+#[test]
+fn an_answer_stays_within_its_limit() {
+    let mut row = Vec::new();
+    pg::put(&mut row, b'D', |body| body.extend([0; ANSWER_LIMIT / 2]));
+    let mut reader = AnswerReader::default();
+    assert_eq!(reader.take(&row).unwrap(), (row.len(), false));
+    assert!(reader.take(&row).is_err(), "two such rows are too much");
+    let long = [b'D', 0x7f, 0, 0, 0];
+    assert!(AnswerReader::default().take(&long).is_err(), "told by the length alone");
+}
+
+#[test]
+fn a_comment_inside_a_value_is_data() {
+    let text = "INSERT INTO items (id, doc) VALUES ('it''s', '/* c=x */') /* id=1, c=book,d=480,cluster=2,r=1,after=1500 */";
+    let Ok(Query::Request(request)) = statement::parse(text, Instant::now()) else { panic!("{text}") };
+    assert_eq!((request.class.as_str(), request.group, request.repeated), ("book", 2, true));
+    assert_eq!(
+        (request.wait, request.after),
+        (Duration::from_millis(480), Some(Duration::from_millis(1500)))
+    );
+    let rest = [&request.command.before_wait[..], b"480", &request.command.after_wait].concat();
+    assert_eq!(rest, text.as_bytes());
+}
+
+#[test]
+fn a_faulty_key_is_named() {
+    let with = |settings: &str, more: &str| {
+        let text =
+            format!(r#"{{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1"{more},"settings":{settings}}}"#);
+        config::parse(text.as_bytes(), |_| None).err().map(|e| e.key)
+    };
+    let good = r#"{"Classes":[{"Name":"any","Deadline":1000}],"NeverHeardOf":1}"#;
+    assert_eq!(with(good, ""), None);
+    assert_eq!(with(good, r#","limits":{"sockets":"many"}"#).as_deref(), Some("limits.sockets"));
+    assert_eq!(with(good, r#","limits":{"sockets":8}"#).as_deref(), Some("limits.sockets"));
+    assert_eq!(with(good, r#","seed":"xyz""#).as_deref(), Some("seed"));
+    assert_eq!(with("{}", "").as_deref(), Some("settings.Classes"));
+    let no_deadline = r#"{"Classes":[{"Name":"any"}]}"#;
+    assert_eq!(with(no_deadline, "").as_deref(), Some("settings.Classes[0].Deadline"));
+    let text = r#"{"Classes":[{"Name":"any","Deadline":"soon"}]}"#;
+    assert_eq!(with(text, "").as_deref(), Some("settings.Classes[0].Deadline"));
+}
+
+#[test]
+fn the_program_ends_with_2_on_bad_configuration() {
+    let serve = |arguments: &[&str]| {
+        let mut program = Command::new(env!("CARGO_BIN_EXE_leverproxy"));
+        program.args(arguments).env_remove("LB_CONFIG").output().unwrap()
+    };
+    let ended = serve(&["serve"]);
+    assert_eq!(ended.status.code(), Some(2));
+    assert!(String::from_utf8_lossy(&ended.stderr).contains("LB_CONFIG"));
+    assert_eq!(serve(&["no-such-command"]).status.code(), Some(2));
+    assert!(serve(&["version"]).status.success());
+}
