Refuse what could never be sent before half of its time is over

A log line for each final answer showed 338 refusals without an attempt, most of them at 0.50 to 0.60 of the client's time: 63 of confirm-ride and 300 of nearby-cabs.

Lines at fault: decide.rs, choose() and dispatch(). A request without a primary was held for half of the time left and then refused at the next look, up to 20 ms later; one that waits for room, until its aim could no longer be met, whatever its share of the client's time. Now patience is 0.45 and ends to the moment; what earns nothing late and was never sent has no more of it when it waits for room either.

--- a/leverproxy/src/counters.rs
+++ b/leverproxy/src/counters.rs
@@ -35,13 +35,7 @@
     }
 
     pub fn answered(&mut self, class: &str, answer: &Answer) {
-        let kind = match answer {
-            Answer::Served(_) => "served",
-            Answer::Refused(_) => "refused",
-            Answer::Failed => "failed",
-            Answer::Rejected(_) => "rejected",
-        };
-        *self.class(class).answers.entry(kind).or_default() += 1;
+        *self.class(class).answers.entry(answer.kind()).or_default() += 1;
     }
 
     pub fn left(&mut self, class: &str) {
--- a/leverproxy/src/request.rs
+++ b/leverproxy/src/request.rs
@@ -46,6 +46,17 @@
     Rejected(String),
 }
 
+impl Answer {
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Answer::Served(_) => "served",
+            Answer::Refused(_) => "refused",
+            Answer::Failed => "failed",
+            Answer::Rejected(_) => "rejected",
+        }
+    }
+}
+
 /// What an upstream exchange is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Purpose {
--- a/leverproxy/src/stages/admit.rs
+++ b/leverproxy/src/stages/admit.rs
@@ -1,8 +1,9 @@
 //! Admit: what is owed an answer is entered, once, and struck off with its final answer.
 
-use crate::request::{Command, Ticket};
+use crate::request::{Command, Request, Ticket};
 use mountshift::{AttemptNo, RequestId};
 use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
 
 /// A request that is owed an answer.
 #[derive(Debug)]
@@ -10,10 +11,16 @@
     pub ticket: Ticket,
     pub class: String,
     pub command: Command,
+    pub read_at: Instant,
+    pub wait: Duration,
     attempts: u16,
 }
 
 impl Open {
+    pub fn attempts(&self) -> u16 {
+        self.attempts
+    }
+
     /// Attempts count from 0 in the order sent.
     pub fn next_attempt(&mut self) -> AttemptNo {
         self.attempts += 1;
@@ -41,12 +48,13 @@
     }
 
     /// Enters a request; false: the platform allows no more at once.
-    pub fn admit(&mut self, id: RequestId, ticket: Ticket, class: String, command: Command) -> bool {
+    pub fn admit(&mut self, id: RequestId, ticket: Ticket, request: Request) -> bool {
         if self.limit > 0 && self.open.len() >= self.limit {
             return false;
         }
         self.tickets.insert(ticket, id);
-        self.open.insert(id, Open { ticket, class, command, attempts: 0 });
+        let Request { class, command, read_at, wait, .. } = request;
+        self.open.insert(id, Open { ticket, class, command, read_at, wait, attempts: 0 });
         true
     }
 
--- a/leverproxy/src/stages/mod.rs
+++ b/leverproxy/src/stages/mod.rs
@@ -121,7 +121,7 @@
         };
         self.counters.taken(&request.class);
         let class = request.class.clone();
-        if !self.ledger.admit(id, ticket, request.class, request.command) {
+        if !self.ledger.admit(id, ticket, request) {
             let answer = Answer::Refused(None);
             self.counters.answered(&class, &answer);
             return sides.front.answer(ticket, answer, now, &sides.reactor);
@@ -145,8 +145,7 @@
         let class = self.ledger.get_mut(id).map_or("of answered requests", |open| &open.class).to_owned();
         self.counters.ended(&class, done.purpose, &done.verdict);
         if let Some((open, answer)) = relay::served(id, &mut done.verdict, &mut self.ledger) {
-            self.counters.answered(&open.class, &answer);
-            sides.front.answer(open.ticket, answer, now, &sides.reactor);
+            self.relay(open, answer, sides, now);
         }
         let last = self.ledger.get_mut(id).is_none();
         self.decide(book::book(&done, last), sides, now);
@@ -212,7 +211,13 @@
     }
 
     fn answer(&mut self, id: RequestId, answer: Answer, sides: &mut Sides, now: Instant) {
-        let Some(open) = self.ledger.close(id) else { return };
+        if let Some(open) = self.ledger.close(id) {
+            self.relay(open, answer, sides, now);
+        }
+    }
+
+    fn relay(&mut self, open: admit::Open, answer: Answer, sides: &mut Sides, now: Instant) {
+        log::debug!("{}", relay::account(&open, &answer, now));
         self.counters.answered(&open.class, &answer);
         sides.front.answer(open.ticket, answer, now, &sides.reactor);
     }
--- a/leverproxy/src/stages/relay.rs
+++ b/leverproxy/src/stages/relay.rs
@@ -4,6 +4,7 @@
 use super::admit::{Ledger, Open};
 use crate::request::{Answer, Verdict};
 use mountshift::RequestId;
+use std::time::Instant;
 
 /// Takes a served answer out of `verdict`, if the request is still owed one.
 pub fn served(id: RequestId, verdict: &mut Verdict, ledger: &mut Ledger) -> Option<(Open, Answer)> {
@@ -11,3 +12,10 @@
     let open = ledger.close(id)?;
     Some((open, Answer::Served(std::mem::take(bytes))))
 }
+
+/// A line for the log on how a request ended.
+pub fn account(open: &Open, answer: &Answer, now: Instant) -> String {
+    let took = now.saturating_duration_since(open.read_at).as_millis();
+    let (class, wait, attempts) = (&open.class, open.wait.as_millis(), open.attempts());
+    format!("{class} {} after {took} of {wait} ms, {attempts} attempts", answer.kind())
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -27,9 +27,10 @@
 const WORK_RISE: f64 = 0.2;
 /// A member is asked again after this share of the tightest bound: reports are refreshed about as often.
 const ASK_AGAIN: f64 = 0.25;
-/// Share of its time left that a request is held for want of a primary; the rest is the client's, to
-/// come back in.
-const HOLD_SHARE: f64 = 0.5;
+/// Share of its time left that a request is held for want of a primary, and one that earns nothing late for
+/// want of room; the rest is the client's, to come back in. Under half, since a client that hears only after
+/// that that nothing was tried has lost most of it.
+const HOLD_SHARE: f64 = 0.45;
 /// After a hard failure a store is left alone for this share of the tightest aim, doubling each time ...
 const REST_FIRST: f64 = 0.25;
 /// ... to this many aims at most: well under what an election takes, so that a new role is not missed long.
@@ -542,10 +543,15 @@
             Choice::GiveUp => self.give_up(id, out),
             hold => {
                 let group = request.arrival.group;
+                let recheck = self.now.plus(self.tightest_aim.mul_f64(RECHECK));
+                // Guards against giving up a look later than patience ends.
+                let recheck = match patient_until(request) {
+                    until if until > self.now => until.min(recheck),
+                    _ => recheck,
+                };
                 if let Choice::Ask(whom) = hold {
                     self.ask(group, whom, out);
                 }
-                let recheck = self.now.plus(self.tightest_aim.mul_f64(RECHECK));
                 self.agenda.insert((recheck, Task::Recheck(id)));
                 let Some(request) = self.requests.get_mut(&id) else { return };
                 if !request.held {
@@ -568,6 +574,7 @@
         }
         let time_left = worth_until.since(self.now);
         let primary = self.primary(request.arrival.group);
+        let unsent = request.attempts == 0;
         let needs_primary = matches!(class.need, Need::Write | Need::Fresh);
         let spares_primary = matches!(class.need, Need::Bounded(_) | Need::Any);
         // (kept for when no replica meets the need, cost, member, may go now)
@@ -604,11 +611,13 @@
         match best {
             Some((_, _, id, true)) => Choice::Send(id),
             Some((_, _, id, false)) => Choice::Ask(Some(id)),
+            None if busy && unsent && class.late_worth == 0.0 && self.now >= patient_until(request) => {
+                Choice::GiveUp
+            }
             None if busy && self.work[usize::from(request.arrival.class.0)] < time_left => Choice::Hold,
             None if busy => Choice::GiveUp,
             None => {
-                let patience = request.arrival.time_left.mul_f64(HOLD_SHARE);
-                if some_later && self.now < request.came.plus(patience) {
+                if some_later && self.now < patient_until(request) {
                     Choice::Ask(None)
                 } else {
                     Choice::GiveUp
@@ -889,6 +898,11 @@
     }
 }
 
+/// How long a request is held that nothing can be sent for.
+fn patient_until(request: &Request) -> Time {
+    request.came.plus(request.arrival.time_left.mul_f64(HOLD_SHARE))
+}
+
 /// A moving average drawn towards a new span by this weight.
 fn drawn(average: Duration, new: Duration, weight: f64) -> Duration {
     match new >= average {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -636,3 +636,31 @@
     assert_eq!(attempts, 2);
     assert!(refused(&actions, id), "nothing may be sent any more: {actions:?}");
 }
+
+#[test]
+fn what_was_never_sent_is_refused_before_half_of_its_time() {
+    // Failure of a real day with a cut-off primary: refusals came just after half, a look too late.
+    let mut set = Settings { checks: Checks::Refuse, ..settings() };
+    set.classes[usize::from(ANY)].aim = 900 * MS;
+    for (class, members) in [(UNSAFE_WRITE, 3), (ANY, 1)] {
+        let mut bench = Bench::unheard(set.clone(), members);
+        for _ in 0..10 {
+            let (id, _) = bench.ask(ANY);
+            bench.end(id, 0, 1, Outcome::Ok);
+        }
+        // The first that finds no room, or no primary.
+        let (id, mut actions) = loop {
+            let (id, actions) = bench.ask(class);
+            if sends(&actions).is_empty() {
+                break (id, actions);
+            }
+        };
+        let came = bench.now;
+        while !refused(&actions, id) {
+            actions = bench.pass(5);
+            assert!(sends(&actions).is_empty(), "nothing can take it: {actions:?}");
+        }
+        let held = bench.now.since(came);
+        assert!(held > 200 * MS && held < 500 * MS, "class {class}: held for {held:?} of a second");
+    }
+}
