--- a/leverproxy/src/counters.rs
+++ b/leverproxy/src/counters.rs
@@ -1,6 +1,7 @@
 //! What the proxy has taken in, sent and answered.
 
-use crate::request::{Answer, Purpose, Verdict};
+use crate::request::{Answer, Verdict};
+use mountshift::ClassId;
 use std::collections::BTreeMap;
 use std::fmt;
 
@@ -13,8 +14,8 @@
 
 #[derive(Debug, Default)]
 pub struct Counters {
-    /// By the class's name.
-    classes: BTreeMap<String, Class>,
+    /// In the order of the class ids.
+    classes: Vec<(String, Class)>,
     probes: BTreeMap<&'static str, u64>,
     probes_sent: u64,
     pub rejected: u64,
@@ -23,35 +24,50 @@
 }
 
 impl Counters {
-    fn class(&mut self, class: &str) -> &mut Class {
-        if !self.classes.contains_key(class) {
-            self.classes.insert(class.to_owned(), Class::default());
-        }
-        self.classes.entry(class.to_owned()).or_default()
+    pub fn new(classes: &[String]) -> Counters {
+        let classes = classes.iter().map(|name| (name.clone(), Class::default())).collect();
+        Counters { classes, ..Counters::default() }
     }
 
-    pub fn taken(&mut self, class: &str) {
-        self.class(class).taken += 1;
+    pub fn name(&self, class: ClassId) -> &str {
+        self.classes.get(usize::from(class.0)).map_or("", |(name, _)| name)
     }
 
-    pub fn answered(&mut self, class: &str, answer: &Answer) {
-        *self.class(class).answers.entry(answer.kind()).or_default() += 1;
+    fn class(&mut self, class: ClassId) -> Option<&mut Class> {
+        self.classes.get_mut(usize::from(class.0)).map(|(_, counts)| counts)
     }
 
-    pub fn left(&mut self, class: &str) {
-        *self.class(class).answers.entry("client left").or_default() += 1;
+    pub fn taken(&mut self, class: ClassId) {
+        if let Some(class) = self.class(class) {
+            class.taken += 1;
+        }
+    }
+
+    pub fn answered(&mut self, class: ClassId, answer: &Answer) {
+        if let Some(class) = self.class(class) {
+            *class.answers.entry(answer.kind()).or_default() += 1;
+        }
+    }
+
+    pub fn left(&mut self, class: ClassId) {
+        if let Some(class) = self.class(class) {
+            *class.answers.entry("client left").or_default() += 1;
+        }
     }
 
     pub fn probe_sent(&mut self) {
         self.probes_sent += 1;
     }
 
-    pub fn ended(&mut self, class: &str, purpose: Purpose, verdict: &Verdict) {
-        let ends = match purpose {
-            Purpose::Attempt(..) => &mut self.class(class).attempts,
-            Purpose::Probe => &mut self.probes,
+    /// An attempt for a request of that class has ended, or a probe.
+    pub fn ended(&mut self, class: Option<ClassId>, verdict: &Verdict) {
+        let ends = match class {
+            None => Some(&mut self.probes),
+            Some(class) => self.class(class).map(|c| &mut c.attempts),
         };
-        *ends.entry(name(verdict)).or_default() += 1;
+        if let Some(ends) = ends {
+            *ends.entry(name(verdict)).or_default() += 1;
+        }
     }
 }
 
--- a/leverproxy/src/discovery/directory.rs
+++ b/leverproxy/src/discovery/directory.rs
@@ -84,7 +84,7 @@
         self.members.insert(store, Member { address, group });
         let listed = match endpoint.status {
             Status::Ready => Listed::Ready,
-            Status::Terminating => Listed::Draining,
+            Status::Terminating | Status::Other => Listed::Draining,
             Status::Gone => Listed::Gone,
         };
         let change = match listed {
--- a/leverproxy/src/discovery/wire.rs
+++ b/leverproxy/src/discovery/wire.rs
@@ -32,6 +32,9 @@
     Ready,
     Terminating,
     Gone,
+    /// A word that is not known here: the safe reading is that the server wants nothing new.
+    #[serde(other)]
+    Other,
 }
 
 #[derive(Debug)]
--- a/leverproxy/src/pg/statement.rs
+++ b/leverproxy/src/pg/statement.rs
@@ -36,16 +36,22 @@
     for pair in comment.split(',') {
         let lead = pair.len() - pair.trim_start().len();
         let Some((name, value)) = pair.trim().split_once('=') else {
-            return Err(format!("{pair:?} in the comment is no name=value"));
+            return Err(format!("{:?} in the comment is no name=value", shown(pair)));
+        };
+        let number = || {
+            value
+                .parse::<u64>()
+                .map_err(|_| format!("{}={} is not a whole number", shown(name), shown(value)))
         };
-        let number = || value.parse::<u64>().map_err(|_| format!("{name}={value} is not a whole number"));
         match name {
             "id" => id = !value.is_empty(),
             "c" => class = Some(value.to_owned()),
             "t" => tenant = Some(value.to_owned()),
             "cluster" => {
                 let number = number()?;
-                group = Some(u32::try_from(number).map_err(|_| format!("cluster={value} is out of range"))?);
+                group = Some(
+                    u32::try_from(number).map_err(|_| format!("cluster={} is out of range", shown(value)))?,
+                );
             }
             "d" => {
                 let start = at + lead + name.len() + 1;
@@ -78,6 +84,11 @@
     }))
 }
 
+/// As much of a client's text as an error message or a line of the log should repeat.
+pub fn shown(text: &str) -> &str {
+    text.char_indices().nth(40).map_or(text, |(end, _)| &text[..end])
+}
+
 /// The last comment outside of quotes, and where its text starts. Data inside quotes is never taken for one.
 fn comment(text: &str) -> Option<(usize, &str)> {
     let bytes = text.as_bytes();
--- a/leverproxy/src/request.rs
+++ b/leverproxy/src/request.rs
@@ -1,7 +1,7 @@
 //! What passes between a protocol's front, the stages and the upstream side, in no protocol's words.
 
 use crate::reactor::Key;
-use mountshift::{AttemptNo, Note, RequestId, StoreId};
+use mountshift::{AttemptNo, ClassId, Note, RequestId, StoreId};
 use std::time::{Duration, Instant};
 
 /// Where the answer to a request goes: which client's connection, and which of its requests in order.
@@ -86,6 +86,7 @@
 #[derive(Debug)]
 pub struct Done {
     pub purpose: Purpose,
+    pub class: Option<ClassId>,
     pub store: StoreId,
     pub verdict: Verdict,
     pub elapsed: Duration,
--- a/leverproxy/src/stages/admit.rs
+++ b/leverproxy/src/stages/admit.rs
@@ -1,7 +1,7 @@
 //! Admit: what is owed an answer is entered, once, and struck off with its final answer.
 
 use crate::request::{Command, Request, Ticket};
-use mountshift::{AttemptNo, RequestId};
+use mountshift::{AttemptNo, ClassId, RequestId};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -9,7 +9,7 @@
 #[derive(Debug)]
 pub struct Open {
     pub ticket: Ticket,
-    pub class: String,
+    pub class: ClassId,
     pub command: Command,
     pub read_at: Instant,
     pub wait: Duration,
@@ -48,12 +48,12 @@
     }
 
     /// Enters a request; false: the platform allows no more at once.
-    pub fn admit(&mut self, id: RequestId, ticket: Ticket, request: Request) -> bool {
+    pub fn admit(&mut self, id: RequestId, ticket: Ticket, class: ClassId, request: Request) -> bool {
         if self.limit > 0 && self.open.len() >= self.limit {
             return false;
         }
         self.tickets.insert(ticket, id);
-        let Request { class, command, read_at, wait, .. } = request;
+        let Request { command, read_at, wait, .. } = request;
         self.open.insert(id, Open { ticket, class, command, read_at, wait, attempts: 0 });
         true
     }
--- a/leverproxy/src/stages/mod.rs
+++ b/leverproxy/src/stages/mod.rs
@@ -64,12 +64,12 @@
     ) -> Chain {
         let clock = Clock::start();
         Chain {
+            counters: Counters::new(&names.classes),
             names,
             probe_time,
             directory: Directory::default(),
             ledger: admit::Ledger::new(max_open),
             route: route::Route::new(settings, seed, clock.unix(now)),
-            counters: Counters::default(),
             clock,
         }
     }
@@ -119,11 +119,11 @@
                 return sides.front.answer(ticket, Answer::Rejected(why), now, &sides.reactor);
             }
         };
-        self.counters.taken(&request.class);
-        let class = request.class.clone();
-        if !self.ledger.admit(id, ticket, request) {
+        let class = arrival.class;
+        self.counters.taken(class);
+        if !self.ledger.admit(id, ticket, class, request) {
             let answer = Answer::Refused(None);
-            self.counters.answered(&class, &answer);
+            self.counters.answered(class, &answer);
             return sides.front.answer(ticket, answer, now, &sides.reactor);
         }
         self.decide(Event::Arrived(arrival), sides, now);
@@ -132,18 +132,16 @@
     fn on_left(&mut self, ticket: Ticket, sides: &mut Sides, now: Instant) {
         let Some(id) = self.ledger.id(ticket) else { return };
         if let Some(open) = self.ledger.close(id) {
-            self.counters.left(&open.class);
+            self.counters.left(open.class);
             self.decide(Event::Left(id), sides, now);
         }
     }
 
     fn on_done(&mut self, mut done: Done, sides: &mut Sides, now: Instant) {
+        self.counters.ended(done.class, &done.verdict);
         let Purpose::Attempt(id, _) = done.purpose else {
-            self.counters.ended("", done.purpose, &done.verdict);
             return self.decide(book::book(&done, true), sides, now);
         };
-        let class = self.ledger.get_mut(id).map_or("of answered requests", |open| &open.class).to_owned();
-        self.counters.ended(&class, done.purpose, &done.verdict);
         if let Some((open, answer)) = relay::served(id, &mut done.verdict, &mut self.ledger) {
             self.relay(open, answer, sides, now);
         }
@@ -217,8 +215,8 @@
     }
 
     fn relay(&mut self, open: admit::Open, answer: Answer, sides: &mut Sides, now: Instant) {
-        log::debug!("{}", relay::account(&open, &answer, now));
-        self.counters.answered(&open.class, &answer);
+        log::debug!("{}: {}", self.counters.name(open.class), relay::account(&open, &answer, now));
+        self.counters.answered(open.class, &answer);
         sides.front.answer(open.ticket, answer, now, &sides.reactor);
     }
 
--- a/leverproxy/src/stages/relay.rs
+++ b/leverproxy/src/stages/relay.rs
@@ -16,6 +16,6 @@
 /// A line for the log on how a request ended.
 pub fn account(open: &Open, answer: &Answer, now: Instant) -> String {
     let took = now.saturating_duration_since(open.read_at).as_millis();
-    let (class, wait, attempts) = (&open.class, open.wait.as_millis(), open.attempts());
-    format!("{class} {} after {took} of {wait} ms, {attempts} attempts", answer.kind())
+    let (wait, attempts) = (open.wait.as_millis(), open.attempts());
+    format!("{} after {took} of {wait} ms, {attempts} attempts", answer.kind())
 }
--- a/leverproxy/src/stages/send.rs
+++ b/leverproxy/src/stages/send.rs
@@ -11,6 +11,7 @@
 pub fn attempt(id: RequestId, open: &mut Open, time_out: Duration, now: Instant) -> Exchange {
     Exchange {
         purpose: Purpose::Attempt(id, open.next_attempt()),
+        class: Some(open.class),
         bytes: client::query(&open.command, time_out),
         sent: now,
         until: crate::reactor::later(now, time_out),
@@ -21,6 +22,7 @@
 pub fn probe(time_out: Duration, now: Instant) -> Exchange {
     Exchange {
         purpose: Purpose::Probe,
+        class: None,
         bytes: client::load_query(),
         sent: now,
         until: crate::reactor::later(now, time_out),
--- a/leverproxy/src/stages/take_in.rs
+++ b/leverproxy/src/stages/take_in.rs
@@ -1,6 +1,7 @@
 //! Take in: a request in the words of its protocol becomes one in the module's ids.
 
 use crate::clock::Clock;
+use crate::pg::statement::shown;
 use crate::request::Request;
 use mountshift::{Arrival, ClassId, GroupId, RequestId, SessionKey, TenantId, Time};
 use mountshift_settings::Names;
@@ -23,10 +24,10 @@
     };
     let class = place(&names.classes, &request.class)
         .map(ClassId)
-        .ok_or_else(|| format!("class {:?} is not known", request.class))?;
+        .ok_or_else(|| format!("class {:?} is not known", shown(&request.class)))?;
     let tenant = match &request.tenant {
         Some(name) if !names.tenants.is_empty() => {
-            place(&names.tenants, name).ok_or_else(|| format!("tenant {name:?} is not known"))?
+            place(&names.tenants, name).ok_or_else(|| format!("tenant {:?} is not known", shown(name)))?
         }
         _ => 0,
     };
--- a/leverproxy/src/upstream.rs
+++ b/leverproxy/src/upstream.rs
@@ -7,7 +7,7 @@
 use crate::pg::client::{self, AnswerReader};
 use crate::reactor::{Interest, Key, Reactor, Slots, Token};
 use crate::request::{Done, Purpose, Verdict};
-use mountshift::{Note, StoreId};
+use mountshift::{ClassId, Note, StoreId};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -19,6 +19,8 @@
 #[derive(Debug)]
 pub struct Exchange {
     pub purpose: Purpose,
+    /// Of the request that it is for; a probe has none.
+    pub class: Option<ClassId>,
     pub bytes: Vec<u8>,
     pub sent: Instant,
     /// Nobody waits for it after this.
@@ -55,6 +57,7 @@
 struct Connection {
     stream: Stream,
     store: StoreId,
+    address: SocketAddr,
     state: State,
     /// When the present state has lasted too long.
     until: Instant,
@@ -179,7 +182,7 @@
                     continue;
                 }
             };
-            let connection = Connection { stream, store, state: State::Connecting, until };
+            let connection = Connection { stream, store, address, state: State::Connecting, until };
             let key = self.connections.insert(connection);
             self.due.push((until, Due::Connection(key)));
             if let Some(pool) = self.pools.get_mut(&store) {
@@ -270,7 +273,7 @@
     /// ReadyForQuery has come: the connection is free again.
     fn answered(&mut self, key: Key, ended: bool, now: Instant, reactor: &Reactor) {
         let Some(connection) = self.connections.get_mut(key) else { return };
-        let store = connection.store;
+        let (store, address) = (connection.store, connection.address);
         let half_written = matches!(connection.state, State::Busy { written: false, .. });
         connection.until = now + self.idle_limit;
         match std::mem::replace(&mut connection.state, State::Idle) {
@@ -290,8 +293,9 @@
         let watched = self.connections.get_mut(key).is_some_and(|c| {
             c.stream.input.is_empty() && c.stream.watch(reactor, Token::Upstream(key), Interest::READ).is_ok()
         });
-        let Some(pool) = self.pools.get_mut(&store).filter(|_| !ended && !half_written && watched) else {
-            // The server has left, or the connection is of no more use.
+        let usable = !ended && !half_written && watched;
+        let Some(pool) = self.pools.get_mut(&store).filter(|p| usable && p.address == address) else {
+            // The server has left or moved, or the connection is of no more use.
             self.connections.remove(key);
             return self.serve_queue(store, now, reactor);
         };
@@ -354,7 +358,8 @@
 
     fn finish(&mut self, exchange: Exchange, store: StoreId, verdict: Verdict, note: Note, now: Instant) {
         let elapsed = now.saturating_duration_since(exchange.sent);
-        self.done.push_back(Done { purpose: exchange.purpose, store, verdict, elapsed, note });
+        let Exchange { purpose, class, .. } = exchange;
+        self.done.push_back(Done { purpose, class, store, verdict, elapsed, note });
     }
 
     /// Calls off an attempt; its connection ends with it if it is on one.
--- a/leverproxy/tests/units.rs
+++ b/leverproxy/tests/units.rs
@@ -1,11 +1,15 @@
 //! What needs no socket: codecs fed byte by byte, keys that go stale, and the configuration's messages.
 
 use leverproxy::config;
+use leverproxy::discovery::directory::{Change, Directory};
+use leverproxy::discovery::wire::Listing;
 use leverproxy::http::LineReader;
 use leverproxy::pg::client::AnswerReader;
 use leverproxy::pg::statement::{self, Query};
 use leverproxy::pg::{self, ANSWER_LIMIT};
 use leverproxy::reactor::Slots;
+use mountshift::{ListNews, Listed, StoreId};
+use mountshift_settings::Names;
 use std::process::Command;
 use std::time::{Duration, Instant};
 
@@ -41,6 +45,18 @@
     }
 }
 
+/// A word for the status that is not known must not break the watch, nor bring anything new to that server.
+#[test]
+fn an_unknown_status_counts_as_draining() {
+    let json = br#"{"index":2,"snapshot":true,"endpoints":[
+        {"name":"s-1","address":"127.0.0.1:1","group":3,"status":"Resting"}, {"name":"s-2","status":"Gone"}]}"#;
+    let (news, changes) = Directory::default().learn(Listing::parse(json).unwrap(), &Names::default());
+    let ListNews::Complete(entries) = news else { panic!("{news:?}") };
+    assert_eq!(entries.iter().map(|e| e.listed).collect::<Vec<_>>(), [Listed::Draining]);
+    assert_eq!(changes, [Change::Leaves(StoreId(1))]);
+    assert!(Listing::parse(br#"{"endpoints":[{"name":7}]}"#).is_err());
+}
+
 #[test]
 fn an_answer_stays_within_its_limit() {
     let mut row = Vec::new();
