--- a/leverproxy/src/counters.rs
+++ b/leverproxy/src/counters.rs
@@ -73,7 +73,7 @@
 
 fn name(verdict: &Verdict) -> &'static str {
     match verdict {
-        Verdict::Served(_) => "ok",
+        Verdict::Served(_) | Verdict::Reported(_) => "ok",
         Verdict::Miss => "miss",
         Verdict::Failed => "error",
         Verdict::Full => "full",
--- a/leverproxy/src/pg/client.rs
+++ b/leverproxy/src/pg/client.rs
@@ -1,7 +1,7 @@
 //! The side that record servers see: queries written, their answers read and understood.
 
 use super::{error_field, message, put, sqlstate, text, Malformed, ANSWER_LIMIT};
-use crate::request::{Command, Verdict};
+use crate::request::{Question, Verdict};
 use mountshift::{Note, Time};
 use std::time::Duration;
 
@@ -11,25 +11,23 @@
     super::server::startup_packet("app", "shop")
 }
 
-/// The query that passes a command on, telling how long the answer is waited for.
-pub fn query(command: &Command, wait: Duration) -> Vec<u8> {
+/// The query for a question. A command passes as it came, but for the time that its answer is waited for.
+pub fn question(question: &Question) -> Vec<u8> {
     let mut out = Vec::new();
     put(&mut out, b'Q', |body| {
-        body.extend_from_slice(&command.before_wait);
-        body.extend_from_slice(wait.as_millis().max(1).to_string().as_bytes());
-        body.extend_from_slice(&command.after_wait);
+        match question {
+            Question::Command(command, wait) => {
+                body.extend_from_slice(&command.before_wait);
+                body.extend_from_slice(wait.as_millis().max(1).to_string().as_bytes());
+                body.extend_from_slice(&command.after_wait);
+            }
+            Question::Load => body.extend_from_slice(b"SHOW load"),
+        }
         body.push(0);
     });
     out
 }
 
-/// The probe: asks a record server for its load report.
-pub fn load_query() -> Vec<u8> {
-    let mut out = Vec::new();
-    put(&mut out, b'Q', |body| body.extend_from_slice(b"SHOW load\0"));
-    out
-}
-
 /// Reads one answer, up to ReadyForQuery, as its bytes come.
 #[derive(Debug, Default)]
 pub struct AnswerReader {
@@ -85,20 +83,28 @@
         self.code.is_some()
     }
 
-    pub fn verdict(self) -> (Verdict, Note) {
-        let verdict = match self.code.as_deref() {
-            Some(sqlstate::READ_ONLY_SQL_TRANSACTION | sqlstate::SNAPSHOT_TOO_OLD) => Verdict::Miss,
-            Some(sqlstate::TOO_MANY_CONNECTIONS) => Verdict::Full,
-            Some(_) => Verdict::Failed,
-            None if self.complete => Verdict::Served(self.relayed),
-            None => Verdict::Failed,
+    /// Whatever was asked was turned away unseen.
+    pub fn turned_away(&self) -> bool {
+        self.code.as_deref() == Some(sqlstate::TOO_MANY_CONNECTIONS)
+    }
+
+    pub fn verdict(self, question: &Question) -> (Verdict, Note) {
+        let verdict = match (self.code.as_deref(), question) {
+            (Some(sqlstate::READ_ONLY_SQL_TRANSACTION | sqlstate::SNAPSHOT_TOO_OLD), _) => Verdict::Miss,
+            (Some(_), _) if self.turned_away() => Verdict::Full,
+            (None, Question::Command(..)) if self.complete => Verdict::Served(self.relayed),
+            (None, Question::Load) => match first_value(&self.relayed) {
+                Some(text) => Verdict::Reported(load_fields(text)),
+                None => Verdict::Failed,
+            },
+            _ => Verdict::Failed,
         };
         (verdict, self.note)
     }
 }
 
 /// The first column of the first row in the messages of an answer.
-pub fn first_value(relayed: &[u8]) -> Option<&str> {
+fn first_value(relayed: &[u8]) -> Option<&str> {
     let mut rest = relayed;
     loop {
         let message = message(rest, ANSWER_LIMIT).ok()??;
@@ -112,9 +118,10 @@
 }
 
 /// The fields of a load report: `inflight=7,util=0.61`.
-pub fn load_fields(text: &str) -> impl Iterator<Item = (&str, f64)> {
-    text.split(',').filter_map(|pair| {
+fn load_fields(text: &str) -> Vec<(String, f64)> {
+    let field = |pair: &str| {
         let (name, value) = pair.split_once('=')?;
-        Some((name.trim(), value.trim().parse().ok()?))
-    })
+        Some((name.trim().to_owned(), value.trim().parse().ok()?))
+    };
+    text.split(',').filter_map(field).collect()
 }
--- a/leverproxy/src/pg/statement.rs
+++ b/leverproxy/src/pg/statement.rs
@@ -1,6 +1,6 @@
 //! What a statement says of itself in its comment: `/* id=..,c=..,t=..,d=..,cluster=..,after=..,r=1 */`.
 
-use crate::request::{Command, Request};
+use crate::request::{shown, Command, Request};
 use std::time::{Duration, Instant};
 
 /// What a query asks of the proxy.
@@ -84,11 +84,6 @@
     }))
 }
 
-/// As much of a client's text as an error message or a line of the log should repeat.
-pub fn shown(text: &str) -> &str {
-    text.char_indices().nth(40).map_or(text, |(end, _)| &text[..end])
-}
-
 /// The last comment outside of quotes, and where its text starts. Data inside quotes is never taken for one.
 fn comment(text: &str) -> Option<(usize, &str)> {
     let bytes = text.as_bytes();
--- a/leverproxy/src/request.rs
+++ b/leverproxy/src/request.rs
@@ -2,6 +2,7 @@
 
 use crate::reactor::Key;
 use mountshift::{AttemptNo, ClassId, Note, RequestId, StoreId};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Where the answer to a request goes: which client's connection, and which of its requests in order.
@@ -64,10 +65,22 @@
     Probe,
 }
 
+/// What a record server is asked.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Question {
+    /// A client's command, and how long its answer is waited for.
+    Command(Arc<Command>, Duration),
+    /// Its load report.
+    Load,
+}
+
 /// How an exchange with a record server ended.
 #[derive(Debug, PartialEq)]
 pub enum Verdict {
+    /// The answer to a command, in the words of its protocol.
     Served(Vec<u8>),
+    /// The fields of a load report.
+    Reported(Vec<(String, f64)>),
     Miss,
     Failed,
     /// Turned away unseen.
@@ -92,3 +105,8 @@
     pub elapsed: Duration,
     pub note: Note,
 }
+
+/// As much of a client's text as an error message or a line of the log should repeat.
+pub fn shown(text: &str) -> &str {
+    text.char_indices().nth(40).map_or(text, |(end, _)| &text[..end])
+}
--- a/leverproxy/src/stages/admit.rs
+++ b/leverproxy/src/stages/admit.rs
@@ -3,6 +3,7 @@
 use crate::request::{Command, Request, Ticket};
 use mountshift::{AttemptNo, ClassId, RequestId};
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// A request that is owed an answer.
@@ -10,7 +11,7 @@
 pub struct Open {
     pub ticket: Ticket,
     pub class: ClassId,
-    pub command: Command,
+    pub command: Arc<Command>,
     pub read_at: Instant,
     pub wait: Duration,
     attempts: u16,
@@ -54,6 +55,7 @@
         }
         self.tickets.insert(ticket, id);
         let Request { command, read_at, wait, .. } = request;
+        let command = Arc::new(command);
         self.open.insert(id, Open { ticket, class, command, read_at, wait, attempts: 0 });
         true
     }
--- a/leverproxy/src/stages/book.rs
+++ b/leverproxy/src/stages/book.rs
@@ -1,6 +1,5 @@
 //! Book: how an exchange ended, as the module is told of it.
 
-use crate::pg::client;
 use crate::request::{Done, Purpose, Verdict};
 use mountshift::{Ended, Event, Outcome, Report, Time};
 
@@ -18,7 +17,7 @@
         }),
         Purpose::Probe => {
             let report = match &done.verdict {
-                Verdict::Served(relayed) => client::first_value(relayed).map(report),
+                Verdict::Reported(fields) => Some(report(fields)),
                 _ => None,
             };
             let ok = report.is_some();
@@ -30,7 +29,7 @@
 
 fn outcome(verdict: &Verdict) -> Outcome {
     match verdict {
-        Verdict::Served(_) => Outcome::Ok,
+        Verdict::Served(_) | Verdict::Reported(_) => Outcome::Ok,
         Verdict::Miss => Outcome::Miss,
         Verdict::Failed => Outcome::Failed,
         Verdict::Full => Outcome::Full,
@@ -43,7 +42,7 @@
 }
 
 /// On sockets all positions are Unix times.
-fn report(text: &str) -> Report {
-    let fields = client::load_fields(text).map(|(name, value)| (mountshift_settings::field(name), value));
+fn report(fields: &[(String, f64)]) -> Report {
+    let fields = fields.iter().map(|(name, value)| (mountshift_settings::field(name), *value));
     mountshift_settings::report(Time::ZERO, fields)
 }
--- a/leverproxy/src/stages/send.rs
+++ b/leverproxy/src/stages/send.rs
@@ -1,10 +1,10 @@
 //! Send: an attempt or a probe that the module wants becomes an exchange with a record server.
 
 use super::admit::Open;
-use crate::pg::client;
-use crate::request::Purpose;
+use crate::request::{Purpose, Question};
 use crate::upstream::Exchange;
 use mountshift::RequestId;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// An attempt tells the record server how long it is waited for; else it passes the command on as it came.
@@ -12,7 +12,7 @@
     Exchange {
         purpose: Purpose::Attempt(id, open.next_attempt()),
         class: Some(open.class),
-        bytes: client::query(&open.command, time_out),
+        question: Question::Command(Arc::clone(&open.command), time_out),
         sent: now,
         until: crate::reactor::later(now, time_out),
     }
@@ -23,7 +23,7 @@
     Exchange {
         purpose: Purpose::Probe,
         class: None,
-        bytes: client::load_query(),
+        question: Question::Load,
         sent: now,
         until: crate::reactor::later(now, time_out),
     }
--- a/leverproxy/src/stages/take_in.rs
+++ b/leverproxy/src/stages/take_in.rs
@@ -1,8 +1,7 @@
 //! Take in: a request in the words of its protocol becomes one in the module's ids.
 
 use crate::clock::Clock;
-use crate::pg::statement::shown;
-use crate::request::Request;
+use crate::request::{shown, Request};
 use mountshift::{Arrival, ClassId, GroupId, RequestId, SessionKey, TenantId, Time};
 use mountshift_settings::Names;
 use std::time::{Duration, Instant};
--- a/leverproxy/src/upstream.rs
+++ b/leverproxy/src/upstream.rs
@@ -6,7 +6,7 @@
 use crate::net::{Filled, Stream};
 use crate::pg::client::{self, AnswerReader};
 use crate::reactor::{Interest, Key, Reactor, Slots, Token};
-use crate::request::{Done, Purpose, Verdict};
+use crate::request::{Done, Purpose, Question, Verdict};
 use mountshift::{ClassId, Note, StoreId};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -21,7 +21,7 @@
     pub purpose: Purpose,
     /// Of the request that it is for; a probe has none.
     pub class: Option<ClassId>,
-    pub bytes: Vec<u8>,
+    pub question: Question,
     pub sent: Instant,
     /// Nobody waits for it after this.
     pub until: Instant,
@@ -212,7 +212,7 @@
 
     fn give(&mut self, key: Key, exchange: Exchange, now: Instant, reactor: &Reactor) {
         let Some(connection) = self.connections.get_mut(key) else { return };
-        connection.stream.push(&exchange.bytes);
+        connection.stream.push(&client::question(&exchange.question));
         connection.until = exchange.until;
         self.due.push((exchange.until, Due::Connection(key)));
         connection.state = State::Busy { exchange, reader: AnswerReader::default(), written: false };
@@ -278,14 +278,14 @@
         connection.until = now + self.idle_limit;
         match std::mem::replace(&mut connection.state, State::Idle) {
             State::Busy { exchange, reader, .. } => {
-                let (verdict, note) = reader.verdict();
+                let (verdict, note) = reader.verdict(&exchange.question);
                 self.finish(exchange, store, verdict, note, now);
             }
             State::Greeting(reader) => {
                 self.dial_over(store);
                 if reader.conclusive() {
                     self.connections.remove(key);
-                    return self.fail_first_waiting(store, not_welcome(reader), now);
+                    return self.fail_first_waiting(store, not_welcome(&reader), now);
                 }
             }
             State::Connecting | State::Idle => {}
@@ -320,8 +320,8 @@
         match connection.state {
             State::Busy { exchange, reader, written } => {
                 let (verdict, note) = match reader.conclusive() {
-                    true if written => reader.verdict(),
-                    true => (not_welcome(reader), Note::default()),
+                    true if written => reader.verdict(&exchange.question),
+                    true => (not_welcome(&reader), Note::default()),
                     false => (verdict, Note::default()),
                 };
                 self.finish(exchange, store, verdict, note, now);
@@ -337,7 +337,7 @@
             }
             State::Greeting(reader) => {
                 self.dial_over(store);
-                let verdict = if reader.conclusive() { not_welcome(reader) } else { verdict };
+                let verdict = if reader.conclusive() { not_welcome(&reader) } else { verdict };
                 self.fail_first_waiting(store, verdict, now);
             }
         }
@@ -412,9 +412,10 @@
 
 /// An error to a connection that no request has been written to in full: none of them has run, whatever the
 /// error is.
-fn not_welcome(reader: AnswerReader) -> Verdict {
-    match reader.verdict().0 {
-        Verdict::Full => Verdict::Full,
-        _ => Verdict::ConnectFailed,
+fn not_welcome(reader: &AnswerReader) -> Verdict {
+    if reader.turned_away() {
+        Verdict::Full
+    } else {
+        Verdict::ConnectFailed
     }
 }
