Test the program's signals and its running out of descriptors

The log now names the address that is served on, which a port of 0 leaves to the system. Under a limit of 24 descriptors thirty clients leave the program waiting, not failing: it logs that none is left, keeps the rest in the backlog and serves again when they have gone.

--- a/leverproxy/src/proxy.rs
+++ b/leverproxy/src/proxy.rs
@@ -53,7 +53,8 @@
             config.dial_timeout,
             now,
         );
-        log::info!("{}: serving on {}", config.name, config.listen);
+        let address = sides.front.local_address().unwrap_or(config.listen);
+        log::info!("{}: serving on {address}", config.name);
         chain.start(config.known, &mut sides, now);
         let (linger, last_answers) = (config.linger, config.last_answers);
         Ok((Proxy { sides, chain, wishes, linger, last_answers, phase: Phase::Serving }, control))
--- a/leverproxy/tests/common/mod.rs
+++ b/leverproxy/tests/common/mod.rs
@@ -5,8 +5,10 @@
 use leverproxy::control::Control;
 use leverproxy::pg::{self, server};
 use leverproxy::proxy::Proxy;
-use std::io::{self, Read, Write};
+use std::io::{self, BufRead, BufReader, Lines, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, ChildStderr, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{channel, Receiver, RecvTimeoutError};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
@@ -300,3 +302,50 @@
         self.control.stop();
     }
 }
+
+/// The program as the platform starts it, on a scripted discovery.
+pub struct Program {
+    pub child: Child,
+    pub address: SocketAddr,
+    log: Lines<BufReader<ChildStderr>>,
+}
+
+impl Program {
+    /// `before` is said to the shell that starts it.
+    pub fn start(before: &str) -> Program {
+        static STARTED: AtomicU32 = AtomicU32::new(0);
+        let discovery = Listener::new();
+        let number = STARTED.fetch_add(1, Ordering::Relaxed);
+        let file = std::env::temp_dir().join(format!("leverproxy-{}-{number}.json", std::process::id()));
+        std::fs::write(&file, format!(r#"{{"settings":{SETTINGS}}}"#)).unwrap();
+        let mut child = Command::new("/bin/sh")
+            .args(["-c", &format!("{before} exec {} serve", env!("CARGO_BIN_EXE_leverproxy"))])
+            .env("LB_CONFIG", &file)
+            .env("LB_LISTEN", "127.0.0.1:0")
+            .env("LB_DISCOVERY", discovery.address.to_string())
+            .env("RUST_LOG", "info")
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let log = BufReader::new(child.stderr.take().unwrap()).lines();
+        let mut program = Program { child, address: discovery.address, log };
+        let line = program.line("serving on ");
+        program.address = line.rsplit(' ').next().unwrap().parse().unwrap();
+        // Signals are heeded before its loop first tends to discovery.
+        discovery.accept().watch();
+        std::fs::remove_file(&file).unwrap();
+        program
+    }
+
+    /// The next line of its log that holds these words.
+    pub fn line(&mut self, words: &str) -> String {
+        self.log.by_ref().map(Result::unwrap).find(|line| line.contains(words)).expect(words)
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        _ = self.child.kill();
+        _ = self.child.wait();
+    }
+}
--- a/leverproxy/tests/stories.rs
+++ b/leverproxy/tests/stories.rs
@@ -1,10 +1,8 @@
 //! Stories over loopback: a real proxy between scripted clients, record servers and discovery.
 
 mod common;
-use common::{read, Listener, Peer, Reply, Stage, PATIENCE, SETTINGS};
+use common::{read, Listener, Peer, Program, Reply, Stage, PATIENCE};
 use rustix::process::{kill_process, Pid, Signal};
-use std::io::{BufRead, BufReader};
-use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
 /// The statement and its id pass unchanged, `d` tells the rest of the time, the value comes as it was given.
@@ -46,16 +44,22 @@
     assert_eq!(client.reply().code.as_deref(), Some("42601"));
 }
 
-/// A write whose connection breaks after its last byte may have run: it fails, and is never sent again.
-#[test]
-fn a_write_that_may_have_run_is_not_sent_again() {
-    let server = Listener::new();
-    let stage = Stage::new(&[("s-1", &server)]);
+/// A client's write that has reached the primary, on the connection that the probe before it opened.
+fn write_out(server: &Listener) -> (Stage, Peer, Peer) {
+    let stage = Stage::new(&[("s-1", server)]);
     let mut client = Peer::client(stage.address);
     client.ask(&read(1, "book", 19000));
     let mut upstream = server.welcome();
     upstream.report_primary();
     upstream.query();
+    (stage, client, upstream)
+}
+
+/// A write whose connection breaks after its last byte may have run: it fails, and is never sent again.
+#[test]
+fn a_write_that_may_have_run_is_not_sent_again() {
+    let server = Listener::new();
+    let (_stage, mut client, upstream) = write_out(&server);
     drop(upstream);
     assert_eq!(client.reply(), Reply { code: Some("08007".into()), ..Reply::default() });
     assert!(server.left_alone(Duration::from_millis(100)));
@@ -65,12 +69,7 @@
 #[test]
 fn a_write_does_not_go_out_on_a_stale_connection() {
     let server = Listener::new();
-    let stage = Stage::new(&[("s-1", &server)]);
-    let mut client = Peer::client(stage.address);
-    client.ask(&read(1, "book", 19000));
-    let mut upstream = server.welcome();
-    upstream.report_primary();
-    upstream.query();
+    let (_stage, mut client, mut upstream) = write_out(&server);
     upstream.answer("one", &[("role", "primary")]);
     assert_eq!(client.reply().value.as_deref(), Some("one"));
     drop(upstream);
@@ -85,23 +84,17 @@
 #[test]
 fn a_refused_connection_proves_that_nothing_ran() {
     let server = Listener::new();
-    let stage = Stage::new(&[("s-1", &server)]);
-    let mut client = Peer::client(stage.address);
-    client.ask(&read(1, "book", 19000));
-    let mut upstream = server.welcome();
-    upstream.report_primary();
-    upstream.query();
-    // The second write has to dial, for the only connection is taken.
-    let mut other = Peer::client(stage.address);
+    let (_stage, mut client, mut upstream) = write_out(&server);
     upstream.answer("one", &[("role", "primary")]);
     assert_eq!(client.reply().value.as_deref(), Some("one"));
+    // The second write has to dial.
     drop(upstream);
-    other.ask(&read(2, "book", 19000));
+    client.ask(&read(2, "book", 19000));
     server.accept().error("XX000");
     let mut upstream = server.welcome();
     upstream.query();
     upstream.answer("two", &[("role", "primary")]);
-    assert_eq!(other.reply().value.as_deref(), Some("two"));
+    assert_eq!(client.reply().value.as_deref(), Some("two"));
 }
 
 /// Told that a server drains, the proxy calls off what still waits for a connection there.
@@ -221,27 +214,22 @@
 /// The program itself: SIGUSR1 prints the counters while it serves, SIGTERM ends it with them.
 #[test]
 fn the_program_heeds_signals() {
-    let discovery = Listener::new();
-    let file = std::env::temp_dir().join(format!("leverproxy-test-{}.json", std::process::id()));
-    std::fs::write(&file, format!(r#"{{"settings":{SETTINGS}}}"#)).unwrap();
-    let mut program = Command::new(env!("CARGO_BIN_EXE_leverproxy"))
-        .arg("serve")
-        .env("LB_CONFIG", &file)
-        .env("LB_LISTEN", "127.0.0.1:0")
-        .env("LB_DISCOVERY", discovery.address.to_string())
-        .env("RUST_LOG", "warn")
-        .stderr(Stdio::piped())
-        .spawn()
-        .unwrap();
-    let mut lines = BufReader::new(program.stderr.take().unwrap()).lines().map(Result::unwrap);
-    // It has read its file and heeds signals before its loop first tends to discovery.
-    discovery.accept().watch();
-    std::fs::remove_file(&file).unwrap();
-    let process = Pid::from_child(&program);
+    let mut program = Program::start("");
     for signal in [Signal::USR1, Signal::TERM] {
-        kill_process(process, signal).unwrap();
-        let told = lines.find(|line| line.starts_with("class book: taken 0")).expect("the counters");
-        assert!(told.contains("answered"), "{told}");
+        kill_process(Pid::from_child(&program.child), signal).unwrap();
+        assert!(program.line("class book: taken 0").contains("answered"));
     }
-    assert!(program.wait().unwrap().success());
+    assert!(program.child.wait().unwrap().success());
+}
+
+/// Out of descriptors, the program leaves who comes in the backlog, and serves again once others have left.
+#[test]
+fn running_out_of_descriptors_is_outlived() {
+    let mut program = Program::start("ulimit -n 24;");
+    let mut crowd: Vec<Peer> = (0..30).map(|_| Peer::connect(program.address)).collect();
+    program.line("no descriptor left");
+    crowd.clear();
+    Peer::client(program.address);
+    kill_process(Pid::from_child(&program.child), Signal::TERM).unwrap();
+    assert!(program.child.wait().unwrap().success());
 }
