Dial again for exchanges over the cap on dials; round told positions down

upstream.rs, fail_first_waiting: with more exchanges waiting than the 32 dials that may be under way, dials that were turned away took one exchange each, and nobody dialled for the rest: they waited out their 250 ms. Found by reading; the new test, 40 exchanges against a server that refuses all, ends after 32 without the change.

stages/book.rs: a position in seconds as a 64-bit float may be off by a part of a microsecond; it is told rounded towards the past.

The library's page shows how to embed a proxy.

--- a/leverproxy/src/lib.rs
+++ b/leverproxy/src/lib.rs
@@ -1,5 +1,18 @@
 //! A proxy before replicated record servers: requests come in on sockets, mountshift decides where each goes,
-//! and the first whole answer goes back. `main.rs` only starts [`cli::main`]; [`proxy::Proxy`] embeds.
+//! and the first whole answer goes back. `main.rs` only starts [`cli::main`]; a program that embeds a proxy
+//! starts one itself:
+//!
+//! ```no_run
+//! # fn main() -> Result<(), Box<dyn std::error::Error>> {
+//! let config = leverproxy::config::from_env(|name| std::env::var(name).ok())?;
+//! let (mut proxy, control) = leverproxy::proxy::Proxy::start(config)?;
+//! let serving = std::thread::spawn(move || proxy.run());
+//! control.report();
+//! control.stop();
+//! serving.join().expect("the proxy does not panic")?;
+//! # Ok(())
+//! # }
+//! ```
 #![forbid(unsafe_code)]
 
 pub mod cli;
--- a/leverproxy/src/stages/book.rs
+++ b/leverproxy/src/stages/book.rs
@@ -2,6 +2,7 @@
 
 use crate::request::{Done, Purpose, Verdict};
 use mountshift::{Ended, Event, Outcome, Report, Time};
+use std::time::Duration;
 
 /// `last`: the request is owed nothing more.
 pub fn book(done: &Done, last: bool) -> Event {
@@ -41,8 +42,12 @@
     }
 }
 
+/// What a position in seconds may be off by as a 64-bit float: it is told rounded towards the past.
+const ROUNDING: Duration = Duration::from_micros(1);
+
 /// On sockets all positions are Unix times.
 fn report(fields: &[(String, f64)]) -> Report {
     let fields = fields.iter().map(|(name, value)| (mountshift_settings::field(name), *value));
-    mountshift_settings::report(Time::ZERO, fields)
+    let report = mountshift_settings::report(Time::ZERO, fields);
+    Report { position: report.position.map(|at| at.minus(ROUNDING)), ..report }
 }
--- a/leverproxy/src/upstream.rs
+++ b/leverproxy/src/upstream.rs
@@ -351,7 +351,13 @@
 
     /// A dial that failed takes one exchange with it: the one that has waited longest.
     fn fail_first_waiting(&mut self, store: StoreId, verdict: Verdict, now: Instant) {
-        if let Some(exchange) = self.pools.get_mut(&store).and_then(|p| p.waiting.pop_front()) {
+        let Some(pool) = self.pools.get_mut(&store) else { return };
+        let exchange = pool.waiting.pop_front();
+        // Guards against waiting for nothing: those over the cap on dials get the ones that are free now.
+        if pool.waiting.len() > pool.dialling {
+            self.due.push((now, Due::Queue(store)));
+        }
+        if let Some(exchange) = exchange {
             self.finish(exchange, store, verdict, Note::default(), now);
         }
     }
@@ -405,6 +411,7 @@
                 for exchange in over {
                     self.finish(exchange, store, Verdict::ConnectFailed, Note::default(), now);
                 }
+                self.dial_for_queue(store, now, reactor);
             }
         }
     }
--- a/leverproxy/tests/common/mod.rs
+++ b/leverproxy/tests/common/mod.rs
@@ -52,6 +52,10 @@
         Peer::new(self.accepted.recv_timeout(PATIENCE).expect("a connection"))
     }
 
+    pub fn try_accept(&self) -> Option<Peer> {
+        self.accepted.try_recv().ok().map(Peer::new)
+    }
+
     /// Nobody connects for `span`.
     pub fn left_alone(&self, span: Duration) -> bool {
         matches!(self.accepted.recv_timeout(span), Err(RecvTimeoutError::Timeout))
@@ -184,10 +188,15 @@
     }
 
     pub fn error(&mut self, code: &str) {
+        assert!(self.try_error(code));
+    }
+
+    /// False: the other side has ended the connection.
+    pub fn try_error(&mut self, code: &str) -> bool {
         let mut out = Vec::new();
         pg::put_error(&mut out, "ERROR", code, "scripted", None);
         pg::put_ready(&mut out);
-        self.write(&out);
+        self.stream.write_all(&out).is_ok()
     }
 
     /// Answers the probe that asks for the load report, as the primary.
--- a/leverproxy/tests/stories.rs
+++ b/leverproxy/tests/stories.rs
@@ -2,6 +2,10 @@
 
 mod common;
 use common::{read, Listener, Peer, Program, Reply, Stage, PATIENCE};
+use leverproxy::reactor::{Reactor, Token};
+use leverproxy::request::{Purpose, Question, Verdict};
+use leverproxy::upstream::{Exchange, Upstream};
+use mountshift::{AttemptNo, RequestId, StoreId};
 use rustix::process::{kill_process, Pid, Signal};
 use std::time::{Duration, Instant};
 
@@ -211,6 +215,44 @@
     assert!(second.ended());
 }
 
+/// More exchanges wait than dials may be under way, and each dial is turned away: every one gets its turn to
+/// be refused, or goes out in the end. None is left waiting for a dial that nobody makes.
+#[test]
+fn those_over_the_cap_on_dials_are_dialled_for_later() {
+    let server = Listener::new();
+    let reactor = Reactor::new().unwrap();
+    let now = Instant::now();
+    let mut upstream = Upstream::new(100, PATIENCE, PATIENCE);
+    upstream.serves(StoreId(1), server.address);
+    let exchanges = 40;
+    for no in 0..exchanges {
+        let purpose = Purpose::Attempt(RequestId(no), AttemptNo(0));
+        let (question, until) = (Question::Load, now + PATIENCE);
+        let exchange = Exchange { purpose, class: None, question, sent: now, until };
+        upstream.start(StoreId(1), exchange, now, &reactor);
+    }
+    let first_dials = upstream.dials;
+    assert!(first_dials < exchanges);
+    let (mut ready, mut done) = (Vec::new(), 0);
+    while done < exchanges {
+        while server.try_accept().is_some_and(|mut peer| peer.try_error("53300")) {}
+        reactor.wait(Some(Instant::now() + Duration::from_millis(10)), &mut ready).unwrap();
+        for event in &ready {
+            let Token::Upstream(key) = event.token else { panic!("{event:?}") };
+            upstream.ready(key, now, &reactor);
+        }
+        for (_, due) in upstream.take_due().into_iter().filter(|(at, _)| *at <= now) {
+            upstream.on_due(due, now, &reactor);
+        }
+        while let Some(one) = upstream.pop() {
+            assert!(matches!(one.verdict, Verdict::Full | Verdict::ConnectFailed), "{one:?}");
+            done += 1;
+        }
+        assert!(now.elapsed() < PATIENCE, "{done} of {exchanges} done after {} dials", upstream.dials);
+    }
+    assert_eq!(upstream.dials, exchanges);
+}
+
 /// The program itself: SIGUSR1 prints the counters while it serves, SIGTERM ends it with them.
 #[test]
 fn the_program_heeds_signals() {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -12,6 +12,7 @@
 //! - an attempt that outlived its average counts as work (`remaining_work`), one in vain as run time;
 //! - the time since a position was told counts as caught up, until a miss (`catch_up`) or an answer (`ask`);
 //! - with every replica behind, reads share the primary by worth (`primary_share`);
+//! - what was never sent is refused before half of its time is over (`patient_until`);
 //! - a dead or cut-off store rests (`rest`); a starting one gets its part only (`cold_room`).
 
 use crate::interface::*;
