--- a/leverproxy/tests/stories.rs
+++ b/leverproxy/tests/stories.rs
@@ -32,6 +32,27 @@
     }
 }
 
+/// The largest values pass both ways, in as many pieces as the sockets take.
+#[test]
+fn the_largest_values_pass_unchanged() {
+    let server = Listener::new();
+    let stage = Stage::new(&[("s-1", &server)]);
+    let mut client = Peer::client(stage.address);
+    let digits = "9f".repeat(64 << 10);
+    let insert = |wait| {
+        let comment = format!("/* id=1,c=any,t=acme,d={wait},cluster=3 */");
+        format!("INSERT INTO items (id, doc) VALUES ('7f', '\\x{digits}') RETURNING doc {comment}")
+    };
+    client.ask(&insert("19000"));
+    let mut upstream = server.welcome();
+    let passed = upstream.query();
+    let wait = passed.rsplit(",d=").next().and_then(|rest| rest.split(',').next()).unwrap();
+    assert!(passed == insert(wait), "{} bytes of {}", passed.len(), insert(wait).len());
+    let value = "v".repeat(64 << 10);
+    upstream.answer(&value, &[]);
+    assert!(client.reply().value == Some(value));
+}
+
 /// Answers on a connection come in the order of its commands, whatever order they were ready in.
 #[test]
 fn pipelined_queries_are_answered_in_order() {
