SIGHUP rereads the configuration and moves the watch without a gap

`control` registered no handler for it, so the default action killed the process; nothing else could read the file again.

Now the file is reread and checked in `config`, the same place as at the start; a faulty one is logged with its key and changes nothing. `discovery` and `limits` change at once, other changes are named and wait for the next start. LB_DISCOVERY no longer hides what the file says. The new watch is opened before the old one is let go, and the old one counts until the new one speaks. Requests, pools and what the module knows stay.

Found beside it: every new watch added one more timer that renewed itself for good (`Timer::Watch` looked after whichever watch was current); a timer now belongs to one watch. Two stories raced with the loopback's delivery of an end and once failed on a busy machine; they now wait until the proxy has noticed it.

--- a/leverproxy/src/cli.rs
+++ b/leverproxy/src/cli.rs
@@ -8,13 +8,13 @@
 const USAGE: &str = "\
 usage: leverproxy COMMAND
 
-  serve     serve until SIGTERM; SIGUSR1 prints the counters
+  serve     serve until SIGTERM; SIGUSR1 prints the counters, SIGHUP rereads LB_CONFIG
   check     read the configuration and say whether it is sound
   version   print the version
   help      print this
 
 serve and check take the configuration from the file that LB_CONFIG names; LB_NAME, LB_LISTEN and LB_DISCOVERY
-override what it says. RUST_LOG sets the log level (info unless set).";
+override what it says (after SIGHUP the file's word on discovery counts). RUST_LOG sets the log level (info unless set).";
 
 /// Exit code for a wrong command line or configuration.
 const MISUSE: u8 = 2;
@@ -74,6 +74,7 @@
         Err(error) => return misuse(&error),
     };
     let served = Proxy::start(config).and_then(|(mut proxy, control)| {
+        proxy.reread_with(|| config::reread(|name| std::env::var(name).ok()));
         control.heed_signals()?;
         let served = proxy.run();
         proxy.report();
--- a/leverproxy/src/config.rs
+++ b/leverproxy/src/config.rs
@@ -93,15 +93,40 @@
     sockets: Option<usize>,
 }
 
+/// Whose word counts where file and environment both name a key that may change while the proxy serves.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Reading {
+    /// At the start the environment does.
+    First,
+    /// Later the file does: it has been replaced since, the environment can't have been.
+    Again,
+}
+
 /// Reads `LB_CONFIG` and what the other variables say over it.
 pub fn from_env(variable: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
+    parse(&file(&variable)?, variable)
+}
+
+/// Reads `LB_CONFIG` once more. Where the file names discovery, `LB_DISCOVERY` no longer does.
+pub fn reread(variable: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
+    checked(&file(&variable)?, variable, Reading::Again)
+}
+
+fn file(variable: impl Fn(&str) -> Option<String>) -> Result<Vec<u8>, ConfigError> {
     let path = variable("LB_CONFIG").ok_or_else(|| ConfigError::new("LB_CONFIG", "is not set"))?;
-    let text = std::fs::read(Path::new(&path))
-        .map_err(|e| ConfigError::new("LB_CONFIG", format!("{path} cannot be read: {e}")))?;
-    parse(&text, variable)
+    std::fs::read(Path::new(&path))
+        .map_err(|e| ConfigError::new("LB_CONFIG", format!("{path} cannot be read: {e}")))
 }
 
 pub fn parse(text: &[u8], variable: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
+    checked(text, variable, Reading::First)
+}
+
+fn checked(
+    text: &[u8],
+    variable: impl Fn(&str) -> Option<String>,
+    reading: Reading,
+) -> Result<Config, ConfigError> {
     let mut json = serde_json::Deserializer::from_slice(text);
     let file: File = serde_path_to_error::deserialize(&mut json)
         .map_err(|e| ConfigError::new(e.path().to_string(), e.inner()))?;
@@ -113,7 +138,11 @@
             .map_err(|_| ConfigError::new(key, format!("{text:?} is not an address like 10.0.0.4:5433")))
     };
     let listen = address("listen", stated("LB_LISTEN", "listen", file.listen)?)?;
-    let discovery = address("discovery", stated("LB_DISCOVERY", "discovery", file.discovery)?)?;
+    let discovery = match file.discovery {
+        Some(text) if reading == Reading::Again => text,
+        in_file => stated("LB_DISCOVERY", "discovery", in_file)?,
+    };
+    let discovery = address("discovery", discovery)?;
     let settings = file.settings.ok_or_else(|| ConfigError::new("settings", "missing"))?;
     let platform = mountshift_settings::decode(settings.to_string().as_bytes())
         .map_err(|BadSetting { key, problem }| ConfigError::new(format!("settings.{key}"), problem))?;
--- a/leverproxy/src/control.rs
+++ b/leverproxy/src/control.rs
@@ -1,6 +1,6 @@
 //! Words from outside to a running proxy: from an embedding program by [`Control`], or by signals.
 
-use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use std::io::{self, Read, Write};
 use std::os::fd::{AsFd, BorrowedFd};
 use std::os::unix::net::UnixStream;
@@ -11,9 +11,10 @@
 struct Wishes {
     stop: Arc<AtomicBool>,
     report: Arc<AtomicBool>,
+    reload: Arc<AtomicBool>,
 }
 
-/// Tells a proxy to stop or to report, from any thread.
+/// Tells a proxy to stop, to report or to reread its configuration, from any thread.
 #[derive(Debug)]
 pub struct Control {
     wishes: Arc<Wishes>,
@@ -31,16 +32,21 @@
         self.wish(&self.wishes.report);
     }
 
+    /// Read the configuration again (see `Proxy::reread_with`).
+    pub fn reload(&self) {
+        self.wish(&self.wishes.reload);
+    }
+
     fn wish(&self, flag: &AtomicBool) {
         flag.store(true, Ordering::SeqCst);
         // A full socket wakes the loop as well as one more byte would.
         _ = (&self.wake).write(&[1]);
     }
 
-    /// SIGTERM and SIGINT stop the proxy, SIGUSR1 makes it report.
+    /// SIGTERM and SIGINT stop the proxy, SIGUSR1 makes it report, SIGHUP reread its configuration.
     pub fn heed_signals(&self) -> io::Result<()> {
-        let Wishes { stop, report } = &*self.wishes;
-        for (signal, flag) in [(SIGTERM, stop), (SIGINT, stop), (SIGUSR1, report)] {
+        let Wishes { stop, report, reload } = &*self.wishes;
+        for (signal, flag) in [(SIGTERM, stop), (SIGINT, stop), (SIGUSR1, report), (SIGHUP, reload)] {
             // The flag first: it is set when the byte wakes the loop.
             signal_hook::flag::register(signal, Arc::clone(flag))?;
             signal_hook::low_level::pipe::register(signal, self.wake.try_clone()?)?;
@@ -60,6 +66,7 @@
 pub enum Wish {
     Stop,
     Report,
+    Reload,
 }
 
 pub fn pair() -> io::Result<(Control, Listener)> {
@@ -75,7 +82,8 @@
         let mut bytes = [0; 64];
         while matches!(self.wake.read(&mut bytes), Ok(n) if n > 0) {}
         let mut wishes = Vec::new();
-        for (flag, wish) in [(&self.wishes.stop, Wish::Stop), (&self.wishes.report, Wish::Report)] {
+        let Wishes { stop, report, reload } = &*self.wishes;
+        for (flag, wish) in [(stop, Wish::Stop), (report, Wish::Report), (reload, Wish::Reload)] {
             if flag.swap(false, Ordering::SeqCst) {
                 wishes.push(wish);
             }
--- a/leverproxy/src/discovery/mod.rs
+++ b/leverproxy/src/discovery/mod.rs
@@ -1,5 +1,6 @@
 //! The watch on the list of record servers. Whether and when to ask is the module's to say; this keeps one
-//! watch open at most and tells when it has broken.
+//! watch at most and tells when it has broken; while discovery moves, the former one stays open until the new one
+//! speaks.
 
 pub mod directory;
 pub mod wire;
@@ -26,6 +27,9 @@
     silence: Duration,
     watches: Slots<Watch>,
     current: Option<Key>,
+    /// At the address that discovery has left; what it has to tell counts until the current one speaks.
+    former: Option<Key>,
+    asked: bool,
     news: VecDeque<News>,
 }
 
@@ -34,19 +38,31 @@
     up: bool,
     reader: LineReader,
     heard: Instant,
+    /// A line has come: the answer has begun.
+    spoke: bool,
 }
 
 impl Discovery {
     pub fn new(address: SocketAddr, silence: Duration) -> Discovery {
-        Discovery { address, silence, watches: Slots::default(), current: None, news: VecDeque::new() }
+        Discovery {
+            address,
+            silence,
+            watches: Slots::default(),
+            current: None,
+            former: None,
+            asked: false,
+            news: VecDeque::new(),
+        }
     }
 
     pub fn pop(&mut self) -> Option<News> {
         self.news.pop_front()
     }
 
-    /// Asks for all changes after `index`, in place of the watch there was; returns when to look after it.
-    pub fn subscribe(&mut self, index: u64, now: Instant, reactor: &Reactor) -> Instant {
+    /// Asks for all changes after `index`, in place of the watch there was; returns the new one and when to look
+    /// after it.
+    pub fn subscribe(&mut self, index: u64, now: Instant, reactor: &Reactor) -> Option<(Instant, Key)> {
+        self.asked = true;
         if let Some(old) = self.current.take() {
             self.watches.remove(old);
         }
@@ -54,7 +70,8 @@
             Ok(mut stream) => {
                 let target = format!("/catalog/members?watch=1&after={index}");
                 stream.push(&http::get(&self.address.to_string(), &target));
-                let watch = Watch { stream, up: false, reader: LineReader::default(), heard: now };
+                let watch =
+                    Watch { stream, up: false, reader: LineReader::default(), heard: now, spoke: false };
                 let key = self.watches.insert(watch);
                 self.current = Some(key);
                 let watched = self
@@ -70,7 +87,40 @@
                 self.news.push_back(News::Failed);
             }
         }
-        now + self.silence
+        Some((now + self.silence, self.current?))
+    }
+
+    /// Discovery is at another address from now on. A watch there goes on from `index`; the one there was is
+    /// kept meanwhile, as the new one may take its time or break.
+    pub fn move_to(
+        &mut self,
+        address: SocketAddr,
+        index: u64,
+        now: Instant,
+        reactor: &Reactor,
+    ) -> Option<(Instant, Key)> {
+        if address == self.address {
+            return None;
+        }
+        log::info!("discovery: moves from {} to {address}", self.address);
+        self.address = address;
+        let speaks = |key: &Key| self.watches.get(*key).is_some_and(|watch| watch.spoke);
+        if let Some(key) = self.current.filter(speaks) {
+            self.let_go_former();
+            self.former = Some(key);
+            self.current = None;
+        }
+        if self.asked {
+            self.subscribe(index, now, reactor)
+        } else {
+            None
+        }
+    }
+
+    fn let_go_former(&mut self) {
+        if let Some(key) = self.former.take() {
+            self.watches.remove(key);
+        }
     }
 
     pub fn ready(&mut self, key: Key, now: Instant, reactor: &Reactor) {
@@ -79,9 +129,9 @@
         }
     }
 
-    /// Breaks a watch that has been silent for too long; else returns when to look again.
-    pub fn check(&mut self, now: Instant) -> Option<Instant> {
-        let key = self.current?;
+    /// Breaks a watch that has been silent for too long; else returns when to look again. One that is gone is
+    /// not looked after any more, or each new watch would add a timer for good.
+    pub fn check(&mut self, key: Key, now: Instant) -> Option<Instant> {
         let due = self.watches.get(key)?.heard + self.silence;
         if due <= now {
             self.fail(key, "silent for too long");
@@ -108,15 +158,28 @@
             let listing = Listing::parse(line).map_err(|ListingError(problem)| problem)?;
             self.news.push_back(News::Listing(listing));
         }
-        if filled == Filled::Ended || watch.reader.done() {
+        let spoke = !lines.is_empty();
+        watch.spoke |= spoke;
+        let ended = filled == Filled::Ended || watch.reader.done();
+        if spoke && self.current == Some(key) {
+            self.let_go_former();
+        }
+        if ended {
             return Err("the watch ended".into());
         }
+        let Some(watch) = self.watches.get_mut(key) else { return Ok(()) };
         let interest = Interest { read: true, write: !written };
         watch.stream.watch(reactor, Token::Discovery(key), interest).map_err(|e| e.to_string())
     }
 
     fn fail(&mut self, key: Key, why: &str) {
-        if self.watches.remove(key).is_some() {
+        if self.watches.remove(key).is_none() {
+            return;
+        }
+        if self.former == Some(key) {
+            log::info!("discovery: the former watch is over: {why}");
+            self.former = None;
+        } else {
             log::warn!("discovery: watch lost: {why}");
             self.current = None;
             self.news.push_back(News::Failed);
--- a/leverproxy/src/front.rs
+++ b/leverproxy/src/front.rs
@@ -95,6 +95,11 @@
         self.clients.len()
     }
 
+    /// Who is above a lower limit stays until it leaves or gives way.
+    pub fn set_limit(&mut self, limit: usize) {
+        self.limit = limit;
+    }
+
     pub fn accept(&mut self, now: Instant, reactor: &Reactor) {
         loop {
             let full = self.clients.len() >= self.limit;
--- a/leverproxy/src/proxy.rs
+++ b/leverproxy/src/proxy.rs
@@ -1,12 +1,13 @@
 //! The loop of the one thread: waits, lets the sides take what has come, and runs the chain over it.
 
-use crate::config::Config;
+use crate::config::{Config, ConfigError};
 use crate::control::{self, Control, Wish};
 use crate::discovery::Discovery;
 use crate::front::Front;
 use crate::reactor::{Interest, Reactor, Ready, Timers, Token};
 use crate::stages::{Chain, Sides, Timer};
 use crate::upstream::Upstream;
+use mountshift_settings::Decoded;
 use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -21,8 +22,21 @@
     linger: Duration,
     last_answers: Duration,
     phase: Phase,
+    reread: Option<Reread>,
+    fixed: Fixed,
 }
 
+/// What only a new start changes.
+#[derive(PartialEq)]
+struct Fixed {
+    name: String,
+    listen: SocketAddr,
+    platform: Decoded,
+}
+
+/// Reads the configuration again, wherever it came from.
+type Reread = Box<dyn FnMut() -> Result<Config, ConfigError> + Send>;
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Phase {
     Serving,
@@ -44,6 +58,7 @@
         let upstream = Upstream::new(config.limits.upstream, config.dial_timeout, config.idle_limit);
         let discovery = Discovery::new(config.discovery, config.watch_silence);
         let platform = config.platform;
+        let fixed = Fixed { name: config.name, listen: config.listen, platform: platform.clone() };
         let mut sides = Sides { reactor, timers: Timers::default(), front, upstream, discovery };
         let mut chain = Chain::new(
             platform.settings,
@@ -54,10 +69,11 @@
             now,
         );
         let address = sides.front.local_address().unwrap_or(config.listen);
-        log::info!("{}: serving on {address}", config.name);
+        log::info!("{}: serving on {address}", fixed.name);
         chain.start(config.known, &mut sides, now);
         let (linger, last_answers) = (config.linger, config.last_answers);
-        Ok((Proxy { sides, chain, wishes, linger, last_answers, phase: Phase::Serving }, control))
+        let phase = Phase::Serving;
+        Ok((Proxy { sides, chain, wishes, linger, last_answers, phase, reread: None, fixed }, control))
     }
 
     pub fn local_address(&self) -> Option<SocketAddr> {
@@ -108,9 +124,9 @@
         match timer {
             Timer::Module(token) => self.chain.on_module_timer(token, &mut self.sides, now),
             Timer::Upstream(due) => self.sides.upstream.on_due(due, now, &self.sides.reactor),
-            Timer::Watch => {
-                if let Some(again) = self.sides.discovery.check(now) {
-                    self.sides.timers.set(again, Timer::Watch);
+            Timer::Watch(key) => {
+                if let Some(again) = self.sides.discovery.check(key, now) {
+                    self.sides.timers.set(again, Timer::Watch(key));
                 }
             }
             Timer::Accept => self.sides.front.resume(&self.sides.reactor),
@@ -134,6 +150,38 @@
                 }
                 Wish::Stop => {}
                 Wish::Report => self.report(),
+                Wish::Reload => self.reload(now),
+            }
+        }
+    }
+
+    /// What is to be asked for the configuration when it has changed.
+    pub fn reread_with(&mut self, reread: impl FnMut() -> Result<Config, ConfigError> + Send + 'static) {
+        self.reread = Some(Box::new(reread));
+    }
+
+    /// Takes over the configuration as it is now, while requests, connections and what the module knows stay. A
+    /// faulty one changes nothing.
+    fn reload(&mut self, now: Instant) {
+        let Some(reread) = &mut self.reread else {
+            return log::warn!("told to reread the configuration, which has no source here");
+        };
+        let config = match reread() {
+            Ok(config) => config,
+            Err(error) => return log::error!("{error}; the configuration stays as it was"),
+        };
+        let Sides { front, upstream, .. } = &mut self.sides;
+        front.set_limit(config.limits.clients);
+        upstream.set_limit(config.limits.upstream);
+        self.chain.discovery_at(config.discovery, &mut self.sides, now);
+        log::info!("the configuration is reread: discovery at {}", config.discovery);
+        for (key, same) in [
+            ("listen", config.listen == self.fixed.listen),
+            ("name", config.name == self.fixed.name),
+            ("settings", config.platform == self.fixed.platform),
+        ] {
+            if !same {
+                log::warn!("configuration: {key}: a change of it counts from the next start");
             }
         }
     }
--- a/leverproxy/src/stages/mod.rs
+++ b/leverproxy/src/stages/mod.rs
@@ -13,11 +13,12 @@
 use crate::discovery::wire::Listing;
 use crate::discovery::{Discovery, News};
 use crate::front::{self, Front};
-use crate::reactor::{later, Reactor, Timers};
+use crate::reactor::{later, Key, Reactor, Timers};
 use crate::request::{Answer, Done, Purpose, Request, Ticket};
 use crate::upstream::{Due, Upstream};
 use mountshift::{Action, Event, ListNews, RequestId, Settings, StoreId, TimerToken};
 use mountshift_settings::Names;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 /// What a timer is for.
@@ -25,7 +26,7 @@
 pub enum Timer {
     Module(u32),
     Upstream(Due),
-    Watch,
+    Watch(Key),
     /// The listener, full before, may be looked at again.
     Accept,
     /// New connections have stopped coming: the listener may go.
@@ -197,12 +198,18 @@
                 sides.timers.set(later(now, after), Timer::Module(token.0));
             }
             Action::Subscribe => {
-                let due = sides.discovery.subscribe(self.directory.index(), now, &sides.reactor);
-                sides.timers.set(due, Timer::Watch);
+                let watch = sides.discovery.subscribe(self.directory.index(), now, &sides.reactor);
+                look_after(watch, sides);
             }
         }
     }
 
+    /// Discovery is at another address; what is known of the record servers stays.
+    pub fn discovery_at(&mut self, address: SocketAddr, sides: &mut Sides, now: Instant) {
+        let watch = sides.discovery.move_to(address, self.directory.index(), now, &sides.reactor);
+        look_after(watch, sides);
+    }
+
     fn probe(&mut self, store: StoreId, sides: &mut Sides, now: Instant) {
         self.counters.probe_sent();
         sides.upstream.start(store, send::probe(self.probe_time, now), now, &sides.reactor);
@@ -225,3 +232,9 @@
         self.ledger.is_empty()
     }
 }
+
+fn look_after(watch: Option<(Instant, Key)>, sides: &mut Sides) {
+    if let Some((due, key)) = watch {
+        sides.timers.set(due, Timer::Watch(key));
+    }
+}
--- a/leverproxy/src/upstream.rs
+++ b/leverproxy/src/upstream.rs
@@ -102,6 +102,11 @@
         self.connections.len()
     }
 
+    /// Connections above a lower limit stay until they end.
+    pub fn set_limit(&mut self, limit: usize) {
+        self.limit = limit;
+    }
+
     /// The server is there and takes requests.
     pub fn serves(&mut self, store: StoreId, address: SocketAddr) {
         let pool = self.pools.entry(store).or_insert_with(|| Pool {
--- a/leverproxy/tests/common/mod.rs
+++ b/leverproxy/tests/common/mod.rs
@@ -5,8 +5,10 @@
 use leverproxy::control::Control;
 use leverproxy::pg::{self, server};
 use leverproxy::proxy::Proxy;
+use rustix::process::{kill_process, Pid, Signal};
 use std::io::{self, BufRead, BufReader, Lines, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{channel, Receiver, RecvTimeoutError};
@@ -145,6 +147,12 @@
         }
     }
 
+    /// Ends its side and waits until the other one has noticed.
+    pub fn leave(mut self) {
+        self.stream.shutdown(Shutdown::Write).unwrap();
+        assert!(self.ended());
+    }
+
     // ---- As a record server ----
 
     pub fn startup(&mut self) {
@@ -316,6 +324,8 @@
 pub struct Program {
     pub child: Child,
     pub address: SocketAddr,
+    pub watch: Peer,
+    file: PathBuf,
     log: Lines<BufReader<ChildStderr>>,
 }
 
@@ -326,7 +336,7 @@
         let discovery = Listener::new();
         let number = STARTED.fetch_add(1, Ordering::Relaxed);
         let file = std::env::temp_dir().join(format!("leverproxy-{}-{number}.json", std::process::id()));
-        std::fs::write(&file, format!(r#"{{"settings":{SETTINGS}}}"#)).unwrap();
+        configure(&file, "");
         let mut child = Command::new("/bin/sh")
             .args(["-c", &format!("{before} exec {} serve", env!("CARGO_BIN_EXE_leverproxy"))])
             .env("LB_CONFIG", &file)
@@ -337,15 +347,25 @@
             .spawn()
             .unwrap();
         let log = BufReader::new(child.stderr.take().unwrap()).lines();
-        let mut program = Program { child, address: discovery.address, log };
+        // Signals are heeded before its loop first tends to discovery.
+        let mut watch = discovery.accept();
+        watch.watch();
+        let mut program = Program { child, address: discovery.address, watch, file, log };
         let line = program.line("serving on ");
         program.address = line.rsplit(' ').next().unwrap().parse().unwrap();
-        // Signals are heeded before its loop first tends to discovery.
-        discovery.accept().watch();
-        std::fs::remove_file(&file).unwrap();
         program
     }
 
+    /// Replaces its configuration, `keys` before the settings, and tells it so.
+    pub fn reload(&self, keys: &str) {
+        configure(&self.file, keys);
+        self.signal(Signal::HUP);
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).unwrap();
+    }
+
     /// The next line of its log that holds these words.
     pub fn line(&mut self, words: &str) -> String {
         self.log.by_ref().map(Result::unwrap).find(|line| line.contains(words)).expect(words)
@@ -356,5 +376,10 @@
     fn drop(&mut self) {
         _ = self.child.kill();
         _ = self.child.wait();
+        _ = std::fs::remove_file(&self.file);
     }
 }
+
+fn configure(file: &Path, keys: &str) {
+    std::fs::write(file, format!(r#"{{{keys}"settings":{SETTINGS}}}"#)).unwrap();
+}
--- a/leverproxy/tests/stories.rs
+++ b/leverproxy/tests/stories.rs
@@ -6,7 +6,7 @@
 use leverproxy::request::{Purpose, Question, Verdict};
 use leverproxy::upstream::{Exchange, Upstream};
 use mountshift::{AttemptNo, RequestId, StoreId};
-use rustix::process::{kill_process, Pid, Signal};
+use rustix::process::Signal;
 use std::time::{Duration, Instant};
 
 /// The statement and its id pass unchanged, `d` tells the rest of the time, the value comes as it was given.
@@ -97,7 +97,7 @@
     let (_stage, mut client, mut upstream) = write_out(&server);
     upstream.answer("one", &[("role", "primary")]);
     assert_eq!(client.reply().value.as_deref(), Some("one"));
-    drop(upstream);
+    upstream.leave();
     client.ask(&read(2, "book", 19000));
     let mut upstream = server.welcome();
     upstream.query();
@@ -113,7 +113,7 @@
     upstream.answer("one", &[("role", "primary")]);
     assert_eq!(client.reply().value.as_deref(), Some("one"));
     // The second write has to dial.
-    drop(upstream);
+    upstream.leave();
     client.ask(&read(2, "book", 19000));
     server.accept().error("XX000");
     let mut upstream = server.welcome();
@@ -279,12 +279,48 @@
 fn the_program_heeds_signals() {
     let mut program = Program::start("");
     for signal in [Signal::USR1, Signal::TERM] {
-        kill_process(Pid::from_child(&program.child), signal).unwrap();
+        program.signal(signal);
         assert!(program.line("class book: taken 0").contains("answered"));
     }
     assert!(program.child.wait().unwrap().success());
 }
 
+/// SIGHUP moves the watch to where the file now says discovery is, whatever the environment said at the start.
+/// The former watch counts until the new one speaks; a faulty file changes nothing; requests and connections stay.
+#[test]
+fn a_reload_moves_the_watch_and_keeps_the_rest() {
+    let (server, elsewhere) = (Listener::new(), Listener::new());
+    let mut program = Program::start("");
+    program.watch.tell(57, &[server.listed("s-1", "Ready")]);
+    let mut client = Peer::client(program.address);
+    client.ask(&read(1, "any", 19000));
+    let mut upstream = server.welcome();
+    upstream.query();
+    program.reload(r#""discovery":"nowhere","#);
+    program.line("configuration: discovery: ");
+    program.reload(&format!(r#""discovery":"{}","#, elsewhere.address));
+    let mut watch = elsewhere.accept();
+    assert_eq!(watch.watch(), "GET /catalog/members?watch=1&after=57 HTTP/1.1");
+    // Not gone yet: what it tells still counts.
+    let later = Listener::new();
+    program.watch.tell(58, &[server.listed("s-1", "Terminating"), later.listed("s-2", "Ready")]);
+    let mut second = Peer::client(program.address);
+    second.ask(&read(2, "any", 19000));
+    let mut moved = later.welcome();
+    moved.query();
+    watch.tell(58, &[]);
+    assert!(program.watch.ended());
+    moved.answer("two", &[]);
+    assert_eq!(second.reply().value.as_deref(), Some("two"));
+    upstream.answer("one", &[]);
+    assert_eq!(client.reply().value.as_deref(), Some("one"));
+    // A stop in the middle of a reload is a stop.
+    program.reload("");
+    program.signal(Signal::TERM);
+    drop((client, second));
+    assert!(program.child.wait().unwrap().success());
+}
+
 /// Out of descriptors, the program leaves who comes in the backlog, and serves again once others have left.
 #[test]
 fn running_out_of_descriptors_is_outlived() {
@@ -293,6 +329,6 @@
     program.line("no descriptor left");
     crowd.clear();
     Peer::client(program.address);
-    kill_process(Pid::from_child(&program.child), Signal::TERM).unwrap();
+    program.signal(Signal::TERM);
     assert!(program.child.wait().unwrap().success());
 }
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -97,7 +97,7 @@
 }
 
 /// Names as peers write them, each list in the order of the module's ids.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Names {
     pub classes: Vec<String>,
     pub tenants: Vec<String>,
@@ -106,7 +106,7 @@
 }
 
 /// What a host needs to know, beside the module's settings.
-#[derive(Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Decoded {
     pub settings: Settings,
     pub names: Names,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -93,7 +93,7 @@
     Unsafe,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     pub need: Need,
     pub effect: Effect,
@@ -105,7 +105,7 @@
     pub late_worth: f64,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Tenant {
     /// Requests a second over all routers that count in full.
     pub quota_per_s: f64,
@@ -122,7 +122,7 @@
     Wait(Duration),
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     pub routers: u32,
     pub zone: ZoneId,
