--- a/leverproxy/src/proxy.rs
+++ b/leverproxy/src/proxy.rs
@@ -85,8 +85,10 @@
         let mut ready = Vec::new();
         loop {
             self.chain.turn(&mut self.sides, Instant::now());
-            let settled = self.sides.front.clients() == 0 && self.chain.settled();
+            let settled = self.sides.front.clients() == 0 && self.chain.owed() == 0;
             if self.phase == Phase::Over || self.phase == Phase::Closing && settled {
+                let (clients, owed) = (self.sides.front.clients(), self.chain.owed());
+                log::info!("ended, with {clients} clients left and {owed} requests owed an answer");
                 return Ok(());
             }
             let until = self.sides.timers.next();
--- a/leverproxy/src/stages/admit.rs
+++ b/leverproxy/src/stages/admit.rs
@@ -75,6 +75,10 @@
         self.tickets.get(&ticket).copied()
     }
 
+    pub fn len(&self) -> usize {
+        self.open.len()
+    }
+
     pub fn is_empty(&self) -> bool {
         self.open.is_empty()
     }
--- a/leverproxy/src/stages/mod.rs
+++ b/leverproxy/src/stages/mod.rs
@@ -227,9 +227,9 @@
         sides.front.answer(open.ticket, answer, now, &sides.reactor);
     }
 
-    /// Nothing is owed to any client.
-    pub fn settled(&self) -> bool {
-        self.ledger.is_empty()
+    /// Requests that are owed an answer.
+    pub fn owed(&self) -> usize {
+        self.ledger.len()
     }
 }
 
