Turn out bad clients within time, and take no request under another's id

Causes: `front` put out silent and half-said connections only when the table was full and 5 s old (`quietest`); ids were only checked for being there, so copies of open requests were sent on; every misunderstood statement was a line of the log, written by a call that waits for its reader.

Now a connection has 2 s to come to its first sound request, and every command 2 s to come to its end; then it is told why and ended. After any such last word the sending side is closed and up to 1 MB thrown away for 1 s, so that the word is not reset away. At the limit those who have asked for nothing give way first, after 0.1 s, and while they fill more than a quarter no idle client does. An id stays taken while its request is open and 5 s on, and names are forgotten after that. New connections are read a round later than they are taken, so that requests that came earlier elsewhere are entered first. `d` counts up to the class's deadline. Bad peers cause one log line a second at most, and a log that nobody reads is dropped instead of waited for.

--- a/leverproxy/src/cli.rs
+++ b/leverproxy/src/cli.rs
@@ -20,7 +20,7 @@
 const MISUSE: u8 = 2;
 
 pub fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    crate::logging::start();
     let mut arguments = Arguments::from_env();
     if arguments.contains(["-h", "--help"]) {
         println!("{USAGE}");
--- a/leverproxy/src/front.rs
+++ b/leverproxy/src/front.rs
@@ -6,6 +6,7 @@
 use crate::pg::Malformed;
 use crate::reactor::{Interest, Key, Reactor, Slots, Token};
 use crate::request::{Answer, Request, Ticket};
+use crate::seldom::Seldom;
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
@@ -16,8 +17,18 @@
 const PIPELINE_LIMIT: usize = 32;
 /// Unsent bytes of answers beyond which nothing more is read from a client.
 const UNSENT_LIMIT: usize = 64 << 10;
-/// Whoever has not said a whole thing for this long may lose its place to another.
-const PATIENCE: Duration = Duration::from_secs(5);
+/// A connection has to come to its first sound request within this, and every command to its end.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// The clients are looked over this often for whoever has run out of time.
+const LOOK_OVER: Duration = Duration::from_millis(250);
+/// A client that has been told why its connection ends has this long to read it, and may still send this much
+/// meanwhile: closed at once with bytes unread, the connection would be reset and the word lost on its way.
+const LEAVE_TIME: Duration = Duration::from_secs(1);
+const LEAVE_BYTES: usize = 1 << 20;
+/// A client that takes nothing of its answers for this long is given up.
+const UNREAD: Duration = Duration::from_secs(10);
+/// At the limit, who has asked for nothing gives way, but not before this: its first words may be on their way.
+const FIRST_WORDS: Duration = Duration::from_millis(100);
 
 #[derive(Debug)]
 pub enum Event {
@@ -33,6 +44,10 @@
     limit: usize,
     clients: Slots<Client>,
     events: VecDeque<Event>,
+    misunderstood: Seldom,
+    exhausted: Seldom,
+    /// Connections ended for what came on them, or for nothing sound having come in time.
+    pub turned_out: u64,
     /// No more than what is under way is served: each client goes once it waits for nothing.
     closing: bool,
 }
@@ -42,14 +57,21 @@
     greeted: bool,
     /// Ignores messages until Sync, as after any error in the extended protocol.
     skipping: bool,
-    /// No more is read; the connection ends once everything is written.
+    /// Nothing more is taken in; the connection ends once everything is written and the peer has read it.
     ending: bool,
+    /// Since when its last word is written and its end is waited for, and what it has sent since.
+    leaving: Option<(Instant, usize)>,
+    /// Some request of it was sound.
+    asked: bool,
     /// It has said that it goes: no answer is of use any more.
     gone: bool,
     answers: VecDeque<Option<Vec<u8>>>,
     /// The number of the first of these.
     first: u64,
+    /// Since when no command has come whole from it and no answer gone to it.
     quiet_since: Instant,
+    /// Since when it is at a command that has not come whole.
+    begun: Option<Instant>,
 }
 
 impl Client {
@@ -62,6 +84,11 @@
         self.first + self.answers.len() as u64 - 1
     }
 
+    /// It has never got as far as a request.
+    fn silent(&self) -> bool {
+        !self.asked && self.answers.is_empty() || self.leaving.is_some()
+    }
+
     /// Room for more commands, and a peer that takes its answers.
     fn takes_more(&self) -> bool {
         !self.ending && self.answers.len() < PIPELINE_LIMIT && self.stream.unsent() < UNSENT_LIMIT
@@ -78,6 +105,9 @@
             limit,
             clients: Slots::default(),
             events: VecDeque::new(),
+            misunderstood: Seldom::default(),
+            exhausted: Seldom::default(),
+            turned_out: 0,
             closing: false,
         })
     }
@@ -104,22 +134,23 @@
         loop {
             let full = self.clients.len() >= self.limit;
             // Who would give way; nobody does before another client is there for the place.
-            let quiet = self.quietest();
+            let quiet = if full { self.gives_way(now) } else { None };
             if full && quiet.is_none() {
                 return self.pause(true, reactor);
             }
             let Some(listener) = &self.listener else { return };
             match net::accept(listener) {
                 Ok(stream) => {
-                    if let Some(key) = quiet.filter(|_| full) {
+                    if let Some(key) = quiet {
                         self.clients.remove(key);
                     }
                     self.adopt(stream, now, reactor);
                 }
                 Err(Refusal::Empty) => return,
                 Err(Refusal::Exhausted) => {
-                    log::warn!("front: no descriptor left, {} clients", self.clients.len());
-                    if quiet.and_then(|key| self.clients.remove(key)).is_none() {
+                    let clients = self.clients.len();
+                    self.exhausted.warn(now, || format!("front: no descriptor left, {clients} clients"));
+                    if self.gives_way(now).and_then(|key| self.clients.remove(key)).is_none() {
                         return self.pause(true, reactor);
                     }
                 }
@@ -133,13 +164,16 @@
             greeted: false,
             skipping: false,
             ending: false,
+            leaving: None,
+            asked: false,
             gone: false,
             answers: VecDeque::new(),
             first: 0,
             quiet_since: now,
+            begun: None,
         });
-        // What a client writes right behind connecting is often there already.
-        self.ready(key, false, now, reactor);
+        // Read in a later round even if it has come: what others sent before is taken in before it.
+        self.write(key, now, reactor);
     }
 
     /// While the listener is full it must not be waited on: it would be ready all the time.
@@ -160,20 +194,56 @@
         self.pause(false, reactor);
     }
 
-    /// The client that has been quiet the longest, between its requests: it may give way to another. One that
-    /// never gets to the end of its startup or a request keeps its place for a while only.
-    fn quietest(&self) -> Option<Key> {
-        let stuck = |c: &Client| c.answers.is_empty() && c.quiet_since.elapsed() >= PATIENCE;
-        let quiet = self.clients.iter().filter(|(_, c)| c.greeted && c.idle() || stuck(c));
-        quiet.min_by_key(|(_, c)| c.quiet_since).map(|(key, _)| key)
+    /// The client that may give way to another: one that has asked for nothing, else the one that has been quiet
+    /// the longest between its requests. While a crowd that says nothing fills the place, those who have asked
+    /// keep theirs, and the crowd gives way as fast as it can be told from newcomers.
+    fn gives_way(&self, now: Instant) -> Option<Key> {
+        let longest = |fits: &dyn Fn(&Client) -> bool| {
+            let fitting = self.clients.iter().filter(|(_, c)| fits(c));
+            fitting.min_by_key(|(_, c)| c.quiet_since).map(|(key, _)| key)
+        };
+        let old = |c: &Client| now.saturating_duration_since(c.quiet_since) >= FIRST_WORDS;
+        let crowd = self.clients.iter().filter(|(_, c)| c.silent()).count();
+        longest(&|c| c.silent() && (old(c) || c.leaving.is_some()))
+            .or_else(|| longest(&|c| c.greeted && c.asked && c.idle()).filter(|_| crowd <= self.limit / 4))
+    }
+
+    /// Ends the connections of those who have run out of time; when to look again.
+    pub fn look_over(&mut self, now: Instant, reactor: &Reactor) -> Instant {
+        for key in self.clients.keys() {
+            let Some(client) = self.clients.get_mut(key) else { continue };
+            let quiet = now.saturating_duration_since(client.quiet_since);
+            let waits = client.answers.is_empty() && client.stream.unsent() == 0;
+            let slow = client.begun.is_some_and(|at| now.saturating_duration_since(at) >= PATIENCE);
+            match client.leaving {
+                Some((since, _)) if now >= since + LEAVE_TIME => self.drop_client(key, reactor),
+                Some(_) => {}
+                None if client.stream.unsent() > 0 && quiet >= UNREAD => self.drop_client(key, reactor),
+                None if waits && (slow || !client.asked && quiet >= PATIENCE) => {
+                    self.turned_out += 1;
+                    let why = Malformed("nothing whole was asked for in time".into());
+                    client.expect(Some(server::fatal(&why)));
+                    client.ending = true;
+                    self.write(key, now, reactor);
+                }
+                None => {}
+            }
+        }
+        now + LOOK_OVER
     }
 
     /// `ended`: the client is known to have closed its side. One that has is gone, even with answers to come.
     pub fn ready(&mut self, key: Key, ended: bool, now: Instant, reactor: &Reactor) {
         let Some(client) = self.clients.get_mut(key) else { return };
-        let gone = match client.takes_more() {
-            true => client.stream.fill(server::INPUT_LIMIT) == Filled::Ended,
-            false => ended,
+        let takes_more = client.takes_more();
+        let gone = match (&mut client.leaving, takes_more) {
+            (Some((_, heard)), _) => {
+                let (filled, thrown_away) = client.stream.drain();
+                *heard += thrown_away;
+                filled == Filled::Ended || ended && *heard >= LEAVE_BYTES
+            }
+            (None, true) => client.stream.fill(server::INPUT_LIMIT) == Filled::Ended,
+            (None, false) => ended,
         };
         if gone {
             return self.drop_client(key, reactor);
@@ -185,23 +255,38 @@
     /// Turns what has come into requests, as far as the client may have more.
     fn read(&mut self, key: Key, now: Instant) {
         let Some(client) = self.clients.get_mut(key) else { return };
+        let first = client.stream.input.len();
         while client.takes_more() {
-            let step = if client.greeted { command(client, key, now) } else { greet(client) };
+            let greeted = client.greeted;
+            let step = match greeted {
+                true => command(client, key, now, &mut self.misunderstood),
+                false => greet(client),
+            };
             match step {
                 Ok(Step::Wait) => break,
                 Ok(Step::Gone) => {
                     client.gone = true;
                     break;
                 }
+                Ok(Step::Next) if greeted => client.quiet_since = now,
                 Ok(Step::Next) => {}
-                Ok(Step::Asked(ticket, request)) => self.events.push_back(Event::Asked(ticket, request)),
+                Ok(Step::Asked(ticket, request)) => {
+                    client.asked = true;
+                    client.quiet_since = now;
+                    self.events.push_back(Event::Asked(ticket, request));
+                }
                 Err(why) => {
-                    log::warn!("front: a client is not understood: {why}");
+                    self.misunderstood.warn(now, || format!("front: a client is not understood: {why}"));
+                    self.turned_out += 1;
                     client.expect(Some(server::fatal(&why)));
                     client.ending = true;
                 }
             }
         }
+        let partial = client.takes_more() && !client.stream.input.is_empty();
+        // What is there now is the begin of another command than before, if any was used up.
+        let same = client.begun.filter(|_| client.stream.input.len() == first);
+        client.begun = same.or(Some(now)).filter(|_| partial);
     }
 
     /// The final answer to a request; it goes out when all before it on the connection have.
@@ -224,21 +309,28 @@
                 if let Some(bytes) = client.answers.pop_front().flatten() {
                     client.stream.push(&bytes);
                     client.first += 1;
-                    client.quiet_since = now;
+                    if client.asked {
+                        client.quiet_since = now;
+                    }
                 }
             }
             let Ok(written) = client.stream.flush() else { return self.drop_client(key, reactor) };
-            let leaving = client.ending || self.closing && client.greeted && client.idle();
-            let over = leaving && client.answers.is_empty();
-            if written && over {
-                return self.drop_client(key, reactor);
+            if written && client.answers.is_empty() {
+                if !client.ending && self.closing && client.greeted && client.idle() {
+                    return self.drop_client(key, reactor);
+                }
+                if client.ending && client.leaving.is_none() {
+                    client.leaving = Some((now, 0));
+                    client.stream.end_output();
+                }
             }
             // Commands that had to wait for room are in the buffer, not in the socket: no event tells of them.
             if full && client.takes_more() && !client.stream.input.is_empty() {
                 self.read(key, now);
                 continue;
             }
-            let interest = Interest { read: client.takes_more(), write: !written };
+            let listens = client.leaving.map_or(client.takes_more(), |(_, heard)| heard < LEAVE_BYTES);
+            let interest = Interest { read: listens, write: !written };
             if client.stream.watch(reactor, Token::Client(key), interest).is_err() {
                 self.drop_client(key, reactor);
             }
@@ -292,7 +384,7 @@
     Ok(Step::Next)
 }
 
-fn command(client: &mut Client, key: Key, now: Instant) -> Result<Step, Malformed> {
+fn command(client: &mut Client, key: Key, now: Instant, log: &mut Seldom) -> Result<Step, Malformed> {
     let Some((asked, used)) = server::asked(client.stream.input.unused())? else { return Ok(Step::Wait) };
     let mut request = None;
     let answer = match asked {
@@ -315,7 +407,7 @@
                 None
             }
             Err(why) => {
-                log::warn!("front: a statement is not understood: {why}");
+                log.warn(now, || format!("front: a statement is not understood: {why}"));
                 Some(server::answer(Answer::Rejected(why)))
             }
         },
--- a/leverproxy/src/net.rs
+++ b/leverproxy/src/net.rs
@@ -151,6 +151,23 @@
         Filled::Open
     }
 
+    /// Reads a piece of what there is and throws it away, with all that waited; how much it was.
+    pub fn drain(&mut self) -> (Filled, usize) {
+        self.input = Buffer::default();
+        let mut chunk = [0; CHUNK];
+        match rustix::io::read(&self.fd, &mut chunk) {
+            Ok(0) => (Filled::Ended, 0),
+            Ok(n) => (Filled::Open, n),
+            Err(Errno::AGAIN | Errno::INTR) => (Filled::Open, 0),
+            Err(_) => (Filled::Ended, 0),
+        }
+    }
+
+    /// Nothing more will be sent; the peer is told so.
+    pub fn end_output(&self) {
+        _ = net::shutdown(&self.fd, net::Shutdown::Write);
+    }
+
     pub fn push(&mut self, bytes: &[u8]) {
         self.output.push(bytes);
     }
--- a/leverproxy/src/pg/statement.rs
+++ b/leverproxy/src/pg/statement.rs
@@ -31,7 +31,7 @@
     let mut wait = None;
     let mut after = None;
     let mut repeated = false;
-    let mut id = false;
+    let mut id = None;
     let mut at = start;
     for pair in comment.split(',') {
         let lead = pair.len() - pair.trim_start().len();
@@ -44,7 +44,7 @@
                 .map_err(|_| format!("{}={} is not a whole number", shown(name), shown(value)))
         };
         match name {
-            "id" => id = !value.is_empty(),
+            "id" => id = Some(value).filter(|value| !value.is_empty()),
             "c" => class = Some(value.to_owned()),
             "t" => tenant = Some(value.to_owned()),
             "cluster" => {
@@ -64,11 +64,9 @@
         at += pair.len() + 1;
     }
     let missing = |name| format!("the comment does not tell {name}");
-    if !id {
-        return Err(missing("id"));
-    }
     let (wait, place) = wait.ok_or_else(|| missing("d"))?;
     Ok(Query::Request(Request {
+        id: id.ok_or_else(|| missing("id"))?.into(),
         class: class.ok_or_else(|| missing("c"))?,
         tenant,
         group: group.ok_or_else(|| missing("cluster"))?,
--- a/leverproxy/src/proxy.rs
+++ b/leverproxy/src/proxy.rs
@@ -8,7 +8,7 @@
 use crate::stages::{Chain, Sides, Timer};
 use crate::upstream::Upstream;
 use mountshift_settings::Decoded;
-use std::io::{self, Write};
+use std::io;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -70,6 +70,7 @@
         );
         let address = sides.front.local_address().unwrap_or(config.listen);
         log::info!("{}: serving on {address}", fixed.name);
+        sides.timers.set(now, Timer::LookOver);
         chain.start(config.known, &mut sides, now);
         let (linger, last_answers) = (config.linger, config.last_answers);
         let phase = Phase::Serving;
@@ -131,6 +132,10 @@
                     self.sides.timers.set(again, Timer::Watch(key));
                 }
             }
+            Timer::LookOver => {
+                let again = self.sides.front.look_over(now, &self.sides.reactor);
+                self.sides.timers.set(again, Timer::LookOver);
+            }
             Timer::Accept => self.sides.front.resume(&self.sides.reactor),
             Timer::Close => {
                 self.sides.front.close(now, &self.sides.reactor);
@@ -191,12 +196,11 @@
     /// The counters, on standard error: whoever asks wants them at any log level.
     pub fn report(&self) {
         let Sides { front, upstream, .. } = &self.sides;
-        let (clients, connections, dials) = (front.clients(), upstream.connections(), upstream.dials);
-        // Nobody may read standard error; that is no reason to stop serving.
-        _ = writeln!(
-            io::stderr(),
-            "{}\nconnections: clients {clients}; upstream {connections}; dials {dials}",
+        let (clients, turned_out) = (front.clients(), front.turned_out);
+        let (connections, dials) = (upstream.connections(), upstream.dials);
+        crate::logging::say(&format!(
+            "{}\nconnections: clients {clients}, turned out {turned_out}; upstream {connections}; dials {dials}",
             self.chain.counters,
-        );
+        ));
     }
 }
--- a/leverproxy/src/request.rs
+++ b/leverproxy/src/request.rs
@@ -15,6 +15,8 @@
 /// A request as a front has read it.
 #[derive(Debug)]
 pub struct Request {
+    /// The client's name for it, new with every request.
+    pub id: Box<str>,
     pub class: String,
     pub tenant: Option<String>,
     pub group: u32,
--- a/leverproxy/src/stages/admit.rs
+++ b/leverproxy/src/stages/admit.rs
@@ -1,14 +1,19 @@
 //! Admit: what is owed an answer is entered, once, and struck off with its final answer.
 
-use crate::request::{Command, Request, Ticket};
+use crate::request::{shown, Answer, Command, Request, Ticket};
 use mountshift::{AttemptNo, ClassId, RequestId};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+/// A name stays taken for this long after its request has ended, and no more names than this are kept: whoever
+/// repeats another's request goes on for a while after it is answered.
+const NAMES_KEPT: (Duration, usize) = (Duration::from_secs(5), 20_000);
+
 /// A request that is owed an answer.
 #[derive(Debug)]
 pub struct Open {
+    name: Box<str>,
     pub ticket: Ticket,
     pub class: ClassId,
     pub command: Arc<Command>,
@@ -33,6 +38,9 @@
 pub struct Ledger {
     open: BTreeMap<RequestId, Open>,
     tickets: BTreeMap<Ticket, RequestId>,
+    /// The clients' names of what is open or was of late, and when which of these ended.
+    names: BTreeSet<Box<str>>,
+    ended: VecDeque<(Instant, Box<str>)>,
     last_id: u64,
     /// Most requests open at once; 0: no limit.
     limit: usize,
@@ -48,26 +56,53 @@
         RequestId(self.last_id)
     }
 
-    /// Enters a request; false: the platform allows no more at once.
-    pub fn admit(&mut self, id: RequestId, ticket: Ticket, class: ClassId, request: Request) -> bool {
+    /// Enters a request, or says what is to be answered instead: the platform allows no more at once, or its
+    /// name is that of another. Names are new with every request. Guards against a client that asks under another's name: record servers
+    /// know a request by its name, and one of the two would get what was made for the other.
+    pub fn admit(
+        &mut self,
+        id: RequestId,
+        ticket: Ticket,
+        class: ClassId,
+        request: Request,
+    ) -> Result<(), Answer> {
         if self.limit > 0 && self.open.len() >= self.limit {
-            return false;
+            return Err(Answer::Refused(None));
+        }
+        self.forget_names(request.read_at);
+        if !self.names.insert(request.id.clone()) {
+            return Err(Answer::Rejected(format!("id={} is another request's", shown(&request.id))));
         }
         self.tickets.insert(ticket, id);
-        let Request { command, read_at, wait, .. } = request;
+        let Request { id: name, command, read_at, wait, .. } = request;
         let command = Arc::new(command);
-        self.open.insert(id, Open { ticket, class, command, read_at, wait, attempts: 0 });
-        true
+        self.open.insert(id, Open { name, ticket, class, command, read_at, wait, attempts: 0 });
+        Ok(())
     }
 
     pub fn get_mut(&mut self, id: RequestId) -> Option<&mut Open> {
         self.open.get_mut(&id)
     }
 
+    fn forget_names(&mut self, now: Instant) {
+        let (time, number) = NAMES_KEPT;
+        let old = |at: Instant| now.saturating_duration_since(at) >= time;
+        while self.ended.len() > number || self.ended.front().is_some_and(|(at, _)| old(*at)) {
+            let Some((_, name)) = self.ended.pop_front() else { return };
+            self.names.remove(&name);
+        }
+    }
+
+    /// Names that no other request may bear.
+    pub fn names(&self) -> usize {
+        self.names.len()
+    }
+
     /// Strikes a request off: whoever gets it owes its answer, and nobody else can.
-    pub fn close(&mut self, id: RequestId) -> Option<Open> {
+    pub fn close(&mut self, id: RequestId, now: Instant) -> Option<Open> {
         let open = self.open.remove(&id)?;
         self.tickets.remove(&open.ticket);
+        self.ended.push_back((now, open.name.clone()));
         Some(open)
     }
 
--- a/leverproxy/src/stages/mod.rs
+++ b/leverproxy/src/stages/mod.rs
@@ -15,6 +15,7 @@
 use crate::front::{self, Front};
 use crate::reactor::{later, Key, Reactor, Timers};
 use crate::request::{Answer, Done, Purpose, Request, Ticket};
+use crate::seldom::Seldom;
 use crate::upstream::{Due, Upstream};
 use mountshift::{Action, Event, ListNews, RequestId, Settings, StoreId, TimerToken};
 use mountshift_settings::Names;
@@ -27,6 +28,8 @@
     Module(u32),
     Upstream(Due),
     Watch(Key),
+    /// Whoever of the clients has run out of time.
+    LookOver,
     /// The listener, full before, may be looked at again.
     Accept,
     /// New connections have stopped coming: the listener may go.
@@ -47,10 +50,13 @@
 pub struct Chain {
     clock: Clock,
     names: Names,
+    /// Of the classes, by id.
+    deadlines: Vec<Duration>,
     probe_time: Duration,
     directory: Directory,
     ledger: admit::Ledger,
     route: route::Route,
+    rejections: Seldom,
     pub counters: Counters,
 }
 
@@ -66,7 +72,9 @@
         let clock = Clock::start();
         Chain {
             counters: Counters::new(&names.classes),
+            rejections: Seldom::default(),
             names,
+            deadlines: settings.classes.iter().map(|c| c.deadline).collect(),
             probe_time,
             directory: Directory::default(),
             ledger: admit::Ledger::new(max_open),
@@ -112,27 +120,35 @@
 
     fn on_request(&mut self, ticket: Ticket, request: Request, sides: &mut Sides, now: Instant) {
         let id = self.ledger.next_id();
-        let arrival = match take_in::take_in(id, &request, &self.names, &self.clock, now) {
+        let arrival = match take_in::take_in(id, &request, &self.names, &self.deadlines, &self.clock, now) {
             Ok(arrival) => arrival,
             Err(why) => {
-                log::warn!("front: a request is rejected: {why}");
-                self.counters.rejected += 1;
-                return sides.front.answer(ticket, Answer::Rejected(why), now, &sides.reactor);
+                return self.reject(ticket, why, sides, now);
             }
         };
         let class = arrival.class;
-        self.counters.taken(class);
-        if !self.ledger.admit(id, ticket, class, request) {
-            let answer = Answer::Refused(None);
-            self.counters.answered(class, &answer);
-            return sides.front.answer(ticket, answer, now, &sides.reactor);
+        match self.ledger.admit(id, ticket, class, request) {
+            Ok(()) => self.counters.taken(class),
+            Err(Answer::Rejected(why)) => return self.reject(ticket, why, sides, now),
+            Err(answer) => {
+                self.counters.taken(class);
+                self.counters.answered(class, &answer);
+                return sides.front.answer(ticket, answer, now, &sides.reactor);
+            }
         }
         self.decide(Event::Arrived(arrival), sides, now);
     }
 
+    /// The request makes no sense: the client is told, and nobody else hears of it.
+    fn reject(&mut self, ticket: Ticket, why: String, sides: &mut Sides, now: Instant) {
+        self.rejections.warn(now, || format!("front: a request is rejected: {why}"));
+        self.counters.rejected += 1;
+        sides.front.answer(ticket, Answer::Rejected(why), now, &sides.reactor);
+    }
+
     fn on_left(&mut self, ticket: Ticket, sides: &mut Sides, now: Instant) {
         let Some(id) = self.ledger.id(ticket) else { return };
-        if let Some(open) = self.ledger.close(id) {
+        if let Some(open) = self.ledger.close(id, now) {
             self.counters.left(open.class);
             self.decide(Event::Left(id), sides, now);
         }
@@ -143,7 +159,7 @@
         let Purpose::Attempt(id, _) = done.purpose else {
             return self.decide(book::book(&done, true), sides, now);
         };
-        if let Some((open, answer)) = relay::served(id, &mut done.verdict, &mut self.ledger) {
+        if let Some((open, answer)) = relay::served(id, &mut done.verdict, &mut self.ledger, now) {
             self.relay(open, answer, sides, now);
         }
         let last = self.ledger.get_mut(id).is_none();
@@ -216,7 +232,7 @@
     }
 
     fn answer(&mut self, id: RequestId, answer: Answer, sides: &mut Sides, now: Instant) {
-        if let Some(open) = self.ledger.close(id) {
+        if let Some(open) = self.ledger.close(id, now) {
             self.relay(open, answer, sides, now);
         }
     }
--- a/leverproxy/src/stages/relay.rs
+++ b/leverproxy/src/stages/relay.rs
@@ -7,9 +7,14 @@
 use std::time::Instant;
 
 /// Takes a served answer out of `verdict`, if the request is still owed one.
-pub fn served(id: RequestId, verdict: &mut Verdict, ledger: &mut Ledger) -> Option<(Open, Answer)> {
+pub fn served(
+    id: RequestId,
+    verdict: &mut Verdict,
+    ledger: &mut Ledger,
+    now: Instant,
+) -> Option<(Open, Answer)> {
     let Verdict::Served(bytes) = verdict else { return None };
-    let open = ledger.close(id)?;
+    let open = ledger.close(id, now)?;
     Some((open, Answer::Served(std::mem::take(bytes))))
 }
 
--- a/leverproxy/src/stages/take_in.rs
+++ b/leverproxy/src/stages/take_in.rs
@@ -15,6 +15,7 @@
     id: RequestId,
     request: &Request,
     names: &Names,
+    deadlines: &[Duration],
     clock: &Clock,
     now: Instant,
 ) -> Result<Arrival, String> {
@@ -30,6 +31,9 @@
         }
         _ => 0,
     };
+    // No client waits longer than its class may: what states more must not hold a place for days.
+    let longest = deadlines.get(usize::from(class.0)).copied().unwrap_or(request.wait);
+    let wait = request.wait.min(longest);
     let spent = now.saturating_duration_since(request.read_at) + MARGIN;
     let unix_now = clock.unix(now);
     Ok(Arrival {
@@ -38,7 +42,7 @@
         tenant: TenantId(tenant),
         group: GroupId(request.group),
         session: request.session.map(SessionKey),
-        time_left: request.wait.saturating_sub(spent),
+        time_left: wait.saturating_sub(spent),
         wrote_ago: request.after.map(|at| unix_now.since(Time(at))),
         repeated: request.repeated,
     })
--- a/leverproxy/tests/stories.rs
+++ b/leverproxy/tests/stories.rs
@@ -184,7 +184,9 @@
     }
     let mut client = Peer::client(stage.address);
     let no_number = read(1, "any", 300).replace("cluster=3", "cluster=x");
-    let bad = [read(1, "unheard-of", 300), "SELECT 1".into(), no_number, "SELECT 1 /* id=1".into()];
+    let mut bad = vec![read(1, "unheard-of", 300), "SELECT 1".into(), no_number, "SELECT 1 /* id=1".into()];
+    bad.extend(["d=soon", "d=-5", "d="].map(|d| read(1, "any", 300).replace("d=300", d)));
+    bad.extend(["", "id=,"].map(|id| read(1, "any", 300).replace("id=0000000000000001,", id)));
     for query in bad {
         client.ask(&query);
         assert_eq!(client.reply().code.as_deref(), Some("42601"), "{query}");
@@ -194,6 +196,84 @@
     assert!(client.ended());
 }
 
+/// Whoever never gets to a request, or to the end of one, hears so and is put out; an idle client is not.
+#[test]
+fn who_asks_for_nothing_whole_is_turned_out() {
+    let server = Listener::new();
+    let stage = Stage::new(&[("s-1", &server)]);
+    let mut usual = Peer::client(stage.address);
+    usual.ask(&read(1, "any", 19000));
+    let mut upstream = server.welcome();
+    upstream.query();
+    upstream.answer("one", &[]);
+    assert_eq!(usual.reply().value.as_deref(), Some("one"));
+    let mut quiet = Peer::connect(stage.address);
+    let mut slow = Peer::connect(stage.address);
+    slow.write(&[0, 0, 0, 40, 0, 3]);
+    let mut welcomed = Peer::client(stage.address);
+    let mut half = Peer::client(stage.address);
+    half.write(&[b'Q', 0, 0, 1, 0, b'S']);
+    for client in [&mut quiet, &mut slow, &mut welcomed, &mut half] {
+        assert_eq!(client.reply().code.as_deref(), Some("08P01"));
+        assert!(client.ended());
+    }
+    usual.ask(&read(2, "any", 19000));
+    upstream.query();
+    upstream.answer("two", &[]);
+    assert_eq!(usual.reply().value.as_deref(), Some("two"));
+}
+
+/// The word to a client that is still sending arrives: a close with bytes unread would reset it away.
+#[test]
+fn an_error_reaches_who_is_still_sending() {
+    let stage = Stage::new(&[]);
+    let mut client = Peer::client(stage.address);
+    client.write(&[&[b'Q', 3, 0x93, 0x87, 0][..], &[b'x'; 600_000]].concat());
+    assert_eq!(client.reply().code.as_deref(), Some("08P01"));
+    client.write(&[b'x'; 1000]);
+    assert!(client.ended());
+}
+
+/// Connections that say nothing fill the place, and go for one that asks; who has asked before keeps its own.
+#[test]
+fn a_silent_crowd_keeps_nobody_out() {
+    let server = Listener::new();
+    let stage = Stage::with(&[("s-1", &server)], |config| config.limits.clients = 8);
+    let mut usual = Peer::client(stage.address);
+    usual.ask(&read(1, "any", 19000));
+    let mut upstream = server.welcome();
+    upstream.query();
+    upstream.answer("one", &[]);
+    assert_eq!(usual.reply().value.as_deref(), Some("one"));
+    let _crowd: Vec<Peer> = (0..40).map(|_| Peer::connect(stage.address)).collect();
+    let mut newcomer = Peer::client(stage.address);
+    for (id, client) in [(2, &mut newcomer), (3, &mut usual)] {
+        client.ask(&read(id, "any", 19000));
+        upstream.query();
+        upstream.answer("more", &[]);
+        assert_eq!(client.reply().value.as_deref(), Some("more"));
+    }
+}
+
+/// A request under the name of one that is open is no request: record servers would take the two for one.
+#[test]
+fn the_id_of_an_open_request_is_nobody_elses() {
+    let server = Listener::new();
+    let stage = Stage::new(&[("s-1", &server)]);
+    let (mut first, mut second) = (Peer::client(stage.address), Peer::client(stage.address));
+    first.ask(&read(1, "any", 19000));
+    let mut upstream = server.welcome();
+    upstream.query();
+    second.ask(&read(1, "any", 19000));
+    assert_eq!(second.reply().code.as_deref(), Some("42601"));
+    upstream.answer("one", &[]);
+    assert_eq!(first.reply().value.as_deref(), Some("one"));
+    // Nor once it has been answered.
+    second.ask(&read(1, "any", 19000));
+    assert_eq!(second.reply().code.as_deref(), Some("42601"));
+    assert!(server.try_accept().is_none(), "nothing more was sent");
+}
+
 /// Told to stop, the proxy takes what still comes, answers it, closes what is idle and ends.
 #[test]
 fn a_stop_answers_what_was_taken() {
--- a/leverproxy/tests/units.rs
+++ b/leverproxy/tests/units.rs
@@ -4,12 +4,18 @@
 use leverproxy::discovery::directory::{Change, Directory};
 use leverproxy::discovery::wire::Listing;
 use leverproxy::http::LineReader;
+use leverproxy::logging::NeverWaits;
 use leverproxy::pg::client::AnswerReader;
 use leverproxy::pg::statement::{self, Query};
 use leverproxy::pg::{self, ANSWER_LIMIT};
 use leverproxy::reactor::Slots;
-use mountshift::{ListNews, Listed, StoreId};
+use leverproxy::request::Ticket;
+use leverproxy::seldom::Seldom;
+use leverproxy::stages::admit::Ledger;
+use mountshift::{ClassId, ListNews, Listed, RequestId, StoreId};
 use mountshift_settings::Names;
+use std::io::{Read, Write};
+use std::os::unix::net::UnixStream;
 use std::process::Command;
 use std::time::{Duration, Instant};
 
@@ -81,6 +87,40 @@
     assert_eq!(rest, text.as_bytes());
 }
 
+/// On a long day every name is new: what is kept of them must not grow.
+#[test]
+fn names_of_requests_are_forgotten() {
+    let (mut ledger, start) = (Ledger::new(0), Instant::now());
+    for no in 0..10_000 {
+        let now = start + Duration::from_millis(10 * no);
+        let text = format!("SELECT 1 /* id={no},c=any,d=480,cluster=2 */");
+        let Ok(Query::Request(request)) = statement::parse(&text, now) else { panic!("{text}") };
+        let ticket = Ticket { client: Slots::default().insert(()), number: no };
+        assert!(ledger.admit(RequestId(no), ticket, ClassId(0), request).is_ok());
+        assert!(ledger.close(RequestId(no), now).is_some());
+    }
+    assert!(ledger.is_empty() && ledger.names() <= 500, "{} names are kept", ledger.names());
+}
+
+/// A reader of the log that has stopped reading must not stop the one thread.
+#[test]
+fn a_log_that_nobody_reads_is_dropped() {
+    let (near, mut far) = UnixStream::pair().unwrap();
+    NeverWaits(near).write_all(&[b'x'; 4 << 20]).unwrap();
+    let mut kept = Vec::new();
+    far.read_to_end(&mut kept).unwrap();
+    assert!((1..4 << 20).contains(&kept.len()));
+}
+
+/// What bad peers can bring about at will is a line a second at most, which tells how many it stands for.
+#[test]
+fn the_log_does_not_grow_with_a_flood() {
+    let (mut seldom, start) = (Seldom::default(), Instant::now());
+    let at = |millis: u64| start + Duration::from_millis(millis);
+    let lines: Vec<String> = (0..1500).filter_map(|ms| seldom.line(at(ms), || "bad".into())).collect();
+    assert_eq!(lines, ["bad", "bad (999 more like it since the last)"]);
+}
+
 #[test]
 fn a_faulty_key_is_named() {
     let with = |settings: &str, more: &str| {
