Check every message of an answer before it is relayed; what is spoilt ends at once

Cause: `AnswerReader::take` relayed any T, D and C message in any order and number, skipped what it did not know, and called an answer whole by its CommandComplete.

Now an answer is one column, one row whose lengths add up, CommandComplete, in this order; a row that can't add up is known by its first 11 bytes, other messages by their longest length. Spoilt is an outcome of its own: a failed attempt that may have run, of a server that has answered; its connection is closed at once. An answer that has begun and says nothing for 150 ms is spoilt. Bytes behind a good answer end its connection, as before, now with a story. A load report that can't be read, is not finite, negative, or ahead of the clock is no report, and its server no longer rests for it; a position ahead of the clock in an answer is none.

--- a/leverproxy/src/counters.rs
+++ b/leverproxy/src/counters.rs
@@ -76,6 +76,7 @@
         Verdict::Served(_) | Verdict::Reported(_) => "ok",
         Verdict::Miss => "miss",
         Verdict::Failed => "error",
+        Verdict::Spoilt => "spoilt",
         Verdict::Full => "full",
         Verdict::ConnectFailed => "connect failed",
         Verdict::Reset => "reset",
--- a/leverproxy/src/pg/client.rs
+++ b/leverproxy/src/pg/client.rs
@@ -1,6 +1,6 @@
 //! The side that record servers see: queries written, their answers read and understood.
 
-use super::{error_field, message, put, sqlstate, text, Malformed, ANSWER_LIMIT};
+use super::{error_field, message, put, sqlstate, text, Malformed, ANSWER_LIMIT, FRAME_SLACK};
 use crate::request::{Question, Verdict};
 use mountshift::{Note, Time};
 use std::time::Duration;
@@ -28,41 +28,93 @@
     out
 }
 
-/// Reads one answer, up to ReadyForQuery, as its bytes come.
+/// How far an answer has come. Anything out of this order is spoilt.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Stage {
+    /// The welcome to a new connection, which ends as an answer does.
+    Greeting,
+    Greeted,
+    #[default]
+    Asked,
+    Described,
+    Row,
+    /// CommandComplete, or an error.
+    Over,
+}
+
+/// Reads one answer, up to ReadyForQuery, as its bytes come, and takes nothing on trust: what is relayed is one
+/// column, one row, in order, with lengths that fit. Guards against servers that answer noise, lines without end
+/// or lengths that are not true, which a client must not get for its value.
 #[derive(Debug, Default)]
 pub struct AnswerReader {
     /// The messages that a client gets to see.
     relayed: Vec<u8>,
-    complete: bool,
+    stage: Stage,
     code: Option<String>,
     note: Note,
 }
 
+/// Longest message of a kind; none of other kinds is expected.
+fn longest(tag: u8, stage: Stage) -> Option<usize> {
+    Some(match tag {
+        b'D' => ANSWER_LIMIT,
+        b'T' | b'S' => 1 << 10,
+        b'E' | b'N' | b'A' => FRAME_SLACK,
+        b'C' => 64,
+        b'Z' => 5,
+        b'R' | b'K' | b'v' if matches!(stage, Stage::Greeting | Stage::Greeted) => 1 << 10,
+        _ => return None,
+    })
+}
+
 impl AnswerReader {
+    /// Reads the welcome to a new connection.
+    pub fn greeting() -> AnswerReader {
+        AnswerReader { stage: Stage::Greeting, ..AnswerReader::default() }
+    }
+
     /// Takes whole messages off the front of `bytes`; how many bytes they took, and whether the answer ended.
     pub fn take(&mut self, bytes: &[u8]) -> Result<(usize, bool), Malformed> {
         let mut at = 0;
-        while let Some(message) = message(&bytes[at..], ANSWER_LIMIT)? {
+        loop {
+            let rest = &bytes[at..];
+            let Some(&tag) = rest.first() else { return Ok((at, false)) };
+            let spoilt = |what: &str| Malformed(format!("message {:?} {what}", char::from(tag)));
+            let longest = longest(tag, self.stage).ok_or_else(|| spoilt("is not expected"))?;
+            if tag == b'D' && rest.len() >= 11 {
+                // Told by its head: a row that does not add up need not be waited for.
+                let length =
+                    |at: usize| rest[at..at + 4].iter().fold(0, |n: usize, &b| n << 8 | usize::from(b));
+                if rest[5..7] != [0, 1] || length(7) + 10 != length(1) {
+                    return Err(spoilt("is no row of one value"));
+                }
+            }
+            let Some(message) = message(rest, longest)? else { return Ok((at, false)) };
             at += message.raw.len();
-            match message.tag {
-                b'Z' => return Ok((at, true)),
-                b'T' | b'D' | b'C' => {
-                    if self.relayed.len() + message.raw.len() > ANSWER_LIMIT {
-                        return Err(Malformed("an answer is too long".into()));
-                    }
-                    self.relayed.extend_from_slice(message.raw);
-                    self.complete |= message.tag == b'C';
+            self.stage = match (tag, self.stage) {
+                (b'T', Stage::Asked) if one_column(message.body) => Stage::Described,
+                (b'D', Stage::Described) if message.body.len() >= 6 => Stage::Row,
+                (b'C', Stage::Row) if matches!(text(message.body), Some((_, []))) => Stage::Over,
+                (b'E', stage) if stage != Stage::Over => {
+                    let code = error_field(message.body, b'C').filter(|code| code.len() == 5);
+                    self.code = Some(code.ok_or_else(|| spoilt("bears no code"))?.to_owned());
+                    Stage::Over
+                }
+                (b'R', Stage::Greeting) if message.body == [0; 4] => Stage::Greeted,
+                (b'Z', Stage::Over | Stage::Greeted) if matches!(message.body, [b'I' | b'T' | b'E']) => {
+                    return Ok((at, true));
                 }
-                b'E' => self.code = Some(error_field(message.body, b'C').unwrap_or_default().to_owned()),
-                b'S' => self.parameter(message.body),
-                b'R' if message.body.get(..4) != Some(&[0; 4]) => {
-                    return Err(Malformed("a record server asks for a password".into()))
+                (b'S', stage) => {
+                    self.parameter(message.body);
+                    stage
                 }
-                // Notices, keys and whatever else there may be.
-                _ => {}
+                (b'N' | b'A' | b'K' | b'v', stage) => stage,
+                _ => return Err(spoilt("is out of place or makes no sense")),
+            };
+            if matches!(tag, b'T' | b'D' | b'C') {
+                self.relayed.extend_from_slice(message.raw);
             }
         }
-        Ok((at, false))
     }
 
     fn parameter(&mut self, body: &[u8]) {
@@ -88,21 +140,26 @@
         self.code.as_deref() == Some(sqlstate::TOO_MANY_CONNECTIONS)
     }
 
+    /// Of an answer that ended as it should.
     pub fn verdict(self, question: &Question) -> (Verdict, Note) {
         let verdict = match (self.code.as_deref(), question) {
             (Some(sqlstate::READ_ONLY_SQL_TRANSACTION | sqlstate::SNAPSHOT_TOO_OLD), _) => Verdict::Miss,
             (Some(_), _) if self.turned_away() => Verdict::Full,
-            (None, Question::Command(..)) if self.complete => Verdict::Served(self.relayed),
-            (None, Question::Load) => match first_value(&self.relayed) {
-                Some(text) => Verdict::Reported(load_fields(text)),
-                None => Verdict::Failed,
-            },
-            _ => Verdict::Failed,
+            (Some(_), _) => Verdict::Failed,
+            (None, Question::Command(..)) => Verdict::Served(self.relayed),
+            (None, Question::Load) => {
+                Verdict::Reported(first_value(&self.relayed).and_then(load_fields).unwrap_or_default())
+            }
         };
         (verdict, self.note)
     }
 }
 
+/// The body of a RowDescription of one column: its name and 18 bytes on it.
+fn one_column(body: &[u8]) -> bool {
+    matches!(body, [0, 1, column @ ..] if text(column).is_some_and(|(_, rest)| rest.len() == 18))
+}
+
 /// The first column of the first row in the messages of an answer.
 fn first_value(relayed: &[u8]) -> Option<&str> {
     let mut rest = relayed;
@@ -117,11 +174,12 @@
     }
 }
 
-/// The fields of a load report: `inflight=7,util=0.61`.
-fn load_fields(text: &str) -> Vec<(String, f64)> {
+/// The fields of a load report: `inflight=7,util=0.61`; none if any can't be read: it is no report then.
+fn load_fields(text: &str) -> Option<Vec<(String, f64)>> {
     let field = |pair: &str| {
         let (name, value) = pair.split_once('=')?;
-        Some((name.trim().to_owned(), value.trim().parse().ok()?))
+        let value = value.trim().parse().ok().filter(|value: &f64| value.is_finite() && *value >= 0.0)?;
+        Some((name.trim().to_owned(), value))
     };
-    text.split(',').filter_map(field).collect()
+    text.split(',').map(field).collect()
 }
--- a/leverproxy/src/request.rs
+++ b/leverproxy/src/request.rs
@@ -81,7 +81,7 @@
 pub enum Verdict {
     /// The answer to a command, in the words of its protocol.
     Served(Vec<u8>),
-    /// The fields of a load report.
+    /// The fields of a load report; none if it could not be read.
     Reported(Vec<(String, f64)>),
     Miss,
     Failed,
@@ -89,6 +89,8 @@
     Full,
     /// Its last byte was never written.
     ConnectFailed,
+    /// What came back is no answer; the command has run all the same, or may have.
+    Spoilt,
     /// The connection broke after that.
     Reset,
     TimedOut,
--- a/leverproxy/src/stages/book.rs
+++ b/leverproxy/src/stages/book.rs
@@ -1,11 +1,13 @@
 //! Book: how an exchange ended, as the module is told of it.
 
 use crate::request::{Done, Purpose, Verdict};
-use mountshift::{Ended, Event, Outcome, Report, Time};
+use mountshift::{Ended, Event, Note, Outcome, Report, Time};
 use std::time::Duration;
 
-/// `last`: the request is owed nothing more.
-pub fn book(done: &Done, last: bool) -> Event {
+/// `last`: the request is owed nothing more. A position ahead of `now` is no position: believed, it would make a
+/// replica seem to hold what is not written yet.
+pub fn book(done: &Done, last: bool, now: Time) -> Event {
+    let known = |position: &Time| *position <= now.plus(CLOCKS_APART);
     match done.purpose {
         Purpose::Attempt(id, attempt) => Event::Ended(Ended {
             id,
@@ -14,16 +16,18 @@
             outcome: outcome(&done.verdict),
             elapsed: done.elapsed,
             last,
-            note: done.note,
+            note: Note { position: done.note.position.filter(known), ..done.note },
         }),
         Purpose::Probe => {
             let report = match &done.verdict {
-                Verdict::Reported(fields) => Some(report(fields)),
-                _ => None,
+                Verdict::Reported(fields) => report(fields),
+                _ => Report::default(),
             };
-            let ok = report.is_some();
+            // A report that can't be read, or can't be true, is none; the server has answered all the same.
+            let sound = report.position.as_ref().is_none_or(known);
+            let ok = matches!(done.verdict, Verdict::Reported(_));
             let (store, elapsed) = (done.store, done.elapsed);
-            Event::Probed { store, ok, elapsed, report: report.unwrap_or_default() }
+            Event::Probed { store, ok, elapsed, report: if sound { report } else { Report::default() } }
         }
     }
 }
@@ -32,7 +36,8 @@
     match verdict {
         Verdict::Served(_) | Verdict::Reported(_) => Outcome::Ok,
         Verdict::Miss => Outcome::Miss,
-        Verdict::Failed => Outcome::Failed,
+        // It has answered, so it is not taken for dead.
+        Verdict::Failed | Verdict::Spoilt => Outcome::Failed,
         Verdict::Full => Outcome::Full,
         Verdict::ConnectFailed => Outcome::ConnectFailed,
         Verdict::Reset => Outcome::Reset,
@@ -42,6 +47,9 @@
     }
 }
 
+/// All machines read one clock, give or take this.
+const CLOCKS_APART: Duration = Duration::from_secs(1);
+
 /// What a position in seconds may be off by as a 64-bit float: it is told rounded towards the past.
 const ROUNDING: Duration = Duration::from_micros(1);
 
--- a/leverproxy/src/stages/mod.rs
+++ b/leverproxy/src/stages/mod.rs
@@ -157,13 +157,13 @@
     fn on_done(&mut self, mut done: Done, sides: &mut Sides, now: Instant) {
         self.counters.ended(done.class, &done.verdict);
         let Purpose::Attempt(id, _) = done.purpose else {
-            return self.decide(book::book(&done, true), sides, now);
+            return self.decide(book::book(&done, true, self.clock.unix(now)), sides, now);
         };
         if let Some((open, answer)) = relay::served(id, &mut done.verdict, &mut self.ledger, now) {
             self.relay(open, answer, sides, now);
         }
         let last = self.ledger.get_mut(id).is_none();
-        self.decide(book::book(&done, last), sides, now);
+        self.decide(book::book(&done, last, self.clock.unix(now)), sides, now);
     }
 
     fn on_news(&mut self, news: News, sides: &mut Sides, now: Instant) {
--- a/leverproxy/src/upstream.rs
+++ b/leverproxy/src/upstream.rs
@@ -7,6 +7,7 @@
 use crate::pg::client::{self, AnswerReader};
 use crate::reactor::{Interest, Key, Reactor, Slots, Token};
 use crate::request::{Done, Purpose, Question, Verdict};
+use crate::seldom::Seldom;
 use mountshift::{ClassId, Note, StoreId};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -15,6 +16,9 @@
 /// Dials under way to one server; further exchanges wait for these or for a connection to come free.
 const DIALS_AT_ONCE: usize = 32;
 
+/// An answer that has begun goes on within this; half of one is none, however long it is waited for.
+const ANSWER_STALL: Duration = Duration::from_millis(150);
+
 /// One exchange: bytes out, one answer back.
 #[derive(Debug)]
 pub struct Exchange {
@@ -40,6 +44,7 @@
     done: VecDeque<Done>,
     /// Timers asked for.
     due: Vec<(Instant, Due)>,
+    misunderstood: Seldom,
     limit: usize,
     dial_timeout: Duration,
     idle_limit: Duration,
@@ -73,6 +78,8 @@
         reader: AnswerReader,
         /// Its last byte is with the system: from here on it may have run.
         written: bool,
+        /// Some of its answer has come.
+        begun: bool,
     },
 }
 
@@ -83,6 +90,7 @@
             pools: BTreeMap::new(),
             done: VecDeque::new(),
             due: Vec::new(),
+            misunderstood: Seldom::default(),
             limit,
             dial_timeout,
             idle_limit,
@@ -220,7 +228,8 @@
         connection.stream.push(&client::question(&exchange.question));
         connection.until = exchange.until;
         self.due.push((exchange.until, Due::Connection(key)));
-        connection.state = State::Busy { exchange, reader: AnswerReader::default(), written: false };
+        connection.state =
+            State::Busy { exchange, reader: AnswerReader::default(), written: false, begun: false };
         self.advance(key, now, reactor);
     }
 
@@ -232,7 +241,7 @@
                 return self.close(key, Verdict::ConnectFailed, now);
             }
             connection.stream.push(&client::startup());
-            connection.state = State::Greeting(AnswerReader::default());
+            connection.state = State::Greeting(AnswerReader::greeting());
         }
         self.advance(key, now, reactor);
     }
@@ -253,22 +262,33 @@
                 reader.take(connection.stream.input.unused())
             }
         };
-        match taken {
+        let used = match taken {
             Ok((used, whole)) => {
                 connection.stream.input.consume(used);
                 if whole {
                     return self.answered(key, filled == Filled::Ended, now, reactor);
                 }
+                used
             }
             Err(why) => {
-                log::warn!("upstream: a record server is not understood: {why}");
-                return self.broken(key, now);
+                let address = connection.address;
+                let text = || format!("upstream: {address} is not understood: {why}");
+                self.misunderstood.warn(now, text);
+                return self.spoilt(key, now);
             }
-        }
+        };
         let Ok(written) = flushed else { return self.broken(key, now) };
         if filled == Filled::Ended {
             return self.broken(key, now);
         }
+        let came = !connection.stream.input.is_empty() || used > 0;
+        if let State::Busy { exchange, begun, .. } = &mut connection.state {
+            if came {
+                *begun = true;
+                connection.until = exchange.until.min(now + ANSWER_STALL);
+                self.due.push((connection.until, Due::Connection(key)));
+            }
+        }
         let interest = Interest { read: true, write: !written };
         if connection.stream.watch(reactor, Token::Upstream(key), interest).is_err() {
             self.broken(key, now);
@@ -318,12 +338,23 @@
         self.close(key, verdict, now);
     }
 
+    /// What came makes no sense. Nothing that came before on the connection is believed either.
+    fn spoilt(&mut self, key: Key, now: Instant) {
+        match self.connections.get_mut(key).map(|c| &mut c.state) {
+            Some(State::Busy { reader, written: true, .. }) => {
+                *reader = AnswerReader::default();
+                self.close(key, Verdict::Spoilt, now);
+            }
+            _ => self.broken(key, now),
+        }
+    }
+
     /// Ends a connection; what it was for ends with `verdict`, unless an error that came says better.
     fn close(&mut self, key: Key, verdict: Verdict, now: Instant) {
         let Some(connection) = self.connections.remove(key) else { return };
         let store = connection.store;
         match connection.state {
-            State::Busy { exchange, reader, written } => {
+            State::Busy { exchange, reader, written, .. } => {
                 let (verdict, note) = match reader.conclusive() {
                     true if written => reader.verdict(&exchange.question),
                     true => (not_welcome(&reader), Note::default()),
@@ -398,6 +429,7 @@
                 let Some(connection) = self.connections.get(key).filter(|c| c.until <= now) else { return };
                 let store = connection.store;
                 match connection.state {
+                    State::Busy { written: true, begun: true, .. } => self.spoilt(key, now),
                     State::Busy { written: true, .. } => self.close(key, Verdict::TimedOut, now),
                     State::Busy { .. } | State::Idle => self.close(key, Verdict::ConnectFailed, now),
                     State::Connecting | State::Greeting(_) => {
--- a/leverproxy/tests/common/mod.rs
+++ b/leverproxy/tests/common/mod.rs
@@ -173,26 +173,7 @@
     }
 
     pub fn answer(&mut self, value: &str, parameters: &[(&str, &str)]) {
-        let mut out = Vec::new();
-        pg::put(&mut out, b'T', |body| {
-            body.extend([0, 1]);
-            pg::put_text(body, "doc");
-            body.extend([0; 18]);
-        });
-        pg::put(&mut out, b'D', |body| {
-            body.extend([0, 1]);
-            body.extend((value.len() as u32).to_be_bytes());
-            body.extend(value.as_bytes());
-        });
-        pg::put(&mut out, b'C', |body| pg::put_text(body, "SELECT 1"));
-        for (name, value) in parameters {
-            pg::put(&mut out, b'S', |body| {
-                pg::put_text(body, name);
-                pg::put_text(body, value);
-            });
-        }
-        pg::put_ready(&mut out);
-        self.write(&out);
+        self.write(&answer(value, parameters));
     }
 
     pub fn error(&mut self, code: &str) {
@@ -268,6 +249,30 @@
     }
 }
 
+/// An answer as a record server gives it.
+pub fn answer(value: &str, parameters: &[(&str, &str)]) -> Vec<u8> {
+    let mut out = Vec::new();
+    pg::put(&mut out, b'T', |body| {
+        body.extend([0, 1]);
+        pg::put_text(body, "doc");
+        body.extend([0; 18]);
+    });
+    pg::put(&mut out, b'D', |body| {
+        body.extend([0, 1]);
+        body.extend((value.len() as u32).to_be_bytes());
+        body.extend(value.as_bytes());
+    });
+    pg::put(&mut out, b'C', |body| pg::put_text(body, "SELECT 1"));
+    for (name, value) in parameters {
+        pg::put(&mut out, b'S', |body| {
+            pg::put_text(body, name);
+            pg::put_text(body, value);
+        });
+    }
+    pg::put_ready(&mut out);
+    out
+}
+
 pub fn read(id: u32, class: &str, wait_ms: u32) -> String {
     format!(
         "SELECT doc FROM items WHERE id = '7f3a' /* id={id:016x},c={class},t=acme,d={wait_ms},cluster=3 */"
--- a/leverproxy/tests/stories.rs
+++ b/leverproxy/tests/stories.rs
@@ -1,7 +1,7 @@
 //! Stories over loopback: a real proxy between scripted clients, record servers and discovery.
 
 mod common;
-use common::{read, Listener, Peer, Program, Reply, Stage, PATIENCE};
+use common::{answer, read, Listener, Peer, Program, Reply, Stage, PATIENCE};
 use leverproxy::reactor::{Reactor, Token};
 use leverproxy::request::{Purpose, Question, Verdict};
 use leverproxy::upstream::{Exchange, Upstream};
@@ -154,6 +154,44 @@
     stage.discovery.accept().watch();
 }
 
+/// A spoilt answer is a failed attempt: the connection ends at once, not when time is out, even where half of an
+/// answer is all that comes; what may be repeated is, and a write is not.
+#[test]
+fn a_spoilt_answer_reaches_nobody() {
+    let server = Listener::new();
+    let (_stage, mut client, mut upstream) = write_out(&server);
+    upstream.write(b"D\0\0\0\x0dnoise");
+    assert!(upstream.ended());
+    assert_eq!(client.reply().code.as_deref(), Some("08007"));
+    client.ask(&read(2, "any", 19000));
+    for spoilt in [b"T\0\0\0".to_vec(), answer("another", &[]).split_off(30)] {
+        let mut upstream = server.welcome();
+        upstream.query();
+        upstream.write(&spoilt);
+        assert!(upstream.ended());
+    }
+    let mut upstream = server.welcome();
+    upstream.query();
+    upstream.answer("good", &[]);
+    assert_eq!(client.reply().value.as_deref(), Some("good"));
+}
+
+/// More than an answer came: the answer counts, and nothing else is asked on that connection.
+#[test]
+fn bytes_behind_an_answer_are_nobodys() {
+    let server = Listener::new();
+    let stage = Stage::new(&[("s-1", &server)]);
+    let mut client = Peer::client(stage.address);
+    for (id, more) in [(1, answer("one", &[])), (2, b"noise".to_vec())] {
+        client.ask(&read(id, "any", 19000));
+        let mut upstream = server.welcome();
+        upstream.query();
+        upstream.write(&[answer("good", &[]), more].concat());
+        assert_eq!(client.reply().value.as_deref(), Some("good"));
+        assert!(upstream.ended());
+    }
+}
+
 /// A server that takes a request and says nothing: the client is refused in time, and told when to come back.
 #[test]
 fn a_silent_server_costs_no_deadline() {
--- a/leverproxy/tests/units.rs
+++ b/leverproxy/tests/units.rs
@@ -1,5 +1,7 @@
 //! What needs no socket: codecs fed byte by byte, keys that go stale, and the configuration's messages.
 
+mod common;
+use common::PATIENCE;
 use leverproxy::config;
 use leverproxy::discovery::directory::{Change, Directory};
 use leverproxy::discovery::wire::Listing;
@@ -7,16 +9,16 @@
 use leverproxy::logging::NeverWaits;
 use leverproxy::pg::client::AnswerReader;
 use leverproxy::pg::statement::{self, Query};
-use leverproxy::pg::{self, ANSWER_LIMIT};
 use leverproxy::reactor::Slots;
-use leverproxy::request::Ticket;
+use leverproxy::request::{Command, Done, Purpose, Question, Ticket, Verdict};
 use leverproxy::seldom::Seldom;
 use leverproxy::stages::admit::Ledger;
-use mountshift::{ClassId, ListNews, Listed, RequestId, StoreId};
+use leverproxy::stages::book;
+use mountshift::{ClassId, Event, ListNews, Listed, Note, Report, RequestId, StoreId, Time};
 use mountshift_settings::Names;
 use std::io::{Read, Write};
 use std::os::unix::net::UnixStream;
-use std::process::Command;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 #[test]
@@ -63,15 +65,67 @@
     assert!(Listing::parse(br#"{"endpoints":[{"name":7}]}"#).is_err());
 }
 
+/// Whatever is not one row of one value, in order, is known for spoilt before its end is waited for.
 #[test]
-fn an_answer_stays_within_its_limit() {
-    let mut row = Vec::new();
-    pg::put(&mut row, b'D', |body| body.extend([0; ANSWER_LIMIT / 2]));
+fn only_a_sound_answer_is_taken() {
+    let good = common::answer("doc", &[("role", "replica"), ("load", "=?"), ("applied_ms", "soon")]);
     let mut reader = AnswerReader::default();
-    assert_eq!(reader.take(&row).unwrap(), (row.len(), false));
-    assert!(reader.take(&row).is_err(), "two such rows are too much");
-    let long = [b'D', 0x7f, 0, 0, 0];
-    assert!(AnswerReader::default().take(&long).is_err(), "told by the length alone");
+    for cut in 0..good.len() {
+        assert!(!AnswerReader::default().take(&good[..cut]).unwrap().1, "{cut}");
+    }
+    assert_eq!(reader.take(&good).unwrap(), (good.len(), true));
+    let question = Question::Command(Arc::new(Command { before_wait: vec![], after_wait: vec![] }), PATIENCE);
+    let (verdict, note) = reader.verdict(&question);
+    assert!(matches!(verdict, Verdict::Served(bytes) if good.starts_with(&bytes)));
+    assert_eq!(note, Note { primary: Some(false), position: None });
+    let at = |tag: &[u8]| good.windows(2).position(|w| w == [tag[0], 0]).unwrap();
+    let (row, done) = (at(b"D"), at(b"C"));
+    let (head, rest) = good.split_at(row);
+    let changed = |place: usize, byte: u8| {
+        let mut bytes = good.clone();
+        bytes[place] = byte;
+        bytes
+    };
+    let huge = [head, &[b'D', 0xb2, 0xd0, 0x5e, 0, 0, 1, 0xb2, 0xd0, 0x5d, 0xf6]].concat();
+    let fits_not = [head, &rest[..10], &[9]].concat();
+    let twice = [&good[..done], &rest[..done - row], &good[done..]].concat();
+    let spoilt = [
+        b"HTTP/1.1 400 Bad Request".to_vec(),
+        good[row..].to_vec(),
+        [head, &good[done..]].concat(),
+        changed(6, 2),
+        changed(row + 6, 2),
+        changed(done + 4, 200),
+        changed(good.len() - 1, b'?'),
+        huge,
+        fits_not,
+        twice,
+        vec![b'Z', 0, 0, 0, 5, b'I'],
+        vec![b'E', 0, 0, 0, 6, b'S', 0],
+    ];
+    for (no, bytes) in spoilt.iter().enumerate() {
+        assert!(AnswerReader::default().take(bytes).is_err(), "number {no}");
+    }
+}
+
+/// A report that can't be read, or can't be true, is none, and its server is not taken for dead.
+#[test]
+fn an_absurd_report_is_none() {
+    let now = Time(Duration::from_secs(1_800_000_000));
+    let probed = |text: &str| {
+        let mut reader = AnswerReader::default();
+        reader.take(&common::answer(text, &[])).unwrap();
+        let (verdict, note) = reader.verdict(&Question::Load);
+        let (purpose, elapsed, store) = (Purpose::Probe, PATIENCE, StoreId(1));
+        match book::book(&Done { purpose, class: None, store, verdict, elapsed, note }, true, now) {
+            Event::Probed { ok: true, report, .. } => report,
+            other => panic!("{other:?}"),
+        }
+    };
+    assert_eq!(probed("x0=1799999999.5,x1=1,backlog=3").queued, Some(3.0));
+    for bad in ["", "%&/", "x0=NaN,x1=1", "x0=1e300,x1=1", "x0=1799999999.5,x1=1,backlog=-7", "x0=,x1"] {
+        assert_eq!(probed(bad), Report::default(), "{bad:?}");
+    }
 }
 
 #[test]
@@ -143,7 +197,7 @@
 #[test]
 fn the_program_ends_with_2_on_bad_configuration() {
     let serve = |arguments: &[&str]| {
-        let mut program = Command::new(env!("CARGO_BIN_EXE_leverproxy"));
+        let mut program = std::process::Command::new(env!("CARGO_BIN_EXE_leverproxy"));
         program.args(arguments).env_remove("LB_CONFIG").output().unwrap()
     };
     let ended = serve(&["serve"]);
