After SIGTERM everything ends before SIGKILL; names of former servers are bounded

Now requests have no time beyond the end, which is 0.1 s before SIGKILL may come, and whoever is owed an answer then is told that none came. The names of former servers that the directory keeps are 1,000 at most (10,000 before), with a test that replaces servers and sees the size stay.

--- a/leverproxy/src/config.rs
+++ b/leverproxy/src/config.rs
@@ -47,8 +47,8 @@
     pub watch_silence: Duration,
     /// After being told to stop, new connections are taken for this long.
     pub linger: Duration,
-    /// After that much more, what is still owed is given up.
-    pub last_answers: Duration,
+    /// So long after being told to stop, what is still owed is given up.
+    pub give_up: Duration,
 }
 
 /// How the descriptors are shared out.
@@ -69,8 +69,10 @@
 const WATCH_SILENCE: Duration = Duration::from_millis(3_000);
 /// After SIGTERM new connections go on coming for up to 0.4 s.
 const LINGER: Duration = Duration::from_millis(500);
-/// Beyond the longest deadline of a class, for answers on their way out.
-const LAST_MARGIN: Duration = Duration::from_millis(100);
+/// SIGKILL comes no sooner than 0.7 s and the longest deadline after SIGTERM, which counts for this much at most.
+const KILL_DEADLINE: Duration = Duration::from_secs(3);
+/// Beyond that deadline, for answers on their way out.
+const LAST_MARGIN: Duration = Duration::from_millis(600);
 /// Share of the time that a server keeps an idle connection after which it is closed here: a request written
 /// while the server closes would be lost.
 const IDLE_SHARE: f64 = 0.8;
@@ -157,6 +159,8 @@
             .map_err(|_| ConfigError::new("seed", format!("{text:?} is not a hexadecimal number")))?,
         None => u64::from(std::process::id()),
     };
+    let longest = platform.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
+    let give_up = longest.min(KILL_DEADLINE) + LAST_MARGIN;
     let or_default = |stated: Duration, default| if stated.is_zero() { default } else { stated };
     Ok(Config {
         name: variable("LB_NAME").or(file.name).unwrap_or_else(|| "leverproxy".into()),
@@ -169,8 +173,7 @@
         idle_limit: or_default(platform.settings.keepalive, DEFAULT_IDLE).mul_f64(IDLE_SHARE),
         watch_silence: WATCH_SILENCE,
         linger: LINGER,
-        last_answers: platform.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default()
-            + LAST_MARGIN,
+        give_up,
         platform,
     })
 }
--- a/leverproxy/src/discovery/directory.rs
+++ b/leverproxy/src/discovery/directory.rs
@@ -7,7 +7,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-const NAMES_KEPT: usize = 10_000;
+/// Names of former servers that are remembered at most.
+const NAMES_KEPT: usize = 1_000;
 
 #[derive(Default)]
 pub struct Directory {
@@ -36,6 +37,11 @@
         self.index
     }
 
+    /// Names that are known, of former servers too.
+    pub fn names(&self) -> usize {
+        self.ids.len()
+    }
+
     /// Takes a listing in; what it tells the module and the pools.
     pub fn learn(&mut self, listing: Listing, names: &Names) -> (ListNews, Vec<Change>) {
         self.index = listing.index;
@@ -57,7 +63,7 @@
         self.members
             .retain(|store, _| !entries.iter().any(|e| e.store == *store && e.listed == Listed::Gone));
         // A server that comes back keeps its id; only so many names of former ones are remembered.
-        if self.ids.len() > NAMES_KEPT {
+        if self.ids.len() > NAMES_KEPT + self.members.len() {
             self.ids.retain(|_, id| self.members.contains_key(id));
         }
         let news = if listing.snapshot { ListNews::Complete(entries) } else { ListNews::Changes(entries) };
--- a/leverproxy/src/proxy.rs
+++ b/leverproxy/src/proxy.rs
@@ -19,8 +19,9 @@
     sides: Sides,
     chain: Chain,
     wishes: control::Listener,
+    /// After being told to stop: no new connections, and the end.
     linger: Duration,
-    last_answers: Duration,
+    give_up: Duration,
     phase: Phase,
     reread: Option<Reread>,
     fixed: Fixed,
@@ -72,9 +73,10 @@
         log::info!("{}: serving on {address}", fixed.name);
         sides.timers.set(now, Timer::LookOver);
         chain.start(config.known, &mut sides, now);
-        let (linger, last_answers) = (config.linger, config.last_answers);
+        let Config { linger, give_up, .. } = config;
         let phase = Phase::Serving;
-        Ok((Proxy { sides, chain, wishes, linger, last_answers, phase, reread: None, fixed }, control))
+        let reread = None;
+        Ok((Proxy { sides, chain, wishes, linger, give_up, phase, reread, fixed }, control))
     }
 
     pub fn local_address(&self) -> Option<SocketAddr> {
@@ -140,9 +142,11 @@
             Timer::Close => {
                 self.sides.front.close(now, &self.sides.reactor);
                 self.phase = Phase::Closing;
-                self.sides.timers.set(now + self.last_answers, Timer::End);
             }
-            Timer::End => self.phase = Phase::Over,
+            Timer::End => {
+                self.chain.fail_all(&mut self.sides, now);
+                self.phase = Phase::Over;
+            }
         }
         self.chain.turn(&mut self.sides, now);
     }
@@ -154,6 +158,8 @@
                     log::info!("told to stop: answering what has come");
                     self.phase = Phase::Lingering;
                     self.sides.timers.set(now + self.linger, Timer::Close);
+                    self.sides.timers.set(now + self.give_up, Timer::End);
+                    self.chain.ends_at(now + self.give_up);
                 }
                 Wish::Stop => {}
                 Wish::Report => self.report(),
--- a/leverproxy/src/stages/admit.rs
+++ b/leverproxy/src/stages/admit.rs
@@ -110,6 +110,10 @@
         self.tickets.get(&ticket).copied()
     }
 
+    pub fn ids(&self) -> Vec<RequestId> {
+        self.open.keys().copied().collect()
+    }
+
     pub fn len(&self) -> usize {
         self.open.len()
     }
--- a/leverproxy/src/stages/mod.rs
+++ b/leverproxy/src/stages/mod.rs
@@ -57,6 +57,8 @@
     ledger: admit::Ledger,
     route: route::Route,
     rejections: Seldom,
+    /// When the proxy ends, once it is told to: no request has time beyond that.
+    end: Option<Instant>,
     pub counters: Counters,
 }
 
@@ -73,6 +75,7 @@
         Chain {
             counters: Counters::new(&names.classes),
             rejections: Seldom::default(),
+            end: None,
             names,
             deadlines: settings.classes.iter().map(|c| c.deadline).collect(),
             probe_time,
@@ -121,7 +124,7 @@
     fn on_request(&mut self, ticket: Ticket, request: Request, sides: &mut Sides, now: Instant) {
         let id = self.ledger.next_id();
         let arrival = match take_in::take_in(id, &request, &self.names, &self.deadlines, &self.clock, now) {
-            Ok(arrival) => arrival,
+            Ok(arrival) => take_in::end_by(arrival, self.end, now),
             Err(why) => {
                 return self.reject(ticket, why, sides, now);
             }
@@ -243,6 +246,18 @@
         sides.front.answer(open.ticket, answer, now, &sides.reactor);
     }
 
+    /// No request that comes from now on is waited for beyond this.
+    pub fn ends_at(&mut self, end: Instant) {
+        self.end = Some(end);
+    }
+
+    /// The last word to all who are owed one: better than a connection that just ends.
+    pub fn fail_all(&mut self, sides: &mut Sides, now: Instant) {
+        for id in self.ledger.ids() {
+            self.answer(id, Answer::Failed, sides, now);
+        }
+    }
+
     /// Requests that are owed an answer.
     pub fn owed(&self) -> usize {
         self.ledger.len()
--- a/leverproxy/src/stages/take_in.rs
+++ b/leverproxy/src/stages/take_in.rs
@@ -47,3 +47,9 @@
         repeated: request.repeated,
     })
 }
+
+/// A proxy that is told to stop has no more time than until its end, less the way of an answer.
+pub fn end_by(arrival: Arrival, end: Option<Instant>, now: Instant) -> Arrival {
+    let left = end.map(|end| end.saturating_duration_since(now).saturating_sub(MARGIN));
+    Arrival { time_left: left.map_or(arrival.time_left, |left| left.min(arrival.time_left)), ..arrival }
+}
--- a/leverproxy/tests/stories.rs
+++ b/leverproxy/tests/stories.rs
@@ -316,7 +316,9 @@
 #[test]
 fn a_stop_answers_what_was_taken() {
     let server = Listener::new();
-    let mut stage = Stage::with(&[("s-1", &server)], |config| config.linger = Duration::from_secs(2));
+    let mut stage = Stage::with(&[("s-1", &server)], |config| {
+        (config.linger, config.give_up) = (Duration::from_secs(2), 3 * PATIENCE);
+    });
     let mut idle = Peer::client(stage.address);
     let mut busy = Peer::client(stage.address);
     busy.ask(&read(1, "any", 19000));
@@ -336,6 +338,20 @@
     stage.end();
 }
 
+/// The platform kills what does not end in time: whoever is still owed an answer then gets one before.
+#[test]
+fn a_stop_leaves_nobody_without_an_answer() {
+    let server = Listener::new();
+    let mut stage = Stage::with(&[("s-1", &server)], |config| config.give_up = Duration::from_secs(1));
+    let mut client = Peer::client(stage.address);
+    client.ask(&read(1, "any", 19000));
+    let mut upstream = server.welcome();
+    upstream.query();
+    stage.control.stop();
+    assert_eq!(client.reply().code.as_deref(), Some("08007"));
+    stage.end();
+}
+
 /// A client that leaves is owed nothing, and its place is free for the next one at the limit.
 #[test]
 fn a_full_house_takes_the_next_client() {
--- a/leverproxy/tests/units.rs
+++ b/leverproxy/tests/units.rs
@@ -156,6 +156,21 @@
     assert!(ledger.is_empty() && ledger.names() <= 500, "{} names are kept", ledger.names());
 }
 
+/// On a long day servers are replaced under new names all the time: what is kept of them must not grow.
+#[test]
+fn names_of_servers_are_forgotten() {
+    let mut directory = Directory::default();
+    for no in 0..5_000 {
+        let json = format!(
+            r#"{{"index":{no},"endpoints":[{{"name":"s-{no}","address":"127.0.0.1:1","group":3,"status":"Ready"}},
+                {{"name":"s-{}","status":"Gone"}}]}}"#,
+            no - 1
+        );
+        directory.learn(Listing::parse(json.as_bytes()).unwrap(), &Names::default());
+    }
+    assert!(directory.names() <= 1_002, "{} names are kept", directory.names());
+}
+
 /// A reader of the log that has stopped reading must not stop the one thread.
 #[test]
 fn a_log_that_nobody_reads_is_dropped() {
