Among many clients close idle connections, at once when most that clients may hold are taken

Logs of the front: from 2.2 s on 124 of 128 connections are idle, each of them asked once and kept by its client; 128 is a third of the 384 descriptors, the most that clients may hold, so who comes to ask has no connection left. Ruled out: the accepting (no pause, no backlog), the servers (10 idle), answers half sent (nothing unsent on the idle ones). Cause: `Front` let idle connections go only when its own table of 211 was full.

Now, from a sixth of the descriptors on, connections idle for 2 s are closed; from a quarter on idle ones are closed whatever their age, those that asked once before those that ask again and again.

--- a/leverproxy/src/config.rs
+++ b/leverproxy/src/config.rs
@@ -55,6 +55,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
     pub clients: usize,
+    /// From this many clients on, none keeps an idle connection for long; from that many on, for any time.
+    pub crowded: usize,
+    pub packed: usize,
     pub upstream: usize,
 }
 
@@ -185,7 +188,9 @@
     // A request takes a client's connection for all its time and a record server's for a part of it.
     let shared = sockets - SPARE_SOCKETS;
     let clients = shared * 3 / 5;
-    Ok(Limits { clients, upstream: shared - clients })
+    // Clients hold a third of the descriptors at most: of these a quarter is for those who come to ask, and a half
+    // if nobody minds.
+    Ok(Limits { clients, crowded: sockets / 6, packed: sockets / 4, upstream: shared - clients })
 }
 
 fn check(platform: &Decoded) -> Result<(), ConfigError> {
--- a/leverproxy/src/front.rs
+++ b/leverproxy/src/front.rs
@@ -1,5 +1,6 @@
 //! The clients' side: accepts connections, reads requests off them and writes answers in their order.
 
+use crate::config::Limits;
 use crate::net::{self, Filled, Refusal, Stream};
 use crate::pg::server::{self, Asked, Startup};
 use crate::pg::statement::{self, Query};
@@ -20,7 +21,11 @@
 /// A connection has to come to its first sound request within this, and every command to its end.
 const PATIENCE: Duration = Duration::from_secs(2);
 /// The clients are looked over this often for whoever has run out of time.
-const LOOK_OVER: Duration = Duration::from_millis(250);
+const LOOK_OVER: Duration = Duration::from_millis(100);
+/// Among many, a connection is kept between requests for this long, and for no time when most of those that clients
+/// may hold are taken. Guards against clients that ask once and stay:
+/// clients may hold only so many connections, and those who come to ask would find none left.
+const IDLE: Duration = Duration::from_secs(2);
 /// A client that has been told why its connection ends has this long to read it, and may still send this much
 /// meanwhile: closed at once with bytes unread, the connection would be reset and the word lost on its way.
 const LEAVE_TIME: Duration = Duration::from_secs(1);
@@ -41,7 +46,7 @@
     listener: Option<OwnedFd>,
     /// At the limit of clients the listener is not looked at.
     accepting: bool,
-    limit: usize,
+    limits: Limits,
     clients: Slots<Client>,
     events: VecDeque<Event>,
     misunderstood: Seldom,
@@ -61,8 +66,9 @@
     ending: bool,
     /// Since when its last word is written and its end is waited for, and what it has sent since.
     leaving: Option<(Instant, usize)>,
-    /// Some request of it was sound.
+    /// Some request of it was sound; more than one.
     asked: bool,
+    again: bool,
     /// It has said that it goes: no answer is of use any more.
     gone: bool,
     answers: VecDeque<Option<Vec<u8>>>,
@@ -96,13 +102,13 @@
 }
 
 impl Front {
-    pub fn listen(address: SocketAddr, limit: usize, reactor: &Reactor) -> io::Result<Front> {
+    pub fn listen(address: SocketAddr, limits: Limits, reactor: &Reactor) -> io::Result<Front> {
         let listener = net::listen(address)?;
         reactor.add(&listener, Token::Listener, Interest::READ)?;
         Ok(Front {
             listener: Some(listener),
             accepting: true,
-            limit,
+            limits,
             clients: Slots::default(),
             events: VecDeque::new(),
             misunderstood: Seldom::default(),
@@ -126,13 +132,13 @@
     }
 
     /// Who is above a lower limit stays until it leaves or gives way.
-    pub fn set_limit(&mut self, limit: usize) {
-        self.limit = limit;
+    pub fn set_limits(&mut self, limits: Limits) {
+        self.limits = limits;
     }
 
     pub fn accept(&mut self, now: Instant, reactor: &Reactor) {
         loop {
-            let full = self.clients.len() >= self.limit;
+            let full = self.clients.len() >= self.limits.clients;
             // Who would give way; nobody does before another client is there for the place.
             let quiet = if full { self.gives_way(now) } else { None };
             if full && quiet.is_none() {
@@ -166,6 +172,7 @@
             ending: false,
             leaving: None,
             asked: false,
+            again: false,
             gone: false,
             answers: VecDeque::new(),
             first: 0,
@@ -204,8 +211,26 @@
         };
         let old = |c: &Client| now.saturating_duration_since(c.quiet_since) >= FIRST_WORDS;
         let crowd = self.clients.iter().filter(|(_, c)| c.silent()).count();
-        longest(&|c| c.silent() && (old(c) || c.leaving.is_some()))
-            .or_else(|| longest(&|c| c.greeted && c.asked && c.idle()).filter(|_| crowd <= self.limit / 4))
+        longest(&|c| c.silent() && (old(c) || c.leaving.is_some())).or_else(|| {
+            longest(&|c| c.greeted && c.asked && c.idle()).filter(|_| crowd <= self.limits.clients / 4)
+        })
+    }
+
+    /// Of many clients those go that have asked once and stay, then those that have been idle the longest.
+    fn clear_idle(&mut self, now: Instant, reactor: &Reactor) {
+        let held = self.clients.iter().filter(|(_, c)| !c.silent());
+        let number = held.clone().count();
+        let mut idle: Vec<(bool, Instant, Key)> =
+            held.filter(|(_, c)| c.idle()).map(|(key, c)| (c.again, c.quiet_since, key)).collect();
+        idle.sort();
+        let mut left = number;
+        for (_, since, key) in idle {
+            let old = now.saturating_duration_since(since) >= IDLE;
+            if left > self.limits.packed || old && left > self.limits.crowded {
+                self.drop_client(key, reactor);
+                left -= 1;
+            }
+        }
     }
 
     /// Ends the connections of those who have run out of time; when to look again.
@@ -229,6 +254,7 @@
                 None => {}
             }
         }
+        self.clear_idle(now, reactor);
         now + LOOK_OVER
     }
 
@@ -271,6 +297,7 @@
                 Ok(Step::Next) if greeted => client.quiet_since = now,
                 Ok(Step::Next) => {}
                 Ok(Step::Asked(ticket, request)) => {
+                    client.again = client.asked;
                     client.asked = true;
                     client.quiet_since = now;
                     self.events.push_back(Event::Asked(ticket, request));
--- a/leverproxy/src/proxy.rs
+++ b/leverproxy/src/proxy.rs
@@ -55,7 +55,7 @@
         let reactor = Reactor::new()?;
         let (control, wishes) = control::pair()?;
         reactor.add(&wishes, Token::Control, Interest::READ)?;
-        let front = Front::listen(config.listen, config.limits.clients, &reactor)?;
+        let front = Front::listen(config.listen, config.limits, &reactor)?;
         let upstream = Upstream::new(config.limits.upstream, config.dial_timeout, config.idle_limit);
         let discovery = Discovery::new(config.discovery, config.watch_silence);
         let platform = config.platform;
@@ -184,7 +184,7 @@
             Err(error) => return log::error!("{error}; the configuration stays as it was"),
         };
         let Sides { front, upstream, .. } = &mut self.sides;
-        front.set_limit(config.limits.clients);
+        front.set_limits(config.limits);
         upstream.set_limit(config.limits.upstream);
         self.chain.discovery_at(config.discovery, &mut self.sides, now);
         log::info!("the configuration is reread: discovery at {}", config.discovery);
--- a/leverproxy/src/reactor.rs
+++ b/leverproxy/src/reactor.rs
@@ -68,7 +68,7 @@
         self.len() == 0
     }
 
-    pub fn iter(&self) -> impl Iterator<Item = (Key, &T)> {
+    pub fn iter(&self) -> impl Iterator<Item = (Key, &T)> + Clone {
         let used = |(index, (generation, value)): (usize, &'_ (u32, Option<T>))| {
             (Key { index: index as u32, generation: *generation }, value.is_some())
         };
--- a/leverproxy/tests/stories.rs
+++ b/leverproxy/tests/stories.rs
@@ -262,6 +262,37 @@
     assert_eq!(usual.reply().value.as_deref(), Some("two"));
 }
 
+/// Clients that ask once and stay do not use up the connections there are: among many they go, and those who ask
+/// again and again keep theirs. Where hardly any connection is left they go at once.
+#[test]
+fn who_asks_once_and_stays_goes_among_many() {
+    let server = Listener::new();
+    for (crowded, packed) in [(1, 100), (100, 1)] {
+        let stage = Stage::with(&[("s-1", &server)], |config| {
+            (config.limits.crowded, config.limits.packed) = (crowded, packed);
+        });
+        let mut clients: Vec<Peer> = (0..3).map(|_| Peer::client(stage.address)).collect();
+        let mut upstream = None;
+        for (id, client) in (1..).zip(&mut clients) {
+            client.ask(&read(id, "any", 19000));
+            let upstream = upstream.get_or_insert_with(|| server.welcome());
+            upstream.query();
+            upstream.answer("once", &[]);
+            assert_eq!(client.reply().value.as_deref(), Some("once"));
+        }
+        let mut usual = clients.pop().unwrap();
+        for id in 4..6 {
+            usual.ask(&read(id, "any", 19000));
+            upstream.as_mut().unwrap().query();
+            upstream.as_mut().unwrap().answer("again", &[]);
+            assert_eq!(usual.reply().value.as_deref(), Some("again"));
+        }
+        assert!(clients.iter_mut().all(Peer::ended));
+        usual.ask("");
+        assert_eq!(usual.reply(), Reply::default());
+    }
+}
+
 /// The word to a client that is still sending arrives: a close with bytes unread would reset it away.
 #[test]
 fn an_error_reaches_who_is_still_sending() {
