--- a/leverproxy/src/front.rs
+++ b/leverproxy/src/front.rs
@@ -323,6 +323,9 @@
         let Some(place) = place.and_then(|n| client.answers.get_mut(n)) else { return };
         *place = Some(server::answer(answer));
         self.write(ticket.client, now, reactor);
+        if self.clients.len() > self.limits.packed {
+            self.clear_idle(now, reactor);
+        }
     }
 
     fn write(&mut self, key: Key, now: Instant, reactor: &Reactor) {
