Count the aim of a marked repeat from its client's first try

Logs: thousands of repeats that have 63 ms left where first tries have 356 are sent or held as if their aim lay ahead; 20 to 39 attempts in 2 s time out at each healthy store, and nearby-cabs there falls to a tenth. Ruled out: servers turning away (full 0), clients' connections (97 to 128 of 128, but only while the repeats are held), CPU (0.17 of a core). Cause: `aim_end` in decide.rs counted every arrival's aim from its own arrival. WIRE: `Remaining` is smaller for later tries. A marked repeat with less time than first tries have has spent the rest of its deadline already.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -13,6 +13,7 @@
 //! - the time since a position was told counts as caught up, until a miss (`catch_up`) or an answer (`ask`);
 //! - with every replica behind, reads share the primary by worth (`primary_share`);
 //! - what was never sent is refused before half of its time is over (`patient_until`);
+//! - the aim of a marked repeat counts from its client's first try (`aim_end`);
 //! - a dead or cut-off store rests (`rest`); a starting one gets its part only (`cold_room`).
 
 use crate::interface::*;
@@ -71,6 +72,8 @@
 /// share that its worth for the work bears to that of the best write, but not so little that no read sees
 /// fresh data.
 const READS_AT_PRIMARY: f64 = 0.5;
+/// A repeat that has under this share of the time of first tries is at the end of its client's time.
+const LESS_TIME: f64 = 0.95;
 /// Held requests looked at for one piece of news, the most valuable first: bounds the time an event takes.
 const WAKE_LOOK: usize = 16;
 
@@ -130,6 +133,8 @@
     arrival: Arrival,
     came: Time,
     deadline: Time,
+    /// Until when an answer earns its full worth.
+    aim_end: Time,
     /// Position that a session read must see.
     token: Time,
     attempts: u16,
@@ -182,6 +187,8 @@
     forgotten: Time,
     /// What each class takes unhindered, over all stores.
     work: Vec<Duration>,
+    /// The longest time that a first try of each class has had.
+    first_wait: Vec<Duration>,
     agenda: BTreeSet<(Time, Task)>,
     alarm: Option<Time>,
     tightest_aim: Duration,
@@ -204,6 +211,7 @@
         let tightest_bound = bounds.filter(|bound| !bound.is_zero()).min().unwrap_or(tightest_aim);
         Router {
             work: settings.classes.iter().map(|c| c.aim).collect(),
+            first_wait: vec![Duration::ZERO; settings.classes.len()],
             set: settings,
             now,
             random: seed,
@@ -342,12 +350,14 @@
         };
         let deadline = self.now.plus(arrival.time_left);
         let known = self.known(arrival.class);
+        let aim_end = self.aim_end(&arrival);
         self.requests.insert(
             id,
             Request {
                 arrival,
                 came: self.now,
                 deadline,
+                aim_end,
                 token,
                 attempts: 0,
                 out: Vec::new(),
@@ -569,7 +579,7 @@
     /// The member to send to, by least cost; or hold, or give up.
     fn choose(&self, request: &Request) -> Choice {
         let class = self.class(request.arrival.class);
-        let worth_until = if class.late_worth > 0.0 { request.deadline } else { self.aim_end(request) };
+        let worth_until = if class.late_worth > 0.0 { request.deadline } else { request.aim_end };
         if self.now >= worth_until || self.now >= request.deadline {
             return Choice::GiveUp;
         }
@@ -724,14 +734,26 @@
     fn value(&self, id: RequestId) -> f64 {
         self.requests.get(&id).map_or(0.0, |request| {
             let class = self.class(request.arrival.class);
-            let late = self.now >= self.aim_end(request);
+            let late = self.now >= request.aim_end;
             class.worth * if late { class.late_worth } else { 1.0 }
                 / self.work[usize::from(request.arrival.class.0)].as_secs_f64()
         })
     }
 
-    fn aim_end(&self, request: &Request) -> Time {
-        request.came.plus(self.class(request.arrival.class).aim)
+    /// The aim counts from a client's first try. A repeat with less time than first tries have has what is left
+    /// of the deadline. Guards against storms of repeats that come too late to earn anything, and take the place
+    /// of those that would. Without a mark on repeats nothing is known of them.
+    fn aim_end(&mut self, arrival: &Arrival) -> Time {
+        let Some(class) = self.set.classes.get(usize::from(arrival.class.0)) else { return self.now };
+        let first = &mut self.first_wait[usize::from(arrival.class.0)];
+        let spent = match arrival.repeated && arrival.time_left < first.mul_f64(LESS_TIME) {
+            true => class.deadline.saturating_sub(arrival.time_left),
+            false => Duration::ZERO,
+        };
+        if !arrival.repeated {
+            *first = arrival.time_left.max(*first);
+        }
+        self.now.plus(class.aim.saturating_sub(spent))
     }
 
     // ---- The rules: every send passes here ----
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -664,3 +664,17 @@
         assert!(held > 200 * MS && held < 500 * MS, "class {class}: held for {held:?} of a second");
     }
 }
+
+/// Storms of repeats, each with the rest of its client's time, took the room of first tries and earned nothing.
+#[test]
+fn a_repeat_that_comes_too_late_to_earn_anything_is_refused_at_once() {
+    let mut bench = Bench::new(settings(), 3);
+    let mut ask = |time_left: Duration, repeated| {
+        let arrival = Arrival { time_left, repeated, ..bench.arrival(ANY) };
+        let (id, actions) = (arrival.id, bench.event(Event::Arrived(arrival)));
+        (sends(&actions).len(), refused(&actions, id))
+    };
+    assert_eq!(ask(500 * MS, false), (1, false), "a first try has half of the deadline here");
+    assert_eq!(ask(500 * MS, true), (1, false), "how long ago the first try was is not known");
+    assert_eq!(ask(400 * MS, true), (0, true), "600 ms after the first try the aim of 300 ms is over");
+}
