--- a/src/decide.rs
+++ b/src/decide.rs
@@ -740,9 +740,9 @@
         })
     }
 
-    /// The aim counts from a client's first try. A repeat with less time than first tries have has what is left
-    /// of the deadline. Guards against storms of repeats that come too late to earn anything, and take the place
-    /// of those that would. Without a mark on repeats nothing is known of them.
+    /// The aim counts from a client's first try. A repeat with less time than first tries have has what is
+    /// left of the deadline. Guards against storms of repeats that come too late to earn anything and take
+    /// the place of those that would. Where repeats bear no mark nothing is known of them.
     fn aim_end(&mut self, arrival: &Arrival) -> Time {
         let Some(class) = self.set.classes.get(usize::from(arrival.class.0)) else { return self.now };
         let first = &mut self.first_wait[usize::from(arrival.class.0)];
