A time-out that later answers have overtaken is no sign of the store's load

Ruled out: stores turning away (full 0), slow stores (medians as before). Cause: `learn` in decide.rs counted every time-out as a full deadline of pressure and cut the room, so connections that fall silent made their stores look too full. Each attempt out now counts how many sent after it have been answered; from four on its time-out tells of its connection, and the module learns nothing of the store from it.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -74,6 +74,8 @@
 const READS_AT_PRIMARY: f64 = 0.5;
 /// A repeat that has under this share of the time of first tries is at the end of its client's time.
 const LESS_TIME: f64 = 0.95;
+/// An attempt in vain that so many sent later have overtaken tells of its connection, not of the store.
+const OVERTAKEN: u32 = 4;
 /// Held requests looked at for one piece of news, the most valuable first: bounds the time an event takes.
 const WAKE_LOOK: usize = 16;
 
@@ -104,8 +106,8 @@
     heard: Option<Time>,
     probe_out: bool,
     probed: Time,
-    /// Attempts out: class and time sent.
-    out: BTreeMap<(RequestId, AttemptNo), (ClassId, Time)>,
+    /// Attempts out: class, time sent, and how many sent later have been answered meanwhile.
+    out: BTreeMap<(RequestId, AttemptNo), (ClassId, Time, u32)>,
     run_time: Vec<Option<Duration>>,
     /// Own attempts it is trusted to bear at once, and when that was last cut.
     room: f64,
@@ -379,8 +381,9 @@
         let class = self.requests.get(&id).map(|r| r.arrival.class);
         let sent = self.now.minus(elapsed);
         let known = self.stores.get_mut(&store).and_then(|s| s.out.remove(&(id, attempt)));
-        let class = class.or(known.map(|(class, _)| class));
-        let sent = known.map_or(sent, |(_, sent)| sent);
+        let class = class.or(known.map(|(class, ..)| class));
+        let overtaken = known.map_or(0, |(.., overtaken)| overtaken);
+        let sent = known.map_or(sent, |(_, sent, _)| sent);
         if let (Some(request), Outcome::Miss) = (self.requests.get(&id), outcome) {
             let need = self.needed(request);
             if let (Some(need), Some(store)) = (need, self.stores.get_mut(&store)) {
@@ -388,7 +391,10 @@
             }
         }
         if let Some(class) = class {
-            self.learn(class, sent, ended);
+            // Guards against taking a connection that has fallen silent for a store that holds too much.
+            if outcome != Outcome::TimedOut || overtaken < OVERTAKEN {
+                self.learn(class, sent, ended);
+            }
             if outcome == Outcome::Ok && self.class(class).need == Need::Write {
                 let key = self.requests.get(&id).and_then(|r| r.arrival.session);
                 if let Some(key) = key.filter(|_| !self.set.tokens_carried) {
@@ -482,6 +488,9 @@
         }
         match outcome {
             Outcome::Ok => {
+                for (.., before, overtaken) in store.out.values_mut() {
+                    *overtaken += u32::from(*before < sent);
+                }
                 let work = &mut self.work[usize::from(class.0)];
                 let weight = if spent < *work { RUN_WEIGHT } else { RUN_WEIGHT * WORK_RISE };
                 *work = drawn(*work, spent, weight);
@@ -666,8 +675,9 @@
     /// average counts for as long as it has done so: floored at zero, a hung store would look idle. Harms
     /// where run times fall into two kinds.
     fn remaining_work(&self, store: &Store) -> Duration {
-        let left =
-            |&(class, sent): &(ClassId, Time)| self.run_time(store, class).abs_diff(self.now.since(sent));
+        let left = |&(class, sent, _): &(ClassId, Time, u32)| {
+            self.run_time(store, class).abs_diff(self.now.since(sent))
+        };
         store.out.values().map(left).sum()
     }
 
@@ -776,7 +786,7 @@
         }
         let still_out = request.out.first().and_then(|&(no, s)| {
             let sent = self.stores.get(&s).and_then(|store| store.out.get(&(request.arrival.id, no)));
-            sent.map(|&(_, at)| (at, s))
+            sent.map(|&(_, at, _)| (at, s))
         });
         let earliest = request.may_have_run.into_iter().chain(still_out).min();
         if let Some((since, at)) = earliest {
@@ -849,7 +859,7 @@
             request.held = false;
             self.held.remove(&(request.arrival.group, request.came, id));
         }
-        store.out.insert((id, attempt), (request.arrival.class, now));
+        store.out.insert((id, attempt), (request.arrival.class, now, 0));
         out.push(Action::Send { id, store: to, time_out: request.deadline.since(now) });
     }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -678,3 +678,26 @@
     assert_eq!(ask(500 * MS, true), (1, false), "how long ago the first try was is not known");
     assert_eq!(ask(400 * MS, true), (0, true), "600 ms after the first try the aim of 300 ms is over");
 }
+
+/// Connections that fell silent were taken for stores that hold too much, whose room shrank for nothing.
+#[test]
+fn a_time_out_that_others_have_overtaken_cuts_no_room() {
+    for (overtaken, sent) in [(4, 3), (0, 1)] {
+        let mut bench = Bench::new(settings(), 1);
+        let mut silent = None;
+        for round in 0..8 + overtaken {
+            let out = (0..2).map(|_| bench.ask(ANY)).find(|(_, actions)| !sends(actions).is_empty());
+            let (id, _) = out.unwrap_or_else(|| panic!("round {round} has no room"));
+            bench.wait(5 * MS);
+            if round == 7 {
+                silent = Some(id);
+            } else {
+                bench.end(id, 0, 1, Outcome::Ok);
+            }
+        }
+        bench.wait(600 * MS);
+        bench.end(silent.unwrap(), 0, 1, Outcome::TimedOut);
+        let taken: usize = (0..3).map(|_| sends(&bench.ask(ANY).1).len()).sum();
+        assert!(taken >= sent && (overtaken > 0 || taken < 3), "{taken} with {overtaken}");
+    }
+}
