--- a/leverproxy/src/upstream.rs
+++ b/leverproxy/src/upstream.rs
@@ -16,8 +16,9 @@
 /// Dials under way to one server; further exchanges wait for these or for a connection to come free.
 const DIALS_AT_ONCE: usize = 32;
 
-/// An answer that has begun goes on within this; half of one is none, however long it is waited for.
-const ANSWER_STALL: Duration = Duration::from_millis(150);
+/// An answer that has begun goes on within this; half of one is none, however long it is waited for. Well under the
+/// aims, so that another attempt can still meet them; record servers write an answer in one go.
+const ANSWER_STALL: Duration = Duration::from_millis(40);
 
 /// One exchange: bytes out, one answer back.
 #[derive(Debug)]
