Unfinished commands of all clients share an eighth of the memory

Now `limits.memory_mb` is read, and who begins a large command beyond an eighth of it in all is told 53200 and put out.

--- a/leverproxy/src/config.rs
+++ b/leverproxy/src/config.rs
@@ -51,7 +51,7 @@
     pub give_up: Duration,
 }
 
-/// How the descriptors are shared out.
+/// How the descriptors are shared out, and the memory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
     pub clients: usize,
@@ -59,11 +59,17 @@
     pub crowded: usize,
     pub packed: usize,
     pub upstream: usize,
+    /// Bytes of commands that have not come whole, of all clients.
+    pub unfinished: usize,
 }
 
 /// Kept for the listener, epoll, signals, discovery, the standard streams and a margin.
 const SPARE_SOCKETS: usize = 32;
 const DEFAULT_SOCKETS: usize = 1_024;
+const DEFAULT_MEMORY_MB: usize = 128;
+const LEAST_MEMORY_MB: usize = 16;
+/// A buffer takes up to twice the memory of what is in it, and answers need some too.
+const UNFINISHED_PART: usize = 8;
 const LEAST_SOCKETS: usize = 64;
 const DEFAULT_DIAL_TIMEOUT: Duration = Duration::from_millis(250);
 const DEFAULT_IDLE: Duration = Duration::from_secs(30);
@@ -96,6 +102,7 @@
 #[serde(default)]
 struct FileLimits {
     sockets: Option<usize>,
+    memory_mb: Option<usize>,
 }
 
 /// Whose word counts where file and environment both name a key that may change while the proxy serves.
@@ -170,7 +177,7 @@
         listen,
         discovery,
         seed,
-        limits: share_out(file.limits.sockets.unwrap_or(DEFAULT_SOCKETS))?,
+        limits: share_out(&file.limits)?,
         known,
         dial_timeout: or_default(platform.dial_timeout, DEFAULT_DIAL_TIMEOUT),
         idle_limit: or_default(platform.settings.keepalive, DEFAULT_IDLE).mul_f64(IDLE_SHARE),
@@ -181,7 +188,12 @@
     })
 }
 
-fn share_out(sockets: usize) -> Result<Limits, ConfigError> {
+fn share_out(stated: &FileLimits) -> Result<Limits, ConfigError> {
+    let sockets = stated.sockets.unwrap_or(DEFAULT_SOCKETS);
+    let memory_mb = stated.memory_mb.unwrap_or(DEFAULT_MEMORY_MB);
+    if memory_mb < LEAST_MEMORY_MB {
+        return Err(ConfigError::new("limits.memory_mb", format!("{memory_mb} is under {LEAST_MEMORY_MB}")));
+    }
     if sockets < LEAST_SOCKETS {
         return Err(ConfigError::new("limits.sockets", format!("{sockets} is under {LEAST_SOCKETS}")));
     }
@@ -190,7 +202,8 @@
     let clients = shared * 3 / 5;
     // Clients hold a third of the descriptors at most: of these a quarter is for those who come to ask, and a half
     // if nobody minds.
-    Ok(Limits { clients, crowded: sockets / 6, packed: sockets / 4, upstream: shared - clients })
+    let (crowded, packed, upstream) = (sockets / 6, sockets / 4, shared - clients);
+    Ok(Limits { clients, crowded, packed, upstream, unfinished: (memory_mb << 20) / UNFINISHED_PART })
 }
 
 fn check(platform: &Decoded) -> Result<(), ConfigError> {
--- a/leverproxy/src/front.rs
+++ b/leverproxy/src/front.rs
@@ -20,6 +20,8 @@
 const UNSENT_LIMIT: usize = 64 << 10;
 /// A connection has to come to its first sound request within this, and every command to its end.
 const PATIENCE: Duration = Duration::from_secs(2);
+/// An unfinished command of more than this is worth asking how many there are.
+const LARGE: usize = 16 << 10;
 /// The clients are looked over this often for whoever has run out of time.
 const LOOK_OVER: Duration = Duration::from_millis(100);
 /// Among many, a connection is kept between requests for this long, and for no time when most of those that clients
@@ -245,10 +247,8 @@
                 Some(_) => {}
                 None if client.stream.unsent() > 0 && quiet >= UNREAD => self.drop_client(key, reactor),
                 None if waits && (slow || !client.asked && quiet >= PATIENCE) => {
-                    self.turned_out += 1;
                     let why = Malformed("nothing whole was asked for in time".into());
-                    client.expect(Some(server::fatal(&why)));
-                    client.ending = true;
+                    self.turn_out(key, server::fatal(&why));
                     self.write(key, now, reactor);
                 }
                 None => {}
@@ -311,11 +311,29 @@
             }
         }
         let partial = client.takes_more() && !client.stream.input.is_empty();
+        // Guards against commands that are begun by many at once and never ended: each is within its limit, all of
+        // them together are not.
+        if partial && client.stream.input.len() > LARGE {
+            let bytes: usize = self.clients.iter().map(|(_, c)| c.stream.input.len()).sum();
+            if bytes > self.limits.unfinished {
+                return self.turn_out(key, server::no_memory());
+            }
+        }
+        let Some(client) = self.clients.get_mut(key) else { return };
         // What is there now is the begin of another command than before, if any was used up.
         let same = client.begun.filter(|_| client.stream.input.len() == first);
         client.begun = same.or(Some(now)).filter(|_| partial);
     }
 
+    /// The last word to a client: nothing more is taken in from it.
+    fn turn_out(&mut self, key: Key, why: Vec<u8>) {
+        if let Some(client) = self.clients.get_mut(key) {
+            self.turned_out += 1;
+            client.expect(Some(why));
+            client.ending = true;
+        }
+    }
+
     /// The final answer to a request; it goes out when all before it on the connection have.
     pub fn answer(&mut self, ticket: Ticket, answer: Answer, now: Instant, reactor: &Reactor) {
         let Some(client) = self.clients.get_mut(ticket.client) else { return };
--- a/leverproxy/src/pg/mod.rs
+++ b/leverproxy/src/pg/mod.rs
@@ -25,6 +25,7 @@
     pub const SYNTAX_ERROR: &str = "42601";
     pub const READ_ONLY_SQL_TRANSACTION: &str = "25006";
     pub const SNAPSHOT_TOO_OLD: &str = "72000";
+    pub const OUT_OF_MEMORY: &str = "53200";
     pub const TOO_MANY_CONNECTIONS: &str = "53300";
 }
 
--- a/leverproxy/src/pg/server.rs
+++ b/leverproxy/src/pg/server.rs
@@ -160,6 +160,14 @@
     out
 }
 
+/// The last word to a client whose unfinished command there is no memory for.
+pub fn no_memory() -> Vec<u8> {
+    let mut out = Vec::new();
+    let text = "too many bytes of unfinished commands are waiting";
+    put_error(&mut out, "FATAL", sqlstate::OUT_OF_MEMORY, text, None);
+    out
+}
+
 /// A client's startup packet, as record servers get it too.
 pub fn startup_packet(user: &str, database: &str) -> Vec<u8> {
     let mut out = Vec::new();
--- a/leverproxy/tests/stories.rs
+++ b/leverproxy/tests/stories.rs
@@ -304,6 +304,19 @@
     assert!(client.ended());
 }
 
+/// Commands that many begin and none ends are each within their limit; together they must be as well.
+#[test]
+fn unfinished_commands_take_no_more_memory_than_there_is() {
+    let stage = Stage::with(&[], |config| config.limits.unfinished = 200_000);
+    let begin = [&[b'Q', 0, 1, 0xfb, 0xd0][..], &[b'x'; 120_000]].concat();
+    let mut clients: Vec<Peer> = (0..4).map(|_| Peer::client(stage.address)).collect();
+    for client in &mut clients {
+        client.write(&begin);
+    }
+    let codes: Vec<_> = clients.iter_mut().map(|client| client.reply().code.unwrap()).collect();
+    assert!(codes.iter().any(|code| code == "53200"), "{codes:?}");
+}
+
 /// Connections that say nothing fill the place, and go for one that asks; who has asked before keeps its own.
 #[test]
 fn a_silent_crowd_keeps_nobody_out() {
