--- /dev/null
+++ b/crates/configuration/src/check.rs
@@ -0,0 +1,221 @@
+//! The document against the table of directives: every section and value known, typed and within its range.
+
+use crate::diagnostic::{nearest, Diagnostic};
+use crate::load::{is_name, Arg, Document};
+use crate::schema::{self, Args, Naming};
+use crate::source::Span;
+use crate::value::{Type, Value};
+use std::collections::HashMap;
+
+/// A section whose words are what the table asks for.
+#[derive(Debug)]
+pub struct Section {
+    pub spec: &'static schema::Section,
+    /// Its keyword and name.
+    pub span: Span,
+    pub name: String,
+    pub settings: Vec<Setting>,
+    /// A line of it was faulty: what it seems not to state may be stated there.
+    pub partial: bool,
+}
+
+#[derive(Debug)]
+pub struct Setting {
+    pub spec: &'static schema::Directive,
+    pub span: Span,
+    pub values: Vec<(Value, Span)>,
+}
+
+impl Section {
+    pub fn setting(&self, keyword: &str) -> Option<&Setting> {
+        self.settings.iter().find(|s| s.spec.keyword == keyword)
+    }
+
+    pub fn values(&self, keyword: &str) -> &[(Value, Span)] {
+        self.setting(keyword).map_or(&[], |s| s.values.as_slice())
+    }
+
+    pub fn value(&self, keyword: &str) -> Option<&Value> {
+        self.values(keyword).first().map(|(value, _)| value)
+    }
+}
+
+/// Sorts out what is sound; the rest is reported, each fault once.
+pub fn check(document: Document, faults: &mut Vec<Diagnostic>) -> Vec<Section> {
+    let mut sections = Vec::with_capacity(document.sections.len());
+    let mut seen: HashMap<(&'static str, String), Span> = HashMap::new();
+    for stated in document.sections {
+        // A faulty line has taken its words.
+        if stated.keyword.text.is_empty() {
+            continue;
+        }
+        let Some(spec) = schema::section(&stated.keyword.text) else {
+            faults.push(unknown_section(&stated.keyword));
+            continue;
+        };
+        let Some(name) = section_name(spec, &stated, faults) else { continue };
+        let span = stated.names.last().map_or(stated.keyword.span, |n| stated.keyword.span.to(n.span));
+        if let Some(first) = seen.get(&(spec.keyword, name.clone())) {
+            let what =
+                if name.is_empty() { spec.keyword.to_owned() } else { format!("{} {name}", spec.keyword) };
+            let fault =
+                Diagnostic::error("section-twice", span, format!("the section {what} stands a second time"));
+            faults.push(fault.label("again here").related(*first, "first here"));
+            continue;
+        }
+        seen.insert((spec.keyword, name.clone()), span);
+        let mut section = Section { spec, span, name, settings: Vec::new(), partial: stated.partial };
+        for directive in stated.directives {
+            match setting(spec, directive, faults) {
+                Some(setting) => add(&mut section, setting, faults),
+                None => section.partial = true,
+            }
+        }
+        sections.push(section);
+    }
+    sections
+}
+
+fn unknown_section(keyword: &Arg) -> Diagnostic {
+    let fault =
+        Diagnostic::error("unknown-section", keyword.span, format!("there is no section {:?}", keyword.text))
+            .label("not a section");
+    match nearest(&keyword.text, schema::SECTIONS.iter().map(|s| s.keyword)) {
+        Some(near) => fault.help(format!("did you mean {near}?")),
+        None => {
+            let known: Vec<&str> = schema::SECTIONS.iter().map(|s| s.keyword).collect();
+            fault.help(format!("the sections are {}", known.join(", ")))
+        }
+    }
+}
+
+fn section_name(
+    spec: &'static schema::Section,
+    stated: &crate::load::Section,
+    faults: &mut Vec<Diagnostic>,
+) -> Option<String> {
+    let keyword = spec.keyword;
+    let fault = match (spec.naming, stated.names.as_slice()) {
+        (Naming::Unnamed, []) => return Some(String::new()),
+        (Naming::Unnamed, [name, ..]) => {
+            Diagnostic::error("section-name", name.span, format!("the section {keyword} bears no name"))
+                .label("not wanted here")
+        }
+        (Naming::Named, []) => Diagnostic::error(
+            "section-name",
+            stated.keyword.span,
+            format!("the section {keyword} needs a name"),
+        )
+        .label(format!("write {keyword} NAME {{")),
+        (Naming::Named, [name]) => {
+            // The names of classes are the platform's.
+            if keyword == "class" && !name.text.is_empty() || is_name(&name.text) {
+                return Some(name.text.clone());
+            }
+            Diagnostic::error("section-name", name.span, format!("{:?} can't be a name", name.text))
+                .label("not a name")
+                .help("a name begins with a letter and holds letters, digits, - and _")
+        }
+        (Naming::Named, [_, second, ..]) => {
+            Diagnostic::error("section-name", second.span, format!("the section {keyword} bears one name"))
+                .label("one too many")
+        }
+    };
+    faults.push(fault);
+    None
+}
+
+fn setting(
+    section: &'static schema::Section,
+    directive: crate::load::Directive,
+    faults: &mut Vec<Diagnostic>,
+) -> Option<Setting> {
+    let span = directive.span();
+    let keyword = &directive.keyword;
+    let Some(spec) = section.directive(&keyword.text) else {
+        faults.push(unknown_directive(section, keyword));
+        return None;
+    };
+    let given = directive.args.len();
+    let (kind, fits, wanted) = match spec.args {
+        Args::One(kind) => (kind, given == 1, "one value"),
+        Args::Optional(kind) => (kind, given <= 1, "one value or none"),
+        Args::Many(kind) => (kind, given >= 1, "one value or more"),
+    };
+    if !fits {
+        let what = match directive.args.get(1) {
+            Some(second) if given > 1 => {
+                let last = directive.args.last().map_or(second.span, |l| second.span.to(l.span));
+                Diagnostic::error(
+                    "value-count",
+                    last,
+                    format!("{} takes {wanted}, not {given}", spec.keyword),
+                )
+                .label("too many")
+            }
+            _ => Diagnostic::error("value-count", keyword.span, format!("{} takes {wanted}", spec.keyword))
+                .label("no value is given"),
+        };
+        faults.push(what.help(format!("for example: {}", spec.example)));
+        return None;
+    }
+    if given > schema::VALUES_LIMIT {
+        let limit = schema::VALUES_LIMIT;
+        let message = format!("{} has {given} values; at most {limit} are allowed", spec.keyword);
+        faults.push(Diagnostic::error("value-count", keyword.span, message).label("too many"));
+        return None;
+    }
+    let mut values = Vec::with_capacity(given);
+    for arg in directive.args {
+        match kind.parse(&arg.text) {
+            Ok(value) => values.push((value, arg.span)),
+            Err(fault) => {
+                let label = match kind {
+                    Type::Choice(_) => "not one of them".to_owned(),
+                    _ => format!("{} is wanted here", kind.name()),
+                };
+                let mut what = Diagnostic::error("bad-value", arg.span, fault.message).label(label);
+                what.help = fault.help;
+                faults.push(what);
+                return None;
+            }
+        }
+    }
+    Some(Setting { spec, span, values })
+}
+
+fn unknown_directive(section: &'static schema::Section, keyword: &Arg) -> Diagnostic {
+    let (name, here) = (&keyword.text, section.keyword);
+    let fault = Diagnostic::error(
+        "unknown-directive",
+        keyword.span,
+        format!("{name:?} is not known in a section {here}"),
+    )
+    .label("not known here");
+    if let Some(near) = nearest(name, section.directives.iter().map(|d| d.keyword)) {
+        return fault.help(format!("did you mean {near}?"));
+    }
+    let elsewhere: Vec<&str> =
+        schema::SECTIONS.iter().filter(|s| s.directive(name).is_some()).map(|s| s.keyword).collect();
+    if !elsewhere.is_empty() {
+        return fault.help(format!("{name} belongs in a section {}", elsewhere.join(" or ")));
+    }
+    let known: Vec<&str> = section.directives.iter().map(|d| d.keyword).collect();
+    fault.help(format!("known here are {}", known.join(", ")))
+}
+
+/// A list may go on in a further line; a single value may not be stated again.
+fn add(section: &mut Section, setting: Setting, faults: &mut Vec<Diagnostic>) {
+    let Some(first) = section.settings.iter_mut().find(|s| s.spec.keyword == setting.spec.keyword) else {
+        section.settings.push(setting);
+        return;
+    };
+    match setting.spec.args {
+        Args::Many(_) => first.values.extend(setting.values),
+        Args::One(_) | Args::Optional(_) => {
+            let message = format!("{} is stated a second time", setting.spec.keyword);
+            let fault = Diagnostic::error("directive-twice", setting.span, message);
+            faults.push(fault.label("again here").related(first.span, "first stated here"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/configuration/src/format.rs
@@ -0,0 +1,77 @@
+//! The canonical form of a file. Words, comments and groups of lines stay; blanks and needless quotes go.
+
+use crate::source::FileId;
+use crate::syntax::{self, Entry, Quote, Word};
+
+const INDENT: &str = "    ";
+
+/// The canonical form of a text without syntax faults; none of one that has some: nothing that can't be read is
+/// rewritten.
+pub fn format(text: &str) -> Option<String> {
+    let syntax = syntax::parse(FileId(0), text);
+    if !syntax.faults.is_empty() {
+        return None;
+    }
+    // Offsets are those of the text with its byte order mark blanked out.
+    let text = match text.strip_prefix('\u{feff}') {
+        Some(_) => &text.replacen('\u{feff}', "   ", 1),
+        None => text,
+    };
+    let mut out = String::with_capacity(text.len());
+    let mut depth = 0_usize;
+    let mut fresh = true;
+    for line in &syntax.lines {
+        if let Entry::Close(_) = line.entry {
+            depth = depth.saturating_sub(1);
+        }
+        if line.apart && !fresh && !matches!(line.entry, Entry::Close(_)) {
+            out.push('\n');
+        }
+        let indent = INDENT.repeat(depth);
+        out.push_str(&indent);
+        fresh = false;
+        match &line.entry {
+            Entry::Directive(all) => words(&mut out, text, all, &indent),
+            Entry::Open(all, _) => {
+                words(&mut out, text, all, &indent);
+                out.push_str(" {");
+                depth += 1;
+                fresh = true;
+            }
+            Entry::Close(_) => out.push('}'),
+            Entry::Comment => {}
+        }
+        if let Some(comment) = line.comment {
+            if line.entry != Entry::Comment {
+                out.push_str("  ");
+            }
+            out.push_str(&text[comment.range()]);
+        }
+        out.push('\n');
+    }
+    Some(out)
+}
+
+fn words(out: &mut String, text: &str, words: &[Word], indent: &str) {
+    for (at, word) in words.iter().enumerate() {
+        if word.continued && at > 0 {
+            out.push_str(" \\\n");
+            out.push_str(indent);
+            out.push_str(INDENT);
+        } else if at > 0 {
+            out.push(' ');
+        }
+        let written = &text[word.span.range()];
+        let inside = written.get(1..written.len().saturating_sub(1)).unwrap_or_default();
+        match word.quote {
+            Quote::Double | Quote::Single if plain(inside) => out.push_str(inside),
+            _ => out.push_str(written),
+        }
+    }
+}
+
+/// Means the same without quotes.
+fn plain(text: &str) -> bool {
+    let safe = |c: char| c.is_ascii_alphanumeric() || "-_.:/%*+,=@?".contains(c);
+    !text.is_empty() && text.chars().all(safe)
+}
--- /dev/null
+++ b/crates/configuration/src/lib.rs
@@ -0,0 +1,81 @@
+//! The operators' configuration language.
+//!
+//! Text becomes words ([`syntax`]), files become a document ([`load`]), the document is held against the table of
+//! directives ([`schema`], [`check`]) and becomes a typed model ([`model`]) in which every value knows its place.
+//! On the model work the routes' index ([`index`]), the search for routes that are never reached ([`shadow`]), the
+//! behavioural difference of two configurations ([`diff`]) and the account of one request ([`explain`]). Nothing
+//! here reads files, clocks or sockets; a [`load::Loader`] brings the texts.
+//!
+//! ```
+//! use configuration::{load::Memory, read};
+//!
+//! let files = Memory::from([("a.conf", "limits {\n    client-patience 500ms\n}\n")]);
+//! let reading = read("a.conf".as_ref(), &files);
+//! assert!(reading.sound());
+//! assert_eq!(reading.model.limits.client_patience.as_millis(), 500);
+//! ```
+
+pub mod calendar;
+pub mod check;
+pub mod diagnostic;
+pub mod diff;
+pub mod explain;
+pub mod format;
+pub mod index;
+pub mod load;
+pub mod model;
+pub mod platform;
+pub mod ranges;
+pub mod route;
+pub mod schema;
+pub mod shadow;
+pub mod source;
+pub mod space;
+pub mod syntax;
+pub mod value;
+
+use diagnostic::Diagnostic;
+use model::Model;
+use source::Sources;
+use std::path::Path;
+
+/// What reading a configuration has brought: the model as far as it goes, and all that is wrong with it.
+#[derive(Debug)]
+pub struct Reading {
+    pub sources: Sources,
+    pub model: Model,
+    /// What the model was made of, with the place of every word.
+    pub sections: Vec<check::Section>,
+    /// In the order of their places.
+    pub diagnostics: Vec<Diagnostic>,
+}
+
+impl Reading {
+    /// It may be served by.
+    pub fn sound(&self) -> bool {
+        !self.diagnostics.iter().any(Diagnostic::is_error)
+    }
+
+    /// Adds what a further check has found.
+    pub fn add(&mut self, diagnostics: Vec<Diagnostic>) {
+        self.diagnostics.extend(diagnostics);
+        diagnostic::sort(&mut self.diagnostics);
+    }
+}
+
+/// Reads a configuration and all that it includes.
+pub fn read(path: &Path, loader: &dyn load::Loader) -> Reading {
+    let mut sources = Sources::default();
+    let mut diagnostics = Vec::new();
+    let document = load::load(path, loader, &mut sources, &mut diagnostics);
+    let partial = document.partial;
+    let sections = check::check(document, &mut diagnostics);
+    let partial = partial || diagnostics.iter().any(|d| matches!(d.code, "unknown-section" | "section-name"));
+    let model = model::build(&sections, partial, &mut diagnostics);
+    // What a faulty line would have used seems unused: that is no second fault.
+    if diagnostics.iter().any(Diagnostic::is_error) {
+        diagnostics.retain(|d| !d.code.starts_with("unused-"));
+    }
+    diagnostic::sort(&mut diagnostics);
+    Reading { sources, model, sections, diagnostics }
+}
--- /dev/null
+++ b/crates/configuration/src/model.rs
@@ -0,0 +1,585 @@
+//! The typed, resolved model, with the place of every value, and the checks between values.
+
+use crate::calendar::{Almanac, Stated, Window};
+use crate::check::Section;
+use crate::diagnostic::{nearest, Diagnostic};
+use crate::route::{fold, Conditions, Outcome, Priority, Route};
+use crate::schema::{self, Takes};
+use crate::source::Span;
+use crate::value::{Dates, Hours, Rate, Share, Value};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+/// Where a value comes from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Origin {
+    Default,
+    File(Span),
+    /// A key of the platform's file.
+    Platform(String),
+    /// A variable of the environment.
+    Environment(&'static str),
+}
+
+/// A value as it counts, for those who ask where it comes from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// Keyword and name of the section.
+    pub section: String,
+    pub directive: &'static str,
+    pub value: String,
+    pub origin: Origin,
+    pub takes: Takes,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Limits {
+    pub client_patience: Duration,
+    pub client_idle: Duration,
+    pub answer_unread: Duration,
+    pub goodbye: Duration,
+    pub answer_margin: Duration,
+    pub pipeline: usize,
+    pub unsent: usize,
+    pub clients: Share,
+    pub crowded: Share,
+    pub packed: Share,
+    pub unfinished: Share,
+    pub sockets: Option<usize>,
+    pub memory: Option<u64>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Discovery {
+    pub address: Option<SocketAddr>,
+    pub watch_silence: Duration,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Listener {
+    pub name: String,
+    pub address: Option<SocketAddr>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Pool {
+    pub name: String,
+    pub requests: Option<u32>,
+    pub rate: Option<Rate>,
+    pub burst: u32,
+    pub reserve: Share,
+    pub come_back: Option<Duration>,
+    pub groups: Vec<RangeInclusive<u32>>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Class {
+    pub name: String,
+    pub span: Span,
+    pub deadline: Option<Duration>,
+    pub tries: Option<u16>,
+    /// Never sent again once it may have run.
+    pub once: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NamedWindow {
+    pub name: String,
+    pub stated: Stated,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Policy {
+    pub tries: Option<u16>,
+    pub second_copies: bool,
+    pub probes: bool,
+    pub come_back_most: Option<Duration>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Logging {
+    pub level: &'static str,
+    pub json: bool,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Model {
+    pub limits: Limits,
+    pub discovery: Discovery,
+    pub listeners: Vec<Listener>,
+    /// Seconds east of UTC.
+    pub offset: i32,
+    pub named_windows: Vec<NamedWindow>,
+    /// In the order of `named_windows`.
+    pub windows: Vec<Window>,
+    pub pools: Vec<Pool>,
+    pub classes: Vec<Class>,
+    pub routes: Vec<Route>,
+    pub policy: Policy,
+    pub logging: Logging,
+    /// All values of sections that stand once, defaults among them, and those stated elsewhere.
+    pub entries: Vec<Entry>,
+}
+
+impl Default for Model {
+    /// What counts where there is no operators' file.
+    fn default() -> Model {
+        build(&[], false, &mut Vec::new())
+    }
+}
+
+/// Typed values of a section, from the file or from the table's defaults.
+struct Values<'a> {
+    section: Option<&'a Section>,
+    spec: &'static schema::Section,
+}
+
+impl Values<'_> {
+    fn value(&self, keyword: &'static str) -> Option<Value> {
+        if let Some(value) = self.section.and_then(|s| s.value(keyword)) {
+            return Some(value.clone());
+        }
+        let spec = self.spec.directive(keyword)?;
+        let (schema::Args::One(kind) | schema::Args::Optional(kind) | schema::Args::Many(kind)) = spec.args;
+        if spec.default.is_empty() {
+            None
+        } else {
+            kind.parse(spec.default).ok()
+        }
+    }
+
+    fn time(&self, keyword: &'static str) -> Option<Duration> {
+        match self.value(keyword)? {
+            Value::Time(span) => Some(span),
+            _ => None,
+        }
+    }
+
+    fn count(&self, keyword: &'static str) -> Option<u64> {
+        match self.value(keyword)? {
+            Value::Count(n) | Value::Size(n) => Some(n),
+            _ => None,
+        }
+    }
+
+    /// A count that the table keeps within bounds that fit.
+    fn small<N: TryFrom<u64>>(&self, keyword: &'static str) -> Option<N> {
+        N::try_from(self.count(keyword)?).ok()
+    }
+
+    fn share(&self, keyword: &'static str) -> Share {
+        match self.value(keyword) {
+            Some(Value::Share(share)) => share,
+            _ => Share::new(0, 1),
+        }
+    }
+
+    fn address(&self, keyword: &'static str) -> Option<SocketAddr> {
+        match self.value(keyword)? {
+            Value::Address(address) => Some(address),
+            _ => None,
+        }
+    }
+
+    fn choice(&self, keyword: &'static str) -> &'static str {
+        match self.value(keyword) {
+            Some(Value::Choice(word)) => word,
+            _ => "",
+        }
+    }
+
+    fn all<T>(&self, keyword: &str, pick: impl Fn(&Value) -> Option<T>) -> Vec<T> {
+        let values = self.section.map_or(&[][..], |s| s.values(keyword));
+        values.iter().filter_map(|(value, _)| pick(value)).collect()
+    }
+}
+
+fn name(value: &Value) -> Option<String> {
+    match value {
+        Value::Name(name) => Some(name.clone()),
+        _ => None,
+    }
+}
+
+fn groups(value: &Value) -> Option<RangeInclusive<u32>> {
+    match value {
+        Value::Groups(range) => Some(range.clone()),
+        _ => None,
+    }
+}
+
+/// `partial`: some of the files could not be read, so that a name which is missing may stand there.
+pub fn build(sections: &[Section], partial: bool, faults: &mut Vec<Diagnostic>) -> Model {
+    let once = |keyword: &'static str| Values {
+        section: sections.iter().find(|s| s.spec.keyword == keyword),
+        spec: schema::section(keyword).unwrap_or(&schema::SECTIONS[0]),
+    };
+    let all = |keyword: &'static str| sections.iter().filter(move |s| s.spec.keyword == keyword);
+    let of = |section| Values { section: Some(section), spec: section.spec };
+
+    let v = once("limits");
+    let time = |keyword| v.time(keyword).unwrap_or_default();
+    let limits = Limits {
+        client_patience: time("client-patience"),
+        client_idle: time("client-idle"),
+        answer_unread: time("answer-unread"),
+        goodbye: time("goodbye"),
+        answer_margin: time("answer-margin"),
+        pipeline: v.small("pipeline").unwrap_or(1),
+        unsent: v.small("unsent").unwrap_or(4_096),
+        clients: v.share("clients"),
+        crowded: v.share("crowded"),
+        packed: v.share("packed"),
+        unfinished: v.share("unfinished"),
+        sockets: v.small("sockets"),
+        memory: v.count("memory"),
+    };
+    if let Some(section) = v.section.filter(|_| limits.crowded > limits.packed) {
+        let (crowded, packed) = (section.setting("crowded"), section.setting("packed"));
+        if let Some(at) = crowded.or(packed) {
+            let message = format!("crowded ({}) is above packed ({})", limits.crowded, limits.packed);
+            let mut fault =
+                Diagnostic::error("cross-check", at.span, message).label("this must not be above packed");
+            if let (Some(_), Some(packed)) = (crowded, packed) {
+                fault = fault.related(packed.span, "packed");
+            } else {
+                fault = fault.help("the other of the two has its default");
+            }
+            faults.push(fault);
+        }
+    }
+    let v = once("discovery");
+    let discovery = Discovery {
+        address: v.address("address"),
+        watch_silence: v.time("watch-silence").unwrap_or_default(),
+    };
+    let listeners: Vec<Listener> = all("listener")
+        .map(|s| Listener { name: s.name.clone(), address: of(s).address("address") })
+        .collect();
+    for section in all("listener").skip(1) {
+        let fault = Diagnostic::error("many-listeners", section.span, "one listener is served so far");
+        faults.push(fault.label("one too many"));
+    }
+    for section in all("listener").filter(|s| !s.partial && s.setting("address").is_none()) {
+        let fault = Diagnostic::error("missing", section.span, "the listener has no address");
+        faults.push(fault.label("address is missing here"));
+    }
+    let offset = match once("calendar").value("offset") {
+        Some(Value::Offset(seconds)) => seconds,
+        _ => 0,
+    };
+    let (named_windows, windows) = windows(sections, offset, faults);
+    let pools: Vec<Pool> = all("pool")
+        .map(|s| {
+            let v = of(s);
+            Pool {
+                name: s.name.clone(),
+                requests: v.small("requests"),
+                rate: match v.value("rate") {
+                    Some(Value::Rate(rate)) => Some(rate),
+                    _ => None,
+                },
+                burst: v.small("burst").unwrap_or(1),
+                reserve: v.share("reserve"),
+                come_back: v.time("come-back"),
+                groups: v.all("groups", groups),
+            }
+        })
+        .collect();
+    for section in all("pool").filter(|s| !s.partial) {
+        check_pool(section, faults);
+    }
+    let classes: Vec<Class> = all("class")
+        .map(|s| {
+            let v = of(s);
+            Class {
+                name: s.name.clone(),
+                span: s.span,
+                deadline: v.time("deadline"),
+                tries: v.small("tries"),
+                once: v.choice("runs") == "once",
+            }
+        })
+        .collect();
+    let routes = routes(sections, &named_windows, &pools, &classes, partial, faults);
+    let v = once("policy");
+    let policy = Policy {
+        tries: v.small("tries"),
+        second_copies: v.choice("second-copies") == "yes",
+        probes: v.choice("probes") == "yes",
+        come_back_most: v.time("come-back-most"),
+    };
+    let v = once("logging");
+    let logging = Logging { level: v.choice("level"), json: v.choice("form") == "json" };
+    let entries = entries(sections);
+    Model {
+        limits,
+        discovery,
+        listeners,
+        offset,
+        named_windows,
+        windows,
+        pools,
+        classes,
+        routes,
+        policy,
+        logging,
+        entries,
+    }
+}
+
+fn entries(sections: &[Section]) -> Vec<Entry> {
+    let mut entries = Vec::new();
+    let mut add = |spec: &'static schema::Section, section: Option<&Section>| {
+        let title = match section {
+            Some(s) if !s.name.is_empty() => format!("{} {}", spec.keyword, s.name),
+            _ => spec.keyword.to_owned(),
+        };
+        for directive in spec.directives {
+            let stated = section.and_then(|s| s.setting(directive.keyword));
+            let (value, origin) = match stated {
+                Some(setting) => {
+                    let words: Vec<String> = setting.values.iter().map(|(v, _)| v.to_string()).collect();
+                    (words.join(" "), Origin::File(setting.span))
+                }
+                None if directive.default.is_empty() => continue,
+                None => (directive.default.to_owned(), Origin::Default),
+            };
+            let (section, directive, takes) = (title.clone(), directive.keyword, directive.takes);
+            entries.push(Entry { section, directive, value, origin, takes });
+        }
+    };
+    for spec in schema::SECTIONS {
+        match spec.naming {
+            schema::Naming::Unnamed => add(spec, sections.iter().find(|s| s.spec.keyword == spec.keyword)),
+            schema::Naming::Named => {
+                sections.iter().filter(|s| s.spec.keyword == spec.keyword).for_each(|s| add(spec, Some(s)));
+            }
+        }
+    }
+    entries
+}
+
+fn windows(
+    sections: &[Section],
+    offset: i32,
+    faults: &mut Vec<Diagnostic>,
+) -> (Vec<NamedWindow>, Vec<Window>) {
+    let stated: Vec<&Section> = sections.iter().filter(|s| s.spec.keyword == "window").collect();
+    if stated.is_empty() {
+        return Default::default();
+    }
+    if let Some(first) = stated.get(schema::WINDOWS_LIMIT) {
+        let message = format!("there are more than {} windows", schema::WINDOWS_LIMIT);
+        faults.push(Diagnostic::error("many-windows", first.span, message).label("one too many"));
+        return Default::default();
+    }
+    let almanac = Almanac::default();
+    let mut named = Vec::new();
+    let mut windows = Vec::new();
+    for section in stated {
+        let v = Values { section: Some(section), spec: section.spec };
+        let dates = v.all("dates", |value| match value {
+            Value::Dates(dates) => Some(*dates),
+            _ => None,
+        });
+        let days = v.all("weekdays", |value| match value {
+            Value::Weekdays(bits) => Some(*bits),
+            _ => None,
+        });
+        let hours: Vec<Hours> = v.all("hours", |value| match value {
+            Value::Hours(hours) => Some(*hours),
+            _ => None,
+        });
+        let stated = Stated { dates, weekdays: days.iter().fold(0, |all, d| all | d), hours };
+        let window = almanac.window(&stated, offset);
+        if !section.partial {
+            if stated == Stated::default() {
+                let fault = Diagnostic::error("missing", section.span, "the window states nothing");
+                faults.push(fault.label("dates, weekdays or hours are missing here"));
+            } else if window.never() {
+                let mut fault = Diagnostic::warning("never-occurs", section.span, "the window never occurs")
+                    .label("no day fits all that it states");
+                if stated.dates.iter().any(|d| matches!(d, Dates::Once(..))) && stated.weekdays != 0 {
+                    fault = fault.help("its dates do not fall on its weekdays");
+                }
+                faults.push(fault);
+            }
+        }
+        named.push(NamedWindow { name: section.name.clone(), stated });
+        windows.push(window);
+    }
+    let used: std::collections::HashSet<&str> = used(sections, "during").collect();
+    for section in sections.iter().filter(|s| s.spec.keyword == "window" && !used.contains(s.name.as_str())) {
+        let message = format!("no route goes by the window {}", section.name);
+        faults.push(Diagnostic::warning("unused-window", section.span, message).label("never used"));
+    }
+    (named, windows)
+}
+
+/// The names that routes refer to by a directive.
+fn used<'a>(sections: &'a [Section], keyword: &'a str) -> impl Iterator<Item = &'a str> {
+    let routes = sections.iter().filter(|s| s.spec.keyword == "route");
+    routes.flat_map(move |s| s.values(keyword)).filter_map(|(value, _)| match value {
+        Value::Name(name) => Some(name.as_str()),
+        _ => None,
+    })
+}
+
+fn check_pool(section: &Section, faults: &mut Vec<Diagnostic>) {
+    if section.setting("requests").is_none() && section.setting("rate").is_none() {
+        let fault = Diagnostic::error("missing", section.span, "the pool bounds nothing");
+        faults.push(fault.label("requests or rate is missing here"));
+    }
+    if let (Some(burst), None) = (section.setting("burst"), section.setting("rate")) {
+        let fault = Diagnostic::error("cross-check", burst.span, "a burst is stated without a rate");
+        faults.push(fault.label("bounds nothing").help("requests bounds those that are open at once"));
+    }
+}
+
+fn routes(
+    sections: &[Section],
+    windows: &[NamedWindow],
+    pools: &[Pool],
+    classes: &[Class],
+    partial: bool,
+    faults: &mut Vec<Diagnostic>,
+) -> Vec<Route> {
+    let window_at: HashMap<&str, usize> =
+        windows.iter().enumerate().map(|(at, w)| (w.name.as_str(), at)).collect();
+    let pool_at: HashMap<&str, &Pool> = pools.iter().map(|p| (p.name.as_str(), p)).collect();
+    let once: Vec<&str> = classes.iter().filter(|c| c.once).map(|c| c.name.as_str()).collect();
+    let mut unknown = |what: &str, name: &str, span: Span, known: Vec<&str>| {
+        if partial {
+            return;
+        }
+        let fault = Diagnostic::error("unknown-name", span, format!("there is no {what} {name}"))
+            .label("not defined in any file that was read");
+        faults.push(match nearest(name, known.iter().copied()) {
+            Some(near) => fault.help(format!("did you mean {near}?")),
+            None if known.is_empty() => fault.help(format!("no {what} is defined")),
+            None => fault,
+        });
+    };
+    let mut routes = Vec::new();
+    let mut checks = Vec::new();
+    for section in sections.iter().filter(|s| s.spec.keyword == "route") {
+        let v = Values { section: Some(section), spec: section.spec };
+        let mut during = Vec::new();
+        let mut sound = !section.partial;
+        for (value, span) in section.values("during") {
+            let Value::Name(name) = value else { continue };
+            match window_at.get(name.as_str()) {
+                Some(at) => during.push(*at),
+                None => {
+                    sound = false;
+                    unknown("window", name, *span, window_at.keys().copied().collect());
+                }
+            }
+        }
+        let mut pool = None;
+        if let Some((Value::Name(name), span)) = section.values("pool").first() {
+            match pool_at.get(name.as_str()) {
+                Some(found) => pool = Some(*found),
+                None => unknown("pool", name, *span, pool_at.keys().copied().collect()),
+            }
+        }
+        let conditions = Conditions {
+            classes: v.all("class", name),
+            tenants: v.all("tenant", name),
+            groups: v.all("group", groups),
+            statements: v.all("statement", |value| match value {
+                Value::Text(text) => Some(fold(text)),
+                _ => None,
+            }),
+            networks: v.all("network", |value| match value {
+                Value::Network(network) => Some(*network),
+                _ => None,
+            }),
+            during,
+        };
+        let outcome = Outcome {
+            pool: pool.map(|p| p.name.clone()),
+            as_class: v.value("as-class").as_ref().and_then(name),
+            deadline: v.time("deadline"),
+            priority: match v.choice("priority") {
+                "low" => Priority::Low,
+                "high" => Priority::High,
+                _ => Priority::Normal,
+            },
+            tries: v.small("tries"),
+            refuse: section.setting("refuse").map(|_| v.time("refuse")),
+        };
+        let route = Route { name: section.name.clone(), span: section.span, conditions, outcome };
+        check_route(section, &route, pool, &once, &mut checks);
+        // One of which a condition can't be read would catch what it is not meant for.
+        if sound {
+            routes.push(route);
+        }
+    }
+    faults.extend(checks);
+    let used: std::collections::HashSet<&str> = used(sections, "pool").collect();
+    for section in sections.iter().filter(|s| s.spec.keyword == "pool" && !used.contains(s.name.as_str())) {
+        let message = format!("no route leads to the pool {}", section.name);
+        faults.push(Diagnostic::warning("unused-pool", section.span, message).label("never used"));
+    }
+    routes
+}
+
+/// What a route's own values say against one another.
+fn check_route(
+    section: &Section,
+    route: &Route,
+    pool: Option<&Pool>,
+    once: &[&str],
+    faults: &mut Vec<Diagnostic>,
+) {
+    if let Some(refuse) = section.setting("refuse") {
+        let others = ["pool", "as-class", "deadline", "priority", "tries"];
+        if let Some(other) = others.iter().find_map(|keyword| section.setting(keyword)) {
+            let message = format!("a refused request has no use for {}", other.spec.keyword);
+            let fault = Diagnostic::error("cross-check", other.span, message);
+            faults.push(fault.label("has no effect").related(refuse.span, "refused here"));
+        }
+    }
+    if let (Some(priority), None) = (section.setting("priority"), section.setting("pool")) {
+        let fault = Diagnostic::error("cross-check", priority.span, "a priority is stated without a pool");
+        faults.push(fault.label("is the priority within a pool"));
+    }
+    if let Some(pool) = pool.filter(|p| !p.groups.is_empty()) {
+        let set = |ranges: &[RangeInclusive<u32>]| {
+            crate::ranges::Ranges::from_list(
+                ranges.iter().map(|r| (u128::from(*r.start()), u128::from(*r.end()))),
+            )
+        };
+        let whole = [0..=u32::MAX];
+        let own =
+            if route.conditions.groups.is_empty() { &whole } else { route.conditions.groups.as_slice() };
+        if let (Some(outside), Some(setting)) =
+            (set(own).minus(&set(&pool.groups)).first(), section.setting("pool"))
+        {
+            let message = format!("the pool {} does not serve all groups of the route", pool.name);
+            let fault = Diagnostic::error("cross-check", setting.span, message);
+            faults.push(
+                fault.label(format!("not group {outside}, for one")).help("state the groups of the route"),
+            );
+        }
+    }
+    let classes = &route.conditions.classes;
+    if let (Some(target), Some(setting)) = (&route.outcome.as_class, section.setting("as-class")) {
+        let kept = classes.iter().find(|c| once.contains(&c.as_str()) && !once.contains(&target.as_str()));
+        if let Some(class) = kept {
+            let message =
+                format!("requests of class {class} run once and can't be treated as class {target}");
+            let fault = Diagnostic::error("loosens", setting.span, message);
+            faults.push(
+                fault.label("would allow a repeat").help(format!("class {target} must say: runs once")),
+            );
+        } else if classes.as_slice() == std::slice::from_ref(target) {
+            let message = format!("the requests are of class {target} already");
+            faults.push(Diagnostic::warning("no-effect", setting.span, message).label("changes nothing"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/configuration/src/platform.rs
@@ -0,0 +1,184 @@
+//! The model held against the platform's word: names that it must know, and rules that may only be tightened.
+
+use crate::check::{Section, Setting};
+use crate::diagnostic::{nearest, Diagnostic};
+use crate::model::Model;
+use crate::source::Span;
+use crate::value::{self, Value};
+use std::time::Duration;
+
+/// What a class needs of the data that answers it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Need {
+    Write,
+    Fresh,
+    Session,
+    Bounded(Duration),
+    Any,
+}
+
+/// What a repeat of a request would do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    Safe,
+    /// Dropped by its key, within limits of its own.
+    Keyed,
+    Never,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Class {
+    pub name: String,
+    pub need: Need,
+    pub repeat: Repeat,
+    pub deadline: Duration,
+}
+
+/// The platform as far as the operators' file has to do with it. What it does not state is none.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Platform {
+    pub classes: Vec<Class>,
+    pub tenants: Vec<String>,
+    /// 0: no limit.
+    pub try_limit: u16,
+    pub sockets: Option<usize>,
+    pub memory: Option<u64>,
+    pub max_retry_after: Option<Duration>,
+}
+
+/// Whether data that is good enough for one class is for another too.
+fn meets(stricter: Need, need: Need) -> bool {
+    match (stricter, need) {
+        (Need::Write, other) | (other, Need::Write) => other == Need::Write && stricter == need,
+        (_, Need::Any) | (Need::Fresh, _) => true,
+        (Need::Session, Need::Session) => true,
+        (Need::Bounded(own), Need::Bounded(bound)) => own <= bound,
+        _ => false,
+    }
+}
+
+/// What may be done with one may be done with the other.
+fn allows_no_more(own: Repeat, other: Repeat) -> bool {
+    own == other || other == Repeat::Safe || own == Repeat::Never
+}
+
+pub fn check(sections: &[Section], model: &Model, platform: &Platform) -> Vec<Diagnostic> {
+    let mut faults = Vec::new();
+    for section in sections {
+        match section.spec.keyword {
+            "class" => class(section, platform, &mut faults),
+            "route" => route(section, model, platform, &mut faults),
+            "limits" => {
+                bounded(section, "sockets", platform.sockets.map(|n| n as u64), &mut faults);
+                bounded(section, "memory", platform.memory, &mut faults);
+            }
+            "policy" => {
+                let tries = Some(u64::from(platform.try_limit)).filter(|n| *n > 0);
+                bounded(section, "tries", tries, &mut faults);
+                if let Some(most) = platform.max_retry_after {
+                    longest(section, "come-back-most", most, "the platform's clients heed", &mut faults);
+                }
+            }
+            _ => {}
+        }
+    }
+    faults
+}
+
+fn loosens(setting: &Setting, message: String) -> Diagnostic {
+    Diagnostic::error("loosens", setting.span, message).label("looser than the platform allows")
+}
+
+fn bounded(section: &Section, keyword: &str, most: Option<u64>, faults: &mut Vec<Diagnostic>) {
+    let (Some(setting), Some(most)) = (section.setting(keyword), most) else { return };
+    if let Some((value @ (Value::Count(n) | Value::Size(n)), _)) = setting.values.first() {
+        if *n > most {
+            let limit = match value {
+                Value::Size(_) => value::size(most),
+                _ => most.to_string(),
+            };
+            faults.push(loosens(setting, format!("{keyword} is {value}, but the platform states {limit}")));
+        }
+    }
+}
+
+fn longest(section: &Section, keyword: &str, most: Duration, whose: &str, faults: &mut Vec<Diagnostic>) {
+    let Some(setting) = section.setting(keyword) else { return };
+    if let Some((Value::Time(span), _)) = setting.values.first() {
+        if *span > most {
+            let (span, most) = (value::time(*span), value::time(most));
+            faults.push(loosens(setting, format!("{keyword} is {span}, but {whose} {most} at most")));
+        }
+    }
+}
+
+fn unknown(what: &str, name: &str, span: Span, known: &[&str]) -> Diagnostic {
+    let fault = Diagnostic::error("unknown-name", span, format!("the platform has no {what} {name}"))
+        .label("not known to the platform");
+    match nearest(name, known.iter().copied()) {
+        Some(near) => fault.help(format!("did you mean {near}?")),
+        None => fault.help(format!("known are {}", known.join(", "))),
+    }
+}
+
+fn class(section: &Section, platform: &Platform, faults: &mut Vec<Diagnostic>) {
+    let Some(stated) = platform.classes.iter().find(|c| c.name == section.name) else {
+        let known: Vec<&str> = platform.classes.iter().map(|c| c.name.as_str()).collect();
+        faults.push(unknown("class", &section.name, section.span, &known));
+        return;
+    };
+    longest(section, "deadline", stated.deadline, "its clients wait", faults);
+    let tries = Some(u64::from(platform.try_limit)).filter(|n| *n > 0);
+    bounded(section, "tries", tries, faults);
+}
+
+fn names(section: &Section, keyword: &str, what: &str, known: &[&str], faults: &mut Vec<Diagnostic>) {
+    for (value, span) in section.values(keyword) {
+        if let Value::Name(name) = value {
+            if !known.contains(&name.as_str()) {
+                faults.push(unknown(what, name, *span, known));
+            }
+        }
+    }
+}
+
+fn route(section: &Section, model: &Model, platform: &Platform, faults: &mut Vec<Diagnostic>) {
+    let classes: Vec<&str> = platform.classes.iter().map(|c| c.name.as_str()).collect();
+    let tenants: Vec<&str> = platform.tenants.iter().map(String::as_str).collect();
+    names(section, "class", "class", &classes, faults);
+    names(section, "as-class", "class", &classes, faults);
+    if !tenants.is_empty() {
+        names(section, "tenant", "tenant", &tenants, faults);
+    }
+    let tries = Some(u64::from(platform.try_limit)).filter(|n| *n > 0);
+    bounded(section, "tries", tries, faults);
+    let (Some(setting), Some(Value::Name(target))) = (section.setting("as-class"), section.value("as-class"))
+    else {
+        return;
+    };
+    let Some(target) = platform.classes.iter().find(|c| c.name == *target) else { return };
+    let stated: Vec<&str> = section
+        .values("class")
+        .iter()
+        .filter_map(|(value, _)| match value {
+            Value::Name(name) => Some(name.as_str()),
+            _ => None,
+        })
+        .collect();
+    let once = |name: &str| model.classes.iter().any(|c| c.name == name && c.once);
+    // What the file says of a class counts here as the platform's word does.
+    let repeat = |class: &Class| if once(&class.name) { Repeat::Never } else { class.repeat };
+    for class in platform.classes.iter().filter(|c| stated.is_empty() || stated.contains(&c.name.as_str())) {
+        let why = if !allows_no_more(repeat(target), repeat(class)) {
+            "allows repeats that must not be"
+        } else if !meets(target.need, class.need) {
+            "does not need the same of the data"
+        } else {
+            continue;
+        };
+        let message = format!("requests of class {} can't be treated as class {}", class.name, target.name);
+        let fault = Diagnostic::error("loosens", setting.span, message);
+        faults.push(fault.label(format!("class {} {why}", target.name)));
+        return;
+    }
+}
--- /dev/null
+++ b/crates/configuration/src/ranges.rs
@@ -0,0 +1,281 @@
+//! Sets of numbers as ranges, and boxes of them: what a route's conditions leave of all requests.
+
+/// A set of numbers: ranges with both ends included, in order, apart from each other.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ranges(Vec<(u128, u128)>);
+
+impl Ranges {
+    pub fn none() -> Ranges {
+        Ranges(Vec::new())
+    }
+
+    pub fn one(from: u128, to: u128) -> Ranges {
+        Ranges(vec![(from, to)])
+    }
+
+    /// From ranges in any order, which may overlap.
+    pub fn from_list(list: impl IntoIterator<Item = (u128, u128)>) -> Ranges {
+        let mut list: Vec<_> = list.into_iter().filter(|(from, to)| from <= to).collect();
+        list.sort_unstable();
+        let mut out: Vec<(u128, u128)> = Vec::with_capacity(list.len());
+        for (from, to) in list {
+            match out.last_mut() {
+                // Ranges that touch are one.
+                Some((_, end)) if *end == u128::MAX || from <= *end + 1 => *end = to.max(*end),
+                _ => out.push((from, to)),
+            }
+        }
+        Ranges(out)
+    }
+
+    pub fn list(&self) -> &[(u128, u128)] {
+        &self.0
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    pub fn first(&self) -> Option<u128> {
+        self.0.first().map(|(from, _)| *from)
+    }
+
+    /// The least and the largest of its numbers.
+    pub fn hull(&self) -> Option<(u128, u128)> {
+        Some((self.0.first()?.0, self.0.last()?.1))
+    }
+
+    pub fn contains(&self, number: u128) -> bool {
+        let at = self.0.partition_point(|(_, to)| *to < number);
+        self.0.get(at).is_some_and(|(from, _)| *from <= number)
+    }
+
+    pub fn meets(&self, other: &Ranges) -> bool {
+        let (mut a, mut b) = (0, 0);
+        while let (Some(x), Some(y)) = (self.0.get(a), other.0.get(b)) {
+            if x.0.max(y.0) <= x.1.min(y.1) {
+                return true;
+            }
+            if x.1 < y.1 {
+                a += 1;
+            } else {
+                b += 1;
+            }
+        }
+        false
+    }
+
+    pub fn and(&self, other: &Ranges) -> Ranges {
+        let mut out = Vec::new();
+        let (mut a, mut b) = (0, 0);
+        while let (Some(x), Some(y)) = (self.0.get(a), other.0.get(b)) {
+            let (from, to) = (x.0.max(y.0), x.1.min(y.1));
+            if from <= to {
+                out.push((from, to));
+            }
+            if x.1 < y.1 {
+                a += 1;
+            } else {
+                b += 1;
+            }
+        }
+        Ranges(out)
+    }
+
+    pub fn or(&self, other: &Ranges) -> Ranges {
+        Ranges::from_list(self.0.iter().chain(&other.0).copied())
+    }
+
+    pub fn minus(&self, other: &Ranges) -> Ranges {
+        let mut out = Vec::new();
+        let mut cuts = other.0.iter().peekable();
+        for &(mut from, to) in &self.0 {
+            let mut whole = true;
+            while let Some(&&(cut_from, cut_to)) = cuts.peek() {
+                if cut_to < from {
+                    cuts.next();
+                    continue;
+                }
+                if cut_from > to {
+                    break;
+                }
+                if cut_from > from {
+                    out.push((from, cut_from - 1));
+                }
+                if cut_to >= to {
+                    // The cut may reach into the next range, so it stays.
+                    whole = false;
+                    break;
+                }
+                from = cut_to + 1;
+                cuts.next();
+            }
+            if whole {
+                out.push((from, to));
+            }
+        }
+        Ranges(out)
+    }
+}
+
+/// The dimensions in which requests differ.
+pub const DIMENSIONS: usize = 6;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Dimension {
+    Class,
+    Tenant,
+    Group,
+    Statement,
+    Network,
+    Time,
+}
+
+/// The requests whose every part lies in one set: a product of sets.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Region(pub [Ranges; DIMENSIONS]);
+
+/// A request as a point.
+pub type Point = [u128; DIMENSIONS];
+
+impl Region {
+    pub fn dimension(&self, which: Dimension) -> &Ranges {
+        &self.0[which as usize]
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.0.iter().any(Ranges::is_empty)
+    }
+
+    pub fn contains(&self, point: &Point) -> bool {
+        self.0.iter().zip(point).all(|(set, at)| set.contains(*at))
+    }
+
+    pub fn meets(&self, other: &Region) -> bool {
+        self.0.iter().zip(&other.0).all(|(a, b)| a.meets(b))
+    }
+
+    pub fn and(&self, other: &Region) -> Region {
+        Region(std::array::from_fn(|d| self.0[d].and(&other.0[d])))
+    }
+
+    /// What is left of it, in disjoint parts: dimension by dimension, what sticks out is cut off.
+    pub fn minus(&self, other: &Region, out: &mut Vec<Region>) {
+        if !self.meets(other) {
+            out.push(self.clone());
+            return;
+        }
+        let mut core = self.clone();
+        for d in 0..DIMENSIONS {
+            let outside = core.0[d].minus(&other.0[d]);
+            if !outside.is_empty() {
+                let mut part = core.clone();
+                part.0[d] = outside;
+                out.push(part);
+            }
+            core.0[d] = core.0[d].and(&other.0[d]);
+        }
+    }
+
+    /// Some request in it.
+    pub fn example(&self) -> Option<Point> {
+        let mut point = [0; DIMENSIONS];
+        for (at, set) in point.iter_mut().zip(&self.0) {
+            *at = set.first()?;
+        }
+        Some(point)
+    }
+}
+
+/// What is left of all of them.
+pub fn minus_all(parts: Vec<Region>, cut: &Region) -> Vec<Region> {
+    let mut left = Vec::with_capacity(parts.len());
+    for part in parts {
+        part.minus(cut, &mut left);
+    }
+    left
+}
+
+/// Fewer regions that hold the same: two that differ in one dimension only become one.
+pub fn merge(mut parts: Vec<Region>) -> Vec<Region> {
+    parts.sort();
+    parts.dedup();
+    let mut again = true;
+    while again && parts.len() <= MERGED {
+        again = false;
+        'search: for a in 0..parts.len() {
+            for b in a + 1..parts.len() {
+                let mut differing = (0..DIMENSIONS).filter(|&d| parts[a].0[d] != parts[b].0[d]);
+                if let (Some(d), None) = (differing.next(), differing.next()) {
+                    parts[a].0[d] = parts[a].0[d].or(&parts[b].0[d]);
+                    parts.swap_remove(b);
+                    again = true;
+                    break 'search;
+                }
+            }
+        }
+    }
+    parts
+}
+
+/// More regions than this are not worth the time that merging takes.
+const MERGED: usize = 512;
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn sets_do_what_sets_do() {
+        let mut seed = 7_u64;
+        let mut random = move |n: u64| {
+            seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+            (seed >> 33) % n
+        };
+        for _ in 0..2_000 {
+            let mut set = || {
+                let pairs: Vec<_> = (0..random(5)).map(|_| (random(40), random(40))).collect();
+                Ranges::from_list(
+                    pairs.into_iter().map(|(a, b)| (u128::from(a.min(b)), u128::from(a.max(b)))),
+                )
+            };
+            let (a, b) = (set(), set());
+            let (and, or, minus) = (a.and(&b), a.or(&b), a.minus(&b));
+            assert_eq!(a.meets(&b), !and.is_empty());
+            for n in 0..42 {
+                let (x, y) = (a.contains(n), b.contains(n));
+                assert_eq!((and.contains(n), or.contains(n), minus.contains(n)), (x && y, x || y, x && !y));
+            }
+        }
+    }
+
+    #[test]
+    fn the_ends_of_the_numbers_are_numbers_too() {
+        let all = Ranges::one(0, u128::MAX);
+        assert_eq!(all.minus(&Ranges::one(u128::MAX, u128::MAX)), Ranges::one(0, u128::MAX - 1));
+        assert_eq!(all.minus(&all), Ranges::none());
+        assert_eq!(Ranges::from_list([(5, u128::MAX), (u128::MAX, u128::MAX)]), Ranges::one(5, u128::MAX));
+    }
+
+    #[test]
+    fn a_cut_region_falls_into_parts_that_do_not_overlap() {
+        let set = |from, to| Ranges::one(from, to);
+        let region = |a: (u128, u128), b: (u128, u128), c: (u128, u128)| {
+            Region([set(a.0, a.1), set(b.0, b.1), set(c.0, c.1), set(0, 0), set(0, 0), set(0, 0)])
+        };
+        let whole = region((0, 4), (0, 4), (0, 4));
+        let cut = region((1, 2), (2, 9), (0, 3));
+        let parts = minus_all(vec![whole.clone()], &cut);
+        for a in 0..6 {
+            for b in 0..6 {
+                for c in 0..6 {
+                    let point = [a, b, c, 0, 0, 0];
+                    let held = parts.iter().filter(|p| p.contains(&point)).count();
+                    assert_eq!(held, usize::from(whole.contains(&point) && !cut.contains(&point)));
+                }
+            }
+        }
+        let merged = merge(parts.clone());
+        assert!(merged.len() <= parts.len());
+    }
+}
--- /dev/null
+++ b/crates/configuration/src/route.rs
@@ -0,0 +1,159 @@
+//! Routes: what they ask of a request, what becomes of it, and the plain scan that says which route is first.
+
+use crate::calendar::{Moment, Window};
+use crate::source::Span;
+use ipnet::IpNet;
+use std::fmt;
+use std::net::IpAddr;
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Priority {
+    Low,
+    #[default]
+    Normal,
+    High,
+}
+
+impl fmt::Display for Priority {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Priority::Low => "low",
+            Priority::Normal => "normal",
+            Priority::High => "high",
+        })
+    }
+}
+
+/// What has to hold of a request. An empty list always does; of a list one has to.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Conditions {
+    pub classes: Vec<String>,
+    pub tenants: Vec<String>,
+    pub groups: Vec<RangeInclusive<u32>>,
+    /// Folded by [`fold`].
+    pub statements: Vec<String>,
+    pub networks: Vec<IpNet>,
+    /// Positions in the list of windows.
+    pub during: Vec<usize>,
+}
+
+/// What becomes of a request; the default changes nothing.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Outcome {
+    pub pool: Option<String>,
+    pub as_class: Option<String>,
+    pub deadline: Option<Duration>,
+    pub priority: Priority,
+    pub tries: Option<u16>,
+    /// Refused, and when the client is told to come back.
+    pub refuse: Option<Option<Duration>>,
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut words = Vec::new();
+        if let Some(after) = &self.refuse {
+            words.push(match after {
+                Some(after) => format!("refused, to come back after {}", crate::value::time(*after)),
+                None => "refused".to_owned(),
+            });
+        }
+        words.extend(self.pool.as_ref().map(|pool| format!("pool {pool}")));
+        words.extend(self.as_class.as_ref().map(|class| format!("as class {class}")));
+        words.extend(self.deadline.map(|span| format!("deadline {}", crate::value::time(span))));
+        if self.priority != Priority::Normal {
+            words.push(format!("priority {}", self.priority));
+        }
+        words.extend(self.tries.map(|tries| format!("tries {tries}")));
+        if words.is_empty() {
+            words.push("as without routes".to_owned());
+        }
+        f.write_str(&words.join(", "))
+    }
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    pub name: String,
+    pub span: Span,
+    pub conditions: Conditions,
+    pub outcome: Outcome,
+}
+
+/// What routes see of a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Request<'a> {
+    pub class: &'a str,
+    /// Empty: it names none.
+    pub tenant: &'a str,
+    pub group: u32,
+    pub statement: &'a [u8],
+    pub client: IpAddr,
+    pub at: Moment,
+}
+
+/// A statement's begin as prefixes are compared: without blanks before it, in small letters.
+pub fn fold(text: &str) -> String {
+    text.trim_start_matches(|c: char| c.is_ascii_whitespace()).to_ascii_lowercase()
+}
+
+pub fn begins(statement: &[u8], prefix: &str) -> bool {
+    let text = statement.trim_ascii_start();
+    let prefix = prefix.as_bytes();
+    text.len() >= prefix.len() && text.iter().zip(prefix).all(|(a, b)| a.to_ascii_lowercase() == *b)
+}
+
+/// An address as a number: IPv4 ones where IPv6 maps them.
+pub fn number(address: IpAddr) -> u128 {
+    match address {
+        IpAddr::V4(v4) => u128::from(v4.to_ipv6_mapped()),
+        IpAddr::V6(v6) => u128::from(v6),
+    }
+}
+
+/// A network as the first of its numbers and the bits that they share.
+pub fn prefix(network: &IpNet) -> (u128, u8) {
+    match network {
+        IpNet::V4(net) => (number(net.network().into()), net.prefix_len() + 96),
+        IpNet::V6(net) => (u128::from(net.network()), net.prefix_len()),
+    }
+}
+
+/// All the bits that a prefix of this length fixes.
+pub fn mask(length: u8) -> u128 {
+    u128::MAX.checked_shl(128 - u32::from(length)).unwrap_or(0)
+}
+
+/// The condition that fails, by its directive; none if all hold.
+pub fn fails(conditions: &Conditions, windows: &[Window], request: &Request<'_>) -> Option<&'static str> {
+    let Conditions { classes, tenants, groups, statements, networks, during } = conditions;
+    let among = |names: &[String], name: &str| names.is_empty() || names.iter().any(|n| n == name);
+    let client = number(request.client);
+    let inside = |network: &IpNet| {
+        let (first, length) = prefix(network);
+        client & mask(length) == first
+    };
+    let held = |window: &usize| windows.get(*window).is_some_and(|w| w.holds(request.at));
+    if !among(classes, request.class) {
+        Some("class")
+    } else if !among(tenants, request.tenant) {
+        Some("tenant")
+    } else if !groups.is_empty() && !groups.iter().any(|range| range.contains(&request.group)) {
+        Some("group")
+    } else if !networks.is_empty() && !networks.iter().any(inside) {
+        Some("network")
+    } else if !statements.is_empty() && !statements.iter().any(|p| begins(request.statement, p)) {
+        Some("statement")
+    } else if !during.is_empty() && !during.iter().any(held) {
+        Some("during")
+    } else {
+        None
+    }
+}
+
+/// The first route whose conditions hold, found by asking one after the other.
+pub fn scan(routes: &[Route], windows: &[Window], request: &Request<'_>) -> Option<usize> {
+    routes.iter().position(|route| fails(&route.conditions, windows, request).is_none())
+}
--- /dev/null
+++ b/crates/configuration/src/schema.rs
@@ -0,0 +1,292 @@
+//! Every section and directive of the language, in one table: the checker goes by it, and the operators' page
+//! is made from it.
+
+use crate::value::{Share, Type};
+use std::time::Duration;
+
+/// How many values a directive takes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Args {
+    One(Type),
+    Optional(Type),
+    Many(Type),
+}
+
+/// When a changed value begins to count in a proxy that serves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Takes {
+    Reload,
+    Start,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Directive {
+    pub keyword: &'static str,
+    pub args: Args,
+    /// Empty: none.
+    pub default: &'static str,
+    pub takes: Takes,
+    pub help: &'static str,
+    pub example: &'static str,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Naming {
+    /// Stands once and bears no name.
+    Unnamed,
+    Named,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Section {
+    pub keyword: &'static str,
+    pub naming: Naming,
+    pub help: &'static str,
+    pub directives: &'static [Directive],
+}
+
+impl Section {
+    pub fn directive(&self, keyword: &str) -> Option<&'static Directive> {
+        self.directives.iter().find(|d| d.keyword == keyword)
+    }
+}
+
+pub fn section(keyword: &str) -> Option<&'static Section> {
+    SECTIONS.iter().find(|s| s.keyword == keyword)
+}
+
+const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+const fn time(least: u64, most: u64) -> Type {
+    Type::Time { least: ms(least), most: ms(most) }
+}
+
+const fn count(least: u64, most: u64) -> Type {
+    Type::Count { least, most }
+}
+
+const fn share(least: (u32, u32), most: (u32, u32)) -> Type {
+    Type::Share { least: Share::new(least.0, least.1), most: Share::new(most.0, most.1) }
+}
+
+const fn size(least: u64, most: u64) -> Type {
+    Type::Size { least, most }
+}
+
+const fn directive(
+    keyword: &'static str,
+    args: Args,
+    default: &'static str,
+    example: &'static str,
+    help: &'static str,
+) -> Directive {
+    Directive { keyword, args, default, takes: Takes::Reload, help, example }
+}
+
+const fn at_start(d: Directive) -> Directive {
+    Directive { takes: Takes::Start, ..d }
+}
+
+use Args::{Many, One, Optional};
+
+const MINUTE: u64 = 60_000;
+const HOUR: u64 = 3_600_000;
+const KIB: u64 = 1 << 10;
+const MIB: u64 = 1 << 20;
+const YES: Type = Type::Choice(&["yes", "no"]);
+
+/// Of a directive's values and of a section's list of values, more are refused.
+pub const VALUES_LIMIT: usize = 10_000;
+pub const WINDOWS_LIMIT: usize = 1_000;
+
+pub static SECTIONS: &[Section] = &[
+    Section {
+        keyword: "limits",
+        naming: Naming::Unnamed,
+        help: "What clients may take of the proxy, and for how long. `sockets` and `memory` may only be under what the platform states.",
+        directives: &[
+            directive("client-patience", One(time(200, 30_000)), "2s", "client-patience 500ms", "a client that comes to no sound request within this, or does not end a command that it began, is told so and put out"),
+            directive("client-idle", One(time(100, HOUR)), "2s", "client-idle 30s", "among many clients, a connection is kept between requests for this long"),
+            directive("answer-unread", One(time(1_000, 10 * MINUTE)), "10s", "answer-unread 5s", "a client that takes nothing of its answers for this long is given up"),
+            directive("goodbye", One(time(100, 10_000)), "1s", "goodbye 2s", "a client that was told why its connection ends has this long to read it"),
+            directive("answer-margin", One(time(1, 200)), "10ms", "answer-margin 20ms", "kept back from each client's time for the way of the answer"),
+            directive("pipeline", One(count(1, 1_024)), "32", "pipeline 8", "commands of one connection that may wait for their answers; more stay in its socket"),
+            directive("unsent", One(size(4 * KIB, 16 * MIB)), "64KiB", "unsent 256KiB", "bytes of unsent answers beyond which nothing more is read from a client"),
+            directive("clients", One(share((1, 10), (9, 10))), "60%", "clients 50%", "of the descriptors, less a margin, those that are for clients; the rest is for record servers"),
+            directive("crowded", One(share((1, 100), (9, 10))), "1/6", "crowded 15%", "from this part of all descriptors on, clients that are idle for `client-idle` are closed"),
+            directive("packed", One(share((1, 100), (9, 10))), "25%", "packed 30%", "from this part of all descriptors on, idle clients are closed at once"),
+            directive("unfinished", One(share((1, 100), (1, 2))), "12.5%", "unfinished 10%", "of the memory, what commands that have not come whole may take together"),
+            directive("sockets", One(count(64, 1 << 20)), "", "sockets 512", "descriptors that the proxy may hold"),
+            directive("memory", One(size(16 * MIB, 1 << 40)), "", "memory 64MiB", "memory that the proxy may hold"),
+        ],
+    },
+    Section {
+        keyword: "discovery",
+        naming: Naming::Unnamed,
+        help: "The list of record servers.",
+        directives: &[
+            directive("address", One(Type::Address), "", "address 127.0.0.1:8500", "where discovery answers, if the platform does not say"),
+            at_start(directive("watch-silence", One(time(500, 5_000)), "3s", "watch-silence 4s", "a watch that says nothing for this long is replaced")),
+        ],
+    },
+    Section {
+        keyword: "listener",
+        naming: Naming::Named,
+        help: "Where clients connect, if the platform does not say. One listener is served so far.",
+        directives: &[
+            at_start(directive("protocol", One(Type::Choice(&["postgres"])), "postgres", "protocol postgres", "what is spoken there")),
+            at_start(directive("address", One(Type::Address), "", "address 127.0.0.1:5433", "the address to listen on")),
+        ],
+    },
+    Section {
+        keyword: "calendar",
+        naming: Naming::Unnamed,
+        help: "How the windows of the file are to be read.",
+        directives: &[
+            directive("offset", One(Type::Offset), "UTC", "offset +05:45", "the local time's distance from UTC; it is fixed, there is no summer time"),
+        ],
+    },
+    Section {
+        keyword: "window",
+        naming: Naming::Named,
+        help: "A part of the calendar. All that is stated has to hold; what is not stated always does. Hours that run over midnight belong to the day on which they begin.",
+        directives: &[
+            directive("dates", Many(Type::Dates), "", "dates 2026-10-17..2026-10-31 04-13..04-15", "days from one to another, both included; without a year they come back each year, and may run over its end"),
+            directive("weekdays", Many(Type::Weekdays), "", "weekdays fri sat-sun", "days of the week"),
+            directive("hours", Many(Type::Hours), "", "hours 06:00-10:00 22:00-02:00", "from the first moment up to, but without, the last"),
+        ],
+    },
+    Section {
+        keyword: "pool",
+        naming: Naming::Named,
+        help: "A part of the proxy's work that is bounded by itself, so that one kind of request can't take the place of others.",
+        directives: &[
+            directive("requests", One(count(1, 1_000_000)), "", "requests 200", "requests open at once; more are refused"),
+            directive("rate", One(Type::Rate { least: 1, most: 1_000_000 }), "", "rate 100/s", "requests taken in; more are refused"),
+            directive("burst", One(count(1, 1_000_000)), "1", "burst 50", "requests that may come at once within the rate"),
+            directive("reserve", One(share((0, 1), (9, 10))), "10%", "reserve 20%", "part of `requests` and of `burst` that low priority leaves to normal, and normal to high"),
+            directive("come-back", One(time(1, 10 * MINUTE)), "", "come-back 500ms", "what a refused client is told to wait, where the platform lets it be told; else it is worked out"),
+            directive("groups", Many(Type::Groups), "", "groups 0-4 7", "the groups that the pool serves; all, if not stated"),
+        ],
+    },
+    Section {
+        keyword: "class",
+        naming: Naming::Named,
+        help: "A class of requests, by the platform's name for it. Nothing here loosens what the platform says of the class.",
+        directives: &[
+            directive("deadline", One(time(1, HOUR)), "", "deadline 400ms", "the longest that a request of the class is worked on"),
+            directive("tries", One(count(1, 1_000)), "", "tries 2", "attempts for a request of the class"),
+            directive("runs", One(Type::Choice(&["once", "any"])), "any", "runs once", "once: a request that may have run is never sent again, even if the platform would allow it"),
+        ],
+    },
+    Section {
+        keyword: "route",
+        naming: Naming::Named,
+        help: "The first route whose conditions all hold says what becomes of a request. A condition with several values holds if one of them does.",
+        directives: &[
+            directive("class", Many(Type::Name), "", "class nearby-cabs trip-history", "condition: the class of the request"),
+            directive("tenant", Many(Type::Name), "", "tenant ratna-park", "condition: whose request it is"),
+            directive("group", Many(Type::Groups), "", "group 0-4 7", "condition: the group of the request"),
+            directive("statement", Many(Type::Text { most: 256 }), "", "statement \"SELECT doc FROM items\"", "condition: how the statement begins, after blanks and in small letters or large"),
+            directive("network", Many(Type::Network), "", "network 10.1.0.0/16 2001:db8::/32", "condition: the client's address"),
+            directive("during", Many(Type::Reference("window")), "", "during dashain", "condition: the time at which the request came"),
+            directive("pool", One(Type::Reference("pool")), "", "pool festival", "the pool that the request counts against"),
+            directive("as-class", One(Type::Name), "", "as-class trip-history", "the request is treated as one of this class, which must need no less of the data and allow no more repeats"),
+            directive("deadline", One(time(1, HOUR)), "", "deadline 300ms", "the longest that the request is worked on"),
+            directive("priority", One(Type::Choice(&["low", "normal", "high"])), "normal", "priority high", "how much of its pool it may fill"),
+            directive("tries", One(count(1, 1_000)), "", "tries 1", "attempts for the request"),
+            directive("refuse", Optional(time(1, 10 * MINUTE)), "", "refuse 2s", "the request is refused; with a time, the client is told to come back after it"),
+        ],
+    },
+    Section {
+        keyword: "policy",
+        naming: Naming::Unnamed,
+        help: "What the decision module is told beyond the platform's settings; each can only be tighter than these.",
+        directives: &[
+            at_start(directive("tries", One(count(1, 1_000)), "", "tries 4", "attempts for any request")),
+            at_start(directive("second-copies", One(YES), "yes", "second-copies no", "whether a second copy may be sent while the first runs")),
+            at_start(directive("probes", One(YES), "yes", "probes no", "whether record servers are probed")),
+            at_start(directive("come-back-most", One(time(1, 10 * MINUTE)), "", "come-back-most 1s", "the longest that a refused client is told to wait")),
+        ],
+    },
+    Section {
+        keyword: "logging",
+        naming: Naming::Unnamed,
+        help: "The log, on standard error. RUST_LOG counts over `level`.",
+        directives: &[
+            directive("level", One(Type::Choice(&["error", "warn", "info", "debug", "trace"])), "info", "level debug", "the least that is logged"),
+            directive("form", One(Type::Choice(&["text", "json"])), "text", "form json", "lines for people, or a JSON object a line"),
+        ],
+    },
+];
+
+/// The operators' table of directives, in Markdown.
+pub fn markdown() -> String {
+    let mut out = String::new();
+    for section in SECTIONS {
+        let head = match section.naming {
+            Naming::Unnamed => format!("{} {{", section.keyword),
+            Naming::Named => format!("{} NAME {{", section.keyword),
+        };
+        out.push_str(&format!("### `{head}`\n\n{}\n\n", section.help));
+        out.push_str("| directive | value | range | default | takes effect | says |\n");
+        out.push_str("| --- | --- | --- | --- | --- | --- |\n");
+        for d in section.directives {
+            let (kind, many) = match d.args {
+                Args::One(kind) => (kind, ""),
+                Args::Optional(kind) => (kind, ", or nothing"),
+                Args::Many(kind) => (kind, ", one or more"),
+            };
+            let takes = match d.takes {
+                Takes::Reload => "reload",
+                Takes::Start => "start",
+            };
+            let default = if d.default.is_empty() { "-".to_owned() } else { format!("`{}`", d.default) };
+            let range = if kind.range().is_empty() { "-".to_owned() } else { kind.range() };
+            out.push_str(&format!(
+                "| `{}` | {}{many} | {range} | {default} | {takes} | {}; `{}` |\n",
+                d.keyword,
+                kind.name(),
+                d.help,
+                d.example
+            ));
+        }
+        out.push('\n');
+    }
+    out
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Defaults and examples are values that the directive itself takes.
+    #[test]
+    fn the_table_keeps_its_own_rules() {
+        for section in SECTIONS {
+            let mut seen = Vec::new();
+            for d in section.directives {
+                assert!(!seen.contains(&d.keyword), "{} twice in {}", d.keyword, section.keyword);
+                seen.push(d.keyword);
+                let (Args::One(kind) | Args::Optional(kind) | Args::Many(kind)) = d.args;
+                if !d.default.is_empty() {
+                    assert!(kind.parse(d.default).is_ok(), "default of {} {}", section.keyword, d.keyword);
+                }
+                let syntax = crate::syntax::parse(crate::source::FileId(0), d.example);
+                assert!(syntax.faults.is_empty(), "example of {} {}", section.keyword, d.keyword);
+                let words: Vec<&str> = match &syntax.lines[0].entry {
+                    crate::syntax::Entry::Directive(words) => {
+                        words.iter().map(|w| d.example[w.span.range()].trim_matches('"')).collect()
+                    }
+                    _ => panic!("example of {} {}", section.keyword, d.keyword),
+                };
+                assert_eq!(words[0], d.keyword);
+                for word in &words[1..] {
+                    assert!(kind.parse(word).is_ok(), "example of {} {}", section.keyword, d.keyword);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/configuration/src/shadow.rs
@@ -0,0 +1,180 @@
+//! Routes that no request reaches: exact, by what earlier routes leave of each.
+
+use crate::diagnostic::Diagnostic;
+use crate::model::Model;
+use crate::ranges::{minus_all, Region, DIMENSIONS};
+use crate::space::{Side, Space};
+
+/// Pairs of routes looked at; beyond it routes stay unexamined, and that is said.
+const PAIRS_LIMIT: usize = 30_000_000;
+/// Parts that a route may fall into while earlier ones are cut from it.
+const PARTS_LIMIT: usize = 4_096;
+/// Of several routes that cover another together, so many are named.
+const NAMED: usize = 3;
+
+/// What is never reached, and by which earlier routes it is covered.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Unreached {
+    pub routes: Vec<(usize, Vec<usize>)>,
+    /// Routes that were too much work to tell.
+    pub unexamined: usize,
+}
+
+/// Routes by their hulls in one dimension: those that may meet a given one are found without asking all.
+struct Overlaps {
+    dimension: usize,
+    /// Start, end and number, by start.
+    hulls: Vec<(u128, u128, usize)>,
+    /// Largest end of each subtree of the implicit balanced tree over `hulls`.
+    largest: Vec<u128>,
+}
+
+impl Overlaps {
+    fn new(regions: &[Region]) -> Overlaps {
+        // The dimension in which routes differ most tells most of them apart.
+        let distinct = |d: usize| {
+            let mut hulls: Vec<_> = regions.iter().filter_map(|r| r.0[d].hull()).collect();
+            hulls.sort_unstable();
+            hulls.dedup();
+            hulls.len()
+        };
+        let dimension = (0..DIMENSIONS).max_by_key(|d| distinct(*d)).unwrap_or(0);
+        let hulls = regions.iter().enumerate();
+        let mut hulls: Vec<_> =
+            hulls.filter_map(|(at, r)| r.0[dimension].hull().map(|(a, b)| (a, b, at))).collect();
+        hulls.sort_unstable();
+        let mut largest = vec![0; hulls.len()];
+        fill(&hulls, &mut largest, 0, hulls.len());
+        Overlaps { dimension, hulls, largest }
+    }
+
+    /// All whose hulls meet this one's, in any order.
+    fn meeting(&self, region: &Region, out: &mut Vec<usize>) {
+        out.clear();
+        if let Some((from, to)) = region.0[self.dimension].hull() {
+            self.collect(0, self.hulls.len(), from, to, out);
+        }
+    }
+
+    fn collect(&self, low: usize, high: usize, from: u128, to: u128, out: &mut Vec<usize>) {
+        if low >= high {
+            return;
+        }
+        let middle = (low + high) / 2;
+        if self.largest[middle] < from {
+            return;
+        }
+        self.collect(low, middle, from, to, out);
+        let (start, end, at) = self.hulls[middle];
+        if start <= to {
+            if end >= from {
+                out.push(at);
+            }
+            self.collect(middle + 1, high, from, to, out);
+        }
+    }
+}
+
+fn fill(hulls: &[(u128, u128, usize)], largest: &mut [u128], low: usize, high: usize) -> u128 {
+    if low >= high {
+        return 0;
+    }
+    let middle = (low + high) / 2;
+    let below = fill(hulls, largest, low, middle).max(fill(hulls, largest, middle + 1, high));
+    largest[middle] = below.max(hulls[middle].1);
+    largest[middle]
+}
+
+/// Whether all of one lies in another.
+fn inside(inner: &Region, outer: &Region) -> bool {
+    inner.0.iter().zip(&outer.0).all(|(a, b)| a == b || a.minus(b).is_empty())
+}
+
+pub fn unreached(regions: &[Region]) -> Unreached {
+    let overlaps = Overlaps::new(regions);
+    let mut found = Unreached::default();
+    let mut hidden = vec![false; regions.len()];
+    let mut near = Vec::new();
+    let mut pairs = 0;
+    for (at, region) in regions.iter().enumerate() {
+        // One that holds nothing has a fault of its own.
+        if region.is_empty() {
+            continue;
+        }
+        if pairs > PAIRS_LIMIT {
+            found.unexamined += 1;
+            continue;
+        }
+        overlaps.meeting(region, &mut near);
+        pairs += near.len();
+        // Whatever a hidden route holds, those before it hold too.
+        near.retain(|&other| other < at && !hidden[other] && regions[other].meets(region));
+        near.sort_unstable();
+        if let Some(&cover) = near.iter().find(|&&other| inside(region, &regions[other])) {
+            hidden[at] = true;
+            found.routes.push((at, vec![cover]));
+            continue;
+        }
+        let mut left = vec![region.clone()];
+        let mut covers = Vec::new();
+        for &other in &near {
+            let before = left.len();
+            let met = left.iter().any(|part| part.meets(&regions[other]));
+            if met {
+                covers.push(other);
+                left = minus_all(left, &regions[other]);
+            }
+            pairs += before;
+            if left.is_empty() || left.len() > PARTS_LIMIT {
+                break;
+            }
+        }
+        if left.is_empty() {
+            hidden[at] = true;
+            found.routes.push((at, covers));
+        } else if left.len() > PARTS_LIMIT {
+            found.unexamined += 1;
+        }
+    }
+    found
+}
+
+/// Warnings on a model's routes. `classes`: all that the platform has, if it is known.
+pub fn check(model: &Model, classes: Option<&[String]>) -> Vec<Diagnostic> {
+    let window_names: Vec<String> = model.named_windows.iter().map(|w| w.name.clone()).collect();
+    let side = Side {
+        routes: &model.routes,
+        windows: &model.windows,
+        window_names: &window_names,
+        offset: model.offset,
+    };
+    let space = Space::new(&[side], classes);
+    let regions: Vec<Region> = model.routes.iter().map(|r| space.region(0, &r.conditions)).collect();
+    let found = unreached(&regions);
+    let mut warnings: Vec<Diagnostic> = found
+        .routes
+        .iter()
+        .map(|(at, covers)| {
+            let route = &model.routes[*at];
+            let message = format!("no request reaches the route {}", route.name);
+            let mut warning = Diagnostic::warning("unreachable-route", route.span, message);
+            warning = warning.label(match covers.len() {
+                1 => "an earlier route takes all of its requests".to_owned(),
+                n => format!("{n} earlier routes take all of its requests together"),
+            });
+            for cover in covers.iter().take(NAMED) {
+                let cover = &model.routes[*cover];
+                warning = warning.related(cover.span, format!("the route {} comes first", cover.name));
+            }
+            warning
+        })
+        .collect();
+    if let (1.., Some(last)) = (found.unexamined, model.routes.last()) {
+        let message = format!(
+            "{} routes were too much work to tell whether any request reaches them",
+            found.unexamined
+        );
+        warnings.push(Diagnostic::warning("unexamined-routes", last.span, message));
+    }
+    warnings
+}
