--- a/crates/configuration/src/calendar.rs
+++ b/crates/configuration/src/calendar.rs
@@ -6,6 +6,7 @@
 use crate::value::{Dates, Hours, DAY, YEARS};
 use jiff::civil::Date;
 use std::collections::HashMap;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 /// A second of UTC, as the day since 1970 and the second in it.
@@ -146,6 +147,12 @@
 }
 
 impl Almanac {
+    /// The one that all windows are made by; 140 KiB from the first window on.
+    pub fn shared() -> &'static Almanac {
+        static SHARED: OnceLock<Almanac> = OnceLock::new();
+        SHARED.get_or_init(Almanac::default)
+    }
+
     /// The window of local times at that offset from UTC.
     pub fn window(&self, stated: &Stated, offset: i32) -> Window {
         let mut days = Days::none();
--- a/crates/configuration/src/diff.rs
+++ b/crates/configuration/src/diff.rs
@@ -8,7 +8,6 @@
 use crate::value::{Type, Value};
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, HashMap, HashSet};
-use std::fmt::Write;
 
 /// A value that counts otherwise.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -303,6 +302,6 @@
         if self.incomplete {
             f.write_str("the routes differ in further ways, too many to tell\n")?;
         }
-        f.write_char('\n').and(Ok(()))
+        Ok(())
     }
 }
--- a/crates/configuration/src/model.rs
+++ b/crates/configuration/src/model.rs
@@ -376,7 +376,7 @@
         faults.push(Diagnostic::error("many-windows", first.span, message).label("one too many"));
         return Default::default();
     }
-    let almanac = Almanac::default();
+    let almanac = Almanac::shared();
     let mut named = Vec::new();
     let mut windows = Vec::new();
     for section in stated {
--- a/crates/configuration/src/platform.rs
+++ b/crates/configuration/src/platform.rs
@@ -169,6 +169,10 @@
     // What the file says of a class counts here as the platform's word does.
     let repeat = |class: &Class| if once(&class.name) { Repeat::Never } else { class.repeat };
     for class in platform.classes.iter().filter(|c| stated.is_empty() || stated.contains(&c.name.as_str())) {
+        // Told already, without the platform's word.
+        if once(&class.name) && !once(&target.name) && !stated.is_empty() {
+            continue;
+        }
         let why = if !allows_no_more(repeat(target), repeat(class)) {
             "allows repeats that must not be"
         } else if !meets(target.need, class.need) {
--- a/crates/leverproxy/src/cli.rs
+++ b/crates/leverproxy/src/cli.rs
@@ -1,80 +1,138 @@
 //! The command line.
 
-use crate::config::{self, Config, ConfigError};
+pub mod config;
+
+use crate::config::{Config, ConfigError};
 use crate::proxy::Proxy;
-use pico_args::Arguments;
+use clap::{Arg, ArgAction, ArgMatches, Command};
+use clap_complete::Shell;
 use std::process::ExitCode;
 
-const USAGE: &str = "\
-usage: leverproxy COMMAND
+/// Exit code for a wrong command line or configuration.
+const MISUSE: u8 = 2;
 
-  serve     serve until SIGTERM; SIGUSR1 prints the counters, SIGHUP rereads LB_CONFIG
-  check     read the configuration and say whether it is sound
-  version   print the version
-  help      print this
+const ABOUT: &str =
+    "A proxy before replicated record servers that routes each request by mountshift's decisions";
 
-serve and check take the configuration from the file that LB_CONFIG names; LB_NAME, LB_LISTEN and LB_DISCOVERY
-override what it says (after SIGHUP the file's word on discovery counts). RUST_LOG sets the log level (info unless set).";
+const ENVIRONMENT: &str = "\
+Environment:
+  LB_CONFIG     the platform's JSON file
+  LB_OPERATORS  the operators' file, unless --operators names it
+  LB_NAME, LB_LISTEN, LB_DISCOVERY
+                override what the files say (after SIGHUP the platform's file counts over LB_DISCOVERY)
+  RUST_LOG      what is logged; counts over the level of the operators' file
 
-/// Exit code for a wrong command line or configuration.
-const MISUSE: u8 = 2;
+Exit codes:
+  0  done, or nothing to say against a file
+  1  the proxy failed while it served; files differ; a file is not in its canonical form
+  2  the command line or the configuration is faulty";
+
+fn operators() -> Arg {
+    Arg::new("operators")
+        .long("operators")
+        .value_name("FILE")
+        .help("The operators' file, in place of LB_OPERATORS")
+}
+
+pub fn command() -> Command {
+    let serve = Command::new("serve")
+        .about("Serve until SIGTERM; SIGUSR1 prints the counters, SIGHUP rereads both files")
+        .arg(operators());
+    let check = Command::new("check")
+        .about("Read the configuration as serve would, and say whether it is sound")
+        .arg(operators());
+    let completions = Command::new("completions")
+        .about("Print completions for a shell")
+        .arg(Arg::new("shell").required(true).value_parser(clap::value_parser!(Shell)));
+    Command::new("leverproxy")
+        .about(ABOUT)
+        .after_help(ENVIRONMENT)
+        .subcommand_required(true)
+        .arg_required_else_help(false)
+        .subcommand(serve)
+        .subcommand(check)
+        .subcommand(config::command())
+        .subcommand(completions)
+        .subcommand(Command::new("version").about("Print the version"))
+        .arg(
+            Arg::new("version")
+                .short('V')
+                .long("version")
+                .action(ArgAction::SetTrue)
+                .exclusive(true)
+                .help("Print the version"),
+        )
+}
 
 pub fn main() -> ExitCode {
     crate::logging::start();
-    let mut arguments = Arguments::from_env();
-    if arguments.contains(["-h", "--help"]) {
-        println!("{USAGE}");
-        return ExitCode::SUCCESS;
+    let arguments: Vec<std::ffi::OsString> = std::env::args_os().collect();
+    // A program of few words asked for its version need not be told that it has sub-commands.
+    if arguments.len() == 2 && (arguments[1] == "-V" || arguments[1] == "--version") {
+        return version();
     }
-    let command = arguments.subcommand();
-    let rest = arguments.finish();
-    let command = match command {
-        Ok(Some(command)) if rest.is_empty() => command,
-        _ => {
-            eprintln!("{USAGE}");
-            return ExitCode::from(MISUSE);
+    let matches = match command().try_get_matches_from(arguments) {
+        Ok(matches) => matches,
+        Err(error) => {
+            _ = error.print();
+            return if error.use_stderr() { ExitCode::from(MISUSE) } else { ExitCode::SUCCESS };
         }
     };
-    match command.as_str() {
-        "serve" => serve(),
-        "check" => match configuration() {
-            Ok(config) => {
-                println!("{}: sound; {} record servers known", config.name, config.known.endpoints.len());
-                ExitCode::SUCCESS
+    match matches.subcommand() {
+        Some(("serve", with)) => serve(variables(with)),
+        Some(("check", with)) => check(variables(with)),
+        Some(("config", with)) => config::run(with),
+        Some(("completions", with)) => {
+            if let Some(shell) = with.get_one::<Shell>("shell") {
+                clap_complete::generate(*shell, &mut command(), "leverproxy", &mut std::io::stdout());
             }
-            Err(error) => misuse(&error),
-        },
-        "version" => {
-            println!("leverproxy {}", env!("CARGO_PKG_VERSION"));
             ExitCode::SUCCESS
         }
-        "help" => {
-            println!("{USAGE}");
-            ExitCode::SUCCESS
-        }
-        other => {
-            eprintln!("leverproxy: no command {other:?}\n\n{USAGE}");
-            ExitCode::from(MISUSE)
-        }
+        _ => version(),
     }
 }
 
-fn configuration() -> Result<Config, ConfigError> {
-    config::from_env(|name| std::env::var(name).ok())
+fn version() -> ExitCode {
+    println!("leverproxy {}", env!("CARGO_PKG_VERSION"));
+    ExitCode::SUCCESS
+}
+
+/// The environment, with what the command line says over it.
+fn variables(with: &ArgMatches) -> impl Fn(&str) -> Option<String> + Clone + Send + 'static {
+    let operators = with.get_one::<String>("operators").cloned();
+    move |name| match name {
+        "LB_OPERATORS" if operators.is_some() => operators.clone(),
+        _ => std::env::var(name).ok(),
+    }
 }
 
 fn misuse(error: &ConfigError) -> ExitCode {
-    eprintln!("leverproxy: {error}");
+    eprintln!("leverproxy: configuration: {}: {}", error.key, error.problem);
+    error.faults.iter().for_each(|fault| eprintln!("  {fault}"));
     ExitCode::from(MISUSE)
 }
 
-fn serve() -> ExitCode {
-    let config = match configuration() {
+fn check(variable: impl Fn(&str) -> Option<String>) -> ExitCode {
+    match crate::config::from_env(variable) {
+        Ok(Config { name, known, rules, .. }) => {
+            let routes = match rules.rulings.len() {
+                0 => String::new(),
+                n => format!(", {n} routes"),
+            };
+            println!("{name}: sound; {} record servers known{routes}", known.endpoints.len());
+            ExitCode::SUCCESS
+        }
+        Err(error) => misuse(&error),
+    }
+}
+
+fn serve(variable: impl Fn(&str) -> Option<String> + Clone + Send + 'static) -> ExitCode {
+    let config = match crate::config::from_env(&variable) {
         Ok(config) => config,
         Err(error) => return misuse(&error),
     };
     let served = Proxy::start(config).and_then(|(mut proxy, control)| {
-        proxy.reread_with(|| config::reread(|name| std::env::var(name).ok()));
+        proxy.reread_with(move || crate::config::reread(&variable))?;
         control.heed_signals()?;
         let served = proxy.run();
         proxy.report();
--- a/crates/leverproxy/src/config.rs
+++ b/crates/leverproxy/src/config.rs
@@ -1,6 +1,16 @@
 //! Configuration: the only place where it is read, checked and given defaults.
+//!
+//! Two files make one [`Config`]: the platform's JSON (`LB_CONFIG`) and the operators' file (`LB_OPERATORS`), if
+//! there is one. What the platform states holds; the operators' file sets what is ours to choose, tightens, and
+//! never loosens. Variables of the environment count over both.
 
 use crate::discovery::wire::{Listing, ListingError};
+use crate::operators;
+use crate::stages::steer::Rules;
+use configuration::model::{Entry, Logging, Model, Origin};
+use configuration::schema::Takes;
+use configuration::source::Sources;
+use configuration::value;
 use mountshift_settings::{BadSetting, Decoded};
 use serde::Deserialize;
 use std::fmt;
@@ -13,17 +23,20 @@
 pub struct ConfigError {
     pub key: String,
     pub problem: String,
+    /// Of the operators' file: each fault in a line.
+    pub faults: Vec<String>,
 }
 
 impl ConfigError {
     fn new(key: impl Into<String>, problem: impl ToString) -> ConfigError {
-        ConfigError { key: key.into(), problem: problem.to_string() }
+        ConfigError { key: key.into(), problem: problem.to_string(), faults: Vec::new() }
     }
 }
 
 impl fmt::Display for ConfigError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "configuration: {}: {}", self.key, self.problem)
+        write!(f, "configuration: {}: {}", self.key, self.problem)?;
+        self.faults.iter().try_for_each(|fault| write!(f, "; {fault}"))
     }
 }
 
@@ -37,6 +50,13 @@
     pub discovery: SocketAddr,
     pub seed: u64,
     pub limits: Limits,
+    pub patience: Patience,
+    /// What the operators' file says of requests.
+    pub rules: Rules,
+    pub logging: Logging,
+    /// Every value, with where it comes from, and the texts of the operators' file.
+    pub entries: Vec<Entry>,
+    pub sources: Sources,
     /// The list as this proxy last had it, maybe old.
     pub known: Listing,
     pub platform: Decoded,
@@ -51,6 +71,25 @@
     pub give_up: Duration,
 }
 
+/// What clients are given, in time and otherwise.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Patience {
+    /// A connection has to come to its first sound request within this, and every command to its end.
+    pub first: Duration,
+    /// Among many, a connection is kept between requests for this long, and for no time when most of those that
+    /// clients may hold are taken. Guards against clients that ask once and stay: clients may hold only so many
+    /// connections, and those who come to ask would find none left.
+    pub idle: Duration,
+    /// A client that takes nothing of its answers for this long is given up.
+    pub unread: Duration,
+    /// A client that has been told why its connection ends has this long to read it.
+    pub goodbye: Duration,
+    /// Unanswered commands of one connection; more wait in its socket.
+    pub pipeline: usize,
+    /// Unsent bytes of answers beyond which nothing more is read from a client.
+    pub unsent: usize,
+}
+
 /// How the descriptors are shared out, and the memory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
@@ -68,14 +107,9 @@
 const DEFAULT_SOCKETS: usize = 1_024;
 const DEFAULT_MEMORY_MB: usize = 128;
 const LEAST_MEMORY_MB: usize = 16;
-/// A buffer takes up to twice the memory of what is in it, and answers need some too.
-const UNFINISHED_PART: usize = 8;
 const LEAST_SOCKETS: usize = 64;
 const DEFAULT_DIAL_TIMEOUT: Duration = Duration::from_millis(250);
 const DEFAULT_IDLE: Duration = Duration::from_secs(30);
-/// A watch speaks every two seconds at the least, and a cut connection stays open and silent. What it would
-/// have told counts as told six seconds later, so a silent one has to be replaced before that.
-const WATCH_SILENCE: Duration = Duration::from_millis(3_000);
 /// After SIGTERM new connections go on coming for up to 0.4 s.
 const LINGER: Duration = Duration::from_millis(500);
 /// SIGKILL comes no sooner than 0.7 s and the longest deadline after SIGTERM, which counts for this much at most.
@@ -114,12 +148,12 @@
     Again,
 }
 
-/// Reads `LB_CONFIG` and what the other variables say over it.
+/// Reads `LB_CONFIG`, `LB_OPERATORS` and what the other variables say over them.
 pub fn from_env(variable: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
     parse(&file(&variable)?, variable)
 }
 
-/// Reads `LB_CONFIG` once more. Where the file names discovery, `LB_DISCOVERY` no longer does.
+/// Reads both files once more. Where the platform's names discovery, `LB_DISCOVERY` no longer does.
 pub fn reread(variable: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
     checked(&file(&variable)?, variable, Reading::Again)
 }
@@ -134,61 +168,160 @@
     checked(text, variable, Reading::First)
 }
 
+/// What the platform's file says that an operators' file is held against.
+pub fn platform(text: &[u8]) -> Result<configuration::platform::Platform, ConfigError> {
+    let file = platform_file(text)?;
+    let decoded = decode(&file)?;
+    Ok(operators::platform(&decoded, file.limits.sockets, file.limits.memory_mb))
+}
+
+fn platform_file(text: &[u8]) -> Result<File, ConfigError> {
+    let mut json = serde_json::Deserializer::from_slice(text);
+    serde_path_to_error::deserialize(&mut json).map_err(|e| ConfigError::new(e.path().to_string(), e.inner()))
+}
+
+fn decode(file: &File) -> Result<Decoded, ConfigError> {
+    let settings = file.settings.as_ref().ok_or_else(|| ConfigError::new("settings", "missing"))?;
+    let platform = mountshift_settings::decode(settings.to_string().as_bytes())
+        .map_err(|BadSetting { key, problem }| ConfigError::new(format!("settings.{key}"), problem))?;
+    check(&platform)?;
+    Ok(platform)
+}
+
+/// The operators' model, if a file is named: sound, and no looser than the platform.
+fn operators_model(
+    path: Option<String>,
+    platform: &configuration::platform::Platform,
+) -> Result<(Model, Sources), ConfigError> {
+    let Some(path) = path.filter(|path| !path.is_empty()) else { return Ok(Default::default()) };
+    let reading = operators::read(Path::new(&path), Some(platform), false);
+    if reading.sound() {
+        return Ok((reading.model, reading.sources));
+    }
+    let faults = operators::faults(&reading);
+    let problem = format!("{path} has {} fault(s)", faults.len());
+    Err(ConfigError { key: "LB_OPERATORS".into(), problem, faults })
+}
+
+/// An address and whose word it is.
+fn address(
+    key: &str,
+    stated: Option<(String, Origin)>,
+    ours: Option<SocketAddr>,
+    name: &str,
+) -> Result<(SocketAddr, Option<Origin>), ConfigError> {
+    match stated {
+        Some((text, origin)) => match text.parse() {
+            Ok(address) => Ok((address, Some(origin))),
+            Err(_) => Err(ConfigError::new(key, format!("{text:?} is not an address like 10.0.0.4:5433"))),
+        },
+        None => match ours {
+            Some(address) => Ok((address, None)),
+            None => Err(ConfigError::new(key, format!("missing (or set {name})"))),
+        },
+    }
+}
+
 fn checked(
     text: &[u8],
     variable: impl Fn(&str) -> Option<String>,
     reading: Reading,
 ) -> Result<Config, ConfigError> {
-    let mut json = serde_json::Deserializer::from_slice(text);
-    let file: File = serde_path_to_error::deserialize(&mut json)
-        .map_err(|e| ConfigError::new(e.path().to_string(), e.inner()))?;
-    let stated = |name: &str, key: &str, in_file: Option<String>| {
-        variable(name).or(in_file).ok_or_else(|| ConfigError::new(key, format!("missing (or set {name})")))
-    };
-    let address = |key: &str, text: String| {
-        text.parse::<SocketAddr>()
-            .map_err(|_| ConfigError::new(key, format!("{text:?} is not an address like 10.0.0.4:5433")))
+    let file = platform_file(text)?;
+    let mut platform = decode(&file)?;
+    let against = operators::platform(&platform, file.limits.sockets, file.limits.memory_mb);
+    let (model, sources) = operators_model(variable("LB_OPERATORS"), &against)?;
+    operators::tighten(&mut platform, &model);
+
+    let stated = |name: &'static str, key: &str, in_file: &Option<String>| {
+        let here = variable(name).map(|text| (text, Origin::Environment(name)));
+        here.or_else(|| in_file.clone().map(|text| (text, Origin::Platform(key.to_owned()))))
     };
-    let listen = address("listen", stated("LB_LISTEN", "listen", file.listen)?)?;
-    let discovery = match file.discovery {
-        Some(text) if reading == Reading::Again => text,
-        in_file => stated("LB_DISCOVERY", "discovery", in_file)?,
+    let ours = model.listeners.first().and_then(|l| l.address);
+    let (listen, listen_from) =
+        address("listen", stated("LB_LISTEN", "listen", &file.listen), ours, "LB_LISTEN")?;
+    let in_file = file.discovery.clone().filter(|_| reading == Reading::Again);
+    let named = match in_file {
+        Some(text) => Some((text, Origin::Platform("discovery".into()))),
+        None => stated("LB_DISCOVERY", "discovery", &file.discovery),
     };
-    let discovery = address("discovery", discovery)?;
-    let settings = file.settings.ok_or_else(|| ConfigError::new("settings", "missing"))?;
-    let platform = mountshift_settings::decode(settings.to_string().as_bytes())
-        .map_err(|BadSetting { key, problem }| ConfigError::new(format!("settings.{key}"), problem))?;
-    check(&platform)?;
+    let (discovery, discovery_from) = address("discovery", named, model.discovery.address, "LB_DISCOVERY")?;
     let known = match file.known {
         Some(value) => Listing::parse(value.to_string().as_bytes())
             .map_err(|ListingError(problem)| ConfigError::new("known", problem))?,
         None => Listing::default(),
     };
-    let seed = match file.seed {
-        Some(text) => u64::from_str_radix(&text, 16)
+    let seed = match &file.seed {
+        Some(text) => u64::from_str_radix(text, 16)
             .map_err(|_| ConfigError::new("seed", format!("{text:?} is not a hexadecimal number")))?,
         None => u64::from(std::process::id()),
     };
     let longest = platform.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
     let give_up = longest.min(KILL_DEADLINE) + LAST_MARGIN;
     let or_default = |stated: Duration, default| if stated.is_zero() { default } else { stated };
+    let limits = share_out(&file.limits, &model)?;
+    let mut entries = model.entries.clone();
+    for (section, directive, address, origin) in
+        [("listener", "address", listen, listen_from), ("discovery", "address", discovery, discovery_from)]
+    {
+        if let Some(origin) = origin {
+            put(&mut entries, section, directive, address.to_string(), origin);
+        }
+    }
+    if let (Some(sockets), None) = (file.limits.sockets, model.limits.sockets) {
+        put(
+            &mut entries,
+            "limits",
+            "sockets",
+            sockets.to_string(),
+            Origin::Platform("limits.sockets".into()),
+        );
+    }
+    if let (Some(mb), None) = (file.limits.memory_mb, model.limits.memory) {
+        let memory = value::size((mb as u64) << 20);
+        put(&mut entries, "limits", "memory", memory, Origin::Platform("limits.memory_mb".into()));
+    }
     Ok(Config {
         name: variable("LB_NAME").or(file.name).unwrap_or_else(|| "leverproxy".into()),
         listen,
         discovery,
         seed,
-        limits: share_out(&file.limits)?,
+        limits,
+        patience: patience(&model),
+        rules: operators::rules(&model, &platform),
+        logging: model.logging,
+        entries,
+        sources,
         known,
         dial_timeout: or_default(platform.dial_timeout, DEFAULT_DIAL_TIMEOUT),
         idle_limit: or_default(platform.settings.keepalive, DEFAULT_IDLE).mul_f64(IDLE_SHARE),
-        watch_silence: WATCH_SILENCE,
+        watch_silence: model.discovery.watch_silence,
         linger: LINGER,
         give_up,
         platform,
     })
 }
 
-fn share_out(stated: &FileLimits) -> Result<Limits, ConfigError> {
+/// A value of the platform's or the environment's, in place of ours.
+fn put(entries: &mut Vec<Entry>, section: &str, directive: &'static str, value: String, origin: Origin) {
+    let ours = |e: &Entry| e.section.split(' ').next() == Some(section) && e.directive == directive;
+    entries.retain(|e| !ours(e));
+    entries.push(Entry { section: section.into(), directive, value, origin, takes: Takes::Reload });
+}
+
+fn patience(model: &Model) -> Patience {
+    let limits = &model.limits;
+    Patience {
+        first: limits.client_patience,
+        idle: limits.client_idle,
+        unread: limits.answer_unread,
+        goodbye: limits.goodbye,
+        pipeline: limits.pipeline,
+        unsent: limits.unsent,
+    }
+}
+
+fn share_out(stated: &FileLimits, model: &Model) -> Result<Limits, ConfigError> {
     let sockets = stated.sockets.unwrap_or(DEFAULT_SOCKETS);
     let memory_mb = stated.memory_mb.unwrap_or(DEFAULT_MEMORY_MB);
     if memory_mb < LEAST_MEMORY_MB {
@@ -197,13 +330,24 @@
     if sockets < LEAST_SOCKETS {
         return Err(ConfigError::new("limits.sockets", format!("{sockets} is under {LEAST_SOCKETS}")));
     }
+    let ours = &model.limits;
+    let sockets = ours.sockets.map_or(sockets, |own| own.min(sockets));
+    let memory = memory_mb << 20;
+    let memory = ours.memory.and_then(|own| usize::try_from(own).ok()).map_or(memory, |own| own.min(memory));
     // A request takes a client's connection for all its time and a record server's for a part of it.
     let shared = sockets - SPARE_SOCKETS;
-    let clients = shared * 3 / 5;
+    let clients = ours.clients.of(shared);
     // Clients hold a third of the descriptors at most: of these a quarter is for those who come to ask, and a half
     // if nobody minds.
-    let (crowded, packed, upstream) = (sockets / 6, sockets / 4, shared - clients);
-    Ok(Limits { clients, crowded, packed, upstream, unfinished: (memory_mb << 20) / UNFINISHED_PART })
+    let (crowded, packed) = (ours.crowded.of(sockets), ours.packed.of(sockets));
+    // A buffer takes up to twice the memory of what is in it, and answers need some too.
+    Ok(Limits {
+        clients,
+        crowded,
+        packed,
+        upstream: shared - clients,
+        unfinished: ours.unfinished.of(memory),
+    })
 }
 
 fn check(platform: &Decoded) -> Result<(), ConfigError> {
--- a/crates/leverproxy/src/control.rs
+++ b/crates/leverproxy/src/control.rs
@@ -60,6 +60,8 @@
 pub struct Listener {
     wishes: Arc<Wishes>,
     wake: UnixStream,
+    /// Wakes the loop, from another thread of the proxy's own.
+    waker: UnixStream,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -74,10 +76,16 @@
     near.set_nonblocking(true)?;
     far.set_nonblocking(true)?;
     let wishes = Arc::new(Wishes::default());
-    Ok((Control { wishes: Arc::clone(&wishes), wake: far }, Listener { wishes, wake: near }))
+    let waker = far.try_clone()?;
+    Ok((Control { wishes: Arc::clone(&wishes), wake: far }, Listener { wishes, wake: near, waker }))
 }
 
 impl Listener {
+    /// What wakes the loop when a byte is written to it.
+    pub fn waker(&self) -> io::Result<UnixStream> {
+        self.waker.try_clone()
+    }
+
     pub fn take(&mut self) -> Vec<Wish> {
         let mut bytes = [0; 64];
         while matches!(self.wake.read(&mut bytes), Ok(n) if n > 0) {}
--- a/crates/leverproxy/src/front.rs
+++ b/crates/leverproxy/src/front.rs
@@ -1,6 +1,6 @@
 //! The clients' side: accepts connections, reads requests off them and writes answers in their order.
 
-use crate::config::Limits;
+use crate::config::{Limits, Patience};
 use crate::net::{self, Filled, Refusal, Stream};
 use crate::pg::server::{self, Asked, Startup};
 use crate::pg::statement::{self, Query};
@@ -10,30 +10,17 @@
 use crate::seldom::Seldom;
 use std::collections::VecDeque;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::os::fd::OwnedFd;
 use std::time::{Duration, Instant};
 
-/// Unanswered commands of one connection; more wait in its socket.
-const PIPELINE_LIMIT: usize = 32;
-/// Unsent bytes of answers beyond which nothing more is read from a client.
-const UNSENT_LIMIT: usize = 64 << 10;
-/// A connection has to come to its first sound request within this, and every command to its end.
-const PATIENCE: Duration = Duration::from_secs(2);
 /// An unfinished command of more than this is worth asking how many there are.
 const LARGE: usize = 16 << 10;
 /// The clients are looked over this often for whoever has run out of time.
 const LOOK_OVER: Duration = Duration::from_millis(100);
-/// Among many, a connection is kept between requests for this long, and for no time when most of those that clients
-/// may hold are taken. Guards against clients that ask once and stay:
-/// clients may hold only so many connections, and those who come to ask would find none left.
-const IDLE: Duration = Duration::from_secs(2);
-/// A client that has been told why its connection ends has this long to read it, and may still send this much
-/// meanwhile: closed at once with bytes unread, the connection would be reset and the word lost on its way.
-const LEAVE_TIME: Duration = Duration::from_secs(1);
+/// A client that has been told why its connection ends may still send this much while it has time to read it:
+/// closed at once with bytes unread, the connection would be reset and the word lost on its way.
 const LEAVE_BYTES: usize = 1 << 20;
-/// A client that takes nothing of its answers for this long is given up.
-const UNREAD: Duration = Duration::from_secs(10);
 /// At the limit, who has asked for nothing gives way, but not before this: its first words may be on their way.
 const FIRST_WORDS: Duration = Duration::from_millis(100);
 
@@ -49,6 +36,7 @@
     /// At the limit of clients the listener is not looked at.
     accepting: bool,
     limits: Limits,
+    patience: Patience,
     clients: Slots<Client>,
     events: VecDeque<Event>,
     misunderstood: Seldom,
@@ -61,6 +49,7 @@
 
 struct Client {
     stream: Stream,
+    peer: IpAddr,
     greeted: bool,
     /// Ignores messages until Sync, as after any error in the extended protocol.
     skipping: bool,
@@ -98,19 +87,25 @@
     }
 
     /// Room for more commands, and a peer that takes its answers.
-    fn takes_more(&self) -> bool {
-        !self.ending && self.answers.len() < PIPELINE_LIMIT && self.stream.unsent() < UNSENT_LIMIT
+    fn takes_more(&self, patience: &Patience) -> bool {
+        !self.ending && self.answers.len() < patience.pipeline && self.stream.unsent() < patience.unsent
     }
 }
 
 impl Front {
-    pub fn listen(address: SocketAddr, limits: Limits, reactor: &Reactor) -> io::Result<Front> {
+    pub fn listen(
+        address: SocketAddr,
+        limits: Limits,
+        patience: Patience,
+        reactor: &Reactor,
+    ) -> io::Result<Front> {
         let listener = net::listen(address)?;
         reactor.add(&listener, Token::Listener, Interest::READ)?;
         Ok(Front {
             listener: Some(listener),
             accepting: true,
             limits,
+            patience,
             clients: Slots::default(),
             events: VecDeque::new(),
             misunderstood: Seldom::default(),
@@ -134,8 +129,8 @@
     }
 
     /// Who is above a lower limit stays until it leaves or gives way.
-    pub fn set_limits(&mut self, limits: Limits) {
-        self.limits = limits;
+    pub fn set_limits(&mut self, limits: Limits, patience: Patience) {
+        (self.limits, self.patience) = (limits, patience);
     }
 
     pub fn accept(&mut self, now: Instant, reactor: &Reactor) {
@@ -148,11 +143,11 @@
             }
             let Some(listener) = &self.listener else { return };
             match net::accept(listener) {
-                Ok(stream) => {
+                Ok((stream, peer)) => {
                     if let Some(key) = quiet {
                         self.clients.remove(key);
                     }
-                    self.adopt(stream, now, reactor);
+                    self.adopt(stream, peer, now, reactor);
                 }
                 Err(Refusal::Empty) => return,
                 Err(Refusal::Exhausted) => {
@@ -166,9 +161,10 @@
         }
     }
 
-    fn adopt(&mut self, stream: Stream, now: Instant, reactor: &Reactor) {
+    fn adopt(&mut self, stream: Stream, peer: IpAddr, now: Instant, reactor: &Reactor) {
         let key = self.clients.insert(Client {
             stream,
+            peer,
             greeted: false,
             skipping: false,
             ending: false,
@@ -227,7 +223,7 @@
         idle.sort();
         let mut left = number;
         for (_, since, key) in idle {
-            let old = now.saturating_duration_since(since) >= IDLE;
+            let old = now.saturating_duration_since(since) >= self.patience.idle;
             if left > self.limits.packed || old && left > self.limits.crowded {
                 self.drop_client(key, reactor);
                 left -= 1;
@@ -241,12 +237,15 @@
             let Some(client) = self.clients.get_mut(key) else { continue };
             let quiet = now.saturating_duration_since(client.quiet_since);
             let waits = client.answers.is_empty() && client.stream.unsent() == 0;
-            let slow = client.begun.is_some_and(|at| now.saturating_duration_since(at) >= PATIENCE);
+            let slow =
+                client.begun.is_some_and(|at| now.saturating_duration_since(at) >= self.patience.first);
             match client.leaving {
-                Some((since, _)) if now >= since + LEAVE_TIME => self.drop_client(key, reactor),
+                Some((since, _)) if now >= since + self.patience.goodbye => self.drop_client(key, reactor),
                 Some(_) => {}
-                None if client.stream.unsent() > 0 && quiet >= UNREAD => self.drop_client(key, reactor),
-                None if waits && (slow || !client.asked && quiet >= PATIENCE) => {
+                None if client.stream.unsent() > 0 && quiet >= self.patience.unread => {
+                    self.drop_client(key, reactor)
+                }
+                None if waits && (slow || !client.asked && quiet >= self.patience.first) => {
                     let why = Malformed("nothing whole was asked for in time".into());
                     self.turn_out(key, server::fatal(&why));
                     self.write(key, now, reactor);
@@ -261,7 +260,7 @@
     /// `ended`: the client is known to have closed its side. One that has is gone, even with answers to come.
     pub fn ready(&mut self, key: Key, ended: bool, now: Instant, reactor: &Reactor) {
         let Some(client) = self.clients.get_mut(key) else { return };
-        let takes_more = client.takes_more();
+        let takes_more = client.takes_more(&self.patience);
         let gone = match (&mut client.leaving, takes_more) {
             (Some((_, heard)), _) => {
                 let (filled, thrown_away) = client.stream.drain();
@@ -282,7 +281,7 @@
     fn read(&mut self, key: Key, now: Instant) {
         let Some(client) = self.clients.get_mut(key) else { return };
         let first = client.stream.input.len();
-        while client.takes_more() {
+        while client.takes_more(&self.patience) {
             let greeted = client.greeted;
             let step = match greeted {
                 true => command(client, key, now, &mut self.misunderstood),
@@ -310,7 +309,7 @@
                 }
             }
         }
-        let partial = client.takes_more() && !client.stream.input.is_empty();
+        let partial = client.takes_more(&self.patience) && !client.stream.input.is_empty();
         // Guards against commands that are begun by many at once and never ended: each is within its limit, all of
         // them together are not.
         if partial && client.stream.input.len() > LARGE {
@@ -352,7 +351,7 @@
             if client.gone {
                 return self.drop_client(key, reactor);
             }
-            let full = !client.takes_more();
+            let full = !client.takes_more(&self.patience);
             while let Some(Some(_)) = client.answers.front() {
                 if let Some(bytes) = client.answers.pop_front().flatten() {
                     client.stream.push(&bytes);
@@ -373,11 +372,12 @@
                 }
             }
             // Commands that had to wait for room are in the buffer, not in the socket: no event tells of them.
-            if full && client.takes_more() && !client.stream.input.is_empty() {
+            if full && client.takes_more(&self.patience) && !client.stream.input.is_empty() {
                 self.read(key, now);
                 continue;
             }
-            let listens = client.leaving.map_or(client.takes_more(), |(_, heard)| heard < LEAVE_BYTES);
+            let listens =
+                client.leaving.map_or(client.takes_more(&self.patience), |(_, heard)| heard < LEAVE_BYTES);
             let interest = Interest { read: listens, write: !written };
             if client.stream.watch(reactor, Token::Client(key), interest).is_err() {
                 self.drop_client(key, reactor);
@@ -409,6 +409,7 @@
     }
 }
 
+#[allow(clippy::large_enum_variant, reason = "lives for one call, and the large variant is the usual one")]
 enum Step {
     /// The next message has not come in full.
     Wait,
@@ -451,7 +452,7 @@
             Ok(Query::Empty) => Some(server::empty_query()),
             Ok(Query::Setting(tag)) => Some(server::done(tag)),
             Ok(Query::Request(read)) => {
-                request = Some(read);
+                request = Some(Request { client: client.peer, ..read });
                 None
             }
             Err(why) => {
--- a/crates/leverproxy/src/logging.rs
+++ b/crates/leverproxy/src/logging.rs
@@ -1,8 +1,14 @@
 //! Where log lines go: standard error, but never at the price of waiting for whoever reads it.
 
+use configuration::model::Logging;
+use env_logger::fmt::Formatter;
+use log::kv::{Error, Key, Value, VisitSource};
+use log::{LevelFilter, Record};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
+use serde_json::{Map, Value as Json};
 use std::io::{self, Write};
 use std::os::fd::AsFd;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 /// A pipe that is ready takes this much without waiting.
 const AT_ONCE: usize = 4_096;
@@ -29,10 +35,94 @@
     }
 }
 
+/// Lines are JSON objects.
+static JSON: AtomicBool = AtomicBool::new(false);
+/// The environment says what is logged, and the operators' file does not.
+static STATED: AtomicBool = AtomicBool::new(false);
+
 pub fn start() {
-    let level = env_logger::Env::default().default_filter_or("info");
     let target = env_logger::Target::Pipe(Box::new(NeverWaits(io::stderr())));
-    env_logger::Builder::from_env(level).target(target).init();
+    let mut builder = env_logger::Builder::new();
+    match std::env::var("RUST_LOG") {
+        Ok(filter) => {
+            STATED.store(true, Ordering::Relaxed);
+            builder.parse_filters(&filter);
+        }
+        // All that the file may ask for; the level itself is set by `set`.
+        Err(_) => _ = builder.filter_level(LevelFilter::Trace),
+    }
+    builder.target(target).format(write).init();
+    if !STATED.load(Ordering::Relaxed) {
+        log::set_max_level(LevelFilter::Info);
+    }
+}
+
+/// As the operators' file says, from now on; RUST_LOG counts over its level.
+pub fn set(logging: &Logging) {
+    JSON.store(logging.json, Ordering::Relaxed);
+    if !STATED.load(Ordering::Relaxed) {
+        log::set_max_level(logging.level.parse().unwrap_or(LevelFilter::Info));
+    }
+}
+
+fn write(out: &mut Formatter, record: &Record<'_>) -> io::Result<()> {
+    let line = if JSON.load(Ordering::Relaxed) {
+        json(&out.timestamp_millis().to_string(), record)
+    } else {
+        text(&out.timestamp().to_string(), record)
+    };
+    out.write_all(line.as_bytes())
+}
+
+/// Key-values behind the message, `name=value`, quoted where they hold blanks.
+struct Text<'a>(&'a mut String);
+
+impl<'kvs> VisitSource<'kvs> for Text<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let value = value.to_string();
+        let plain = !value.is_empty() && !value.contains([' ', '"', '=', '\n']);
+        let value = if plain { value } else { format!("{value:?}") };
+        self.0.push_str(&format!(" {key}={value}"));
+        Ok(())
+    }
+}
+
+pub fn text(time: &str, record: &Record<'_>) -> String {
+    let mut line = format!("[{time} {:<5} {}] {}", record.level(), record.target(), record.args());
+    _ = record.key_values().visit(&mut Text(&mut line));
+    // A message is a line, whatever text of a peer it repeats.
+    let mut line = line.replace('\n', "\\n");
+    line.push('\n');
+    line
+}
+
+struct Object<'a>(&'a mut Map<String, Json>);
+
+impl<'kvs> VisitSource<'kvs> for Object<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let number = value.to_u64().map(Json::from).or_else(|| value.to_i64().map(Json::from));
+        let other =
+            number.or_else(|| value.to_f64().map(Json::from)).or_else(|| value.to_bool().map(Json::from));
+        self.0.insert(key.to_string(), other.unwrap_or_else(|| Json::from(value.to_string())));
+        Ok(())
+    }
+}
+
+pub fn json(time: &str, record: &Record<'_>) -> String {
+    let mut object = Map::new();
+    _ = record.key_values().visit(&mut Object(&mut object));
+    // Its own names count over those of key-values.
+    for (name, value) in [
+        ("time", time.to_owned()),
+        ("level", record.level().to_string()),
+        ("target", record.target().to_owned()),
+        ("message", record.args().to_string()),
+    ] {
+        object.insert(name.into(), Json::from(value));
+    }
+    let mut line = Json::from(object).to_string();
+    line.push('\n');
+    line
 }
 
 /// A text for whoever asked for it, at any log level.
--- a/crates/leverproxy/src/net.rs
+++ b/crates/leverproxy/src/net.rs
@@ -4,7 +4,7 @@
 use rustix::io::Errno;
 use rustix::net::{self, sockopt, AddressFamily, SendFlags, SocketFlags, SocketType};
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::os::fd::OwnedFd;
 
 const NON_BLOCKING: SocketFlags = SocketFlags::NONBLOCK.union(SocketFlags::CLOEXEC);
@@ -36,13 +36,16 @@
     Exhausted,
 }
 
-pub fn accept(listener: &OwnedFd) -> Result<Stream, Refusal> {
+/// A connection and the address that it comes from.
+pub fn accept(listener: &OwnedFd) -> Result<(Stream, IpAddr), Refusal> {
     loop {
-        match net::accept_with(listener, NON_BLOCKING) {
-            Ok(fd) => {
+        match net::acceptfrom_with(listener, NON_BLOCKING) {
+            Ok((fd, peer)) => {
                 // Small answers must not wait for the acknowledgement of the one before.
                 _ = sockopt::set_tcp_nodelay(&fd, true);
-                return Ok(Stream::new(fd));
+                let peer = peer.and_then(|peer| SocketAddr::try_from(peer).ok());
+                let peer = peer.map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), |peer| peer.ip());
+                return Ok((Stream::new(fd), peer));
             }
             Err(Errno::INTR | Errno::CONNABORTED) => {}
             Err(Errno::MFILE | Errno::NFILE | Errno::NOBUFS | Errno::NOMEM) => {
--- /dev/null
+++ b/crates/leverproxy/src/operators.rs
@@ -0,0 +1,167 @@
+//! The operators' file: read from disk, held against the platform's word, and made into what the stages go by.
+
+use crate::stages::steer::{Rules, Ruling};
+use bulkheads::{Priority, Rate, Settings as Pool};
+use configuration::diagnostic;
+use configuration::index::{Index, Names};
+use configuration::load::Loader;
+use configuration::model::Model;
+use configuration::platform::{self, Platform};
+use configuration::route::{self, Outcome};
+use configuration::Reading;
+use mountshift::{ClassId, Effect, Need};
+use mountshift_settings::Decoded;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// Files of the system.
+pub struct Disk;
+
+impl Loader for Disk {
+    fn read(&self, path: &Path) -> Result<Vec<u8>, String> {
+        use std::io::Read;
+        let file = std::fs::File::open(path).map_err(|e| e.to_string())?;
+        if !file.metadata().map_err(|e| e.to_string())?.is_file() {
+            return Err("is not a file".into());
+        }
+        let mut bytes = Vec::new();
+        let limit = configuration::load::FILE_LIMIT as u64 + 1;
+        file.take(limit).read_to_end(&mut bytes).map_err(|e| e.to_string())?;
+        Ok(bytes)
+    }
+
+    fn identity(&self, path: &Path) -> Result<PathBuf, String> {
+        path.canonicalize().map_err(|e| e.to_string())
+    }
+
+    fn names(&self, folder: &Path) -> Result<Vec<String>, String> {
+        let folder = if folder.as_os_str().is_empty() { Path::new(".") } else { folder };
+        let entries = std::fs::read_dir(folder).map_err(|e| e.to_string())?;
+        Ok(entries.flatten().map(|entry| entry.file_name().to_string_lossy().into_owned()).collect())
+    }
+}
+
+/// Reads a file and checks it, against the platform's word where that is known. `search`: also look for routes
+/// that no request reaches, which takes long where they are many.
+pub fn read(path: &Path, platform: Option<&Platform>, search: bool) -> Reading {
+    let mut reading = configuration::read(path, &Disk);
+    let mut found = Vec::new();
+    if let Some(platform) = platform {
+        found = platform::check(&reading.sections, &reading.model, platform);
+    }
+    if search && reading.sound() {
+        let classes = platform.map(classes);
+        found.extend(configuration::shadow::check(&reading.model, classes.as_deref()));
+    }
+    reading.add(found);
+    reading
+}
+
+/// The names of all classes, in the platform's order.
+pub fn classes(platform: &Platform) -> Vec<String> {
+    platform.classes.iter().map(|c| c.name.clone()).collect()
+}
+
+/// Each fault in a line, and what there is beside faults in the log.
+pub fn faults(reading: &Reading) -> Vec<String> {
+    let errors = reading.diagnostics.iter().filter(|d| d.is_error());
+    errors.map(|d| diagnostic::line(&reading.sources, d)).collect()
+}
+
+/// What the operators' file has to be held against.
+pub fn platform(decoded: &Decoded, sockets: Option<usize>, memory_mb: Option<usize>) -> Platform {
+    let Decoded { settings, names, .. } = decoded;
+    let classes = settings.classes.iter().zip(&names.classes).map(|(class, name)| platform::Class {
+        name: name.clone(),
+        need: match class.need {
+            Need::Write => platform::Need::Write,
+            Need::Fresh => platform::Need::Fresh,
+            Need::Session => platform::Need::Session,
+            Need::Bounded(age) => platform::Need::Bounded(age),
+            Need::Any => platform::Need::Any,
+        },
+        repeat: match class.effect {
+            Effect::Safe => platform::Repeat::Safe,
+            Effect::Keyed { .. } => platform::Repeat::Keyed,
+            Effect::Unsafe => platform::Repeat::Never,
+        },
+        deadline: class.deadline,
+    });
+    Platform {
+        classes: classes.collect(),
+        tenants: names.tenants.clone(),
+        try_limit: settings.try_limit,
+        sockets,
+        memory: memory_mb.map(|mb| (mb as u64) << 20),
+        max_retry_after: settings.retry_after.then_some(settings.max_retry_after),
+    }
+}
+
+/// What the file says of the module's settings, each value only where it is tighter.
+pub fn tighten(platform: &mut Decoded, model: &Model) {
+    let settings = &mut platform.settings;
+    if let Some(tries) = model.policy.tries {
+        settings.try_limit = if settings.try_limit == 0 { tries } else { settings.try_limit.min(tries) };
+    }
+    settings.second_copies &= model.policy.second_copies;
+    settings.may_probe &= model.policy.probes;
+    if let Some(most) = model.policy.come_back_most {
+        settings.max_retry_after = settings.max_retry_after.min(most);
+    }
+    for class in model.classes.iter().filter(|c| c.once) {
+        if let Some(at) = platform.names.classes.iter().position(|name| *name == class.name) {
+            settings.classes[at].effect = Effect::Unsafe;
+        }
+    }
+}
+
+/// The model's routes, classes and pools, compiled. Names of the platform keep their numbers.
+pub fn rules(model: &Model, platform: &Decoded) -> Rules {
+    let names = Names { classes: platform.names.classes.clone(), tenants: platform.names.tenants.clone() };
+    let names = names.with_routes(&model.routes);
+    let pool_at = |name: &String| model.pools.iter().position(|p| p.name == *name);
+    let class_at = |name: &String| {
+        let at = platform.names.classes.iter().position(|n| n == name)?;
+        u16::try_from(at).ok().map(ClassId)
+    };
+    let ruling = |outcome: &Outcome| Ruling {
+        pool: outcome.pool.as_ref().and_then(pool_at),
+        as_class: outcome.as_class.as_ref().and_then(class_at),
+        deadline: outcome.deadline,
+        priority: match outcome.priority {
+            route::Priority::Low => Priority::Low,
+            route::Priority::Normal => Priority::Normal,
+            route::Priority::High => Priority::High,
+        },
+        tries: outcome.tries,
+        refuse: outcome.refuse,
+    };
+    let caps = platform.names.classes.iter().map(|name| {
+        let stated = model.classes.iter().find(|c| c.name == *name);
+        (stated.and_then(|c| c.deadline), stated.and_then(|c| c.tries))
+    });
+    Rules {
+        index: Index::new(&model.routes, &model.windows, &names),
+        rulings: model.routes.iter().map(|r| ruling(&r.outcome)).collect(),
+        caps: caps.collect(),
+        pools: model.pools.iter().map(pool).collect(),
+        deadlines: platform.settings.classes.iter().map(|c| c.deadline).collect(),
+        margin: model.limits.answer_margin,
+        come_back_most: Some(platform.settings.max_retry_after).filter(|_| platform.settings.retry_after),
+        tenants: names.tenants,
+    }
+}
+
+fn pool(pool: &configuration::model::Pool) -> Pool {
+    Pool {
+        name: pool.name.clone(),
+        requests: pool.requests,
+        rate: pool.rate.map(|rate| Rate {
+            // A rate of more than one a nanosecond is none.
+            interval: rate.interval().max(Duration::from_nanos(1)),
+            burst: pool.burst,
+        }),
+        reserve: f64::from(pool.reserve.part) / f64::from(pool.reserve.whole.max(1)),
+        come_back: pool.come_back,
+    }
+}
--- a/crates/leverproxy/src/pg/statement.rs
+++ b/crates/leverproxy/src/pg/statement.rs
@@ -1,6 +1,7 @@
 //! What a statement says of itself in its comment: `/* id=..,c=..,t=..,d=..,cluster=..,after=..,r=1 */`.
 
 use crate::request::{shown, Command, Request};
+use std::net::{IpAddr, Ipv4Addr};
 use std::time::{Duration, Instant};
 
 /// What a query asks of the proxy.
@@ -78,6 +79,7 @@
             before_wait: text.as_bytes()[..place.start].to_vec(),
             after_wait: text.as_bytes()[place.end..].to_vec(),
         },
+        client: IpAddr::V4(Ipv4Addr::UNSPECIFIED),
         read_at,
     }))
 }
--- a/crates/leverproxy/src/proxy.rs
+++ b/crates/leverproxy/src/proxy.rs
@@ -5,6 +5,7 @@
 use crate::discovery::Discovery;
 use crate::front::Front;
 use crate::reactor::{Interest, Reactor, Ready, Timers, Token};
+use crate::reload::Reloads;
 use crate::stages::{Chain, Sides, Timer};
 use crate::upstream::Upstream;
 use mountshift_settings::Decoded;
@@ -23,7 +24,7 @@
     linger: Duration,
     give_up: Duration,
     phase: Phase,
-    reread: Option<Reread>,
+    reloads: Option<Reloads>,
     fixed: Fixed,
 }
 
@@ -33,11 +34,9 @@
     name: String,
     listen: SocketAddr,
     platform: Decoded,
+    watch_silence: Duration,
 }
 
-/// Reads the configuration again, wherever it came from.
-type Reread = Box<dyn FnMut() -> Result<Config, ConfigError> + Send>;
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Phase {
     Serving,
@@ -55,15 +54,22 @@
         let reactor = Reactor::new()?;
         let (control, wishes) = control::pair()?;
         reactor.add(&wishes, Token::Control, Interest::READ)?;
-        let front = Front::listen(config.listen, config.limits, &reactor)?;
+        crate::logging::set(&config.logging);
+        let front = Front::listen(config.listen, config.limits, config.patience, &reactor)?;
         let upstream = Upstream::new(config.limits.upstream, config.dial_timeout, config.idle_limit);
         let discovery = Discovery::new(config.discovery, config.watch_silence);
         let platform = config.platform;
-        let fixed = Fixed { name: config.name, listen: config.listen, platform: platform.clone() };
+        let fixed = Fixed {
+            name: config.name,
+            listen: config.listen,
+            platform: platform.clone(),
+            watch_silence: config.watch_silence,
+        };
         let mut sides = Sides { reactor, timers: Timers::default(), front, upstream, discovery };
         let mut chain = Chain::new(
             platform.settings,
             platform.names,
+            config.rules,
             platform.max_open,
             config.seed,
             config.dial_timeout,
@@ -75,8 +81,8 @@
         chain.start(config.known, &mut sides, now);
         let Config { linger, give_up, .. } = config;
         let phase = Phase::Serving;
-        let reread = None;
-        Ok((Proxy { sides, chain, wishes, linger, give_up, phase, reread, fixed }, control))
+        let reloads = None;
+        Ok((Proxy { sides, chain, wishes, linger, give_up, phase, reloads, fixed }, control))
     }
 
     pub fn local_address(&self) -> Option<SocketAddr> {
@@ -163,38 +169,57 @@
                 }
                 Wish::Stop => {}
                 Wish::Report => self.report(),
-                Wish::Reload => self.reload(now),
+                Wish::Reload => match &mut self.reloads {
+                    Some(reloads) => reloads.begin(),
+                    None => log::warn!("told to reread the configuration, which has no source here"),
+                },
             }
         }
+        if let Some(read) = self.reloads.as_mut().and_then(Reloads::ended) {
+            self.reload(read, now);
+        }
     }
 
-    /// What is to be asked for the configuration when it has changed.
-    pub fn reread_with(&mut self, reread: impl FnMut() -> Result<Config, ConfigError> + Send + 'static) {
-        self.reread = Some(Box::new(reread));
+    /// What is to be asked for the configuration when it has changed. It is asked on a thread of its own.
+    pub fn reread_with(
+        &mut self,
+        reread: impl FnMut() -> Result<Config, ConfigError> + Send + 'static,
+    ) -> io::Result<()> {
+        self.reloads = Some(Reloads::new(Box::new(reread), self.wishes.waker()?));
+        Ok(())
     }
 
-    /// Takes over the configuration as it is now, while requests, connections and what the module knows stay. A
+    /// Takes over the configuration as it was read, while requests, connections and what the module knows stay. A
     /// faulty one changes nothing.
-    fn reload(&mut self, now: Instant) {
-        let Some(reread) = &mut self.reread else {
-            return log::warn!("told to reread the configuration, which has no source here");
-        };
-        let config = match reread() {
+    fn reload(&mut self, read: Result<Config, ConfigError>, now: Instant) {
+        let config = match read {
             Ok(config) => config,
-            Err(error) => return log::error!("{error}; the configuration stays as it was"),
+            Err(error) => {
+                for fault in &error.faults {
+                    log::error!("configuration: {fault}");
+                }
+                return log::error!("{error}; the configuration stays as it was");
+            }
         };
+        let begun = Instant::now();
         let Sides { front, upstream, .. } = &mut self.sides;
-        front.set_limits(config.limits);
+        front.set_limits(config.limits, config.patience);
         upstream.set_limit(config.limits.upstream);
+        crate::logging::set(&config.logging);
+        let routes = config.rules.rulings.len();
+        let former = self.chain.set_rules(config.rules);
         self.chain.discovery_at(config.discovery, &mut self.sides, now);
-        log::info!("the configuration is reread: discovery at {}", config.discovery);
+        let pause_us = begun.elapsed().as_micros() as u64;
+        log::info!(pause_us, routes; "the configuration is reread: discovery at {}", config.discovery);
+        crate::reload::drop_elsewhere(former);
         for (key, same) in [
             ("listen", config.listen == self.fixed.listen),
             ("name", config.name == self.fixed.name),
             ("settings", config.platform == self.fixed.platform),
+            ("discovery watch-silence", config.watch_silence == self.fixed.watch_silence),
         ] {
             if !same {
-                log::warn!("configuration: {key}: a change of it counts from the next start");
+                log::warn!(key; "configuration: {key}: a change of it counts from the next start");
             }
         }
     }
@@ -204,8 +229,9 @@
         let Sides { front, upstream, .. } = &self.sides;
         let (clients, turned_out) = (front.clients(), front.turned_out);
         let (connections, dials) = (upstream.connections(), upstream.dials);
+        let steering = self.chain.steering();
         crate::logging::say(&format!(
-            "{}\nconnections: clients {clients}, turned out {turned_out}; upstream {connections}; dials {dials}",
+            "{}\nconnections: clients {clients}, turned out {turned_out}; upstream {connections}; dials {dials}{steering}",
             self.chain.counters,
         ));
     }
--- a/crates/leverproxy/src/request.rs
+++ b/crates/leverproxy/src/request.rs
@@ -2,6 +2,7 @@
 
 use crate::reactor::Key;
 use mountshift::{AttemptNo, ClassId, Note, RequestId, StoreId};
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -27,6 +28,8 @@
     pub after: Option<Duration>,
     pub repeated: bool,
     pub command: Command,
+    /// Where it came from; the front knows.
+    pub client: IpAddr,
     pub read_at: Instant,
 }
 
--- a/crates/leverproxy/src/stages/admit.rs
+++ b/crates/leverproxy/src/stages/admit.rs
@@ -1,6 +1,7 @@
 //! Admit: what is owed an answer is entered, once, and struck off with its final answer.
 
 use crate::request::{shown, Answer, Command, Request, Ticket};
+use bulkheads::PoolId;
 use mountshift::{AttemptNo, ClassId, RequestId};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -16,6 +17,8 @@
     name: Box<str>,
     pub ticket: Ticket,
     pub class: ClassId,
+    /// The pool that it counts against.
+    pub pool: Option<PoolId>,
     pub command: Arc<Command>,
     pub read_at: Instant,
     pub wait: Duration,
@@ -56,28 +59,32 @@
         RequestId(self.last_id)
     }
 
-    /// Enters a request, or says what is to be answered instead: the platform allows no more at once, or its
-    /// name is that of another. Names are new with every request. Guards against a client that asks under another's name: record servers
-    /// know a request by its name, and one of the two would get what was made for the other.
+    /// What is to be answered instead of entering a request: the platform allows no more at once, or its name is
+    /// that of another. Names are new with every request. Guards against a client that asks under another's name:
+    /// record servers know a request by its name, and one of the two would get what was made for the other.
+    pub fn bars(&mut self, request: &Request) -> Option<Answer> {
+        if self.limit > 0 && self.open.len() >= self.limit {
+            return Some(Answer::Refused(None));
+        }
+        self.forget_names(request.read_at);
+        let taken = self.names.contains(&request.id);
+        taken.then(|| Answer::Rejected(format!("id={} is another request's", shown(&request.id))))
+    }
+
+    /// Enters a request that nothing bars.
     pub fn admit(
         &mut self,
         id: RequestId,
         ticket: Ticket,
         class: ClassId,
+        pool: Option<PoolId>,
         request: Request,
-    ) -> Result<(), Answer> {
-        if self.limit > 0 && self.open.len() >= self.limit {
-            return Err(Answer::Refused(None));
-        }
-        self.forget_names(request.read_at);
-        if !self.names.insert(request.id.clone()) {
-            return Err(Answer::Rejected(format!("id={} is another request's", shown(&request.id))));
-        }
+    ) {
         self.tickets.insert(ticket, id);
         let Request { id: name, command, read_at, wait, .. } = request;
+        self.names.insert(name.clone());
         let command = Arc::new(command);
-        self.open.insert(id, Open { name, ticket, class, command, read_at, wait, attempts: 0 });
-        Ok(())
+        self.open.insert(id, Open { name, ticket, class, pool, command, read_at, wait, attempts: 0 });
     }
 
     pub fn get_mut(&mut self, id: RequestId) -> Option<&mut Open> {
--- a/crates/leverproxy/src/stages/mod.rs
+++ b/crates/leverproxy/src/stages/mod.rs
@@ -1,10 +1,11 @@
-//! The chain that a request passes: take in, admit, route, send, relay, book.
+//! The chain that a request passes: take in, steer, admit, route, send, relay, book.
 
 pub mod admit;
 pub mod book;
 pub mod relay;
 pub mod route;
 pub mod send;
+pub mod steer;
 pub mod take_in;
 
 use crate::clock::Clock;
@@ -56,6 +57,7 @@
     directory: Directory,
     ledger: admit::Ledger,
     route: route::Route,
+    steering: steer::Steering,
     rejections: Seldom,
     /// When the proxy ends, once it is told to: no request has time beyond that.
     end: Option<Instant>,
@@ -66,6 +68,7 @@
     pub fn new(
         settings: Settings,
         names: Names,
+        rules: steer::Rules,
         max_open: usize,
         seed: u64,
         probe_time: Duration,
@@ -81,6 +84,7 @@
             probe_time,
             directory: Directory::default(),
             ledger: admit::Ledger::new(max_open),
+            steering: steer::Steering::new(rules),
             route: route::Route::new(settings, seed, clock.unix(now)),
             clock,
         }
@@ -123,25 +127,66 @@
 
     fn on_request(&mut self, ticket: Ticket, request: Request, sides: &mut Sides, now: Instant) {
         let id = self.ledger.next_id();
-        let arrival = match take_in::take_in(id, &request, &self.names, &self.deadlines, &self.clock, now) {
-            Ok(arrival) => take_in::end_by(arrival, self.end, now),
-            Err(why) => {
-                return self.reject(ticket, why, sides, now);
-            }
+        let margin = self.steering.rules().margin;
+        let Chain { names, deadlines, clock, .. } = self;
+        let mut arrival = match take_in::take_in(id, &request, names, deadlines, clock, margin, now) {
+            Ok(arrival) => take_in::end_by(arrival, self.end, margin, now),
+            Err(why) => return self.reject(ticket, why, sides, now),
         };
+        // Counters and the ledger go by the client's word; the class that the module hears may be another.
         let class = arrival.class;
-        match self.ledger.admit(id, ticket, class, request) {
-            Ok(()) => self.counters.taken(class),
-            Err(Answer::Rejected(why)) => return self.reject(ticket, why, sides, now),
-            Err(answer) => {
-                self.counters.taken(class);
-                self.counters.answered(class, &answer);
-                return sides.front.answer(ticket, answer, now, &sides.reactor);
-            }
+        if let Some(answer) = self.ledger.bars(&request) {
+            return self.turn_away(ticket, class, answer, sides, now);
         }
+        let unix = self.clock.unix(now);
+        let pool = match self.steering.steer(&mut arrival, &request, unix, now) {
+            Ok(pool) => pool,
+            Err(answer) => return self.turn_away(ticket, class, answer, sides, now),
+        };
+        self.ledger.admit(id, ticket, class, pool, request);
+        self.counters.taken(class);
         self.decide(Event::Arrived(arrival), sides, now);
     }
 
+    /// An answer before the request is owed one by the ledger.
+    fn turn_away(
+        &mut self,
+        ticket: Ticket,
+        class: mountshift::ClassId,
+        answer: Answer,
+        sides: &mut Sides,
+        now: Instant,
+    ) {
+        if let Answer::Rejected(why) = answer {
+            return self.reject(ticket, why, sides, now);
+        }
+        self.counters.taken(class);
+        self.counters.answered(class, &answer);
+        sides.front.answer(ticket, answer, now, &sides.reactor);
+    }
+
+    /// Strikes a request off, and frees its place in its pool.
+    fn close(&mut self, id: RequestId, now: Instant) -> Option<admit::Open> {
+        let open = self.ledger.close(id, now)?;
+        self.vacate(&open, now);
+        Some(open)
+    }
+
+    fn vacate(&mut self, open: &admit::Open, now: Instant) {
+        if let Some(pool) = open.pool {
+            self.steering.give_back(pool, now.saturating_duration_since(open.read_at));
+        }
+    }
+
+    /// The operators' rules from now on; the former ones.
+    pub fn set_rules(&mut self, rules: steer::Rules) -> steer::Rules {
+        self.steering.replace(rules)
+    }
+
+    pub fn steering(&self) -> &steer::Steering {
+        &self.steering
+    }
+
     /// The request makes no sense: the client is told, and nobody else hears of it.
     fn reject(&mut self, ticket: Ticket, why: String, sides: &mut Sides, now: Instant) {
         self.rejections.warn(now, || format!("front: a request is rejected: {why}"));
@@ -151,7 +196,7 @@
 
     fn on_left(&mut self, ticket: Ticket, sides: &mut Sides, now: Instant) {
         let Some(id) = self.ledger.id(ticket) else { return };
-        if let Some(open) = self.ledger.close(id, now) {
+        if let Some(open) = self.close(id, now) {
             self.counters.left(open.class);
             self.decide(Event::Left(id), sides, now);
         }
@@ -163,6 +208,7 @@
             return self.decide(book::book(&done, true, self.clock.unix(now)), sides, now);
         };
         if let Some((open, answer)) = relay::served(id, &mut done.verdict, &mut self.ledger, now) {
+            self.vacate(&open, now);
             self.relay(open, answer, sides, now);
         }
         let last = self.ledger.get_mut(id).is_none();
@@ -235,7 +281,7 @@
     }
 
     fn answer(&mut self, id: RequestId, answer: Answer, sides: &mut Sides, now: Instant) {
-        if let Some(open) = self.ledger.close(id, now) {
+        if let Some(open) = self.close(id, now) {
             self.relay(open, answer, sides, now);
         }
     }
--- a/crates/leverproxy/src/stages/take_in.rs
+++ b/crates/leverproxy/src/stages/take_in.rs
@@ -6,17 +6,16 @@
 use mountshift_settings::Names;
 use std::time::{Duration, Instant};
 
-/// The client's time counts from its send, and an answer has to reach it inside that time: this much is kept
-/// back for both ways and for the proxy's own delays.
-pub const MARGIN: Duration = Duration::from_millis(10);
-
-/// The arrival, or what the client is told of a request that makes no sense.
+/// The arrival, or what the client is told of a request that makes no sense. The client's time counts from its
+/// send, and an answer has to reach it inside that time: the margin is kept back for both ways and for the proxy's
+/// own delays.
 pub fn take_in(
     id: RequestId,
     request: &Request,
     names: &Names,
     deadlines: &[Duration],
     clock: &Clock,
+    margin: Duration,
     now: Instant,
 ) -> Result<Arrival, String> {
     let place = |names: &[String], name: &str| {
@@ -34,7 +33,7 @@
     // No client waits longer than its class may: what states more must not hold a place for days.
     let longest = deadlines.get(usize::from(class.0)).copied().unwrap_or(request.wait);
     let wait = request.wait.min(longest);
-    let spent = now.saturating_duration_since(request.read_at) + MARGIN;
+    let spent = now.saturating_duration_since(request.read_at) + margin;
     let unix_now = clock.unix(now);
     Ok(Arrival {
         id,
@@ -45,11 +44,12 @@
         time_left: wait.saturating_sub(spent),
         wrote_ago: request.after.map(|at| unix_now.since(Time(at))),
         repeated: request.repeated,
+        tries: None,
     })
 }
 
 /// A proxy that is told to stop has no more time than until its end, less the way of an answer.
-pub fn end_by(arrival: Arrival, end: Option<Instant>, now: Instant) -> Arrival {
-    let left = end.map(|end| end.saturating_duration_since(now).saturating_sub(MARGIN));
+pub fn end_by(arrival: Arrival, end: Option<Instant>, margin: Duration, now: Instant) -> Arrival {
+    let left = end.map(|end| end.saturating_duration_since(now).saturating_sub(margin));
     Arrival { time_left: left.map_or(arrival.time_left, |left| left.min(arrival.time_left)), ..arrival }
 }
--- a/crates/leverproxy/tests/common/mod.rs
+++ b/crates/leverproxy/tests/common/mod.rs
@@ -295,6 +295,20 @@
     }
 
     pub fn with(servers: &[(&str, &Listener)], adjust: impl FnOnce(&mut Config)) -> Stage {
+        Stage::set(servers, None, adjust)
+    }
+
+    /// With an operators' file.
+    pub fn under(servers: &[(&str, &Listener)], operators: &str) -> Stage {
+        let file = Scratch::new(operators);
+        Stage::set(servers, Some(&file.0), |_| {})
+    }
+
+    fn set(
+        servers: &[(&str, &Listener)],
+        operators: Option<&Path>,
+        adjust: impl FnOnce(&mut Config),
+    ) -> Stage {
         let discovery = Listener::new();
         let known: Vec<String> = servers.iter().map(|(name, s)| s.listed(name, "Ready")).collect();
         let text = format!(
@@ -303,7 +317,9 @@
             discovery.address,
             known.join(",")
         );
-        let mut config = config::parse(text.as_bytes(), |_| None).unwrap();
+        let operators = operators.map(|path| path.display().to_string());
+        let variable = |name: &str| operators.clone().filter(|_| name == "LB_OPERATORS");
+        let mut config = config::parse(text.as_bytes(), variable).unwrap();
         adjust(&mut config);
         let (mut proxy, control) = Proxy::start(config).unwrap();
         let address = proxy.local_address().unwrap();
@@ -325,18 +341,54 @@
     }
 }
 
+/// A file that goes with the test.
+pub struct Scratch(pub PathBuf);
+
+impl Scratch {
+    pub fn new(text: &str) -> Scratch {
+        static MADE: AtomicU32 = AtomicU32::new(0);
+        let number = MADE.fetch_add(1, Ordering::Relaxed);
+        let path = std::env::temp_dir().join(format!("leverproxy-{}-{number}.conf", std::process::id()));
+        let file = Scratch(path);
+        file.write(text);
+        file
+    }
+
+    pub fn write(&self, text: &str) {
+        std::fs::write(&self.0, text).unwrap();
+    }
+
+    pub fn path(&self) -> &str {
+        self.0.to_str().unwrap()
+    }
+}
+
+impl Drop for Scratch {
+    fn drop(&mut self) {
+        _ = std::fs::remove_file(&self.0);
+    }
+}
+
 /// The program as the platform starts it, on a scripted discovery.
 pub struct Program {
     pub child: Child,
     pub address: SocketAddr,
     pub watch: Peer,
     file: PathBuf,
+    /// The operators' file.
+    pub operators: Scratch,
     log: Lines<BufReader<ChildStderr>>,
 }
 
 impl Program {
     /// `before` is said to the shell that starts it.
     pub fn start(before: &str) -> Program {
+        Program::under(before, "")
+    }
+
+    /// With an operators' file.
+    pub fn under(before: &str, operators: &str) -> Program {
+        let operators = Scratch::new(operators);
         static STARTED: AtomicU32 = AtomicU32::new(0);
         let discovery = Listener::new();
         let number = STARTED.fetch_add(1, Ordering::Relaxed);
@@ -345,9 +397,10 @@
         let mut child = Command::new("/bin/sh")
             .args(["-c", &format!("{before} exec {} serve", env!("CARGO_BIN_EXE_leverproxy"))])
             .env("LB_CONFIG", &file)
+            .env("LB_OPERATORS", &operators.0)
             .env("LB_LISTEN", "127.0.0.1:0")
             .env("LB_DISCOVERY", discovery.address.to_string())
-            .env("RUST_LOG", "info")
+            .env_remove("RUST_LOG")
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
@@ -355,7 +408,7 @@
         // Signals are heeded before its loop first tends to discovery.
         let mut watch = discovery.accept();
         watch.watch();
-        let mut program = Program { child, address: discovery.address, watch, file, log };
+        let mut program = Program { child, address: discovery.address, watch, file, operators, log };
         let line = program.line("serving on ");
         program.address = line.rsplit(' ').next().unwrap().parse().unwrap();
         program
@@ -367,6 +420,12 @@
         self.signal(Signal::HUP);
     }
 
+    /// Replaces the operators' file and tells the program so.
+    pub fn steer(&self, operators: &str) {
+        self.operators.write(operators);
+        self.signal(Signal::HUP);
+    }
+
     pub fn signal(&self, signal: Signal) {
         kill_process(Pid::from_child(&self.child), signal).unwrap();
     }
--- /dev/null
+++ b/crates/leverproxy/tests/operators.rs
@@ -0,0 +1,352 @@
+//! Stories under an operators' file: what routes, pools and classes do to requests, and how the file is replaced.
+
+mod common;
+use common::{read, Listener, Peer, Program, Scratch, Stage};
+use leverproxy::config;
+use rustix::process::Signal;
+use std::process::{Command, Output};
+use std::time::Duration;
+
+fn waits(query: &str) -> u64 {
+    let rest = query.split(",d=").nth(1).unwrap();
+    rest.split(',').next().unwrap().parse().unwrap()
+}
+
+#[test]
+fn a_route_refuses_and_tells_when_to_come_back() {
+    let server = Listener::new();
+    let stage = Stage::under(
+        &[("s-1", &server)],
+        "route inserts {\n class book\n network 127.0.0.0/8\n refuse 1500ms\n}\nroute others {\n network 10.0.0.0/8\n refuse\n}\n",
+    );
+    let mut client = Peer::client(stage.address);
+    client.ask(&read(1, "book", 19000));
+    let reply = client.reply();
+    assert_eq!((reply.code.as_deref(), reply.detail.as_deref()), (Some("53300"), Some("1500")));
+    // No rule for others: they are served, and the name of the refused may be used again.
+    client.ask(&read(1, "any", 19000));
+    let mut upstream = server.welcome();
+    upstream.query();
+    upstream.answer("fine", &[]);
+    assert_eq!(client.reply().value.as_deref(), Some("fine"));
+}
+
+#[test]
+fn a_pool_bounds_its_requests_and_no_others() {
+    let server = Listener::new();
+    let stage = Stage::under(
+        &[("s-1", &server)],
+        "pool slow {\n requests 1\n come-back 700ms\n}\nroute slow {\n statement \"SELECT doc\"\n pool slow\n}\n",
+    );
+    let (mut first, mut second) = (Peer::client(stage.address), Peer::client(stage.address));
+    first.ask(&read(1, "any", 19000));
+    let mut upstream = server.welcome();
+    upstream.query();
+    second.ask(&read(2, "any", 19000));
+    let reply = second.reply();
+    assert_eq!((reply.code.as_deref(), reply.detail.as_deref()), (Some("53300"), Some("700")));
+    // A place is free again once the first has its answer.
+    upstream.answer("one", &[]);
+    assert_eq!(first.reply().value.as_deref(), Some("one"));
+    second.ask(&read(3, "any", 19000));
+    upstream.query();
+    upstream.answer("three", &[]);
+    assert_eq!(second.reply().value.as_deref(), Some("three"));
+}
+
+/// A client that leaves gives its place back.
+#[test]
+fn a_place_in_a_pool_is_not_lost_with_its_client() {
+    let server = Listener::new();
+    let stage = Stage::under(&[("s-1", &server)], "pool p {\n requests 1\n}\nroute r {\n pool p\n}\n");
+    let mut client = Peer::client(stage.address);
+    client.ask(&read(1, "any", 19000));
+    let mut upstream = server.welcome();
+    upstream.query();
+    client.leave();
+    let mut other = Peer::client(stage.address);
+    other.ask(&read(2, "any", 19000));
+    upstream.answer("too late", &[]);
+    let mut next = upstream;
+    assert!(next.query().contains("id=0000000000000002"));
+    next.answer("two", &[]);
+    assert_eq!(other.reply().value.as_deref(), Some("two"));
+}
+
+#[test]
+fn deadlines_are_capped_by_class_and_by_route() {
+    let server = Listener::new();
+    let stage = Stage::under(
+        &[("s-1", &server)],
+        "class any {\n deadline 9s\n}\nroute r {\n tenant acme\n group 3\n deadline 4s\n}\n",
+    );
+    let mut client = Peer::client(stage.address);
+    client.ask(&read(1, "any", 19000));
+    let mut upstream = server.welcome();
+    assert!(waits(&upstream.query()) <= 4_000);
+    upstream.answer("one", &[]);
+    client.reply();
+    let other_group = read(2, "any", 19000).replace("cluster=3", "cluster=4");
+    client.ask(&other_group);
+    // There is no such group: what the route does not hold for is refused by the module.
+    assert_eq!(client.reply().code.as_deref(), Some("53300"));
+}
+
+/// A class that is safe to repeat, of which the operators say that it runs once, is not sent again.
+#[test]
+fn a_class_that_runs_once_is_not_repeated() {
+    let (one, two) = (Listener::new(), Listener::new());
+    let stage = Stage::under(&[("s-1", &one), ("s-2", &two)], "class any {\n runs once\n}\n");
+    let mut client = Peer::client(stage.address);
+    client.ask(&read(1, "any", 19000));
+    let mut upstream = loop {
+        if let Some(mut peer) = one.try_accept().or_else(|| two.try_accept()) {
+            peer.startup();
+            break peer;
+        }
+        std::thread::yield_now();
+    };
+    upstream.query();
+    drop(upstream);
+    assert!(
+        client.reply().code.is_some_and(|code| code != "53300"),
+        "failed, and not refused: it may have run"
+    );
+    assert!(one.try_accept().is_none() && two.try_accept().is_none());
+}
+
+#[test]
+fn tries_bound_the_attempts() {
+    let (one, two) = (Listener::new(), Listener::new());
+    let stage = Stage::under(&[("s-1", &one), ("s-2", &two)], "route r {\n class any\n tries 1\n}\n");
+    let mut client = Peer::client(stage.address);
+    client.ask(&read(1, "any", 19000));
+    let mut upstream = loop {
+        if let Some(mut peer) = one.try_accept().or_else(|| two.try_accept()) {
+            peer.startup();
+            break peer;
+        }
+        std::thread::yield_now();
+    };
+    upstream.query();
+    upstream.error("53300");
+    assert!(client.reply().code.is_some());
+    assert!(one.try_accept().is_none() && two.try_accept().is_none());
+}
+
+/// SIGHUP takes over routes at once; a faulty or half-written file is reported by its lines and changes nothing.
+#[test]
+fn a_reload_is_all_or_nothing() {
+    let mut program = Program::under("", "");
+    let mut client = Peer::client(program.address);
+    let refused = |client: &mut Peer, id| {
+        client.ask(&read(id, "any", 300).replace("cluster=3", "cluster=9"));
+        client.reply().detail
+    };
+    program.steer("route all {\n refuse 1200ms\n}\n");
+    program.line("the configuration is reread");
+    assert_eq!(refused(&mut client, 1).as_deref(), Some("1200"));
+    program.steer("route all {\n refuse 1300\n}\nlimits {\n client-patience 500ms\n}\n");
+    let fault = program.line("the time 1300 has no unit");
+    assert!(fault.contains(".conf:2:9"), "{fault}");
+    program.line("stays as it was");
+    assert_eq!(refused(&mut client, 2).as_deref(), Some("1200"));
+    // Half of the file is there.
+    program.steer("route all {\n refuse 1400ms\n}\nroute more {\n class a");
+    program.line("the section route has no end");
+    assert_eq!(refused(&mut client, 3).as_deref(), Some("1200"));
+    program.steer("route all {\n refuse 1400ms\n}\nlogging {\n form json\n}\n");
+    let line = program.line("the configuration is reread");
+    let line: serde_json::Value = serde_json::from_str(&line).unwrap();
+    assert_eq!((line["routes"].as_u64(), line["level"].as_str()), (Some(1), Some("INFO")));
+    assert!(line["pause_us"].is_u64());
+    assert_eq!(refused(&mut client, 4).as_deref(), Some("1400"));
+}
+
+/// A stop in the middle of reloads is a stop, and a reload in the middle of a stop does not undo it.
+#[test]
+fn reloads_and_stops_may_cross() {
+    let mut program = Program::under("", "route all {\n refuse 1s\n}\n");
+    let mut routes = String::new();
+    for n in 0..20_000 {
+        routes.push_str(&format!("route r{n} {{\n network 10.{}.{}.0/24\n tries 2\n}}\n", n / 250, n % 250));
+    }
+    program.steer(&routes);
+    program.signal(Signal::TERM);
+    program.line("told to stop");
+    program.steer("limits {\n client-patience 300ms\n}\n");
+    program.steer("no such thing\n");
+    assert!(program.child.wait().unwrap().success());
+}
+
+/// What only a start can change is named.
+#[test]
+fn what_waits_for_a_start_is_named() {
+    let mut program = Program::under("", "");
+    program.steer("policy {\n probes no\n}\n");
+    program.line("settings: a change of it counts from the next start");
+    program.steer("discovery {\n watch-silence 2s\n}\n");
+    program.line("watch-silence: a change of it counts from the next start");
+}
+
+fn parse(operators: &str) -> Result<config::Config, config::ConfigError> {
+    let file = Scratch::new(operators);
+    let text = format!(
+        r#"{{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","limits":{{"sockets":600,"memory_mb":48}},"settings":{}}}"#,
+        common::SETTINGS
+    );
+    config::parse(text.as_bytes(), |name| (name == "LB_OPERATORS").then(|| file.path().to_owned()))
+}
+
+/// The platform's word holds: whatever would loosen it is a fault that names its place.
+#[test]
+fn nothing_loosens_what_the_platform_says() {
+    for (operators, fault) in [
+        ("limits {\n sockets 700\n}\n", "sockets is 700, but the platform states 600"),
+        ("limits {\n memory 64MiB\n}\n", "memory is 64MiB, but the platform states 48MiB"),
+        ("policy {\n tries 9\n}\n", "tries is 9, but the platform states 8"),
+        ("policy {\n come-back-most 3s\n}\n", "come-back-most is 3s"),
+        ("class any {\n deadline 30s\n}\n", "deadline is 30s, but its clients wait 20s at most"),
+        ("class anny {\n tries 2\n}\n", "the platform has no class anny"),
+        ("route r {\n tenant akme\n refuse\n}\n", "the platform has no tenant akme"),
+        (
+            "route r {\n class book\n as-class any\n}\n",
+            "requests of class book can't be treated as class any",
+        ),
+        ("route r {\n as-class any\n}\n", "requests of class book can't be treated as class any"),
+        (
+            "class any {\n runs once\n}\nroute r {\n class any\n as-class book\n}\n",
+            "can't be treated as class book",
+        ),
+    ] {
+        let error = parse(operators).map(|_| ()).unwrap_err();
+        assert_eq!((error.key.as_str(), error.faults.len()), ("LB_OPERATORS", 1), "{operators}{error}");
+        assert!(error.faults[0].contains(fault), "{operators}{error}");
+        assert!(error.faults[0].contains(".conf:"), "{error}");
+    }
+    let config = parse("policy {\n tries 2\n second-copies no\n}\nlimits {\n sockets 300\n}\n").unwrap();
+    assert_eq!((config.platform.settings.try_limit, config.platform.settings.second_copies), (2, false));
+    assert_eq!(config.limits.clients + config.limits.upstream, 300 - 32);
+}
+
+/// Without an operators' file everything is as the constants before it were.
+#[test]
+fn defaults_are_what_they_were() {
+    let config = parse("").unwrap();
+    let limits = config.limits;
+    assert_eq!((limits.clients, limits.upstream), (568 * 3 / 5, 568 - 568 * 3 / 5));
+    assert_eq!((limits.crowded, limits.packed, limits.unfinished), (100, 150, 6 << 20));
+    let patience = config.patience;
+    assert_eq!((patience.first, patience.idle), (Duration::from_secs(2), Duration::from_secs(2)));
+    assert_eq!((patience.unread, patience.goodbye), (Duration::from_secs(10), Duration::from_secs(1)));
+    assert_eq!((patience.pipeline, patience.unsent), (32, 64 << 10));
+    assert_eq!(config.watch_silence, Duration::from_secs(3));
+    assert_eq!(config.rules.margin, Duration::from_millis(10));
+}
+
+fn run(arguments: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_leverproxy"));
+    command.env_remove("LB_CONFIG").env_remove("LB_OPERATORS").env_remove("RUST_LOG");
+    command.args(arguments).output().unwrap()
+}
+
+fn printed(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
+#[test]
+fn the_command_line_checks_formats_and_compares() {
+    let untidy = Scratch::new("limits{\nclient-patience   500ms # short\n}\n");
+    let path = untidy.path();
+    assert_eq!(run(&["config", "check", path]).status.code(), Some(0));
+    assert_eq!(run(&["config", "fmt", "--check", path]).status.code(), Some(1));
+    assert_eq!(run(&["config", "fmt", path]).status.code(), Some(0));
+    assert_eq!(std::fs::read_to_string(path).unwrap(), "limits {\n    client-patience 500ms  # short\n}\n");
+    assert_eq!(run(&["config", "fmt", "--check", path]).status.code(), Some(0));
+
+    let other = Scratch::new("limits {\n client-patience 1s\n}\nroute r {\n class any\n refuse 1s\n}\n");
+    let same = run(&["config", "diff", path, path]);
+    assert_eq!((same.status.code(), printed(&same).trim()), (Some(0), "no difference in behaviour"));
+    let differ = run(&["config", "diff", path, other.path()]);
+    assert_eq!(differ.status.code(), Some(1));
+    let text = printed(&differ);
+    assert!(text.contains("client-patience: 500ms -> 1s (looser)") && text.contains("class any"), "{text}");
+
+    let explained =
+        run(&["config", "explain", other.path(), "--request", "class=any,group=3,statement=SELECT a, b"]);
+    let text = printed(&explained);
+    assert!(text.contains("route r") && text.contains("refused, to come back after 1s"), "{text}");
+    let wrong = run(&["config", "explain", other.path(), "--request", "klass=any"]);
+    assert_eq!(wrong.status.code(), Some(2));
+
+    let faulty = Scratch::new("limits {\n client-patience 500\n}\n");
+    let checked = run(&["config", "check", faulty.path()]);
+    assert_eq!(checked.status.code(), Some(2));
+    assert!(printed(&checked).contains("the time 500 has no unit"), "{}", printed(&checked));
+    let json = run(&["config", "check", "--format", "json", faulty.path()]);
+    let parsed: serde_json::Value = serde_json::from_str(&printed(&json)).unwrap();
+    assert_eq!((parsed[0]["line"].as_u64(), parsed[0]["column"].as_u64()), (Some(2), Some(18)));
+    // A file that can't be read as one is not rewritten.
+    let broken = Scratch::new("limits {\n client-patience \"5\n}\n");
+    assert_eq!(run(&["config", "fmt", broken.path()]).status.code(), Some(2));
+    assert_eq!(std::fs::read_to_string(broken.path()).unwrap(), "limits {\n client-patience \"5\n}\n");
+    assert_eq!(run(&["config", "check", "/nowhere/at/all.conf"]).status.code(), Some(2));
+}
+
+#[test]
+fn every_value_is_shown_with_where_it_comes_from() {
+    let platform = Scratch::new(&format!(
+        r#"{{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","limits":{{"sockets":600}},"settings":{}}}"#,
+        common::SETTINGS
+    ));
+    let operators = Scratch::new("define patience 500ms\nlimits {\n    client-patience $patience\n}\n");
+    let output = Command::new(env!("CARGO_BIN_EXE_leverproxy"))
+        .args(["config", "show", "--effective", operators.path()])
+        .env("LB_CONFIG", platform.path())
+        .env("LB_DISCOVERY", "127.0.0.1:9")
+        .output()
+        .unwrap();
+    let text = printed(&output);
+    let shown = |what: &str, from: &str| {
+        let line =
+            text.lines().find(|line| line.starts_with(what)).unwrap_or_else(|| panic!("{what}: {text}"));
+        assert!(line.contains(from), "{line}");
+    };
+    shown("limits: client-patience 500ms", &format!("# {}:3:5", operators.path()));
+    shown("limits: client-idle 2s", "# default");
+    shown("limits: sockets 600", "# platform: limits.sockets");
+    shown("discovery: address 127.0.0.1:9", "# environment: LB_DISCOVERY");
+    shown("listener: address 127.0.0.1:0", "# platform: listen");
+}
+
+/// The operators' page holds the table that the code goes by.
+#[test]
+fn the_page_of_directives_is_the_table() {
+    let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let page = std::fs::read_to_string(root.join("docs/operators/configuration.md")).unwrap();
+    let table = printed(&run(&["config", "directives"]));
+    assert!(
+        page.contains(&table),
+        "docs/operators/configuration.md: put in what `leverproxy config directives` prints"
+    );
+    let example = root.join("deploy/operators.conf");
+    let example = example.to_str().unwrap();
+    let checked = run(&["config", "check", example]);
+    assert_eq!(
+        printed(&checked).lines().last(),
+        Some("sound: 1 file(s), 6 route(s)"),
+        "{}",
+        printed(&checked)
+    );
+    assert_eq!(run(&["config", "fmt", "--check", example]).status.code(), Some(0));
+}
+
+#[test]
+fn commands_of_old_go_on_working() {
+    assert!(printed(&run(&["version"])).starts_with("leverproxy "));
+    assert_eq!(run(&["help"]).status.code(), Some(0));
+    assert_eq!(run(&[]).status.code(), Some(2));
+    assert_eq!(run(&["serv"]).status.code(), Some(2));
+    assert_eq!(run(&["check"]).status.code(), Some(2));
+    assert!(printed(&run(&["completions", "bash"])).contains("leverproxy"));
+}
--- a/crates/leverproxy/tests/units.rs
+++ b/crates/leverproxy/tests/units.rs
@@ -6,7 +6,7 @@
 use leverproxy::discovery::directory::{Change, Directory};
 use leverproxy::discovery::wire::Listing;
 use leverproxy::http::LineReader;
-use leverproxy::logging::NeverWaits;
+use leverproxy::logging::{self, NeverWaits};
 use leverproxy::pg::client::AnswerReader;
 use leverproxy::pg::statement::{self, Query};
 use leverproxy::reactor::Slots;
@@ -150,7 +150,8 @@
         let text = format!("SELECT 1 /* id={no},c=any,d=480,cluster=2 */");
         let Ok(Query::Request(request)) = statement::parse(&text, now) else { panic!("{text}") };
         let ticket = Ticket { client: Slots::default().insert(()), number: no };
-        assert!(ledger.admit(RequestId(no), ticket, ClassId(0), request).is_ok());
+        assert!(ledger.bars(&request).is_none());
+        ledger.admit(RequestId(no), ticket, ClassId(0), None, request);
         assert!(ledger.close(RequestId(no), now).is_some());
     }
     assert!(ledger.is_empty() && ledger.names() <= 500, "{} names are kept", ledger.names());
@@ -181,6 +182,29 @@
     assert!((1..4 << 20).contains(&kept.len()));
 }
 
+/// One record, one line, in both forms; key-values keep their types in JSON.
+#[test]
+fn log_lines_carry_their_key_values() {
+    let pairs = [("routes", log::kv::Value::from(3)), ("why", log::kv::Value::from("a b"))];
+    let record = |message, use_it: &dyn Fn(&log::Record<'_>) -> String| {
+        use_it(
+            &log::Record::builder()
+                .level(log::Level::Warn)
+                .target("here")
+                .args(message)
+                .key_values(&pairs)
+                .build(),
+        )
+    };
+    let text = record(format_args!("one\ntwo"), &|r| logging::text("now", r));
+    assert_eq!(text, "[now WARN  here] one\\ntwo routes=3 why=\"a b\"\n");
+    let json = record(format_args!("one\ntwo"), &|r| logging::json("now", r));
+    assert!(json.ends_with("}\n") && json.matches('\n').count() == 1, "{json}");
+    let json: serde_json::Value = serde_json::from_str(&json).unwrap();
+    let expected = serde_json::json!({"time":"now","level":"WARN","target":"here","message":"one\ntwo","routes":3,"why":"a b"});
+    assert_eq!(json, expected);
+}
+
 /// What bad peers can bring about at will is a line a second at most, which tells how many it stands for.
 #[test]
 fn the_log_does_not_grow_with_a_flood() {
--- a/crates/mountshift/src/decide.rs
+++ b/crates/mountshift/src/decide.rs
@@ -777,7 +777,8 @@
         if store.told_leaving.is_some() || self.now >= request.deadline {
             return Err(Bar::No);
         }
-        if self.set.try_limit > 0 && request.attempts >= self.set.try_limit {
+        let allowed = [self.set.try_limit, request.arrival.tries.unwrap_or(0)];
+        if allowed.into_iter().any(|limit| limit > 0 && request.attempts >= limit) {
             return Err(Bar::No);
         }
         // Effects: what may have run, or is still out, binds later attempts.
--- a/crates/mountshift/src/interface.rs
+++ b/crates/mountshift/src/interface.rs
@@ -238,6 +238,8 @@
     pub wrote_ago: Option<Duration>,
     /// The client says that it repeats itself.
     pub repeated: bool,
+    /// Attempts allowed for it, where that is fewer than the settings allow.
+    pub tries: Option<u16>,
 }
 
 /// How an attempt ended.
--- a/crates/mountshift/src/lib.rs
+++ b/crates/mountshift/src/lib.rs
@@ -58,6 +58,7 @@
 //!     time_left: Duration::from_secs(1),
 //!     wrote_ago: None,
 //!     repeated: false,
+//!     tries: None,
 //! };
 //! router.handle(Time::from_micros(1_000), Event::Arrived(read), &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { store: StoreId(1), .. })));
--- a/crates/mountshift/tests/common/mod.rs
+++ b/crates/mountshift/tests/common/mod.rs
@@ -125,6 +125,7 @@
             time_left: 1_000 * MS,
             wrote_ago: None,
             repeated: false,
+            tries: None,
         }
     }
 
--- /dev/null
+++ b/fuzz/fuzz_targets/text.rs
@@ -0,0 +1,31 @@
+//! Any bytes as a configuration: no panic, and what can be formatted has a form that is final and means the same.
+#![no_main]
+
+use configuration::diagnostic::render;
+use configuration::diff::diff;
+use configuration::format::format;
+use configuration::load::Memory;
+use configuration::{read, shadow};
+use std::path::Path;
+
+fn reading(bytes: &[u8]) -> configuration::Reading {
+    let mut files = Memory::default();
+    files.add("x.conf", bytes);
+    read(Path::new("x.conf"), &files)
+}
+
+libfuzzer_sys::fuzz_target!(|bytes: &[u8]| {
+    let first = reading(bytes);
+    _ = render(&first.sources, &first.diagnostics);
+    if first.sound() {
+        _ = shadow::check(&first.model, None);
+    }
+    let Ok(text) = std::str::from_utf8(bytes) else { return };
+    if let Some(tidy) = format(text) {
+        assert_eq!(format(&tidy).as_ref(), Some(&tidy));
+        if first.sound() {
+            let second = reading(tidy.as_bytes());
+            assert!(second.sound() && diff(&first.model, &second.model, None).is_empty());
+        }
+    }
+});
