Cores for balancers in front: availability, drain choreography, health codecs

Need: balancers see draining, overload and dead record servers only as failures. Change: availability tells a state and a weight from attempts, answers and the proxy's own load, and keeps trouble that all proxies share from taking any of them out; drain is the choreography of leaving and coming back; wire-health has the codecs of the agent check, HTTP checks, load reports and the PROXY protocol. Not yet used by the proxy.

--- /dev/null
+++ b/crates/availability/tests/model.rs
@@ -0,0 +1,357 @@
+//! The model on virtual time: what it tells in each kind of trouble, how soon, and what it never tells.
+
+use availability::{Availability, Cause, Condition, Ended, Event, Load, Reason, Settings, State, Time};
+use proptest::prelude::*;
+use std::time::Duration;
+
+const MS: Duration = Duration::from_millis(1);
+
+/// A proxy that sends so many requests a second to each of its groups, and what each group does with them.
+struct World {
+    model: Availability,
+    now: Time,
+    groups: Vec<Behaviour>,
+    per_s: u32,
+    load: Load,
+    out: Vec<(Time, u32, Ended, Duration)>,
+    /// States and weights as they were told, each with its time.
+    told: Vec<(Time, State, u8)>,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Behaviour {
+    Takes(u32),
+    Silent,
+    Breaks,
+    Refuses,
+}
+
+impl World {
+    fn new(groups: usize, per_s: u32) -> World {
+        let mut model = Availability::new(Settings::default(), Time::ZERO);
+        model.handle(Time::ZERO, Event::Started);
+        World {
+            model,
+            now: Time::ZERO,
+            groups: vec![Behaviour::Takes(50); groups],
+            per_s,
+            load: Load::default(),
+            out: Vec::new(),
+            told: Vec::new(),
+        }
+    }
+
+    /// Requests, answers and ticks for a while, in steps of 5 ms.
+    fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += 5 * MS;
+            let millis = self.now.as_millis() as u32;
+            for (at, behaviour) in self.groups.clone().into_iter().enumerate() {
+                let group = at as u32;
+                let due = (millis * self.per_s / 1_000) - ((millis - 5) * self.per_s / 1_000);
+                for n in 0..due {
+                    if behaviour == Behaviour::Refuses {
+                        self.model.handle(self.now, Event::Refused { group, cause: Cause::Servers });
+                        continue;
+                    }
+                    self.model.handle(self.now, Event::Sent { group });
+                    // Times scatter by a half.
+                    let scatter = (millis / 5 * 7 + n * 13 + group * 3) % 10;
+                    let (how, took) = match behaviour {
+                        Behaviour::Takes(ms) => (Ended::Answered, MS * (ms * (75 + scatter * 5) / 100)),
+                        Behaviour::Silent => (Ended::Broken, 1_500 * MS),
+                        _ => (Ended::Broken, 2 * MS),
+                    };
+                    self.out.push((self.now + took, group, how, took));
+                }
+            }
+            let (over, out): (Vec<_>, Vec<_>) = self.out.drain(..).partition(|(at, ..)| *at <= self.now);
+            self.out = out;
+            for (at, group, how, elapsed) in over {
+                self.model.handle(at, Event::Ended { group, how, elapsed });
+                let answer = match how {
+                    Ended::Answered => Event::Served { group },
+                    _ => Event::Failed { group },
+                };
+                self.model.handle(at, answer);
+            }
+            if millis.is_multiple_of(100) {
+                self.model.handle(self.now, Event::Load(self.load));
+            }
+            let report = self.model.report();
+            if self.told.last().map(|(_, state, weight)| (*state, *weight))
+                != Some((report.state, report.weight))
+            {
+                self.told.push((self.now, report.state, report.weight));
+            }
+        }
+    }
+
+    fn condition(&self, group: u32) -> Condition {
+        self.model.group(group).unwrap().condition
+    }
+
+    /// How long it takes until this holds.
+    fn until(&mut self, limit: Duration, holds: impl Fn(&World) -> bool) -> Duration {
+        let start = self.now;
+        while !holds(self) {
+            assert!(self.now - start < limit, "not within {limit:?}");
+            self.run(5 * MS);
+        }
+        self.now - start
+    }
+}
+
+const SECOND: Duration = Duration::from_secs(1);
+
+#[test]
+fn a_hung_and_a_dead_group_show_within_a_second_at_twenty_a_second() {
+    for (behaviour, expected) in [(Behaviour::Silent, Condition::Hung), (Behaviour::Breaks, Condition::Dead)]
+    {
+        let mut world = World::new(4, 20);
+        world.run(30 * SECOND);
+        assert_eq!((world.model.report().state, world.model.report().weight), (State::Ready, 100));
+        world.groups[2] = behaviour;
+        let took = world.until(SECOND, |w| w.condition(2) == expected);
+        world.run(500 * MS);
+        let report = *world.model.report();
+        assert!(matches!(report.state, State::Degraded(15..=35)), "{report:?} after {took:?}");
+        assert_eq!(report.reason, Reason::Group(2));
+        assert!((80..=95).contains(&report.weight), "the others' traffic stays: {report:?}");
+        // It answers again, and that is told too.
+        world.groups[2] = Behaviour::Takes(50);
+        world.until(6 * SECOND, |w| w.condition(2) == Condition::Serving);
+        world
+            .until(10 * SECOND, |w| w.model.report().state == State::Ready && w.model.report().weight == 100);
+    }
+}
+
+#[test]
+fn slowness_of_all_is_shared_trouble_and_leaves_the_floor() {
+    let mut world = World::new(4, 50);
+    world.run(60 * SECOND);
+    world.told.clear();
+    world.groups = vec![Behaviour::Takes(150); 4];
+    // Requests stay open three times as long, and with them descriptors: that shows before the slowness does.
+    world.load = Load { open: 0.95, descriptors: 0.99, memory: 0.9, ..Load::default() };
+    world.run(20 * SECOND);
+    let report = *world.model.report();
+    assert!(report.slowness > 2.5, "{report:?}");
+    assert!(world.told.iter().all(|(_, state, weight)| state.serves() && *weight >= 50), "{:?}", world.told);
+    world.groups = vec![Behaviour::Takes(50); 4];
+    world.load = Load::default();
+    world.until(20 * SECOND, |w| w.model.report().state == State::Ready && w.model.report().weight == 100);
+}
+
+#[test]
+fn a_fleet_that_is_gone_leaves_the_floor_too() {
+    for behaviour in [Behaviour::Silent, Behaviour::Breaks, Behaviour::Refuses] {
+        let mut world = World::new(3, 40);
+        world.run(20 * SECOND);
+        world.groups = vec![behaviour; 3];
+        world.run(20 * SECOND);
+        assert!(
+            world.told.iter().all(|(_, state, weight)| state.serves() && *weight >= 50),
+            "{:?}",
+            world.told
+        );
+        assert!(matches!(world.model.report().state, State::Degraded(60..)), "{:?}", world.model.report());
+    }
+}
+
+#[test]
+fn own_lag_is_own_trouble() {
+    let mut world = World::new(2, 50);
+    world.run(10 * SECOND);
+    world.load.lag = 300 * MS;
+    world.until(SECOND, |w| w.model.report().state == State::Overloaded && w.model.report().weight <= 10);
+    assert_eq!(world.model.report().reason, Reason::Lag);
+    world.load.lag = Duration::ZERO;
+    let start = world.now;
+    world.until(20 * SECOND, |w| w.model.report().weight == 100);
+    assert!(world.now - start >= 4 * SECOND, "weight comes back step by step");
+}
+
+#[test]
+fn one_hung_member_of_a_group_that_answers_is_not_the_groups_trouble() {
+    let mut world = World::new(1, 50);
+    world.run(10 * SECOND);
+    for n in 0..40_u32 {
+        // Every fifth attempt goes to a member that says nothing.
+        let at = world.now;
+        world.model.handle(at, Event::Sent { group: 0 });
+        world.out.push((at + 1_500 * MS, 0, Ended::Broken, 1_500 * MS));
+        world.run(100 * MS);
+        assert_eq!(world.condition(0), Condition::Serving, "after {n}");
+    }
+}
+
+#[test]
+fn a_drain_is_told_at_once_and_stays_until_undone() {
+    let mut world = World::new(2, 20);
+    world.run(5 * SECOND);
+    world.model.handle(world.now, Event::Drain);
+    assert_eq!((world.model.report().state, world.model.report().weight), (State::Draining, 0));
+    world.groups[0] = Behaviour::Silent;
+    world.run(5 * SECOND);
+    world.groups[0] = Behaviour::Takes(50);
+    world.load.lag = SECOND;
+    world.run(5 * SECOND);
+    assert!(world.told.iter().skip(1).all(|(_, state, weight)| (*state, *weight) == (State::Draining, 0)));
+    world.load.lag = Duration::ZERO;
+    world.model.handle(world.now, Event::Undrain);
+    assert!(world.model.report().state.serves() && world.model.report().weight > 0);
+}
+
+#[test]
+fn flapping_servers_change_the_state_a_bounded_number_of_times() {
+    let mut world = World::new(1, 40);
+    world.run(10 * SECOND);
+    world.told.clear();
+    // A minute in which the group breaks and answers in turn, every second.
+    for n in 0..60 {
+        world.groups[0] = if n % 2 == 0 { Behaviour::Breaks } else { Behaviour::Takes(50) };
+        world.run(SECOND);
+    }
+    let kinds: Vec<_> = world.told.iter().map(|(_, state, _)| std::mem::discriminant(state)).collect();
+    let changes = kinds.windows(2).filter(|w| w[0] != w[1]).count();
+    assert!(changes <= 14, "{changes} changes in a minute");
+}
+
+#[test]
+fn a_stall_of_the_proxy_itself_makes_no_group_hung() {
+    let mut world = World::new(2, 40);
+    world.run(10 * SECOND);
+    // Nothing is looked at for five seconds; then the answers are there.
+    let at = world.now + 5 * SECOND;
+    for (_, group, how, _) in std::mem::take(&mut world.out) {
+        world.model.handle(at, Event::Ended { group, how, elapsed: 5 * SECOND });
+    }
+    world.now = at;
+    world.run(2 * SECOND);
+    assert!(
+        world.told.iter().all(|(_, state, _)| !matches!(state, State::Degraded(60..))),
+        "{:?}",
+        world.told
+    );
+    // A clock that goes back stands.
+    let before = *world.model.report();
+    world.model.handle(SECOND, Event::Tick);
+    assert_eq!(world.model.report().since, before.since);
+}
+
+#[test]
+fn discovery_that_cannot_be_heard_does_not_count() {
+    let mut world = World::new(2, 40);
+    world.run(5 * SECOND);
+    world.model.handle(world.now, Event::Discovery { heard: false });
+    world.run(10 * SECOND);
+    let report = world.model.report();
+    assert_eq!((report.state, report.weight, report.discovery), (State::Ready, 100, false));
+}
+
+fn event() -> impl Strategy<Value = (u64, Event)> {
+    let group = 0..6_u32;
+    let how = prop_oneof![
+        Just(Ended::Answered),
+        Just(Ended::TurnedAway),
+        Just(Ended::Broken),
+        Just(Ended::CalledOff)
+    ];
+    let load = (0.0..2.0_f64, 0.0..2.0_f64, 0.0..2.0_f64).prop_map(|(open, descriptors, memory)| {
+        Event::Load(Load { lag: Duration::ZERO, open, descriptors, memory })
+    });
+    let event = prop_oneof![
+        4 => group.clone().prop_map(|group| Event::Sent { group }),
+        4 => (group.clone(), how, 0..3_000_u64).prop_map(|(group, how, ms)| Event::Ended { group, how, elapsed: MS * ms as u32 }),
+        2 => group.clone().prop_map(|group| Event::Served { group }),
+        2 => group.clone().prop_map(|group| Event::Failed { group }),
+        2 => group.prop_map(|group| Event::Refused { group, cause: Cause::Servers }),
+        1 => Just(Event::Tick),
+        1 => any::<bool>().prop_map(|heard| Event::Discovery { heard }),
+        1 => load,
+    ];
+    (0..400_u64, event)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Whatever record servers do, and whatever else slow servers can cause while they do it: a proxy whose loop is
+    /// in time tells the floor at least, and never that it is down.
+    #[test]
+    fn shared_trouble_alone_leaves_the_floor(events in proptest::collection::vec(event(), 0..400)) {
+        let mut model = Availability::new(Settings::default(), Time::ZERO);
+        model.handle(Time::ZERO, Event::Started);
+        let mut now = Time::ZERO;
+        for (ms, event) in events {
+            now += MS * ms as u32;
+            model.handle(now, event);
+            let report = model.report();
+            prop_assert!(report.state.serves() && report.weight >= 50, "{:?}", report);
+        }
+    }
+
+    /// It serves until it is told otherwise, whatever happens; the weight is never 0 before, and always after.
+    #[test]
+    fn only_a_word_takes_it_out(events in proptest::collection::vec(event(), 0..300), drained in 0..300_usize) {
+        let mut model = Availability::new(Settings::default(), Time::ZERO);
+        model.handle(Time::ZERO, Event::Started);
+        let mut now = Time::ZERO;
+        for (at, (ms, event)) in events.into_iter().enumerate() {
+            now += MS * ms as u32;
+            if at == drained {
+                model.handle(now, Event::Drain);
+            }
+            model.handle(now, event);
+            let report = model.report();
+            prop_assert_eq!(report.state.serves(), at < drained);
+            prop_assert_eq!(report.weight > 0, at < drained);
+        }
+    }
+
+    /// More load of its own never makes for more weight.
+    #[test]
+    fn weight_falls_with_own_load(
+        a in (0..400_u64, 0.0..1.2_f64, 0.0..1.2_f64, 0.0..1.2_f64),
+        more in (0..400_u64, 0.0..1.0_f64, 0.0..1.0_f64, 0.0..1.0_f64),
+    ) {
+        let weight = |load: Load| {
+            let mut model = Availability::new(Settings::default(), Time::ZERO);
+            model.handle(Time::ZERO, Event::Started);
+            model.handle(SECOND, Event::Load(load));
+            model.report().weight
+        };
+        let load = Load { lag: MS * a.0 as u32, open: a.1, descriptors: a.2, memory: a.3 };
+        let heavier = Load {
+            lag: load.lag + MS * more.0 as u32,
+            open: load.open + more.1,
+            descriptors: load.descriptors + more.2,
+            memory: load.memory + more.3,
+        };
+        prop_assert!(weight(heavier) <= weight(load));
+    }
+
+    /// States change so many times a minute at the most, whatever happens.
+    #[test]
+    fn changes_are_bounded(events in proptest::collection::vec(event(), 400..800)) {
+        let mut model = Availability::new(Settings::default(), Time::ZERO);
+        model.handle(Time::ZERO, Event::Started);
+        let (mut now, mut changes) = (Time::ZERO, Vec::new());
+        let mut kind = std::mem::discriminant(&model.report().state);
+        for (ms, event) in events {
+            now += MS * (ms / 2) as u32;
+            model.handle(now, event);
+            let next = std::mem::discriminant(&model.report().state);
+            if next != kind {
+                changes.push(now);
+                kind = next;
+            }
+        }
+        for (at, start) in changes.iter().enumerate() {
+            let inside = changes[at..].iter().take_while(|t| **t - *start < 60 * SECOND).count();
+            prop_assert!(inside <= 20, "{} changes in a minute", inside);
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire-health/src/agent.rs
@@ -0,0 +1,93 @@
+//! The agent check of HAProxy: a balancer connects, may send a text, and reads one line of words.
+//!
+//! Source: HAProxy's configuration manual, `agent-check`, `agent-send`. Words are separated by blanks, tabs or commas;
+//! `#` begins a reason. `up`, `down`, `failed` and `stopped` set the operational state, `ready`, `drain` and `maint`
+//! the administrative one, and neither undoes the other: so a proxy that serves always says `ready`, or a balancer
+//! that once read `drain` would keep it out.
+
+use crate::{State, Status};
+
+/// Text that a balancer may send; more is no agent check.
+pub const TEXT_LIMIT: usize = 256;
+
+/// What a balancer asks about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Asked {
+    Proxy,
+    Group(u32),
+}
+
+/// The text up to its newline, if that is there yet; what it asks.
+pub fn asked(input: &[u8]) -> Option<Asked> {
+    let end = input.iter().position(|b| *b == b'\n')?;
+    let text = std::str::from_utf8(&input[..end]).unwrap_or_default().trim();
+    let group = text.strip_prefix("group").map(str::trim).and_then(|n| n.parse().ok());
+    Some(group.map_or(Asked::Proxy, Asked::Group))
+}
+
+/// The line that tells a status.
+pub fn line(status: &Status) -> String {
+    // One line, whatever the reason holds, and no second comment.
+    let reason: String =
+        status.reason.chars().map(|c| if c.is_control() || c == '#' { ' ' } else { c }).take(120).collect();
+    let room = status.room.map(|room| format!(" maxconn:{room}")).unwrap_or_default();
+    let words = match status.state {
+        State::Ready => format!("ready up {}%{room}", status.weight),
+        // Of a proxy that serves no weight of 0 is told: it would be a drain by another name.
+        State::Degraded(_) | State::Overloaded => format!("ready up {}%{room}", status.weight.max(1)),
+        State::Starting => "maint".to_owned(),
+        State::Draining => "drain".to_owned(),
+        State::Stopping => "drain".to_owned(),
+    };
+    match reason.trim() {
+        "" => format!("{words}\n"),
+        reason => format!("{words} # {reason}\n"),
+    }
+}
+
+/// What a balancer understands of a line; the other side of the protocol, for stand-ins.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Words {
+    pub operational: Option<Operational>,
+    pub administrative: Option<Administrative>,
+    /// Percent of the weight that the balancer's own file states.
+    pub weight: Option<u32>,
+    pub maxconn: Option<u32>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Operational {
+    Up,
+    Down,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Administrative {
+    Ready,
+    Drain,
+    Maint,
+}
+
+/// Reads a line as a balancer does: words that it does not know are passed over, of each kind the last counts.
+pub fn read(line: &str) -> Words {
+    let mut words = Words::default();
+    let said = line.lines().next().unwrap_or_default();
+    let said = said.split('#').next().unwrap_or_default();
+    for word in said.split([' ', '\t', ',']).filter(|w| !w.is_empty()) {
+        match word.to_ascii_lowercase().as_str() {
+            "up" => words.operational = Some(Operational::Up),
+            "down" | "fail" | "failed" | "stopped" => words.operational = Some(Operational::Down),
+            "ready" => words.administrative = Some(Administrative::Ready),
+            "drain" => words.administrative = Some(Administrative::Drain),
+            "maint" => words.administrative = Some(Administrative::Maint),
+            other => {
+                if let Some(number) = other.strip_suffix('%') {
+                    words.weight = number.parse().ok().or(words.weight);
+                } else if let Some(number) = other.strip_prefix("maxconn:") {
+                    words.maxconn = number.parse().ok().or(words.maxconn);
+                }
+            }
+        }
+    }
+    words
+}
--- /dev/null
+++ b/crates/wire-health/src/lib.rs
@@ -0,0 +1,74 @@
+//! Codecs of the health protocols that balancers speak: bytes in, messages out, and back. No sockets, no clocks, and
+//! no opinion on how the proxy fares: that comes as a [`Status`].
+
+pub mod agent;
+pub mod http;
+pub mod orca;
+pub mod proxy;
+
+use std::time::Duration;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    Starting,
+    Ready,
+    /// So many of 100 of the work are not served.
+    Degraded(u8),
+    Overloaded,
+    Draining,
+    Stopping,
+}
+
+impl State {
+    pub fn name(self) -> &'static str {
+        match self {
+            State::Starting => "starting",
+            State::Ready => "ready",
+            State::Degraded(_) => "degraded",
+            State::Overloaded => "overloaded",
+            State::Draining => "draining",
+            State::Stopping => "stopping",
+        }
+    }
+
+    /// Requests are welcome.
+    pub fn serves(self) -> bool {
+        matches!(self, State::Ready | State::Degraded(_) | State::Overloaded)
+    }
+}
+
+/// What is to be told, of the whole proxy or of one group of record servers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Status {
+    pub state: State,
+    /// 0 to 100.
+    pub weight: u8,
+    /// What counts most against the weight; one line.
+    pub reason: String,
+    /// Clients that the proxy has room for; none: that is not told.
+    pub room: Option<u32>,
+    /// When whoever is turned away may come again.
+    pub come_back: Duration,
+    pub load: Load,
+    pub groups: Vec<Group>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Group {
+    pub group: u32,
+    pub condition: &'static str,
+    pub serves: bool,
+}
+
+/// The proxy's load, parts of 1 where nothing else is said.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    pub cpu: f64,
+    pub memory: f64,
+    /// Of whatever bounds the proxy most.
+    pub application: f64,
+    pub requests_per_s: f64,
+    pub errors_per_s: f64,
+    pub open: f64,
+    pub descriptors: f64,
+}
--- /dev/null
+++ b/crates/wire-health/src/proxy.rs
@@ -0,0 +1,199 @@
+//! The PROXY protocol, versions 1 and 2: who a connection is really from, told by a balancer before its first byte.
+//!
+//! Source: `proxy-protocol.txt` of the HAProxy project, sections 2.1, 2.2.
+
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
+
+/// Longest line of version 1, its end included.
+const LINE_LIMIT: usize = 107;
+/// Bytes of addresses and TLVs that a header of version 2 may bring; the specification's own buffer is smaller.
+pub const BODY_LIMIT: usize = 2 << 10;
+const SIGNATURE: [u8; 12] = *b"\r\n\r\n\0\r\nQUIT\n";
+const HEAD: usize = 16;
+const CRC32C: u8 = 0x03;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum From {
+    /// The balancer speaks for itself (a check), or does not know: the connection's own address counts.
+    Local,
+    Client(SocketAddr),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// It begins otherwise than a header does.
+    Missing,
+    Malformed,
+    TooLong,
+    Checksum,
+}
+
+impl std::fmt::Display for Fault {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Fault::Missing => "no PROXY header",
+            Fault::Malformed => "a PROXY header that can't be read",
+            Fault::TooLong => "a PROXY header that is too long",
+            Fault::Checksum => "a PROXY header whose checksum is wrong",
+        })
+    }
+}
+
+/// The header, if it has come whole, and its bytes. Reads no more than a header may hold.
+pub fn parse(input: &[u8]) -> Result<Option<(From, usize)>, Fault> {
+    let same = |start: &[u8]| input.iter().zip(start).all(|(a, b)| a == b);
+    if same(&SIGNATURE) {
+        if input.len() < SIGNATURE.len() {
+            Ok(None)
+        } else {
+            second(input)
+        }
+    } else if same(b"PROXY ") {
+        if input.len() < 6 {
+            Ok(None)
+        } else {
+            first(input)
+        }
+    } else {
+        Err(Fault::Missing)
+    }
+}
+
+fn first(input: &[u8]) -> Result<Option<(From, usize)>, Fault> {
+    let window = &input[..input.len().min(LINE_LIMIT)];
+    let Some(end) = window.windows(2).position(|w| w == b"\r\n") else {
+        return if input.len() >= LINE_LIMIT { Err(Fault::TooLong) } else { Ok(None) };
+    };
+    let line = std::str::from_utf8(&window[..end]).map_err(|_| Fault::Malformed)?;
+    let mut words = line.split(' ').skip(1);
+    let family = words.next().ok_or(Fault::Malformed)?;
+    if family == "UNKNOWN" {
+        return Ok(Some((From::Local, end + 2)));
+    }
+    let mut word = || words.next().ok_or(Fault::Malformed);
+    let (source, destination, from_port, to_port) = (word()?, word()?, word()?, word()?);
+    let port = |text: &str| {
+        let plain = text.len() <= 5
+            && text.bytes().all(|b| b.is_ascii_digit())
+            && (text == "0" || !text.starts_with('0'));
+        text.parse::<u16>().ok().filter(|_| plain).ok_or(Fault::Malformed)
+    };
+    let (source, _destination): (IpAddr, IpAddr) = match family {
+        "TCP4" => {
+            let read = |text: &str| text.parse::<Ipv4Addr>().map(IpAddr::V4).map_err(|_| Fault::Malformed);
+            (read(source)?, read(destination)?)
+        }
+        "TCP6" => {
+            let read = |text: &str| text.parse::<Ipv6Addr>().map(IpAddr::V6).map_err(|_| Fault::Malformed);
+            (read(source)?, read(destination)?)
+        }
+        _ => return Err(Fault::Malformed),
+    };
+    port(to_port)?;
+    if words.next().is_some() {
+        return Err(Fault::Malformed);
+    }
+    Ok(Some((From::Client(SocketAddr::new(source, port(from_port)?)), end + 2)))
+}
+
+fn second(input: &[u8]) -> Result<Option<(From, usize)>, Fault> {
+    if input.len() < HEAD {
+        return Ok(None);
+    }
+    let (version, command, family) = (input[12] >> 4, input[12] & 0xf, input[13]);
+    if version != 2 || command > 1 {
+        return Err(Fault::Malformed);
+    }
+    let length = usize::from(u16::from_be_bytes([input[14], input[15]]));
+    if length > BODY_LIMIT {
+        return Err(Fault::TooLong);
+    }
+    let Some(whole) = input.get(..HEAD + length) else { return Ok(None) };
+    let body = &whole[HEAD..];
+    let (from, addresses) = match family {
+        0x11 => (v4(body), 12),
+        0x21 => (v6(body), 36),
+        // Datagrams, sockets of the machine and what is not specified are no address of a client over TCP.
+        0x12 => (Some(From::Local), 12),
+        0x22 => (Some(From::Local), 36),
+        0x31 | 0x32 => (Some(From::Local), 216),
+        _ => (Some(From::Local), 0),
+    };
+    let from = from.filter(|_| body.len() >= addresses);
+    let local = command == 0;
+    if let Some(rest) = body.get(addresses..).filter(|_| family != 0) {
+        tlvs(whole, HEAD + addresses, rest)?;
+    }
+    match from {
+        _ if local => Ok(Some((From::Local, whole.len()))),
+        Some(from) => Ok(Some((from, whole.len()))),
+        None => Err(Fault::Malformed),
+    }
+}
+
+fn v4(body: &[u8]) -> Option<From> {
+    let address: [u8; 4] = body.get(..4)?.try_into().ok()?;
+    let port = u16::from_be_bytes(body.get(8..10)?.try_into().ok()?);
+    Some(From::Client(SocketAddr::new(Ipv4Addr::from(address).into(), port)))
+}
+
+fn v6(body: &[u8]) -> Option<From> {
+    let address: [u8; 16] = body.get(..16)?.try_into().ok()?;
+    let port = u16::from_be_bytes(body.get(32..34)?.try_into().ok()?);
+    Some(From::Client(SocketAddr::new(Ipv6Addr::from(address).into(), port)))
+}
+
+/// Every TLV has to fit, and a checksum, where there is one, to be right: over the whole header with its own bytes
+/// taken as zero.
+fn tlvs(whole: &[u8], start: usize, mut rest: &[u8]) -> Result<(), Fault> {
+    let mut at = start;
+    while !rest.is_empty() {
+        let head = rest.get(..3).ok_or(Fault::Malformed)?;
+        let length = usize::from(u16::from_be_bytes([head[1], head[2]]));
+        let value = rest.get(3..3 + length).ok_or(Fault::Malformed)?;
+        if head[0] == CRC32C {
+            let told: [u8; 4] = value.try_into().map_err(|_| Fault::Malformed)?;
+            let (before, after) = (&whole[..at + 3], &whole[at + 7..]);
+            let sum = crc32c::crc32c_append(crc32c::crc32c_append(crc32c::crc32c(before), &[0; 4]), after);
+            if sum != u32::from_be_bytes(told) {
+                return Err(Fault::Checksum);
+            }
+        }
+        at += 3 + length;
+        rest = &rest[3 + length..];
+    }
+    Ok(())
+}
+
+/// A header of version 2 with a checksum, as a balancer sends it; for stand-ins.
+pub fn header(client: SocketAddr, server: SocketAddr, command: u8) -> Vec<u8> {
+    let mut out = SIGNATURE.to_vec();
+    out.push(0x20 | command);
+    let mut body = Vec::new();
+    match (client.ip(), server.ip()) {
+        (IpAddr::V4(from), IpAddr::V4(to)) => {
+            out.push(0x11);
+            body.extend(from.octets());
+            body.extend(to.octets());
+        }
+        (from, to) => {
+            out.push(0x21);
+            let wide = |ip: IpAddr| match ip {
+                IpAddr::V4(v4) => v4.to_ipv6_mapped().octets(),
+                IpAddr::V6(v6) => v6.octets(),
+            };
+            body.extend(wide(from));
+            body.extend(wide(to));
+        }
+    }
+    body.extend(client.port().to_be_bytes());
+    body.extend(server.port().to_be_bytes());
+    body.extend([CRC32C, 0, 4]);
+    out.extend(((body.len() + 4) as u16).to_be_bytes());
+    out.extend(body);
+    out.extend([0; 4]);
+    let sum = crc32c::crc32c(&out);
+    let place = out.len() - 4;
+    out[place..].copy_from_slice(&sum.to_be_bytes());
+    out
+}
