--- a/crates/availability/src/group.rs
+++ b/crates/availability/src/group.rs
@@ -43,6 +43,8 @@
     heard: Time,
     /// Attempts out.
     owed: u32,
+    /// Requests that wait for their answers, whether or not an attempt of theirs is out.
+    waiting: u32,
     /// Broken in a row, with no answer between; of those that were sent since it last answered.
     broken: u32,
     /// Answers in a row since it was last hung or dead.
@@ -75,6 +77,7 @@
             since: now,
             heard: now,
             owed: 0,
+            waiting: 0,
             broken: 0,
             good: 0,
             latency: Latency::new(now),
@@ -100,6 +103,15 @@
         self.broken = 0;
     }
 
+    pub fn asked(&mut self, now: Time) {
+        self.waiting = self.waiting.saturating_add(1);
+        self.asked = now;
+    }
+
+    pub fn left(&mut self) {
+        self.waiting = self.waiting.saturating_sub(1);
+    }
+
     pub fn sent(&mut self, now: Time) {
         if self.owed == 0 {
             self.heard = now;
@@ -133,6 +145,7 @@
     /// A request had its final answer.
     pub fn answered(&mut self, now: Time, served: bool) {
         self.decay(now);
+        self.left();
         self.asked = now;
         if served {
             self.served += 1.0;
@@ -174,13 +187,13 @@
     pub fn look(&mut self, now: Time, set: &Settings, damping: u32) {
         self.latency.turn(now);
         self.decay(now);
-        let usual = self.latency.usual().unwrap_or_default() * LONG;
+        let usual = self.latency.usual() * LONG;
         let silence = usual.clamp(set.silence, LONGEST.max(set.silence));
         let quiet = now.saturating_sub(self.heard);
         let failing = self.unserved / (self.served + self.unserved + PRIOR);
         let found = if self.broken >= set.failures {
             Condition::Dead
-        } else if self.owed >= set.owed && quiet >= silence {
+        } else if self.owed > 0 && self.owed.max(self.waiting) >= set.owed && quiet >= silence {
             Condition::Hung
         } else {
             match self.condition {
--- a/crates/availability/src/latency.rs
+++ b/crates/availability/src/latency.rs
@@ -32,8 +32,15 @@
     filling_since: Time,
     usual: Vec<f64>,
     strange_since: Option<Time>,
+    /// The present as a multiple of the usual, and when that was worked out: sketches are merged for it.
+    slowness: f64,
+    rule: Duration,
+    worked_out: Time,
 }
 
+/// What is worked out holds for this long.
+const FRESH: Duration = Duration::from_millis(50);
+
 impl std::fmt::Debug for Latency {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Latency").field("usual", &self.usual).finish_non_exhaustive()
@@ -49,6 +56,9 @@
             filling_since: now,
             usual: Vec::new(),
             strange_since: None,
+            slowness: 1.0,
+            rule: Duration::ZERO,
+            worked_out: now,
         }
     }
 
@@ -75,6 +85,7 @@
             self.present.drain(..surplus);
             self.since = now;
         }
+        self.work_out(now);
         self.strange_since = match self.slowness() >= STRANGE {
             true => self.strange_since.or(Some(now)),
             false => None,
@@ -90,8 +101,12 @@
         }
     }
 
-    /// What an answer takes as a rule; none before there is a rule.
-    pub fn usual(&self) -> Option<Duration> {
+    /// What an answer takes as a rule, as it was last worked out; zero before there is a rule.
+    pub fn usual(&self) -> Duration {
+        self.rule
+    }
+
+    fn find_usual(&self) -> Option<Duration> {
         if self.usual.is_empty() {
             // At the start the window that is being filled has to do.
             if self.filling.count() < ENOUGH {
@@ -118,9 +133,19 @@
 
     /// The present as a multiple of the usual; 1 where too little is known.
     pub fn slowness(&self) -> f64 {
-        match (self.now(), self.usual()) {
-            (Some(now), Some(usual)) if usual > Duration::ZERO => now / usual.as_secs_f64(),
-            _ => 1.0,
+        self.slowness
+    }
+
+    fn work_out(&mut self, now: Time) {
+        if now.saturating_sub(self.worked_out) < FRESH {
+            return;
         }
+        self.worked_out = now;
+        let usual = self.find_usual();
+        self.rule = usual.unwrap_or_default();
+        self.slowness = match (self.now(), usual) {
+            (Some(present), Some(usual)) if usual > Duration::ZERO => present / usual.as_secs_f64(),
+            _ => 1.0,
+        };
     }
 }
--- a/crates/availability/src/lib.rs
+++ b/crates/availability/src/lib.rs
@@ -49,8 +49,8 @@
     pub rise: f64,
     /// Weights are told in steps of this.
     pub step: u8,
-    /// A group is hung if it owes this many answers and gave none for longer than `silence`, or four times what
-    /// its answers usually take.
+    /// A group is hung if it owes an answer, this many requests or attempts wait for it, and it gave none for longer
+    /// than `silence`, or four times what its answers usually take.
     pub owed: u32,
     pub silence: Duration,
     /// Hard failures in a row, with no answer between, after which a group counts as dead.
@@ -105,6 +105,13 @@
 pub enum Event {
     /// Listening, with a list of record servers or without one.
     Started,
+    /// A request has been taken in; its final answer follows, or its client leaves.
+    Asked {
+        group: u32,
+    },
+    Left {
+        group: u32,
+    },
     /// An attempt has left for a group.
     Sent {
         group: u32,
@@ -307,6 +314,8 @@
                 urgent = true;
             }
             Event::Tick => urgent = true,
+            Event::Asked { group } => self.with(group, |g, _| g.asked(now)),
+            Event::Left { group } => self.with(group, |g, _| g.left()),
             Event::Sent { group } => self.with(group, |g, _| g.sent(now)),
             Event::Ended { group, how, elapsed } => {
                 self.with(group, |g, set| g.ended(how, elapsed, now, set));
--- a/crates/availability/tests/model.rs
+++ b/crates/availability/tests/model.rs
@@ -51,6 +51,7 @@
                 let group = at as u32;
                 let due = (millis * self.per_s / 1_000) - ((millis - 5) * self.per_s / 1_000);
                 for n in 0..due {
+                    self.model.handle(self.now, Event::Asked { group });
                     if behaviour == Behaviour::Refuses {
                         self.model.handle(self.now, Event::Refused { group, cause: Cause::Servers });
                         continue;
@@ -264,6 +265,8 @@
     });
     let event = prop_oneof![
         4 => group.clone().prop_map(|group| Event::Sent { group }),
+        4 => group.clone().prop_map(|group| Event::Asked { group }),
+        1 => group.clone().prop_map(|group| Event::Left { group }),
         4 => (group.clone(), how, 0..3_000_u64).prop_map(|(group, how, ms)| Event::Ended { group, how, elapsed: MS * ms as u32 }),
         2 => group.clone().prop_map(|group| Event::Served { group }),
         2 => group.clone().prop_map(|group| Event::Failed { group }),
--- a/crates/configuration/src/model.rs
+++ b/crates/configuration/src/model.rs
@@ -7,9 +7,11 @@
 use crate::schema::{self, Takes};
 use crate::source::Span;
 use crate::value::{Dates, Hours, Rate, Share, Value};
+use ipnet::IpNet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
+use std::path::PathBuf;
 use std::time::Duration;
 
 /// Where a value comes from.
@@ -61,6 +63,37 @@
 pub struct Listener {
     pub name: String,
     pub address: Option<SocketAddr>,
+    /// Balancers that name their clients.
+    pub proxy_from: Vec<IpNet>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Health {
+    pub name: String,
+    pub protocol: &'static str,
+    pub address: SocketAddr,
+    pub statuses: &'static str,
+    pub expects_text: bool,
+    pub connections: usize,
+    pub patience: Duration,
+    pub idle: Duration,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Balancer {
+    pub name: String,
+    pub interval: Duration,
+    pub fall: u32,
+    pub timeout: Duration,
+    pub networks: Vec<IpNet>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Availability {
+    pub floor: Share,
+    pub dwell: Duration,
+    pub silence: Duration,
+    pub lag: Duration,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -119,6 +152,13 @@
     pub routes: Vec<Route>,
     pub policy: Policy,
     pub logging: Logging,
+    pub health: Vec<Health>,
+    pub balancers: Vec<Balancer>,
+    pub availability: Availability,
+    pub announce_end: bool,
+    pub linger: Option<Duration>,
+    /// The operators' socket.
+    pub control: Option<PathBuf>,
 }
 
 impl Default for Model {
@@ -253,8 +293,16 @@
         address: v.address("address"),
         watch_silence: v.time("watch-silence").unwrap_or_default(),
     };
+    let network = |value: &Value| match value {
+        Value::Network(network) => Some(*network),
+        _ => None,
+    };
     let listeners: Vec<Listener> = all("listener")
-        .map(|s| Listener { name: s.name.clone(), address: of(s).address("address") })
+        .map(|s| Listener {
+            name: s.name.clone(),
+            address: of(s).address("address"),
+            proxy_from: of(s).all("proxy-from", network),
+        })
         .collect();
     for section in all("listener").skip(1) {
         let fault = Diagnostic::error("many-listeners", section.span, "one listener is served so far");
@@ -309,6 +357,41 @@
         probes: v.choice("probes") == "yes",
         come_back_most: v.time("come-back-most"),
     };
+    let health = health(sections, faults);
+    let balancers = all("balancer").map(|s| {
+        let v = of(s);
+        Balancer {
+            name: s.name.clone(),
+            interval: v.time("interval").unwrap_or_default(),
+            fall: v.small("fall").unwrap_or(1),
+            timeout: v.time("timeout").unwrap_or_default(),
+            networks: v.all("network", network),
+        }
+    });
+    let balancers: Vec<Balancer> = balancers.collect();
+    let v = once("availability");
+    let availability = Availability {
+        floor: v.share("floor"),
+        dwell: v.time("dwell").unwrap_or_default(),
+        silence: v.time("silence").unwrap_or_default(),
+        lag: v.time("lag").unwrap_or_default(),
+    };
+    let v = once("drain");
+    let (announce_end, linger) = (v.choice("announce-end") == "yes", v.time("linger"));
+    if let Some(at) =
+        v.section.and_then(|s| s.setting("announce-end")).filter(|_| announce_end && balancers.is_empty())
+    {
+        let message = "the end is announced, but no balancer is named that would hear of it";
+        faults.push(
+            Diagnostic::error("cross-check", at.span, message)
+                .label("waits for nobody")
+                .help("state a balancer"),
+        );
+    }
+    let control = match once("control").value("socket") {
+        Some(Value::Text(path)) => Some(PathBuf::from(path)),
+        _ => None,
+    };
     let v = once("logging");
     let logging = Logging { level: v.choice("level"), json: v.choice("form") == "json" };
     Model {
@@ -323,6 +406,12 @@
         routes,
         policy,
         logging,
+        health,
+        balancers,
+        availability,
+        announce_end,
+        linger,
+        control,
     }
 }
 
@@ -360,6 +449,46 @@
     entries
 }
 
+fn health(sections: &[Section], faults: &mut Vec<Diagnostic>) -> Vec<Health> {
+    let mut all: Vec<Health> = Vec::new();
+    for section in sections.iter().filter(|s| s.spec.keyword == "health") {
+        let v = Values { section: Some(section), spec: section.spec };
+        let Some(address) = v.address("address") else {
+            if !section.partial {
+                let fault = Diagnostic::error("missing", section.span, "the health listener has no address");
+                faults.push(fault.label("address is missing here"));
+            }
+            continue;
+        };
+        let protocol = v.choice("protocol");
+        let others: &[&str] = match protocol {
+            "agent" => &["statuses", "idle"],
+            "grpc" => &["statuses", "idle", "expects-text"],
+            _ => &["expects-text"],
+        };
+        if let Some(setting) = others.iter().find_map(|keyword| section.setting(keyword)) {
+            let message = format!("{} says nothing to the protocol {protocol}", setting.spec.keyword);
+            faults.push(Diagnostic::error("cross-check", setting.span, message).label("has no effect"));
+        }
+        // A port of 0 is whichever is free.
+        if let Some(other) = all.iter().find(|h| h.address == address && address.port() != 0) {
+            let message = format!("the address {address} is that of the health listener {}", other.name);
+            faults.push(Diagnostic::error("cross-check", section.span, message).label("a second one there"));
+        }
+        all.push(Health {
+            name: section.name.clone(),
+            protocol,
+            address,
+            statuses: v.choice("statuses"),
+            expects_text: v.choice("expects-text") == "yes",
+            connections: v.small("connections").unwrap_or(1),
+            patience: v.time("patience").unwrap_or_default(),
+            idle: v.time("idle").unwrap_or_default(),
+        });
+    }
+    all
+}
+
 fn windows(
     sections: &[Section],
     offset: i32,
--- /dev/null
+++ b/crates/grpc-health/src/lib.rs
@@ -0,0 +1,295 @@
+//! The gRPC health-checking protocol (`grpc.health.v1.Health`: Check, Watch, List), served on a thread of its own.
+//!
+//! HTTP/2 and protobuf are libraries' work, and their loop is not the proxy's: the proxy publishes a [`Snapshot`]
+//! when something has changed, and never waits for whoever reads it. Connections, streams and bytes are bounded.
+//!
+//! Source: the gRPC health checking protocol and `health.proto`; gRPC over HTTP/2 for frames and trailers.
+
+pub mod message;
+
+use bytes::{Buf, Bytes, BytesMut};
+use h2::server::SendResponse;
+use h2::{RecvStream, SendStream};
+use http::{HeaderMap, HeaderValue, Request, Response};
+use message::{CheckRequest, CheckResponse, ListResponse, Status};
+use prost::Message;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::{watch, Semaphore};
+use tokio::time::timeout;
+
+/// Which services there are, and whether each serves. The empty name is the whole server.
+pub type Snapshot = BTreeMap<String, bool>;
+
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// Connections at once; further ones wait in the backlog.
+    pub connections: usize,
+    /// A connection has to come up, and a request to come whole, within this.
+    pub patience: Duration,
+}
+
+/// Calls of one connection at once, watches among them.
+const STREAMS: u32 = 16;
+/// A request's message; a service's name fits many times.
+const MESSAGE_LIMIT: usize = 1 << 10;
+
+/// gRPC's codes.
+const OK: u8 = 0;
+const INVALID_ARGUMENT: u8 = 3;
+const NOT_FOUND: u8 = 5;
+const RESOURCE_EXHAUSTED: u8 = 8;
+const UNIMPLEMENTED: u8 = 12;
+
+/// The proxy's end: publishes, and ends the thread when it is dropped.
+#[derive(Debug)]
+pub struct Server {
+    publish: watch::Sender<Arc<Snapshot>>,
+    address: SocketAddr,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Server {
+    pub fn start(listener: TcpListener, settings: Settings) -> io::Result<Server> {
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let (publish, snapshots) = watch::channel(Arc::new(Snapshot::new()));
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_io().enable_time().build()?;
+        let work = move || runtime.block_on(serve(listener, settings, snapshots));
+        let thread = std::thread::Builder::new().name("grpc-health".into()).spawn(work)?;
+        Ok(Server { publish, address, thread: Some(thread) })
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// What is to be told from now on; watches hear of it if it differs.
+    pub fn publish(&self, snapshot: Snapshot) {
+        self.publish.send_if_modified(|known| {
+            let differs = **known != snapshot;
+            if differs {
+                *known = Arc::new(snapshot);
+            }
+            differs
+        });
+    }
+
+    /// Ends the thread and waits for it.
+    pub fn stop(mut self) {
+        let thread = self.thread.take();
+        drop(self);
+        if let Some(thread) = thread {
+            _ = thread.join();
+        }
+    }
+}
+
+type Snapshots = watch::Receiver<Arc<Snapshot>>;
+
+async fn serve(listener: TcpListener, settings: Settings, snapshots: Snapshots) {
+    let listener = match tokio::net::TcpListener::from_std(listener) {
+        Ok(listener) => listener,
+        Err(error) => return log::error!("grpc health: {error}"),
+    };
+    let places = Arc::new(Semaphore::new(settings.connections));
+    let mut over = snapshots.clone();
+    loop {
+        let Ok(place) = Arc::clone(&places).acquire_owned().await else { return };
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            // The proxy's end is gone: watches hear the last word, if they are quick.
+            () = gone(&mut over) => {
+                drop(place);
+                let all = u32::try_from(settings.connections).unwrap_or(u32::MAX);
+                _ = timeout(settings.patience, places.acquire_many(all)).await;
+                return;
+            }
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let snapshots = snapshots.clone();
+                tokio::spawn(async move {
+                    connection(stream, settings, snapshots).await;
+                    drop(place);
+                });
+            }
+            // Out of descriptors, for one: others may be closed meanwhile.
+            Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
+        }
+    }
+}
+
+async fn gone(snapshots: &mut Snapshots) {
+    while snapshots.changed().await.is_ok() {}
+}
+
+async fn connection(stream: TcpStream, settings: Settings, snapshots: Snapshots) {
+    _ = stream.set_nodelay(true);
+    let mut builder = h2::server::Builder::new();
+    builder.max_concurrent_streams(STREAMS).max_header_list_size(4 << 10).initial_window_size(16 << 10);
+    let Ok(Ok(mut connection)) = timeout(settings.patience, builder.handshake::<_, Bytes>(stream)).await
+    else {
+        return;
+    };
+    let mut over = snapshots.clone();
+    loop {
+        let call = tokio::select! {
+            call = connection.accept() => call,
+            () = gone(&mut over) => {
+                connection.graceful_shutdown();
+                while let Ok(Some(Ok(_))) = timeout(settings.patience, connection.accept()).await {}
+                return;
+            }
+        };
+        let Some(Ok((request, respond))) = call else { return };
+        let snapshots = snapshots.clone();
+        tokio::spawn(async move { call_of(request, respond, settings, snapshots).await });
+    }
+}
+
+async fn call_of(
+    request: Request<RecvStream>,
+    respond: SendResponse<Bytes>,
+    settings: Settings,
+    snapshots: Snapshots,
+) {
+    let (head, body) = request.into_parts();
+    let message = match timeout(settings.patience, read(body)).await {
+        Ok(Ok(message)) => message,
+        Ok(Err(code)) => return fail(respond, code),
+        Err(_) => return fail(respond, INVALID_ARGUMENT),
+    };
+    match head.uri.path() {
+        "/grpc.health.v1.Health/Check" => match CheckRequest::decode(message) {
+            Err(_) => fail(respond, INVALID_ARGUMENT),
+            Ok(asked) => {
+                let served = snapshots.borrow().get(&asked.service).copied();
+                match served {
+                    Some(serves) => answer(respond, &CheckResponse::of(Some(serves))),
+                    None => fail(respond, NOT_FOUND),
+                }
+            }
+        },
+        "/grpc.health.v1.Health/List" => {
+            let known = Arc::clone(&snapshots.borrow());
+            let statuses =
+                known.iter().map(|(name, serves)| (name.clone(), CheckResponse::of(Some(*serves))));
+            let list = ListResponse { statuses: statuses.collect() };
+            answer(respond, &list);
+        }
+        "/grpc.health.v1.Health/Watch" => match CheckRequest::decode(message) {
+            Err(_) => fail(respond, INVALID_ARGUMENT),
+            Ok(asked) => watch_service(respond, &asked.service, snapshots).await,
+        },
+        _ => fail(respond, UNIMPLEMENTED),
+    }
+}
+
+/// The one message of a request, or the code that it deserves.
+async fn read(mut body: RecvStream) -> Result<Bytes, u8> {
+    let mut bytes = BytesMut::new();
+    while let Some(part) = body.data().await {
+        let part = part.map_err(|_| INVALID_ARGUMENT)?;
+        _ = body.flow_control().release_capacity(part.len());
+        if bytes.len() + part.len() > MESSAGE_LIMIT {
+            return Err(RESOURCE_EXHAUSTED);
+        }
+        bytes.extend_from_slice(&part);
+    }
+    unframed(bytes.freeze()).ok_or(INVALID_ARGUMENT)
+}
+
+/// A frame is a flag for compression, which is not offered here, and the length of the message.
+fn unframed(mut bytes: Bytes) -> Option<Bytes> {
+    if bytes.len() < 5 || bytes.get_u8() != 0 {
+        return None;
+    }
+    let length = bytes.get_u32() as usize;
+    (bytes.len() == length).then_some(bytes)
+}
+
+pub fn framed(message: &impl Message) -> Bytes {
+    let body = message.encode_to_vec();
+    let mut out = Vec::with_capacity(body.len() + 5);
+    out.push(0);
+    out.extend((body.len() as u32).to_be_bytes());
+    out.extend(body);
+    out.into()
+}
+
+fn head() -> Response<()> {
+    let mut response = Response::new(());
+    response.headers_mut().insert("content-type", HeaderValue::from_static("application/grpc"));
+    response
+}
+
+fn trailers(code: u8) -> HeaderMap {
+    let mut trailers = HeaderMap::new();
+    trailers.insert("grpc-status", HeaderValue::from(u16::from(code)));
+    trailers
+}
+
+/// Without a message the status stands in the head.
+fn fail(mut respond: SendResponse<Bytes>, code: u8) {
+    let mut response = head();
+    response.headers_mut().extend(trailers(code));
+    _ = respond.send_response(response, true);
+}
+
+fn answer(mut respond: SendResponse<Bytes>, message: &impl Message) {
+    if let Ok(mut stream) = respond.send_response(head(), false) {
+        _ = stream.send_data(framed(message), false).and_then(|()| stream.send_trailers(trailers(OK)));
+    }
+}
+
+/// Tells the state now, and then every change, until the watcher goes. A service that is not there may yet come.
+async fn watch_service(mut respond: SendResponse<Bytes>, service: &str, mut snapshots: Snapshots) {
+    let Ok(mut stream) = respond.send_response(head(), false) else { return };
+    let mut told: Option<CheckResponse> = None;
+    loop {
+        let now = CheckResponse::of(snapshots.borrow_and_update().get(service).copied());
+        if told.as_ref() != Some(&now) {
+            if send(&mut stream, framed(&now)).await.is_err() {
+                return;
+            }
+            told = Some(now);
+        }
+        tokio::select! {
+            changed = snapshots.changed() => if changed.is_err() {
+                _ = stream.send_trailers(trailers(OK));
+                return;
+            },
+            _ = std::future::poll_fn(|context| stream.poll_reset(context)) => return,
+        }
+    }
+}
+
+/// Waits for room, so that a watcher that reads nothing costs one message and not all that come.
+async fn send(stream: &mut SendStream<Bytes>, data: Bytes) -> Result<(), h2::Error> {
+    stream.reserve_capacity(data.len());
+    while stream.capacity() < data.len() {
+        match std::future::poll_fn(|context| stream.poll_capacity(context)).await {
+            Some(Ok(_)) => {}
+            Some(Err(error)) => return Err(error),
+            None => return Err(h2::Reason::CANCEL.into()),
+        }
+    }
+    stream.send_data(data, false)
+}
+
+impl CheckResponse {
+    fn of(serves: Option<bool>) -> CheckResponse {
+        let status = match serves {
+            Some(true) => Status::Serving,
+            Some(false) => Status::NotServing,
+            None => Status::ServiceUnknown,
+        };
+        CheckResponse { status: status.into() }
+    }
+}
--- /dev/null
+++ b/crates/incidents/src/main.rs
@@ -0,0 +1,61 @@
+//! Plays all incidents and writes the table and the charts: `cargo run --release -p incidents -- FOLDER [SEED]`.
+
+use incidents::{chart, play, script};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let mut arguments = std::env::args().skip(1);
+    let (folder, seed) = (arguments.next(), arguments.next().map_or(Ok(1), |s| s.parse()));
+    let (Some(folder), Ok(seed)) = (folder, seed) else {
+        eprintln!("usage: incidents FOLDER [SEED]");
+        return ExitCode::from(2);
+    };
+    match write(&PathBuf::from(folder), seed) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("incidents: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn write(folder: &std::path::Path, seed: u64) -> Result<(), Box<dyn std::error::Error>> {
+    std::fs::create_dir_all(folder)?;
+    let mut table = format!(
+        "# Incidents: what proxies told, against what was true\n\nMade by `cargo run --release -p incidents -- docs/results/balancer-health {seed}` (seed {seed}, virtual time).\n\
+         Balancers check every 1 s (agent) and 2 s (HTTP) unless an incident says otherwise. Delays count from the start of\nthe trouble to the first and the last proxy that tells of it; a false down is a check after which a balancer held a\nproxy for out that was not; the sum is of the weights of proxies that are not out by their operator's word.\n\n\
+         | incident | what happens | told after, first / last | worst group | false downs | least sum of weights | state changes a minute | served | nowhere to go | closed doors |\n\
+         | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n"
+    );
+    for incident in script::all() {
+        let outcome = play::play(&incident, seed);
+        let ms = |span: Option<std::time::Duration>| {
+            span.map_or("-".to_owned(), |s| format!("{} ms", s.as_millis()))
+        };
+        table.push_str(&format!(
+            "| [{0}]({0}.svg) | {1} | {2} / {3} | {4} | {5} | {6} of {7} | {8} | {9:.1}% | {10} | {11} |\n",
+            incident.name,
+            incident.about,
+            ms(outcome.first_told),
+            ms(outcome.last_told),
+            outcome.worst_condition.map_or("-", |c| c.name()),
+            outcome.false_downs,
+            outcome.least_sum,
+            100 * (incident.proxies - incident.may_be_out.len()),
+            outcome.flaps,
+            outcome.served as f64 * 100.0 / outcome.asked.max(1) as f64,
+            outcome.nowhere,
+            outcome.closed_door,
+        ));
+        std::fs::write(folder.join(format!("{}.svg", incident.name)), chart::svg(&incident, &outcome)?)?;
+        let mut lines = String::from("seconds,proxy,state\n");
+        for told in &outcome.told {
+            lines.push_str(&format!("{:.3},{},{}\n", told.at.as_secs_f64(), told.proxy, told.state.name()));
+        }
+        std::fs::write(folder.join(format!("{}.csv", incident.name)), lines)?;
+    }
+    table.push_str("\nEach incident's changes of state, with their times: the `.csv` beside its chart.\n");
+    std::fs::write(folder.join("README.md"), table)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/incidents/src/script.rs
@@ -0,0 +1,184 @@
+//! Incidents: what goes wrong, when, and what of it is true of which proxy.
+
+use crate::balancer::{Settings, Speaks};
+use crate::Time;
+use std::time::Duration;
+
+/// What a group of record servers does with what it is sent.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Servers {
+    /// Answers, times as slow as usual.
+    Answer(f64),
+    /// Answers no write for want of a primary; reads are served.
+    NoPrimary,
+    Silent,
+    Dead,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Change {
+    Group(u32, Servers),
+    AllGroups(Servers),
+    /// A proxy's loop is late by this.
+    Lag(usize, Duration),
+    /// Part of a proxy's descriptors in use beyond what its requests take.
+    Descriptors(usize, f64),
+    /// All proxies get so many times the usual requests.
+    Demand(f64),
+    Drain(usize),
+    Undrain(usize),
+    Discovery(usize, bool),
+    /// Nothing of a proxy moves for so long.
+    Stall(usize, Duration),
+}
+
+#[derive(Clone, Debug)]
+pub struct Incident {
+    pub name: &'static str,
+    pub about: &'static str,
+    pub proxies: usize,
+    pub groups: u32,
+    /// Requests a second, to all proxies together.
+    pub per_s: f64,
+    pub length: Duration,
+    pub changes: Vec<(Time, Change)>,
+    pub balancers: Vec<Settings>,
+    /// When the trouble is there, and which proxies may truly be told to be out of service meanwhile.
+    pub trouble: (Time, Time),
+    pub may_be_out: Vec<usize>,
+}
+
+const S: Duration = Duration::from_secs(1);
+
+fn agent(interval_ms: u64) -> Settings {
+    Settings {
+        name: "agent",
+        speaks: Speaks::Agent,
+        interval: Duration::from_millis(interval_ms),
+        rise: 2,
+        fall: 3,
+    }
+}
+
+fn http(interval_ms: u64, disable_on_404: bool) -> Settings {
+    Settings {
+        name: "http",
+        speaks: Speaks::Http { disable_on_404 },
+        interval: Duration::from_millis(interval_ms),
+        rise: 2,
+        fall: 3,
+    }
+}
+
+/// All of them, each of 90 s with its trouble between 30 and 60 s unless it says otherwise.
+pub fn all() -> Vec<Incident> {
+    let base = Incident {
+        name: "",
+        about: "",
+        proxies: 3,
+        groups: 4,
+        per_s: 240.0,
+        length: 90 * S,
+        changes: Vec::new(),
+        balancers: vec![agent(1_000), http(2_000, true)],
+        trouble: (30 * S, 60 * S),
+        may_be_out: Vec::new(),
+    };
+    let (from, to) = base.trouble;
+    let usual = Servers::Answer(1.0);
+    let flaps = (0..30).map(|n| {
+        let what = if n % 2 == 0 { Servers::Dead } else { usual };
+        (from + S * n, Change::Group(1, what))
+    });
+    vec![
+        Incident {
+            name: "primary-dies",
+            about: "the primary of one of four groups dies; a replica takes over after 5 s",
+            changes: vec![
+                (from, Change::Group(1, Servers::NoPrimary)),
+                (from + 5 * S, Change::Group(1, usual)),
+            ],
+            trouble: (from, from + 5 * S),
+            ..base.clone()
+        },
+        Incident {
+            name: "group-hung",
+            about: "one of four groups takes requests and answers none",
+            changes: vec![(from, Change::Group(1, Servers::Silent)), (to, Change::Group(1, usual))],
+            ..base.clone()
+        },
+        Incident {
+            name: "group-dead",
+            about: "one of four groups can't be reached",
+            changes: vec![(from, Change::Group(1, Servers::Dead)), (to, Change::Group(1, usual))],
+            ..base.clone()
+        },
+        Incident {
+            name: "all-slow",
+            about: "all record servers take three times as long",
+            changes: vec![(from, Change::AllGroups(Servers::Answer(3.0))), (to, Change::AllGroups(usual))],
+            ..base.clone()
+        },
+        Incident {
+            name: "all-dead",
+            about: "no record server can be reached",
+            changes: vec![(from, Change::AllGroups(Servers::Dead)), (to, Change::AllGroups(usual))],
+            ..base.clone()
+        },
+        Incident {
+            name: "own-loop-late",
+            about: "the loop of one of three proxies is 300 ms late",
+            changes: vec![(from, Change::Lag(0, S * 3 / 10)), (to, Change::Lag(0, Duration::ZERO))],
+            ..base.clone()
+        },
+        Incident {
+            name: "descriptors",
+            about: "a crowd takes the descriptors of one of three proxies",
+            changes: vec![(from, Change::Descriptors(0, 1.0)), (to, Change::Descriptors(0, 0.0))],
+            ..base.clone()
+        },
+        Incident {
+            name: "drain-in-overload",
+            about:
+                "one proxy is drained while all get three times the requests and servers are twice as slow",
+            changes: vec![
+                (from - 5 * S, Change::Demand(3.0)),
+                (from - 5 * S, Change::AllGroups(Servers::Answer(2.0))),
+                (from, Change::Drain(0)),
+                (to, Change::Undrain(0)),
+                (to + 5 * S, Change::Demand(1.0)),
+                (to + 5 * S, Change::AllGroups(usual)),
+            ],
+            may_be_out: vec![0],
+            ..base.clone()
+        },
+        Incident {
+            name: "flapping",
+            about: "one group dies and comes back every second",
+            changes: flaps.collect(),
+            ..base.clone()
+        },
+        Incident {
+            name: "no-discovery",
+            about: "one proxy can't hear discovery, and serves",
+            changes: vec![(from, Change::Discovery(0, false)), (to, Change::Discovery(0, true))],
+            ..base.clone()
+        },
+        Incident {
+            name: "stall",
+            about: "one proxy stands still for 4 s, as after a jump of its machine's clock",
+            changes: vec![(from, Change::Stall(0, 4 * S))],
+            trouble: (from, from + 4 * S),
+            may_be_out: vec![0],
+            ..base.clone()
+        },
+        Incident {
+            name: "two-intervals",
+            about: "a drain before balancers that check every 0.5 s and every 5 s",
+            changes: vec![(from, Change::Drain(0)), (to, Change::Undrain(0))],
+            balancers: vec![agent(500), http(5_000, false)],
+            may_be_out: vec![0],
+            ..base
+        },
+    ]
+}
--- /dev/null
+++ b/crates/incidents/tests/incidents.rs
@@ -0,0 +1,119 @@
+//! Every incident, over several seeds: what must be told in time, and what must never be told.
+
+use incidents::balancer::Server;
+use incidents::play::{play, Outcome};
+use incidents::script::{all, Incident};
+use std::time::Duration;
+
+fn incident(name: &str) -> Incident {
+    all().into_iter().find(|i| i.name == name).unwrap()
+}
+
+fn seeds(incident: &Incident) -> Vec<Outcome> {
+    (1..4).map(|seed| play(incident, seed)).collect()
+}
+
+#[test]
+fn no_incident_takes_a_proxy_out_that_is_not() {
+    for incident in all() {
+        for outcome in seeds(&incident) {
+            assert_eq!(outcome.false_downs, 0, "{}", incident.name);
+            assert_eq!(outcome.nowhere, 0, "{}", incident.name);
+        }
+    }
+}
+
+/// Three proxies before a fleet that is slow, or gone: the sum of the weights stays above the floor.
+#[test]
+fn trouble_that_all_share_leaves_the_balancers_somewhere_to_go() {
+    for name in ["all-slow", "all-dead", "drain-in-overload", "descriptors"] {
+        let incident = incident(name);
+        let counted = incident.proxies - incident.may_be_out.len();
+        for outcome in seeds(&incident) {
+            assert!(outcome.least_sum >= 50 * counted as u32, "{name}: {}", outcome.least_sum);
+        }
+    }
+}
+
+#[test]
+fn a_group_that_hangs_or_dies_shows_within_a_second() {
+    for name in ["group-hung", "group-dead", "all-dead"] {
+        for outcome in seeds(&incident(name)) {
+            assert!(outcome.last_told <= Some(Duration::from_secs(1)), "{name}: {:?}", outcome.last_told);
+            // The other groups' traffic goes on: three of four, and the time before and after.
+            if name != "all-dead" {
+                assert!(
+                    outcome.served * 100 > outcome.asked * 88,
+                    "{name}: {} of {}",
+                    outcome.served,
+                    outcome.asked
+                );
+                assert!(outcome.least_sum >= 240, "{name}: {}", outcome.least_sum);
+            }
+        }
+    }
+}
+
+#[test]
+fn a_drain_shows_at_once_and_no_client_finds_the_door_closed() {
+    for name in ["two-intervals", "drain-in-overload"] {
+        for outcome in seeds(&incident(name)) {
+            assert_eq!(outcome.closed_door, 0, "{name}");
+            assert!(outcome.first_told <= Some(Duration::from_millis(5)), "{name}: {:?}", outcome.first_told);
+        }
+    }
+}
+
+#[test]
+fn states_do_not_flap() {
+    for incident in all() {
+        for outcome in seeds(&incident) {
+            assert!(outcome.flaps <= 12, "{}: {} changes in a minute", incident.name, outcome.flaps);
+        }
+    }
+}
+
+#[test]
+fn a_proxy_that_serves_without_discovery_is_not_told_of() {
+    for outcome in seeds(&incident("no-discovery")) {
+        assert_eq!((outcome.first_told, outcome.least_sum), (None, 300));
+    }
+}
+
+/// Only the proxy whose own loop is late gets less.
+#[test]
+fn own_trouble_is_told_by_its_proxy_alone() {
+    for outcome in seeds(&incident("own-loop-late")) {
+        let middle = outcome.samples.iter().find(|s| s.at == Duration::from_secs(45)).unwrap();
+        assert!(middle.weights[0] <= 10, "{:?}", middle.weights);
+        assert!(middle.weights[1..].iter().all(|w| *w == 100), "{:?}", middle.weights);
+        let last = outcome.samples.last().unwrap();
+        assert!(last.weights.iter().all(|w| *w == 100), "{:?}", last.weights);
+    }
+}
+
+/// The same seed, the same time-line.
+#[test]
+fn incidents_are_played_the_same_again() {
+    let incident = incident("flapping");
+    assert_eq!(play(&incident, 9).told, play(&incident, 9).told);
+}
+
+/// The stand-in keeps the two states of the protocol apart: `up` after `drain` is still a drain.
+#[test]
+fn an_agent_that_said_drain_has_to_say_ready() {
+    let mut server = Server::new();
+    server.agent("drain");
+    server.agent("up 50%");
+    assert!(!server.takes_traffic());
+    server.agent("ready up 50%");
+    assert!(server.takes_traffic());
+    server.agent("maint");
+    assert!(!server.takes_traffic());
+    server.agent("down ready");
+    assert!(!server.takes_traffic());
+    server.agent("up");
+    assert!(server.takes_traffic());
+    server.agent("up 0%");
+    assert!(!server.takes_traffic());
+}
--- a/crates/leverproxy/src/cli.rs
+++ b/crates/leverproxy/src/cli.rs
@@ -6,6 +6,8 @@
 use crate::proxy::Proxy;
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use clap_complete::Shell;
+use std::io::{Read, Write};
+use std::os::unix::net::UnixStream;
 use std::process::ExitCode;
 
 /// Exit code for a wrong command line or configuration.
@@ -18,6 +20,7 @@
 Environment:
   LB_CONFIG     the platform's JSON file
   LB_OPERATORS  the operators' file, unless --operators names it
+  LB_CONTROL    the control socket, for drain, undrain and status
   LB_NAME, LB_LISTEN, LB_DISCOVERY
                 override what the files say (after SIGHUP the platform's file counts over LB_DISCOVERY)
   RUST_LOG      what is logged; counts over the level of the operators' file
@@ -41,6 +44,17 @@
     let check = Command::new("check")
         .about("Read the configuration as serve would, and say whether it is sound")
         .arg(operators());
+    let socket = || {
+        Arg::new("socket")
+            .long("socket")
+            .value_name("PATH")
+            .help("The proxy's control socket, in place of LB_CONTROL")
+    };
+    let drain = Command::new("drain")
+        .about("Take a serving proxy out of service: tell the balancers, wait for them, stop listening")
+        .arg(socket());
+    let undrain = Command::new("undrain").about("Bring a drained proxy back").arg(socket());
+    let status = Command::new("status").about("Print how a serving proxy fares").arg(socket());
     let completions = Command::new("completions")
         .about("Print completions for a shell")
         .arg(Arg::new("shell").required(true).value_parser(clap::value_parser!(Shell)));
@@ -52,6 +66,7 @@
         .subcommand(serve)
         .subcommand(check)
         .subcommand(config::command())
+        .subcommands([drain, undrain, status])
         .subcommand(completions)
         .subcommand(Command::new("version").about("Print the version"))
         .arg(
@@ -82,6 +97,7 @@
         Some(("serve", with)) => serve(variables(with)),
         Some(("check", with)) => check(variables(with)),
         Some(("config", with)) => config::run(with),
+        Some((word @ ("drain" | "undrain" | "status"), with)) => tell(word, with),
         Some(("completions", with)) => {
             if let Some(shell) = with.get_one::<Shell>("shell") {
                 clap_complete::generate(*shell, &mut command(), "leverproxy", &mut std::io::stdout());
@@ -92,6 +108,39 @@
     }
 }
 
+/// A serving proxy answers within this, or something is wrong with it.
+const ANSWER_TIME: std::time::Duration = std::time::Duration::from_secs(5);
+
+/// Says a word to a serving proxy and prints its answer.
+fn tell(word: &str, with: &ArgMatches) -> ExitCode {
+    let stated = with.get_one::<String>("socket").cloned();
+    let Some(path) = stated.or_else(|| std::env::var("LB_CONTROL").ok()) else {
+        eprintln!("leverproxy: no control socket is named (--socket or LB_CONTROL)");
+        return ExitCode::from(MISUSE);
+    };
+    let said = UnixStream::connect(&path).and_then(|mut stream| {
+        stream.set_read_timeout(Some(ANSWER_TIME))?;
+        stream.write_all(format!("{word}\n").as_bytes())?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer)?;
+        Ok(answer)
+    });
+    match said {
+        Ok(answer) => {
+            print!("{answer}");
+            if answer.starts_with("error") {
+                ExitCode::FAILURE
+            } else {
+                ExitCode::SUCCESS
+            }
+        }
+        Err(error) => {
+            eprintln!("leverproxy: {path}: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn version() -> ExitCode {
     println!("leverproxy {}", env!("CARGO_PKG_VERSION"));
     ExitCode::SUCCESS
--- a/crates/leverproxy/src/clock.rs
+++ b/crates/leverproxy/src/clock.rs
@@ -16,6 +16,12 @@
         Clock { anchor: Instant::now(), unix }
     }
 
+    /// CPU time that the process has used.
+    pub fn cpu() -> Duration {
+        let used = rustix::time::clock_gettime(rustix::time::ClockId::ProcessCPUTime);
+        Duration::new(used.tv_sec.max(0) as u64, used.tv_nsec.clamp(0, 999_999_999) as u32)
+    }
+
     /// The Unix time of an instant of this process.
     pub fn unix(&self, at: Instant) -> Time {
         Time(self.unix + at.saturating_duration_since(self.anchor))
--- a/crates/leverproxy/src/config.rs
+++ b/crates/leverproxy/src/config.rs
@@ -5,17 +5,19 @@
 //! never loosens. Variables of the environment count over both.
 
 use crate::discovery::wire::{Listing, ListingError};
+use crate::health::Listen;
 use crate::operators;
 use crate::stages::steer::Rules;
 use configuration::model::{Entry, Logging, Model, Origin};
 use configuration::schema::Takes;
 use configuration::source::Sources;
 use configuration::value;
+use ipnet::IpNet;
 use mountshift_settings::{BadSetting, Decoded};
 use serde::Deserialize;
 use std::fmt;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 /// What is wrong with which key.
@@ -53,6 +55,17 @@
     pub patience: Patience,
     /// What the operators' file says of requests.
     pub rules: Rules,
+    /// Where balancers' checks are answered.
+    pub health: Vec<Listen>,
+    pub availability: availability::Settings,
+    /// The operators' socket.
+    pub control: Option<PathBuf>,
+    pub balancers: Vec<drain::Balancer>,
+    /// The end is announced to the balancers first.
+    pub announce_end: bool,
+    /// Networks of balancers that only check, and of those that name their clients first.
+    pub checks: Vec<IpNet>,
+    pub proxy_from: Vec<IpNet>,
     pub logging: Logging,
     /// The list as this proxy last had it, maybe old.
     pub known: Listing,
@@ -68,6 +81,17 @@
     pub give_up: Duration,
 }
 
+impl Config {
+    pub fn drain_settings(&self) -> drain::Settings {
+        drain::Settings {
+            balancers: self.balancers.clone(),
+            announce_end: self.announce_end,
+            linger: self.linger,
+            give_up: self.give_up,
+        }
+    }
+}
+
 /// What clients are given, in time and otherwise.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Patience {
@@ -97,10 +121,15 @@
     pub upstream: usize,
     /// Bytes of commands that have not come whole, of all clients.
     pub unfinished: usize,
+    pub memory: usize,
 }
 
 /// Kept for the listener, epoll, signals, discovery, the standard streams and a margin.
 const SPARE_SOCKETS: usize = 32;
+/// Kept for balancers' connections to the clients' listener that ask for nothing.
+const BALANCERS: usize = crate::front::CHECKS;
+/// Kept for checks beside their own number, and for the operators' socket.
+const HEALTH_RESERVE: usize = 10;
 const DEFAULT_SOCKETS: usize = 1_024;
 const DEFAULT_MEMORY_MB: usize = 128;
 const LEAST_MEMORY_MB: usize = 16;
@@ -302,12 +331,19 @@
         limits,
         patience: patience(&model),
         rules: operators::rules(&model, &platform),
+        health: operators::health(&model),
+        availability: operators::availability(&model),
+        control: model.control.clone(),
+        balancers: operators::balancers(&model),
+        announce_end: model.announce_end,
+        checks: model.balancers.iter().flat_map(|b| b.networks.clone()).collect(),
+        proxy_from: model.listeners.iter().flat_map(|l| l.proxy_from.clone()).collect(),
         logging: model.logging,
         known,
         dial_timeout: or_default(platform.dial_timeout, DEFAULT_DIAL_TIMEOUT),
         idle_limit: or_default(platform.settings.keepalive, DEFAULT_IDLE).mul_f64(IDLE_SHARE),
         watch_silence: model.discovery.watch_silence,
-        linger: LINGER,
+        linger: model.linger.unwrap_or(LINGER),
         give_up,
         platform,
     };
@@ -347,7 +383,14 @@
     let memory = memory_mb << 20;
     let memory = ours.memory.and_then(|own| usize::try_from(own).ok()).map_or(memory, |own| own.min(memory));
     // A request takes a client's connection for all its time and a record server's for a part of it.
-    let shared = sockets - SPARE_SOCKETS;
+    let checks: usize = model.health.iter().map(|h| h.connections + 1).sum();
+    let checks = checks + if model.balancers.iter().any(|b| !b.networks.is_empty()) { BALANCERS } else { 0 };
+    let spare = SPARE_SOCKETS + checks + if checks > 0 { HEALTH_RESERVE } else { 0 };
+    if spare + LEAST_SOCKETS / 2 > sockets {
+        let problem = format!("{sockets} are too few for the health listeners, which take {checks}");
+        return Err(ConfigError::new("limits.sockets", problem));
+    }
+    let shared = sockets - spare;
     let clients = ours.clients.of(shared);
     // Clients hold a third of the descriptors at most: of these a quarter is for those who come to ask, and a half
     // if nobody minds.
@@ -359,6 +402,7 @@
         packed,
         upstream: shared - clients,
         unfinished: ours.unfinished.of(memory),
+        memory,
     })
 }
 
--- a/crates/leverproxy/src/front.rs
+++ b/crates/leverproxy/src/front.rs
@@ -8,11 +8,13 @@
 use crate::reactor::{Interest, Key, Reactor, Slots, Token};
 use crate::request::{Answer, Request, Ticket};
 use crate::seldom::Seldom;
+use ipnet::IpNet;
 use std::collections::VecDeque;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::os::fd::OwnedFd;
 use std::time::{Duration, Instant};
+use wire_health::proxy::{self, From};
 
 /// An unfinished command of more than this is worth asking how many there are.
 const LARGE: usize = 16 << 10;
@@ -24,6 +26,9 @@
 /// At the limit, who has asked for nothing gives way, but not before this: its first words may be on their way.
 const FIRST_WORDS: Duration = Duration::from_millis(100);
 
+/// Balancers' connections that have asked for nothing, beside the clients.
+pub const CHECKS: usize = 16;
+
 #[derive(Debug)]
 pub enum Event {
     Asked(Ticket, Request),
@@ -43,6 +48,13 @@
     exhausted: Seldom,
     /// Connections ended for what came on them, or for nothing sound having come in time.
     pub turned_out: u64,
+    /// Where listeners are, to listen there again.
+    address: SocketAddr,
+    /// Networks of balancers, whose checks count for nothing, and of those that name their clients.
+    checks: Vec<IpNet>,
+    proxy_from: Vec<IpNet>,
+    /// Balancers' checks among the clients.
+    checking: usize,
     /// No more than what is under way is served: each client goes once it waits for nothing.
     closing: bool,
 }
@@ -50,6 +62,10 @@
 struct Client {
     stream: Stream,
     peer: IpAddr,
+    /// A header has to name the client first.
+    headed: bool,
+    /// A balancer's connection that has asked for nothing: no client.
+    check: bool,
     greeted: bool,
     /// Ignores messages until Sync, as after any error in the extended protocol.
     skipping: bool,
@@ -101,6 +117,7 @@
     ) -> io::Result<Front> {
         let listener = net::listen(address)?;
         reactor.add(&listener, Token::Listener, Interest::READ)?;
+        let address = net::local_address(&listener).unwrap_or(address);
         Ok(Front {
             listener: Some(listener),
             accepting: true,
@@ -111,13 +128,16 @@
             misunderstood: Seldom::default(),
             exhausted: Seldom::default(),
             turned_out: 0,
+            address,
+            checks: Vec::new(),
+            proxy_from: Vec::new(),
+            checking: 0,
             closing: false,
         })
     }
 
     pub fn local_address(&self) -> Option<SocketAddr> {
-        let name = rustix::net::getsockname(self.listener.as_ref()?).ok()?;
-        SocketAddr::try_from(name).ok()
+        net::local_address(self.listener.as_ref()?)
     }
 
     pub fn pop(&mut self) -> Option<Event> {
@@ -128,6 +148,23 @@
         self.clients.len()
     }
 
+    /// Networks from which balancers come that only check, and those whose connections begin with a header that names
+    /// the client. Connections that are there stay as they are.
+    pub fn set_balancers(&mut self, checks: Vec<IpNet>, proxy_from: Vec<IpNet>) {
+        (self.checks, self.proxy_from) = (checks, proxy_from);
+    }
+
+    /// Listens again, after [`Front::close`].
+    pub fn open(&mut self, reactor: &Reactor) -> io::Result<()> {
+        self.closing = false;
+        if self.listener.is_none() {
+            let listener = net::listen(self.address)?;
+            reactor.add(&listener, Token::Listener, Interest::READ)?;
+            (self.listener, self.accepting) = (Some(listener), true);
+        }
+        Ok(())
+    }
+
     /// Who is above a lower limit stays until it leaves or gives way.
     pub fn set_limits(&mut self, limits: Limits, patience: Patience) {
         (self.limits, self.patience) = (limits, patience);
@@ -135,25 +172,32 @@
 
     pub fn accept(&mut self, now: Instant, reactor: &Reactor) {
         loop {
-            let full = self.clients.len() >= self.limits.clients;
+            let full = self.clients.len() - self.checking >= self.limits.clients;
             // Who would give way; nobody does before another client is there for the place.
             let quiet = if full { self.gives_way(now) } else { None };
-            if full && quiet.is_none() {
+            // Only its address tells a balancer's check from a client, so it has to be let in to be told.
+            let checks = !self.checks.is_empty() && self.checking < CHECKS;
+            if full && quiet.is_none() && !checks {
                 return self.pause(true, reactor);
             }
             let Some(listener) = &self.listener else { return };
             match net::accept(listener) {
                 Ok((stream, peer)) => {
                     if let Some(key) = quiet {
-                        self.clients.remove(key);
+                        self.remove(key);
+                    }
+                    let key = self.adopt(stream, peer, now, reactor);
+                    let check = self.clients.get(key).is_some_and(|c| c.check);
+                    if full && quiet.is_none() && !check {
+                        self.turn_out(key, server::too_many());
+                        self.write(key, now, reactor);
                     }
-                    self.adopt(stream, peer, now, reactor);
                 }
                 Err(Refusal::Empty) => return,
                 Err(Refusal::Exhausted) => {
                     let clients = self.clients.len();
                     self.exhausted.warn(now, || format!("front: no descriptor left, {clients} clients"));
-                    if self.gives_way(now).and_then(|key| self.clients.remove(key)).is_none() {
+                    if self.gives_way(now).and_then(|key| self.remove(key)).is_none() {
                         return self.pause(true, reactor);
                     }
                 }
@@ -161,10 +205,17 @@
         }
     }
 
-    fn adopt(&mut self, stream: Stream, peer: IpAddr, now: Instant, reactor: &Reactor) {
+    fn adopt(&mut self, stream: Stream, peer: IpAddr, now: Instant, reactor: &Reactor) -> Key {
+        let within = |networks: &[IpNet]| networks.iter().any(|net| net.contains(&peer));
+        let headed = within(&self.proxy_from);
+        // Bounded: whatever calls itself a balancer beyond that is a client like any other.
+        let check = within(&self.checks) && self.checking < CHECKS;
+        self.checking += usize::from(check);
         let key = self.clients.insert(Client {
             stream,
             peer,
+            headed,
+            check,
             greeted: false,
             skipping: false,
             ending: false,
@@ -179,6 +230,7 @@
         });
         // Read in a later round even if it has come: what others sent before is taken in before it.
         self.write(key, now, reactor);
+        key
     }
 
     /// While the listener is full it must not be waited on: it would be ready all the time.
@@ -284,6 +336,7 @@
         while client.takes_more(&self.patience) {
             let greeted = client.greeted;
             let step = match greeted {
+                _ if client.headed => header(client),
                 true => command(client, key, now, &mut self.misunderstood),
                 false => greet(client),
             };
@@ -298,6 +351,8 @@
                 Ok(Step::Asked(ticket, request)) => {
                     client.again = client.asked;
                     client.asked = true;
+                    // Whoever asks is a client.
+                    self.checking -= usize::from(std::mem::take(&mut client.check));
                     client.quiet_since = now;
                     self.events.push_back(Event::Asked(ticket, request));
                 }
@@ -386,8 +441,14 @@
         }
     }
 
+    fn remove(&mut self, key: Key) -> Option<Client> {
+        let client = self.clients.remove(key)?;
+        self.checking -= usize::from(client.check);
+        Some(client)
+    }
+
     fn drop_client(&mut self, key: Key, reactor: &Reactor) {
-        let Some(client) = self.clients.remove(key) else { return };
+        let Some(client) = self.remove(key) else { return };
         for (number, answer) in (client.first..).zip(&client.answers) {
             if answer.is_none() {
                 self.events.push_back(Event::Left(Ticket { client: key, number }));
@@ -419,6 +480,18 @@
     Asked(Ticket, Request),
 }
 
+/// Who the client is, as the balancer before it says.
+fn header(client: &mut Client) -> Result<Step, Malformed> {
+    let found = proxy::parse(client.stream.input.unused()).map_err(|fault| Malformed(fault.to_string()))?;
+    let Some((from, used)) = found else { return Ok(Step::Wait) };
+    client.stream.input.consume(used);
+    client.headed = false;
+    if let From::Client(address) = from {
+        client.peer = address.ip();
+    }
+    Ok(Step::Next)
+}
+
 fn greet(client: &mut Client) -> Result<Step, Malformed> {
     let Some((startup, used)) = server::startup(client.stream.input.unused())? else { return Ok(Step::Wait) };
     client.stream.input.consume(used);
--- /dev/null
+++ b/crates/leverproxy/src/monitor.rs
@@ -0,0 +1,228 @@
+//! What the proxy can tell of itself: the availability model, fed by the stages and the loop, and put into the words
+//! of the health codecs.
+
+use crate::clock::Clock;
+use crate::request::{Answer, Verdict};
+use availability::{Availability, Cause, Condition, Ended, Event, Load, Reason, Report, Settings, State};
+use mountshift::GroupId;
+use std::time::{Duration, Instant};
+use wire_health::Status;
+
+/// The proxy's load is taken this often, and its memory, which costs a system call more, this often.
+pub const LOOK: Duration = Duration::from_millis(100);
+const MEMORY_LOOK: Duration = Duration::from_secs(1);
+/// Whoever checks a proxy that drains may come again after this.
+const DRAIN_COME_BACK: Duration = Duration::from_secs(5);
+/// Rates are averages over about this many seconds.
+const RATE_SPAN: f64 = 5.0;
+
+/// Parts of its limits that the proxy uses.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Usage {
+    pub clients: usize,
+    pub clients_limit: usize,
+    pub upstream: usize,
+    pub upstream_limit: usize,
+    pub open: usize,
+    pub memory_limit: usize,
+}
+
+pub struct Monitor {
+    model: Availability,
+    start: Instant,
+    /// The longest that the loop has been busy since the last look.
+    lag: Duration,
+    usage: Usage,
+    memory: f64,
+    memory_at: Option<Instant>,
+    /// CPU time used up to the last look, and the part of a core that it came to.
+    cpu_used: Duration,
+    cpu: f64,
+    looked: Instant,
+    answered: u64,
+    failed: u64,
+    answered_per_s: f64,
+    failed_per_s: f64,
+}
+
+impl Monitor {
+    pub fn new(settings: Settings, now: Instant) -> Monitor {
+        Monitor {
+            model: Availability::new(settings, Duration::ZERO),
+            start: now,
+            lag: Duration::ZERO,
+            usage: Usage::default(),
+            memory: 0.0,
+            memory_at: None,
+            cpu_used: Clock::cpu(),
+            cpu: 0.0,
+            looked: now,
+            answered: 0,
+            failed: 0,
+            answered_per_s: 0.0,
+            failed_per_s: 0.0,
+        }
+    }
+
+    pub fn event(&mut self, now: Instant, event: Event) {
+        self.model.handle(now.saturating_duration_since(self.start), event);
+    }
+
+    /// A request has been taken in.
+    pub fn asked(&mut self, group: GroupId, now: Instant) {
+        self.event(now, Event::Asked { group: group.0 });
+    }
+
+    /// Its client has left.
+    pub fn left(&mut self, group: GroupId, now: Instant) {
+        self.event(now, Event::Left { group: group.0 });
+    }
+
+    pub fn sent(&mut self, group: GroupId, now: Instant) {
+        self.event(now, Event::Sent { group: group.0 });
+    }
+
+    pub fn ended(&mut self, group: GroupId, verdict: &Verdict, elapsed: Duration, now: Instant) {
+        let how = match verdict {
+            // It has answered, whatever it said.
+            Verdict::Served(_) | Verdict::Reported(_) | Verdict::Failed | Verdict::Spoilt => Ended::Answered,
+            Verdict::Miss | Verdict::Full => Ended::TurnedAway,
+            Verdict::ConnectFailed | Verdict::Reset | Verdict::TimedOut => Ended::Broken,
+            Verdict::Cancelled | Verdict::NeverSent => Ended::CalledOff,
+        };
+        self.event(now, Event::Ended { group: group.0, how, elapsed });
+    }
+
+    /// A request had its final answer, of the module or of a record server.
+    pub fn answered(&mut self, group: GroupId, answer: &Answer, now: Instant) {
+        let group = group.0;
+        self.answered += 1;
+        match answer {
+            Answer::Served(_) => self.event(now, Event::Served { group }),
+            Answer::Refused(_) => self.event(now, Event::Refused { group, cause: Cause::Servers }),
+            Answer::Failed => {
+                self.failed += 1;
+                self.event(now, Event::Failed { group });
+            }
+            Answer::Rejected(_) => {}
+        }
+    }
+
+    /// The loop has worked for so long before it could wait again, or came so late.
+    pub fn busy(&mut self, span: Duration) {
+        self.lag = self.lag.max(span);
+    }
+
+    /// Takes the proxy's load.
+    pub fn look(&mut self, usage: Usage, now: Instant) {
+        self.usage = usage;
+        if self.memory_at.is_none_or(|at| now.saturating_duration_since(at) >= MEMORY_LOOK) {
+            self.memory_at = Some(now);
+            self.memory = part(resident(), usage.memory_limit);
+        }
+        let span = now.saturating_duration_since(self.looked).as_secs_f64().max(1e-3);
+        let used = Clock::cpu();
+        let smooth = (-span / RATE_SPAN).exp();
+        let mix = |old: f64, new: f64| old * smooth + new * (1.0 - smooth);
+        self.cpu = mix(self.cpu, used.saturating_sub(self.cpu_used).as_secs_f64() / span);
+        self.answered_per_s = mix(self.answered_per_s, std::mem::take(&mut self.answered) as f64 / span);
+        self.failed_per_s = mix(self.failed_per_s, std::mem::take(&mut self.failed) as f64 / span);
+        (self.cpu_used, self.looked) = (used, now);
+        let descriptors =
+            part(usage.clients, usage.clients_limit).max(part(usage.upstream, usage.upstream_limit));
+        let load = Load {
+            lag: std::mem::take(&mut self.lag),
+            open: part(usage.open, usage.clients_limit),
+            descriptors,
+            memory: self.memory,
+        };
+        self.event(now, Event::Load(load));
+    }
+
+    pub fn report(&self) -> &Report {
+        self.model.report()
+    }
+
+    pub fn status(&self) -> Status {
+        let report = self.model.report();
+        let state = match report.state {
+            State::Starting => wire_health::State::Starting,
+            State::Ready => wire_health::State::Ready,
+            State::Degraded(share) => wire_health::State::Degraded(share),
+            State::Overloaded => wire_health::State::Overloaded,
+            State::Draining => wire_health::State::Draining,
+            State::Stopping => wire_health::State::Stopping,
+        };
+        let Load { open, descriptors, memory, .. } = report.load;
+        let groups = self.model.groups().map(|(group, state)| wire_health::Group {
+            group,
+            condition: state.condition.name(),
+            serves: matches!(state.condition, Condition::Serving | Condition::Failing),
+        });
+        Status {
+            state,
+            weight: report.weight,
+            reason: reason(report),
+            room: None,
+            come_back: if report.state.serves() { Duration::from_secs(1) } else { DRAIN_COME_BACK },
+            load: wire_health::Load {
+                cpu: self.cpu,
+                memory,
+                application: open.max(descriptors).max(memory),
+                requests_per_s: self.answered_per_s,
+                errors_per_s: self.failed_per_s,
+                open,
+                descriptors,
+            },
+            groups: groups.collect(),
+        }
+    }
+
+    /// Lines for whoever asks at the control socket.
+    pub fn lines(&self) -> String {
+        let status = self.status();
+        let mut out = format!(
+            "state {}\nweight {}\nreason {}\nclients {} of {}\nupstream {} of {}\nopen {}\ncpu {:.2}\nmemory {:.2}\n",
+            status.state.name(),
+            status.weight,
+            if status.reason.is_empty() { "none" } else { &status.reason },
+            self.usage.clients,
+            self.usage.clients_limit,
+            self.usage.upstream,
+            self.usage.upstream_limit,
+            self.usage.open,
+            self.cpu,
+            status.load.memory,
+        );
+        for group in &status.groups {
+            out.push_str(&format!("group {} {}\n", group.group, group.condition));
+        }
+        out
+    }
+}
+
+fn part(used: usize, limit: usize) -> f64 {
+    used as f64 / limit.max(1) as f64
+}
+
+fn reason(report: &Report) -> String {
+    match report.reason {
+        Reason::None => String::new(),
+        Reason::Lag => "the loop is late".into(),
+        Reason::Open => "many requests are open".into(),
+        Reason::Descriptors => "few descriptors are left".into(),
+        Reason::Memory => "little memory is left".into(),
+        Reason::Group(group) => format!("group {group} does not answer"),
+        Reason::Servers => "record servers refuse or fail".into(),
+        Reason::Slow => format!("record servers take {:.1} times as long as usual", report.slowness),
+    }
+}
+
+/// Bytes of memory that the process holds, without what it only maps from files; 0 where the system does not tell.
+fn resident() -> usize {
+    const PAGE: usize = 4_096;
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let mut pages = text.split(' ').skip(1).map(|pages| pages.parse::<usize>().unwrap_or(0));
+    let (resident, shared) = (pages.next().unwrap_or(0), pages.next().unwrap_or(0));
+    resident.saturating_sub(shared) * PAGE
+}
--- a/crates/leverproxy/src/net.rs
+++ b/crates/leverproxy/src/net.rs
@@ -2,10 +2,11 @@
 
 use crate::reactor::{Interest, Reactor, Token};
 use rustix::io::Errno;
-use rustix::net::{self, sockopt, AddressFamily, SendFlags, SocketFlags, SocketType};
+use rustix::net::{self, sockopt, AddressFamily, SendFlags, SocketAddrUnix, SocketFlags, SocketType};
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::os::fd::OwnedFd;
+use std::path::Path;
 
 const NON_BLOCKING: SocketFlags = SocketFlags::NONBLOCK.union(SocketFlags::CLOEXEC);
 const BACKLOG: i32 = 1_024;
@@ -27,6 +28,20 @@
     Ok(fd)
 }
 
+/// A socket of the machine that its owner alone may connect to, from before it listens.
+pub fn listen_unix(path: &Path) -> io::Result<OwnedFd> {
+    use std::os::unix::fs::PermissionsExt;
+    let fd = net::socket_with(AddressFamily::UNIX, SocketType::STREAM, NON_BLOCKING, None)?;
+    net::bind(&fd, &SocketAddrUnix::new(path)?)?;
+    std::fs::set_permissions(path, std::fs::Permissions::from_mode(0o600))?;
+    net::listen(&fd, BACKLOG)?;
+    Ok(fd)
+}
+
+pub fn local_address(fd: &OwnedFd) -> Option<SocketAddr> {
+    SocketAddr::try_from(net::getsockname(fd).ok()?).ok()
+}
+
 /// What an accept that yields no connection means.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Refusal {
--- /dev/null
+++ b/crates/leverproxy/src/operate.rs
@@ -0,0 +1,119 @@
+//! The operators' control socket: a line in, lines out, over a Unix socket that only its owner may use.
+
+use crate::net::{self, Filled, Stream};
+use crate::reactor::{Interest, Key, Reactor, Slots, Token};
+use std::io;
+use std::os::fd::OwnedFd;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Word {
+    Drain,
+    Undrain,
+    Status,
+}
+
+/// At once; who has more to say waits.
+const CONNECTIONS: usize = 4;
+const LINE_LIMIT: usize = 128;
+const PATIENCE: Duration = Duration::from_secs(2);
+
+pub struct Operate {
+    listener: OwnedFd,
+    path: PathBuf,
+    peers: Slots<Peer>,
+}
+
+struct Peer {
+    stream: Stream,
+    since: Instant,
+    /// It has its answer.
+    answered: bool,
+}
+
+impl Operate {
+    /// A socket that is left over from a process that is gone is replaced; one that answers is another proxy's.
+    pub fn listen(path: &Path, reactor: &Reactor) -> io::Result<Operate> {
+        if path.exists() {
+            if std::os::unix::net::UnixStream::connect(path).is_ok() {
+                return Err(io::Error::new(
+                    io::ErrorKind::AddrInUse,
+                    "the control socket is another proxy's",
+                ));
+            }
+            std::fs::remove_file(path)?;
+        }
+        let listener = net::listen_unix(path)?;
+        reactor.add(&listener, Token::OperateListener, Interest::READ)?;
+        Ok(Operate { listener, path: path.to_owned(), peers: Slots::default() })
+    }
+
+    pub fn accept(&mut self, now: Instant, reactor: &Reactor) {
+        while let Ok((mut stream, _)) = net::accept(&self.listener) {
+            if self.peers.len() >= CONNECTIONS {
+                stream.push(b"error: too many at once\n");
+                _ = stream.flush();
+                continue;
+            }
+            let key = self.peers.insert(Peer { stream, since: now, answered: false });
+            if let Some(peer) = self.peers.get_mut(key) {
+                if peer.stream.watch(reactor, Token::Operate(key), Interest::READ).is_err() {
+                    self.peers.remove(key);
+                }
+            }
+        }
+    }
+
+    /// A word that has come whole, and who awaits its answer.
+    pub fn ready(&mut self, key: Key) -> Option<(Key, Word)> {
+        let peer = self.peers.get_mut(key)?;
+        let filled = peer.stream.fill(LINE_LIMIT);
+        let input = peer.stream.input.unused();
+        let line =
+            input.iter().position(|b| *b == b'\n').and_then(|end| std::str::from_utf8(&input[..end]).ok());
+        let word = match line.map(str::trim) {
+            Some("drain") => Some(Word::Drain),
+            Some("undrain") => Some(Word::Undrain),
+            Some("status") => Some(Word::Status),
+            Some(_) => None,
+            None if filled == Filled::Ended || input.len() >= LINE_LIMIT => {
+                self.peers.remove(key);
+                return None;
+            }
+            None => return None,
+        };
+        if peer.answered {
+            self.peers.remove(key);
+            return None;
+        }
+        peer.answered = true;
+        if word.is_none() {
+            self.answer(key, "error: the words are drain, undrain and status\n");
+        }
+        word.map(|word| (key, word))
+    }
+
+    /// One answer, and the connection ends. What does not fit in the socket at once is lost: it holds far more.
+    pub fn answer(&mut self, key: Key, text: &str) {
+        if let Some(mut peer) = self.peers.remove(key) {
+            peer.stream.push(text.as_bytes());
+            _ = peer.stream.flush();
+        }
+    }
+
+    pub fn look_over(&mut self, now: Instant) {
+        for key in self.peers.keys() {
+            let old = self.peers.get(key).is_some_and(|p| now.saturating_duration_since(p.since) >= PATIENCE);
+            if old {
+                self.peers.remove(key);
+            }
+        }
+    }
+}
+
+impl Drop for Operate {
+    fn drop(&mut self) {
+        _ = std::fs::remove_file(&self.path);
+    }
+}
--- a/crates/leverproxy/src/operators.rs
+++ b/crates/leverproxy/src/operators.rs
@@ -1,5 +1,6 @@
 //! The operators' file: read from disk, held against the platform's word, and made into what the stages go by.
 
+use crate::health::{Listen, Protocol};
 use crate::stages::steer::{Rules, Ruling};
 use bulkheads::{Priority, Rate, Settings as Pool};
 use configuration::diagnostic;
@@ -13,6 +14,7 @@
 use mountshift_settings::Decoded;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
+use wire_health::http::Statuses;
 
 /// Files of the system.
 pub struct Disk;
@@ -152,6 +154,50 @@
     }
 }
 
+pub fn health(model: &Model) -> Vec<Listen> {
+    let listen = |h: &configuration::model::Health| Listen {
+        name: h.name.clone(),
+        address: h.address,
+        protocol: match h.protocol {
+            "grpc" => Protocol::Grpc,
+            "agent" => Protocol::Agent { expects_text: h.expects_text },
+            _ => Protocol::Http(match h.statuses {
+                "drain-is-404" => Statuses::DrainIs404,
+                "overload-is-429" => Statuses::OverloadIs429,
+                _ => Statuses::Plain,
+            }),
+        },
+        connections: h.connections,
+        patience: h.patience,
+        idle: h.idle,
+    };
+    model.health.iter().map(listen).collect()
+}
+
+pub fn balancers(model: &Model) -> Vec<drain::Balancer> {
+    let balancer = |b: &configuration::model::Balancer| drain::Balancer {
+        interval: b.interval,
+        fall: b.fall,
+        timeout: b.timeout,
+    };
+    model.balancers.iter().map(balancer).collect()
+}
+
+pub fn availability(model: &Model) -> availability::Settings {
+    let stated = &model.availability;
+    let part = |share: configuration::value::Share| f64::from(share.part) / f64::from(share.whole.max(1));
+    availability::Settings {
+        floor: part(stated.floor),
+        dwell: stated.dwell,
+        silence: stated.silence,
+        lag: (stated.lag, stated.lag * LAG_WORST),
+        ..availability::Settings::default()
+    }
+}
+
+/// The loop's lag at which the weight is at its least, as a multiple of that at which it begins to fall.
+const LAG_WORST: u32 = 20;
+
 fn pool(pool: &configuration::model::Pool) -> Pool {
     Pool {
         name: pool.name.clone(),
--- a/crates/leverproxy/src/pg/server.rs
+++ b/crates/leverproxy/src/pg/server.rs
@@ -168,6 +168,13 @@
     out
 }
 
+/// The last word to a client for whom there is no place.
+pub fn too_many() -> Vec<u8> {
+    let mut out = Vec::new();
+    put_error(&mut out, "FATAL", sqlstate::TOO_MANY_CONNECTIONS, "too many clients are connected", None);
+    out
+}
+
 /// A client's startup packet, as record servers get it too.
 pub fn startup_packet(user: &str, database: &str) -> Vec<u8> {
     let mut out = Vec::new();
--- a/crates/leverproxy/src/proxy.rs
+++ b/crates/leverproxy/src/proxy.rs
@@ -1,13 +1,17 @@
 //! The loop of the one thread: waits, lets the sides take what has come, and runs the chain over it.
 
-use crate::config::{Config, ConfigError};
+use crate::config::{Config, ConfigError, Limits};
 use crate::control::{self, Control, Wish};
 use crate::discovery::Discovery;
 use crate::front::Front;
+use crate::health::Health;
+use crate::monitor::{self, Monitor, Usage};
+use crate::operate::{Operate, Word};
 use crate::reactor::{Interest, Reactor, Ready, Timers, Token};
 use crate::reload::Reloads;
 use crate::stages::{Chain, Sides, Timer};
 use crate::upstream::Upstream;
+use drain::{Action, Drain};
 use mountshift_settings::Decoded;
 use std::io;
 use std::net::SocketAddr;
@@ -20,10 +24,12 @@
     sides: Sides,
     chain: Chain,
     wishes: control::Listener,
-    /// After being told to stop: no new connections, and the end.
-    linger: Duration,
-    give_up: Duration,
-    phase: Phase,
+    start: Instant,
+    drain: Drain,
+    /// It has been told that nothing is owed.
+    settled: bool,
+    over: bool,
+    limits: Limits,
     reloads: Option<Reloads>,
     fixed: Fixed,
 }
@@ -37,16 +43,6 @@
     watch_silence: Duration,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Phase {
-    Serving,
-    /// Told to stop; new connections may still come.
-    Lingering,
-    /// No more are taken.
-    Closing,
-    Over,
-}
-
 impl Proxy {
     /// Listens, and begins with the list of record servers as it was last known.
     pub fn start(config: Config) -> io::Result<(Proxy, Control)> {
@@ -55,22 +51,25 @@
         let (control, wishes) = control::pair()?;
         reactor.add(&wishes, Token::Control, Interest::READ)?;
         crate::logging::set(&config.logging);
-        let front = Front::listen(config.listen, config.limits, config.patience, &reactor)?;
+        let drain = Drain::new(config.drain_settings(), Duration::ZERO);
+        let mut front = Front::listen(config.listen, config.limits, config.patience, &reactor)?;
+        front.set_balancers(config.checks.clone(), config.proxy_from.clone());
         let upstream = Upstream::new(config.limits.upstream, config.dial_timeout, config.idle_limit);
         let discovery = Discovery::new(config.discovery, config.watch_silence);
-        let platform = config.platform;
         let fixed = Fixed {
             name: config.name,
             listen: config.listen,
-            platform: platform.clone(),
+            platform: config.platform.clone(),
             watch_silence: config.watch_silence,
         };
-        let mut sides = Sides { reactor, timers: Timers::default(), front, upstream, discovery };
+        let health = Health::new(&config.health, &reactor)?;
+        let operate = config.control.as_deref().map(|path| Operate::listen(path, &reactor)).transpose()?;
+        let timers = Timers::default();
+        let mut sides = Sides { reactor, timers, front, upstream, discovery, health, operate };
         let mut chain = Chain::new(
-            platform.settings,
-            platform.names,
+            config.platform,
             config.rules,
-            platform.max_open,
+            Monitor::new(config.availability, now),
             config.seed,
             config.dial_timeout,
             now,
@@ -78,11 +77,22 @@
         let address = sides.front.local_address().unwrap_or(config.listen);
         log::info!("{}: serving on {address}", fixed.name);
         sides.timers.set(now, Timer::LookOver);
+        sides.timers.set(now, Timer::Load);
         chain.start(config.known, &mut sides, now);
-        let Config { linger, give_up, .. } = config;
-        let phase = Phase::Serving;
-        let reloads = None;
-        Ok((Proxy { sides, chain, wishes, linger, give_up, phase, reloads, fixed }, control))
+        chain.monitor.event(now, availability::Event::Started);
+        let proxy = Proxy {
+            sides,
+            chain,
+            wishes,
+            start: now,
+            drain,
+            settled: true,
+            over: false,
+            limits: config.limits,
+            reloads: None,
+            fixed,
+        };
+        Ok((proxy, control))
     }
 
     pub fn local_address(&self) -> Option<SocketAddr> {
@@ -94,14 +104,18 @@
         let mut ready = Vec::new();
         loop {
             self.chain.turn(&mut self.sides, Instant::now());
-            let settled = self.sides.front.clients() == 0 && self.chain.owed() == 0;
-            if self.phase == Phase::Over || self.phase == Phase::Closing && settled {
+            self.settle(Instant::now());
+            if self.over {
                 let (clients, owed) = (self.sides.front.clients(), self.chain.owed());
                 log::info!("ended, with {clients} clients left and {owed} requests owed an answer");
                 return Ok(());
             }
             let until = self.sides.timers.next();
             self.sides.reactor.wait(until, &mut ready)?;
+            let woken = Instant::now();
+            // How late it was for what it should have done before.
+            self.chain.monitor.busy(until.map_or(Duration::ZERO, |at| woken.saturating_duration_since(at)));
+            ready.sort_by_key(|one| !one.token.first());
             for &one in &ready {
                 self.on_ready(one);
             }
@@ -109,13 +123,66 @@
             while let Some(timer) = self.sides.timers.pop_due(now) {
                 self.on_timer(timer, now);
             }
+            self.chain.monitor.busy(woken.elapsed());
+        }
+    }
+
+    /// Tells the drain whether anything is owed, where that has changed.
+    fn settle(&mut self, now: Instant) {
+        let settled = self.sides.front.clients() == 0 && self.chain.owed() == 0;
+        if settled != self.settled {
+            self.settled = settled;
+            self.drain(drain::Event::Settled(settled), now);
+        }
+    }
+
+    fn drain(&mut self, event: drain::Event, now: Instant) {
+        let mut actions = Vec::new();
+        self.drain.handle(now.saturating_duration_since(self.start), event, &mut actions);
+        for action in actions {
+            let Sides { reactor, front, .. } = &mut self.sides;
+            match action {
+                Action::Announce if self.drain.ending() => {
+                    self.chain.monitor.event(now, availability::Event::Stop);
+                }
+                Action::Announce => self.chain.monitor.event(now, availability::Event::Drain),
+                Action::Retract => self.chain.monitor.event(now, availability::Event::Undrain),
+                Action::EndsAt(end) => {
+                    self.chain.monitor.event(now, availability::Event::Stop);
+                    self.chain.ends_at(self.start + end);
+                }
+                Action::StopListening => front.close(now, reactor),
+                Action::Listen => {
+                    if let Err(error) = front.open(reactor) {
+                        log::error!("clients can't be listened to again: {error}");
+                    }
+                }
+                Action::GiveUp => self.chain.fail_all(&mut self.sides, now),
+                Action::End => self.over = true,
+            }
+        }
+        self.sides.health.publish(&self.chain.monitor.status());
+        if let Some(due) = self.drain.due() {
+            self.sides.timers.set(self.start + due, Timer::Drain);
         }
     }
 
     fn on_ready(&mut self, ready: Ready) {
         let now = Instant::now();
-        let Sides { reactor, timers, front, upstream, discovery } = &mut self.sides;
+        let Sides { reactor, timers, front, upstream, discovery, health, operate } = &mut self.sides;
         match ready.token {
+            Token::HealthListener(at) => health.accept(at, &self.chain.monitor.status(), now, reactor),
+            Token::Health(key) => health.ready(key, &self.chain.monitor.status(), now, reactor),
+            Token::OperateListener => {
+                if let Some(operate) = operate {
+                    operate.accept(now, reactor);
+                }
+            }
+            Token::Operate(key) => {
+                if let Some((key, word)) = operate.as_mut().and_then(|o| o.ready(key)) {
+                    self.operate(key, word, now);
+                }
+            }
             Token::Listener => {
                 front.accept(now, reactor);
                 if front.paused() {
@@ -142,17 +209,19 @@
             }
             Timer::LookOver => {
                 let again = self.sides.front.look_over(now, &self.sides.reactor);
+                self.sides.health.look_over(now, &self.sides.reactor);
+                if let Some(operate) = &mut self.sides.operate {
+                    operate.look_over(now);
+                }
                 self.sides.timers.set(again, Timer::LookOver);
             }
             Timer::Accept => self.sides.front.resume(&self.sides.reactor),
-            Timer::Close => {
-                self.sides.front.close(now, &self.sides.reactor);
-                self.phase = Phase::Closing;
-            }
-            Timer::End => {
-                self.chain.fail_all(&mut self.sides, now);
-                self.phase = Phase::Over;
+            Timer::Load => {
+                self.chain.monitor.look(self.usage(), now);
+                self.sides.health.publish(&self.chain.monitor.status());
+                self.sides.timers.set(now + monitor::LOOK, Timer::Load);
             }
+            Timer::Drain => self.drain(drain::Event::Tick, now),
         }
         self.chain.turn(&mut self.sides, now);
     }
@@ -160,12 +229,11 @@
     fn on_wishes(&mut self, now: Instant) {
         for wish in self.wishes.take() {
             match wish {
-                Wish::Stop if self.phase == Phase::Serving => {
+                Wish::Stop if !self.drain.ending() => {
                     log::info!("told to stop: answering what has come");
-                    self.phase = Phase::Lingering;
-                    self.sides.timers.set(now + self.linger, Timer::Close);
-                    self.sides.timers.set(now + self.give_up, Timer::End);
-                    self.chain.ends_at(now + self.give_up);
+                    // Whether anything is owed is told first: it may have changed since the last round.
+                    self.settle(now);
+                    self.drain(drain::Event::Terminate, now);
                 }
                 Wish::Stop => {}
                 Wish::Report => self.report(),
@@ -180,6 +248,48 @@
         }
     }
 
+    fn usage(&self) -> Usage {
+        let Sides { front, upstream, .. } = &self.sides;
+        Usage {
+            clients: front.clients(),
+            clients_limit: self.limits.clients,
+            upstream: upstream.connections(),
+            upstream_limit: self.limits.upstream,
+            open: self.chain.owed(),
+            memory_limit: self.limits.memory,
+        }
+    }
+
+    fn operate(&mut self, key: crate::reactor::Key, word: Word, now: Instant) {
+        let event = match word {
+            Word::Drain => Some(drain::Event::Drain),
+            Word::Undrain => Some(drain::Event::Undrain),
+            Word::Status => None,
+        };
+        if let Some(event) = event {
+            log::info!(word:? = word; "told by an operator");
+            self.drain(event, now);
+        }
+        let phase = match self.drain.phase() {
+            drain::Phase::Serving => "serving".to_owned(),
+            drain::Phase::Announced { until, .. } => {
+                let left = (self.start + until).saturating_duration_since(now).as_millis();
+                format!("announced, listening for {left} ms more")
+            }
+            drain::Phase::Drained => "drained".into(),
+            drain::Phase::Lingering { .. } | drain::Phase::Closing | drain::Phase::Over => "ending".into(),
+        };
+        let text = format!("phase {phase}\n{}", self.chain.monitor.lines());
+        if let Some(operate) = &mut self.sides.operate {
+            operate.answer(key, &text);
+        }
+    }
+
+    /// Where the balancers' checks are answered.
+    pub fn health_addresses(&self) -> Vec<SocketAddr> {
+        self.sides.health.addresses()
+    }
+
     /// What is to be asked for the configuration when it has changed. It is asked on a thread of its own.
     pub fn reread_with(
         &mut self,
@@ -204,6 +314,9 @@
         let begun = Instant::now();
         let Sides { front, upstream, .. } = &mut self.sides;
         front.set_limits(config.limits, config.patience);
+        front.set_balancers(config.checks.clone(), config.proxy_from.clone());
+        self.limits = config.limits;
+        self.drain.configure(config.drain_settings());
         upstream.set_limit(config.limits.upstream);
         crate::logging::set(&config.logging);
         let routes = config.rules.rulings.len();
@@ -231,9 +344,9 @@
         let Sides { front, upstream, .. } = &self.sides;
         let (clients, turned_out) = (front.clients(), front.turned_out);
         let (connections, dials) = (upstream.connections(), upstream.dials);
-        let steering = self.chain.steering();
+        let (steering, health) = (self.chain.steering(), self.sides.health.lines());
         crate::logging::say(&format!(
-            "{}\nconnections: clients {clients}, turned out {turned_out}; upstream {connections}; dials {dials}{steering}",
+            "{}\nconnections: clients {clients}, turned out {turned_out}; upstream {connections}; dials {dials}{steering}{health}",
             self.chain.counters,
         ));
     }
--- a/crates/leverproxy/src/reactor.rs
+++ b/crates/leverproxy/src/reactor.rs
@@ -88,9 +88,20 @@
     Discovery(Key),
     Client(Key),
     Upstream(Key),
+    /// Of the balancers' listeners, by their order.
+    HealthListener(u16),
+    Health(Key),
+    /// The operators' socket and who speaks on it.
+    OperateListener,
+    Operate(Key),
 }
 
 impl Token {
+    /// Balancers' checks: whatever else is ready, they are answered first.
+    pub fn first(self) -> bool {
+        matches!(self, Token::Health(_) | Token::HealthListener(_))
+    }
+
     fn encode(self) -> u64 {
         let (kind, key) = match self {
             Token::Listener => (0, None),
@@ -98,6 +109,10 @@
             Token::Discovery(key) => (2, Some(key)),
             Token::Client(key) => (3, Some(key)),
             Token::Upstream(key) => (4, Some(key)),
+            Token::HealthListener(at) => (5, Some(Key { index: at.into(), generation: 0 })),
+            Token::Health(key) => (6, Some(key)),
+            Token::OperateListener => (7, None),
+            Token::Operate(key) => (8, Some(key)),
         };
         let key = key.map_or(0, |k| u64::from(k.generation) << 32 | u64::from(k.index));
         kind << 56 | key
@@ -111,6 +126,10 @@
             2 => Token::Discovery(key),
             3 => Token::Client(key),
             4 => Token::Upstream(key),
+            5 => Token::HealthListener(raw as u16),
+            6 => Token::Health(key),
+            7 => Token::OperateListener,
+            8 => Token::Operate(key),
             _ => return None,
         })
     }
--- a/crates/leverproxy/src/request.rs
+++ b/crates/leverproxy/src/request.rs
@@ -1,7 +1,7 @@
 //! What passes between a protocol's front, the stages and the upstream side, in no protocol's words.
 
 use crate::reactor::Key;
-use mountshift::{AttemptNo, ClassId, Note, RequestId, StoreId};
+use mountshift::{AttemptNo, ClassId, GroupId, Note, RequestId, StoreId};
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -107,6 +107,8 @@
 pub struct Done {
     pub purpose: Purpose,
     pub class: Option<ClassId>,
+    /// Of a request's attempt; a probe has none.
+    pub group: Option<GroupId>,
     pub store: StoreId,
     pub verdict: Verdict,
     pub elapsed: Duration,
--- a/crates/leverproxy/src/stages/admit.rs
+++ b/crates/leverproxy/src/stages/admit.rs
@@ -2,7 +2,7 @@
 
 use crate::request::{shown, Answer, Command, Request, Ticket};
 use bulkheads::PoolId;
-use mountshift::{AttemptNo, ClassId, RequestId};
+use mountshift::{AttemptNo, ClassId, GroupId, RequestId};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -17,6 +17,7 @@
     name: Box<str>,
     pub ticket: Ticket,
     pub class: ClassId,
+    pub group: GroupId,
     /// The pool that it counts against.
     pub pool: Option<PoolId>,
     pub command: Arc<Command>,
@@ -81,10 +82,11 @@
         request: Request,
     ) {
         self.tickets.insert(ticket, id);
-        let Request { id: name, command, read_at, wait, .. } = request;
+        let Request { id: name, command, read_at, wait, group, .. } = request;
+        let group = GroupId(group);
         self.names.insert(name.clone());
         let command = Arc::new(command);
-        self.open.insert(id, Open { name, ticket, class, pool, command, read_at, wait, attempts: 0 });
+        self.open.insert(id, Open { name, ticket, class, group, pool, command, read_at, wait, attempts: 0 });
     }
 
     pub fn get_mut(&mut self, id: RequestId) -> Option<&mut Open> {
--- a/crates/leverproxy/src/stages/mod.rs
+++ b/crates/leverproxy/src/stages/mod.rs
@@ -14,12 +14,15 @@
 use crate::discovery::wire::Listing;
 use crate::discovery::{Discovery, News};
 use crate::front::{self, Front};
+use crate::health::Health;
+use crate::monitor::Monitor;
+use crate::operate::Operate;
 use crate::reactor::{later, Key, Reactor, Timers};
 use crate::request::{Answer, Done, Purpose, Request, Ticket};
 use crate::seldom::Seldom;
 use crate::upstream::{Due, Upstream};
-use mountshift::{Action, Event, ListNews, RequestId, Settings, StoreId, TimerToken};
-use mountshift_settings::Names;
+use mountshift::{Action, Event, ListNews, RequestId, StoreId, TimerToken};
+use mountshift_settings::{Decoded, Names};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -33,10 +36,10 @@
     LookOver,
     /// The listener, full before, may be looked at again.
     Accept,
-    /// New connections have stopped coming: the listener may go.
-    Close,
-    /// What is still owed is given up.
-    End,
+    /// The proxy's own load is taken.
+    Load,
+    /// The drain has a step to take.
+    Drain,
 }
 
 /// The sides that the chain works on.
@@ -46,6 +49,8 @@
     pub front: Front,
     pub upstream: Upstream,
     pub discovery: Discovery,
+    pub health: Health,
+    pub operate: Option<Operate>,
 }
 
 pub struct Chain {
@@ -62,21 +67,23 @@
     /// When the proxy ends, once it is told to: no request has time beyond that.
     end: Option<Instant>,
     pub counters: Counters,
+    pub monitor: Monitor,
 }
 
 impl Chain {
     pub fn new(
-        settings: Settings,
-        names: Names,
+        platform: Decoded,
         rules: steer::Rules,
-        max_open: usize,
+        monitor: Monitor,
         seed: u64,
         probe_time: Duration,
         now: Instant,
     ) -> Chain {
         let clock = Clock::start();
+        let Decoded { settings, names, max_open, .. } = platform;
         Chain {
             counters: Counters::new(&names.classes),
+            monitor,
             rejections: Seldom::default(),
             end: None,
             names,
@@ -145,6 +152,7 @@
         };
         self.ledger.admit(id, ticket, class, pool, request);
         self.counters.taken(class);
+        self.monitor.asked(arrival.group, now);
         self.decide(Event::Arrived(arrival), sides, now);
     }
 
@@ -198,12 +206,16 @@
         let Some(id) = self.ledger.id(ticket) else { return };
         if let Some(open) = self.close(id, now) {
             self.counters.left(open.class);
+            self.monitor.left(open.group, now);
             self.decide(Event::Left(id), sides, now);
         }
     }
 
     fn on_done(&mut self, mut done: Done, sides: &mut Sides, now: Instant) {
         self.counters.ended(done.class, &done.verdict);
+        if let Some(group) = done.group {
+            self.monitor.ended(group, &done.verdict, done.elapsed, now);
+        }
         let Purpose::Attempt(id, _) = done.purpose else {
             return self.decide(book::book(&done, true, self.clock.unix(now)), sides, now);
         };
@@ -218,11 +230,13 @@
     fn on_news(&mut self, news: News, sides: &mut Sides, now: Instant) {
         match news {
             News::Listing(listing) => {
+                self.monitor.event(now, availability::Event::Discovery { heard: true });
                 self.counters.lists += 1;
                 let (news, changes) = self.directory.learn(listing, &self.names);
                 self.listed(news, changes, sides, now);
             }
             News::Failed => {
+                self.monitor.event(now, availability::Event::Discovery { heard: false });
                 self.counters.watches_lost += 1;
                 self.decide(Event::List(ListNews::Failed), sides, now);
             }
@@ -251,6 +265,7 @@
             Action::Send { id, store, time_out } => {
                 let Some(open) = self.ledger.get_mut(id) else { return };
                 let exchange = send::attempt(id, open, time_out, now);
+                self.monitor.sent(open.group, now);
                 sides.upstream.start(store, exchange, now, &sides.reactor);
             }
             Action::Probe { store } => self.probe(store, sides, now),
@@ -289,6 +304,7 @@
     fn relay(&mut self, open: admit::Open, answer: Answer, sides: &mut Sides, now: Instant) {
         log::debug!("{}: {}", self.counters.name(open.class), relay::account(&open, &answer, now));
         self.counters.answered(open.class, &answer);
+        self.monitor.answered(open.group, &answer, now);
         sides.front.answer(open.ticket, answer, now, &sides.reactor);
     }
 
--- a/crates/leverproxy/src/stages/send.rs
+++ b/crates/leverproxy/src/stages/send.rs
@@ -12,6 +12,7 @@
     Exchange {
         purpose: Purpose::Attempt(id, open.next_attempt()),
         class: Some(open.class),
+        group: Some(open.group),
         question: Question::Command(Arc::clone(&open.command), time_out),
         sent: now,
         until: crate::reactor::later(now, time_out),
@@ -23,6 +24,7 @@
     Exchange {
         purpose: Purpose::Probe,
         class: None,
+        group: None,
         question: Question::Load,
         sent: now,
         until: crate::reactor::later(now, time_out),
--- a/crates/leverproxy/src/upstream.rs
+++ b/crates/leverproxy/src/upstream.rs
@@ -8,7 +8,7 @@
 use crate::reactor::{Interest, Key, Reactor, Slots, Token};
 use crate::request::{Done, Purpose, Question, Verdict};
 use crate::seldom::Seldom;
-use mountshift::{ClassId, Note, StoreId};
+use mountshift::{ClassId, GroupId, Note, StoreId};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -26,6 +26,7 @@
     pub purpose: Purpose,
     /// Of the request that it is for; a probe has none.
     pub class: Option<ClassId>,
+    pub group: Option<GroupId>,
     pub question: Question,
     pub sent: Instant,
     /// Nobody waits for it after this.
@@ -401,8 +402,8 @@
 
     fn finish(&mut self, exchange: Exchange, store: StoreId, verdict: Verdict, note: Note, now: Instant) {
         let elapsed = now.saturating_duration_since(exchange.sent);
-        let Exchange { purpose, class, .. } = exchange;
-        self.done.push_back(Done { purpose, class, store, verdict, elapsed, note });
+        let Exchange { purpose, class, group, .. } = exchange;
+        self.done.push_back(Done { purpose, class, group, store, verdict, elapsed, note });
     }
 
     /// Calls off an attempt; its connection ends with it if it is on one.
--- /dev/null
+++ b/crates/leverproxy/tests/balancers.rs
@@ -0,0 +1,376 @@
+//! Stories with balancers in front: checks of every protocol, drains, and clients that balancers name.
+
+mod common;
+use common::{read, Listener, Peer, Program, Stage, PATIENCE};
+use leverproxy::pg::server;
+use rustix::process::Signal;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::process::Command;
+use std::time::Instant;
+use wire_health::agent::{self, Administrative, Operational};
+use wire_health::proxy;
+
+const FRONTS: &str = "health agent {\n protocol agent\n address 127.0.0.1:0\n}\nhealth web {\n address 127.0.0.1:0\n statuses drain-is-404\n}\n";
+
+fn connect(address: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream
+}
+
+/// All that comes until the end.
+fn rest(mut stream: TcpStream) -> String {
+    let mut text = String::new();
+    stream.read_to_string(&mut text).unwrap();
+    text
+}
+
+fn agent_says(address: SocketAddr) -> String {
+    rest(connect(address))
+}
+
+fn get(address: SocketAddr, path: &str) -> String {
+    let mut stream = connect(address);
+    stream.write_all(format!("GET {path} HTTP/1.1\r\nConnection: close\r\n\r\n").as_bytes()).unwrap();
+    rest(stream)
+}
+
+fn status(address: SocketAddr, path: &str) -> u16 {
+    get(address, path).split(' ').nth(1).unwrap().parse().unwrap()
+}
+
+/// Waits for what the proxy is going to tell.
+fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < PATIENCE, "{what}");
+        std::thread::yield_now();
+    }
+}
+
+#[test]
+fn checks_of_each_protocol_are_answered() {
+    let server = Listener::new();
+    let stage = Stage::under(&[("s-1", &server)], FRONTS);
+    let [agent, web] = stage.health[..] else { panic!("{:?}", stage.health) };
+    assert_eq!(agent_says(agent), "ready up 100%\n");
+    for (path, code) in
+        [("/livez", 200), ("/readyz", 200), ("/startupz", 200), ("/readyz/group/3", 200), ("/no", 404)]
+    {
+        assert_eq!(status(web, path), code, "{path}");
+    }
+    // Several checks on a connection, one of them cut in two.
+    let mut stream = connect(web);
+    stream.write_all(b"HEAD /readyz HTTP/1.1\r\n\r\nGET /livez HTTP/1.1\r\nConnection: cl").unwrap();
+    stream.write_all(b"ose\r\n\r\n").unwrap();
+    let text = rest(stream);
+    assert_eq!(text.matches("HTTP/1.1 200 OK").count(), 2, "{text}");
+    assert!(text.ends_with("alive\n"));
+    assert!(get(web, "/readyz?format=json").contains(r#""state":"ready""#));
+    let mut stream = connect(web);
+    stream.write_all(b"no http at all\r\n\r\n").unwrap();
+    assert!(rest(stream).starts_with("HTTP/1.1 400"));
+}
+
+#[test]
+fn an_agent_reads_a_text_where_it_is_told_to() {
+    let stage =
+        Stage::under(&[], "health a {\n protocol agent\n address 127.0.0.1:0\n expects-text yes\n}\n");
+    let mut stream = connect(stage.health[0]);
+    stream.write_all(b"group").unwrap();
+    stream.write_all(b" 3\n").unwrap();
+    assert_eq!(rest(stream), "ready up 100%\n");
+}
+
+/// A group that takes requests and answers none shows within a second, and costs the others nothing.
+#[test]
+fn a_hung_group_shows_and_the_others_stay() {
+    let server = Listener::new();
+    let stage = Stage::under(&[("s-1", &server)], FRONTS);
+    let [agent, web] = stage.health[..] else { panic!() };
+    // Twenty requests that nobody answers.
+    let mut clients: Vec<Peer> = (0..20).map(|_| Peer::client(stage.address)).collect();
+    for (id, client) in (1..).zip(&mut clients) {
+        client.ask(&read(id, "any", 19_000));
+    }
+    // Connections are welcomed, and silent from then on.
+    let mut peers = Vec::new();
+    until("the group is hung", || {
+        while let Some(mut peer) = server.try_accept() {
+            peer.startup();
+            peers.push(peer);
+        }
+        status(web, "/readyz/group/3") == 503
+    });
+    assert_eq!(status(web, "/readyz"), 200, "others are not drained for it");
+    let words = agent::read(&agent_says(agent));
+    assert_eq!(
+        (words.administrative, words.operational),
+        (Some(Administrative::Ready), Some(Operational::Up))
+    );
+    assert!(words.weight >= Some(50), "{words:?}");
+}
+
+#[test]
+fn a_proxy_that_cannot_hear_discovery_serves() {
+    let server = Listener::new();
+    let stage = Stage::under(&[("s-1", &server)], FRONTS);
+    let Stage { watch, discovery, health, .. } = &stage;
+    watch.stream.shutdown(std::net::Shutdown::Both).unwrap();
+    let again = discovery.accept();
+    drop(again);
+    assert_eq!(status(health[1], "/readyz"), 200);
+    assert_eq!(agent_says(health[0]), "ready up 100%\n");
+}
+
+/// Whoever is slow at a check, or opens one after the other, is bounded, and other checks and clients go on.
+#[test]
+fn slow_checks_are_put_out_and_starve_nobody() {
+    let stage = Stage::under(
+        &[],
+        "health web {\n address 127.0.0.1:0\n connections 4\n patience 300ms\n}\nhealth agent {\n protocol agent\n address 127.0.0.1:0\n}\n",
+    );
+    let mut slow: Vec<TcpStream> = (0..12).map(|_| connect(stage.health[0])).collect();
+    for stream in &mut slow {
+        _ = stream.write_all(b"GET /rea");
+    }
+    assert_eq!(agent_says(stage.health[1]), "ready up 100%\n");
+    Peer::client(stage.address);
+    // The slow ones are put out without a word, and a check that had to wait comes through.
+    assert_eq!(status(stage.health[0], "/livez"), 200);
+    assert!(slow.into_iter().all(|mut s| s.read(&mut [0; 16]).map_or(true, |n| n == 0)));
+    // Connections kept between checks give way to new ones.
+    let kept: Vec<TcpStream> = (0..4)
+        .map(|_| {
+            let mut stream = connect(stage.health[0]);
+            stream.write_all(b"GET /livez HTTP/1.1\r\n\r\n").unwrap();
+            assert!(stream.read(&mut [0; 512]).unwrap() > 0);
+            stream
+        })
+        .collect();
+    assert_eq!(status(stage.health[0], "/livez"), 200);
+    drop(kept);
+}
+
+#[test]
+fn five_hundred_checks_are_answered_while_a_client_is_served() {
+    let server = Listener::new();
+    let stage = Stage::under(&[("s-1", &server)], FRONTS);
+    let (agent, web) = (stage.health[0], stage.health[1]);
+    let checks = std::thread::spawn(move || {
+        (0..250).all(|_| agent_says(agent).starts_with("ready up") && status(web, "/readyz") == 200)
+    });
+    let mut client = Peer::client(stage.address);
+    client.ask(&read(1, "any", 19_000));
+    let mut upstream = server.welcome();
+    for id in 2..100 {
+        upstream.query();
+        upstream.answer("x", &[]);
+        assert_eq!(client.reply().value.as_deref(), Some("x"));
+        client.ask(&read(id, "any", 19_000));
+    }
+    assert!(checks.join().unwrap());
+}
+
+/// Out of descriptors, with clients waiting at the door, checks are still answered.
+#[test]
+fn checks_are_answered_when_no_descriptor_is_left() {
+    let port = {
+        let free = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        free.local_addr().unwrap()
+    };
+    let operators = format!("health a {{\n protocol agent\n address {port}\n connections 2\n}}\n");
+    let mut program = Program::under("ulimit -n 32;", &operators);
+    let crowd: Vec<Peer> = (0..60).map(|_| Peer::connect(program.address)).collect();
+    program.line("no descriptor left");
+    for _ in 0..10 {
+        let line = agent_says(port);
+        assert!(line.starts_with("ready up"), "{line}");
+    }
+    drop(crowd);
+    program.signal(Signal::TERM);
+    assert!(program.child.wait().unwrap().success());
+}
+
+fn say(socket: &str, word: &str) -> (bool, String) {
+    let output = Command::new(env!("CARGO_BIN_EXE_leverproxy"))
+        .args([word, "--socket", socket])
+        .env_remove("RUST_LOG")
+        .output()
+        .unwrap();
+    (output.status.success(), String::from_utf8(output.stdout).unwrap())
+}
+
+/// Drained, the proxy says so at once, listens until the balancers must have heard, and comes back when told.
+#[test]
+fn an_operator_drains_and_undrains() {
+    let socket = std::env::temp_dir().join(format!("leverproxy-{}-control", std::process::id()));
+    let socket = socket.to_str().unwrap();
+    let stage = Stage::under(
+        &[],
+        &format!("{FRONTS}balancer b {{\n interval 100ms\n fall 2\n timeout 50ms\n}}\ncontrol {{\n socket {socket}\n}}\n"),
+    );
+    use std::os::unix::fs::PermissionsExt;
+    assert_eq!(std::fs::metadata(socket).unwrap().permissions().mode() & 0o777, 0o600);
+    let (done, text) = say(socket, "status");
+    assert!(done && text.starts_with("phase serving\nstate ready\nweight 100\n"), "{text}");
+    let mut client = Peer::client(stage.address);
+    let (done, text) = say(socket, "drain");
+    assert!(done && text.contains("state draining\nweight 0\n"), "{text}");
+    assert!(agent_says(stage.health[0]).starts_with("drain"));
+    assert_eq!(status(stage.health[1], "/readyz"), 404);
+    assert_eq!(status(stage.health[1], "/livez"), 200);
+    until("the listener closes", || TcpStream::connect(stage.address).is_err());
+    assert!(say(socket, "status").1.starts_with("phase drained\n"));
+    // Who was there and owed nothing is let go.
+    assert!(client.ended());
+    let (done, text) = say(socket, "undrain");
+    assert!(done && text.starts_with("phase serving\n"), "{text}");
+    assert_eq!(agent::read(&agent_says(stage.health[0])).administrative, Some(Administrative::Ready));
+    Peer::client(stage.address);
+    assert!(!say(socket, "drain").1.contains("phase drained"));
+    stage.control.stop();
+}
+
+/// A control socket that another proxy answers on is not taken from it; one that is left over is.
+#[test]
+fn a_control_socket_is_one_proxys() {
+    let path = std::env::temp_dir().join(format!("leverproxy-{}-single", std::process::id()));
+    let text = format!("control {{\n socket {}\n}}\n", path.display());
+    let mut first = Stage::under(&[], &text);
+    let taken = std::panic::catch_unwind(|| Stage::under(&[], &text));
+    assert!(taken.is_err());
+    assert!(say(path.to_str().unwrap(), "status").0);
+    first.control.stop();
+    first.end();
+    // Left over from one that was killed.
+    drop(std::os::unix::net::UnixListener::bind(&path).unwrap());
+    let second = Stage::under(&[], &text);
+    assert!(say(path.to_str().unwrap(), "status").0);
+    drop(second);
+}
+
+/// Announced, the end waits for the balancers: they are told of it while clients still come and are served.
+#[test]
+fn an_announced_end_serves_until_the_balancers_have_heard() {
+    let mut stage = Stage::under(
+        &[],
+        &format!("{FRONTS}balancer b {{\n interval 200ms\n fall 2\n timeout 100ms\n}}\ndrain {{\n announce-end yes\n}}\n"),
+    );
+    stage.control.stop();
+    until("the agent says drain", || agent_says(stage.health[0]).starts_with("drain"));
+    let mut late = Peer::client(stage.address);
+    late.ask(" ; ");
+    late.reply();
+    stage.end();
+    assert!(late.ended());
+}
+
+/// What balancers do to see whether a PostgreSQL server is there is no fault of a client's, and takes no place.
+#[test]
+fn postgres_checks_are_no_clients() {
+    let stage = Stage::under(
+        &[],
+        "balancer b {\n network 127.0.0.0/8\n}\nlimits {\n client-patience 200ms\n sockets 128\n}\n",
+    );
+    drop(connect(stage.address));
+    let code = |number: u32| [8_u32.to_be_bytes(), number.to_be_bytes()].concat();
+    // SSLRequest and GSSENCRequest are answered with a no, and the startup follows.
+    for number in [80_877_103, 80_877_104] {
+        let mut stream = connect(stage.address);
+        stream.write_all(&code(number)).unwrap();
+        let mut no = [0];
+        stream.read_exact(&mut no).unwrap();
+        assert_eq!(no, *b"N");
+        stream.write_all(&server::startup_packet("check", "check")).unwrap();
+        assert!(stream.read(&mut [0; 512]).unwrap() > 0);
+    }
+    // CancelRequest: closed without a word.
+    let mut stream = connect(stage.address);
+    stream.write_all(&[&16_u32.to_be_bytes()[..], &80_877_102_u32.to_be_bytes(), &[0; 8]].concat()).unwrap();
+    assert_eq!(stream.read(&mut [0; 16]).unwrap(), 0);
+}
+
+#[test]
+fn a_check_comes_in_where_clients_are_too_many() {
+    let server = Listener::new();
+    // One client holds the only place, with a request out.
+    let stage = Stage::set_limits(&[("s-1", &server)], "balancer b {\n network 127.0.0.0/8\n}\n", 1);
+    let mut client = Peer::client(stage.address);
+    client.ask(&read(1, "any", 19_000));
+    let mut upstream = server.welcome();
+    upstream.query();
+    for _ in 0..5 {
+        let mut check = connect(stage.address);
+        check.write_all(&server::startup_packet("check", "check")).unwrap();
+        assert!(check.read(&mut [0; 512]).unwrap() > 0, "welcomed");
+    }
+    upstream.answer("x", &[]);
+    assert_eq!(client.reply().value.as_deref(), Some("x"));
+}
+
+/// Limits and routes see who the balancer names; a header is wanted where it is said to come, and only there.
+#[test]
+fn a_proxy_header_names_the_client() {
+    let operators = "listener l {\n address 127.0.0.1:0\n proxy-from 127.0.0.0/8\n}\nroute far {\n network 192.0.2.0/24\n refuse 1234ms\n}\nroute rest {\n refuse 1678ms\n}\n";
+    let stage = Stage::under(&[], operators);
+    let named = |text: &str| -> SocketAddr { text.parse().unwrap() };
+    let told = |header: Vec<u8>| {
+        let mut peer = Peer::connect(stage.address);
+        // In two pieces, the startup right behind.
+        peer.write(&header[..5]);
+        peer.write(&[&header[5..], &server::startup_packet("app", "shop")].concat());
+        peer.reply();
+        peer.ask(&read(1, "any", 19_000));
+        peer.reply().detail
+    };
+    let server = named("127.0.0.1:1");
+    assert_eq!(told(proxy::header(named("192.0.2.7:9"), server, 1)).as_deref(), Some("1234"));
+    assert_eq!(told(b"PROXY TCP4 192.0.2.8 127.0.0.1 9 1\r\n".to_vec()).as_deref(), Some("1234"));
+    assert_eq!(told(proxy::header(named("192.0.2.7:9"), server, 0)).as_deref(), Some("1678"), "LOCAL");
+    let mut without = Peer::connect(stage.address);
+    without.write(&server::startup_packet("app", "shop"));
+    assert!(without.reply().code.is_some(), "no header where one has to be");
+    let mut bad = proxy::header(named("192.0.2.7:9"), server, 1);
+    bad[17] ^= 1;
+    let mut peer = Peer::connect(stage.address);
+    peer.write(&bad);
+    assert!(peer.reply().code.is_some());
+}
+
+/// Checks go on being answered in the middle of a reload, by the state as it is.
+#[test]
+fn checks_during_a_reload() {
+    let port = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let health = format!("health a {{\n protocol agent\n address {port}\n}}\n");
+    let mut program = Program::under("", &health);
+    let mut routes = health.clone();
+    for n in 0..20_000 {
+        routes.push_str(&format!("route r{n} {{\n network 10.{}.{}.0/24\n tries 2\n}}\n", n / 250, n % 250));
+    }
+    program.steer(&routes);
+    for _ in 0..50 {
+        assert_eq!(agent_says(port), "ready up 100%\n");
+    }
+    program.line("the configuration is reread");
+    assert_eq!(agent_says(port), "ready up 100%\n");
+    program.signal(Signal::TERM);
+    until("it ends", || program.child.try_wait().unwrap().is_some());
+}
+
+/// Built with it, the program answers HTTP/2 on that listener; without it, it says so and does not start.
+#[test]
+fn grpc_checks_are_answered_by_a_program_that_is_built_for_them() {
+    let operators = "health g {\n protocol grpc\n address 127.0.0.1:0\n}\n";
+    if cfg!(feature = "grpc") {
+        let stage = Stage::under(&[], operators);
+        let mut stream = connect(stage.health[0]);
+        stream.write_all(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\x04\0\0\0\0\0").unwrap();
+        let mut head = [0; 9];
+        stream.read_exact(&mut head).unwrap();
+        assert_eq!(head[3], 4, "a SETTINGS frame comes first: {head:?}");
+    } else {
+        assert!(std::panic::catch_unwind(|| Stage::under(&[], operators)).is_err());
+    }
+}
--- a/crates/leverproxy/tests/common/mod.rs
+++ b/crates/leverproxy/tests/common/mod.rs
@@ -282,6 +282,8 @@
 /// A proxy with one thread, and the watch that it has opened on a scripted discovery.
 pub struct Stage {
     pub address: SocketAddr,
+    /// Where checks of balancers are answered.
+    pub health: Vec<SocketAddr>,
     pub control: Control,
     pub discovery: Listener,
     pub watch: Peer,
@@ -304,6 +306,12 @@
         Stage::set(servers, Some(&file.0), |_| {})
     }
 
+    /// The same, with room for so many clients.
+    pub fn set_limits(servers: &[(&str, &Listener)], operators: &str, clients: usize) -> Stage {
+        let file = Scratch::new(operators);
+        Stage::set(servers, Some(&file.0), |config| config.limits.clients = clients)
+    }
+
     fn set(
         servers: &[(&str, &Listener)],
         operators: Option<&Path>,
@@ -323,10 +331,11 @@
         adjust(&mut config);
         let (mut proxy, control) = Proxy::start(config).unwrap();
         let address = proxy.local_address().unwrap();
+        let health = proxy.health_addresses();
         let running = Some(thread::spawn(move || proxy.run()));
         let mut watch = discovery.accept();
         assert_eq!(watch.watch(), "GET /catalog/members?watch=1&after=41 HTTP/1.1");
-        Stage { address, control, discovery, watch, running }
+        Stage { address, health, control, discovery, watch, running }
     }
 
     /// Waits until the proxy has ended by itself.
--- a/crates/leverproxy/tests/stories.rs
+++ b/crates/leverproxy/tests/stories.rs
@@ -428,7 +428,7 @@
     for no in 0..exchanges {
         let purpose = Purpose::Attempt(RequestId(no), AttemptNo(0));
         let (question, until) = (Question::Load, now + PATIENCE);
-        let exchange = Exchange { purpose, class: None, question, sent: now, until };
+        let exchange = Exchange { purpose, class: None, group: None, question, sent: now, until };
         upstream.start(StoreId(1), exchange, now, &reactor);
     }
     let first_dials = upstream.dials;
--- a/crates/leverproxy/tests/units.rs
+++ b/crates/leverproxy/tests/units.rs
@@ -117,7 +117,11 @@
         reader.take(&common::answer(text, &[])).unwrap();
         let (verdict, note) = reader.verdict(&Question::Load);
         let (purpose, elapsed, store) = (Purpose::Probe, PATIENCE, StoreId(1));
-        match book::book(&Done { purpose, class: None, store, verdict, elapsed, note }, true, now) {
+        match book::book(
+            &Done { purpose, class: None, group: None, store, verdict, elapsed, note },
+            true,
+            now,
+        ) {
             Event::Probed { ok: true, report, .. } => report,
             other => panic!("{other:?}"),
         }
