One type for the states that balancers are told

Need: the model and the codecs each had the same states, and two places turned one into the other. Change: the package health-state holds them; the conversions go.

--- a/crates/availability/src/lib.rs
+++ b/crates/availability/src/lib.rs
@@ -20,6 +20,7 @@
 mod latency;
 
 pub use group::{Condition, GroupState};
+pub use health_state::State;
 
 use group::Group;
 use std::collections::BTreeMap;
@@ -156,35 +157,6 @@
     pub memory: f64,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum State {
-    Starting,
-    Ready,
-    /// So many of 100 of its traffic are not served, for trouble that others share.
-    Degraded(u8),
-    Overloaded,
-    Draining,
-    Stopping,
-}
-
-impl State {
-    pub fn name(self) -> &'static str {
-        match self {
-            State::Starting => "starting",
-            State::Ready => "ready",
-            State::Degraded(_) => "degraded",
-            State::Overloaded => "overloaded",
-            State::Draining => "draining",
-            State::Stopping => "stopping",
-        }
-    }
-
-    /// Requests are welcome.
-    pub fn serves(self) -> bool {
-        matches!(self, State::Ready | State::Degraded(_) | State::Overloaded)
-    }
-}
-
 /// What counts most against the weight.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reason {
--- a/crates/incidents/src/play.rs
+++ b/crates/incidents/src/play.rs
@@ -288,16 +288,8 @@
 /// As the proxy puts the model into the codecs' words.
 fn status(model: &Availability) -> Status {
     let report = model.report();
-    let state = match report.state {
-        State::Starting => wire_health::State::Starting,
-        State::Ready => wire_health::State::Ready,
-        State::Degraded(share) => wire_health::State::Degraded(share),
-        State::Overloaded => wire_health::State::Overloaded,
-        State::Draining => wire_health::State::Draining,
-        State::Stopping => wire_health::State::Stopping,
-    };
     Status {
-        state,
+        state: report.state,
         weight: report.weight,
         reason: String::new(),
         room: None,
--- a/crates/leverproxy/src/monitor.rs
+++ b/crates/leverproxy/src/monitor.rs
@@ -3,7 +3,7 @@
 
 use crate::clock::Clock;
 use crate::request::{Answer, Verdict};
-use availability::{Availability, Cause, Condition, Ended, Event, Load, Reason, Report, Settings, State};
+use availability::{Availability, Cause, Condition, Ended, Event, Load, Reason, Report, Settings};
 use mountshift::GroupId;
 use std::time::{Duration, Instant};
 use wire_health::Status;
@@ -145,14 +145,6 @@
 
     pub fn status(&self) -> Status {
         let report = self.model.report();
-        let state = match report.state {
-            State::Starting => wire_health::State::Starting,
-            State::Ready => wire_health::State::Ready,
-            State::Degraded(share) => wire_health::State::Degraded(share),
-            State::Overloaded => wire_health::State::Overloaded,
-            State::Draining => wire_health::State::Draining,
-            State::Stopping => wire_health::State::Stopping,
-        };
         let Load { open, descriptors, memory, .. } = report.load;
         let groups = self.model.groups().map(|(group, state)| wire_health::Group {
             group,
@@ -160,7 +152,7 @@
             serves: matches!(state.condition, Condition::Serving | Condition::Failing),
         });
         Status {
-            state,
+            state: report.state,
             weight: report.weight,
             reason: reason(report),
             room: None,
--- a/crates/leverproxy/tests/operators.rs
+++ b/crates/leverproxy/tests/operators.rs
@@ -92,6 +92,17 @@
     assert_eq!(client.reply().code.as_deref(), Some("53300"));
 }
 
+/// The first connection to either, welcomed.
+fn first_of(one: &Listener, two: &Listener) -> Peer {
+    loop {
+        if let Some(mut peer) = one.try_accept().or_else(|| two.try_accept()) {
+            peer.startup();
+            return peer;
+        }
+        std::thread::yield_now();
+    }
+}
+
 /// A class that is safe to repeat, of which the operators say that it runs once, is not sent again.
 #[test]
 fn a_class_that_runs_once_is_not_repeated() {
@@ -99,13 +110,7 @@
     let stage = Stage::under(&[("s-1", &one), ("s-2", &two)], "class any {\n runs once\n}\n");
     let mut client = Peer::client(stage.address);
     client.ask(&read(1, "any", 19000));
-    let mut upstream = loop {
-        if let Some(mut peer) = one.try_accept().or_else(|| two.try_accept()) {
-            peer.startup();
-            break peer;
-        }
-        std::thread::yield_now();
-    };
+    let mut upstream = first_of(&one, &two);
     upstream.query();
     drop(upstream);
     assert!(
@@ -121,13 +126,7 @@
     let stage = Stage::under(&[("s-1", &one), ("s-2", &two)], "route r {\n class any\n tries 1\n}\n");
     let mut client = Peer::client(stage.address);
     client.ask(&read(1, "any", 19000));
-    let mut upstream = loop {
-        if let Some(mut peer) = one.try_accept().or_else(|| two.try_accept()) {
-            peer.startup();
-            break peer;
-        }
-        std::thread::yield_now();
-    };
+    let mut upstream = first_of(&one, &two);
     upstream.query();
     upstream.error("53300");
     assert!(client.reply().code.is_some());
--- a/crates/wire-health/src/lib.rs
+++ b/crates/wire-health/src/lib.rs
@@ -6,36 +6,9 @@
 pub mod orca;
 pub mod proxy;
 
-use std::time::Duration;
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum State {
-    Starting,
-    Ready,
-    /// So many of 100 of the work are not served.
-    Degraded(u8),
-    Overloaded,
-    Draining,
-    Stopping,
-}
+pub use health_state::State;
 
-impl State {
-    pub fn name(self) -> &'static str {
-        match self {
-            State::Starting => "starting",
-            State::Ready => "ready",
-            State::Degraded(_) => "degraded",
-            State::Overloaded => "overloaded",
-            State::Draining => "draining",
-            State::Stopping => "stopping",
-        }
-    }
-
-    /// Requests are welcome.
-    pub fn serves(self) -> bool {
-        matches!(self, State::Ready | State::Degraded(_) | State::Overloaded)
-    }
-}
+use std::time::Duration;
 
 /// What is to be told, of the whole proxy or of one group of record servers.
 #[derive(Clone, Debug, PartialEq)]
