Tell balancers of a group without a primary, and how many clients fit

Need: a group that had lost only its primary was told as serving, and the agent's maxconn was never filled. Change: the availability model hears how writes ended; two in a row that were not served make a group without a primary, a served one ends it. An agent with maxconn yes tells the clients' limit.

--- a/crates/availability/src/group.rs
+++ b/crates/availability/src/group.rs
@@ -7,6 +7,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Condition {
     Serving,
+    /// Its reads are served, and its writes are not.
+    NoPrimary,
     /// Much of what is asked of it is refused or fails, though it answers.
     Failing,
     /// It takes requests and answers none.
@@ -19,6 +21,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Condition::Serving => "serving",
+            Condition::NoPrimary => "without a primary",
             Condition::Failing => "failing",
             Condition::Hung => "hung",
             Condition::Dead => "dead",
@@ -49,6 +52,9 @@
     broken: u32,
     /// Answers in a row since it was last hung or dead.
     good: u32,
+    /// Writes in a row that were not served, and when the last of any write was.
+    lost_writes: u32,
+    written: Time,
     latency: Latency,
     /// Decayed numbers of requests that were served and were not.
     served: f64,
@@ -63,6 +69,8 @@
 const PRIOR: f64 = 4.0;
 /// Parts of a group's requests that are not served: above the first it fails, below the second no longer.
 const FAILING: (f64, f64) = (0.5, 0.25);
+/// Writes in a row that nobody took: one may have met a limit of its own.
+const LOST_WRITES: u32 = 2;
 /// Answers in a row that end a silence.
 const PROOF: u32 = 3;
 /// Times what its answers usually take that a silence lasts.
@@ -80,6 +88,8 @@
             waiting: 0,
             broken: 0,
             good: 0,
+            lost_writes: 0,
+            written: now,
             latency: Latency::new(now),
             served: 0.0,
             unserved: 0.0,
@@ -154,6 +164,11 @@
         }
     }
 
+    pub fn wrote(&mut self, served: bool, now: Time) {
+        self.lost_writes = if served { 0 } else { self.lost_writes.saturating_add(1) };
+        self.written = now;
+    }
+
     fn decay(&mut self, now: Time) {
         let keep = (-now.saturating_sub(self.decayed).as_secs_f64() / FORGET).exp();
         self.served *= keep;
@@ -172,7 +187,9 @@
     pub fn unserved(&self) -> f64 {
         match self.condition {
             Condition::Hung | Condition::Dead => 1.0,
-            Condition::Failing => self.unserved / (self.served + self.unserved + PRIOR),
+            Condition::Failing | Condition::NoPrimary => {
+                self.unserved / (self.served + self.unserved + PRIOR)
+            }
             Condition::Serving => 0.0,
         }
     }
@@ -203,6 +220,10 @@
                 }
                 Condition::Failing if failing > FAILING.1 => Condition::Failing,
                 _ if failing > FAILING.0 => Condition::Failing,
+                // Of a group that nobody writes to it is not known for long.
+                _ if self.lost_writes >= LOST_WRITES && now.saturating_sub(self.written) < FORGOTTEN => {
+                    Condition::NoPrimary
+                }
                 _ => Condition::Serving,
             }
         };
--- a/crates/availability/src/lib.rs
+++ b/crates/availability/src/lib.rs
@@ -134,6 +134,12 @@
     Failed {
         group: u32,
     },
+    /// A write had its final answer, told beside the events above: what only a primary can do shows whether there is
+    /// one.
+    Wrote {
+        group: u32,
+        served: bool,
+    },
     /// The proxy's own load.
     Load(Load),
     /// Whether discovery can be heard. It does not count: a proxy that serves serves.
@@ -167,6 +173,8 @@
     Memory,
     /// A group is dead or hung.
     Group(u32),
+    /// A group takes no writes.
+    Primary(u32),
     /// Record servers refuse or fail much of the work.
     Servers,
     /// Record servers are slower than usual.
@@ -298,6 +306,7 @@
                 self.with(group, |g, _| g.answered(now, false));
             }
             Event::Refused { cause: Cause::Own, .. } => {}
+            Event::Wrote { group, served } => self.with(group, |g, _| g.wrote(served, now)),
         }
         if urgent || now - self.last_look >= LOOK {
             self.look();
@@ -419,6 +428,7 @@
                 worst = traffic * unserved.max(late);
                 reason = match group.state().condition {
                     Condition::Dead | Condition::Hung => Reason::Group(*id),
+                    Condition::NoPrimary => Reason::Primary(*id),
                     _ if late > unserved => Reason::Slow,
                     _ => Reason::Servers,
                 };
--- a/crates/availability/tests/model.rs
+++ b/crates/availability/tests/model.rs
@@ -128,6 +128,24 @@
     }
 }
 
+#[test]
+fn a_group_without_a_primary_is_told_by_its_writes() {
+    let mut world = World::new(2, 20);
+    world.run(10 * SECOND);
+    for _ in 0..2 {
+        world.model.handle(world.now, Event::Asked { group: 1 });
+        world.model.handle(world.now, Event::Wrote { group: 1, served: false });
+        world.model.handle(world.now, Event::Refused { group: 1, cause: Cause::Servers });
+    }
+    world.run(100 * MS);
+    assert_eq!(world.condition(1), Condition::NoPrimary);
+    let report = world.model.report();
+    assert!(matches!(report.state, State::Degraded(1..=5)) && report.weight >= 90, "{report:?}");
+    assert_eq!(report.reason, Reason::Primary(1));
+    world.model.handle(world.now, Event::Wrote { group: 1, served: true });
+    world.until(5 * SECOND, |w| w.condition(1) == Condition::Serving);
+}
+
 #[test]
 fn slowness_of_all_is_shared_trouble_and_leaves_the_floor() {
     let mut world = World::new(4, 50);
--- a/crates/configuration/src/model.rs
+++ b/crates/configuration/src/model.rs
@@ -74,6 +74,7 @@
     pub address: SocketAddr,
     pub statuses: &'static str,
     pub expects_text: bool,
+    pub maxconn: bool,
     pub connections: usize,
     pub patience: Duration,
     pub idle: Duration,
@@ -463,8 +464,8 @@
         let protocol = v.choice("protocol");
         let others: &[&str] = match protocol {
             "agent" => &["statuses", "idle"],
-            "grpc" => &["statuses", "idle", "expects-text"],
-            _ => &["expects-text"],
+            "grpc" => &["statuses", "idle", "expects-text", "maxconn"],
+            _ => &["expects-text", "maxconn"],
         };
         if let Some(setting) = others.iter().find_map(|keyword| section.setting(keyword)) {
             let message = format!("{} says nothing to the protocol {protocol}", setting.spec.keyword);
@@ -481,6 +482,7 @@
             address,
             statuses: v.choice("statuses"),
             expects_text: v.choice("expects-text") == "yes",
+            maxconn: v.choice("maxconn") == "yes",
             connections: v.small("connections").unwrap_or(1),
             patience: v.time("patience").unwrap_or_default(),
             idle: v.time("idle").unwrap_or_default(),
--- a/crates/configuration/src/schema.rs
+++ b/crates/configuration/src/schema.rs
@@ -221,6 +221,7 @@
             at_start(directive("address", One(Type::Address), "", "address 127.0.0.1:9090", "the address to listen on")),
             at_start(directive("statuses", One(Type::Choice(&["plain", "drain-is-404", "overload-is-429"])), "plain", "statuses drain-is-404", "HTTP: 200 and 503 alone; 404 for a drain; 429 for overload")),
             at_start(directive("expects-text", One(YES), "no", "expects-text yes", "agent: the balancer sends a line first (`agent-send`), which may be `group N`")),
+            at_start(directive("maxconn", One(YES), "no", "maxconn yes", "agent: the balancer is told how many clients the proxy takes; with several balancers each is told all of them")),
             at_start(directive("connections", One(count(1, 256)), "8", "connections 16", "checks at once; they are kept apart from the clients' descriptors")),
             at_start(directive("patience", One(time(50, 10_000)), "1s", "patience 500ms", "a check has to come whole, and its answer to be taken, within this")),
             at_start(directive("idle", One(time(1_000, HOUR)), "1min", "idle 30s", "a connection that is kept between checks ends after this")),
--- a/crates/incidents/src/play.rs
+++ b/crates/incidents/src/play.rs
@@ -83,6 +83,7 @@
 const ANSWERED: u8 = 0;
 const BROKEN: u8 = 1;
 const AWAY: u8 = 2;
+const WROTE: u8 = 3;
 
 impl Proxy {
     fn new(incident: &Incident) -> Proxy {
@@ -132,6 +133,7 @@
         let scatter = 0.4 + 0.6 * (rng.random::<f64>() + rng.random::<f64>());
         let (how, took) = match servers {
             Servers::NoPrimary if write => (AWAY, USUAL / 8),
+            Servers::Answer(slower) if write => (WROTE, USUAL.mul_f64(slower * scatter * 2.0)),
             Servers::Answer(slower) => (ANSWERED, USUAL.mul_f64(slower * scatter)),
             Servers::NoPrimary => (ANSWERED, USUAL.mul_f64(scatter)),
             Servers::Silent => (BROKEN, WAIT),
@@ -151,8 +153,11 @@
             self.out.pop();
             self.open -= 1;
             let late = now.saturating_sub(at);
+            if matches!(how, WROTE | AWAY) {
+                self.model.handle(now, Event::Wrote { group, served: how == WROTE });
+            }
             let (how, answer) = match how {
-                ANSWERED => (Ended::Answered, Event::Served { group }),
+                ANSWERED | WROTE => (Ended::Answered, Event::Served { group }),
                 AWAY => (Ended::TurnedAway, Event::Refused { group, cause: Cause::Servers }),
                 _ => (Ended::Broken, Event::Failed { group }),
             };
--- a/crates/leverproxy/src/health.rs
+++ b/crates/leverproxy/src/health.rs
@@ -19,9 +19,11 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Protocol {
-    /// HAProxy's agent check; `expects_text`: the balancer sends a line first.
+    /// HAProxy's agent check; `expects_text`: the balancer sends a line first; `maxconn`: it is told how many clients
+    /// the proxy takes.
     Agent {
         expects_text: bool,
+        maxconn: bool,
     },
     Http(Statuses),
     /// gRPC's health checking, on a thread of its own.
@@ -205,8 +207,10 @@
             };
             let filled = check.stream.fill(limit);
             match set.protocol {
-                Protocol::Agent { expects_text } => {
-                    answer_agent(check, expects_text, status, &mut self.counts)
+                Protocol::Agent { expects_text, maxconn } => {
+                    let room = status.room.filter(|_| maxconn);
+                    let status = Status { room, ..status.clone() };
+                    answer_agent(check, expects_text, &status, &mut self.counts);
                 }
                 Protocol::Http(statuses) => {
                     answer_http(check, statuses, status, now, &mut self.counts, &mut self.views);
--- a/crates/leverproxy/src/monitor.rs
+++ b/crates/leverproxy/src/monitor.rs
@@ -94,8 +94,11 @@
     }
 
     /// A request had its final answer, of the module or of a record server.
-    pub fn answered(&mut self, group: GroupId, answer: &Answer, now: Instant) {
+    pub fn answered(&mut self, group: GroupId, write: bool, answer: &Answer, now: Instant) {
         let group = group.0;
+        if write && !matches!(answer, Answer::Rejected(_)) {
+            self.event(now, Event::Wrote { group, served: matches!(answer, Answer::Served(_)) });
+        }
         self.answered += 1;
         match answer {
             Answer::Served(_) => self.event(now, Event::Served { group }),
@@ -149,13 +152,13 @@
         let groups = self.model.groups().map(|(group, state)| wire_health::Group {
             group,
             condition: state.condition.name(),
-            serves: matches!(state.condition, Condition::Serving | Condition::Failing),
+            serves: !matches!(state.condition, Condition::Hung | Condition::Dead),
         });
         Status {
             state: report.state,
             weight: report.weight,
             reason: reason(report),
-            room: None,
+            room: u32::try_from(self.usage.clients_limit).ok().filter(|limit| *limit > 0),
             come_back: if report.state.serves() { Duration::from_secs(1) } else { DRAIN_COME_BACK },
             load: wire_health::Load {
                 cpu: self.cpu,
@@ -205,6 +208,7 @@
         Reason::Descriptors => "few descriptors are left".into(),
         Reason::Memory => "little memory is left".into(),
         Reason::Group(group) => format!("group {group} does not answer"),
+        Reason::Primary(group) => format!("group {group} takes no writes"),
         Reason::Servers => "record servers refuse or fail".into(),
         Reason::Slow => format!("record servers take {:.1} times as long as usual", report.slowness),
     }
--- a/crates/leverproxy/src/operators.rs
+++ b/crates/leverproxy/src/operators.rs
@@ -160,7 +160,7 @@
         address: h.address,
         protocol: match h.protocol {
             "grpc" => Protocol::Grpc,
-            "agent" => Protocol::Agent { expects_text: h.expects_text },
+            "agent" => Protocol::Agent { expects_text: h.expects_text, maxconn: h.maxconn },
             _ => Protocol::Http(match h.statuses {
                 "drain-is-404" => Statuses::DrainIs404,
                 "overload-is-429" => Statuses::OverloadIs429,
--- a/crates/leverproxy/src/stages/mod.rs
+++ b/crates/leverproxy/src/stages/mod.rs
@@ -21,7 +21,7 @@
 use crate::request::{Answer, Done, Purpose, Request, Ticket};
 use crate::seldom::Seldom;
 use crate::upstream::{Due, Upstream};
-use mountshift::{Action, Event, ListNews, RequestId, StoreId, TimerToken};
+use mountshift::{Action, Event, ListNews, Need, RequestId, StoreId, TimerToken};
 use mountshift_settings::{Decoded, Names};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -58,6 +58,8 @@
     names: Names,
     /// Of the classes, by id.
     deadlines: Vec<Duration>,
+    /// Those that only a primary takes.
+    writes: Vec<bool>,
     probe_time: Duration,
     directory: Directory,
     ledger: admit::Ledger,
@@ -88,6 +90,7 @@
             end: None,
             names,
             deadlines: settings.classes.iter().map(|c| c.deadline).collect(),
+            writes: settings.classes.iter().map(|c| c.need == Need::Write).collect(),
             probe_time,
             directory: Directory::default(),
             ledger: admit::Ledger::new(max_open),
@@ -304,7 +307,8 @@
     fn relay(&mut self, open: admit::Open, answer: Answer, sides: &mut Sides, now: Instant) {
         log::debug!("{}: {}", self.counters.name(open.class), relay::account(&open, &answer, now));
         self.counters.answered(open.class, &answer);
-        self.monitor.answered(open.group, &answer, now);
+        let write = self.writes.get(usize::from(open.class.0)).copied().unwrap_or(false);
+        self.monitor.answered(open.group, write, &answer, now);
         sides.front.answer(open.ticket, answer, now, &sides.reactor);
     }
 
--- a/crates/leverproxy/tests/balancers.rs
+++ b/crates/leverproxy/tests/balancers.rs
@@ -83,6 +83,16 @@
     assert_eq!(rest(stream), "ready up 100%\n");
 }
 
+#[test]
+fn an_agent_tells_how_many_clients_fit_where_it_is_told_to() {
+    let stage = Stage::under(
+        &[],
+        "health a {\n protocol agent\n address 127.0.0.1:0\n maxconn yes\n}\nlimits {\n sockets 141\n}\n",
+    );
+    // 141 less 32, nine for this listener and ten for the reserve leave 90, of which clients get 60%.
+    until("the limit is known", || agent_says(stage.health[0]) == "ready up 100% maxconn:54\n");
+}
+
 /// A group that takes requests and answers none shows within a second, and costs the others nothing.
 #[test]
 fn a_hung_group_shows_and_the_others_stay() {
