The story of PostgreSQL checks looks at the log and the counters

Seen on reading again: the test of balancers' checks on the clients' port would have passed had they been logged as bad clients or put out. Change: it runs the program and reads its log to the end: nobody turned out, no line on a client.

--- a/crates/leverproxy/tests/balancers.rs
+++ b/crates/leverproxy/tests/balancers.rs
@@ -280,10 +280,7 @@
 /// What balancers do to see whether a PostgreSQL server is there is no fault of a client's, and takes no place.
 #[test]
 fn postgres_checks_are_no_clients() {
-    let stage = Stage::under(
-        &[],
-        "balancer b {\n network 127.0.0.0/8\n}\nlimits {\n client-patience 200ms\n sockets 128\n}\n",
-    );
+    let mut stage = Program::under("", "balancer b {\n network 127.0.0.0/8\n}\n");
     drop(connect(stage.address));
     let code = |number: u32| [8_u32.to_be_bytes(), number.to_be_bytes()].concat();
     // SSLRequest and GSSENCRequest are answered with a no, and the startup follows.
@@ -300,6 +297,12 @@
     let mut stream = connect(stage.address);
     stream.write_all(&[&16_u32.to_be_bytes()[..], &80_877_102_u32.to_be_bytes(), &[0; 8]].concat()).unwrap();
     assert_eq!(stream.read(&mut [0; 16]).unwrap(), 0);
+    drop(stream);
+    // Nobody was put out, and the log says nothing of any of them.
+    stage.signal(Signal::TERM);
+    let log = stage.rest();
+    assert!(log.iter().any(|line| line.contains("turned out 0;")), "{log:?}");
+    assert!(!log.iter().any(|line| line.contains("front:")), "{log:?}");
 }
 
 #[test]
--- a/crates/leverproxy/tests/common/mod.rs
+++ b/crates/leverproxy/tests/common/mod.rs
@@ -439,6 +439,11 @@
         kill_process(Pid::from_child(&self.child), signal).unwrap();
     }
 
+    /// All that its log still holds, until it ends.
+    pub fn rest(&mut self) -> Vec<String> {
+        self.log.by_ref().map(Result::unwrap).collect()
+    }
+
     /// The next line of its log that holds these words.
     pub fn line(&mut self, words: &str) -> String {
         self.log.by_ref().map(Result::unwrap).find(|line| line.contains(words)).expect(words)
