--- a/crates/availability/src/lib.rs
+++ b/crates/availability/src/lib.rs
@@ -8,21 +8,27 @@
 //! **The rule.** While it serves, a proxy's weight is 100 x own x shared, where
 //! - `own` falls with signals that only this proxy's own state can cause (how late its loop runs), down to `least`;
 //! - `shared` falls with the part of its traffic that record servers do not serve, down to `floor`;
+//! - a link to a place that is proven to be cut takes the part of the attempts that went there, down to `cut_floor`
+//!   (see [`Link`]);
 //! - signals that slow record servers or a crowd at every door can cause as well (open requests, descriptors, memory)
 //!   count as own, less the part that slower answers explain, but never below `floor`: they show before the slowness
 //!   itself does, so waiting for proof of shared trouble would come too late.
 //!
 //! So, whatever record servers and clients do, a proxy whose loop is in time (and has been for as long as its weight
-//! takes to rise) tells at least 100 x `floor`, and only a proxy that is drained, stopping or not yet started tells 0.
+//! takes to rise) tells at least 100 x `floor`, or 100 x `cut_floor` while it is proven that servers work which it can't
+//! reach; and only a proxy that is drained, stopping or not yet started tells 0.
 //! Tests hold the model to it over random events.
 
 mod group;
 mod latency;
+mod link;
 
 pub use group::{Condition, GroupState};
 pub use health_state::State;
+pub use link::{Link, PLACES_LIMIT, SERVERS_LIMIT};
 
 use group::Group;
+use link::Links;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -38,6 +44,12 @@
     pub floor: f64,
     /// Least part that own trouble leaves.
     pub least: f64,
+    /// Least part that a cut link leaves, together with what is shared.
+    pub cut_floor: f64,
+    /// The list of servers is late by this at the most.
+    pub list_late: Duration,
+    /// A lost primary is replaced no sooner than this.
+    pub election: Duration,
     /// The loop's lag at which weight begins to fall, and at which it is at its least.
     pub lag: (Duration, Duration),
     /// The same for parts of a limit in use: open requests, descriptors, memory.
@@ -60,12 +72,21 @@
     pub gap: Duration,
 }
 
+impl Settings {
+    fn links(&self) -> link::Settings {
+        link::Settings { silence: self.silence, list_late: self.list_late, election: self.election }
+    }
+}
+
 impl Default for Settings {
     fn default() -> Settings {
         let ms = Duration::from_millis;
         Settings {
             floor: 0.5,
             least: 0.05,
+            cut_floor: 0.25,
+            list_late: ms(10_000),
+            election: ms(2_000),
             lag: (ms(10), ms(200)),
             use_of_limits: (0.8, 0.98),
             overload: (0.6, 0.75),
@@ -140,6 +161,36 @@
         group: u32,
         served: bool,
     },
+    /// The list's word on a server, and that the list was heard, whatever it said.
+    Listed {
+        server: u32,
+        place: u16,
+        group: u32,
+        there: bool,
+    },
+    ListHeard,
+    /// Exchanges with a server, for requests or probes: begun, and over. `word`: something came of its machine, if
+    /// only a refusal or the end of a connection.
+    Asks {
+        server: u32,
+    },
+    Over {
+        server: u32,
+        word: bool,
+    },
+    /// A connection to a server is begun; one has come up.
+    Dials {
+        server: u32,
+    },
+    Word {
+        server: u32,
+    },
+    /// A server tells how far it has the log, and whether it is the primary.
+    Told {
+        server: u32,
+        position: Option<Time>,
+        primary: Option<bool>,
+    },
     /// The proxy's own load.
     Load(Load),
     /// Whether discovery can be heard. It does not count: a proxy that serves serves.
@@ -175,6 +226,8 @@
     Group(u32),
     /// A group takes no writes.
     Primary(u32),
+    /// Servers of a place work, and the link to them is cut.
+    Link(u16),
     /// Record servers refuse or fail much of the work.
     Servers,
     /// Record servers are slower than usual.
@@ -204,6 +257,7 @@
     discovery: bool,
     load: Load,
     groups: BTreeMap<u32, Group>,
+    links: Links,
     /// The weight as it is worked out, and as far as it has risen.
     shown: f64,
     shown_at: Time,
@@ -246,6 +300,7 @@
             discovery: true,
             load: Load::default(),
             groups: BTreeMap::new(),
+            links: Links::new(),
             shown: 100.0,
             shown_at: now,
             report,
@@ -267,12 +322,28 @@
         self.groups.iter().map(|(id, group)| (*id, group.state()))
     }
 
+    /// The link to each place, as far as it is known.
+    pub fn links(&self) -> impl Iterator<Item = (u16, Link)> + '_ {
+        self.links.states()
+    }
+
+    pub fn link(&self, place: u16) -> Option<Link> {
+        self.links.state(place)
+    }
+
+    /// A server that should be dialled now, if any: what comes of it tells a lost link from slow servers. The caller
+    /// says that it does so by [`Event::Dials`].
+    pub fn knock(&self, may: impl Fn(u32) -> bool) -> Option<u32> {
+        self.links.knock(may)
+    }
+
     /// Takes an event in; the report follows it at once where it matters, and within `LOOK` elsewhere.
     pub fn handle(&mut self, now: Time, event: Event) {
         let now = now.max(self.now);
         if now - self.now > self.set.gap {
             // Whatever was owed may have been answered while nobody looked.
             self.groups.values_mut().for_each(|g| g.woke(now));
+            self.links.woke(now);
         }
         self.now = now;
         let mut urgent = false;
@@ -306,6 +377,17 @@
                 self.with(group, |g, _| g.answered(now, false));
             }
             Event::Refused { cause: Cause::Own, .. } => {}
+            Event::Listed { server, place, group, there } => {
+                self.links.listed(server, place, group, there, now)
+            }
+            Event::ListHeard => self.links.list_heard(now),
+            Event::Asks { server } => self.links.asks(server, now),
+            Event::Over { server, word } => self.links.over(server, word, now),
+            Event::Dials { server } => self.links.dials(server, now),
+            Event::Word { server } => self.links.word(server, now),
+            Event::Told { server, position, primary } => {
+                self.links.told(server, position, primary, now, self.set.links());
+            }
             Event::Wrote { group, served } => self.with(group, |g, _| g.wrote(served, now)),
         }
         if urgent || now - self.last_look >= LOOK {
@@ -340,6 +422,7 @@
         for group in self.groups.values_mut() {
             group.look(now, &set, damping);
         }
+        self.links.look(now, set.links());
         let shared = self.shared();
         let (own, own_reason) = self.own(&shared);
         let target = 100.0 * own * shared.factor;
@@ -347,7 +430,12 @@
         let risen = self.shown + set.rise * (now - self.shown_at).as_secs_f64();
         self.shown = if target < self.shown { target } else { risen.min(target) };
         self.shown_at = now;
-        let least = (100.0 * if own_reason == Reason::Lag { set.least } else { set.floor }).ceil();
+        let least = match own_reason {
+            Reason::Lag => set.least,
+            Reason::Link(_) => set.cut_floor.min(set.floor),
+            _ => set.floor,
+        };
+        let least = (100.0 * least).ceil();
         let step = f64::from(set.step.max(1));
         // Rounded down to a step, but what the rule guarantees is kept.
         let weight =
@@ -463,6 +551,14 @@
                 worst = (part, reason);
             }
         }
+        if let Some((place, share)) = self.links.cut(self.now) {
+            let cut_floor = self.set.cut_floor.min(floor);
+            // What its other servers serve in its place does not show in its answers, but they bear it.
+            let part = (1.0 - (1.0 - cut_floor) * share).max(cut_floor / shared.factor).min(1.0);
+            if part < worst.0 {
+                worst = (part, Reason::Link(place));
+            }
+        }
         if worst.0 >= 1.0 {
             (1.0, Reason::None)
         } else {
--- /dev/null
+++ b/crates/availability/tests/links.rs
@@ -0,0 +1,256 @@
+//! Links to buildings on virtual time: what is told of one that is cut, and never of one whose servers are dead.
+
+use availability::{Availability, Event, Link, Reason, Settings, State, Time};
+use proptest::prelude::*;
+use std::time::Duration;
+
+const MS: Duration = Duration::from_millis(1);
+const SECOND: Duration = Duration::from_secs(1);
+const HERE: u16 = 0;
+const THERE: u16 = 1;
+
+/// Six servers: 0 to 2 here, 3 to 5 there; three groups of two, the primary of the last two there.
+fn model() -> Availability {
+    let mut model = Availability::new(Settings::default(), Time::ZERO);
+    model.handle(Time::ZERO, Event::Started);
+    for server in 0..6_u32 {
+        let place = if server < 3 { HERE } else { THERE };
+        model.handle(Time::ZERO, Event::Listed { server, place, group: server % 3, there: true });
+    }
+    for (server, primary) in [(0, true), (1, false), (2, false), (3, false), (4, true), (5, true)] {
+        model.handle(MS, Event::Told { server, position: Some(Time::ZERO), primary: Some(primary) });
+    }
+    model
+}
+
+fn exchange(model: &mut Availability, server: u32, at: Time) {
+    model.handle(at, Event::Asks { server });
+    model.handle(at, Event::Over { server, word: true });
+}
+
+/// Exchanges with all servers, and the primary's word on its log, for a second.
+fn calm(model: &mut Availability, from: Time) -> Time {
+    for step in 0..20_u32 {
+        let at = from + 50 * MS * step;
+        (0..6).for_each(|server| exchange(model, server, at));
+    }
+    from + SECOND
+}
+
+/// Servers there are asked, and dialled where the model says so, and nothing comes of it; the log grows, or stands at
+/// the time that is given.
+fn nothing_comes(model: &mut Availability, from: Time, span: Duration, log: Option<Time>) -> Time {
+    let mut at = from;
+    while at < from + span {
+        (3..6).for_each(|server| model.handle(at, Event::Asks { server }));
+        (0..3).for_each(|server| exchange(model, server, at));
+        if let Some(server) = model.knock(|_| true) {
+            model.handle(at, Event::Dials { server });
+        }
+        model.handle(at, Event::Told { server: 1, position: log.or(Some(at)), primary: Some(false) });
+        at += 50 * MS;
+    }
+    at
+}
+
+#[test]
+fn a_link_is_cut_once_the_log_behind_it_goes_on() {
+    let mut model = model();
+    let at = calm(&mut model, MS);
+    let at = nothing_comes(&mut model, at, 1_200 * MS, None);
+    assert_eq!((model.link(HERE), model.link(THERE)), (Some(Link::Up), Some(Link::Cut)));
+    let report = *model.report();
+    assert_eq!(report.reason, Reason::Link(THERE));
+    // Half of the attempts went there.
+    assert!(report.state.serves() && (50..=70).contains(&report.weight), "{report:?}");
+    // A word from there, and it stands again; the weight comes back step by step.
+    model.handle(at, Event::Word { server: 4 });
+    model.handle(at, Event::Tick);
+    assert_eq!(model.link(THERE), Some(Link::Up));
+    assert!(model.report().weight < 100);
+    let at = calm(&mut model, at);
+    calm(&mut model, at + 2 * SECOND);
+    assert_eq!(model.report().weight, 100);
+}
+
+#[test]
+fn the_list_proves_it_where_the_log_does_not_but_later() {
+    let mut model = model();
+    let mut at = calm(&mut model, MS);
+    let start = at;
+    while at < start + 12 * SECOND {
+        at = nothing_comes(&mut model, at, SECOND, Some(start));
+        model.handle(at, Event::ListHeard);
+        let expected = if at < start + Duration::from_millis(10_350) { Link::Silent } else { Link::Cut };
+        model.handle(at, Event::Tick);
+        assert_eq!(model.link(THERE), Some(expected), "after {:?}", at - start);
+    }
+}
+
+#[test]
+fn a_place_that_the_list_drops_is_gone_and_no_ones_own_trouble() {
+    let mut model = model();
+    let at = calm(&mut model, MS);
+    let mut at = nothing_comes(&mut model, at, 5 * SECOND, Some(at));
+    assert_eq!(model.link(THERE), Some(Link::Silent));
+    for server in 3..6 {
+        model.handle(at, Event::Listed { server, place: THERE, group: server % 3, there: false });
+    }
+    for _ in 0..10 {
+        at = nothing_comes(&mut model, at, SECOND, None);
+        model.handle(at, Event::ListHeard);
+    }
+    assert_eq!(model.link(THERE), Some(Link::Gone));
+    assert!(model.report().weight >= 50 && model.report().reason != Reason::Link(THERE));
+}
+
+/// Without a dial in vain nothing is said: servers that hang or are slow accept connections.
+#[test]
+fn servers_that_accept_connections_make_no_place_silent() {
+    let mut model = model();
+    let mut at = calm(&mut model, MS);
+    for _ in 0..200 {
+        (3..6).for_each(|server| model.handle(at, Event::Asks { server }));
+        (0..3).for_each(|server| exchange(&mut model, server, at));
+        if let Some(server) = model.knock(|_| true) {
+            model.handle(at, Event::Dials { server });
+            model.handle(at, Event::Word { server });
+        }
+        model.handle(at, Event::Told { server: 1, position: Some(at), primary: Some(false) });
+        model.handle(at, Event::ListHeard);
+        assert_eq!(model.link(THERE), Some(Link::Up));
+        at += 100 * MS;
+    }
+}
+
+#[test]
+fn one_silent_server_is_no_silent_place() {
+    let mut model = model();
+    let at = calm(&mut model, MS);
+    // The only one that is asked there: the others may well answer.
+    for step in 0..60_u32 {
+        let at = at + 50 * MS * step;
+        model.handle(at, Event::Asks { server: 4 });
+        model.handle(at, Event::Dials { server: 4 });
+        assert_eq!((model.link(THERE), model.knock(|_| true)), (Some(Link::Up), None));
+    }
+    let at = at + 4 * SECOND;
+    for step in 0..60_u32 {
+        let at = at + 50 * MS * step;
+        model.handle(at, Event::Asks { server: 4 });
+        model.handle(at, Event::Dials { server: 4 });
+        (0..3).chain([3, 5]).for_each(|server| exchange(&mut model, server, at));
+        model.handle(at, Event::Told { server: 1, position: Some(at), primary: Some(false) });
+        assert_eq!(model.link(THERE), Some(Link::Up));
+    }
+}
+
+/// What is known stays bounded, whatever the list says.
+#[test]
+fn places_and_servers_are_bounded() {
+    let mut model = Availability::new(Settings::default(), Time::ZERO);
+    model.handle(Time::ZERO, Event::Started);
+    for server in 0..20_000_u32 {
+        let place = (server % 500) as u16;
+        model.handle(MS, Event::Listed { server, place, group: server, there: true });
+    }
+    assert!(model.links().count() <= availability::PLACES_LIMIT);
+    // Servers that come and go leave nothing behind.
+    for server in 20_000..60_000_u32 {
+        model.handle(MS, Event::Listed { server, place: 0, group: 0, there: false });
+    }
+    assert_eq!(model.report().state, State::Ready);
+}
+
+/// One step of a building's death as a proxy may see it.
+#[derive(Clone, Debug)]
+enum Seen {
+    Asks(u32),
+    Silence(u32),
+    Here(u32),
+    List,
+    Knock,
+    /// A member here tells its position; so much before the present, or before the death.
+    Log {
+        server: u32,
+        behind: u64,
+    },
+}
+
+fn seen() -> impl Strategy<Value = (u64, Seen)> {
+    let step = prop_oneof![
+        3 => (3..6_u32).prop_map(Seen::Asks),
+        3 => (3..6_u32).prop_map(Seen::Silence),
+        2 => (0..3_u32).prop_map(Seen::Here),
+        1 => Just(Seen::List),
+        2 => Just(Seen::Knock),
+        2 => (0..3_u32, 0..300_u64).prop_map(|(server, behind)| Seen::Log { server, behind }),
+    ];
+    (0..200_u64, step)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// A building dies: its groups' logs stand still until others take over, 2.9 s later at the soonest, and the list
+    /// drops it within 8.1 s. Whatever is asked and told meanwhile, its link is never called cut.
+    #[test]
+    fn a_dead_building_is_never_called_cut(
+        steps in proptest::collection::vec(seen(), 50..400),
+        election in 2_900..6_600_u64,
+        dropped in 1_000..8_100_u64,
+    ) {
+        let mut model = model();
+        let death = calm(&mut model, MS);
+        let (takes_over, dropped) = (death + MS * election as u32, death + MS * dropped as u32);
+        let (mut now, mut listed, mut dials) = (death, true, Vec::new());
+        for (ms, step) in steps {
+            now += MS * ms as u32;
+            if listed && now >= dropped {
+                listed = false;
+                for server in 3..6 {
+                    model.handle(now, Event::Listed { server, place: THERE, group: server % 3, there: false });
+                }
+            }
+            match step {
+                Seen::Asks(server) => model.handle(now, Event::Asks { server }),
+                Seen::Silence(server) => model.handle(now, Event::Over { server, word: false }),
+                Seen::Here(server) => exchange(&mut model, server, now),
+                Seen::List => model.handle(now, Event::ListHeard),
+                Seen::Knock => {
+                    if let Some(server) = model.knock(|_| true) {
+                        dials.push(server);
+                        model.handle(now, Event::Dials { server });
+                    }
+                }
+                Seen::Log { server, behind } => {
+                    // Of groups 1 and 2, whose primaries are dead; the new one has not told us.
+                    let end = if now < takes_over { death } else { now };
+                    let position = if server == 0 { now } else { end } - MS * behind as u32;
+                    model.handle(now, Event::Told { server, position: Some(position), primary: None });
+                }
+            }
+            prop_assert_ne!(model.link(THERE), Some(Link::Cut), "{:?} after the death", now - death);
+            prop_assert!(model.report().weight >= 50);
+        }
+    }
+
+    /// A link is cut and what is behind it works: it is told within two seconds, whatever the order.
+    #[test]
+    fn a_cut_link_is_told(order in proptest::collection::vec(0..3_u32, 60..61), phase in 0..50_u64) {
+        let mut model = model();
+        let cut = calm(&mut model, MS) + MS * phase as u32;
+        for (step, first) in (0_u32..).zip(order) {
+            let now = cut + 33 * MS * step;
+            model.handle(now, Event::Asks { server: 3 + first });
+            model.handle(now, Event::Asks { server: 3 + (first + 1) % 3 });
+            if let Some(server) = model.knock(|_| true) {
+                model.handle(now, Event::Dials { server });
+            }
+            exchange(&mut model, 1, now);
+            model.handle(now, Event::Told { server: 1, position: Some(now - 8 * MS), primary: Some(false) });
+            model.handle(now, Event::Told { server: 2, position: Some(now - 8 * MS), primary: Some(false) });
+        }
+        prop_assert_eq!(model.link(THERE), Some(Link::Cut));
+    }
+}
--- a/crates/configuration/src/model.rs
+++ b/crates/configuration/src/model.rs
@@ -92,6 +92,9 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Availability {
     pub floor: Share,
+    pub cut_floor: Share,
+    pub list_late: Duration,
+    pub election: Duration,
     pub dwell: Duration,
     pub silence: Duration,
     pub lag: Duration,
@@ -374,6 +377,9 @@
     let availability = Availability {
         floor: v.share("floor"),
         dwell: v.time("dwell").unwrap_or_default(),
+        cut_floor: v.share("cut-floor"),
+        list_late: v.time("list-late").unwrap_or_default(),
+        election: v.time("election").unwrap_or_default(),
         silence: v.time("silence").unwrap_or_default(),
         lag: v.time("lag").unwrap_or_default(),
     };
--- a/crates/configuration/src/schema.rs
+++ b/crates/configuration/src/schema.rs
@@ -253,6 +253,9 @@
         help: "When the proxy tells balancers that it should get less work.",
         directives: &[
             at_start(directive("floor", One(share((1, 10), (1, 1))), "50%", "floor 60%", "of its weight, what trouble that other proxies may share leaves at least")),
+            at_start(directive("cut-floor", One(share((1, 20), (1, 1))), "25%", "cut-floor 40%", "of its weight, what a link that is proven to be cut leaves at least; beside `floor` the lower one counts")),
+            at_start(directive("list-late", One(time(500, 5 * MINUTE)), "10s", "list-late 20s", "the list of record servers is no later than this: a building that it still holds then, and that nothing comes from, is cut off and not dead")),
+            at_start(directive("election", One(time(100, MINUTE)), "2s", "election 1s", "no lost primary is replaced sooner than this: a log that grows before then is its own")),
             at_start(directive("dwell", One(time(100, MINUTE)), "2s", "dwell 5s", "a state is kept for this long before a better one is told")),
             at_start(directive("silence", One(time(50, 5_000)), "350ms", "silence 500ms", "a group that owes answers and gives none for this long is hung")),
             at_start(directive("lag", One(time(1, 1_000)), "10ms", "lag 20ms", "weight falls from this lag of the loop on, and is at its least at 20 times that")),
--- a/crates/incidents/src/lib.rs
+++ b/crates/incidents/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod chart;
 pub mod play;
 pub mod script;
+pub mod world;
 
 /// Time since the start of an incident.
 pub type Time = std::time::Duration;
--- a/crates/incidents/src/main.rs
+++ b/crates/incidents/src/main.rs
@@ -49,9 +49,14 @@
             outcome.closed_door,
         ));
         std::fs::write(folder.join(format!("{}.svg", incident.name)), chart::svg(&incident, &outcome)?)?;
+        let mut rows: Vec<(std::time::Duration, usize, String)> =
+            outcome.told.iter().map(|t| (t.at, t.proxy, t.state.name().to_owned())).collect();
+        let link = |place: u16, link: availability::Link| format!("link to building {place} {}", link.name());
+        rows.extend(outcome.links.iter().map(|(at, proxy, place, l)| (*at, *proxy, link(*place, *l))));
+        rows.sort();
         let mut lines = String::from("seconds,proxy,state\n");
-        for told in &outcome.told {
-            lines.push_str(&format!("{:.3},{},{}\n", told.at.as_secs_f64(), told.proxy, told.state.name()));
+        for (at, proxy, what) in rows {
+            lines.push_str(&format!("{:.3},{proxy},{what}\n", at.as_secs_f64()));
         }
         std::fs::write(folder.join(format!("{}.csv", incident.name)), lines)?;
     }
--- a/crates/incidents/src/play.rs
+++ b/crates/incidents/src/play.rs
@@ -1,9 +1,10 @@
 //! Plays an incident: requests by the balancers' shares, record servers by the script, the real model in each proxy.
 
 use crate::balancer::{Balancer, Belief};
-use crate::script::{Change, Incident, Servers};
+use crate::script::{Change, Incident, Servers, PLACES};
+use crate::world::{Reach, World};
 use crate::Time;
-use availability::{Availability, Cause, Condition, Ended, Event, Load, State};
+use availability::{Availability, Cause, Condition, Ended, Event, Link, Load, State};
 use drain::{Action, Drain};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -17,6 +18,10 @@
 /// What an answer takes as a rule, and how long an attempt is waited for.
 const USUAL: Duration = Duration::from_millis(55);
 const WAIT: Duration = Duration::from_millis(1_000);
+/// A member that broke is left alone for this long.
+const REST: Duration = Duration::from_secs(1);
+/// Discovery says this often that nothing has changed.
+const LIST: Duration = Duration::from_secs(2);
 /// Part of the requests that are writes.
 const WRITES: f64 = 0.06;
 /// Requests open at a proxy that use up all its descriptors, when nothing else does.
@@ -64,6 +69,8 @@
     pub flaps: usize,
     /// Groups' conditions at the worst, by proxy, for the group that the script touches.
     pub worst_condition: Option<Condition>,
+    /// Every change in how a proxy sees the link to a building.
+    pub links: Vec<(Time, usize, u16, Link)>,
 }
 
 struct Proxy {
@@ -75,19 +82,32 @@
     open: u32,
     stalled_until: Time,
     out: BinaryHeap<Reverse<Out>>,
+    /// By server, until when it is left alone.
+    rests: Vec<Time>,
+    links: Vec<Link>,
 }
 
-/// An attempt that is out: when it is over, its request, its group, how it ends and what it takes.
-type Out = (Time, u64, u32, u8, Duration);
+/// An attempt that is out: when it is over, its number, its server, how it ends and what it takes.
+type Out = (Time, u64, u32, End, Duration);
 
-const ANSWERED: u8 = 0;
-const BROKEN: u8 = 1;
-const AWAY: u8 = 2;
-const WROTE: u8 = 3;
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum End {
+    Answered,
+    /// A write that was served, and one that found no primary.
+    Wrote,
+    Away,
+    /// With a word of the machine, and without any.
+    Refused,
+    Silent,
+}
 
 impl Proxy {
-    fn new(incident: &Incident) -> Proxy {
+    fn new(incident: &Incident, world: &World) -> Proxy {
         let mut model = Availability::new(availability::Settings::default(), Time::ZERO);
+        for server in 0..world.servers() {
+            let (place, group) = (world.place(server), world.group(server));
+            model.handle(Time::ZERO, Event::Listed { server, place, group, there: true });
+        }
         model.handle(Time::ZERO, Event::Started);
         let balancers = incident.balancers.iter().map(|b| drain::Balancer {
             interval: b.interval,
@@ -108,6 +128,8 @@
             open: 0,
             stalled_until: Time::ZERO,
             out: BinaryHeap::new(),
+            rests: vec![Time::ZERO; world.servers() as usize],
+            links: vec![Link::Up; usize::from(PLACES)],
         }
     }
 
@@ -125,46 +147,81 @@
         }
     }
 
-    fn ask(&mut self, group: u32, servers: Servers, number: u64, now: Time, rng: &mut StdRng) {
+    /// A request, sent once: a write to the primary, a read to a member that does not rest.
+    fn ask(&mut self, own: usize, group: u32, number: u64, world: &World, now: Time, rng: &mut StdRng) {
         self.open += 1;
         self.model.handle(now, Event::Asked { group });
         let write = rng.random_bool(WRITES);
+        let members = world.members(group);
+        let rested: Vec<u32> = members.clone().filter(|m| self.rests[*m as usize] <= now).collect();
+        let picked = rng.random_range(0..1_000_usize);
+        let any = if rested.is_empty() {
+            members.start + picked as u32 % (members.end - members.start)
+        } else {
+            rested[picked % rested.len()]
+        };
+        let server = if write { world.primary(group).unwrap_or(any) } else { any };
         // Run times scatter: the sum of two uniform parts.
         let scatter = 0.4 + 0.6 * (rng.random::<f64>() + rng.random::<f64>());
-        let (how, took) = match servers {
-            Servers::NoPrimary if write => (AWAY, USUAL / 8),
-            Servers::Answer(slower) if write => (WROTE, USUAL.mul_f64(slower * scatter * 2.0)),
-            Servers::Answer(slower) => (ANSWERED, USUAL.mul_f64(slower * scatter)),
-            Servers::NoPrimary => (ANSWERED, USUAL.mul_f64(scatter)),
-            Servers::Silent => (BROKEN, WAIT),
-            Servers::Dead => (BROKEN, Duration::from_millis(2)),
+        let (end, took) = match world.reach(own, server) {
+            Reach::Nothing => (End::Silent, WAIT),
+            Reach::Servers(Servers::Silent) => (End::Silent, WAIT),
+            Reach::Servers(Servers::Dead) => (End::Refused, Duration::from_millis(2)),
+            Reach::Servers(Servers::NoPrimary) if write => (End::Away, USUAL / 8),
+            Reach::Servers(_) if write && world.primary(group).is_none() => (End::Away, USUAL / 8),
+            Reach::Servers(Servers::Answer(slower)) if write => {
+                (End::Wrote, USUAL.mul_f64(slower * scatter * 2.0))
+            }
+            Reach::Servers(Servers::Answer(slower)) => (End::Answered, USUAL.mul_f64(slower * scatter)),
+            Reach::Servers(Servers::NoPrimary) => (End::Answered, USUAL.mul_f64(scatter)),
         };
         self.model.handle(now, Event::Sent { group });
-        self.out.push(Reverse((now + took, number, group, how, took)));
+        self.model.handle(now, Event::Asks { server });
+        self.out.push(Reverse((now + took, number, server, end, took)));
     }
 
     /// Answers and time; how many were served.
-    fn step(&mut self, now: Time) -> u64 {
+    fn step(&mut self, own: usize, world: &World, now: Time) -> u64 {
         let mut served = 0;
-        while let Some(&Reverse((at, _, group, how, elapsed))) = self.out.peek() {
+        while let Some(&Reverse((at, _, server, end, elapsed))) = self.out.peek() {
             if at > now {
                 break;
             }
             self.out.pop();
             self.open -= 1;
+            let group = world.group(server);
             let late = now.saturating_sub(at);
-            if matches!(how, WROTE | AWAY) {
-                self.model.handle(now, Event::Wrote { group, served: how == WROTE });
+            if matches!(end, End::Wrote | End::Away) {
+                self.model.handle(now, Event::Wrote { group, served: end == End::Wrote });
             }
-            let (how, answer) = match how {
-                ANSWERED | WROTE => (Ended::Answered, Event::Served { group }),
-                AWAY => (Ended::TurnedAway, Event::Refused { group, cause: Cause::Servers }),
-                _ => (Ended::Broken, Event::Failed { group }),
+            let (how, answer) = match end {
+                End::Answered | End::Wrote => (Ended::Answered, Event::Served { group }),
+                End::Away => (Ended::TurnedAway, Event::Refused { group, cause: Cause::Servers }),
+                End::Refused | End::Silent => (Ended::Broken, Event::Failed { group }),
             };
             served += u64::from(how == Ended::Answered);
+            if how == Ended::Broken {
+                self.rests[server as usize] = now + REST;
+            } else {
+                let position = Some(world.position(server, now));
+                let primary = Some(world.primary(group) == Some(server));
+                self.model.handle(now, Event::Told { server, position, primary });
+            }
+            self.model.handle(now, Event::Over { server, word: end != End::Silent });
             self.model.handle(now, Event::Ended { group, how, elapsed: elapsed + late });
             self.model.handle(now, answer);
         }
+        if now.as_nanos().is_multiple_of(LIST.as_nanos()) {
+            self.model.handle(now, Event::ListHeard);
+        }
+        if now.as_millis().is_multiple_of(100) {
+            if let Some(server) = self.model.knock(|_| true) {
+                self.model.handle(now, Event::Dials { server });
+                if world.reach(own, server) != Reach::Nothing {
+                    self.model.handle(now, Event::Word { server });
+                }
+            }
+        }
         if now.as_millis().is_multiple_of(100) {
             let descriptors = (f64::from(self.open) / DESCRIPTORS + self.crowd).min(1.0);
             let open = f64::from(self.open) / DESCRIPTORS;
@@ -178,10 +235,10 @@
 /// The same incident and seed, the same outcome.
 pub fn play(incident: &Incident, seed: u64) -> Outcome {
     let mut rng = StdRng::seed_from_u64(seed);
-    let mut proxies: Vec<Proxy> = (0..incident.proxies).map(|_| Proxy::new(incident)).collect();
+    let mut world = World::new(incident.groups, incident.proxies);
+    let mut proxies: Vec<Proxy> = (0..incident.proxies).map(|_| Proxy::new(incident, &world)).collect();
     let mut balancers: Vec<Balancer> =
         incident.balancers.iter().map(|set| Balancer::new(*set, incident.proxies)).collect();
-    let mut groups = vec![Servers::Answer(1.0); incident.groups as usize];
     let mut demand = 1.0;
     let mut outcome = Outcome { least_sum: 100 * incident.proxies as u32, ..Outcome::default() };
     let mut states: Vec<State> = proxies.iter().map(|p| p.model.report().state).collect();
@@ -192,9 +249,15 @@
     while now < incident.length {
         now += STEP;
         while let Some((_, change)) = changes.get(next_change).filter(|(at, _)| *at <= now) {
-            apply(*change, &mut groups, &mut demand, &mut proxies, now);
+            apply(*change, &mut world, &mut demand, &mut proxies, now);
             next_change += 1;
         }
+        for (server, there) in world.step(now) {
+            let (place, group) = (world.place(server), world.group(server));
+            for proxy in &mut proxies {
+                proxy.model.handle(now, Event::Listed { server, place, group, there });
+            }
+        }
         // Requests come by each balancer in turn, and by its shares.
         owed += incident.per_s * demand * STEP.as_secs_f64();
         while owed >= 1.0 {
@@ -211,21 +274,28 @@
             match place {
                 None => outcome.nowhere += 1,
                 Some(at) if !proxies[at].listening => outcome.closed_door += 1,
-                Some(at) => proxies[at].ask(group, groups[group as usize], number, now, &mut rng),
+                Some(at) => proxies[at].ask(at, group, number, &world, now, &mut rng),
             }
         }
         for (at, proxy) in proxies.iter_mut().enumerate() {
             if now < proxy.stalled_until {
                 continue;
             }
-            outcome.served += proxy.step(now);
+            outcome.served += proxy.step(at, &world, now);
+            for (place, link) in proxy.model.links() {
+                let known = &mut proxy.links[usize::from(place)];
+                if std::mem::replace(known, link) != link {
+                    outcome.links.push((now, at, place, link));
+                }
+            }
             let state = proxy.model.report().state;
             if std::mem::discriminant(&state) != std::mem::discriminant(&states[at]) {
                 outcome.told.push(Told { at: now, proxy: at, state });
             }
             states[at] = state;
-            // The trouble is told by another state, or by a group's condition.
-            let sick = proxy.model.groups().any(|(_, g)| g.condition != Condition::Serving);
+            // The trouble is told by another state, by a group's condition, or by how a link stands.
+            let sick = proxy.model.groups().any(|(_, g)| g.condition != Condition::Serving)
+                || proxy.links.iter().any(|link| *link != Link::Up);
             if now >= incident.trouble.0 && !told_by[at] && (state != State::Ready || sick) {
                 told_by[at] = true;
                 let delay = now - incident.trouble.0;
@@ -267,10 +337,16 @@
     outcome
 }
 
-fn apply(change: Change, groups: &mut [Servers], demand: &mut f64, proxies: &mut [Proxy], now: Time) {
+fn apply(change: Change, world: &mut World, demand: &mut f64, proxies: &mut [Proxy], now: Time) {
     match change {
-        Change::Group(group, servers) => groups[group as usize] = servers,
-        Change::AllGroups(servers) => groups.fill(servers),
+        Change::Group(group, servers) => world.set_group(group, servers, now),
+        Change::AllGroups(servers) => {
+            (0..world.groups()).for_each(|group| world.set_group(group, servers, now));
+        }
+        Change::Link(proxy, place, up) => world.link(proxy, place, up),
+        Change::Apart(apart) => world.apart(apart, now),
+        Change::Power(place, on) => world.power(place, on, now),
+        Change::HungBuilding(place, hung) => world.hang(place, hung),
         Change::Lag(at, lag) => proxies[at].lag = lag,
         Change::Descriptors(at, part) => proxies[at].crowd = part,
         Change::Demand(times) => *demand = times,
@@ -301,5 +377,6 @@
         come_back: Duration::from_secs(1),
         load: wire_health::Load::default(),
         groups: Vec::new(),
+        links: Vec::new(),
     }
 }
--- a/crates/incidents/src/script.rs
+++ b/crates/incidents/src/script.rs
@@ -30,8 +30,20 @@
     Discovery(usize, bool),
     /// Nothing of a proxy moves for so long.
     Stall(usize, Duration),
+    /// The link from a proxy to a building stands, or nothing passes it.
+    Link(usize, u16, bool),
+    /// The buildings' own link to each other.
+    Apart(bool),
+    /// A building has power. Without it its machines say nothing, the list drops them after a while, and groups whose
+    /// primary was there find another in the other building; with it they are back.
+    Power(u16, bool),
+    /// The servers of a building take requests and answer none.
+    HungBuilding(u16, bool),
 }
 
+/// Buildings; every group has two members in each.
+pub const PLACES: u16 = 2;
+
 #[derive(Clone, Debug)]
 pub struct Incident {
     pub name: &'static str,
@@ -172,6 +184,39 @@
             may_be_out: vec![0],
             ..base.clone()
         },
+        Incident {
+            name: "link-cut",
+            about: "one of three proxies loses its link to one of two buildings",
+            changes: vec![(from, Change::Link(0, 1, false)), (to, Change::Link(0, 1, true))],
+            ..base.clone()
+        },
+        Incident {
+            name: "building-dies",
+            about: "one of two buildings loses its power",
+            changes: vec![(from, Change::Power(1, false)), (to, Change::Power(1, true))],
+            ..base.clone()
+        },
+        Incident {
+            name: "buildings-apart",
+            about: "the two buildings lose their link, proxies stand in both; discovery is heard",
+            changes: vec![
+                (from, Change::Apart(true)),
+                (from, Change::Link(0, 1, false)),
+                (from, Change::Link(1, 0, false)),
+                (from, Change::Link(2, 1, false)),
+                (to, Change::Link(0, 1, true)),
+                (to, Change::Link(1, 0, true)),
+                (to, Change::Link(2, 1, true)),
+                (to, Change::Apart(false)),
+            ],
+            ..base.clone()
+        },
+        Incident {
+            name: "building-hung",
+            about: "all servers of one of two buildings take requests and answer none",
+            changes: vec![(from, Change::HungBuilding(1, true)), (to, Change::HungBuilding(1, false))],
+            ..base.clone()
+        },
         Incident {
             name: "two-intervals",
             about: "a drain before balancers that check every 0.5 s and every 5 s",
--- a/crates/incidents/tests/incidents.rs
+++ b/crates/incidents/tests/incidents.rs
@@ -1,5 +1,6 @@
 //! Every incident, over several seeds: what must be told in time, and what must never be told.
 
+use availability::Link;
 use incidents::balancer::Server;
 use incidents::play::{play, Outcome};
 use incidents::script::{all, Incident};
@@ -117,3 +118,56 @@
     server.agent("up 0%");
     assert!(!server.takes_traffic());
 }
+
+/// Only the proxy that is cut off is told to get less, and soon; the link is known to stand again when it does.
+#[test]
+fn a_cut_link_is_its_own_proxys_trouble() {
+    let incident = incident("link-cut");
+    for outcome in seeds(&incident) {
+        assert!(
+            outcome.links.iter().all(|(_, proxy, place, _)| (*proxy, *place) == (0, 1)),
+            "{:?}",
+            outcome.links
+        );
+        let when = |link| outcome.links.iter().find(|(.., l)| *l == link).map(|(at, ..)| *at);
+        let cut = when(Link::Cut).unwrap() - incident.trouble.0;
+        assert!(cut <= Duration::from_millis(1_500), "{cut:?}");
+        let up = when(Link::Up).unwrap();
+        assert!((incident.trouble.1..incident.trouble.1 + Duration::from_secs(3)).contains(&up), "{up:?}");
+        let middle = outcome.samples.iter().find(|s| s.at == Duration::from_secs(45)).unwrap();
+        assert!((25..=75).contains(&middle.weights[0]), "{:?}", middle.weights);
+        assert!(middle.weights[1..].iter().all(|w| *w == 100), "{:?}", middle.weights);
+    }
+}
+
+/// Servers that are dead or hang are nobody's own trouble.
+#[test]
+fn a_building_that_dies_or_hangs_is_no_cut_link() {
+    for name in ["building-dies", "building-hung", "all-dead", "all-slow", "group-hung"] {
+        for outcome in seeds(&incident(name)) {
+            assert!(
+                !outcome.links.iter().any(|(.., link)| *link == Link::Cut),
+                "{name}: {:?}",
+                outcome.links
+            );
+            assert!(outcome.least_sum >= 150, "{name}: {}", outcome.least_sum);
+            let dead = outcome.links.iter().filter(|(.., link)| *link == Link::Gone).count();
+            assert_eq!(dead, if name == "building-dies" { 3 } else { 0 }, "{name}: {:?}", outcome.links);
+        }
+    }
+}
+
+/// Every proxy is cut off from the other building: each says so, by the list alone, and none leaves service.
+#[test]
+fn buildings_apart_leave_the_balancers_somewhere_to_go() {
+    let incident = incident("buildings-apart");
+    for outcome in seeds(&incident) {
+        for proxy in 0..3 {
+            let cut = outcome.links.iter().find(|(_, p, _, link)| (*p, *link) == (proxy, Link::Cut)).unwrap();
+            let after = cut.0 - incident.trouble.0;
+            assert!((Duration::from_secs(10)..Duration::from_secs(14)).contains(&after), "{after:?}");
+        }
+        assert!(outcome.least_sum >= 75, "{}", outcome.least_sum);
+        assert_eq!(outcome.samples.last().unwrap().weights, vec![100; 3]);
+    }
+}
--- a/crates/leverproxy/src/discovery/mod.rs
+++ b/crates/leverproxy/src/discovery/mod.rs
@@ -17,6 +17,8 @@
 
 #[derive(Debug)]
 pub enum News {
+    /// It has said that nothing has changed.
+    Heard,
     Listing(Listing),
     Failed,
 }
@@ -154,7 +156,11 @@
         let mut lines = Vec::new();
         let used = watch.reader.take(watch.stream.input.unused(), &mut lines);
         watch.stream.input.consume(used.map_err(|e| e.to_string())?);
-        for line in lines.iter().filter(|line| !line.trim_ascii().is_empty()) {
+        for line in &lines {
+            if line.trim_ascii().is_empty() {
+                self.news.push_back(News::Heard);
+                continue;
+            }
             let listing = Listing::parse(line).map_err(|ListingError(problem)| problem)?;
             self.news.push_back(News::Listing(listing));
         }
--- a/crates/leverproxy/src/monitor.rs
+++ b/crates/leverproxy/src/monitor.rs
@@ -2,9 +2,10 @@
 //! of the health codecs.
 
 use crate::clock::Clock;
-use crate::request::{Answer, Verdict};
-use availability::{Availability, Cause, Condition, Ended, Event, Load, Reason, Report, Settings};
-use mountshift::GroupId;
+use crate::request::{Answer, Done, Verdict};
+use crate::upstream::Sign;
+use availability::{Availability, Cause, Condition, Ended, Event, Link, Load, Reason, Report, Settings};
+use mountshift::{Entry, GroupId, Listed, StoreId, Time};
 use std::time::{Duration, Instant};
 use wire_health::Status;
 
@@ -29,6 +30,8 @@
 
 pub struct Monitor {
     model: Availability,
+    /// Names of the places that the platform knows.
+    zones: Vec<String>,
     start: Instant,
     /// The longest that the loop has been busy since the last look.
     lag: Duration,
@@ -46,9 +49,10 @@
 }
 
 impl Monitor {
-    pub fn new(settings: Settings, now: Instant) -> Monitor {
+    pub fn new(settings: Settings, zones: Vec<String>, now: Instant) -> Monitor {
         Monitor {
             model: Availability::new(settings, Duration::ZERO),
+            zones,
             start: now,
             lag: Duration::ZERO,
             usage: Usage::default(),
@@ -78,19 +82,68 @@
         self.event(now, Event::Left { group: group.0 });
     }
 
-    pub fn sent(&mut self, group: GroupId, now: Instant) {
-        self.event(now, Event::Sent { group: group.0 });
+    /// An exchange with a record server has begun; a probe is of no group.
+    pub fn sent(&mut self, group: Option<GroupId>, store: StoreId, now: Instant) {
+        if let Some(group) = group {
+            self.event(now, Event::Sent { group: group.0 });
+        }
+        self.event(now, Event::Asks { server: store.0 });
     }
 
-    pub fn ended(&mut self, group: GroupId, verdict: &Verdict, elapsed: Duration, now: Instant) {
-        let how = match verdict {
+    pub fn ended(&mut self, done: &Done, now: Instant) {
+        let how = match done.verdict {
             // It has answered, whatever it said.
             Verdict::Served(_) | Verdict::Reported(_) | Verdict::Failed | Verdict::Spoilt => Ended::Answered,
             Verdict::Miss | Verdict::Full => Ended::TurnedAway,
             Verdict::ConnectFailed | Verdict::Reset | Verdict::TimedOut => Ended::Broken,
             Verdict::Cancelled | Verdict::NeverSent => Ended::CalledOff,
         };
-        self.event(now, Event::Ended { group: group.0, how, elapsed });
+        if let Some(group) = done.group {
+            self.event(now, Event::Ended { group: group.0, how, elapsed: done.elapsed });
+        }
+        // Of an exchange that never got a connection its dial has told.
+        let word = matches!(how, Ended::Answered | Ended::TurnedAway) || done.verdict == Verdict::Reset;
+        self.event(now, Event::Over { server: done.store.0, word });
+    }
+
+    /// What an answer or a report tells of its server; positions are Unix times.
+    pub fn told(
+        &mut self,
+        store: StoreId,
+        position: Option<Time>,
+        primary: Option<bool>,
+        clock: &Clock,
+        now: Instant,
+    ) {
+        let (unix, here) = (clock.unix(now), now.saturating_duration_since(self.start));
+        let position = position.map(|at| (here + at.since(unix)).saturating_sub(unix.since(at)));
+        self.event(now, Event::Told { server: store.0, position, primary });
+    }
+
+    pub fn sign(&mut self, sign: Sign, now: Instant) {
+        let event = match sign {
+            Sign::Dials(store) => Event::Dials { server: store.0 },
+            Sign::Word(store) => Event::Word { server: store.0 },
+        };
+        self.event(now, event);
+    }
+
+    /// The list's word on servers, and on those that it names no more.
+    pub fn listed(&mut self, entries: &[Entry], gone: impl Iterator<Item = StoreId>, now: Instant) {
+        for entry in entries {
+            let (server, place, group) = (entry.store.0, entry.zone.0, entry.group.0);
+            let there = entry.listed != Listed::Gone;
+            self.event(now, Event::Listed { server, place, group, there });
+        }
+        for store in gone {
+            self.event(now, Event::Listed { server: store.0, place: 0, group: 0, there: false });
+        }
+    }
+
+    /// A record server that should be dialled to see whether its machine is there; only balancers ask for what that
+    /// tells.
+    pub fn knock(&self, may: impl Fn(StoreId) -> bool) -> Option<StoreId> {
+        self.model.knock(|server| may(StoreId(server))).map(StoreId)
     }
 
     /// A request had its final answer, of the module or of a record server.
@@ -157,7 +210,7 @@
         Status {
             state: report.state,
             weight: report.weight,
-            reason: reason(report),
+            reason: self.reason(report),
             room: u32::try_from(self.usage.clients_limit).ok().filter(|limit| *limit > 0),
             come_back: if report.state.serves() { Duration::from_secs(1) } else { DRAIN_COME_BACK },
             load: wire_health::Load {
@@ -170,6 +223,30 @@
                 descriptors,
             },
             groups: groups.collect(),
+            links: self.links().map(|(place, link)| (place.to_owned(), link.name())).collect(),
+        }
+    }
+
+    fn links(&self) -> impl Iterator<Item = (&str, Link)> {
+        self.model.links().map(|(place, link)| (self.zone(place), link))
+    }
+
+    fn zone(&self, place: u16) -> &str {
+        self.zones.get(usize::from(place)).map_or("a place without a name", String::as_str)
+    }
+
+    fn reason(&self, report: &Report) -> String {
+        match report.reason {
+            Reason::None => String::new(),
+            Reason::Lag => "the loop is late".into(),
+            Reason::Open => "many requests are open".into(),
+            Reason::Descriptors => "few descriptors are left".into(),
+            Reason::Memory => "little memory is left".into(),
+            Reason::Group(group) => format!("group {group} does not answer"),
+            Reason::Primary(group) => format!("group {group} takes no writes"),
+            Reason::Link(place) => format!("the link to {} is cut", self.zone(place)),
+            Reason::Servers => "record servers refuse or fail".into(),
+            Reason::Slow => format!("record servers take {:.1} times as long as usual", report.slowness),
         }
     }
 
@@ -192,6 +269,9 @@
         for group in &status.groups {
             out.push_str(&format!("group {} {}\n", group.group, group.condition));
         }
+        for (place, link) in &status.links {
+            out.push_str(&format!("link {place} {link}\n"));
+        }
         out
     }
 }
@@ -200,20 +280,6 @@
     used as f64 / limit.max(1) as f64
 }
 
-fn reason(report: &Report) -> String {
-    match report.reason {
-        Reason::None => String::new(),
-        Reason::Lag => "the loop is late".into(),
-        Reason::Open => "many requests are open".into(),
-        Reason::Descriptors => "few descriptors are left".into(),
-        Reason::Memory => "little memory is left".into(),
-        Reason::Group(group) => format!("group {group} does not answer"),
-        Reason::Primary(group) => format!("group {group} takes no writes"),
-        Reason::Servers => "record servers refuse or fail".into(),
-        Reason::Slow => format!("record servers take {:.1} times as long as usual", report.slowness),
-    }
-}
-
 /// Bytes of memory that the process holds, without what it only maps from files; 0 where the system does not tell.
 fn resident() -> usize {
     const PAGE: usize = 4_096;
--- a/crates/leverproxy/src/operators.rs
+++ b/crates/leverproxy/src/operators.rs
@@ -188,6 +188,9 @@
     let part = |share: configuration::value::Share| f64::from(share.part) / f64::from(share.whole.max(1));
     availability::Settings {
         floor: part(stated.floor),
+        cut_floor: part(stated.cut_floor),
+        list_late: stated.list_late,
+        election: stated.election,
         dwell: stated.dwell,
         silence: stated.silence,
         lag: (stated.lag, stated.lag * LAG_WORST),
--- a/crates/leverproxy/src/proxy.rs
+++ b/crates/leverproxy/src/proxy.rs
@@ -29,6 +29,8 @@
     /// It has been told that nothing is owed.
     settled: bool,
     over: bool,
+    /// Balancers ask what links are worth: silent servers are dialled to tell.
+    knocks: bool,
     limits: Limits,
     reloads: Option<Reloads>,
     fixed: Fixed,
@@ -66,10 +68,12 @@
         let operate = config.control.as_deref().map(|path| Operate::listen(path, &reactor)).transpose()?;
         let timers = Timers::default();
         let mut sides = Sides { reactor, timers, front, upstream, discovery, health, operate };
+        let zones = config.platform.names.zones.clone();
+        let knocks = !config.health.is_empty();
         let mut chain = Chain::new(
             config.platform,
             config.rules,
-            Monitor::new(config.availability, now),
+            Monitor::new(config.availability, zones, now),
             config.seed,
             config.dial_timeout,
             now,
@@ -88,6 +92,7 @@
             drain,
             settled: true,
             over: false,
+            knocks,
             limits: config.limits,
             reloads: None,
             fixed,
@@ -219,6 +224,9 @@
             Timer::Load => {
                 self.chain.monitor.look(self.usage(), now);
                 self.sides.health.publish(&self.chain.monitor.status());
+                if self.knocks {
+                    self.chain.knock(&mut self.sides, now);
+                }
                 self.sides.timers.set(now + monitor::LOOK, Timer::Load);
             }
             Timer::Drain => self.drain(drain::Event::Tick, now),
--- a/crates/leverproxy/src/stages/mod.rs
+++ b/crates/leverproxy/src/stages/mod.rs
@@ -113,7 +113,9 @@
     /// Works through all that the sides have to tell.
     pub fn turn(&mut self, sides: &mut Sides, now: Instant) {
         loop {
-            if let Some(news) = sides.discovery.pop() {
+            if let Some(sign) = sides.upstream.sign() {
+                self.monitor.sign(sign, now);
+            } else if let Some(news) = sides.discovery.pop() {
                 self.on_news(news, sides, now);
             } else if let Some(done) = sides.upstream.pop() {
                 self.on_done(done, sides, now);
@@ -216,24 +218,44 @@
 
     fn on_done(&mut self, mut done: Done, sides: &mut Sides, now: Instant) {
         self.counters.ended(done.class, &done.verdict);
-        if let Some(group) = done.group {
-            self.monitor.ended(group, &done.verdict, done.elapsed, now);
-        }
+        self.monitor.ended(&done, now);
         let Purpose::Attempt(id, _) = done.purpose else {
-            return self.decide(book::book(&done, true, self.clock.unix(now)), sides, now);
+            return self.learn(book::book(&done, true, self.clock.unix(now)), sides, now);
         };
         if let Some((open, answer)) = relay::served(id, &mut done.verdict, &mut self.ledger, now) {
             self.vacate(&open, now);
             self.relay(open, answer, sides, now);
         }
         let last = self.ledger.get_mut(id).is_none();
-        self.decide(book::book(&done, last, self.clock.unix(now)), sides, now);
+        self.learn(book::book(&done, last, self.clock.unix(now)), sides, now);
+    }
+
+    /// What a record server has told goes to both who ask for it.
+    fn learn(&mut self, event: Event, sides: &mut Sides, now: Instant) {
+        let told = match &event {
+            Event::Ended(ended) => Some((ended.store, ended.note.position, ended.note.primary)),
+            Event::Probed { store, report, .. } => Some((*store, report.position, report.primary)),
+            _ => None,
+        };
+        if let Some((store, position, primary)) = told {
+            self.monitor.told(store, position, primary, &self.clock, now);
+        }
+        self.decide(event, sides, now);
+    }
+
+    /// Dials a server whose silence may be its link's.
+    pub fn knock(&mut self, sides: &mut Sides, now: Instant) {
+        if let Some(store) = self.monitor.knock(|store| sides.upstream.may_knock(store)) {
+            sides.upstream.knock(store, now, &sides.reactor);
+        }
     }
 
     fn on_news(&mut self, news: News, sides: &mut Sides, now: Instant) {
         match news {
+            News::Heard => self.monitor.event(now, availability::Event::ListHeard),
             News::Listing(listing) => {
                 self.monitor.event(now, availability::Event::Discovery { heard: true });
+                self.monitor.event(now, availability::Event::ListHeard);
                 self.counters.lists += 1;
                 let (news, changes) = self.directory.learn(listing, &self.names);
                 self.listed(news, changes, sides, now);
@@ -248,6 +270,14 @@
 
     /// The module hears of a list before the attempts that it ends are reported.
     fn listed(&mut self, news: ListNews, changes: Vec<Change>, sides: &mut Sides, now: Instant) {
+        if let ListNews::Changes(entries) | ListNews::Complete(entries) | ListNews::Cached(entries) = &news {
+            let named = |store: &StoreId| entries.iter().any(|e| e.store == *store);
+            let left = changes.iter().filter_map(|change| match change {
+                Change::Leaves(store) => Some(*store).filter(|store| !named(store)),
+                Change::Serves(..) => None,
+            });
+            self.monitor.listed(entries, left, now);
+        }
         for change in changes {
             match change {
                 Change::Serves(store, address) => sides.upstream.serves(store, address),
@@ -268,7 +298,7 @@
             Action::Send { id, store, time_out } => {
                 let Some(open) = self.ledger.get_mut(id) else { return };
                 let exchange = send::attempt(id, open, time_out, now);
-                self.monitor.sent(open.group, now);
+                self.monitor.sent(Some(open.group), store, now);
                 sides.upstream.start(store, exchange, now, &sides.reactor);
             }
             Action::Probe { store } => self.probe(store, sides, now),
@@ -295,6 +325,7 @@
 
     fn probe(&mut self, store: StoreId, sides: &mut Sides, now: Instant) {
         self.counters.probe_sent();
+        self.monitor.sent(None, store, now);
         sides.upstream.start(store, send::probe(self.probe_time, now), now, &sides.reactor);
     }
 
--- a/crates/leverproxy/src/upstream.rs
+++ b/crates/leverproxy/src/upstream.rs
@@ -10,6 +10,7 @@
 use crate::seldom::Seldom;
 use mountshift::{ClassId, GroupId, Note, StoreId};
 use std::collections::{BTreeMap, VecDeque};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -40,10 +41,19 @@
     Queue(StoreId),
 }
 
+/// What dials tell of a server's machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sign {
+    Dials(StoreId),
+    /// It has said something: a connection is up, or was refused.
+    Word(StoreId),
+}
+
 pub struct Upstream {
     connections: Slots<Connection>,
     pools: BTreeMap<StoreId, Pool>,
     done: VecDeque<Done>,
+    signs: VecDeque<Sign>,
     /// Timers asked for.
     due: Vec<(Instant, Due)>,
     misunderstood: Seldom,
@@ -91,6 +101,7 @@
             connections: Slots::default(),
             pools: BTreeMap::new(),
             done: VecDeque::new(),
+            signs: VecDeque::new(),
             due: Vec::new(),
             misunderstood: Seldom::default(),
             limit,
@@ -104,6 +115,10 @@
         self.done.pop_front()
     }
 
+    pub fn sign(&mut self) -> Option<Sign> {
+        self.signs.pop_front()
+    }
+
     pub fn take_due(&mut self) -> Vec<(Instant, Due)> {
         std::mem::take(&mut self.due)
     }
@@ -187,29 +202,48 @@
                 // What waits gets the next connection that comes free, or runs out of time.
                 return;
             }
-            let until = now + self.dial_timeout;
-            self.dials += 1;
-            let stream = match Stream::dial(address) {
-                Ok(stream) => stream,
-                Err(e) => {
-                    log::debug!("upstream: cannot dial {address}: {e}");
-                    self.fail_first_waiting(store, Verdict::ConnectFailed, now);
-                    continue;
-                }
-            };
-            let connection = Connection { stream, store, address, state: State::Connecting, until };
-            let key = self.connections.insert(connection);
-            self.due.push((until, Due::Connection(key)));
-            if let Some(pool) = self.pools.get_mut(&store) {
-                pool.dialling += 1;
+            if !self.dial(store, address, now, reactor) {
+                self.fail_first_waiting(store, Verdict::ConnectFailed, now);
             }
-            let watched = self
-                .connections
-                .get_mut(key)
-                .map(|c| c.stream.watch(reactor, Token::Upstream(key), Interest::WRITE));
-            if let Some(Err(_)) = watched {
-                self.close(key, Verdict::ConnectFailed, now);
+        }
+    }
+
+    /// Whether a connection is begun.
+    fn dial(&mut self, store: StoreId, address: SocketAddr, now: Instant, reactor: &Reactor) -> bool {
+        let until = now + self.dial_timeout;
+        self.dials += 1;
+        let stream = match Stream::dial(address) {
+            Ok(stream) => stream,
+            Err(e) => {
+                log::debug!("upstream: cannot dial {address}: {e}");
+                return false;
             }
+        };
+        self.signs.push_back(Sign::Dials(store));
+        let connection = Connection { stream, store, address, state: State::Connecting, until };
+        let key = self.connections.insert(connection);
+        self.due.push((until, Due::Connection(key)));
+        if let Some(pool) = self.pools.get_mut(&store) {
+            pool.dialling += 1;
+        }
+        let watched = self
+            .connections
+            .get_mut(key)
+            .map(|c| c.stream.watch(reactor, Token::Upstream(key), Interest::WRITE));
+        if let Some(Err(_)) = watched {
+            self.close(key, Verdict::ConnectFailed, now);
+        }
+        true
+    }
+
+    /// Whether a server may be dialled for nothing but to see whether its machine is there.
+    pub fn may_knock(&self, store: StoreId) -> bool {
+        self.pools.get(&store).is_some_and(|pool| pool.dialling == 0) && self.connections.len() < self.limit
+    }
+
+    pub fn knock(&mut self, store: StoreId, now: Instant, reactor: &Reactor) {
+        if let Some(address) = self.pools.get(&store).map(|pool| pool.address) {
+            self.dial(store, address, now, reactor);
         }
     }
 
@@ -238,10 +272,18 @@
     pub fn ready(&mut self, key: Key, now: Instant, reactor: &Reactor) {
         let Some(connection) = self.connections.get_mut(key) else { return };
         if let State::Connecting = connection.state {
-            if let Err(e) = connection.stream.connected() {
+            let (store, connected) = (connection.store, connection.stream.connected());
+            let there = |e: &std::io::Error| {
+                matches!(e.kind(), ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset)
+            };
+            if connected.as_ref().err().is_none_or(there) {
+                self.signs.push_back(Sign::Word(store));
+            }
+            if let Err(e) = connected {
                 log::debug!("upstream: dial failed: {e}");
                 return self.close(key, Verdict::ConnectFailed, now);
             }
+            let Some(connection) = self.connections.get_mut(key) else { return };
             connection.stream.push(&client::startup());
             connection.state = State::Greeting(AnswerReader::greeting());
         }
--- a/crates/wire-health/src/http.rs
+++ b/crates/wire-health/src/http.rs
@@ -216,6 +216,8 @@
             .iter()
             .map(|g| json!({"group": g.group, "condition": g.condition, "serves": g.serves}))
             .collect();
+        let links: serde_json::Map<_, _> =
+            status.links.iter().map(|(place, link)| (place.clone(), json!(link))).collect();
         let degraded = if let State::Degraded(share) = state { share } else { 0 };
         let detail = json!({
             "state": state.name(),
@@ -230,6 +232,7 @@
                 "descriptors": status.load.descriptors,
             },
             "groups": groups,
+            "links": links,
         });
         format!("{detail}\n")
     } else {
--- a/crates/wire-health/src/lib.rs
+++ b/crates/wire-health/src/lib.rs
@@ -24,6 +24,8 @@
     pub come_back: Duration,
     pub load: Load,
     pub groups: Vec<Group>,
+    /// Places of record servers, and how the link to each stands.
+    pub links: Vec<(String, &'static str)>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/wire-health/tests/codecs.rs
+++ b/crates/wire-health/tests/codecs.rs
@@ -18,7 +18,16 @@
         Group { group: 3, condition: "hung", serves: false },
     ];
     let come_back = Duration::from_millis(1_200);
-    Status { state, weight, reason: "group 3 is hung".into(), room: Some(40), come_back, load, groups }
+    Status {
+        state,
+        weight,
+        reason: "group 3 is hung".into(),
+        room: Some(40),
+        come_back,
+        load,
+        groups,
+        links: vec![("thamel".into(), "cut")],
+    }
 }
 
 const STATES: [State; 6] =
