The configuration language reads files of any table of directives

Need: the lab's files of experiments are to be in the project's language, which knew the operators' table alone. Change: loading and checking take the table; sections may be called by names of others; numbers are a type; references to sections are checked for any table; values with their defaults have a module of their own.

--- a/crates/configuration/src/check.rs
+++ b/crates/configuration/src/check.rs
@@ -2,7 +2,7 @@
 
 use crate::diagnostic::{nearest, Diagnostic};
 use crate::load::{is_name, Arg, Document};
-use crate::schema::{self, Args, Naming};
+use crate::schema::{self, Args, Naming, Table};
 use crate::source::Span;
 use crate::value::{Type, Value};
 use std::collections::HashMap;
@@ -41,7 +41,7 @@
 }
 
 /// Sorts out what is sound; the rest is reported, each fault once.
-pub fn check(document: Document, faults: &mut Vec<Diagnostic>) -> Vec<Section> {
+pub fn check(document: Document, table: Table, faults: &mut Vec<Diagnostic>) -> Vec<Section> {
     let mut sections = Vec::with_capacity(document.sections.len());
     let mut seen: HashMap<(&'static str, String), Span> = HashMap::new();
     for stated in document.sections {
@@ -49,8 +49,8 @@
         if stated.keyword.text.is_empty() {
             continue;
         }
-        let Some(spec) = schema::section(&stated.keyword.text) else {
-            faults.push(unknown_section(&stated.keyword));
+        let Some(spec) = table.iter().find(|s| s.keyword == stated.keyword.text) else {
+            faults.push(unknown_section(&stated.keyword, table));
             continue;
         };
         let Some(name) = section_name(spec, &stated, faults) else { continue };
@@ -66,7 +66,7 @@
         seen.insert((spec.keyword, name.clone()), span);
         let mut section = Section { spec, span, name, settings: Vec::new(), partial: stated.partial };
         for directive in stated.directives {
-            match setting(spec, directive, faults) {
+            match setting(spec, directive, table, faults) {
                 Some(setting) => add(&mut section, setting, faults),
                 None => section.partial = true,
             }
@@ -76,14 +76,36 @@
     sections
 }
 
-fn unknown_section(keyword: &Arg) -> Diagnostic {
+/// Names of sections that no section bears. `partial`: some of the files could not be read, where they may stand.
+pub fn references(sections: &[Section], partial: bool, faults: &mut Vec<Diagnostic>) {
+    for setting in sections.iter().flat_map(|s| &s.settings).filter(|_| !partial) {
+        let (Args::One(kind) | Args::Optional(kind) | Args::Many(kind)) = setting.spec.args;
+        let Type::Reference(wanted) = kind else { continue };
+        let known = || sections.iter().filter(|s| s.spec.keyword == wanted).map(|s| s.name.as_str());
+        for (value, span) in &setting.values {
+            let Value::Name(name) = value else { continue };
+            if known().any(|n| n == name) {
+                continue;
+            }
+            let fault = Diagnostic::error("unknown-name", *span, format!("there is no {wanted} {name}"))
+                .label("not defined in any file that was read");
+            faults.push(match nearest(name, known()) {
+                Some(near) => fault.help(format!("did you mean {near}?")),
+                None if known().next().is_none() => fault.help(format!("no {wanted} is defined")),
+                None => fault,
+            });
+        }
+    }
+}
+
+fn unknown_section(keyword: &Arg, table: Table) -> Diagnostic {
     let fault =
         Diagnostic::error("unknown-section", keyword.span, format!("there is no section {:?}", keyword.text))
             .label("not a section");
-    match nearest(&keyword.text, schema::SECTIONS.iter().map(|s| s.keyword)) {
+    match nearest(&keyword.text, table.iter().map(|s| s.keyword)) {
         Some(near) => fault.help(format!("did you mean {near}?")),
         None => {
-            let known: Vec<&str> = schema::SECTIONS.iter().map(|s| s.keyword).collect();
+            let known: Vec<&str> = table.iter().map(|s| s.keyword).collect();
             fault.help(format!("the sections are {}", known.join(", ")))
         }
     }
@@ -101,22 +123,21 @@
             Diagnostic::error("section-name", name.span, format!("the section {keyword} bears no name"))
                 .label("not wanted here")
         }
-        (Naming::Named, []) => Diagnostic::error(
+        (Naming::Named | Naming::Called, []) => Diagnostic::error(
             "section-name",
             stated.keyword.span,
             format!("the section {keyword} needs a name"),
         )
         .label(format!("write {keyword} NAME {{")),
-        (Naming::Named, [name]) => {
-            // The names of classes are the platform's.
-            if keyword == "class" && !name.text.is_empty() || is_name(&name.text) {
+        (naming @ (Naming::Named | Naming::Called), [name]) => {
+            if naming == Naming::Called && !name.text.is_empty() || is_name(&name.text) {
                 return Some(name.text.clone());
             }
             Diagnostic::error("section-name", name.span, format!("{:?} can't be a name", name.text))
                 .label("not a name")
                 .help("a name begins with a letter and holds letters, digits, - and _")
         }
-        (Naming::Named, [_, second, ..]) => {
+        (Naming::Named | Naming::Called, [_, second, ..]) => {
             Diagnostic::error("section-name", second.span, format!("the section {keyword} bears one name"))
                 .label("one too many")
         }
@@ -128,12 +149,13 @@
 fn setting(
     section: &'static schema::Section,
     directive: crate::load::Directive,
+    table: Table,
     faults: &mut Vec<Diagnostic>,
 ) -> Option<Setting> {
     let span = directive.span();
     let keyword = &directive.keyword;
     let Some(spec) = section.directive(&keyword.text) else {
-        faults.push(unknown_directive(section, keyword));
+        faults.push(unknown_directive(section, keyword, table));
         return None;
     };
     let given = directive.args.len();
@@ -184,7 +206,7 @@
     Some(Setting { spec, span, values })
 }
 
-fn unknown_directive(section: &'static schema::Section, keyword: &Arg) -> Diagnostic {
+fn unknown_directive(section: &'static schema::Section, keyword: &Arg, table: Table) -> Diagnostic {
     let (name, here) = (&keyword.text, section.keyword);
     let fault = Diagnostic::error(
         "unknown-directive",
@@ -196,7 +218,7 @@
         return fault.help(format!("did you mean {near}?"));
     }
     let elsewhere: Vec<&str> =
-        schema::SECTIONS.iter().filter(|s| s.directive(name).is_some()).map(|s| s.keyword).collect();
+        table.iter().filter(|s| s.directive(name).is_some()).map(|s| s.keyword).collect();
     if !elsewhere.is_empty() {
         return fault.help(format!("{name} belongs in a section {}", elsewhere.join(" or ")));
     }
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod space;
 pub mod syntax;
 pub mod value;
+pub mod values;
 
 use diagnostic::Diagnostic;
 use model::Model;
@@ -63,14 +64,46 @@
     }
 }
 
+/// A file of another table than the operators', as far as the table can tell: names that no section bears are
+/// reported, what else its values have to do with one another is the caller's to check.
+#[derive(Debug, Default)]
+pub struct Plain {
+    pub sources: Sources,
+    pub sections: Vec<check::Section>,
+    pub diagnostics: Vec<Diagnostic>,
+}
+
+impl Plain {
+    pub fn sound(&self) -> bool {
+        !self.diagnostics.iter().any(Diagnostic::is_error)
+    }
+}
+
+/// Reads a file of that table, and all that it includes.
+pub fn read_plain(path: &Path, loader: &dyn load::Loader, table: schema::Table) -> Plain {
+    let (mut sources, mut diagnostics) = (Sources::default(), Vec::new());
+    let document = load::load(path, loader, table, &mut sources, &mut diagnostics);
+    let partial = document.partial;
+    let sections = check::check(document, table, &mut diagnostics);
+    let partial = partial || names_missing(&diagnostics);
+    check::references(&sections, partial, &mut diagnostics);
+    diagnostic::sort(&mut diagnostics);
+    Plain { sources, sections, diagnostics }
+}
+
+/// A section has not become one: what refers to it is no second fault.
+fn names_missing(diagnostics: &[Diagnostic]) -> bool {
+    diagnostics.iter().any(|d| matches!(d.code, "unknown-section" | "section-name"))
+}
+
 /// Reads a configuration and all that it includes.
 pub fn read(path: &Path, loader: &dyn load::Loader) -> Reading {
     let mut sources = Sources::default();
     let mut diagnostics = Vec::new();
-    let document = load::load(path, loader, &mut sources, &mut diagnostics);
+    let document = load::load(path, loader, schema::SECTIONS, &mut sources, &mut diagnostics);
     let partial = document.partial;
-    let sections = check::check(document, &mut diagnostics);
-    let partial = partial || diagnostics.iter().any(|d| matches!(d.code, "unknown-section" | "section-name"));
+    let sections = check::check(document, schema::SECTIONS, &mut diagnostics);
+    let partial = partial || names_missing(&diagnostics);
     let model = model::build(&sections, partial, &mut diagnostics);
     // What a faulty line would have used seems unused: that is no second fault.
     if diagnostics.iter().any(Diagnostic::is_error) {
--- a/crates/configuration/src/load.rs
+++ b/crates/configuration/src/load.rs
@@ -1,6 +1,7 @@
 //! From files to one document: includes followed, variables put in, sections gathered.
 
 use crate::diagnostic::{nearest, Diagnostic};
+use crate::schema::Table;
 use crate::source::{FileId, Sources, Span};
 use crate::syntax::{self, Entry, Quote, Word};
 use std::collections::{BTreeMap, HashMap};
@@ -69,6 +70,7 @@
 
 struct Reading<'a> {
     loader: &'a dyn Loader,
+    table: Table,
     sources: &'a mut Sources,
     faults: &'a mut Vec<Diagnostic>,
     document: Document,
@@ -84,11 +86,13 @@
 pub fn load(
     path: &Path,
     loader: &dyn Loader,
+    table: Table,
     sources: &mut Sources,
     faults: &mut Vec<Diagnostic>,
 ) -> Document {
     let mut reading = Reading {
         loader,
+        table,
         sources,
         faults,
         document: Document::default(),
@@ -307,7 +311,7 @@
             Some(section) => section.directives.push(Directive { keyword, args }),
             None if keyword.text == "include" => self.include(&Directive { keyword, args }, path),
             None => {
-                let known = crate::schema::SECTIONS.iter().map(|s| s.keyword);
+                let known = self.table.iter().map(|s| s.keyword);
                 let hint = match known.clone().find(|k| *k == keyword.text) {
                     Some(name) => {
                         format!("a section opens with a brace at the end of its line: {name} NAME {{")
--- a/crates/configuration/src/model.rs
+++ b/crates/configuration/src/model.rs
@@ -7,6 +7,7 @@
 use crate::schema::{self, Takes};
 use crate::source::Span;
 use crate::value::{Dates, Hours, Rate, Share, Value};
+use crate::values::Values;
 use ipnet::IpNet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -172,72 +173,6 @@
     }
 }
 
-/// Typed values of a section, from the file or from the table's defaults.
-struct Values<'a> {
-    section: Option<&'a Section>,
-    spec: &'static schema::Section,
-}
-
-impl Values<'_> {
-    fn value(&self, keyword: &'static str) -> Option<Value> {
-        if let Some(value) = self.section.and_then(|s| s.value(keyword)) {
-            return Some(value.clone());
-        }
-        let spec = self.spec.directive(keyword)?;
-        let (schema::Args::One(kind) | schema::Args::Optional(kind) | schema::Args::Many(kind)) = spec.args;
-        if spec.default.is_empty() {
-            None
-        } else {
-            kind.parse(spec.default).ok()
-        }
-    }
-
-    fn time(&self, keyword: &'static str) -> Option<Duration> {
-        match self.value(keyword)? {
-            Value::Time(span) => Some(span),
-            _ => None,
-        }
-    }
-
-    fn count(&self, keyword: &'static str) -> Option<u64> {
-        match self.value(keyword)? {
-            Value::Count(n) | Value::Size(n) => Some(n),
-            _ => None,
-        }
-    }
-
-    /// A count that the table keeps within bounds that fit.
-    fn small<N: TryFrom<u64>>(&self, keyword: &'static str) -> Option<N> {
-        N::try_from(self.count(keyword)?).ok()
-    }
-
-    fn share(&self, keyword: &'static str) -> Share {
-        match self.value(keyword) {
-            Some(Value::Share(share)) => share,
-            _ => Share::new(0, 1),
-        }
-    }
-
-    fn address(&self, keyword: &'static str) -> Option<SocketAddr> {
-        match self.value(keyword)? {
-            Value::Address(address) => Some(address),
-            _ => None,
-        }
-    }
-
-    fn choice(&self, keyword: &'static str) -> &'static str {
-        match self.value(keyword) {
-            Some(Value::Choice(word)) => word,
-            _ => "",
-        }
-    }
-
-    fn all<T>(&self, keyword: &str, pick: impl Fn(&Value) -> Option<T>) -> Vec<T> {
-        let values = self.section.map_or(&[][..], |s| s.values(keyword));
-        values.iter().filter_map(|(value, _)| pick(value)).collect()
-    }
-}
-
 fn name(value: &Value) -> Option<String> {
     match value {
         Value::Name(name) => Some(name.clone()),
@@ -448,7 +383,7 @@
     for spec in schema::SECTIONS {
         match spec.naming {
             schema::Naming::Unnamed => add(spec, sections.iter().find(|s| s.spec.keyword == spec.keyword)),
-            schema::Naming::Named => {
+            schema::Naming::Named | schema::Naming::Called => {
                 sections.iter().filter(|s| s.spec.keyword == spec.keyword).for_each(|s| add(spec, Some(s)));
             }
         }
--- a/crates/configuration/src/schema.rs
+++ b/crates/configuration/src/schema.rs
@@ -35,6 +35,8 @@
     /// Stands once and bears no name.
     Unnamed,
     Named,
+    /// By a name that others have given: any text.
+    Called,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -51,31 +53,35 @@
     }
 }
 
+/// The sections that a kind of file may have.
+pub type Table = &'static [Section];
+
+/// A section of the operators' table.
 pub fn section(keyword: &str) -> Option<&'static Section> {
     SECTIONS.iter().find(|s| s.keyword == keyword)
 }
 
-const fn ms(n: u64) -> Duration {
+pub const fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
 
-const fn time(least: u64, most: u64) -> Type {
+pub const fn time(least: u64, most: u64) -> Type {
     Type::Time { least: ms(least), most: ms(most) }
 }
 
-const fn count(least: u64, most: u64) -> Type {
+pub const fn count(least: u64, most: u64) -> Type {
     Type::Count { least, most }
 }
 
-const fn share(least: (u32, u32), most: (u32, u32)) -> Type {
+pub const fn share(least: (u32, u32), most: (u32, u32)) -> Type {
     Type::Share { least: Share::new(least.0, least.1), most: Share::new(most.0, most.1) }
 }
 
-const fn size(least: u64, most: u64) -> Type {
+pub const fn size(least: u64, most: u64) -> Type {
     Type::Size { least, most }
 }
 
-const fn directive(
+pub const fn directive(
     keyword: &'static str,
     args: Args,
     default: &'static str,
@@ -174,7 +180,7 @@
     },
     Section {
         keyword: "class",
-        naming: Naming::Named,
+        naming: Naming::Called,
         help: "A class of requests, by the platform's name for it. Nothing here loosens what the platform says of the class.",
         directives: &[
             directive("deadline", One(time(1, HOUR)), "", "deadline 400ms", "the longest that a request of the class is worked on"),
@@ -282,31 +288,38 @@
 
 /// The operators' table of directives, in Markdown.
 pub fn markdown() -> String {
+    markdown_of(SECTIONS, true)
+}
+
+/// Any table in Markdown; `takes`: whether it is told when a changed value counts.
+pub fn markdown_of(table: Table, takes: bool) -> String {
     let mut out = String::new();
-    for section in SECTIONS {
+    for section in table {
         let head = match section.naming {
             Naming::Unnamed => format!("{} {{", section.keyword),
-            Naming::Named => format!("{} NAME {{", section.keyword),
+            Naming::Named | Naming::Called => format!("{} NAME {{", section.keyword),
         };
         out.push_str(&format!("### `{head}`\n\n{}\n\n", section.help));
-        out.push_str("| directive | value | range | default | takes effect | says |\n");
-        out.push_str("| --- | --- | --- | --- | --- | --- |\n");
+        let column = |text: &str| if takes { format!(" {text} |") } else { String::new() };
+        out.push_str(&format!("| directive | value | range | default |{} says |\n", column("takes effect")));
+        out.push_str(&format!("| --- | --- | --- | --- |{} --- |\n", column("---")));
         for d in section.directives {
             let (kind, many) = match d.args {
                 Args::One(kind) => (kind, ""),
                 Args::Optional(kind) => (kind, ", or nothing"),
                 Args::Many(kind) => (kind, ", one or more"),
             };
-            let takes = match d.takes {
+            let when = match d.takes {
                 Takes::Reload => "reload",
                 Takes::Start => "start",
             };
             let default = if d.default.is_empty() { "-".to_owned() } else { format!("`{}`", d.default) };
             let range = if kind.range().is_empty() { "-".to_owned() } else { kind.range() };
             out.push_str(&format!(
-                "| `{}` | {}{many} | {range} | {default} | {takes} | {}; `{}` |\n",
+                "| `{}` | {}{many} | {range} | {default} |{} {}; `{}` |\n",
                 d.keyword,
                 kind.name(),
+                column(when),
                 d.help,
                 d.example
             ));
@@ -316,35 +329,48 @@
     out
 }
 
+/// A table that breaks its own rules: a default or an example that the directive itself would not take, a keyword
+/// twice. For the tests of those who bring a table.
+pub fn faults(table: Table) -> Vec<String> {
+    let mut found = Vec::new();
+    for section in table {
+        let mut seen = Vec::new();
+        for d in section.directives {
+            let mut fault = |what: &str| found.push(format!("{} {}: {what}", section.keyword, d.keyword));
+            if seen.contains(&d.keyword) {
+                fault("stands twice");
+            }
+            seen.push(d.keyword);
+            let (Args::One(kind) | Args::Optional(kind) | Args::Many(kind)) = d.args;
+            if !d.default.is_empty() && kind.parse(d.default).is_err() {
+                fault("its default is no value of it");
+            }
+            let syntax = crate::syntax::parse(crate::source::FileId(0), d.example);
+            let words = match syntax.lines.first().map(|line| &line.entry) {
+                Some(crate::syntax::Entry::Directive(words)) if syntax.faults.is_empty() => words.as_slice(),
+                _ => &[],
+            };
+            let words: Vec<&str> =
+                words.iter().map(|w| d.example[w.span.range()].trim_matches('"')).collect();
+            let fits = match words.as_slice() {
+                [keyword, values @ ..] => {
+                    *keyword == d.keyword && values.iter().all(|v| kind.parse(v).is_ok())
+                }
+                [] => false,
+            };
+            if !fits {
+                fault("its example is none");
+            }
+        }
+    }
+    found
+}
+
 #[cfg(test)]
 mod tests {
-    use super::*;
-
     /// Defaults and examples are values that the directive itself takes.
     #[test]
     fn the_table_keeps_its_own_rules() {
-        for section in SECTIONS {
-            let mut seen = Vec::new();
-            for d in section.directives {
-                assert!(!seen.contains(&d.keyword), "{} twice in {}", d.keyword, section.keyword);
-                seen.push(d.keyword);
-                let (Args::One(kind) | Args::Optional(kind) | Args::Many(kind)) = d.args;
-                if !d.default.is_empty() {
-                    assert!(kind.parse(d.default).is_ok(), "default of {} {}", section.keyword, d.keyword);
-                }
-                let syntax = crate::syntax::parse(crate::source::FileId(0), d.example);
-                assert!(syntax.faults.is_empty(), "example of {} {}", section.keyword, d.keyword);
-                let words: Vec<&str> = match &syntax.lines[0].entry {
-                    crate::syntax::Entry::Directive(words) => {
-                        words.iter().map(|w| d.example[w.span.range()].trim_matches('"')).collect()
-                    }
-                    _ => panic!("example of {} {}", section.keyword, d.keyword),
-                };
-                assert_eq!(words[0], d.keyword);
-                for word in &words[1..] {
-                    assert!(kind.parse(word).is_ok(), "example of {} {}", section.keyword, d.keyword);
-                }
-            }
-        }
+        assert_eq!(super::faults(super::SECTIONS), Vec::<String>::new());
     }
 }
--- a/crates/configuration/src/value.rs
+++ b/crates/configuration/src/value.rs
@@ -130,6 +130,7 @@
     Rate(Rate),
     Share(Share),
     Count(u64),
+    Number(f64),
     Address(SocketAddr),
     /// One of a fixed choice.
     Choice(&'static str),
@@ -168,6 +169,11 @@
         least: u64,
         most: u64,
     },
+    /// With a point, if need be.
+    Number {
+        least: f64,
+        most: f64,
+    },
     Address,
     Choice(&'static [&'static str]),
     /// The name of a section of this keyword.
@@ -195,6 +201,7 @@
             Type::Rate { .. } => "rate".into(),
             Type::Share { .. } => "share".into(),
             Type::Count { .. } => "count".into(),
+            Type::Number { .. } => "number".into(),
             Type::Address => "address".into(),
             Type::Choice(words) => words.join(" or "),
             Type::Reference(section) => format!("name of a {section}"),
@@ -217,6 +224,7 @@
             Type::Rate { least, most } => format!("{least} to {most} a unit"),
             Type::Share { least, most } => format!("{least} to {most}"),
             Type::Count { least, most } => format!("{least} to {most}"),
+            Type::Number { least, most } => format!("{least} to {most}"),
             Type::Text { most } => format!("up to {most} bytes"),
             Type::Groups => "0 to 4294967295".into(),
             Type::Offset => "-14:00 to +14:00".into(),
@@ -246,6 +254,10 @@
                 let number = parse_count(word)?;
                 bounded(number, least, most, |n| n.to_string()).map(Value::Count)
             }
+            Type::Number { least, most } => {
+                let number = parse_number(word)?;
+                bounded(number, least, most, |n| n.to_string()).map(Value::Number)
+            }
             Type::Address => word.parse().map(Value::Address).map_err(|_| {
                 Fault::new(format!("{word:?} is no address"))
                     .help("an address is an IP address with a port, like 127.0.0.1:5433 or [::1]:5433")
@@ -290,6 +302,7 @@
             Value::Rate(value) => value.fmt(f),
             Value::Share(value) => value.fmt(f),
             Value::Count(value) => value.fmt(f),
+            Value::Number(value) => value.fmt(f),
             Value::Address(value) => value.fmt(f),
             Value::Choice(value) => f.write_str(value),
             Value::Name(value) => f.write_str(value),
@@ -422,6 +435,14 @@
     })
 }
 
+fn parse_number(word: &str) -> Result<f64, Fault> {
+    let plain = word.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+    word.parse()
+        .ok()
+        .filter(|_| plain)
+        .ok_or_else(|| Fault::new(format!("{word:?} is no number")).help("write 2 or 0.35; it has no unit"))
+}
+
 fn parse_rate(word: &str) -> Result<Rate, Fault> {
     const HELP: &str = "write 100/s, 30/min or 5/h";
     let Some((number, unit)) = word.split_once('/') else {
--- /dev/null
+++ b/crates/configuration/src/values.rs
@@ -0,0 +1,104 @@
+//! Typed values of a section, with the table's defaults where it states none.
+
+use crate::check::Section;
+use crate::schema;
+use crate::value::{Share, Value};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Typed values of a section, from the file or from the table's defaults.
+#[derive(Clone, Copy)]
+pub struct Values<'a> {
+    pub section: Option<&'a Section>,
+    pub spec: &'static schema::Section,
+}
+
+impl<'a> Values<'a> {
+    pub fn of(section: &'a Section) -> Values<'a> {
+        Values { section: Some(section), spec: section.spec }
+    }
+
+    pub fn value(&self, keyword: &'static str) -> Option<Value> {
+        if let Some(value) = self.section.and_then(|s| s.value(keyword)) {
+            return Some(value.clone());
+        }
+        let spec = self.spec.directive(keyword)?;
+        let (schema::Args::One(kind) | schema::Args::Optional(kind) | schema::Args::Many(kind)) = spec.args;
+        if spec.default.is_empty() {
+            None
+        } else {
+            kind.parse(spec.default).ok()
+        }
+    }
+
+    pub fn time(&self, keyword: &'static str) -> Option<Duration> {
+        match self.value(keyword)? {
+            Value::Time(span) => Some(span),
+            _ => None,
+        }
+    }
+
+    pub fn count(&self, keyword: &'static str) -> Option<u64> {
+        match self.value(keyword)? {
+            Value::Count(n) | Value::Size(n) => Some(n),
+            _ => None,
+        }
+    }
+
+    /// A count that the table keeps within bounds that fit.
+    pub fn small<N: TryFrom<u64>>(&self, keyword: &'static str) -> Option<N> {
+        N::try_from(self.count(keyword)?).ok()
+    }
+
+    pub fn number(&self, keyword: &'static str) -> f64 {
+        match self.value(keyword) {
+            Some(Value::Number(number)) => number,
+            _ => 0.0,
+        }
+    }
+
+    /// A share as a number.
+    pub fn part(&self, keyword: &'static str) -> f64 {
+        let share = self.share(keyword);
+        f64::from(share.part) / f64::from(share.whole.max(1))
+    }
+
+    /// Whether it is said to be so.
+    pub fn yes(&self, keyword: &'static str) -> bool {
+        self.choice(keyword) == "yes"
+    }
+
+    /// The name of a section.
+    pub fn name(&self, keyword: &'static str) -> Option<String> {
+        match self.value(keyword)? {
+            Value::Name(name) => Some(name),
+            _ => None,
+        }
+    }
+
+    pub fn share(&self, keyword: &'static str) -> Share {
+        match self.value(keyword) {
+            Some(Value::Share(share)) => share,
+            _ => Share::new(0, 1),
+        }
+    }
+
+    pub fn address(&self, keyword: &'static str) -> Option<SocketAddr> {
+        match self.value(keyword)? {
+            Value::Address(address) => Some(address),
+            _ => None,
+        }
+    }
+
+    pub fn choice(&self, keyword: &'static str) -> &'static str {
+        match self.value(keyword) {
+            Some(Value::Choice(word)) => word,
+            _ => "",
+        }
+    }
+
+    pub fn all<T>(&self, keyword: &str, pick: impl Fn(&Value) -> Option<T>) -> Vec<T> {
+        let values = self.section.map_or(&[][..], |s| s.values(keyword));
+        values.iter().filter_map(|(value, _)| pick(value)).collect()
+    }
+}
