The decision module's constants are one type that can be varied

Need: nobody could say what another averaging weight or room would do without editing the module. Change: the eighteen constants stand in one list in decide.rs with their values and reasons; Router::tuned takes others, Router::new takes these.

--- a/crates/mountshift/src/decide.rs
+++ b/crates/mountshift/src/decide.rs
@@ -20,60 +20,63 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// Weight of a new run time in the moving average: about ten answers of memory, since run times scatter
-/// about as widely as their mean.
-const RUN_WEIGHT: f64 = 0.1;
-/// A class's work is what it takes unhindered: longer times, which hold waiting too, count this much less.
-/// Else writes that wait for slow replicas would seem to earn too little for their work, and lose the
-/// primary to reads.
-const WORK_RISE: f64 = 0.2;
-/// A member is asked again after this share of the tightest bound: reports are refreshed about as often.
-const ASK_AGAIN: f64 = 0.25;
-/// Share of its time left that a request is held for want of a primary, and one that earns nothing late for
-/// want of room; the rest is the client's, to come back in. Under half, since a client that hears only after
-/// that that nothing was tried has lost most of it.
-const HOLD_SHARE: f64 = 0.45;
-/// After a hard failure a store is left alone for this share of the tightest aim, doubling each time ...
-const REST_FIRST: f64 = 0.25;
-/// ... to this many aims at most: well under what an election takes, so that a new role is not missed long.
-const REST_MAX: f64 = 2.0;
-/// A held request with nothing to wake it is looked at again after this share of the tightest aim.
-const RECHECK: f64 = 0.1;
+tuning! {
+    /// Weight of a new run time in the moving average: about ten answers of memory, since run times scatter
+    /// about as widely as their mean.
+    run_weight: 0.1,
+    /// A class's work is what it takes unhindered: longer times, which hold waiting too, count this much
+    /// less. Else writes that wait for slow replicas would seem to earn too little for their work, and lose
+    /// the primary to reads.
+    work_rise: 0.2,
+    /// A member is asked again after this share of the tightest bound: reports are refreshed about as often.
+    ask_again: 0.25,
+    /// Share of its time left that a request is held for want of a primary, and one that earns nothing late
+    /// for want of room; the rest is the client's, to come back in. Under half, since a client that hears
+    /// only after that that nothing was tried has lost most of it.
+    hold_share: 0.45,
+    /// After a hard failure a store is left alone for this share of the tightest aim, doubling each time ...
+    rest_first: 0.25,
+    /// ... to this many aims at most: well under what an election takes, so that a new role is not missed
+    /// long.
+    rest_max: 2.0,
+    /// A held request with nothing to wake it is looked at again after this share of the tightest aim.
+    recheck: 0.1,
+    /// Of the multiple of a cold store's capacity that makes it collapse, this share is used: the routers do
+    /// not see each other, the work of single requests scatters, connections cost, and clients ask again.
+    cold_caution: 0.5,
+    /// Own attempts out at a store that nothing is known of; the room then follows what it bears (`learn`).
+    /// One answer in time doubles it, while many routers that start together still do not flood the store.
+    room_start: 1.0,
+    /// What answers took is held against a store for about this many of the tightest aims: a router that
+    /// sends there every few seconds goes by the last answer or two, one that sends often by an average.
+    forget: 10.0,
+    /// A store whose answers take more than this share of their aims on average holds too much, and its room
+    /// is cut: run times scatter about as widely as their mean, so half the aim keeps most answers inside it.
+    room_late: 0.5,
+    /// Under this share of that it may hold more; between the two the room stays.
+    room_easy: 0.7,
+    /// The part of its requests that a router takes in grows while more than one in this many of its attempts
+    /// is answered in time, and shrinks while fewer are: what the stores do in vain stays under a third.
+    door: 1.5,
+    /// Least part taken in: without any a router would not learn that the stores have recovered.
+    door_least: 0.05,
+    /// Weight of a new answer in that average.
+    room_weight: 0.2,
+    /// A cut is to this share, at most once for what was sent before the last cut.
+    room_cut: 0.8,
+    /// Least share of the primary's room open to reads that may go elsewhere. Writes may not, so a read gets
+    /// the share that its worth for the work bears to that of the best write, but not so little that no read
+    /// sees fresh data.
+    reads_at_primary: 0.5,
+    /// A repeat that has under this share of the time of first tries is at the end of its client's time.
+    less_time: 0.95,
+}
+
 /// First wait before the list is asked for again, and the longest; doubled and jittered between. The list
 /// is seconds late by itself, so asking faster gains nothing and slower adds to that.
 const LIST_WAIT: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(4));
-/// Of the multiple of a cold store's capacity that makes it collapse, this share is used: the routers do
-/// not see each other, the work of single requests scatters, connections cost, and clients ask again.
-const COLD_CAUTION: f64 = 0.5;
 /// Writes remembered; beyond it the old ones are folded into one position that all sessions must see.
 const WRITES_KEPT: usize = 100_000;
-
-/// Own attempts out at a store that nothing is known of; the room then follows what it bears (`learn`). One
-/// answer in time doubles it, while many routers that start together still do not flood the store.
-const ROOM_START: f64 = 1.0;
-/// What answers took is held against a store for about this many of the tightest aims: a router that sends
-/// there every few seconds goes by the last answer or two, one that sends often by an average.
-const FORGET: f64 = 10.0;
-/// A store whose answers take more than this share of their aims on average holds too much, and its room is
-/// cut: run times scatter about as widely as their mean, so half the aim keeps most answers inside it.
-const ROOM_LATE: f64 = 0.5;
-/// Under this share of that it may hold more; between the two the room stays.
-const ROOM_EASY: f64 = 0.7;
-/// The part of its requests that a router takes in grows while more than one in this many of its attempts
-/// is answered in time, and shrinks while fewer are: what the stores do in vain stays under a third.
-const DOOR: f64 = 1.5;
-/// Least part taken in: without any a router would not learn that the stores have recovered.
-const DOOR_LEAST: f64 = 0.05;
-/// Weight of a new answer in that average.
-const ROOM_WEIGHT: f64 = 0.2;
-/// A cut is to this share, at most once for what was sent before the last cut.
-const ROOM_CUT: f64 = 0.8;
-/// Least share of the primary's room open to reads that may go elsewhere. Writes may not, so a read gets the
-/// share that its worth for the work bears to that of the best write, but not so little that no read sees
-/// fresh data.
-const READS_AT_PRIMARY: f64 = 0.5;
-/// A repeat that has under this share of the time of first tries is at the end of its client's time.
-const LESS_TIME: f64 = 0.95;
 /// An attempt in vain that so many sent later have overtaken tells of its connection, not of the store.
 const OVERTAKEN: u32 = 4;
 /// Held requests looked at for one piece of news, the most valuable first: bounds the time an event takes.
@@ -176,6 +179,7 @@
 
 pub struct Router {
     set: Settings,
+    tune: Tuning,
     now: Time,
     random: u64,
     own_order: u64,
@@ -206,6 +210,11 @@
 
 impl Router {
     pub fn new(settings: Settings, seed: u64, now: Time) -> Router {
+        Router::tuned(settings, Tuning::default(), seed, now)
+    }
+
+    /// With other constants, for those who measure what they do.
+    pub fn tuned(settings: Settings, tune: Tuning, seed: u64, now: Time) -> Router {
         let aims = settings.classes.iter().map(|c| c.aim);
         let tightest_aim = aims.filter(|aim| !aim.is_zero()).min().unwrap_or(AIM_UNSTATED);
         let bound = |c: &Class| if let Need::Bounded(b) = c.need { Some(b) } else { None };
@@ -215,6 +224,7 @@
             work: settings.classes.iter().map(|c| c.aim).collect(),
             first_wait: vec![Duration::ZERO; settings.classes.len()],
             set: settings,
+            tune,
             now,
             random: seed,
             own_order: seed,
@@ -264,7 +274,7 @@
 
     /// What is left of a memory of that time.
     fn kept(&self, since: Time) -> f64 {
-        (-self.now.since(since).div_duration_f64(self.tightest_aim.mul_f64(FORGET))).exp()
+        (-self.now.since(since).div_duration_f64(self.tightest_aim.mul_f64(self.tune.forget))).exp()
     }
 
     fn chance(&mut self) -> f64 {
@@ -306,7 +316,7 @@
             let store = self.stores.entry(e.store).or_insert_with(|| Store {
                 started: e.started,
                 run_time: vec![None; classes],
-                room: ROOM_START,
+                room: self.tune.room_start,
                 ..Store::default()
             });
             store.leave(e.listed, self.set.soft_removal, self.now);
@@ -426,7 +436,7 @@
         let Some(store) = self.stores.get_mut(&id) else { return };
         store.probe_out = false;
         if !ok {
-            return self.rest(id, REST_FIRST);
+            return self.rest(id, self.tune.rest_first);
         }
         store.heard = Some(now);
         (store.setbacks, store.rests_until) = (0, Time::ZERO);
@@ -441,7 +451,7 @@
                 store.role = Some((primary, as_of));
             }
             if let Some(at) = report.position.filter(|_| primary) {
-                self.report_age = drawn(self.report_age, now.since(at), RUN_WEIGHT);
+                self.report_age = drawn(self.report_age, now.since(at), self.tune.run_weight);
             }
         }
         self.wake(id, out);
@@ -449,7 +459,7 @@
 
     /// What an answer, or the want of one, says of the store.
     fn learn(&mut self, class: ClassId, sent: Time, ended: Ended) {
-        let (now, Ended { store: id, outcome, elapsed, note, .. }) = (self.now, ended);
+        let (now, tune, Ended { store: id, outcome, elapsed, note, .. }) = (self.now, self.tune, ended);
         let Class { need, aim, deadline, late_worth, .. } = *self.class(class);
         let (write, aim) = (need == Need::Write, aim.max(LEAST));
         let took = match outcome {
@@ -460,7 +470,7 @@
         if let Some(took) = took {
             let in_time = if took < 1.0 { 1.0 } else { late_worth };
             let earned = if outcome == Outcome::Ok { in_time } else { 0.0 };
-            let aimed = (DOOR * earned * self.door).clamp(DOOR_LEAST, DOOR);
+            let aimed = (tune.door * earned * self.door).clamp(tune.door_least, tune.door);
             self.door += (1.0 - self.kept(self.door_judged)) * (aimed - self.door);
             self.door_judged = now;
         }
@@ -480,10 +490,10 @@
         let spent = if in_vain { aim } else { elapsed };
         if in_vain || matches!(outcome, Outcome::Ok | Outcome::TimedOut) {
             let average = &mut store.run_time[usize::from(class.0)];
-            *average = Some(average.map_or(spent, |a| drawn(a, spent, RUN_WEIGHT)));
+            *average = Some(average.map_or(spent, |a| drawn(a, spent, tune.run_weight)));
         }
         if let Some(took) = took {
-            store.pressure += memory.max(ROOM_WEIGHT) * (took - store.pressure);
+            store.pressure += memory.max(tune.room_weight) * (took - store.pressure);
             store.judged = now;
         }
         match outcome {
@@ -492,24 +502,24 @@
                     *overtaken += u32::from(*before < sent);
                 }
                 let work = &mut self.work[usize::from(class.0)];
-                let weight = if spent < *work { RUN_WEIGHT } else { RUN_WEIGHT * WORK_RISE };
+                let weight = if spent < *work { tune.run_weight } else { tune.run_weight * tune.work_rise };
                 *work = drawn(*work, spent, weight);
                 // Guards against queues that grow out of the routers' sight (overload, slow stores, others'
                 // load): answers near their aim shrink the room, early ones that used it widen it.
-                let easy = store.pressure < ROOM_EASY * ROOM_LATE;
-                if store.pressure > ROOM_LATE && spent > aim.mul_f64(ROOM_LATE) {
-                    cut_room(store, now, sent);
+                let easy = store.pressure < tune.room_easy * tune.room_late;
+                if store.pressure > tune.room_late && spent > aim.mul_f64(tune.room_late) {
+                    cut_room(store, tune.room_cut, now, sent);
                 } else if easy && store.out.len() as f64 + 2.0 > store.room {
                     store.room += 1.0 / store.room;
                 }
             }
-            Outcome::Full => cut_room(store, now, sent),
-            Outcome::ConnectFailed | Outcome::Reset => return self.rest(id, REST_FIRST),
+            Outcome::Full => cut_room(store, tune.room_cut, now, sent),
+            Outcome::ConnectFailed | Outcome::Reset => return self.rest(id, tune.rest_first),
             // Silence since before it was sent: the store hangs. One that answered others is only slow.
             Outcome::TimedOut if store.heard.is_none_or(|heard| heard < sent) => {
-                return self.rest(id, REST_FIRST)
+                return self.rest(id, tune.rest_first)
             }
-            Outcome::TimedOut => return cut_room(store, now, sent),
+            Outcome::TimedOut => return cut_room(store, tune.room_cut, now, sent),
             Outcome::Cancelled | Outcome::Moot => return,
             Outcome::Failed | Outcome::Miss => {}
         }
@@ -563,9 +573,9 @@
             Choice::GiveUp => self.give_up(id, out),
             hold => {
                 let group = request.arrival.group;
-                let recheck = self.now.plus(self.tightest_aim.mul_f64(RECHECK));
+                let recheck = self.now.plus(self.tightest_aim.mul_f64(self.tune.recheck));
                 // Guards against giving up a look later than patience ends.
-                let recheck = match patient_until(request) {
+                let recheck = match self.patient_until(request) {
                     until if until > self.now => until.min(recheck),
                     _ => recheck,
                 };
@@ -616,7 +626,8 @@
             if !wait.is_zero() && wait + run > time_left {
                 continue;
             }
-            let asking = if bar.is_none() { Duration::ZERO } else { self.tightest_aim.mul_f64(RECHECK) };
+            let asking =
+                if bar.is_none() { Duration::ZERO } else { self.tightest_aim.mul_f64(self.tune.recheck) };
             let cost = self.remaining_work(store) + wait + run + asking;
             let candidate = (spares_primary && is_primary, cost, id, bar.is_none());
             let share = if is_primary { self.primary_share(request.arrival.class) } else { 1.0 };
@@ -631,13 +642,13 @@
         match best {
             Some((_, _, id, true)) => Choice::Send(id),
             Some((_, _, id, false)) => Choice::Ask(Some(id)),
-            None if busy && unsent && class.late_worth == 0.0 && self.now >= patient_until(request) => {
+            None if busy && unsent && class.late_worth == 0.0 && self.now >= self.patient_until(request) => {
                 Choice::GiveUp
             }
             None if busy && self.work[usize::from(request.arrival.class.0)] < time_left => Choice::Hold,
             None if busy => Choice::GiveUp,
             None => {
-                if some_later && self.now < patient_until(request) {
+                if some_later && self.now < self.patient_until(request) {
                     Choice::Ask(None)
                 } else {
                     Choice::GiveUp
@@ -654,7 +665,7 @@
         let classes = self.set.classes.iter().zip(&self.work);
         let best_write = classes.filter(|(c, _)| c.need == Need::Write).map(value).fold(0.0, f64::max);
         let own = value((self.class(class), &self.work[usize::from(class.0)]));
-        (own / best_write).clamp(READS_AT_PRIMARY, 1.0)
+        (own / best_write).clamp(self.tune.reads_at_primary, 1.0)
     }
 
     /// Whether it may bear one more of this router's attempts: inside the room, and where none is out, by a
@@ -667,7 +678,7 @@
         if !store.out.is_empty() {
             return (store.out.len() + 1) as f64 <= share * store.room;
         }
-        let in_time = share * share * ROOM_LATE / (store.pressure * self.kept(store.judged));
+        let in_time = share * share * self.tune.room_late / (store.pressure * self.kept(store.judged));
         share_of(self.own_order ^ request.arrival.id.0 ^ u64::from(id.0)) < in_time
     }
 
@@ -756,7 +767,7 @@
     fn aim_end(&mut self, arrival: &Arrival) -> Time {
         let Some(class) = self.set.classes.get(usize::from(arrival.class.0)) else { return self.now };
         let first = &mut self.first_wait[usize::from(arrival.class.0)];
-        let spent = match arrival.repeated && arrival.time_left < first.mul_f64(LESS_TIME) {
+        let spent = match arrival.repeated && arrival.time_left < first.mul_f64(self.tune.less_time) {
             true => class.deadline.saturating_sub(arrival.time_left),
             false => Duration::ZERO,
         };
@@ -833,7 +844,7 @@
             return true;
         }
         let capacity = self.set.cold_share + (1.0 - self.set.cold_share) * warmth;
-        let bears = COLD_CAUTION * self.set.overload_factor * capacity * self.door.min(1.0);
+        let bears = self.tune.cold_caution * self.set.overload_factor * capacity * self.door.min(1.0);
         let needs_primary = matches!(self.class(request.arrival.class).need, Need::Write | Need::Fresh);
         let part = match (primary, needs_primary) {
             (true, true) => bears,
@@ -869,7 +880,7 @@
     /// The store is down, cut off or full: it is left alone for a while, longer each time.
     fn rest(&mut self, id: StoreId, first: f64) {
         let jitter = 0.5 + self.chance();
-        let (first, most) = (self.tightest_aim.mul_f64(first), self.tightest_aim.mul_f64(REST_MAX));
+        let (first, most) = (self.tightest_aim.mul_f64(first), self.tightest_aim.mul_f64(self.tune.rest_max));
         if let Some(store) = self.stores.get_mut(&id) {
             let rest = first.saturating_mul(1 << store.setbacks.min(16)).min(most).mul_f64(jitter);
             store.setbacks += 1;
@@ -885,7 +896,7 @@
     /// slowly: asked for at every look they cost most where connects fail. Harms where round trips are long.
     fn ask(&mut self, group: GroupId, whom: Option<StoreId>, out: &mut Out) {
         let role = self.tightest_bound.max(self.tightest_aim);
-        let spacing = if whom.is_none() { role } else { self.tightest_bound.mul_f64(ASK_AGAIN) };
+        let spacing = if whom.is_none() { role } else { self.tightest_bound.mul_f64(self.tune.ask_again) };
         let may = |id: &StoreId| {
             let store = &self.stores[id];
             let due = store.probed == Time::ZERO || self.now.since(store.probed) >= spacing;
@@ -908,7 +919,7 @@
     /// restarts, too few primaries). Harms when a fault that costs worth is over, for the time of memory.
     fn takes_in(&mut self, id: RequestId) -> bool {
         let value = self.value(id);
-        self.usual_value += RUN_WEIGHT * (value - self.usual_value);
+        self.usual_value += self.tune.run_weight * (value - self.usual_value);
         let part = self.door.powf((self.usual_value / value).sqrt());
         share_of(self.own_order ^ id.0.rotate_left(32)) < part
     }
@@ -923,18 +934,18 @@
             Some(Effect::Keyed { .. } | Effect::Unsafe) | None => clean,
         };
         if harmless {
-            let come_back = self.tightest_aim.mul_f64(REST_MAX).min(self.set.max_retry_after);
+            let come_back = self.tightest_aim.mul_f64(self.tune.rest_max).min(self.set.max_retry_after);
             out.push(Action::Refuse { id, come_back: self.set.retry_after.then_some(come_back) });
         } else {
             out.push(Action::Fail { id });
         }
         self.forget(id);
     }
-}
 
-/// How long a request is held that nothing can be sent for.
-fn patient_until(request: &Request) -> Time {
-    request.came.plus(request.arrival.time_left.mul_f64(HOLD_SHARE))
+    /// How long a request is held that nothing can be sent for.
+    fn patient_until(&self, request: &Request) -> Time {
+        request.came.plus(request.arrival.time_left.mul_f64(self.tune.hold_share))
+    }
 }
 
 /// A moving average drawn towards a new span by this weight.
@@ -954,9 +965,9 @@
 }
 
 /// What was sent before the last cut says nothing of the room since.
-fn cut_room(store: &mut Store, now: Time, sent: Time) {
+fn cut_room(store: &mut Store, to: f64, now: Time, sent: Time) {
     if sent >= store.room_cut {
-        store.room = (ROOM_CUT * store.room.min(store.out.len() as f64 + 1.0)).max(1.0);
+        store.room = (to * store.room.min(store.out.len() as f64 + 1.0)).max(1.0);
         store.room_cut = now;
     }
 }
--- a/crates/mountshift/src/interface.rs
+++ b/crates/mountshift/src/interface.rs
@@ -4,6 +4,43 @@
 
 use std::time::Duration;
 
+/// The decisions' constants as one type, so that they can be varied: each by its name, with the value that counts.
+macro_rules! tuning {
+    ($($(#[$doc:meta])* $name:ident: $value:expr,)*) => {
+        #[derive(Clone, Copy, Debug, PartialEq)]
+        pub struct Tuning {
+            $($(#[$doc])* pub $name: f64,)*
+        }
+
+        impl Default for Tuning {
+            fn default() -> Tuning {
+                Tuning { $($name: $value,)* }
+            }
+        }
+
+        impl Tuning {
+            pub const NAMES: &'static [&'static str] = &[$(stringify!($name),)*];
+
+            pub fn get(&self, name: &str) -> Option<f64> {
+                match name {
+                    $(stringify!($name) => Some(self.$name),)*
+                    _ => None,
+                }
+            }
+
+            /// False: there is none of that name.
+            pub fn set(&mut self, name: &str, value: f64) -> bool {
+                match name {
+                    $(stringify!($name) => self.$name = value,)*
+                    _ => return false,
+                }
+                true
+            }
+        }
+    };
+}
+pub(crate) use tuning;
+
 /// An instant on the router's clock, as the time since an arbitrary origin.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Time(pub Duration);
--- a/crates/mountshift/src/lib.rs
+++ b/crates/mountshift/src/lib.rs
@@ -68,5 +68,5 @@
 mod decide;
 mod interface;
 
-pub use decide::Router;
+pub use decide::{Router, Tuning};
 pub use interface::*;
