--- a/crates/engine/src/streams.rs
+++ b/crates/engine/src/streams.rs
@@ -31,6 +31,13 @@
         stream
     }
 
+    /// A seed that goes by a number alone, where a stream for each would cost too much.
+    pub fn seed_of(&self, number: u64) -> u64 {
+        let mut hasher = SipHasher13::new_with_keys(self.seed, 0);
+        hasher.write_u64(number);
+        hasher.finish()
+    }
+
     /// A seed for something that brings its own generator.
     pub fn seed(&self, name: &str, number: u64) -> u64 {
         rand::Rng::random(&mut self.stream(name, number))
--- a/crates/leverlab/src/lib.rs
+++ b/crates/leverlab/src/lib.rs
@@ -1,10 +1,20 @@
 //! Experiments on virtual time: many proxies, each with a policy of its own, before the model of record servers.
 //!
-//! A [`scenario::Scenario`] says what there is and what goes wrong; [`fleet::run`] plays it for one policy and one
-//! seed; [`check::Checker`] watches the rules from outside; [`compare`] pairs policies over seeds.
+//! A [`scenario::Scenario`] says what there is, who asks and what goes wrong, as a file says it ([`file`]);
+//! [`play::play`] plays it for one policy and one seed; [`check::Checker`] watches the rules from outside and
+//! [`tally::Tally`] keeps the books.
 
 pub mod check;
-pub mod compare;
-pub mod fleet;
+pub mod cli;
+pub mod file;
+pub mod hunt;
+pub mod play;
 pub mod policy;
+pub mod run;
 pub mod scenario;
+pub mod stats;
+pub mod store;
+pub mod summary;
+pub mod table;
+pub mod tally;
+pub mod write;
--- /dev/null
+++ b/crates/leverlab/src/play/mod.rs
@@ -0,0 +1,743 @@
+//! Plays a scenario for one policy and one seed.
+
+mod host;
+mod troubles;
+
+use crate::check::{Checker, Final, Rule};
+use crate::file::AFTER;
+use crate::policy::{Decider, Policy};
+use crate::scenario::{Scenario, ORIGIN};
+use crate::tally::{Outcomes, Tally};
+use engine::streams::{Stream, Streams};
+use engine::wheel::Wheel;
+use host::{entry, store, Eyes, Host};
+use mountshift::{
+    Action, Arrival, AttemptNo, ClassId, Ended, Event, GroupId, ListNews, Listed, Note, Outcome, Report,
+    RequestId, SessionKey, StoreId, TenantId, Time, TimerToken,
+};
+use rand::SeedableRng;
+use rand_xoshiro::Xoshiro256PlusPlus;
+use rustc_hash::FxHashMap;
+use std::time::Duration;
+use troubles::Troubles;
+use world::catalog::{self, Catalog};
+use world::clients::{self, Clients, Try, TryId};
+use world::network::{Network, Spot};
+use world::site::{self, Answer, Ask, ServerId, Site, Status, Wake};
+use world::Micros;
+
+/// Kept back from each client's time, as the proxy does.
+const MARGIN: Micros = 10_000;
+/// Discovery stands in this building.
+const LIST_PLACE: u16 = 0;
+
+fn time(now: Micros) -> Time {
+    Time::from_micros(ORIGIN + now)
+}
+
+fn span(micros: Micros) -> Duration {
+    Duration::from_micros(micros)
+}
+
+enum Step {
+    Clients(clients::Event),
+    Site(Wake),
+    List,
+    /// A proxy's call has reached discovery.
+    Call {
+        proxy: usize,
+        epoch: u32,
+        after: u64,
+    },
+    Told {
+        proxy: usize,
+        epoch: u32,
+        news: Box<catalog::Action>,
+    },
+    Timer {
+        proxy: usize,
+        epoch: u32,
+        token: TimerToken,
+    },
+    /// A dial has reached its server, and has come to something.
+    Dial(u64),
+    Dialled {
+        attempt: u64,
+        up: bool,
+    },
+    /// A request's last byte has reached its server.
+    Reach(u64),
+    Back {
+        attempt: u64,
+        outcome: Outcome,
+        note: Note,
+    },
+    TimeOut(u64),
+    ProbeReach(u64),
+    ProbeBack {
+        probe: u64,
+        report: Option<site::Report>,
+    },
+    Trouble(usize),
+    Over(usize),
+    /// Clients have noticed that a proxy is down.
+    Unseen {
+        proxy: usize,
+        epoch: u32,
+    },
+    /// One server of a rolling deploy.
+    Deploy {
+        trouble: usize,
+        server: ServerId,
+        phase: u8,
+    },
+}
+
+/// A try that a proxy has taken.
+struct Open {
+    asked: Try,
+    came: Micros,
+    attempts: u16,
+    answered: bool,
+    /// Data that a read must see, unless that depends on when it is sent.
+    need: Micros,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum State {
+    Dialling,
+    Written,
+    /// Its proxy no longer waits for it.
+    Over,
+}
+
+struct Attempt {
+    id: TryId,
+    no: u16,
+    server: ServerId,
+    proxy: usize,
+    epoch: u32,
+    sent: Micros,
+    ask: Ask,
+    state: State,
+    /// It has a connection that the server knows of.
+    connected: bool,
+}
+
+struct Probe {
+    server: ServerId,
+    proxy: usize,
+    epoch: u32,
+    sent: Micros,
+}
+
+pub(crate) struct Play<'a> {
+    scenario: &'a Scenario,
+    streams: Streams,
+    policy: &'a dyn Fn(usize, u32, &Streams) -> Box<dyn Decider>,
+    wheel: Wheel<Step>,
+    now: Micros,
+    site: Site,
+    network: Network,
+    list: Catalog,
+    clients: Clients,
+    hosts: Vec<Host>,
+    open: FxHashMap<TryId, Open>,
+    attempts: FxHashMap<u64, Attempt>,
+    probes: FxHashMap<u64, Probe>,
+    next: u64,
+    troubles: Troubles,
+    checker: Checker,
+    tally: Tally,
+    way: Stream,
+    mean_work: f64,
+    /// Buffers that serve again.
+    site_actions: Vec<site::Action>,
+    client_actions: Vec<clients::Action>,
+}
+
+/// The same scenario, policy and seed give the same outcomes, bit for bit.
+pub fn play(scenario: &Scenario, policy: &Policy, seed: u64) -> Outcomes {
+    let settings: Vec<_> = (0..scenario.site.places.max(1)).map(|p| scenario.settings(p as u16)).collect();
+    let make = |proxy: usize, life: u32, streams: &Streams| {
+        let place = proxy % settings.len();
+        let seed = streams.seed("policy", proxy as u64 | u64::from(life) << 32);
+        policy.make(&settings[place], seed, time(0))
+    };
+    play_with(scenario, &make, seed)
+}
+
+/// With policies of the caller's own making: for a proxy, its life and the streams.
+pub fn play_with(
+    scenario: &Scenario,
+    policy: &dyn Fn(usize, u32, &Streams) -> Box<dyn Decider>,
+    seed: u64,
+) -> Outcomes {
+    let streams = Streams::new(seed);
+    let site = Site::new(scenario.site);
+    let list = Catalog::new(scenario.catalog, site.servers().map(|s| host::record(&site, s)));
+    let places = scenario.site.places.max(1);
+    let hosts = (0..scenario.proxies()).map(|proxy| Host::new((proxy % places) as u16)).collect();
+    let kinds = &scenario.clients.kinds;
+    let shares: f64 = kinds.iter().map(|k| k.share).sum();
+    let mut play = Play {
+        scenario,
+        streams,
+        policy,
+        wheel: Wheel::default(),
+        now: 0,
+        site,
+        network: Network::new(scenario.network),
+        list,
+        clients: Clients::new(scenario.clients.clone(), &streams),
+        hosts,
+        open: FxHashMap::default(),
+        attempts: FxHashMap::default(),
+        probes: FxHashMap::default(),
+        next: 0,
+        troubles: Troubles::new(scenario.troubles.len()),
+        checker: Checker::new(scenario.platform.tries, scenario.platform.drain_grace),
+        tally: Tally::new(scenario),
+        way: streams.stream("network", 0),
+        mean_work: kinds.iter().map(|k| k.share * k.work.mean).sum::<f64>() / shares.max(1e-9),
+        site_actions: Vec::new(),
+        client_actions: Vec::new(),
+    };
+    for proxy in 0..scenario.proxies() {
+        play.start(proxy);
+    }
+    for (at, trouble) in scenario.troubles.iter().enumerate() {
+        play.wheel.put(trouble.at, Step::Trouble(at));
+    }
+    play.clients(clients::Event::Start);
+    let end = scenario.length() + AFTER;
+    while let Some((now, step)) = play.wheel.take() {
+        if now > end {
+            break;
+        }
+        play.now = now;
+        play.tally.counts().steps += 1;
+        play.step(step);
+    }
+    play.close()
+}
+
+impl Play<'_> {
+    fn close(mut self) -> Outcomes {
+        let mut actions = std::mem::take(&mut self.client_actions);
+        self.clients.close(&mut actions);
+        for action in actions {
+            if let clients::Action::Settled(settled) = action {
+                self.tally.settled(&settled);
+            }
+        }
+        self.checker.close();
+        self.tally.close(self.checker.broken)
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Clients(event) => self.clients(event),
+            Step::Site(wake) => self.site(site::Event::Wake(wake)),
+            Step::List => self.list(catalog::Event::Due),
+            Step::Call { proxy, epoch, after } => {
+                if self.hosts[proxy].epoch == epoch {
+                    self.list(catalog::Event::Watch { caller: proxy, after });
+                }
+            }
+            Step::Told { proxy, epoch, news } => {
+                if self.hosts[proxy].epoch == epoch {
+                    self.news(proxy, *news);
+                }
+            }
+            Step::Timer { proxy, epoch, token } => {
+                if self.hosts[proxy].epoch == epoch {
+                    self.tell(proxy, Event::Timer(token));
+                }
+            }
+            Step::Dial(attempt) => self.dial(attempt),
+            Step::Dialled { attempt, up } => self.dialled(attempt, up),
+            Step::Reach(attempt) => self.reach(attempt),
+            Step::Back { attempt, outcome, note } => self.back(attempt, outcome, note),
+            Step::TimeOut(attempt) => {
+                let state = self.attempts.get(&attempt).map(|a| a.state);
+                let outcome =
+                    if state == Some(State::Dialling) { Outcome::ConnectFailed } else { Outcome::TimedOut };
+                self.give_up(attempt, outcome);
+            }
+            Step::ProbeReach(exchange) => {
+                if let Some(probe) = self.probes.get(&exchange) {
+                    let server = probe.server;
+                    self.site(site::Event::Probe { exchange: exchange << 1 | 1, server });
+                }
+            }
+            Step::ProbeBack { probe, report } => self.probed(probe, report),
+            Step::Trouble(at) => self.trouble(at),
+            Step::Over(at) => self.over(at),
+            Step::Unseen { proxy, epoch } => {
+                if self.hosts[proxy].down && self.hosts[proxy].epoch == epoch {
+                    self.clients(clients::Event::Proxy { proxy, up: false });
+                }
+            }
+            Step::Deploy { trouble, server, phase } => self.deploy(trouble, server, phase),
+        }
+    }
+
+    fn spot(&self, proxy: usize) -> Spot {
+        Spot { place: self.hosts[proxy].place, proxy: Some(proxy) }
+    }
+
+    /// The way between a proxy and a server; none: nothing comes through.
+    fn there(&mut self, proxy: usize, server: ServerId) -> Option<Micros> {
+        let to = Spot { place: self.site.place(server), proxy: None };
+        self.network.one_way(self.spot(proxy), to, &mut self.way)
+    }
+
+    fn home(&mut self, server: ServerId, proxy: usize) -> Option<Micros> {
+        let from = Spot { place: self.site.place(server), proxy: None };
+        self.network.one_way(from, self.spot(proxy), &mut self.way)
+    }
+
+    // ---- Clients ----
+
+    fn clients(&mut self, event: clients::Event) {
+        let mut actions = std::mem::take(&mut self.client_actions);
+        self.clients.handle(self.now, event, &mut actions);
+        for action in actions.drain(..) {
+            match action {
+                clients::Action::DueAt(at, due) => {
+                    self.wheel.put(at, Step::Clients(clients::Event::Due(due)));
+                }
+                clients::Action::Ask(asked) => self.ask(asked),
+                clients::Action::Leave { id, proxy } => self.left(id, proxy),
+                clients::Action::Settled(settled) => self.tally.settled(&settled),
+            }
+        }
+        // What they did may have made them do more, with a buffer of its own.
+        if self.client_actions.capacity() < actions.capacity() {
+            self.client_actions = actions;
+        }
+    }
+
+    fn ask(&mut self, asked: Try) {
+        let now = self.now;
+        let Some(host) = self.hosts.get(asked.proxy) else { return };
+        if !host.up() {
+            return self
+                .clients(clients::Event::Answered(asked.id, clients::Answer::Gone { reached: false }));
+        }
+        let kind = &self.scenario.clients.kinds[asked.kind];
+        let write = kind.need == clients::Need::Write;
+        let need = match kind.need {
+            clients::Need::Session => asked.wrote,
+            clients::Need::Fresh => now,
+            _ => 0,
+        };
+        self.tally.counts().tries += 1;
+        self.checker.asks(asked.id, asked.request, kind.repeat, write, asked.proxy, now + asked.wait);
+        self.open.insert(asked.id, Open { asked, came: now, attempts: 0, answered: false, need });
+        let sessions = matches!(kind.need, clients::Need::Session | clients::Need::Write);
+        let arrival = Arrival {
+            id: RequestId(asked.id),
+            class: ClassId(asked.kind as u16),
+            tenant: TenantId(asked.tenant as u16),
+            group: GroupId(asked.group),
+            session: sessions.then_some(SessionKey(asked.session)),
+            time_left: span(asked.wait.saturating_sub(MARGIN).max(1)),
+            wrote_ago: (asked.wrote > 0).then(|| span(now.saturating_sub(asked.wrote))),
+            repeated: asked.repeated,
+            tries: None,
+        };
+        self.tell(asked.proxy, Event::Arrived(arrival));
+    }
+
+    /// Its client no longer waits.
+    fn left(&mut self, id: TryId, proxy: usize) {
+        self.checker.gives_up(id);
+        if self.open.remove(&id).is_some_and(|open| !open.answered) {
+            self.tell(proxy, Event::Left(RequestId(id)));
+        }
+    }
+
+    fn answer(&mut self, id: TryId, answer: Final, told: clients::Answer) {
+        self.checker.answers(id, answer, self.now);
+        let Some(open) = self.open.get_mut(&id) else { return };
+        if std::mem::replace(&mut open.answered, true) {
+            return;
+        }
+        self.open.remove(&id);
+        self.checker.over(id);
+        self.clients(clients::Event::Answered(id, told));
+    }
+
+    // ---- Proxies ----
+
+    fn tell(&mut self, proxy: usize, event: Event) {
+        let now = self.now;
+        let host = &mut self.hosts[proxy];
+        let Some(mut policy) = host.policy.take() else { return };
+        let mut actions = std::mem::take(&mut host.actions);
+        let spot = Spot { place: host.place, proxy: Some(proxy) };
+        let mut eyes = Eyes {
+            site: &mut self.site,
+            network: &self.network,
+            spot,
+            ready: &host.ready,
+            now,
+            cores: self.scenario.site.server.cores,
+            mean_work: self.mean_work,
+        };
+        policy.handle(time(now), event, &mut eyes, &mut actions);
+        self.hosts[proxy].policy = Some(policy);
+        for action in actions.drain(..) {
+            self.act(proxy, action);
+        }
+        self.hosts[proxy].actions = actions;
+    }
+
+    fn act(&mut self, proxy: usize, action: Action) {
+        let now = self.now;
+        let epoch = self.hosts[proxy].epoch;
+        match action {
+            Action::Send { id, store, time_out } => self.send(proxy, id.0, store, time_out),
+            Action::Cancel { id, attempt } => {
+                let wanted = |a: &Attempt| a.id == id.0 && a.no == attempt.0 && a.proxy == proxy;
+                let found = self.attempts.iter().find(|(_, a)| wanted(a)).map(|(number, _)| *number);
+                if let Some(attempt) = found {
+                    // It is told in a later step, as everything is.
+                    let (outcome, note) = (Outcome::Cancelled, Note::default());
+                    self.wheel.put(now + 1, Step::Back { attempt, outcome, note });
+                }
+            }
+            Action::Refuse { id, come_back } => {
+                let come_back = come_back.map(|after| after.as_micros() as Micros);
+                self.answer(id.0, Final::Refused, clients::Answer::Refused { come_back });
+            }
+            Action::Fail { id } => self.answer(id.0, Final::Failed, clients::Answer::Failed),
+            Action::Probe { store } => self.probe(proxy, store),
+            Action::Timer { after, token } => {
+                let at = now + (after.as_micros() as Micros).max(1);
+                self.wheel.put(at, Step::Timer { proxy, epoch, token });
+            }
+            Action::Subscribe => {
+                let to = Spot { place: LIST_PLACE, proxy: None };
+                let after = self.hosts[proxy].index;
+                match self.network.one_way(self.spot(proxy), to, &mut self.way) {
+                    Some(way) => self.wheel.put(now + way, Step::Call { proxy, epoch, after }),
+                    None => {
+                        let news = Box::new(catalog::Action::Fail(proxy));
+                        let at = now + self.scenario.platform.dial_wait;
+                        self.wheel.put(at, Step::Told { proxy, epoch, news });
+                    }
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, proxy: usize, id: TryId, to: StoreId, time_out: Duration) {
+        let now = self.now;
+        let server = host::server(to);
+        self.checker.sends(id, server, now);
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let kind = &self.scenario.clients.kinds[open.asked.kind];
+        let (no, came, wait) = (open.attempts, open.came, open.asked.wait);
+        open.attempts += 1;
+        let need = match kind.need {
+            clients::Need::Bounded(age) => now.saturating_sub(age),
+            _ => open.need,
+        };
+        // Of the request and the attempt alone, so that every policy sees the same work for them.
+        let seed = self.streams.seed_of(open.asked.request << 8 | u64::from(no));
+        let mut draws = Xoshiro256PlusPlus::seed_from_u64(seed);
+        let work = kind.work.draw(open.asked.session, &mut draws);
+        let write = (kind.need == clients::Need::Write).then_some(id);
+        let ask = Ask { write, need, work };
+        self.tally.counts().attempts += 1;
+        self.next += 1;
+        let number = self.next;
+        let epoch = self.hosts[proxy].epoch;
+        let mut attempt = Attempt {
+            id,
+            no,
+            server,
+            proxy,
+            epoch,
+            sent: now,
+            ask,
+            state: State::Dialling,
+            connected: false,
+        };
+        let keepalive = self.scenario.platform.keepalive;
+        let life = self.site.started(server);
+        if self.hosts[proxy].pool(server).take(life, now, keepalive, &mut self.site, server) {
+            (attempt.state, attempt.connected) = (State::Written, true);
+            self.attempts.insert(number, attempt);
+            self.write(number, proxy, server);
+        } else {
+            self.attempts.insert(number, attempt);
+            self.tally.counts().dials += 1;
+            if let Some(way) = self.there(proxy, server) {
+                self.wheel.put(now + way, Step::Dial(number));
+            }
+            let at = now + self.scenario.platform.dial_wait;
+            self.wheel.put(at, Step::Dialled { attempt: number, up: false });
+        }
+        // Without a time of its own it is waited for as long as the client waits.
+        let longest = (came + wait).saturating_sub(now);
+        let wait = if time_out.is_zero() { longest } else { time_out.as_micros() as Micros };
+        self.wheel.put(now + wait.min(longest).max(1), Step::TimeOut(number));
+    }
+
+    /// The request goes out on its connection; on a cut way it goes nowhere.
+    fn write(&mut self, attempt: u64, proxy: usize, server: ServerId) {
+        if let Some(way) = self.there(proxy, server) {
+            self.wheel.put(self.now + way, Step::Reach(attempt));
+        }
+    }
+
+    fn dial(&mut self, number: u64) {
+        let Some(attempt) = self.attempts.get(&number).filter(|a| a.state == State::Dialling) else { return };
+        let (server, proxy) = (attempt.server, attempt.proxy);
+        let mut actions = std::mem::take(&mut self.site_actions);
+        let up = self.site.dial(server, self.now, &mut actions);
+        if let Some(attempt) = self.attempts.get_mut(&number) {
+            attempt.connected = up;
+        }
+        self.site_said(actions);
+        // The welcome takes another way there and back.
+        let mut took = 0;
+        for _ in 0..if up { 3 } else { 1 } {
+            match self.home(server, proxy) {
+                Some(way) => took += way,
+                None => return,
+            }
+        }
+        self.wheel.put(self.now + took, Step::Dialled { attempt: number, up });
+    }
+
+    fn dialled(&mut self, number: u64, up: bool) {
+        let Some(attempt) = self.attempts.get_mut(&number) else { return };
+        match attempt.state {
+            State::Dialling if up => {
+                attempt.state = State::Written;
+                let (proxy, server) = (attempt.proxy, attempt.server);
+                self.write(number, proxy, server);
+            }
+            State::Dialling => self.give_up(number, Outcome::ConnectFailed),
+            State::Written | State::Over => {}
+        }
+    }
+
+    fn reach(&mut self, number: u64) {
+        if let Some(attempt) = self.attempts.get(&number) {
+            let (server, ask) = (attempt.server, attempt.ask);
+            self.site(site::Event::Request { exchange: number << 1, server, ask });
+        }
+    }
+
+    /// An answer has come to its proxy, if that still waits for it.
+    fn back(&mut self, number: u64, outcome: Outcome, note: Note) {
+        let Some(attempt) = self.attempts.get(&number) else { return };
+        if attempt.state == State::Over {
+            self.attempts.remove(&number);
+            return;
+        }
+        if outcome == Outcome::Cancelled {
+            return self.give_up(number, outcome);
+        }
+        let Attempt { server, proxy, connected, .. } = *attempt;
+        if connected && outcome != Outcome::Reset {
+            let life = self.site.started(server);
+            self.hosts[proxy].pool(server).give_back(life, self.now);
+        }
+        self.end(number, outcome, note);
+        self.attempts.remove(&number);
+    }
+
+    /// The proxy waits no longer; its connection, if there is one, ends with that.
+    fn give_up(&mut self, number: u64, outcome: Outcome) {
+        let Some(attempt) = self.attempts.get_mut(&number).filter(|a| a.state != State::Over) else { return };
+        attempt.state = State::Over;
+        if std::mem::take(&mut attempt.connected) {
+            self.site.hang_up(attempt.server);
+        }
+        self.end(number, outcome, Note::default());
+    }
+
+    fn end(&mut self, number: u64, outcome: Outcome, note: Note) {
+        let now = self.now;
+        let Some(attempt) = self.attempts.get(&number) else { return };
+        let Attempt { id, no, server, proxy, epoch, sent, ask, .. } = *attempt;
+        self.checker.ends(id, outcome);
+        if self.hosts[proxy].epoch != epoch {
+            return;
+        }
+        self.tally.counts().misses += u64::from(outcome == Outcome::Miss);
+        if outcome == Outcome::Ok && self.open.contains_key(&id) {
+            let position = note.position.map_or(0, |at| (at.0.as_micros() as Micros).saturating_sub(ORIGIN));
+            if ask.write.is_none() && ask.need > 0 && position < ask.need {
+                self.checker.breaks(Rule::Stale);
+            }
+            let commit = if ask.write.is_some() { position } else { 0 };
+            self.answer(id, Final::Served, clients::Answer::Served { commit });
+        }
+        let last = !self.open.contains_key(&id);
+        let elapsed = span(now - sent);
+        let (id, attempt, store) = (RequestId(id), AttemptNo(no), store(server));
+        self.tell(proxy, Event::Ended(Ended { id, attempt, store, outcome, elapsed, last, note }));
+    }
+
+    fn probe(&mut self, proxy: usize, to: StoreId) {
+        let server = host::server(to);
+        self.tally.counts().probes += 1;
+        self.next += 1;
+        let (probe, epoch) = (self.next, self.hosts[proxy].epoch);
+        self.probes.insert(probe, Probe { server, proxy, epoch, sent: self.now });
+        if let Some(way) = self.there(proxy, server) {
+            self.wheel.put(self.now + way, Step::ProbeReach(probe));
+        }
+        let at = self.now + self.scenario.platform.dial_wait;
+        self.wheel.put(at, Step::ProbeBack { probe, report: None });
+    }
+
+    fn probed(&mut self, number: u64, report: Option<site::Report>) {
+        let Some(Probe { server, proxy, epoch, sent }) = self.probes.remove(&number) else { return };
+        if self.hosts[proxy].epoch != epoch {
+            return;
+        }
+        let ok = report.is_some();
+        let report = report.map_or(Report::default(), |r| Report {
+            position: Some(time(r.position)),
+            primary: Some(r.primary),
+            in_flight: Some(r.in_flight as f64),
+            queued: Some(r.queued as f64),
+        });
+        let elapsed = span(self.now - sent);
+        self.tell(proxy, Event::Probed { store: store(server), ok, elapsed, report });
+    }
+
+    // ---- Servers and their list ----
+
+    fn site(&mut self, event: site::Event) {
+        let mut actions = std::mem::take(&mut self.site_actions);
+        self.site.handle(self.now, event, &mut actions);
+        self.site_said(actions);
+    }
+
+    fn site_said(&mut self, mut actions: Vec<site::Action>) {
+        let now = self.now;
+        for action in actions.drain(..) {
+            match action {
+                site::Action::WakeAt(at, wake) => self.wheel.put(at, Step::Site(wake)),
+                site::Action::Answer { exchange, answer, note } => {
+                    self.site_answers(exchange >> 1, answer, note);
+                }
+                site::Action::Report { exchange, report } => {
+                    let probe = exchange >> 1;
+                    let Some((server, proxy)) = self.probes.get(&probe).map(|p| (p.server, p.proxy)) else {
+                        continue;
+                    };
+                    if let Some(way) = self.home(server, proxy) {
+                        self.wheel.put(now + way, Step::ProbeBack { probe, report });
+                    }
+                }
+                site::Action::Changed(server) => {
+                    let record = host::record(&self.site, server);
+                    self.list(catalog::Event::Changed(record));
+                }
+                site::Action::Primary { group, server } => {
+                    self.tally.mark(now, format!("server {server} is primary of group {group}"));
+                }
+                site::Action::Vacant { group } => {
+                    self.tally.mark(now, format!("group {group} has no primary"));
+                }
+                site::Action::Applied { key, .. } => {
+                    self.tally.counts().applied += 1;
+                    self.checker.applied(key);
+                }
+                site::Action::Undone { server, .. } => {
+                    self.tally.counts().undone += 1;
+                    self.tally.mark(now, format!("what server {server} took in last is undone"));
+                }
+                site::Action::Collapsed(server) => {
+                    self.checker.breaks(Rule::Collapsed);
+                    self.tally.mark(now, format!("server {server} is pushed over"));
+                }
+            }
+        }
+        if self.site_actions.capacity() < actions.capacity() {
+            self.site_actions = actions;
+        }
+    }
+
+    /// What a server says is on its way back.
+    fn site_answers(&mut self, attempt: u64, answer: Answer, note: Option<site::Note>) {
+        let Some((server, proxy)) = self.attempts.get(&attempt).map(|a| (a.server, a.proxy)) else { return };
+        let outcome = match answer {
+            Answer::Ok => Outcome::Ok,
+            Answer::Miss => Outcome::Miss,
+            Answer::Full => Outcome::Full,
+            Answer::Error => Outcome::Failed,
+            Answer::Reset | Answer::Refused => Outcome::Reset,
+        };
+        let note = note
+            .map_or(Note::default(), |n| Note { primary: Some(n.primary), position: Some(time(n.position)) });
+        if let Some(way) = self.home(server, proxy) {
+            self.wheel.put(self.now + way, Step::Back { attempt, outcome, note });
+        } else if self.attempts.get(&attempt).is_some_and(|a| a.state == State::Over) {
+            self.attempts.remove(&attempt);
+        }
+    }
+
+    fn list(&mut self, event: catalog::Event) {
+        let mut actions = Vec::new();
+        self.list.handle(self.now, event, &mut actions);
+        for action in actions {
+            let proxy = match &action {
+                catalog::Action::DueAt(at) => {
+                    self.wheel.put(*at, Step::List);
+                    continue;
+                }
+                catalog::Action::Tell { caller, .. } | catalog::Action::Fail(caller) => *caller,
+            };
+            let from = Spot { place: LIST_PLACE, proxy: None };
+            let epoch = self.hosts[proxy].epoch;
+            if let Some(way) = self.network.one_way(from, self.spot(proxy), &mut self.way) {
+                self.wheel.put(self.now + way, Step::Told { proxy, epoch, news: Box::new(action) });
+            }
+        }
+    }
+
+    fn news(&mut self, proxy: usize, news: catalog::Action) {
+        let event = match news {
+            catalog::Action::Tell { index, complete, records, .. } => {
+                let host = &mut self.hosts[proxy];
+                host.index = index;
+                host.learn(&records, complete);
+                let entries: Vec<_> = records.iter().map(|r| entry(r, time)).collect();
+                for entry in &entries {
+                    let leaving = entry.listed != Listed::Ready;
+                    self.checker.told(proxy, host::server(entry.store), leaving, self.now);
+                }
+                match complete {
+                    true => ListNews::Complete(entries),
+                    false => ListNews::Changes(entries),
+                }
+            }
+            catalog::Action::Fail(_) => ListNews::Failed,
+            catalog::Action::DueAt(_) => return,
+        };
+        self.tell(proxy, Event::List(event));
+    }
+
+    /// A proxy begins, with the list as it was at the start of the run.
+    fn start(&mut self, proxy: usize) {
+        let records: Vec<catalog::Record> = self.list.records().collect();
+        let host = &mut self.hosts[proxy];
+        host.policy = Some((self.policy)(proxy, host.epoch, &self.streams));
+        host.index = self.list.index();
+        host.learn(&records, true);
+        let entries = records.iter().filter(|r| r.status != Status::Gone).map(|r| entry(r, time)).collect();
+        self.tell(proxy, Event::List(ListNews::Cached(entries)));
+    }
+}
--- /dev/null
+++ b/crates/leverlab/src/play/troubles.rs
@@ -0,0 +1,205 @@
+//! What goes wrong in a run: whose it is when it comes, and what it does.
+
+use super::{Play, Step};
+use crate::scenario::{Target, What};
+use rand::Rng;
+use world::clients;
+use world::network::End;
+use world::site::{self, ServerId, Status, Trouble};
+use world::Micros;
+
+/// A draining server has so long to finish what it has.
+const LINGER: Micros = 2_000_000;
+/// Clients go on trying a proxy that has died for so long.
+const NOTICE: Micros = 2_000_000;
+
+/// Whom each trouble has struck.
+pub struct Troubles {
+    servers: Vec<Vec<ServerId>>,
+    proxies: Vec<Vec<usize>>,
+}
+
+impl Troubles {
+    pub fn new(number: usize) -> Troubles {
+        Troubles { servers: vec![Vec::new(); number], proxies: vec![Vec::new(); number] }
+    }
+}
+
+impl Play<'_> {
+    /// The servers that a trouble is of, now that it comes; each once.
+    fn struck(&self, at: usize) -> Vec<ServerId> {
+        let trouble = &self.scenario.troubles[at];
+        let mut found = Vec::new();
+        let running: Vec<ServerId> = self.site.servers().filter(|s| self.site.runs(*s)).collect();
+        for target in &trouble.targets {
+            match target {
+                Target::All => found.extend(&running),
+                Target::Primaries(from, to) => {
+                    found.extend((*from..=*to).filter_map(|group| self.site.primary(group)));
+                }
+                Target::Member(group, member) => {
+                    found.extend(self.site.members(*group).get(*member as usize).copied());
+                }
+                Target::Place(place) => {
+                    found.extend(running.iter().filter(|s| self.site.place(**s) == *place));
+                }
+                Target::Share(part) => {
+                    let wanted = (running.len() as f64 * part).ceil() as usize;
+                    let mut draws = self.streams.stream("trouble", at as u64);
+                    // Each has a key by its weight; the largest are drawn.
+                    let mut keyed: Vec<(f64, ServerId)> = running
+                        .iter()
+                        .map(|server| {
+                            let weight = if self.site.is_primary(*server) { 2.0 } else { 1.0 };
+                            (draws.random::<f64>().powf(1.0 / weight), *server)
+                        })
+                        .collect();
+                    keyed.sort_by(|a, b| b.0.total_cmp(&a.0));
+                    found.extend(keyed.iter().take(wanted).map(|(_, server)| server));
+                }
+                Target::Proxies(..) => {}
+            }
+        }
+        let mut seen = std::collections::BTreeSet::new();
+        found.retain(|server| seen.insert(*server));
+        found
+    }
+
+    fn struck_proxies(&self, at: usize) -> Vec<usize> {
+        let all = 0..self.hosts.len();
+        let of = |target: &Target| match target {
+            Target::Proxies(from, to) => all.clone().filter(|p| (from..=to).contains(&p)).collect(),
+            Target::All => all.clone().collect(),
+            Target::Place(place) => {
+                all.clone().filter(|p| self.hosts[*p].place == *place).collect::<Vec<_>>()
+            }
+            _ => Vec::new(),
+        };
+        let mut found: Vec<usize> = self.scenario.troubles[at].targets.iter().flat_map(of).collect();
+        found.sort_unstable();
+        found.dedup();
+        found
+    }
+
+    fn each(&mut self, servers: &[ServerId], trouble: impl Fn(ServerId) -> Trouble) {
+        for server in servers {
+            self.site(site::Event::Trouble(trouble(*server)));
+        }
+    }
+
+    pub(super) fn trouble(&mut self, at: usize) {
+        let now = self.now;
+        let trouble = self.scenario.troubles[at].clone();
+        let (servers, proxies) = (self.struck(at), self.struck_proxies(at));
+        self.tally.mark(now, format!("{} begins", trouble.name));
+        self.wheel.put(now.saturating_add(trouble.span), Step::Over(at));
+        match trouble.what {
+            What::Die => self.each(&servers, Trouble::Die),
+            What::Hang => self.each(&servers, |server| Trouble::Hang { server, on: true }),
+            What::Slow(times) => {
+                let all: Vec<ServerId> = self.site.servers().collect();
+                let servers = if trouble.targets.is_empty() { &all } else { &servers };
+                self.each(servers, |server| Trouble::Slow { server, times });
+            }
+            What::Hold => self.each(&servers, |server| Trouble::Hold { server, span: trouble.span }),
+            What::Deploy => {
+                // One of each group after the other, so that none loses all at once.
+                let mut servers = servers.clone();
+                servers.sort_by_key(|s| {
+                    let group = self.site.group(*s);
+                    (self.site.members(group).iter().position(|m| m == s), group)
+                });
+                let gap = trouble.span / (servers.len() as Micros).max(1);
+                for (n, server) in (0..).zip(&servers) {
+                    let step = Step::Deploy { trouble: at, server: *server, phase: 0 };
+                    self.wheel.put(now + gap * n, step);
+                }
+            }
+            What::ListBehind(extra) => self.list(world::catalog::Event::Behind(extra)),
+            What::ListDown => self.list(world::catalog::Event::Down(true)),
+            What::Surge(times, tenant) => self.clients(clients::Event::Surge { tenant, times }),
+            What::Cut { place, back_only } => self.cut(&proxies, place, back_only, true),
+            What::Split(place) => self.site(site::Event::Trouble(Trouble::Split(place))),
+            What::Loss(part) => self.network.set_extra_loss(part),
+            What::ProxyDies => proxies.iter().for_each(|proxy| self.proxy_dies(*proxy)),
+        }
+        (self.troubles.servers[at], self.troubles.proxies[at]) = (servers, proxies);
+    }
+
+    pub(super) fn over(&mut self, at: usize) {
+        let trouble = self.scenario.troubles[at].clone();
+        let servers = self.troubles.servers[at].clone();
+        let proxies = self.troubles.proxies[at].clone();
+        self.tally.mark(self.now, format!("{} is over", trouble.name));
+        match trouble.what {
+            What::Die => self.each(&servers, Trouble::Start),
+            What::Hang => self.each(&servers, |server| Trouble::Hang { server, on: false }),
+            What::Slow(_) => {
+                let all: Vec<ServerId> = self.site.servers().collect();
+                let servers = if trouble.targets.is_empty() { &all } else { &servers };
+                self.each(servers, |server| Trouble::Slow { server, times: 1.0 });
+            }
+            What::Hold | What::Deploy => {}
+            What::ListBehind(_) => self.list(world::catalog::Event::Behind(0)),
+            What::ListDown => self.list(world::catalog::Event::Down(false)),
+            What::Surge(_, tenant) => self.clients(clients::Event::Surge { tenant, times: 1.0 }),
+            What::Cut { place, back_only } => self.cut(&proxies, place, back_only, false),
+            What::Split(_) => self.site(site::Event::Trouble(Trouble::Meet)),
+            What::Loss(_) => self.network.set_extra_loss(0.0),
+            What::ProxyDies => {
+                for proxy in proxies {
+                    self.hosts[proxy].down = false;
+                    self.start(proxy);
+                    self.clients(clients::Event::Proxy { proxy, up: true });
+                }
+            }
+        }
+    }
+
+    fn cut(&mut self, proxies: &[usize], place: u16, back_only: bool, cut: bool) {
+        for proxy in proxies {
+            let (a, b) = (End::Proxy(*proxy), End::Place(place));
+            for (from, to) in [(b, a), (a, b)].into_iter().take(if back_only { 1 } else { 2 }) {
+                if cut {
+                    self.network.cut(from, to);
+                } else {
+                    self.network.heal(from, to);
+                }
+            }
+        }
+    }
+
+    /// Drained, then ended and replaced by a new one.
+    pub(super) fn deploy(&mut self, trouble: usize, server: ServerId, phase: u8) {
+        if phase == 0 {
+            if self.site.status(server) == Status::Ready {
+                self.site(site::Event::Trouble(Trouble::Drain(server)));
+                self.wheel.put(self.now + LINGER, Step::Deploy { trouble, server, phase: 1 });
+            }
+        } else {
+            let (group, place) = (self.site.group(server), self.site.place(server));
+            self.site(site::Event::Trouble(Trouble::Retire(server)));
+            self.site(site::Event::Trouble(Trouble::Join { group, place }));
+        }
+    }
+
+    fn proxy_dies(&mut self, proxy: usize) {
+        if !self.hosts[proxy].up() {
+            return;
+        }
+        self.hosts[proxy].die(&mut self.site);
+        self.list(world::catalog::Event::Leave(proxy));
+        let mut held: Vec<u64> =
+            self.open.iter().filter(|(_, o)| o.asked.proxy == proxy).map(|(id, _)| *id).collect();
+        held.sort_unstable();
+        for id in held {
+            self.open.remove(&id);
+            self.checker.dies(id);
+            let answer = clients::Answer::Gone { reached: true };
+            self.clients(clients::Event::Answered(id, answer));
+        }
+        // Only after a while do clients go elsewhere at once.
+        let epoch = self.hosts[proxy].epoch;
+        self.wheel.put(self.now + NOTICE, Step::Unseen { proxy, epoch });
+    }
+}
--- /dev/null
+++ b/crates/leverlab/src/tally.rs
@@ -0,0 +1,196 @@
+//! The books of a run: goodput as a whole and of its worst parts, latencies, and what happened when.
+
+use crate::check::Rule;
+use crate::scenario::{Scenario, Weights, SECOND};
+use hdrhistogram::serialization::{Deserializer, Serializer, V2Serializer};
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use world::clients::{End, Settled};
+use world::Micros;
+
+/// Latencies are kept up to a minute, with two significant digits.
+const HIGHEST: u64 = 60 * SECOND;
+const DIGITS: u8 = 2;
+
+/// The span over which a run is at its worst.
+const WORST: usize = 10;
+
+pub fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, HIGHEST, DIGITS).unwrap_or_else(|_| Histogram::new(DIGITS).expect("digits"))
+}
+
+/// A part of the books: one second, one class, one tenant.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Part {
+    pub worth: f64,
+    pub earned: f64,
+    pub asked: u64,
+    pub served: u64,
+    pub refused: u64,
+    pub failed: u64,
+    pub left: u64,
+}
+
+impl Part {
+    fn add(&mut self, settled: &Settled) {
+        self.worth += settled.worth;
+        self.earned += settled.earned;
+        self.asked += 1;
+        match settled.end {
+            End::Served => self.served += 1,
+            End::Refused => self.refused += 1,
+            End::Failed => self.failed += 1,
+            End::Left => self.left += 1,
+        }
+    }
+
+    /// None: nothing was asked for.
+    pub fn goodput(&self) -> Option<f64> {
+        (self.worth > 0.0).then(|| self.earned / self.worth)
+    }
+}
+
+/// Latencies in the form in which they are stored.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Packed(String);
+
+impl Packed {
+    pub fn of(histogram: &Histogram<u64>) -> Packed {
+        use base64::Engine;
+        let mut bytes = Vec::new();
+        // Into memory; a histogram always fits.
+        _ = V2Serializer::new().serialize(histogram, &mut bytes);
+        Packed(base64::engine::general_purpose::STANDARD.encode(bytes))
+    }
+
+    pub fn open(&self) -> Option<Histogram<u64>> {
+        use base64::Engine;
+        let bytes = base64::engine::general_purpose::STANDARD.decode(&self.0).ok()?;
+        Deserializer::new().deserialize(&mut bytes.as_slice()).ok()
+    }
+}
+
+/// Something that happened, for time-lines.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Mark {
+    pub at: Micros,
+    pub what: String,
+}
+
+/// What came of a run. The same scenario, policy and seed give the same, bit for bit.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Outcomes {
+    /// The weighed mix of the four below.
+    pub score: f64,
+    /// Worth answered within its aim, and less for late, over the worth asked for.
+    pub goodput: f64,
+    pub worst_span: f64,
+    pub worst_kind: f64,
+    pub worst_tenant: f64,
+    pub whole: Part,
+    /// By second, by class and by tenant, in the scenario's order.
+    pub seconds: Vec<Part>,
+    pub kinds: Vec<Part>,
+    pub tenants: Vec<Part>,
+    /// Latencies of what was served, by class, in microseconds from the first try.
+    pub latencies: Vec<Packed>,
+    pub tries: u64,
+    pub attempts: u64,
+    pub misses: u64,
+    pub probes: u64,
+    pub dials: u64,
+    /// Writes that took effect, and those of them that were undone when the groups met again or another took over.
+    pub applied: u64,
+    pub undone: u64,
+    pub broken: BTreeMap<Rule, u64>,
+    pub marks: Vec<Mark>,
+    /// Steps of the engine.
+    pub steps: u64,
+}
+
+impl Outcomes {
+    pub fn rules_broken(&self) -> u64 {
+        self.broken.values().sum()
+    }
+}
+
+#[derive(Debug)]
+pub struct Tally {
+    out: Outcomes,
+    latencies: Vec<Histogram<u64>>,
+    weights: Weights,
+}
+
+/// Marks of one run; later ones are not kept.
+const MARKS: usize = 2_000;
+
+impl Tally {
+    pub fn new(scenario: &Scenario) -> Tally {
+        let clients = &scenario.clients;
+        let seconds = (clients.length / SECOND + 1) as usize;
+        let out = Outcomes {
+            seconds: vec![Part::default(); seconds],
+            kinds: vec![Part::default(); clients.kinds.len()],
+            tenants: vec![Part::default(); clients.tenants.len()],
+            ..Outcomes::default()
+        };
+        let latencies = clients.kinds.iter().map(|_| histogram()).collect();
+        Tally { out, latencies, weights: scenario.weights }
+    }
+
+    pub fn counts(&mut self) -> &mut Outcomes {
+        &mut self.out
+    }
+
+    pub fn mark(&mut self, at: Micros, what: impl Into<String>) {
+        if self.out.marks.len() < MARKS {
+            self.out.marks.push(Mark { at, what: what.into() });
+        }
+    }
+
+    pub fn settled(&mut self, settled: &Settled) {
+        self.out.whole.add(settled);
+        let second = (settled.came / SECOND) as usize;
+        for (parts, at) in [
+            (&mut self.out.seconds, second),
+            (&mut self.out.kinds, settled.kind),
+            (&mut self.out.tenants, settled.tenant),
+        ] {
+            if let Some(part) = parts.get_mut(at) {
+                part.add(settled);
+            }
+        }
+        if let (Some(took), Some(latencies)) = (settled.took, self.latencies.get_mut(settled.kind)) {
+            latencies.saturating_record(took.max(1));
+        }
+    }
+
+    pub fn close(self, broken: BTreeMap<Rule, u64>) -> Outcomes {
+        let Tally { mut out, latencies, weights } = self;
+        out.broken = broken;
+        out.latencies = latencies.iter().map(Packed::of).collect();
+        // Where nothing was asked for nothing was missed.
+        out.goodput = out.whole.goodput().unwrap_or(1.0);
+        let least = |parts: &mut dyn Iterator<Item = Option<f64>>| parts.flatten().fold(1.0, f64::min);
+        out.worst_kind = least(&mut out.kinds.iter().map(Part::goodput));
+        out.worst_tenant = match out.tenants.len() {
+            0 => out.goodput,
+            _ => least(&mut out.tenants.iter().map(Part::goodput)),
+        };
+        let window = |parts: &[Part]| {
+            let (worth, earned) = parts.iter().fold((0.0, 0.0), |(w, e), p| (w + p.worth, e + p.earned));
+            (worth > 0.0).then(|| earned / worth)
+        };
+        out.worst_span = match out.seconds.len() {
+            n if n <= WORST => out.goodput,
+            _ => least(&mut out.seconds.windows(WORST).map(window)),
+        };
+        out.score = weights.whole * out.goodput
+            + weights.worst_span * out.worst_span
+            + weights.worst_kind * out.worst_kind
+            + weights.worst_tenant * out.worst_tenant;
+        out
+    }
+}
--- /dev/null
+++ b/crates/world/src/clients.rs
@@ -0,0 +1,520 @@
+//! Clients: requests that come by themselves, whatever becomes of those before them; sessions, patience, repeats.
+//!
+//! Every arrival draws the same numbers, so two policies on one seed are asked the same. What is drawn for repeats goes
+//! by the request's own number, for the same reason.
+
+use crate::law::Work;
+use crate::Micros;
+use engine::streams::{Stream, Streams};
+use rand::Rng;
+use rand_distr::{Distribution, Exp};
+use rustc_hash::FxHashMap;
+use std::collections::VecDeque;
+
+/// What a request needs of the data.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Need {
+    Write,
+    /// All that was written before it came.
+    Fresh,
+    /// What its session has written.
+    Session,
+    /// Data no older than this.
+    Bounded(Micros),
+    Any,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    Safe,
+    /// Duplicates are dropped by its group for this long.
+    Keyed(Micros),
+    Never,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Kind {
+    pub name: String,
+    pub need: Need,
+    pub repeat: Repeat,
+    /// Part of the requests, in proportion to the others'.
+    pub share: f64,
+    pub work: Work,
+    pub aim: Micros,
+    pub deadline: Micros,
+    pub worth: f64,
+    /// Part of the worth that a late answer earns.
+    pub late_worth: f64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tenant {
+    pub name: String,
+    pub share: f64,
+    /// Requests a second that count in full; 0: all.
+    pub quota: f64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    pub kinds: Vec<Kind>,
+    pub tenants: Vec<Tenant>,
+    /// Worth of what is beyond a tenant's quota.
+    pub over_worth: f64,
+    /// Requests a second, and how many times that at which time: straight lines between the points.
+    pub per_s: f64,
+    pub profile: Vec<(Micros, f64)>,
+    pub length: Micros,
+    pub proxies: usize,
+    pub groups: u32,
+    /// How unequal the proxies' shares are: the n-th gets in proportion to n to the power of minus this.
+    pub unequal: f64,
+    /// Sessions at each proxy; the part of their reads that come soon after one of their writes, and how soon.
+    pub sessions: u64,
+    pub after_write: f64,
+    pub soon: Micros,
+    /// Further tries at the most, after this wait unless the proxy tells another that is heeded.
+    pub repeats: u32,
+    pub wait: Micros,
+    pub heeds: bool,
+    /// Repeats say that they are.
+    pub marks: bool,
+    /// Of the deadline, the part that a try is given: from, to.
+    pub patience: (f64, f64),
+}
+
+pub type TryId = u64;
+
+/// One try of a request, at a proxy.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Try {
+    pub id: TryId,
+    /// The request that it belongs to: what its work and its effect go by.
+    pub request: u64,
+    pub kind: usize,
+    pub tenant: usize,
+    pub group: u32,
+    pub session: u64,
+    pub proxy: usize,
+    /// Until its client gives it up.
+    pub wait: Micros,
+    /// The session's last write, as the client knows it; 0: none.
+    pub wrote: Micros,
+    pub repeated: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Answer {
+    /// Of a write: its commit.
+    Served {
+        commit: Micros,
+    },
+    Refused {
+        come_back: Option<Micros>,
+    },
+    Failed,
+    /// The proxy can't be reached, or has died with it.
+    Gone {
+        reached: bool,
+    },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Due {
+    Arrival,
+    Repeat(u64),
+    GiveUp(TryId),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Event {
+    Start,
+    Due(Due),
+    Answered(TryId, Answer),
+    /// One tenant's requests, or all, come so many times as fast from now on.
+    Surge {
+        tenant: Option<usize>,
+        times: f64,
+    },
+    /// Whether new tries find a proxy.
+    Proxy {
+        proxy: usize,
+        up: bool,
+    },
+}
+
+/// How a request ended, for whoever keeps the books.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Settled {
+    pub request: u64,
+    pub kind: usize,
+    pub tenant: usize,
+    pub came: Micros,
+    pub worth: f64,
+    /// What it earned, and after which time; none: it was not served.
+    pub earned: f64,
+    pub took: Option<Micros>,
+    pub tries: u32,
+    pub end: End,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    Served,
+    Refused,
+    Failed,
+    /// Its client's time was over.
+    Left,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Action {
+    Ask(Try),
+    /// Nobody waits for that try any more.
+    Leave {
+        id: TryId,
+        proxy: usize,
+    },
+    DueAt(Micros, Due),
+    Settled(Settled),
+}
+
+#[derive(Clone, Debug)]
+struct Request {
+    kind: usize,
+    tenant: usize,
+    group: u32,
+    session: u64,
+    proxy: usize,
+    came: Micros,
+    worth: f64,
+    /// The try that is out.
+    out: Option<TryId>,
+    tries: u32,
+    /// Draws for its tries come of this.
+    seed: u64,
+    /// How its last try ended.
+    last: End,
+}
+
+/// The last writes of a proxy's clients, which reads come after.
+const RECENT: usize = 32;
+
+#[derive(Debug)]
+pub struct Clients {
+    set: Settings,
+    arrivals: Stream,
+    gaps: Option<Exp<f64>>,
+    /// The rate that gaps are drawn for; of its arrivals those beyond the present rate are dropped.
+    most: f64,
+    next: f64,
+    surges: Vec<f64>,
+    surge_all: f64,
+    up: Vec<bool>,
+    /// Shares of proxies, kinds and tenants as sums so far.
+    proxies: Vec<f64>,
+    kinds: Vec<f64>,
+    shares: Vec<f64>,
+    requests: FxHashMap<u64, Request>,
+    tries: FxHashMap<TryId, u64>,
+    commits: FxHashMap<u64, Micros>,
+    recent: Vec<VecDeque<(u64, u32, Micros)>>,
+    /// Of tenants: what is left of their quota, and since when.
+    quota: Vec<(f64, Micros)>,
+    last_request: u64,
+    last_try: TryId,
+}
+
+/// Times of the usual that a surge may be.
+pub const SURGE_MOST: f64 = 16.0;
+
+impl Clients {
+    pub fn new(set: Settings, streams: &Streams) -> Clients {
+        let sums = |parts: &mut dyn Iterator<Item = f64>| -> Vec<f64> {
+            let mut sum = 0.0;
+            parts
+                .map(|part| {
+                    sum += part;
+                    sum
+                })
+                .collect()
+        };
+        let highest = set.profile.iter().map(|(_, times)| *times).fold(f64::NAN, f64::max);
+        let most = set.per_s * if highest.is_nan() { 1.0 } else { highest };
+        Clients {
+            arrivals: streams.stream("arrivals", 0),
+            gaps: Exp::new(most / 1e6).ok().filter(|_| most > 0.0),
+            most,
+            next: 0.0,
+            surges: vec![1.0; set.tenants.len().max(1)],
+            surge_all: 1.0,
+            up: vec![true; set.proxies],
+            proxies: sums(&mut (0..set.proxies).map(|n| ((n + 1) as f64).powf(-set.unequal))),
+            kinds: sums(&mut set.kinds.iter().map(|k| k.share)),
+            shares: sums(&mut set.tenants.iter().map(|t| t.share)),
+            requests: FxHashMap::default(),
+            tries: FxHashMap::default(),
+            commits: FxHashMap::default(),
+            recent: vec![VecDeque::new(); set.proxies],
+            quota: set.tenants.iter().map(|t| (t.quota, 0)).collect(),
+            last_request: 0,
+            last_try: 0,
+            set,
+        }
+    }
+
+    /// Requests that are neither served nor given up.
+    pub fn open(&self) -> usize {
+        self.requests.len()
+    }
+
+    pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Start => self.schedule(actions),
+            Event::Due(Due::Arrival) => {
+                self.schedule(actions);
+                self.arrive(now, actions);
+            }
+            Event::Due(Due::Repeat(request)) => self.ask(request, now, actions),
+            Event::Due(Due::GiveUp(id)) => {
+                if let Some(request) = self.tries.remove(&id) {
+                    if let Some(open) = self.requests.get_mut(&request) {
+                        open.out = None;
+                        let proxy = open.proxy;
+                        actions.push(Action::Leave { id, proxy });
+                    }
+                    self.ended(request, End::Left, None, now, actions);
+                }
+            }
+            Event::Answered(id, answer) => self.answered(id, answer, now, actions),
+            Event::Surge { tenant, times } => {
+                let times = times.clamp(0.0, SURGE_MOST);
+                match tenant {
+                    Some(tenant) => _ = self.surges.get_mut(tenant).map(|surge| *surge = times),
+                    None => self.surge_all = times,
+                }
+            }
+            Event::Proxy { proxy, up } => _ = self.up.get_mut(proxy).map(|was| *was = up),
+        }
+    }
+
+    /// Arrivals are drawn for the highest rate that there may be, and thinned to the present one.
+    fn schedule(&mut self, actions: &mut Vec<Action>) {
+        let surge = self.surge_all * self.surges.iter().copied().fold(1.0, f64::max);
+        let Some(gaps) = &self.gaps else { return };
+        self.next += gaps.sample(&mut self.arrivals) / surge.max(1.0);
+        if self.next < self.set.length as f64 {
+            actions.push(Action::DueAt(self.next as Micros, Due::Arrival));
+        }
+    }
+
+    fn times(&self, now: Micros) -> f64 {
+        let points = &self.set.profile;
+        let after = points.partition_point(|(at, _)| *at <= now);
+        match (after.checked_sub(1).and_then(|at| points.get(at)), points.get(after)) {
+            (Some((from, a)), Some((to, b))) => a + (b - a) * (now - from) as f64 / (to - from).max(1) as f64,
+            (Some((_, times)), None) | (None, Some((_, times))) => *times,
+            (None, None) => 1.0,
+        }
+    }
+
+    fn arrive(&mut self, now: Micros, actions: &mut Vec<Action>) {
+        // Every arrival draws the same numbers, whatever becomes of it.
+        let u: [f64; 7] = std::array::from_fn(|_| self.arrivals.random());
+        let seed = self.arrivals.random::<u64>();
+        let surge = self.surge_all * self.surges.iter().copied().fold(1.0, f64::max);
+        let tenant = pick(&self.shares, u[1]);
+        let own = self.surge_all * self.surges.get(tenant).copied().unwrap_or(1.0);
+        let rate = self.set.per_s * self.times(now) * own;
+        if u[0] * self.most * surge.max(1.0) >= rate || self.set.proxies == 0 || self.set.groups == 0 {
+            return;
+        }
+        let kind = pick(&self.kinds, u[2]);
+        let Some(stated) = self.set.kinds.get(kind) else { return };
+        let proxy = pick(&self.proxies, u[3]);
+        let mut group = ((u[4] * f64::from(self.set.groups)) as u32).min(self.set.groups - 1);
+        let own_sessions = self.set.sessions.max(1);
+        let number = (u[5] * own_sessions as f64) as u64;
+        // A session is of one group and one proxy.
+        let mut session =
+            (proxy as u64 * own_sessions + number) * u64::from(self.set.groups) + u64::from(group) + 1;
+        if stated.need == Need::Session && u[6] < self.set.after_write {
+            let lately = |at: Micros| now.saturating_sub(at) <= 3 * self.set.soon;
+            let recent = self.recent[proxy].iter().rev().take_while(|(.., at)| lately(*at));
+            let recent: Vec<(u64, u32)> = recent.map(|(s, g, _)| (*s, *g)).collect();
+            if let Some((s, g)) = recent.get((u[5] * recent.len() as f64) as usize) {
+                (session, group) = (*s, *g);
+            }
+        }
+        let worth = stated.worth;
+        let worth = worth * self.within_quota(tenant, now);
+        self.last_request += 1;
+        let request = self.last_request;
+        let open = Request {
+            kind,
+            tenant,
+            group,
+            session,
+            proxy,
+            came: now,
+            worth,
+            out: None,
+            tries: 0,
+            seed,
+            last: End::Failed,
+        };
+        self.requests.insert(request, open);
+        self.ask(request, now, actions);
+    }
+
+    /// What is beyond a tenant's quota is worth less, whatever is done with it.
+    fn within_quota(&mut self, tenant: usize, now: Micros) -> f64 {
+        let Some(stated) = self.set.tenants.get(tenant).filter(|t| t.quota > 0.0) else { return 1.0 };
+        let (left, since) = &mut self.quota[tenant];
+        *left = (*left + (now - *since) as f64 / 1e6 * stated.quota).min(stated.quota);
+        *since = now;
+        if *left >= 1.0 {
+            *left -= 1.0;
+            1.0
+        } else {
+            self.set.over_worth
+        }
+    }
+
+    fn ask(&mut self, request: u64, now: Micros, actions: &mut Vec<Action>) {
+        let Some(open) = self.requests.get_mut(&request) else { return };
+        let kind = &self.set.kinds[open.kind];
+        let left = (open.came + kind.deadline).saturating_sub(now);
+        let (from, to) = self.set.patience;
+        let given = from + (to - from) * share_of(open.seed ^ u64::from(open.tries) << 8);
+        let wait = ((kind.deadline as f64 * given) as Micros).min(left).max(1);
+        // Whose proxy is known to be down goes to another.
+        if self.up.get(open.proxy) == Some(&false) {
+            let others: Vec<usize> = (0..self.up.len()).filter(|p| self.up[*p]).collect();
+            if let Some(other) = others.get(open.seed as usize % others.len().max(1)) {
+                open.proxy = *other;
+            }
+        }
+        self.last_try += 1;
+        let id = self.last_try;
+        open.out = Some(id);
+        open.tries += 1;
+        self.tries.insert(id, request);
+        let wrote = match kind.need {
+            Need::Session => self.commits.get(&open.session).copied().unwrap_or(0),
+            _ => 0,
+        };
+        actions.push(Action::DueAt(now + wait, Due::GiveUp(id)));
+        actions.push(Action::Ask(Try {
+            id,
+            request,
+            kind: open.kind,
+            tenant: open.tenant,
+            group: open.group,
+            session: open.session,
+            proxy: open.proxy,
+            wait,
+            wrote,
+            repeated: open.tries > 1 && self.set.marks,
+        }));
+    }
+
+    fn answered(&mut self, id: TryId, answer: Answer, now: Micros, actions: &mut Vec<Action>) {
+        let Some(request) = self.tries.remove(&id) else { return };
+        let Some(open) = self.requests.get_mut(&request) else { return };
+        open.out = None;
+        match answer {
+            Answer::Served { commit } => {
+                let kind = &self.set.kinds[open.kind];
+                if kind.need == Need::Write && commit > 0 {
+                    let known = self.commits.entry(open.session).or_default();
+                    *known = commit.max(*known);
+                    let recent = &mut self.recent[open.proxy];
+                    recent.push_back((open.session, open.group, now));
+                    if recent.len() > RECENT {
+                        recent.pop_front();
+                    }
+                }
+                let took = now - open.came;
+                let part = if took <= kind.aim { 1.0 } else { kind.late_worth };
+                let earned = open.worth * if took <= kind.deadline { part } else { 0.0 };
+                self.settle(request, End::Served, earned, Some(took), actions);
+            }
+            Answer::Refused { come_back } => self.ended(request, End::Refused, come_back, now, actions),
+            Answer::Failed => self.ended(request, End::Failed, None, now, actions),
+            Answer::Gone { reached: false } => self.ended(request, End::Refused, None, now, actions),
+            Answer::Gone { reached: true } => self.ended(request, End::Failed, None, now, actions),
+        }
+    }
+
+    /// A try has come to nothing: another follows, if it may and there is time.
+    fn ended(
+        &mut self,
+        request: u64,
+        end: End,
+        come_back: Option<Micros>,
+        now: Micros,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(open) = self.requests.get_mut(&request) else { return };
+        open.last = end;
+        let kind = &self.set.kinds[open.kind];
+        // What may have run is asked for again only where that does no harm.
+        let may = end == End::Refused || kind.repeat == Repeat::Safe;
+        let jitter = 0.5 + share_of(open.seed ^ u64::from(open.tries) << 24);
+        let told = come_back.filter(|_| self.set.heeds);
+        let wait = told.unwrap_or(self.set.wait) as f64 * jitter;
+        let at = now + (wait as Micros).max(1);
+        if may && open.tries <= self.set.repeats && at < open.came + kind.deadline {
+            actions.push(Action::DueAt(at, Due::Repeat(request)));
+        } else {
+            self.settle(request, end, 0.0, None, actions);
+        }
+    }
+
+    fn settle(
+        &mut self,
+        request: u64,
+        end: End,
+        earned: f64,
+        took: Option<Micros>,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(open) = self.requests.remove(&request) else { return };
+        let Request { kind, tenant, came, worth, tries, .. } = open;
+        actions.push(Action::Settled(Settled {
+            request,
+            kind,
+            tenant,
+            came,
+            worth,
+            earned,
+            took,
+            tries,
+            end,
+        }));
+    }
+
+    /// What is still open counts as it stands; for the end of a run.
+    pub fn close(&mut self, actions: &mut Vec<Action>) {
+        let mut open: Vec<(u64, End)> = self.requests.iter().map(|(id, r)| (*id, r.last)).collect();
+        open.sort_unstable_by_key(|(id, _)| *id);
+        for (request, last) in open {
+            self.settle(request, last, 0.0, None, actions);
+        }
+    }
+}
+
+/// The place of a draw among sums of shares.
+fn pick(sums: &[f64], u: f64) -> usize {
+    let all = sums.last().copied().unwrap_or(0.0);
+    sums.partition_point(|sum| *sum <= u * all).min(sums.len().saturating_sub(1))
+}
+
+/// A number from 0 to 1 that looks random and is the same for the same seed.
+pub fn share_of(seed: u64) -> f64 {
+    let z = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    ((z ^ (z >> 31)) >> 11) as f64 / (1_u64 << 53) as f64
+}
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -1,12 +1,17 @@
 //! The model of the systems that leverproxy stands before: no clock, no sockets, events in and actions out.
 //!
-//! [`server::Server`] is a record server's machine: cores, slots, a waiting room, efficiency lost when crowded, a cold
-//! start, collapse when it is overrun. [`law`] says how much work a request is. [`group::Group`] is a primary and its
-//! replicas: a log shipped and applied by one thread, positions, elections. Whoever drives them (virtual time, or
-//! later real sockets) brings the time and carries actions from one to the other.
+//! [`site::Site`] is all record servers: machines ([`server`]) with cores, slots, a waiting room, efficiency lost when
+//! crowded, cold starts and collapse; [`law`] says how much work a request is; [`group`]s of a primary and its replicas
+//! have a log that is shipped and applied by one thread, elections and splits. [`network`] is the way to them,
+//! [`catalog`] the list of them, [`clients`] those who ask. Whoever drives them (virtual time, or real sockets) brings
+//! the time and carries actions from one to the other.
 
+pub mod catalog;
+pub mod clients;
 pub mod group;
 pub mod law;
+pub mod network;
 pub mod server;
+pub mod site;
 
 pub use engine::Micros;
--- /dev/null
+++ b/crates/world/src/site.rs
@@ -0,0 +1,580 @@
+//! Record servers as a whole: machines, the groups that they form, and what goes wrong with them.
+//!
+//! Whoever drives it brings requests and probes that have reached a server, time, and troubles; it says what each server
+//! answers and when it wants to be woken. It knows nothing of networks, proxies or lists, so the same site stands behind
+//! virtual time and behind sockets.
+
+use crate::group::{self, Group};
+use crate::server::{self, Server};
+use crate::Micros;
+use rustc_hash::FxHashMap;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Settings {
+    pub groups: usize,
+    /// Buildings; members of a group stand in each of them in turn.
+    pub places: usize,
+    pub server: server::Settings,
+    pub group: group::Settings,
+    /// Reports that probes bring are made anew this often at the most.
+    pub report_every: Micros,
+    /// Work of a core that a probe costs, and that a new connection does.
+    pub probe_work: Micros,
+    pub dial_work: Micros,
+    /// Connections that a server holds; further ones are refused.
+    pub connections: usize,
+    /// A server that is new starts from a copy of this age.
+    pub copy_age: Micros,
+    /// Reads that a server is too far behind for are turned away; else it answers from what it has.
+    pub checks: bool,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            groups: 3,
+            places: 2,
+            server: server::Settings::default(),
+            group: group::Settings::default(),
+            report_every: 100_000,
+            probe_work: 300,
+            dial_work: 1_000,
+            connections: 400,
+            copy_age: 5_000_000,
+            checks: true,
+        }
+    }
+}
+
+/// Servers count from 0 in the order in which they came; no number is given twice.
+pub type ServerId = u32;
+
+/// What a request asks of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ask {
+    /// A write, known by this key; none: a read.
+    pub write: Option<u64>,
+    /// Data that a read must see: all commits up to here. 0: any will do.
+    pub need: Micros,
+    /// In microseconds of a core.
+    pub work: Micros,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wake {
+    Server { server: ServerId, number: u64 },
+    Group(u32),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// A request's last byte has reached a server; `exchange` is the driver's name for it.
+    Request {
+        exchange: u64,
+        server: ServerId,
+        ask: Ask,
+    },
+    Probe {
+        exchange: u64,
+        server: ServerId,
+    },
+    Wake(Wake),
+    Trouble(Trouble),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Trouble {
+    Die(ServerId),
+    /// One that died starts again, cold, with the data that it had.
+    Start(ServerId),
+    /// It takes requests and answers none, until it no longer does so.
+    Hang {
+        server: ServerId,
+        on: bool,
+    },
+    Slow {
+        server: ServerId,
+        times: f64,
+    },
+    /// A long query holds its replication.
+    Hold {
+        server: ServerId,
+        span: Micros,
+    },
+    /// It finishes what it has, wants nothing new, and hands over its role.
+    Drain(ServerId),
+    /// It is gone for good.
+    Retire(ServerId),
+    /// A new one comes into that group and place, cold, with an old copy.
+    Join {
+        group: u32,
+        place: u16,
+    },
+    /// Servers of a place can't hear those of the others.
+    Split(u16),
+    Meet,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    Ok,
+    /// Turned away untouched: no primary, or too far behind.
+    Miss,
+    /// Turned away unseen: full or draining.
+    Full,
+    /// It may have had an effect.
+    Error,
+    /// The server died with it.
+    Reset,
+    /// Nobody is there.
+    Refused,
+}
+
+/// What an answer tells of its server: for a write that went through its commit, else how far it has the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Note {
+    pub primary: bool,
+    pub position: Micros,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Report {
+    pub position: Micros,
+    pub primary: bool,
+    pub queued: usize,
+    pub in_flight: usize,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Status {
+    Ready,
+    Draining,
+    /// It is dead or gone.
+    Gone,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Action {
+    Answer {
+        exchange: u64,
+        answer: Answer,
+        /// None of a server that is gone.
+        note: Option<Note>,
+    },
+    /// None: nobody is there.
+    Report {
+        exchange: u64,
+        report: Option<Report>,
+    },
+    WakeAt(Micros, Wake),
+    /// What a list of servers would say of it if it knew at once.
+    Changed(ServerId),
+    Primary {
+        group: u32,
+        server: ServerId,
+    },
+    /// A group, or a side of it, takes no writes.
+    Vacant {
+        group: u32,
+    },
+    /// A write has taken effect.
+    Applied {
+        key: u64,
+        at: Micros,
+    },
+    /// What took effect on the side that lost a split is undone.
+    Undone {
+        server: ServerId,
+        after: Micros,
+    },
+    /// Overrun while it was cold: dead until it is started.
+    Collapsed(ServerId),
+}
+
+#[derive(Debug)]
+struct Machine {
+    server: Server,
+    group: u32,
+    member: usize,
+    place: u16,
+    status: Status,
+    /// 0: long ago.
+    started: Micros,
+    connections: usize,
+    report: Option<(Micros, Report)>,
+}
+
+#[derive(Debug)]
+pub struct Site {
+    set: Settings,
+    machines: Vec<Machine>,
+    groups: Vec<Group>,
+    /// By group: the servers by their place in it.
+    members: Vec<Vec<ServerId>>,
+    /// Keys of writes that are at a server.
+    writes: FxHashMap<u64, u64>,
+    split: Option<u16>,
+    scratch: Vec<server::Action>,
+    /// Numbers the work that is no request.
+    chores: u64,
+}
+
+/// Work that is no request goes by numbers from here on.
+const CHORES: u64 = 1 << 63;
+
+impl Site {
+    pub fn new(set: Settings) -> Site {
+        let members = set.group.members;
+        let machine = |at: usize| Machine {
+            server: Server::new(set.server),
+            group: (at / members.max(1)) as u32,
+            member: at % members.max(1),
+            place: ((at % members.max(1)) % set.places.max(1)) as u16,
+            status: Status::Ready,
+            started: 0,
+            connections: 0,
+            report: None,
+        };
+        let of = |group: usize| (group * members..(group + 1) * members).map(|s| s as ServerId).collect();
+        Site {
+            set,
+            machines: (0..set.groups * members).map(machine).collect(),
+            groups: (0..set.groups).map(|_| Group::new(set.group)).collect(),
+            members: (0..set.groups).map(of).collect(),
+            writes: FxHashMap::default(),
+            split: None,
+            scratch: Vec::new(),
+            chores: CHORES,
+        }
+    }
+
+    pub fn servers(&self) -> std::ops::Range<ServerId> {
+        0..self.machines.len() as ServerId
+    }
+
+    pub fn groups(&self) -> u32 {
+        self.groups.len() as u32
+    }
+
+    /// Those that are or were in a group, in the order in which they came.
+    pub fn members(&self, group: u32) -> &[ServerId] {
+        self.members.get(group as usize).map_or(&[], Vec::as_slice)
+    }
+
+    pub fn group(&self, server: ServerId) -> u32 {
+        self.machine(server).map_or(0, |m| m.group)
+    }
+
+    pub fn place(&self, server: ServerId) -> u16 {
+        self.machine(server).map_or(0, |m| m.place)
+    }
+
+    pub fn status(&self, server: ServerId) -> Status {
+        self.machine(server).map_or(Status::Gone, |m| m.status)
+    }
+
+    pub fn started(&self, server: ServerId) -> Micros {
+        self.machine(server).map_or(0, |m| m.started)
+    }
+
+    /// The group's primary; of two the younger.
+    pub fn primary(&self, group: u32) -> Option<ServerId> {
+        let member = self.groups.get(group as usize)?.primary()?;
+        self.members(group).get(member).copied()
+    }
+
+    pub fn is_primary(&self, server: ServerId) -> bool {
+        self.machine(server).is_some_and(|m| self.groups[m.group as usize].is_primary(m.member))
+    }
+
+    pub fn position(&mut self, server: ServerId, now: Micros) -> Micros {
+        let Some(machine) = self.machines.get(server as usize) else { return 0 };
+        self.groups[machine.group as usize].position(machine.member, now)
+    }
+
+    /// Its process runs; it may hang all the same.
+    pub fn runs(&self, server: ServerId) -> bool {
+        self.machine(server).is_some_and(|m| m.server.up())
+    }
+
+    /// It would answer a request.
+    pub fn answers(&self, server: ServerId) -> bool {
+        self.machine(server).is_some_and(|m| m.server.up() && !m.server.hung() && m.status == Status::Ready)
+    }
+
+    /// Requests that it holds.
+    pub fn held(&self, server: ServerId) -> usize {
+        self.machine(server).map_or(0, |m| m.server.held())
+    }
+
+    /// Part of its full capacity that it has now.
+    pub fn capacity(&self, server: ServerId, now: Micros) -> f64 {
+        self.machine(server).map_or(0.0, |m| m.server.capacity(now))
+    }
+
+    fn machine(&self, server: ServerId) -> Option<&Machine> {
+        self.machines.get(server as usize)
+    }
+
+    /// A connection to a server: whether it takes it. What hangs does.
+    pub fn dial(&mut self, server: ServerId, now: Micros, actions: &mut Vec<Action>) -> bool {
+        let limit = self.set.connections;
+        let Some(machine) = self.machines.get_mut(server as usize) else { return false };
+        if !machine.server.up() || machine.connections >= limit {
+            return false;
+        }
+        machine.connections += 1;
+        self.chore(server, self.set.dial_work, now, actions);
+        true
+    }
+
+    /// A connection to it has ended.
+    pub fn hang_up(&mut self, server: ServerId) {
+        if let Some(machine) = self.machines.get_mut(server as usize) {
+            machine.connections = machine.connections.saturating_sub(1);
+        }
+    }
+
+    pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Request { exchange, server, ask } => self.request(exchange, server, ask, now, actions),
+            Event::Probe { exchange, server } => self.probe(exchange, server, now, actions),
+            Event::Wake(Wake::Server { server, number }) => {
+                self.work(server, server::Event::Wake { number }, now, actions)
+            }
+            Event::Wake(Wake::Group(group)) => self.replicate(group, group::Event::Due, now, actions),
+            Event::Trouble(trouble) => self.trouble(trouble, now, actions),
+        }
+    }
+
+    fn request(&mut self, exchange: u64, server: ServerId, ask: Ask, now: Micros, actions: &mut Vec<Action>) {
+        let Some(machine) = self.machines.get(server as usize).filter(|m| m.server.up()) else {
+            return actions.push(Action::Answer { exchange, answer: Answer::Refused, note: None });
+        };
+        let (group, member, hung) = (machine.group as usize, machine.member, machine.server.hung());
+        if machine.status != Status::Ready {
+            let note = Some(self.note(server, now));
+            return actions.push(Action::Answer { exchange, answer: Answer::Full, note });
+        }
+        let primary = self.groups[group].is_primary(member);
+        let misses = match ask.write {
+            Some(_) => !primary,
+            None => self.set.checks && ask.need > 0 && self.groups[group].position(member, now) < ask.need,
+        };
+        if misses && !hung {
+            let note = Some(self.note(server, now));
+            return actions.push(Action::Answer { exchange, answer: Answer::Miss, note });
+        }
+        if let Some(key) = ask.write {
+            self.writes.insert(exchange, key);
+        }
+        self.work(server, server::Event::Arrive { id: exchange, work: ask.work }, now, actions);
+    }
+
+    fn note(&mut self, server: ServerId, now: Micros) -> Note {
+        Note { primary: self.is_primary(server), position: self.position(server, now) }
+    }
+
+    fn probe(&mut self, exchange: u64, server: ServerId, now: Micros, actions: &mut Vec<Action>) {
+        if !self.runs(server) {
+            return actions.push(Action::Report { exchange, report: None });
+        }
+        self.chore(server, self.set.probe_work, now, actions);
+        if self.machines[server as usize].server.hung() {
+            return;
+        }
+        let every = self.set.report_every;
+        let known = self.machines[server as usize].report.filter(|(at, _)| now < at + every);
+        let report = match known {
+            Some((_, report)) => report,
+            None => {
+                let Note { primary, position } = self.note(server, now);
+                let machine = &mut self.machines[server as usize];
+                let (queued, in_flight) = (machine.server.waiting(), machine.server.held());
+                let report = Report { position, primary, queued, in_flight };
+                machine.report = Some((now, report));
+                report
+            }
+        };
+        actions.push(Action::Report { exchange, report: Some(report) });
+    }
+
+    /// Work that nobody waits for.
+    fn chore(&mut self, server: ServerId, work: Micros, now: Micros, actions: &mut Vec<Action>) {
+        if work > 0 {
+            self.chores += 1;
+            self.work(server, server::Event::Arrive { id: self.chores, work }, now, actions);
+        }
+    }
+
+    fn work(&mut self, server: ServerId, event: server::Event, now: Micros, actions: &mut Vec<Action>) {
+        let mut did = std::mem::take(&mut self.scratch);
+        if let Some(machine) = self.machines.get_mut(server as usize) {
+            machine.server.handle(now, event, &mut did);
+        }
+        for action in did.drain(..) {
+            match action {
+                server::Action::WakeAt(at, number) => {
+                    actions.push(Action::WakeAt(at, Wake::Server { server, number }));
+                }
+                server::Action::Collapsed => {
+                    actions.push(Action::Collapsed(server));
+                    self.gone(server, now, actions);
+                }
+                // Nobody waits for these.
+                server::Action::Done(id)
+                | server::Action::Untold(id)
+                | server::Action::Full(id)
+                | server::Action::Lost(id)
+                    if id >= CHORES => {}
+                server::Action::Done(exchange) => self.done(exchange, server, true, now, actions),
+                server::Action::Untold(exchange) => self.done(exchange, server, false, now, actions),
+                server::Action::Full(exchange) => {
+                    self.writes.remove(&exchange);
+                    let note = Some(self.note(server, now));
+                    actions.push(Action::Answer { exchange, answer: Answer::Full, note });
+                }
+                server::Action::Lost(exchange) => {
+                    self.writes.remove(&exchange);
+                    actions.push(Action::Answer { exchange, answer: Answer::Reset, note: None });
+                }
+            }
+        }
+        self.scratch = did;
+    }
+
+    /// A request's work is done: a write takes effect, if its server is still the primary, and if nobody hears of it too.
+    fn done(&mut self, exchange: u64, server: ServerId, told: bool, now: Micros, actions: &mut Vec<Action>) {
+        let machine = &self.machines[server as usize];
+        let (group, member) = (machine.group, machine.member);
+        let mut note = self.note(server, now);
+        let mut answer = Answer::Ok;
+        if let Some(key) = self.writes.remove(&exchange) {
+            if note.primary {
+                self.replicate(group, group::Event::Commit(member), now, actions);
+                note.position = self.groups[group as usize].last_commit();
+                actions.push(Action::Applied { key, at: note.position });
+            } else {
+                // It was primary when the write came, and is no longer.
+                answer = Answer::Error;
+            }
+        }
+        if told {
+            actions.push(Action::Answer { exchange, answer, note: Some(note) });
+        }
+    }
+
+    fn replicate(&mut self, group: u32, event: group::Event<'_>, now: Micros, actions: &mut Vec<Action>) {
+        let Some(state) = self.groups.get_mut(group as usize) else { return };
+        let mut did = Vec::new();
+        state.handle(now, event, &mut did);
+        let members = &self.members[group as usize];
+        actions.extend(did.into_iter().map(|action| match action {
+            group::Action::DueAt(at) => Action::WakeAt(at, Wake::Group(group)),
+            group::Action::Primary(member) => Action::Primary { group, server: members[member] },
+            group::Action::Vacant => Action::Vacant { group },
+            group::Action::Lost { member, after } => Action::Undone { server: members[member], after },
+        }));
+    }
+
+    /// A machine that is dead says nothing to its group either.
+    fn gone(&mut self, server: ServerId, now: Micros, actions: &mut Vec<Action>) {
+        let Some(machine) = self.machines.get_mut(server as usize) else { return };
+        (machine.connections, machine.report, machine.status) = (0, None, Status::Gone);
+        let (group, member) = (machine.group, machine.member);
+        self.replicate(group, group::Event::Lose(member), now, actions);
+        actions.push(Action::Changed(server));
+    }
+
+    fn trouble(&mut self, trouble: Trouble, now: Micros, actions: &mut Vec<Action>) {
+        match trouble {
+            Trouble::Die(server) | Trouble::Retire(server) => {
+                if self.runs(server) {
+                    self.work(server, server::Event::Die, now, actions);
+                    self.gone(server, now, actions);
+                }
+            }
+            Trouble::Start(server) => {
+                let Some(machine) = self.machines.get_mut(server as usize).filter(|m| !m.server.up()) else {
+                    return;
+                };
+                (machine.status, machine.started) = (Status::Ready, now);
+                let (group, member) = (machine.group, machine.member);
+                self.work(server, server::Event::Start, now, actions);
+                self.replicate(group, group::Event::Return(member), now, actions);
+                actions.push(Action::Changed(server));
+            }
+            Trouble::Hang { server, on } => {
+                let Some(machine) = self.machines.get(server as usize).filter(|m| m.server.up()) else {
+                    return;
+                };
+                let (group, member) = (machine.group, machine.member);
+                self.work(server, server::Event::Hang(on), now, actions);
+                let event = if on { group::Event::Silence(member) } else { group::Event::Return(member) };
+                self.replicate(group, event, now, actions);
+            }
+            Trouble::Slow { server, times } => {
+                self.work(server, server::Event::Slow(times), now, actions);
+            }
+            Trouble::Hold { server, span } => {
+                let Some(machine) = self.machine(server) else { return };
+                let (group, member) = (machine.group, machine.member);
+                self.replicate(group, group::Event::Hold { member, span }, now, actions);
+            }
+            Trouble::Drain(server) => {
+                let Some(machine) = self.machines.get_mut(server as usize) else { return };
+                if machine.status != Status::Ready {
+                    return;
+                }
+                machine.status = Status::Draining;
+                let (group, member) = (machine.group, machine.member);
+                self.replicate(group, group::Event::Leave(member), now, actions);
+                actions.push(Action::Changed(server));
+            }
+            Trouble::Join { group, place } => self.join(group, place, now, actions),
+            Trouble::Split(place) => {
+                if self.split.replace(place).is_none() {
+                    for group in 0..self.groups() {
+                        let away = self.away(group, place);
+                        self.replicate(group, group::Event::Split(&away), now, actions);
+                    }
+                }
+            }
+            Trouble::Meet => {
+                if self.split.take().is_some() {
+                    for group in 0..self.groups() {
+                        self.replicate(group, group::Event::Meet, now, actions);
+                    }
+                }
+            }
+        }
+    }
+
+    fn away(&self, group: u32, place: u16) -> Vec<usize> {
+        let members = self.members(group).iter().enumerate();
+        members.filter(|(_, server)| self.place(**server) == place).map(|(member, _)| member).collect()
+    }
+
+    fn join(&mut self, group: u32, place: u16, now: Micros, actions: &mut Vec<Action>) {
+        if group >= self.groups() {
+            return;
+        }
+        let server = self.machines.len() as ServerId;
+        let members = &mut self.members[group as usize];
+        members.push(server);
+        self.machines.push(Machine {
+            server: Server::new(self.set.server),
+            group,
+            member: members.len() - 1,
+            place,
+            status: Status::Ready,
+            started: now,
+            connections: 0,
+            report: None,
+        });
+        self.work(server, server::Event::Start, now, actions);
+        let copy_age = self.set.copy_age;
+        self.replicate(group, group::Event::Join { copy_age }, now, actions);
+        actions.push(Action::Changed(server));
+    }
+}
