Starting stores get more as their answers prove it; one look ahead for what is held

The part of a starting store was fixed for a group at full load, whatever the store bore. Change: that part grows by its own size in the time that a collapse takes, to three times at most, while answers take under twice what one so cold needs and under three quarters of their aims, and is cut by a fifth by each that does not. A held request has one look ahead.

--- a/crates/mountshift/src/decide.rs
+++ b/crates/mountshift/src/decide.rs
@@ -44,6 +44,13 @@
     /// Of the multiple of a cold store's capacity that makes it collapse, this share is used: the routers do
     /// not see each other, the work of single requests scatters, connections cost, and clients ask again.
     cold_caution: 0.5,
+    /// That part grows so much within the time that a collapse takes, while answers take under so many times
+    /// what one so cold needs and this share of their aims; how far at most; else it is cut to this.
+    trust_rise: 1.0,
+    trust_late: 2.0,
+    trust_aim: 0.75,
+    trust_most: 3.0,
+    trust_cut: 0.8,
     /// Own attempts out at a store that nothing is known of; the room then follows what it bears (`learn`).
     /// One answer in time doubles it, while many routers that start together still do not flood the store.
     room_start: 1.0,
@@ -120,9 +127,20 @@
     judged: Time,
     setbacks: u32,
     rests_until: Time,
+    /// Times the part that a starting store gets without proof that it bears more.
+    trust: f64,
 }
 
 impl Store {
+    /// The least part of its full capacity that it has now.
+    fn capacity(&self, set: &Settings, now: Time) -> f64 {
+        let warmth = now.since(self.started).div_duration_f64(set.warm_after.max(LEAST));
+        match self.started == Time::ZERO {
+            true => 1.0,
+            false => (set.cold_share + (1.0 - set.cold_share) * warmth).min(1.0),
+        }
+    }
+
     /// The list's word on its state. Draining binds; gone does too unless the settings say that it does not.
     fn leave(&mut self, listed: Listed, soft: bool, now: Time) {
         self.listed = listed;
@@ -150,6 +168,8 @@
     avoid: Vec<StoreId>,
     tried: Vec<StoreId>,
     held: bool,
+    /// When it is looked at again, if it is held and nothing wakes it.
+    recheck: Option<Time>,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -215,8 +235,8 @@
 
     /// With other constants, for those who measure what they do.
     pub fn tuned(settings: Settings, tune: Tuning, seed: u64, now: Time) -> Router {
-        let aims = settings.classes.iter().map(|c| c.aim);
-        let tightest_aim = aims.filter(|aim| !aim.is_zero()).min().unwrap_or(AIM_UNSTATED);
+        let aims = settings.classes.iter().map(|c| c.aim).filter(|aim| !aim.is_zero());
+        let tightest_aim = aims.min().unwrap_or(AIM_UNSTATED);
         let bound = |c: &Class| if let Need::Bounded(b) = c.need { Some(b) } else { None };
         let bounds = settings.classes.iter().filter_map(bound);
         let tightest_bound = bounds.filter(|bound| !bound.is_zero()).min().unwrap_or(tightest_aim);
@@ -317,6 +337,7 @@
                 started: e.started,
                 run_time: vec![None; classes],
                 room: self.tune.room_start,
+                trust: 1.0,
                 ..Store::default()
             });
             store.leave(e.listed, self.set.soft_removal, self.now);
@@ -324,6 +345,7 @@
                 // A new life: what it was before says nothing of it now.
                 store.started = e.started;
                 store.role = store.role.filter(|&(_, as_of)| as_of > e.started);
+                store.trust = 1.0;
                 (store.setbacks, store.rests_until) = (0, Time::ZERO);
             }
             store.listed_primary = e.primary;
@@ -377,6 +399,7 @@
                 avoid: Vec::new(),
                 tried: Vec::new(),
                 held: false,
+                recheck: None,
             },
         );
         if !known || !self.takes_in(id) {
@@ -461,7 +484,7 @@
     fn learn(&mut self, class: ClassId, sent: Time, ended: Ended) {
         let (now, tune, Ended { store: id, outcome, elapsed, note, .. }) = (self.now, self.tune, ended);
         let Class { need, aim, deadline, late_worth, .. } = *self.class(class);
-        let (write, aim) = (need == Need::Write, aim.max(LEAST));
+        let (write, aim, at) = (need == Need::Write, aim.max(LEAST), usize::from(class.0));
         let took = match outcome {
             Outcome::Ok | Outcome::TimedOut => Some(elapsed.div_duration_f64(aim)),
             Outcome::Full => Some(deadline.div_duration_f64(aim)),
@@ -489,11 +512,20 @@
         let in_vain = matches!(outcome, Outcome::Failed | Outcome::ConnectFailed);
         let spent = if in_vain { aim } else { elapsed };
         if in_vain || matches!(outcome, Outcome::Ok | Outcome::TimedOut) {
-            let average = &mut store.run_time[usize::from(class.0)];
+            let average = &mut store.run_time[at];
             *average = Some(average.map_or(spent, |a| drawn(a, spent, tune.run_weight)));
         }
         if let Some(took) = took {
             store.pressure += memory.max(tune.room_weight) * (took - store.pressure);
+            // A starting store that answers about as fast as one so cold can is not crowded, and bears more:
+            // all routers see the same of it. Answers far apart prove little.
+            let fastest = self.work[at].div_duration_f64(aim) / store.capacity(&self.set, now);
+            let easy = store.pressure < (tune.trust_late * fastest).min(tune.trust_aim);
+            let proof = now.since(store.judged).min(self.set.tip_after / 4);
+            let rise = tune.trust_rise * proof.div_duration_f64(self.set.tip_after.max(LEAST));
+            let proven = easy && outcome == Outcome::Ok;
+            let trust = if proven { store.trust + rise } else { store.trust * tune.trust_cut };
+            store.trust = trust.clamp(1.0, tune.trust_most);
             store.judged = now;
         }
         match outcome {
@@ -501,7 +533,7 @@
                 for (.., before, overtaken) in store.out.values_mut() {
                     *overtaken += u32::from(*before < sent);
                 }
-                let work = &mut self.work[usize::from(class.0)];
+                let work = &mut self.work[at];
                 let weight = if spent < *work { tune.run_weight } else { tune.run_weight * tune.work_rise };
                 *work = drawn(*work, spent, weight);
                 // Guards against queues that grow out of the routers' sight (overload, slow stores, others'
@@ -582,8 +614,12 @@
                 if let Choice::Ask(whom) = hold {
                     self.ask(group, whom, out);
                 }
-                self.agenda.insert((recheck, Task::Recheck(id)));
                 let Some(request) = self.requests.get_mut(&id) else { return };
+                // One look ahead, however often it is woken: each would bring the next.
+                if request.recheck.is_none_or(|at| at <= self.now) {
+                    request.recheck = Some(recheck);
+                    self.agenda.insert((recheck, Task::Recheck(id)));
+                }
                 if !request.held {
                     request.held = true;
                     self.held.insert((group, request.came, id));
@@ -834,17 +870,16 @@
 
     /// Whether a starting store may get this request: a draw that is made once for the two, so that looking
     /// again changes nothing, and an attempt there that failed is the last. It lets the part through that the
-    /// store bears even if the group is full: reads are for as many members as it ever had, for they keep
-    /// coming when most have left, and one bears all that needs the primary. Guards against many routers that
-    /// each send just one; keeps no count, so it holds for any number of them, however unequal. Harms where a
-    /// group has far less traffic than it could take.
+    /// store bears even if the group is full, and more as its answers prove it (`learn`). Reads are for as
+    /// many members as it ever had; one bears all that needs the primary. Guards against many routers that
+    /// each send just one; keeps no count, so it holds for any number of them, however unequal.
     fn cold_room(&self, request: &Request, id: StoreId, store: &Store, primary: bool) -> bool {
-        let warmth = self.now.since(store.started).div_duration_f64(self.set.warm_after.max(LEAST));
-        if store.started == Time::ZERO || warmth >= 1.0 {
+        let capacity = store.capacity(&self.set, self.now);
+        if capacity >= 1.0 {
             return true;
         }
-        let capacity = self.set.cold_share + (1.0 - self.set.cold_share) * warmth;
-        let bears = self.tune.cold_caution * self.set.overload_factor * capacity * self.door.min(1.0);
+        let bears =
+            self.tune.cold_caution * store.trust * self.set.overload_factor * capacity * self.door.min(1.0);
         let needs_primary = matches!(self.class(request.arrival.class).need, Need::Write | Need::Fresh);
         let part = match (primary, needs_primary) {
             (true, true) => bears,
@@ -950,10 +985,7 @@
 
 /// A moving average drawn towards a new span by this weight.
 fn drawn(average: Duration, new: Duration, weight: f64) -> Duration {
-    match new >= average {
-        true => average + (new - average).mul_f64(weight),
-        false => average - (average - new).mul_f64(weight),
-    }
+    average.mul_f64(1.0 - weight) + new.mul_f64(weight)
 }
 
 /// A number from 0 to 1 that looks random and is the same for the same `seed`.
--- a/crates/mountshift/tests/rules.rs
+++ b/crates/mountshift/tests/rules.rs
@@ -701,3 +701,70 @@
         assert!(taken >= sent && (overtaken > 0 || taken < 3), "{taken} with {overtaken}");
     }
 }
+
+/// Reads that a starting replica is sent within a second, after four seconds in which its answers took so long each. It
+/// is the only one, and what it may not have goes to the primary.
+fn sent_to_a_starting_store(took_ms: u32, trust_most: f64) -> usize {
+    let mut bench = Bench::new(settings(), 0);
+    bench.router = Router::tuned(settings(), Tuning { trust_most, ..Tuning::default() }, 1, BEGIN);
+    bench.list(vec![entry(1, Listed::Ready)]);
+    bench.report(1, true, Duration::ZERO);
+    let cold = Entry { started: bench.now, ..entry(5, Listed::Ready) };
+    bench.list(vec![cold]);
+    bench.report(5, false, Duration::ZERO);
+    let mut sent = 0;
+    for step in 0..500_u64 {
+        // One read after the other, so that room is no matter; a hundred a second.
+        bench.wait(10 * MS);
+        let (id, actions) = bench.ask(ANY);
+        let Some(&store) = sends(&actions).first() else { continue };
+        sent += usize::from(store == 5 && step >= 400);
+        let elapsed = MS * if store == 5 { took_ms } else { 60 };
+        let note = Note { primary: Some(store == 1), position: None };
+        bench.event(Event::Ended(Ended {
+            id,
+            attempt: AttemptNo(0),
+            store: StoreId(store),
+            outcome: Outcome::Ok,
+            elapsed,
+            last: true,
+            note,
+        }));
+    }
+    sent
+}
+
+#[test]
+fn a_starting_store_gets_more_while_it_answers_as_fast_as_one_so_cold_can() {
+    // It has half of its capacity by then: 60 ms of work take 120.
+    let (fast, slow) = (sent_to_a_starting_store(100, 3.0), sent_to_a_starting_store(290, 3.0));
+    let (unproven, crowded) = (sent_to_a_starting_store(100, 1.0), sent_to_a_starting_store(290, 1.0));
+    assert!(unproven > 0 && fast as f64 >= 1.2 * unproven as f64, "{fast} proven, {unproven} without that");
+    assert_eq!(slow, crowded, "where it is crowded nothing is proven");
+}
+
+#[test]
+fn a_held_request_has_one_look_ahead_however_often_it_is_woken() {
+    let mut bench = Bench::unheard(settings(), 3);
+    let held: Vec<RequestId> = (0..8).map(|_| bench.ask(WRITE).0).collect();
+    // News of a store that does not help wakes them again and again.
+    for _ in 0..200 {
+        bench.wait(MS / 2);
+        bench.report(2, false, Duration::ZERO);
+    }
+    // From now on alarms alone, each when it is due: a look at all of them in a tenth of the tightest aim (30 ms).
+    let (end, mut alarms) = (bench.now.plus(200 * MS), 0);
+    let mut actions = bench.report(2, false, Duration::ZERO);
+    actions.extend(bench.event(Event::Timer(TimerToken(0))));
+    loop {
+        let after =
+            actions
+                .iter()
+                .filter_map(|a| if let Action::Timer { after, .. } = a { Some(*after) } else { None });
+        let Some(after) = after.min().filter(|after| bench.now.plus(*after) < end) else { break };
+        bench.wait(after);
+        actions = bench.event(Event::Timer(TimerToken(0)));
+        alarms += 1;
+    }
+    assert!((1..=20).contains(&alarms), "{alarms} alarms for {} held requests", held.len());
+}
