Calls for the list are spread over the number of routers, at the start too

Lines at fault: on_list asks at once for a cached list; the wait after a failure (LIST_WAIT) is up to 4 s, whatever the number of routers, so calls came faster than the service works and those that had failed were worked through first. Ruled out: rests of dead servers (doubling to two aims, as they should), the watch's own silence limit, the size of the answer (after=41 tells no change).

Change: a first call and each call after a failure wait for a draw over 80 ms for each router beyond eight, 8 s at most (the rule on drains wants the list asked for within ten); up to eight routers nothing waits at the start.

--- a/crates/mountshift/src/decide.rs
+++ b/crates/mountshift/src/decide.rs
@@ -82,9 +82,11 @@
     less_time: 0.95,
 }
 
-/// First wait before the list is asked for again, and the longest; doubled and jittered between. The list
-/// is seconds late by itself, so asking faster gains nothing and slower adds to that.
-const LIST_WAIT: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(4));
+/// Least wait before the list is asked for again after a failure, and the most; doubled and jittered between.
+/// The list is seconds late by itself, so asking faster gains nothing and slower adds to that.
+const LIST_WAIT: (Duration, Duration) = (Duration::from_millis(125), Duration::from_secs(4));
+/// Beyond a few routers calls are spread so far apart over all, as far as one of them may wait for it.
+const LIST_PACE: Duration = Duration::from_millis(80);
 /// Writes remembered; beyond it the old ones are folded into one position that all sessions must see.
 const WRITES_KEPT: usize = 100_000;
 /// An attempt in vain that so many sent later have overtaken tells of its connection, not of the store.
@@ -138,9 +140,11 @@
     /// The least part of its full capacity that it has now.
     fn capacity(&self, set: &Settings, now: Time) -> f64 {
         let warmth = now.since(self.started).div_duration_f64(set.warm_after.max(LEAST));
-        match self.started == Time::ZERO {
-            true => 1.0,
-            false => (set.cold_share + (1.0 - set.cold_share) * warmth).min(1.0),
+        let started = (set.cold_share + (1.0 - set.cold_share) * warmth).min(1.0);
+        if self.started == Time::ZERO {
+            1.0
+        } else {
+            started
         }
     }
 
@@ -322,24 +326,19 @@
             ListNews::Complete(entries) => (entries, true),
             ListNews::Cached(entries) => {
                 if self.set.list_on_request {
-                    out.push(Action::Subscribe);
+                    self.ask_list(Duration::ZERO);
                 }
                 (entries, true)
             }
             ListNews::Failed => {
-                let wait = (LIST_WAIT.0 * (1 << self.list_failures.min(16))).min(LIST_WAIT.1);
                 self.list_failures += 1;
-                let due = self.now.plus(wait.mul_f64(0.5 + self.chance()));
-                self.agenda.insert((due, Task::AskList));
-                return;
+                return self.ask_list((LIST_WAIT.0 * (1 << self.list_failures.min(16))).min(LIST_WAIT.1));
             }
         };
         if complete {
             let named: BTreeSet<StoreId> = entries.iter().map(|e| e.store).collect();
-            for (id, store) in &mut self.stores {
-                if !named.contains(id) {
-                    store.leave(Listed::Gone, self.set.soft_removal, self.now);
-                }
+            for (_, store) in self.stores.iter_mut().filter(|(id, _)| !named.contains(id)) {
+                store.leave(Listed::Gone, self.set.soft_removal, self.now);
             }
         }
         self.list_failures = 0;
@@ -385,6 +384,14 @@
         self.wake_all(out);
     }
 
+    /// The list is one service for all routers, which takes calls in turn and wastes those that waited too
+    /// long: started or cut off together they would keep each other from it for good.
+    fn ask_list(&mut self, wait: Duration) {
+        let fleet = (LIST_PACE * self.set.routers.saturating_sub(self.tune.few as u32)).min(LIST_WAIT.1 * 2);
+        let due = self.now.plus(wait / 2 + wait.max(fleet).mul_f64(self.chance()));
+        self.agenda.insert((due, Task::AskList));
+    }
+
     fn on_arrival(&mut self, arrival: Arrival, out: &mut Out) {
         let id = arrival.id;
         let token = match (arrival.wrote_ago, arrival.session) {
@@ -428,8 +435,7 @@
         let class = class.or(known.map(|(class, ..)| class));
         let (_, sent, overtaken) = known.unwrap_or((ClassId(0), self.now.minus(elapsed), 0));
         if let (Some(request), Outcome::Miss) = (self.requests.get(&id), outcome) {
-            let need = self.needed(request);
-            if let (Some(need), Some(store)) = (need, self.stores.get_mut(&store)) {
+            if let (Some(need), Some(store)) = (self.needed(request), self.stores.get_mut(&store)) {
                 store.missed = Some((need, self.now));
             }
         }
@@ -465,17 +471,16 @@
     }
 
     fn on_probed(&mut self, id: StoreId, ok: bool, report: Report, out: &mut Out) {
-        let now = self.now;
         let Some(store) = self.stores.get_mut(&id) else { return };
         store.probe_out = false;
         if !ok {
             return self.rest(id, self.tune.rest_first);
         }
-        store.heard = Some(now);
+        store.heard = Some(self.now);
         (store.setbacks, store.rests_until) = (0, Time::ZERO);
         if report.position.is_some() {
             store.position = store.position.max(report.position);
-            (store.told, store.missed) = (now, None);
+            (store.told, store.missed) = (self.now, None);
         }
         if let Some(primary) = report.primary {
             // A report is as old as its position at most; a primary's position is its very time.
@@ -484,7 +489,7 @@
                 store.role = Some((primary, as_of));
             }
             if let Some(at) = report.position.filter(|_| primary) {
-                self.report_age = drawn(self.report_age, now.since(at), self.tune.run_weight);
+                self.report_age = drawn(self.report_age, self.now.since(at), self.tune.run_weight);
             }
         }
         self.wake(id, out);
@@ -655,7 +660,6 @@
         }
         let time_left = worth_until.since(self.now);
         let primary = self.primary(request.arrival.group);
-        let unsent = request.attempts == 0;
         let needs_primary = matches!(class.need, Need::Write | Need::Fresh);
         let spares_primary = matches!(class.need, Need::Bounded(_) | Need::Any);
         // (kept for when no replica meets the need, cost, member, may go now)
@@ -693,7 +697,11 @@
         match best {
             Some((_, _, id, true)) => Choice::Send(id),
             Some((_, _, id, false)) => Choice::Ask(Some(id)),
-            None if busy && unsent && class.late_worth == 0.0 && self.now >= self.patient_until(request) => {
+            None if busy
+                && request.attempts == 0
+                && class.late_worth == 0.0
+                && self.now >= self.patient_until(request) =>
+            {
                 Choice::GiveUp
             }
             None if busy && self.work[usize::from(request.arrival.class.0)] < time_left => Choice::Hold,
@@ -813,9 +821,7 @@
         let first = &mut self.first_wait[usize::from(arrival.class.0)];
         let late = arrival.repeated && arrival.time_left < first.mul_f64(self.tune.less_time);
         let spent = class.deadline.saturating_sub(if late { arrival.time_left } else { class.deadline });
-        if !arrival.repeated {
-            *first = arrival.time_left.max(*first);
-        }
+        *first = if arrival.repeated { *first } else { arrival.time_left.max(*first) };
         self.now.plus(class.aim.saturating_sub(spent))
     }
 
@@ -831,11 +837,9 @@
             return Err(Bar::No);
         }
         let allowed = [self.set.try_limit, request.arrival.tries.unwrap_or(0)];
-        if allowed.into_iter().any(|limit| limit > 0 && request.attempts >= limit) {
-            return Err(Bar::No);
-        }
+        let spent = allowed.into_iter().any(|limit| limit > 0 && request.attempts >= limit);
         // Effects: what may have run, or is still out, binds later attempts.
-        if !request.out.is_empty() && !self.set.second_copies {
+        if spent || !request.out.is_empty() && !self.set.second_copies {
             return Err(Bar::No);
         }
         let still_out = request.out.first().and_then(|&(no, s)| {
@@ -897,13 +901,9 @@
     }
 
     fn send(&mut self, id: RequestId, to: StoreId, out: &mut Out) {
-        let now = self.now;
-        if self.requests.get(&id).is_none_or(|request| self.guard(request, to).is_err()) {
-            return;
-        }
-        let (Some(request), Some(store)) = (self.requests.get_mut(&id), self.stores.get_mut(&to)) else {
-            return;
-        };
+        let may = self.requests.get(&id).is_some_and(|request| self.guard(request, to).is_ok());
+        let Some(request) = self.requests.get_mut(&id).filter(|_| may) else { return };
+        let Some(store) = self.stores.get_mut(&to) else { return };
         let attempt = AttemptNo(request.attempts);
         request.attempts += 1;
         request.out.push((attempt, to));
@@ -912,8 +912,8 @@
             request.held = false;
             self.held.remove(&(request.arrival.group, request.came, id));
         }
-        store.out.insert((id, attempt), (request.arrival.class, now, 0));
-        out.push(Action::Send { id, store: to, time_out: request.deadline.since(now) });
+        store.out.insert((id, attempt), (request.arrival.class, self.now, 0));
+        out.push(Action::Send { id, store: to, time_out: request.deadline.since(self.now) });
     }
 
     // ---- Health ----
--- a/crates/mountshift/tests/rules.rs
+++ b/crates/mountshift/tests/rules.rs
@@ -900,3 +900,42 @@
     let sent = sent_after_a_late_answer(4, Outcome::TimedOut, Duration::ZERO);
     assert!((5..25).contains(&sent), "{sent} of 100");
 }
+
+/// How many of a hundred routers ask for the list within each second, and the longest that one waits.
+fn calls_for_the_list(routers: u32, after: fn(&mut Bench) -> Vec<Action>) -> (Vec<usize>, u64) {
+    let (mut by_second, mut longest) = (vec![0; 12], 0);
+    let asks = |actions: &[Action]| actions.iter().any(|a| matches!(a, Action::Subscribe));
+    for seed in 0..u64::from(routers) {
+        let set = Settings { list_on_request: true, routers, ..settings() };
+        let mut bench = Bench::seeded(set, 0, seed * 7_919);
+        let begin = bench.now;
+        let mut actions = after(&mut bench);
+        while !asks(&actions) {
+            actions = bench.pass(50);
+        }
+        let waited = bench.now.since(begin).as_millis() as u64;
+        by_second[(waited / 1_000) as usize] += 1;
+        longest = longest.max(waited);
+    }
+    (by_second, longest)
+}
+
+#[test]
+fn a_hundred_routers_that_start_or_lose_the_list_together_do_not_call_in_step() {
+    // Seen on herd+vast: of seventy proxies that started again in the same instant five got the list, and none of all
+    // their further calls was answered in twelve seconds: each call takes the service 50 to 60 ms, in turn, and a call
+    // that has waited for two seconds has failed but is worked through all the same.
+    for after in [
+        |bench: &mut Bench| bench.event(Event::List(ListNews::Cached(vec![entry(1, Listed::Ready)]))),
+        |bench: &mut Bench| bench.event(Event::List(ListNews::Failed)),
+    ] {
+        let (many, longest) = calls_for_the_list(100, after);
+        assert!(many.iter().all(|&calls| calls <= 25), "{many:?} calls by second");
+        assert!(
+            longest < 10_000,
+            "the rule on drains wants the list asked for within ten seconds: {longest} ms"
+        );
+        let (few, longest) = calls_for_the_list(4, after);
+        assert!(few[0] == 4 && longest < 500, "few need not wait: {few:?}, {longest} ms");
+    }
+}
