--- a/crates/mountshift/src/decide.rs
+++ b/crates/mountshift/src/decide.rs
@@ -41,9 +41,8 @@
     rest_max: 2.0,
     /// A held request with nothing to wake it is looked at again after this share of the tightest aim.
     recheck: 0.1,
-    /// Of the multiple of a cold store's capacity that makes it collapse, this share is used, counted by what
-    /// a member of a group that is just fully used gets in first tries: a quarter more than that of demand, or
-    /// as much by chance and for connections, still does not reach it.
+    /// Of the multiple of a cold store's capacity that makes it collapse, this share is used, of what first
+    /// tries bring a fully used group: a quarter more demand, or as much by chance, still does not reach it.
     cold_caution: 0.8,
     /// That part grows so much within the time that a collapse takes, while answers take under so many times
     /// what one so cold needs and this share of their aims; how far at most; else it is cut to this.
@@ -501,9 +500,12 @@
         let (now, tune, Ended { store: id, outcome, elapsed, note, .. }) = (self.now, self.tune, ended);
         let Class { need, aim, deadline, late_worth, .. } = *self.class(class);
         let (write, aim, at) = (need == Need::Write, aim.max(LEAST), usize::from(class.0));
+        // A time-out hides how long it would have taken. Among few routers rooms are cut, and that is enough.
+        let hidden = outcome == Outcome::TimedOut && f64::from(self.set.routers) > tune.few;
         let took = match outcome {
-            Outcome::Ok => Some(elapsed.div_duration_f64(aim)),
-            Outcome::Full | Outcome::TimedOut => Some(deadline.div_duration_f64(aim)),
+            _ if hidden => Some(deadline.div_duration_f64(aim)),
+            Outcome::Ok | Outcome::TimedOut => Some(elapsed.div_duration_f64(aim)),
+            Outcome::Full => Some(deadline.div_duration_f64(aim)),
             _ => None,
         };
         let told = self.stores.get(&id).map(|store| (1.0 - self.kept(store.judged), store.group));
@@ -923,11 +925,10 @@
     fn rest(&mut self, id: StoreId, first: f64) {
         let jitter = 0.5 + self.chance();
         let (first, most) = (self.tightest_aim.mul_f64(first), self.tightest_aim.mul_f64(self.tune.rest_max));
-        if let Some(store) = self.stores.get_mut(&id) {
-            let rest = first.saturating_mul(1 << store.setbacks.min(16)).min(most).mul_f64(jitter);
-            store.setbacks += 1;
-            store.rests_until = self.now.plus(rest);
-        }
+        let Some(store) = self.stores.get_mut(&id) else { return };
+        let rest = first.saturating_mul(1 << store.setbacks.min(16)).min(most).mul_f64(jitter);
+        store.setbacks += 1;
+        store.rests_until = self.now.plus(rest);
     }
 
     // ---- Probing ----
@@ -947,10 +948,9 @@
         let longest =
             || self.members(group).iter().filter(|&id| may(id)).min_by_key(|id| self.stores[id].probed);
         let Some(id) = whom.filter(may).or_else(|| whom.is_none().then(longest)?.copied()) else { return };
-        if let Some(store) = self.stores.get_mut(&id).filter(|_| self.set.may_probe) {
-            (store.probe_out, store.probed) = (true, self.now);
-            out.push(Action::Probe { store: id });
-        }
+        let Some(store) = self.stores.get_mut(&id).filter(|_| self.set.may_probe) else { return };
+        (store.probe_out, store.probed) = (true, self.now);
+        out.push(Action::Probe { store: id });
     }
 
     // ---- Giving up ----
