A test for full connection tables: a hundred routers do not redial in step

Need: of the hard cases at size, a server that turns away all routers' dials in one instant had no test. Change: a test on the module alone, of a hundred seeds; it fails without the jitter of rests (all come back in one slot of 10 ms).

--- a/crates/mountshift/tests/rules.rs
+++ b/crates/mountshift/tests/rules.rs
@@ -960,3 +960,27 @@
     let tips = 3.0 * 0.25 * 1_000.0 / 6.0;
     assert!((0.7 * tips..0.95 * tips).contains(&(sent as f64)), "{sent} of 1000, where {tips} tip it");
 }
+
+#[test]
+fn routers_that_a_full_connection_table_turned_away_together_do_not_come_back_in_step() {
+    let mut by_slot = [0_usize; 40];
+    for seed in 0..100 {
+        let mut bench = Bench::seeded(Settings { routers: 100, ..settings() }, 1, seed);
+        bench.report(1, true, Duration::ZERO);
+        let (id, _) = bench.ask(WRITE);
+        bench.end(id, 0, 1, Outcome::ConnectFailed);
+        bench.event(Event::Left(id));
+        for slot in &mut by_slot {
+            bench.wait(10 * MS);
+            let (id, actions) = bench.ask(WRITE);
+            if sends(&actions) == [1] {
+                *slot += 1;
+                break;
+            }
+            assert!(!failed(&actions, id), "what never ran is held or refused");
+            bench.event(Event::Left(id));
+        }
+    }
+    assert_eq!(by_slot.iter().sum::<usize>(), 100, "all come back: {by_slot:?}");
+    assert!(by_slot.iter().all(|&dials| dials <= 25), "{by_slot:?}");
+}
