--- a/crates/leverlab/src/cli/mod.rs
+++ b/crates/leverlab/src/cli/mod.rs
@@ -8,6 +8,7 @@
 mod bisect;
 mod gate;
 mod hunt;
+mod plan;
 mod show;
 
 use crate::file::{self, Book};
@@ -152,6 +153,42 @@
                         .value_parser(value_parser!(PathBuf)),
                 ),
         )
+        .subcommand(
+            Command::new("plan")
+                .about("Find the fewest servers that keep an aim through the loss of a building or a quarter of them")
+                .arg(file_argument())
+                .arg(
+                    Arg::new("threads")
+                        .long("threads")
+                        .value_name("N")
+                        .value_parser(value_parser!(usize))
+                        .help("Runs at once; one for each core, if not stated"),
+                )
+                .arg(option("scenario", "NAME", "Who asks, and what servers are like").required(true))
+                .arg(option("policy", "NAME", "Who decides").default_value("module"))
+                .arg(
+                    option("aim", "GOODPUT", "The least goodput from a loss on")
+                        .default_value("0.9")
+                        .value_parser(value_parser!(f64)),
+                )
+                .arg(
+                    option("load", "PART", "Of a server's cores, what the first guess lets work take")
+                        .default_value("0.8")
+                        .value_parser(value_parser!(f64)),
+                )
+                .arg(seeds("1-2")),
+        )
+        .subcommand(
+            Command::new("report")
+                .about("Write the charts and one page of HTML for all experiments of a folder of results")
+                .arg(
+                    Arg::new("folder")
+                        .value_name("FOLDER")
+                        .required(true)
+                        .value_parser(value_parser!(PathBuf))
+                        .help("What --results named"),
+                ),
+        )
         .subcommand(
             Command::new("replay")
                 .about("Play one run and tell all of it")
@@ -204,6 +241,8 @@
         Some(("bisect", with)) => bisect::bisect(with),
         Some(("hunt", with)) => hunt::hunt(with),
         Some(("replay", with)) => replay(with),
+        Some(("plan", with)) => plan::plan(with),
+        Some(("report", with)) => report(with),
         Some(("gate", with)) => gate::gate(with),
         _ => Err("see leverlab --help".into()),
     };
@@ -327,7 +366,8 @@
         show::rows(&rows, &experiment.against);
         broken |= module_broke(&rows);
         if let Some(store) = &store {
-            show::write(store, &experiment.name, &cells, &outcomes, &rows).map_err(|e| e.to_string())?;
+            show::write(store, &experiment.name, &experiment.against, &cells, &outcomes, &rows)
+                .map_err(|e| e.to_string())?;
         }
     }
     Ok(if broken { End::Found } else { End::Done })
@@ -384,6 +424,13 @@
     Ok(End::Done)
 }
 
+fn report(with: &ArgMatches) -> Result<End> {
+    let folder = with.get_one::<PathBuf>("folder").cloned().unwrap_or_default();
+    let page = crate::report::write(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+    say(page.display());
+    Ok(End::Done)
+}
+
 fn replay(with: &ArgMatches) -> Result<End> {
     let book = book(with)?;
     let scenario = book.varied(word(with, "scenario"), &[])?;
--- a/crates/leverlab/src/cli/show.rs
+++ b/crates/leverlab/src/cli/show.rs
@@ -1,17 +1,17 @@
 //! Tables for the terminal, and files for those who go on with the figures.
 
 use super::say;
+use crate::results::{Day, Line, Manifest};
 use crate::scenario::{Scenario, SECOND};
 use crate::store::{Cell, Store, SOURCES};
 use crate::summary::{merged, Row};
 use crate::tally::Outcomes;
 use comfy_table::presets::ASCII_MARKDOWN;
 use comfy_table::{CellAlignment, Table};
-use serde::Serialize;
 use std::error::Error;
 use std::fs::File;
 
-fn table(head: &[&str]) -> Table {
+pub fn table(head: &[&str]) -> Table {
     let mut table = Table::new();
     table.load_preset(ASCII_MARKDOWN).set_header(head);
     for column in table.column_iter_mut().skip(2) {
@@ -132,93 +132,40 @@
     ]
 }
 
-#[derive(Serialize)]
-struct Manifest<'a> {
-    experiment: &'a str,
-    program: &'a str,
-    /// Of all that decides how a run goes.
-    sources: &'a str,
-    cells: usize,
-    files: [&'a str; 2],
-    rows: &'a [Row],
-}
-
 /// A line for each run, and a manifest with the rows that they come to.
 pub fn write(
     store: &Store,
-    name: &str,
+    experiment: &str,
+    against: &str,
     cells: &[Cell],
     outcomes: &[Option<Outcomes>],
     rows: &[Row],
 ) -> Result<(), Box<dyn Error>> {
     let folder = store.folder();
-    let table = format!("{name}.csv");
+    let table = format!("{experiment}.csv");
     let mut out = csv::Writer::from_writer(File::create(folder.join(&table))?);
-    out.write_record([
-        "scenario",
-        "varied",
-        "policy",
-        "seed",
-        "score",
-        "goodput",
-        "worst_10s",
-        "worst_class",
-        "worst_tenant",
-        "asked",
-        "served",
-        "refused",
-        "failed",
-        "left",
-        "tries",
-        "attempts",
-        "misses",
-        "probes",
-        "dials",
-        "p50_us",
-        "p99_us",
-        "rules_broken",
-        "cell",
-    ])?;
-    for (cell, o) in cells.iter().zip(outcomes) {
-        let Some(o) = o else { continue };
-        let varied: Vec<String> = cell.varied.iter().map(|(k, v)| format!("{k}={v}")).collect();
-        let latencies = merged(std::iter::once(o), None);
-        out.write_record([
-            cell.scenario.name.clone(),
-            varied.join(" "),
-            cell.player.clone(),
-            cell.seed.to_string(),
-            format!("{:.6}", o.score),
-            format!("{:.6}", o.goodput),
-            format!("{:.6}", o.worst_span),
-            format!("{:.6}", o.worst_kind),
-            format!("{:.6}", o.worst_tenant),
-            o.whole.asked.to_string(),
-            o.whole.served.to_string(),
-            o.whole.refused.to_string(),
-            o.whole.failed.to_string(),
-            o.whole.left.to_string(),
-            o.tries.to_string(),
-            o.attempts.to_string(),
-            o.misses.to_string(),
-            o.probes.to_string(),
-            o.dials.to_string(),
-            latencies.value_at_quantile(0.5).to_string(),
-            latencies.value_at_quantile(0.99).to_string(),
-            o.rules_broken().to_string(),
-            cell.key(),
-        ])?;
+    for (cell, outcomes) in cells.iter().zip(outcomes) {
+        if let Some(outcomes) = outcomes {
+            out.serialize(Line::new(cell, outcomes))?;
+        }
     }
     out.flush()?;
+    let mut days: Vec<Day> = Vec::new();
+    for scenario in cells.iter().map(|c| &c.scenario) {
+        if !days.iter().any(|d| d.name == scenario.name) {
+            days.push(Day::new(scenario));
+        }
+    }
     let manifest = Manifest {
-        experiment: name,
-        program: concat!("leverlab ", env!("CARGO_PKG_VERSION")),
-        sources: SOURCES,
-        cells: cells.len(),
-        files: [&table, "cells/"],
-        rows,
+        experiment: experiment.into(),
+        against: against.into(),
+        program: concat!("leverlab ", env!("CARGO_PKG_VERSION")).into(),
+        sources: SOURCES.into(),
+        table,
+        days,
+        rows: rows.to_vec(),
     };
-    let path = folder.join(format!("{name}.json"));
+    let path = folder.join(format!("{experiment}.json"));
     serde_json::to_writer_pretty(File::create(path)?, &manifest)?;
     Ok(())
 }
--- a/crates/leverlab/src/file.rs
+++ b/crates/leverlab/src/file.rs
@@ -382,6 +382,15 @@
         let d = self.part(&s, "discovery");
         let load = self.part(&s, "load");
         let clients = self.clients(&load, length, fleet.count("groups"), section);
+        let sizes = fleet.values.section.and_then(|f| f.setting("sizes"));
+        if let Some(sizes) = sizes.filter(|s| s.values.len() != fleet.count::<usize>("groups")) {
+            let (stated, groups) = (sizes.values.len(), fleet.count::<usize>("groups"));
+            self.fault(
+                sizes.span,
+                format!("{stated} sizes are stated for {groups} groups"),
+                "one for each group",
+            );
+        }
         let troubles: Vec<&Section> = s
             .values
             .all("troubles", name_of)
@@ -479,6 +488,7 @@
             proxies: load.count("proxies"),
             groups,
             unequal: load.number("unequal"),
+            skew: load.number("skew"),
             sessions: load.count("sessions"),
             after_write: load.part("after-write"),
             soon: load.micros("soon"),
@@ -587,6 +597,10 @@
 fn site_of(f: &Seen<'_>) -> site::Settings {
     site::Settings {
         groups: f.count("groups"),
+        sizes: f.values.all("sizes", |v| match v {
+            Value::Count(n) => usize::try_from(*n).ok(),
+            _ => None,
+        }),
         places: f.count("places"),
         server: server::Settings {
             cores: f.number("cores"),
--- a/crates/leverlab/src/hunt.rs
+++ b/crates/leverlab/src/hunt.rs
@@ -244,6 +244,7 @@
             let fewer = s.site.groups / 2;
             s.clients.per_s = (s.clients.per_s * fewer as f64 / s.site.groups as f64).round();
             s.site.groups = fewer;
+            s.site.sizes.truncate(fewer);
             s.clients.groups = fewer as u32;
         });
     }
--- a/crates/leverlab/src/play/mod.rs
+++ b/crates/leverlab/src/play/mod.rs
@@ -174,7 +174,7 @@
     seed: u64,
 ) -> Outcomes {
     let streams = Streams::new(seed);
-    let site = Site::new(scenario.site);
+    let site = Site::new(scenario.site.clone());
     let list = Catalog::new(scenario.catalog, site.servers().map(|s| host::record(&site, s)));
     let places = scenario.site.places.max(1);
     let hosts = (0..scenario.proxies()).map(|proxy| Host::new((proxy % places) as u16)).collect();
--- /dev/null
+++ b/crates/leverlab/src/results.rs
@@ -0,0 +1,108 @@
+//! What an experiment leaves on disk beside its runs: a table with a line for each, and a manifest.
+
+use crate::scenario::Scenario;
+use crate::store::Cell;
+use crate::summary::{merged, Row};
+use crate::tally::Outcomes;
+use serde::{Deserialize, Serialize};
+
+/// One run, in the table.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Line {
+    pub scenario: String,
+    /// As `key=value`, divided by blanks.
+    pub varied: String,
+    pub policy: String,
+    pub seed: u64,
+    pub score: f64,
+    pub goodput: f64,
+    pub worst_10s: f64,
+    pub worst_class: f64,
+    pub worst_tenant: f64,
+    pub asked: u64,
+    pub served: u64,
+    pub refused: u64,
+    pub failed: u64,
+    pub left: u64,
+    pub tries: u64,
+    pub attempts: u64,
+    pub misses: u64,
+    pub probes: u64,
+    pub dials: u64,
+    pub p50_us: u64,
+    pub p99_us: u64,
+    pub rules_broken: u64,
+    /// The run itself, by its key.
+    pub cell: String,
+}
+
+impl Line {
+    pub fn new(cell: &Cell, o: &Outcomes) -> Line {
+        let varied: Vec<String> = cell.varied.iter().map(|(k, v)| format!("{k}={v}")).collect();
+        let latencies = merged(std::iter::once(o), None);
+        Line {
+            scenario: cell.scenario.name.clone(),
+            varied: varied.join(" "),
+            policy: cell.player.clone(),
+            seed: cell.seed,
+            score: o.score,
+            goodput: o.goodput,
+            worst_10s: o.worst_span,
+            worst_class: o.worst_kind,
+            worst_tenant: o.worst_tenant,
+            asked: o.whole.asked,
+            served: o.whole.served,
+            refused: o.whole.refused,
+            failed: o.whole.failed,
+            left: o.whole.left,
+            tries: o.tries,
+            attempts: o.attempts,
+            misses: o.misses,
+            probes: o.probes,
+            dials: o.dials,
+            p50_us: latencies.value_at_quantile(0.5),
+            p99_us: latencies.value_at_quantile(0.99),
+            rules_broken: o.rules_broken(),
+            cell: cell.key(),
+        }
+    }
+}
+
+/// A scenario, as far as a report tells of it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Day {
+    pub name: String,
+    pub about: String,
+    pub classes: Vec<String>,
+    /// In seconds: name, begin and end.
+    pub troubles: Vec<(String, f64, f64)>,
+}
+
+impl Day {
+    pub fn new(scenario: &Scenario) -> Day {
+        let seconds = |micros: u64| micros as f64 / 1e6;
+        let trouble = |t: &crate::scenario::Trouble| {
+            (t.name.clone(), seconds(t.at), seconds(t.at.saturating_add(t.span)))
+        };
+        Day {
+            name: scenario.name.clone(),
+            about: scenario.about.clone(),
+            classes: scenario.clients.kinds.iter().map(|k| k.name.clone()).collect(),
+            troubles: scenario.troubles.iter().map(trouble).collect(),
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Manifest {
+    pub experiment: String,
+    /// The policy that the others are compared with.
+    pub against: String,
+    pub program: String,
+    /// Of all that decides how a run goes.
+    pub sources: String,
+    /// The file with a line for each run.
+    pub table: String,
+    pub days: Vec<Day>,
+    pub rows: Vec<Row>,
+}
--- a/crates/leverlab/src/scenario.rs
+++ b/crates/leverlab/src/scenario.rs
@@ -135,7 +135,7 @@
 
     /// Those that are there from the start.
     pub fn servers(&self) -> usize {
-        self.site.groups * self.site.group.members
+        self.site.servers()
     }
 
     pub fn length(&self) -> Micros {
--- a/crates/leverlab/src/table.rs
+++ b/crates/leverlab/src/table.rs
@@ -24,6 +24,7 @@
         directives: &[
             directive("groups", One(count(0, 100_000)), "3", "groups 10", "groups that hold data of their own"),
             directive("members", One(count(0, 100)), "5", "members 4", "servers of a group"),
+            directive("sizes", Many(count(1, 100)), "", "sizes 7 5 4", "servers of each group in turn, where they are not all of one size"),
             directive("places", One(count(1, 64)), "2", "places 3", "buildings; a group's members stand in each in turn"),
             directive("cores", One(number(0.1, 1024.0)), "4", "cores 8", "cores of a server"),
             directive("slots", One(count(1, 100_000)), "16", "slots 32", "requests that a server works on at once"),
@@ -106,6 +107,7 @@
             directive("rate", One(number(0.0, 1e7)), "500", "rate 1700", "requests a second, to all proxies together"),
             directive("proxies", One(count(0, 10_000)), "4", "proxies 40", "proxies"),
             directive("unequal", One(number(0.0, 4.0)), "0", "unequal 1", "the n-th proxy's part falls with n to this power"),
+            directive("skew", One(number(0.0, 4.0)), "0", "skew 0.7", "the n-th group's part falls with n to this power"),
             directive("classes", Many(Type::Reference("class")), "", "classes nearby-cabs confirm-ride", "the classes that are asked for"),
             directive("tenants", Many(Type::Reference("tenant")), "", "tenants ratna-park koteshwor", "those who ask; none: one who has no name"),
             directive("over-worth", One(ANY_SHARE), "5%", "over-worth 0%", "of its worth, what a request beyond its tenant's quota keeps"),
--- a/crates/leverlab/src/tally.rs
+++ b/crates/leverlab/src/tally.rs
@@ -90,10 +90,11 @@
     pub worst_kind: f64,
     pub worst_tenant: f64,
     pub whole: Part,
-    /// By second, by class and by tenant, in the scenario's order.
+    /// By second, by class, by tenant and by group, in the scenario's order.
     pub seconds: Vec<Part>,
     pub kinds: Vec<Part>,
     pub tenants: Vec<Part>,
+    pub groups: Vec<Part>,
     /// Latencies of what was served, by class, in microseconds from the first try.
     pub latencies: Vec<Packed>,
     pub tries: u64,
@@ -134,6 +135,7 @@
             seconds: vec![Part::default(); seconds],
             kinds: vec![Part::default(); clients.kinds.len()],
             tenants: vec![Part::default(); clients.tenants.len()],
+            groups: vec![Part::default(); clients.groups as usize],
             ..Outcomes::default()
         };
         let latencies = clients.kinds.iter().map(|_| histogram()).collect();
@@ -157,6 +159,7 @@
             (&mut self.out.seconds, second),
             (&mut self.out.kinds, settled.kind),
             (&mut self.out.tenants, settled.tenant),
+            (&mut self.out.groups, settled.group as usize),
         ] {
             if let Some(part) = parts.get_mut(at) {
                 part.add(settled);
--- a/crates/leverlab/src/write.rs
+++ b/crates/leverlab/src/write.rs
@@ -99,34 +99,36 @@
 pub fn text(scenario: &Scenario) -> String {
     let mut out = Out(String::new());
     let (site, server, group) = (&scenario.site, &scenario.site.server, &scenario.site.group);
-    out.section(
-        "fleet servers",
-        &[
-            ("groups", site.groups.to_string()),
-            ("members", group.members.to_string()),
-            ("places", site.places.to_string()),
-            ("cores", server.cores.to_string()),
-            ("slots", server.slots.to_string()),
-            ("room", server.room.to_string()),
-            ("crowding", share(server.crowding)),
-            ("cold", share(server.cold)),
-            ("warm-after", time(server.warm_after)),
-            ("tip", server.tip.to_string()),
-            ("tip-after", time(server.tip_after)),
-            ("ship", time(group.ship)),
-            ("apply", time(group.apply)),
-            ("give-up", time(group.give_up)),
-            ("take-over", time(group.take_over)),
-            ("hand-over", time(group.hand_over)),
-            ("quorum", yes(group.quorum).into()),
-            ("report-every", time(site.report_every)),
-            ("probe-work", time(site.probe_work)),
-            ("dial-work", time(site.dial_work)),
-            ("connections", site.connections.to_string()),
-            ("copy-age", time(site.copy_age)),
-            ("checks", yes(site.checks).into()),
-        ],
-    );
+    let sizes: Vec<String> = site.sizes.iter().map(usize::to_string).collect();
+    let mut lines = vec![
+        ("groups", site.groups.to_string()),
+        ("members", group.members.to_string()),
+        ("places", site.places.to_string()),
+        ("cores", server.cores.to_string()),
+        ("slots", server.slots.to_string()),
+        ("room", server.room.to_string()),
+        ("crowding", share(server.crowding)),
+        ("cold", share(server.cold)),
+        ("warm-after", time(server.warm_after)),
+        ("tip", server.tip.to_string()),
+        ("tip-after", time(server.tip_after)),
+        ("ship", time(group.ship)),
+        ("apply", time(group.apply)),
+        ("give-up", time(group.give_up)),
+        ("take-over", time(group.take_over)),
+        ("hand-over", time(group.hand_over)),
+        ("quorum", yes(group.quorum).into()),
+        ("report-every", time(site.report_every)),
+        ("probe-work", time(site.probe_work)),
+        ("dial-work", time(site.dial_work)),
+        ("connections", site.connections.to_string()),
+        ("copy-age", time(site.copy_age)),
+        ("checks", yes(site.checks).into()),
+    ];
+    if !sizes.is_empty() {
+        lines.push(("sizes", sizes.join(" ")));
+    }
+    out.section("fleet servers", &lines);
     let network = &scenario.network;
     out.section(
         "network ways",
@@ -192,6 +194,7 @@
         ("rate", clients.per_s.to_string()),
         ("proxies", clients.proxies.to_string()),
         ("unequal", clients.unequal.to_string()),
+        ("skew", clients.skew.to_string()),
         ("classes", names(clients.kinds.iter().map(|k| k.name.as_str()).collect())),
         ("over-worth", share(clients.over_worth)),
         ("sessions", clients.sessions.to_string()),
--- a/crates/world/src/clients.rs
+++ b/crates/world/src/clients.rs
@@ -69,6 +69,8 @@
     pub groups: u32,
     /// How unequal the proxies' shares are: the n-th gets in proportion to n to the power of minus this.
     pub unequal: f64,
+    /// The same of the groups.
+    pub skew: f64,
     /// Sessions at each proxy; the part of their reads that come soon after one of their writes, and how soon.
     pub sessions: u64,
     pub after_write: f64,
@@ -149,6 +151,7 @@
     pub request: u64,
     pub kind: usize,
     pub tenant: usize,
+    pub group: u32,
     pub came: Micros,
     pub worth: f64,
     /// What it earned, and after which time; none: it was not served.
@@ -213,6 +216,7 @@
     up: Vec<bool>,
     /// Shares of proxies, kinds and tenants as sums so far.
     proxies: Vec<f64>,
+    groups: Vec<f64>,
     kinds: Vec<f64>,
     shares: Vec<f64>,
     requests: FxHashMap<u64, Request>,
@@ -250,6 +254,7 @@
             surge_all: 1.0,
             up: vec![true; set.proxies],
             proxies: sums(&mut (0..set.proxies).map(|n| ((n + 1) as f64).powf(-set.unequal))),
+            groups: sums(&mut (0..set.groups).map(|n| f64::from(n + 1).powf(-set.skew))),
             kinds: sums(&mut set.kinds.iter().map(|k| k.share)),
             shares: sums(&mut set.tenants.iter().map(|t| t.share)),
             requests: FxHashMap::default(),
@@ -332,7 +337,7 @@
         let kind = pick(&self.kinds, u[2]);
         let Some(stated) = self.set.kinds.get(kind) else { return };
         let proxy = pick(&self.proxies, u[3]);
-        let mut group = ((u[4] * f64::from(self.set.groups)) as u32).min(self.set.groups - 1);
+        let mut group = pick(&self.groups, u[4]) as u32;
         let own_sessions = self.set.sessions.max(1);
         let number = (u[5] * own_sessions as f64) as u64;
         // A session is of one group and one proxy.
@@ -481,11 +486,12 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(open) = self.requests.remove(&request) else { return };
-        let Request { kind, tenant, came, worth, tries, .. } = open;
+        let Request { kind, tenant, group, came, worth, tries, .. } = open;
         actions.push(Action::Settled(Settled {
             request,
             kind,
             tenant,
+            group,
             came,
             worth,
             earned,
--- a/crates/world/src/site.rs
+++ b/crates/world/src/site.rs
@@ -9,9 +9,11 @@
 use crate::Micros;
 use rustc_hash::FxHashMap;
 
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     pub groups: usize,
+    /// Members of each group, where they are not all of one size.
+    pub sizes: Vec<usize>,
     /// Buildings; members of a group stand in each of them in turn.
     pub places: usize,
     pub server: server::Settings,
@@ -29,10 +31,22 @@
     pub checks: bool,
 }
 
+impl Settings {
+    /// Members of a group at the start.
+    pub fn size(&self, group: usize) -> usize {
+        self.sizes.get(group).copied().unwrap_or(self.group.members)
+    }
+
+    pub fn servers(&self) -> usize {
+        (0..self.groups).map(|group| self.size(group)).sum()
+    }
+}
+
 impl Default for Settings {
     fn default() -> Settings {
         Settings {
             groups: 3,
+            sizes: Vec::new(),
             places: 2,
             server: server::Settings::default(),
             group: group::Settings::default(),
@@ -224,23 +238,28 @@
 
 impl Site {
     pub fn new(set: Settings) -> Site {
-        let members = set.group.members;
-        let machine = |at: usize| Machine {
-            server: Server::new(set.server),
-            group: (at / members.max(1)) as u32,
-            member: at % members.max(1),
-            place: ((at % members.max(1)) % set.places.max(1)) as u16,
-            status: Status::Ready,
-            started: 0,
-            connections: 0,
-            report: None,
-        };
-        let of = |group: usize| (group * members..(group + 1) * members).map(|s| s as ServerId).collect();
+        let (mut machines, mut members, mut groups) = (Vec::new(), Vec::new(), Vec::new());
+        for group in 0..set.groups {
+            let size = set.size(group);
+            let first = machines.len() as ServerId;
+            members.push((first..first + size as ServerId).collect());
+            groups.push(Group::new(group::Settings { members: size, ..set.group }));
+            machines.extend((0..size).map(|member| Machine {
+                server: Server::new(set.server),
+                group: group as u32,
+                member,
+                place: (member % set.places.max(1)) as u16,
+                status: Status::Ready,
+                started: 0,
+                connections: 0,
+                report: None,
+            }));
+        }
         Site {
             set,
-            machines: (0..set.groups * members).map(machine).collect(),
-            groups: (0..set.groups).map(|_| Group::new(set.group)).collect(),
-            members: (0..set.groups).map(of).collect(),
+            machines,
+            groups,
+            members,
             writes: FxHashMap::default(),
             split: None,
             scratch: Vec::new(),
--- a/crates/world/tests/site.rs
+++ b/crates/world/tests/site.rs
@@ -234,6 +234,7 @@
         proxies: 3,
         groups: 2,
         unequal: 1.0,
+        skew: 0.0,
         sessions: 100,
         after_write: 0.7,
         soon: 400_000,
