A router leaves a member that failed its first request for those it never tried

Cause, found by a test of a hard case (a server that answers wrongly, met by each of a hundred routers once in seconds): such a server got a full third of the reads. A failure is booked as run time of one aim, and a class that has had no answer yet is thought to take one aim everywhere; so a router whose first member failed saw a tie with the untried ones, and the earlier in its order won each time (learn, choose). Time-outs, which are longer, were not affected.

Change: a failure costs the least bit more than the aim. Tests: that case for errors and for hangs; half a group starting stays under what tips each of its members, for a thousand routers with one request each.

--- a/crates/mountshift/src/decide.rs
+++ b/crates/mountshift/src/decide.rs
@@ -528,9 +528,9 @@
         }
         // An attempt without an answer took its time too; an error or no connection costs another: else a
         // store that loses work, or fails it quickly, looks no worse than others, and one that hangs only
-        // while attempts are out there.
+        // while attempts are out there. A trace more than an untried one is thought to take: that gets a turn.
         let in_vain = matches!(outcome, Outcome::Failed | Outcome::ConnectFailed);
-        let spent = if in_vain { aim } else { elapsed };
+        let spent = if in_vain { aim + LEAST } else { elapsed };
         if in_vain || matches!(outcome, Outcome::Ok | Outcome::TimedOut) {
             let average = &mut store.run_time[at];
             *average = Some(average.map_or(spent, |a| drawn(a, spent, tune.run_weight)));
--- a/crates/mountshift/tests/fleet.rs
+++ b/crates/mountshift/tests/fleet.rs
@@ -220,3 +220,48 @@
     assert_eq!(by_slot.iter().sum::<usize>(), 100, "all come back: {by_slot:?}");
     assert!(by_slot.iter().all(|&dials| dials <= 25), "{by_slot:?}");
 }
+
+#[test]
+fn half_a_group_of_starting_stores_is_not_tipped_by_routers_that_each_send_one_request() {
+    let mut sent = [0_usize; 7];
+    for seed in 0..1_000 {
+        let mut bench = Bench::seeded(Settings { routers: 1_000, ..settings() }, 6, seed);
+        let started = bench.now;
+        bench.list((4..=6).map(|s| Entry { started, ..entry(s, Listed::Ready) }).collect());
+        (1..=6).for_each(|s| _ = bench.report(s, s == 1, Duration::ZERO));
+        let (_, mut actions) = bench.ask(ANY);
+        actions.extend(bench.pass(200));
+        sends(&actions).iter().for_each(|&s| sent[s as usize] += 1);
+    }
+    let tips = 3.0 * 0.25 * 1_000.0 / 6.0;
+    assert!(sent[4..].iter().all(|&n| n > 0 && (n as f64) < 0.95 * tips), "{sent:?}, where {tips} tip one");
+}
+
+#[test]
+fn a_store_that_hangs_or_answers_wrongly_gets_less_though_each_router_meets_it_once_in_seconds() {
+    for outcome in [Outcome::TimedOut, Outcome::Failed] {
+        let mut sent = [0_usize; 5];
+        for seed in 0..100 {
+            let mut bench = Bench::seeded(Settings { routers: 100, ..settings() }, 4, seed);
+            for round in 0..40 {
+                bench.wait(1_500 * MS);
+                (1..=4).for_each(|s| _ = bench.report(s, s == 1, Duration::ZERO));
+                let (id, actions) = bench.ask(ANY);
+                let Some(&store) = sends(&actions).first() else { continue };
+                sent[store as usize] += usize::from(round >= 10);
+                let (outcome, elapsed) =
+                    if store == 2 { (outcome, 900 * MS) } else { (Outcome::Ok, 60 * MS) };
+                bench.event(Event::Ended(Ended {
+                    id,
+                    attempt: AttemptNo(0),
+                    store: StoreId(store),
+                    outcome,
+                    elapsed,
+                    last: true,
+                    note: Note { primary: Some(store == 1), position: None },
+                }));
+            }
+        }
+        assert!(sent[2] * 4 < sent[3].min(sent[4]), "{outcome:?}: {sent:?}");
+    }
+}
