--- a/crates/mountshift/src/decide.rs
+++ b/crates/mountshift/src/decide.rs
@@ -528,7 +528,7 @@
         }
         // An attempt without an answer took its time too; an error or no connection costs another: else a
         // store that loses work, or fails it quickly, looks no worse than others, and one that hangs only
-        // while attempts are out there. A trace more than an untried one is thought to take: that gets a turn.
+        // while attempts are out there. A trace more than an untried one, which so gets its turn.
         let in_vain = matches!(outcome, Outcome::Failed | Outcome::ConnectFailed);
         let spent = if in_vain { aim + LEAST } else { elapsed };
         if in_vain || matches!(outcome, Outcome::Ok | Outcome::TimedOut) {
