--- a/crates/leverproxy/src/config.rs
+++ b/crates/leverproxy/src/config.rs
@@ -49,6 +49,8 @@
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
+    /// The second address, where operators call; none: nothing listens.
+    pub admin: Option<SocketAddr>,
     pub discovery: SocketAddr,
     pub seed: u64,
     pub limits: Limits,
@@ -151,6 +153,7 @@
 struct File {
     name: Option<String>,
     listen: Option<String>,
+    admin: Option<String>,
     discovery: Option<String>,
     seed: Option<String>,
     limits: FileLimits,
@@ -321,11 +324,16 @@
     let longest = platform.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
     let give_up = longest.min(KILL_DEADLINE) + LAST_MARGIN;
     let or_default = |stated: Duration, default| if stated.is_zero() { default } else { stated };
-    let limits = share_out(&file.limits, &model)?;
+    // Like any address: the environment's, else the file's.
+    let admin = stated("LB_ADMIN", "admin", &file.admin);
+    let admin = admin.map(|stated| address("admin", Some(stated), None, "LB_ADMIN")).transpose()?;
+    let admin = admin.map(|(address, _)| address);
+    let limits = share_out(&file.limits, &model, admin.is_some())?;
     let told = Told { listen: listen_from, discovery: discovery_from };
     let config = Config {
         name: variable("LB_NAME").or(file.name).unwrap_or_else(|| "leverproxy".into()),
         listen,
+        admin,
         discovery,
         seed,
         limits,
@@ -369,7 +377,7 @@
     }
 }
 
-fn share_out(stated: &FileLimits, model: &Model) -> Result<Limits, ConfigError> {
+fn share_out(stated: &FileLimits, model: &Model, admin: bool) -> Result<Limits, ConfigError> {
     let sockets = stated.sockets.unwrap_or(DEFAULT_SOCKETS);
     let memory_mb = stated.memory_mb.unwrap_or(DEFAULT_MEMORY_MB);
     if memory_mb < LEAST_MEMORY_MB {
@@ -385,7 +393,8 @@
     // A request takes a client's connection for all its time and a record server's for a part of it.
     let checks: usize = model.health.iter().map(|h| h.connections + 1).sum();
     let checks = checks + if model.balancers.iter().any(|b| !b.networks.is_empty()) { BALANCERS } else { 0 };
-    let spare = SPARE_SOCKETS + checks + if checks > 0 { HEALTH_RESERVE } else { 0 };
+    let calls = if admin { crate::admin::CONNECTIONS + 1 } else { 0 };
+    let spare = SPARE_SOCKETS + calls + checks + if checks > 0 { HEALTH_RESERVE } else { 0 };
     if spare + LEAST_SOCKETS / 2 > sockets {
         let problem = format!("{sockets} are too few for the health listeners, which take {checks}");
         return Err(ConfigError::new("limits.sockets", problem));
--- a/crates/leverproxy/src/counters.rs
+++ b/crates/leverproxy/src/counters.rs
@@ -18,9 +18,13 @@
     classes: Vec<(String, Class)>,
     probes: BTreeMap<&'static str, u64>,
     probes_sent: u64,
+    /// Requests of no class that is known.
     pub rejected: u64,
     pub lists: u64,
     pub watches_lost: u64,
+    /// Configurations taken over, and turned down.
+    pub reloads: u64,
+    pub reloads_failed: u64,
 }
 
 impl Counters {
@@ -49,6 +53,22 @@
         }
     }
 
+    /// The figures by class, one value for each name: served, refused and failed.
+    pub fn requests(&self) -> impl Iterator<Item = (&str, [(&'static str, u64); 3])> {
+        let mut by_name: BTreeMap<&str, [(&'static str, u64); 3]> = BTreeMap::new();
+        for (name, class) in &self.classes {
+            let sums = by_name.entry(name).or_insert([("served", 0), ("refused", 0), ("failed", 0)]);
+            for (kind, count) in &class.answers {
+                // What makes no sense is answered with an error, and has failed for whoever asked.
+                let kind = if *kind == "rejected" { "failed" } else { kind };
+                if let Some((_, sum)) = sums.iter_mut().find(|(outcome, _)| *outcome == kind) {
+                    *sum += count;
+                }
+            }
+        }
+        by_name.into_iter()
+    }
+
     pub fn left(&mut self, class: ClassId) {
         if let Some(class) = self.class(class) {
             *class.answers.entry("client left").or_default() += 1;
@@ -105,6 +125,8 @@
         write!(f, "probes: sent {}; ", self.probes_sent)?;
         list(f, "ended", &self.probes)?;
         writeln!(f)?;
-        write!(f, "rejected {}; lists {}; watches lost {}", self.rejected, self.lists, self.watches_lost)
+        let Counters { rejected, lists, watches_lost, reloads, reloads_failed, .. } = self;
+        write!(f, "rejected {rejected}; lists {lists}; watches lost {watches_lost}; ")?;
+        write!(f, "reloads {reloads}, turned down {reloads_failed}")
     }
 }
--- a/crates/leverproxy/src/discovery/directory.rs
+++ b/crates/leverproxy/src/discovery/directory.rs
@@ -1,6 +1,7 @@
 //! The record servers by name: which id the module knows them by, and where they listen.
 
 use super::wire::{Endpoint, Listing, Status};
+use maintenance::{Joined, Maintenance, Unknown, Word};
 use mountshift::{Entry, GroupId, KindId, ListNews, Listed, StoreId, Time, ZoneId};
 use mountshift_settings::Names;
 use std::collections::{BTreeMap, BTreeSet};
@@ -14,16 +15,13 @@
 pub struct Directory {
     ids: BTreeMap<String, StoreId>,
     named: u32,
-    members: BTreeMap<StoreId, Member>,
+    /// As discovery last told of them, with address and group filled in.
+    members: BTreeMap<StoreId, Endpoint>,
+    /// The operators' word beside discovery's.
+    hands: Maintenance,
     index: u64,
 }
 
-#[derive(Clone, Copy)]
-struct Member {
-    address: SocketAddr,
-    group: GroupId,
-}
-
 /// What a listing means for connections: where a server is, and whether it takes anything new.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -47,7 +45,10 @@
         self.index = listing.index;
         let mut changes = Vec::new();
         let mut entries = Vec::new();
-        for endpoint in &listing.endpoints {
+        if listing.snapshot {
+            self.hands.only(&listing.endpoints.iter().map(|e| e.name.as_str()).collect());
+        }
+        for endpoint in listing.endpoints {
             if let Some((entry, change)) = self.entry(endpoint, names) {
                 entries.push(entry);
                 changes.push(change);
@@ -70,48 +71,74 @@
         (news, changes)
     }
 
-    fn entry(&mut self, endpoint: &Endpoint, names: &Names) -> Option<(Entry, Change)> {
+    fn entry(&mut self, mut endpoint: Endpoint, names: &Names) -> Option<(Entry, Change)> {
         let known = self.ids.get(&endpoint.name).copied();
-        let member = known.and_then(|id| self.members.get(&id)).copied();
-        let (Some(address), Some(group)) = (
-            endpoint.address.or(member.map(|m| m.address)),
-            endpoint.group.map(GroupId).or(member.map(|m| m.group)),
-        ) else {
-            if endpoint.status != Status::Gone {
-                log::warn!("discovery: {} has no address or no group: left out", endpoint.name);
-            }
-            return None;
+        let member = known.and_then(|id| self.members.get(&id));
+        endpoint.address = endpoint.address.or(member.and_then(|m| m.address));
+        endpoint.group = endpoint.group.or(member.and_then(|m| m.group));
+        let word = match endpoint.status {
+            Status::Ready => Word::Ready,
+            Status::Terminating | Status::Other => Word::Draining,
+            Status::Gone => Word::Gone,
         };
+        let whole = endpoint.address.is_some() && endpoint.group.is_some();
+        if !whole && word != Word::Gone {
+            log::warn!("discovery: {} has no address or no group: left out", endpoint.name);
+            return None;
+        }
+        let joined = self.hands.hears(&endpoint.name, word, Duration::from_millis(endpoint.since_ms));
+        if !whole {
+            return None;
+        }
         let store = known.unwrap_or_else(|| {
             self.named += 1;
             self.ids.insert(endpoint.name.clone(), StoreId(self.named));
             StoreId(self.named)
         });
-        self.members.insert(store, Member { address, group });
-        let listed = match endpoint.status {
-            Status::Ready => Listed::Ready,
-            Status::Terminating | Status::Other => Listed::Draining,
-            Status::Gone => Listed::Gone,
-        };
-        let change = match listed {
-            Listed::Ready => Change::Serves(store, address),
-            Listed::Draining | Listed::Gone => Change::Leaves(store),
-        };
-        let entry = Entry {
-            store,
-            group,
-            zone: ZoneId(place(&names.zones, &endpoint.zone)),
-            kind: KindId(place(&names.kinds, &endpoint.kind)),
-            listed,
-            primary: false,
-            started: started(endpoint.since_ms),
-        };
-        Some((entry, change))
+        let told = told(store, &endpoint, joined, names)?;
+        self.members.insert(store, endpoint);
+        Some(told)
+    }
+
+    /// What operators say of a server; what it means for the module and the pools, if that is anything new.
+    pub fn hand(
+        &mut self,
+        name: &str,
+        out: bool,
+        now: Time,
+        names: &Names,
+    ) -> Result<Option<(ListNews, Vec<Change>)>, Unknown> {
+        let said = if out { self.hands.exclude(name, now.0) } else { self.hands.include(name, now.0) };
+        Ok(said?.and_then(|joined| self.joined(name, joined, names)))
+    }
+
+    fn joined(&self, name: &str, joined: Joined, names: &Names) -> Option<(ListNews, Vec<Change>)> {
+        let store = *self.ids.get(name)?;
+        let (entry, change) = told(store, self.members.get(&store)?, joined, names)?;
+        Some((ListNews::Changes(vec![entry]), vec![change]))
+    }
+
+    pub fn hands(&self) -> &Maintenance {
+        &self.hands
     }
 }
 
-fn started(since_ms: u64) -> Time {
-    Time(Duration::from_millis(since_ms))
+fn told(store: StoreId, endpoint: &Endpoint, joined: Joined, names: &Names) -> Option<(Entry, Change)> {
+    let (listed, change) = match joined.word {
+        Word::Ready => (Listed::Ready, Change::Serves(store, endpoint.address?)),
+        Word::Draining => (Listed::Draining, Change::Leaves(store)),
+        Word::Gone => (Listed::Gone, Change::Leaves(store)),
+    };
+    let entry = Entry {
+        store,
+        group: GroupId(endpoint.group?),
+        zone: ZoneId(place(&names.zones, &endpoint.zone)),
+        kind: KindId(place(&names.kinds, &endpoint.kind)),
+        listed,
+        primary: false,
+        started: Time(joined.started),
+    };
+    Some((entry, change))
 }
 
 /// The id of a name; names that the settings do not hold share one that none of theirs has.
--- a/crates/leverproxy/src/lib.rs
+++ b/crates/leverproxy/src/lib.rs
@@ -15,6 +15,7 @@
 //! ```
 #![forbid(unsafe_code)]
 
+pub mod admin;
 pub mod cli;
 pub mod clock;
 pub mod config;
--- a/crates/leverproxy/src/proxy.rs
+++ b/crates/leverproxy/src/proxy.rs
@@ -1,5 +1,6 @@
 //! The loop of the one thread: waits, lets the sides take what has come, and runs the chain over it.
 
+use crate::admin::Admin;
 use crate::config::{Config, ConfigError, Limits};
 use crate::control::{self, Control, Wish};
 use crate::discovery::Discovery;
@@ -9,13 +10,16 @@
 use crate::operate::{Operate, Word};
 use crate::reactor::{Interest, Reactor, Ready, Timers, Token};
 use crate::reload::Reloads;
+use crate::request::shown;
 use crate::stages::{Chain, Sides, Timer};
 use crate::upstream::Upstream;
 use drain::{Action, Drain};
+use maintenance::Unknown;
 use mountshift_settings::Decoded;
 use std::io;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
+use wire_admin::{Answer, Call, Figures, Status};
 
 /// A listener that was full is looked at again after this, even if no client has left.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(100);
@@ -41,6 +45,7 @@
 struct Fixed {
     name: String,
     listen: SocketAddr,
+    admin: Option<SocketAddr>,
     platform: Decoded,
     watch_silence: Duration,
 }
@@ -61,13 +66,16 @@
         let fixed = Fixed {
             name: config.name,
             listen: config.listen,
+            admin: config.admin,
             platform: config.platform.clone(),
             watch_silence: config.watch_silence,
         };
         let health = Health::new(&config.health, &reactor)?;
         let operate = config.control.as_deref().map(|path| Operate::listen(path, &reactor)).transpose()?;
         let timers = Timers::default();
-        let mut sides = Sides { reactor, timers, front, upstream, discovery, health, operate };
+        let admin = config.admin.map(|address| Admin::listen(address, &reactor)).transpose();
+        let admin = admin.map_err(|e| io::Error::new(e.kind(), format!("admin: {e}")))?;
+        let mut sides = Sides { reactor, timers, front, upstream, discovery, health, operate, admin };
         let zones = config.platform.names.zones.clone();
         let knocks = !config.health.is_empty();
         let mut chain = Chain::new(
@@ -174,7 +182,7 @@
 
     fn on_ready(&mut self, ready: Ready) {
         let now = Instant::now();
-        let Sides { reactor, timers, front, upstream, discovery, health, operate } = &mut self.sides;
+        let Sides { reactor, timers, front, upstream, discovery, health, operate, admin } = &mut self.sides;
         match ready.token {
             Token::HealthListener(at) => health.accept(at, &self.chain.monitor.status(), now, reactor),
             Token::Health(key) => health.ready(key, &self.chain.monitor.status(), now, reactor),
@@ -188,6 +196,19 @@
                     self.operate(key, word, now);
                 }
             }
+            Token::AdminListener => {
+                if let Some(admin) = admin {
+                    admin.accept(now, reactor);
+                }
+            }
+            Token::Admin(key) => {
+                if let Some(call) = admin.as_mut().and_then(|a| a.ready(key, reactor)) {
+                    let answer = self.call(call, now);
+                    if let Some(admin) = &mut self.sides.admin {
+                        admin.answer(key, &answer, &self.sides.reactor);
+                    }
+                }
+            }
             Token::Listener => {
                 front.accept(now, reactor);
                 if front.paused() {
@@ -218,6 +239,9 @@
                 if let Some(operate) = &mut self.sides.operate {
                     operate.look_over(now);
                 }
+                if let Some(admin) = &mut self.sides.admin {
+                    admin.look_over(now);
+                }
                 self.sides.timers.set(again, Timer::LookOver);
             }
             Timer::Accept => self.sides.front.resume(&self.sides.reactor),
@@ -293,6 +317,58 @@
         }
     }
 
+    /// What an operator's call does, and its answer.
+    fn call(&mut self, call: Call, now: Instant) -> Answer {
+        let (name, out) = match call {
+            Call::Ready if self.drain.ending() => {
+                return Answer::line(Status::Unavailable, "ending: told to stop");
+            }
+            Call::Ready => return Answer::line(Status::Ok, "ready"),
+            Call::Telemetry => return self.figures(now),
+            Call::Exclude(name) => (name, true),
+            Call::Include(name) => (name, false),
+        };
+        match self.chain.hand(&name, out, &mut self.sides, now) {
+            Ok(()) => {
+                let word = if out { "out" } else { "in" };
+                log::info!("admin: {} is {word} by an operator's word", shown(&name));
+                Answer::line(Status::Ok, word)
+            }
+            Err(Unknown) => Answer::line(Status::NotFound, "no record server of that name"),
+        }
+    }
+
+    fn figures(&self, now: Instant) -> Answer {
+        let counters = &self.chain.counters;
+        let (known, excluded) = self.chain.record_servers(now);
+        let mut figures = Figures::default();
+        let requests = counters.requests().flat_map(|(class, outcomes)| {
+            let labelled = move |(kind, n)| (vec![("class", class), ("outcome", kind)], n);
+            outcomes.into_iter().map(labelled)
+        });
+        figures.many("lb_requests_total", "Requests answered, by class and outcome.", requests);
+        for (name, help, value) in [
+            ("lb_attempts_total", "Attempts written whole to record servers.", self.sides.upstream.attempts),
+            ("lb_in_flight", "Requests taken and not yet ended.", self.chain.owed() as u64),
+            ("lb_record_servers_known", "Record servers in the list.", known as u64),
+            (
+                "lb_record_servers_excluded",
+                "Of these, avoided at present by hand or by choice.",
+                excluded as u64,
+            ),
+            ("lb_reloads_ok_total", "Configurations taken over at SIGHUP.", counters.reloads),
+            ("lb_reloads_failed_total", "Configurations turned down at SIGHUP.", counters.reloads_failed),
+        ] {
+            figures.one(name, help, value);
+        }
+        figures.answer()
+    }
+
+    /// Where operators call.
+    pub fn admin_address(&self) -> Option<SocketAddr> {
+        self.sides.admin.as_ref().map(Admin::address)
+    }
+
     /// Where the balancers' checks are answered.
     pub fn health_addresses(&self) -> Vec<SocketAddr> {
         self.sides.health.addresses()
@@ -313,6 +389,7 @@
         let config = match read {
             Ok(config) => config,
             Err(error) => {
+                self.chain.counters.reloads_failed += 1;
                 for fault in &error.faults {
                     log::error!("configuration: {fault}");
                 }
@@ -320,6 +397,7 @@
             }
         };
         let begun = Instant::now();
+        self.chain.counters.reloads += 1;
         let Sides { front, upstream, .. } = &mut self.sides;
         front.set_limits(config.limits, config.patience);
         front.set_balancers(config.checks.clone(), config.proxy_from.clone());
@@ -337,6 +415,7 @@
         }
         for (key, same) in [
             ("listen", config.listen == self.fixed.listen),
+            ("admin", config.admin == self.fixed.admin),
             ("name", config.name == self.fixed.name),
             ("settings", config.platform == self.fixed.platform),
             ("discovery watch-silence", config.watch_silence == self.fixed.watch_silence),
--- a/crates/leverproxy/src/reactor.rs
+++ b/crates/leverproxy/src/reactor.rs
@@ -94,12 +94,15 @@
     /// The operators' socket and who speaks on it.
     OperateListener,
     Operate(Key),
+    /// The second address and who calls there.
+    AdminListener,
+    Admin(Key),
 }
 
 impl Token {
-    /// Balancers' checks: whatever else is ready, they are answered first.
+    /// Balancers' checks and operators' calls: whatever else is ready, they are answered first.
     pub fn first(self) -> bool {
-        matches!(self, Token::Health(_) | Token::HealthListener(_))
+        matches!(self, Token::Health(_) | Token::HealthListener(_) | Token::Admin(_) | Token::AdminListener)
     }
 
     fn encode(self) -> u64 {
@@ -113,6 +116,8 @@
             Token::Health(key) => (6, Some(key)),
             Token::OperateListener => (7, None),
             Token::Operate(key) => (8, Some(key)),
+            Token::AdminListener => (9, None),
+            Token::Admin(key) => (10, Some(key)),
         };
         let key = key.map_or(0, |k| u64::from(k.generation) << 32 | u64::from(k.index));
         kind << 56 | key
@@ -130,6 +135,8 @@
             6 => Token::Health(key),
             7 => Token::OperateListener,
             8 => Token::Operate(key),
+            9 => Token::AdminListener,
+            10 => Token::Admin(key),
             _ => return None,
         })
     }
--- a/crates/leverproxy/src/stages/mod.rs
+++ b/crates/leverproxy/src/stages/mod.rs
@@ -8,6 +8,7 @@
 pub mod steer;
 pub mod take_in;
 
+use crate::admin::Admin;
 use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::discovery::directory::{Change, Directory};
@@ -21,6 +22,7 @@
 use crate::request::{Answer, Done, Purpose, Request, Ticket};
 use crate::seldom::Seldom;
 use crate::upstream::{Due, Upstream};
+use maintenance::Unknown;
 use mountshift::{Action, Event, ListNews, Need, RequestId, StoreId, TimerToken};
 use mountshift_settings::{Decoded, Names};
 use std::net::SocketAddr;
@@ -51,6 +53,7 @@
     pub discovery: Discovery,
     pub health: Health,
     pub operate: Option<Operate>,
+    pub admin: Option<Admin>,
 }
 
 pub struct Chain {
@@ -143,7 +146,11 @@
         let Chain { names, deadlines, clock, .. } = self;
         let mut arrival = match take_in::take_in(id, &request, names, deadlines, clock, margin, now) {
             Ok(arrival) => take_in::end_by(arrival, self.end, margin, now),
-            Err(why) => return self.reject(ticket, why, sides, now),
+            Err(why) => {
+                let known = self.names.classes.iter().position(|name| *name == request.class);
+                let class = known.and_then(|at| u16::try_from(at).ok()).map(mountshift::ClassId);
+                return self.reject(ticket, class, why, sides, now);
+            }
         };
         // Counters and the ledger go by the client's word; the class that the module hears may be another.
         let class = arrival.class;
@@ -171,7 +178,7 @@
         now: Instant,
     ) {
         if let Answer::Rejected(why) = answer {
-            return self.reject(ticket, why, sides, now);
+            return self.reject(ticket, Some(class), why, sides, now);
         }
         self.counters.taken(class);
         self.counters.answered(class, &answer);
@@ -201,10 +208,21 @@
     }
 
     /// The request makes no sense: the client is told, and nobody else hears of it.
-    fn reject(&mut self, ticket: Ticket, why: String, sides: &mut Sides, now: Instant) {
+    fn reject(
+        &mut self,
+        ticket: Ticket,
+        class: Option<mountshift::ClassId>,
+        why: String,
+        sides: &mut Sides,
+        now: Instant,
+    ) {
         self.rejections.warn(now, || format!("front: a request is rejected: {why}"));
-        self.counters.rejected += 1;
-        sides.front.answer(ticket, Answer::Rejected(why), now, &sides.reactor);
+        let answer = Answer::Rejected(why);
+        match class {
+            Some(class) => self.counters.answered(class, &answer),
+            None => self.counters.rejected += 1,
+        }
+        sides.front.answer(ticket, answer, now, &sides.reactor);
     }
 
     fn on_left(&mut self, ticket: Ticket, sides: &mut Sides, now: Instant) {
@@ -358,6 +376,19 @@
         }
     }
 
+    /// Operators take a server out or call it back.
+    pub fn hand(&mut self, name: &str, out: bool, sides: &mut Sides, now: Instant) -> Result<(), Unknown> {
+        if let Some((news, changes)) = self.directory.hand(name, out, self.clock.unix(now), &self.names)? {
+            self.listed(news, changes, sides, now);
+        }
+        Ok(())
+    }
+
+    /// Record servers in the list, and those of them that are avoided at present.
+    pub fn record_servers(&self, now: Instant) -> (usize, usize) {
+        (self.directory.hands().listed(), self.route.avoided(self.clock.unix(now)))
+    }
+
     /// Requests that are owed an answer.
     pub fn owed(&self) -> usize {
         self.ledger.len()
--- a/crates/leverproxy/src/stages/route.rs
+++ b/crates/leverproxy/src/stages/route.rs
@@ -11,6 +11,11 @@
         Route { router: Router::new(settings, seed, now) }
     }
 
+    /// Listed members that get nothing at present.
+    pub fn avoided(&self, now: Time) -> usize {
+        self.router.avoided(now)
+    }
+
     pub fn decide(&mut self, now: Time, event: Event) -> Vec<Action> {
         let mut actions = Vec::new();
         self.router.handle(now, event, &mut actions);
--- a/crates/leverproxy/src/upstream.rs
+++ b/crates/leverproxy/src/upstream.rs
@@ -61,6 +61,8 @@
     dial_timeout: Duration,
     idle_limit: Duration,
     pub dials: u64,
+    /// Of requests, whose last byte is written.
+    pub attempts: u64,
 }
 
 struct Pool {
@@ -108,6 +110,7 @@
             dial_timeout,
             idle_limit,
             dials: 0,
+            attempts: 0,
         }
     }
 
@@ -295,7 +298,8 @@
     fn advance(&mut self, key: Key, now: Instant, reactor: &Reactor) {
         let Some(connection) = self.connections.get_mut(key) else { return };
         let flushed = connection.stream.flush();
-        if let (State::Busy { written, .. }, Ok(true)) = (&mut connection.state, &flushed) {
+        if let (State::Busy { exchange, written, .. }, Ok(true)) = (&mut connection.state, &flushed) {
+            self.attempts += u64::from(!*written && exchange.purpose != Purpose::Probe);
             *written = true;
         }
         let filled = connection.stream.fill(client::INPUT_LIMIT);
--- /dev/null
+++ b/crates/leverproxy/tests/admin.rs
@@ -0,0 +1,137 @@
+//! Operators' calls on the second address of a real proxy between scripted peers.
+
+mod common;
+use common::{read, Listener, Peer, Stage};
+use leverproxy::admin::CONNECTIONS;
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+
+fn stage(servers: &[(&str, &Listener)]) -> (Stage, SocketAddr) {
+    let stage = Stage::with(servers, |config| {
+        config.admin = Some("127.0.0.1:0".parse().unwrap());
+        // A server that comes back takes its full part at once: no draw decides what these tests see.
+        config.platform.settings.cold_share = 1.0;
+    });
+    let admin = stage.admin.unwrap();
+    (stage, admin)
+}
+
+/// The status and the text that a call gets.
+fn call(admin: SocketAddr, bytes: &str) -> (u16, String) {
+    let mut stream = TcpStream::connect(admin).unwrap();
+    stream.set_read_timeout(Some(common::PATIENCE)).unwrap();
+    stream.write_all(bytes.as_bytes()).unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    let (head, text) = answer.split_once("\r\n\r\n").unwrap();
+    (head.split(' ').nth(1).unwrap().parse().unwrap(), text.to_owned())
+}
+
+fn get(admin: SocketAddr, path: &str) -> (u16, String) {
+    call(admin, &format!("GET {path} HTTP/1.1\r\nHost: a\r\n\r\n"))
+}
+
+fn post(admin: SocketAddr, word: &str, target: &str) -> u16 {
+    let body = format!(r#"{{"target":"{target}"}}"#);
+    let length = body.len();
+    call(admin, &format!("POST /api/{word} HTTP/1.1\r\nHost: a\r\nContent-Length: {length}\r\n\r\n{body}")).0
+}
+
+fn figures(admin: SocketAddr) -> BTreeMap<String, u64> {
+    let (status, text) = get(admin, "/api/telemetry");
+    assert_eq!(status, 200);
+    let lines = text.lines().filter(|line| !line.starts_with('#'));
+    lines.map(|line| line.rsplit_once(' ').unwrap()).map(|(k, v)| (k.into(), v.parse().unwrap())).collect()
+}
+
+/// What the scripted peers did is what the figures tell, answer by answer.
+#[test]
+fn figures_are_what_peers_saw() {
+    let server = Listener::new();
+    let (stage, admin) = stage(&[("s-1", &server)]);
+    let mut client = Peer::client(stage.address);
+    client.ask(&read(1, "any", 19000));
+    let mut upstream = server.welcome();
+    upstream.query();
+    let under_way = figures(admin);
+    assert_eq!((under_way["lb_in_flight"], under_way["lb_attempts_total"]), (1, 1));
+    upstream.answer("one", &[]);
+    assert_eq!(client.reply().value.as_deref(), Some("one"));
+    // A write that may have run, and one that is nobody's class.
+    client.ask(&read(2, "book", 19000));
+    upstream.report_primary();
+    upstream.query();
+    drop(upstream);
+    assert!(client.reply().code.is_some());
+    client.ask(&read(3, "unheard-of", 19000));
+    assert!(client.reply().code.is_some());
+    // A sound class, but the id of the request before.
+    client.ask(&read(2, "any", 19000));
+    assert!(client.reply().code.is_some());
+    let told = figures(admin);
+    for (name, value) in [
+        (r#"lb_requests_total{class="any",outcome="served"}"#, 1),
+        (r#"lb_requests_total{class="any",outcome="refused"}"#, 0),
+        (r#"lb_requests_total{class="any",outcome="failed"}"#, 1),
+        (r#"lb_requests_total{class="book",outcome="served"}"#, 0),
+        (r#"lb_requests_total{class="book",outcome="failed"}"#, 1),
+        ("lb_attempts_total", 2),
+        ("lb_in_flight", 0),
+        ("lb_record_servers_known", 1),
+        ("lb_reloads_ok_total", 0),
+        ("lb_reloads_failed_total", 0),
+    ] {
+        assert_eq!(told[name], value, "{name}");
+    }
+}
+
+/// Out by hand: nothing new goes there, whatever discovery says, until one call back.
+#[test]
+fn a_server_that_is_out_gets_nothing_until_it_is_called_back() {
+    let (first, second) = (Listener::new(), Listener::new());
+    let (mut stage, admin) = stage(&[("s-1", &first), ("s-2", &second)]);
+    assert_eq!(post(admin, "exclude", "s-9"), 404);
+    assert_eq!(post(admin, "exclude", "s-1"), 200);
+    assert_eq!(post(admin, "exclude", "s-1"), 200);
+    assert_eq!(figures(admin)["lb_record_servers_excluded"], 1);
+    stage.watch.tell(42, &[first.listed("s-1", "Ready")]);
+    let mut client = Peer::client(stage.address);
+    client.ask(&read(1, "any", 19000));
+    let mut upstream = second.welcome();
+    upstream.query();
+    upstream.answer("one", &[]);
+    assert_eq!(client.reply().value.as_deref(), Some("one"));
+    assert!(first.try_accept().is_none());
+    assert_eq!(post(admin, "include", "s-1"), 200);
+    assert_eq!(post(admin, "exclude", "s-2"), 200);
+    client.ask(&read(2, "any", 19000));
+    let mut upstream = first.welcome();
+    upstream.query();
+    upstream.answer("back", &[]);
+    assert_eq!(client.reply().value.as_deref(), Some("back"));
+    assert!(second.try_accept().is_none());
+}
+
+/// As many callers as there are places hold half a call each; a whole one behind them is answered all the same.
+#[test]
+fn callers_that_dawdle_keep_nobody_from_an_answer() {
+    let (_stage, admin) = stage(&[]);
+    let dawdlers: Vec<TcpStream> = (0..2 * CONNECTIONS)
+        .map(|_| {
+            let mut stream = TcpStream::connect(admin).unwrap();
+            stream.write_all(b"GET /api/ready HT").unwrap();
+            stream
+        })
+        .collect();
+    assert_eq!(get(admin, "/api/ready"), (200, "ready\n".into()));
+    drop(dawdlers);
+    // One that ends its side behind a whole call still hears.
+    let mut stream = TcpStream::connect(admin).unwrap();
+    stream.write_all(b"GET /api/ready HTTP/1.1\r\n\r\n").unwrap();
+    stream.shutdown(Shutdown::Write).unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+    assert_eq!(get(admin, "/api/readyz").0, 404);
+}
--- a/crates/leverproxy/tests/common/mod.rs
+++ b/crates/leverproxy/tests/common/mod.rs
@@ -287,6 +287,8 @@
     pub address: SocketAddr,
     /// Where checks of balancers are answered.
     pub health: Vec<SocketAddr>,
+    /// Where operators call.
+    pub admin: Option<SocketAddr>,
     pub control: Control,
     pub discovery: Listener,
     pub watch: Peer,
@@ -336,11 +338,11 @@
         adjust(&mut config);
         let (mut proxy, control) = Proxy::start(config).unwrap();
         let address = proxy.local_address().unwrap();
-        let health = proxy.health_addresses();
+        let (health, admin) = (proxy.health_addresses(), proxy.admin_address());
         let running = Some(thread::spawn(move || proxy.run()));
         let mut watch = discovery.accept();
         assert_eq!(watch.watch(), "GET /catalog/members?watch=1&after=41 HTTP/1.1");
-        Stage { address, health, control, discovery, watch, running }
+        Stage { address, health, admin, control, discovery, watch, running }
     }
 
     /// Waits until the proxy has ended by itself.
--- a/crates/mountshift/src/decide.rs
+++ b/crates/mountshift/src/decide.rs
@@ -214,6 +214,7 @@
     GiveUp,
 }
 
+#[derive(Default)]
 pub struct Router {
     set: Settings,
     tune: Tuning,
@@ -252,35 +253,35 @@
 
     /// With other constants, for those who measure what they do.
     pub fn tuned(settings: Settings, tune: Tuning, seed: u64, now: Time) -> Router {
+        let (random, own_order, trust, proved) = (seed, seed, 1.0, now);
+        let mut router = Router { tune, now, random, own_order, trust, proved, ..Router::default() };
+        router.configure(settings, &[]);
+        router
+    }
+
+    /// From now on by these settings. Classes keep their places, so that requests under way keep theirs, with its
+    /// rights; one at a new place begins with what is known of its heir's, the class that it stands in for.
+    pub fn configure(&mut self, settings: Settings, heirs: &[Option<ClassId>]) {
         let aims = settings.classes.iter().map(|c| c.aim).filter(|aim| !aim.is_zero());
-        let tightest_aim = aims.min().unwrap_or(AIM_UNSTATED);
+        self.tightest_aim = aims.min().unwrap_or(AIM_UNSTATED);
         let bound = |c: &Class| if let Need::Bounded(b) = c.need { Some(b) } else { None };
-        let bounds = settings.classes.iter().filter_map(bound);
-        let tightest_bound = bounds.filter(|bound| !bound.is_zero()).min().unwrap_or(tightest_aim);
-        Router {
-            work: settings.classes.iter().map(|c| c.aim).collect(),
-            first_wait: vec![Duration::ZERO; settings.classes.len()],
-            set: settings,
-            tune,
-            now,
-            random: seed,
-            own_order: seed,
-            stores: BTreeMap::new(),
-            groups: BTreeMap::new(),
-            requests: BTreeMap::new(),
-            held: BTreeSet::new(),
-            written: BTreeMap::new(),
-            forgotten: Time::ZERO,
-            agenda: BTreeSet::new(),
-            alarm: None,
-            tightest_aim,
-            tightest_bound,
-            list_failures: 0,
-            trust: 1.0,
-            proved: now,
-            usual_value: 0.0,
-            report_age: Duration::ZERO,
+        let bounds = settings.classes.iter().filter_map(bound).filter(|bound| !bound.is_zero());
+        self.tightest_bound = bounds.min().unwrap_or(self.tightest_aim);
+        for (at, class) in settings.classes.iter().enumerate().skip(self.work.len()) {
+            let heir = heirs.get(at).copied().flatten().map(|heir| usize::from(heir.0));
+            self.work.push(heir.map_or(class.aim, |heir| self.work[heir]));
+            self.first_wait.push(heir.map_or(Duration::ZERO, |heir| self.first_wait[heir]));
+            for store in self.stores.values_mut() {
+                store.run_time.push(heir.and_then(|heir| store.run_time[heir]));
+            }
         }
+        self.set = settings;
+    }
+
+    /// Members in the list that get nothing at `now`: they leave, or rest.
+    pub fn avoided(&self, now: Time) -> usize {
+        let avoids = |s: &&Store| s.told_leaving.is_some() || now < s.rests_until;
+        self.stores.values().filter(|s| s.listed != Listed::Gone).filter(avoids).count()
     }
 
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Out) {
--- a/crates/mountshift/src/interface.rs
+++ b/crates/mountshift/src/interface.rs
@@ -149,9 +149,10 @@
 }
 
 /// What a replica does with a read that it is too far behind for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Checks {
     /// Answers from what it has: the router alone keeps reads fresh.
+    #[default]
     None,
     /// Turns it away untouched.
     Refuse,
@@ -159,7 +160,7 @@
     Wait(Duration),
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
     pub routers: u32,
     pub zone: ZoneId,
--- /dev/null
+++ b/crates/wire-admin/src/lib.rs
@@ -0,0 +1,183 @@
+//! Calls of operations staff over HTTP/1.1 (RFC 9110 and 9112), one to a connection, and the text of the figures
+//! (version 0.0.4 of the Prometheus text format). Bytes only: what a call does is not known here.
+#![forbid(unsafe_code)]
+
+use serde::Deserialize;
+use std::fmt::{self, Write};
+
+/// Bytes of a call: its head, and its body.
+pub const HEAD_LIMIT: usize = 8 << 10;
+pub const BODY_LIMIT: usize = 4 << 10;
+const HEADERS: usize = 64;
+/// Longest name of a record server.
+const NAME_LIMIT: usize = 256;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    Ready,
+    Telemetry,
+    /// By the name of the record server.
+    Exclude(String),
+    Include(String),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Status {
+    Ok,
+    BadRequest,
+    NotFound,
+    MethodNotAllowed,
+    LengthRequired,
+    ContentTooLarge,
+    HeadTooLarge,
+    Unavailable,
+}
+
+impl Status {
+    fn line(self) -> &'static str {
+        match self {
+            Status::Ok => "200 OK",
+            Status::BadRequest => "400 Bad Request",
+            Status::NotFound => "404 Not Found",
+            Status::MethodNotAllowed => "405 Method Not Allowed",
+            Status::LengthRequired => "411 Length Required",
+            Status::ContentTooLarge => "413 Content Too Large",
+            Status::HeadTooLarge => "431 Request Header Fields Too Large",
+            Status::Unavailable => "503 Service Unavailable",
+        }
+    }
+}
+
+/// What a call gets: its status and one plain line, or the figures.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    pub status: Status,
+    pub text: String,
+}
+
+impl Answer {
+    pub fn line(status: Status, text: impl fmt::Display) -> Answer {
+        Answer { status, text: format!("{text}\n") }
+    }
+
+    /// The connection ends behind it.
+    pub fn bytes(&self) -> Vec<u8> {
+        let (line, text) = (self.status.line(), &self.text);
+        let allow = if self.status == Status::MethodNotAllowed { "Allow: GET, POST\r\n" } else { "" };
+        let length = text.len();
+        format!(
+            "HTTP/1.1 {line}\r\nContent-Type: text/plain; version=0.0.4; charset=utf-8\r\n{allow}\
+             Content-Length: {length}\r\nConnection: close\r\n\r\n{text}"
+        )
+        .into_bytes()
+    }
+}
+
+#[derive(Deserialize)]
+struct Body {
+    target: String,
+}
+
+/// The call in `input` once it has come whole; an error is the answer to what can be none.
+pub fn parse(input: &[u8]) -> Result<Option<Call>, Answer> {
+    let no = |status, text: &str| Err(Answer::line(status, text));
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS];
+    let mut request = httparse::Request::new(&mut headers);
+    let used = match request.parse(input) {
+        Ok(httparse::Status::Complete(used)) if used <= HEAD_LIMIT => used,
+        Ok(httparse::Status::Partial) if input.len() < HEAD_LIMIT => return Ok(None),
+        Ok(_) | Err(httparse::Error::TooManyHeaders) => {
+            return no(Status::HeadTooLarge, "the head of the call is too long");
+        }
+        Err(_) => return no(Status::BadRequest, "this is no call of HTTP/1.1"),
+    };
+    let path = request.path.unwrap_or_default();
+    let (post, to): (bool, fn(String) -> Call) = match path.split('?').next().unwrap_or_default() {
+        "/api/ready" => (false, |_| Call::Ready),
+        "/api/telemetry" => (false, |_| Call::Telemetry),
+        "/api/exclude" => (true, Call::Exclude),
+        "/api/include" => (true, Call::Include),
+        _ => {
+            return no(
+                Status::NotFound,
+                "no such path: there are ready, telemetry, exclude and include under /api/",
+            )
+        }
+    };
+    if request.method != Some(if post { "POST" } else { "GET" }) {
+        return no(Status::MethodNotAllowed, if post { "this wants POST" } else { "this wants GET" });
+    }
+    let header = |name: &str| {
+        let found = request.headers.iter().filter(|h| h.name.eq_ignore_ascii_case(name));
+        found.map(|h| std::str::from_utf8(h.value).unwrap_or("?").trim()).collect::<Vec<_>>()
+    };
+    if !header("transfer-encoding").is_empty() {
+        return no(Status::LengthRequired, "the body wants a Content-Length");
+    }
+    let length = match header("content-length")[..] {
+        [] if post => return no(Status::LengthRequired, "the body wants a Content-Length"),
+        [] => 0,
+        [text, ref more @ ..] if more.iter().all(|m| *m == text) => match text.parse::<usize>() {
+            Ok(length) if text.bytes().all(|b| b.is_ascii_digit()) => length,
+            _ => return no(Status::BadRequest, "the Content-Length is no number"),
+        },
+        _ => return no(Status::BadRequest, "two lengths are stated"),
+    };
+    if length > BODY_LIMIT {
+        return no(Status::ContentTooLarge, "the body is too long");
+    }
+    let rest = &input[used..];
+    let Some((body, behind)) = rest.split_at_checked(length) else { return Ok(None) };
+    // A line's end behind the body, as some callers send, is no second call.
+    if !behind.trim_ascii().is_empty() {
+        return no(Status::BadRequest, "one call to a connection");
+    }
+    if !post {
+        return Ok(Some(to(String::new())));
+    }
+    match serde_json::from_slice::<Body>(body) {
+        Ok(Body { target }) if target.is_empty() || target.len() > NAME_LIMIT => {
+            no(Status::BadRequest, "the target is no name of a record server")
+        }
+        Ok(Body { target }) => Ok(Some(to(target))),
+        Err(error) => no(Status::BadRequest, &format!("the body is not {{\"target\":\"ID\"}}: {error}")),
+    }
+}
+
+/// The figures: each with what it means, its kind and its values by label.
+#[derive(Debug, Default)]
+pub struct Figures {
+    text: String,
+}
+
+impl Figures {
+    /// A figure with one value.
+    pub fn one(&mut self, name: &str, help: &str, value: u64) {
+        self.many(name, help, [(Vec::new(), value)]);
+    }
+
+    /// A figure with a value for each set of labels. What only grows ends in `_total`.
+    pub fn many<'a>(
+        &mut self,
+        name: &str,
+        help: &str,
+        values: impl IntoIterator<Item = (Vec<(&'a str, &'a str)>, u64)>,
+    ) {
+        let kind = if name.ends_with("_total") { "counter" } else { "gauge" };
+        _ = write!(self.text, "# HELP {name} {help}\n# TYPE {name} {kind}\n");
+        for (labels, value) in values {
+            self.text.push_str(name);
+            for (at, (label, text)) in labels.iter().enumerate() {
+                let open = if at == 0 { '{' } else { ',' };
+                let text = text.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n");
+                _ = write!(self.text, "{open}{label}=\"{text}\"");
+            }
+            let close = if labels.is_empty() { "" } else { "}" };
+            _ = writeln!(self.text, "{close} {value}");
+        }
+    }
+
+    pub fn answer(self) -> Answer {
+        Answer { status: Status::Ok, text: self.text }
+    }
+}
