Upgrades: the next process inherits the clients' listener, the list and the operators' word

Change: takeover.rs, a Unix socket in $TMPDIR that hands over the listener by SCM_RIGHTS with list, hands and descriptors in use; the link carries what operators say and ends with either process. The elder leaves accepting to the heir and lets go of the listener at SIGTERM. Tests: queue, overlap, an heir that dies, a torn, foreign or empty message, a left-over file.

--- a/crates/leverproxy/src/config.rs
+++ b/crates/leverproxy/src/config.rs
@@ -51,6 +51,8 @@
     pub listen: SocketAddr,
     /// The second address, where operators call; none: nothing listens.
     pub admin: Option<SocketAddr>,
+    /// Where the next process finds this one; none without a second address, or a place for files.
+    pub takeover: Option<PathBuf>,
     pub discovery: SocketAddr,
     pub seed: u64,
     pub limits: Limits,
@@ -126,6 +128,14 @@
     pub memory: usize,
 }
 
+impl Limits {
+    /// What is left beside another process that holds so many.
+    pub fn beside(self, clients: usize, upstream: usize) -> Limits {
+        let left = |all: usize, used: usize| all.saturating_sub(used).max(all / 4);
+        Limits { clients: left(self.clients, clients), upstream: left(self.upstream, upstream), ..self }
+    }
+}
+
 /// Kept for the listener, epoll, signals, discovery, the standard streams and a margin.
 const SPARE_SOCKETS: usize = 32;
 /// Kept for balancers' connections to the clients' listener that ask for nothing.
@@ -330,8 +340,13 @@
     let admin = admin.map(|(address, _)| address);
     let limits = share_out(&file.limits, &model, admin.is_some())?;
     let told = Told { listen: listen_from, discovery: discovery_from };
+    let name = variable("LB_NAME").or(file.name).unwrap_or_else(|| "leverproxy".into());
+    let place = variable("TMPDIR").filter(|place| admin.is_some() && !place.is_empty());
+    // The name of a proxy is the platform's, and may hold what no file's name does.
+    let file_name = name.replace(|c: char| !c.is_ascii_alphanumeric(), "-");
     let config = Config {
-        name: variable("LB_NAME").or(file.name).unwrap_or_else(|| "leverproxy".into()),
+        takeover: place.map(|place| Path::new(&place).join(format!("leverproxy-{file_name}"))),
+        name,
         listen,
         admin,
         discovery,
--- a/crates/leverproxy/src/discovery/directory.rs
+++ b/crates/leverproxy/src/discovery/directory.rs
@@ -1,7 +1,7 @@
 //! The record servers by name: which id the module knows them by, and where they listen.
 
 use super::wire::{Endpoint, Listing, Status};
-use maintenance::{Joined, Maintenance, Unknown, Word};
+use maintenance::{Hand, Joined, Maintenance, Unknown, Word};
 use mountshift::{Entry, GroupId, KindId, ListNews, Listed, StoreId, Time, ZoneId};
 use mountshift_settings::Names;
 use std::collections::{BTreeMap, BTreeSet};
@@ -118,6 +118,18 @@
         Some((ListNews::Changes(vec![entry]), vec![change]))
     }
 
+    /// The whole list, as discovery last told of it.
+    pub fn listing(&self) -> Listing {
+        let endpoints = self.members.values().cloned().collect();
+        Listing { index: self.index, snapshot: true, endpoints }
+    }
+
+    /// The operators' word as the process before this one had it, beside the list that it had.
+    pub fn take_over(&mut self, hands: Vec<Hand>, names: &Names) -> Vec<(ListNews, Vec<Change>)> {
+        let changed = self.hands.take_over(hands);
+        changed.iter().filter_map(|(name, joined)| self.joined(name, *joined, names)).collect()
+    }
+
     pub fn hands(&self) -> &Maintenance {
         &self.hands
     }
--- a/crates/leverproxy/src/discovery/wire.rs
+++ b/crates/leverproxy/src/discovery/wire.rs
@@ -1,10 +1,10 @@
 //! Discovery's JSON.
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
 /// The whole list of record servers or what changed in it.
-#[derive(Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(default)]
 pub struct Listing {
     pub index: u64,
@@ -12,7 +12,7 @@
     pub endpoints: Vec<Endpoint>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Endpoint {
     pub name: String,
     /// Absent where a change tells of an end alone.
@@ -27,7 +27,7 @@
     pub since_ms: u64,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
 pub enum Status {
     Ready,
     Terminating,
--- a/crates/leverproxy/src/front.rs
+++ b/crates/leverproxy/src/front.rs
@@ -50,6 +50,9 @@
     pub turned_out: u64,
     /// Where listeners are, to listen there again.
     address: SocketAddr,
+    shared: bool,
+    /// Another process accepts from the same queue; this one only waits for whether it lives.
+    left_to_heir: bool,
     /// Networks of balancers, whose checks count for nothing, and of those that name their clients.
     checks: Vec<IpNet>,
     proxy_from: Vec<IpNet>,
@@ -109,13 +112,19 @@
 }
 
 impl Front {
+    /// Listens with `inherited` if that is there, else at `address`, which others may share.
     pub fn listen(
         address: SocketAddr,
+        inherited: Option<OwnedFd>,
+        shared: bool,
         limits: Limits,
         patience: Patience,
         reactor: &Reactor,
     ) -> io::Result<Front> {
-        let listener = net::listen(address)?;
+        let listener = match inherited {
+            Some(listener) => listener,
+            None => net::listen_shared(address, shared)?,
+        };
         reactor.add(&listener, Token::Listener, Interest::READ)?;
         let address = net::local_address(&listener).unwrap_or(address);
         Ok(Front {
@@ -129,6 +138,8 @@
             exhausted: Seldom::default(),
             turned_out: 0,
             address,
+            shared,
+            left_to_heir: false,
             checks: Vec::new(),
             proxy_from: Vec::new(),
             checking: 0,
@@ -158,7 +169,7 @@
     pub fn open(&mut self, reactor: &Reactor) -> io::Result<()> {
         self.closing = false;
         if self.listener.is_none() {
-            let listener = net::listen(self.address)?;
+            let listener = net::listen_shared(self.address, self.shared)?;
             reactor.add(&listener, Token::Listener, Interest::READ)?;
             (self.listener, self.accepting) = (Some(listener), true);
         }
@@ -235,6 +246,7 @@
 
     /// While the listener is full it must not be waited on: it would be ready all the time.
     fn pause(&mut self, pause: bool, reactor: &Reactor) {
+        let pause = pause || self.left_to_heir;
         let Some(listener) = self.listener.as_ref().filter(|_| self.accepting == pause) else { return };
         let interest = Interest { read: !pause, write: false };
         if reactor.change(listener, Token::Listener, interest).is_ok() {
@@ -457,11 +469,25 @@
         self.pause(false, reactor);
     }
 
+    /// Whether another process accepts from the same queue in place of this one.
+    pub fn leave_to_heir(&mut self, leave: bool, reactor: &Reactor) {
+        self.left_to_heir = leave;
+        self.pause(leave, reactor);
+    }
+
+    pub fn listener(&self) -> Option<&OwnedFd> {
+        self.listener.as_ref()
+    }
+
     /// Takes no new connection from now on, once those that wait are taken, and closes each connection as
     /// soon as nothing is owed on it. One that has not sent its startup may have a request right behind it.
     pub fn close(&mut self, now: Instant, reactor: &Reactor) {
-        self.accept(now, reactor);
-        self.listener = None;
+        if !self.left_to_heir {
+            self.accept(now, reactor);
+        }
+        if let Some(listener) = self.listener.take() {
+            reactor.remove(&listener);
+        }
         self.closing = true;
         for key in self.clients.keys() {
             // A request that has come already is read and answered, not cut off.
--- a/crates/leverproxy/src/lib.rs
+++ b/crates/leverproxy/src/lib.rs
@@ -37,4 +37,5 @@
 pub mod request;
 pub mod seldom;
 pub mod stages;
+pub mod takeover;
 pub mod upstream;
--- a/crates/leverproxy/src/net.rs
+++ b/crates/leverproxy/src/net.rs
@@ -19,8 +19,10 @@
     Ok(net::socket_with(family, SocketType::STREAM, NON_BLOCKING, None)?)
 }
 
-pub fn listen(address: SocketAddr) -> io::Result<OwnedFd> {
+/// `shared`: another process of the same owner may listen there as well.
+pub fn listen_shared(address: SocketAddr, shared: bool) -> io::Result<OwnedFd> {
     let fd = socket(&address)?;
+    sockopt::set_socket_reuseport(&fd, shared)?;
     // A restarted proxy takes its address again while connections of its former life linger.
     sockopt::set_socket_reuseaddr(&fd, true)?;
     net::bind(&fd, &address)?;
@@ -28,6 +30,10 @@
     Ok(fd)
 }
 
+pub fn listen(address: SocketAddr) -> io::Result<OwnedFd> {
+    listen_shared(address, false)
+}
+
 /// A socket of the machine that its owner alone may connect to, from before it listens.
 pub fn listen_unix(path: &Path) -> io::Result<OwnedFd> {
     use std::os::unix::fs::PermissionsExt;
@@ -129,10 +135,14 @@
 }
 
 impl Stream {
-    fn new(fd: OwnedFd) -> Stream {
+    pub fn new(fd: OwnedFd) -> Stream {
         Stream { fd, input: Buffer::default(), output: Buffer::default(), interest: None }
     }
 
+    pub fn fd(&self) -> &OwnedFd {
+        &self.fd
+    }
+
     /// Begins a connection; it is up once it turns writable and [`Stream::connected`] agrees.
     pub fn dial(address: SocketAddr) -> io::Result<Stream> {
         let fd = socket(&address)?;
--- a/crates/leverproxy/src/proxy.rs
+++ b/crates/leverproxy/src/proxy.rs
@@ -1,17 +1,18 @@
 //! The loop of the one thread: waits, lets the sides take what has come, and runs the chain over it.
 
 use crate::admin::Admin;
-use crate::config::{Config, ConfigError, Limits};
+use crate::config::{Config, ConfigError, Limits, Patience};
 use crate::control::{self, Control, Wish};
 use crate::discovery::Discovery;
 use crate::front::Front;
 use crate::health::Health;
 use crate::monitor::{self, Monitor, Usage};
 use crate::operate::{Operate, Word};
-use crate::reactor::{Interest, Reactor, Ready, Timers, Token};
+use crate::reactor::{Interest, Key, Reactor, Ready, Timers, Token};
 use crate::reload::Reloads;
 use crate::request::shown;
 use crate::stages::{Chain, Sides, Timer};
+use crate::takeover::{self, Elder, Estate, Said, Takeover};
 use crate::upstream::Upstream;
 use drain::{Action, Drain};
 use maintenance::Unknown;
@@ -36,7 +37,10 @@
     /// Balancers ask what links are worth: silent servers are dialled to tell.
     knocks: bool,
     limits: Limits,
+    patience: Patience,
     reloads: Option<Reloads>,
+    /// There was a process before this one of which nothing is known: discovery has to speak first.
+    unheard: bool,
     fixed: Fixed,
 }
 
@@ -59,9 +63,28 @@
         reactor.add(&wishes, Token::Control, Interest::READ)?;
         crate::logging::set(&config.logging);
         let drain = Drain::new(config.drain_settings(), Duration::ZERO);
-        let mut front = Front::listen(config.listen, config.limits, config.patience, &reactor)?;
+        let elder = config.takeover.as_deref().map_or(Elder::Nobody, takeover::ask);
+        let (inherited, estate, link, unheard) = match elder {
+            Elder::Nobody => (None, None, None, false),
+            Elder::Unheard(why) => {
+                log::warn!("takeover: nothing sound comes from the process before this one: {why}");
+                (None, None, None, true)
+            }
+            // Of another address, it would be no use to the clients of this one.
+            Elder::Left(estate, listener, link) => {
+                let there = crate::net::local_address(&listener);
+                let ours = config.listen.port() == 0 || there == Some(config.listen);
+                (Some(listener).filter(|_| ours), Some(estate), Some(link), false)
+            }
+        };
+        let limits = match &estate {
+            Some(estate) => config.limits.beside(estate.clients, estate.upstream),
+            None => config.limits,
+        };
+        let shared = config.takeover.is_some();
+        let mut front = Front::listen(config.listen, inherited, shared, limits, config.patience, &reactor)?;
         front.set_balancers(config.checks.clone(), config.proxy_from.clone());
-        let upstream = Upstream::new(config.limits.upstream, config.dial_timeout, config.idle_limit);
+        let upstream = Upstream::new(limits.upstream, config.dial_timeout, config.idle_limit);
         let discovery = Discovery::new(config.discovery, config.watch_silence);
         let fixed = Fixed {
             name: config.name,
@@ -75,7 +98,13 @@
         let timers = Timers::default();
         let admin = config.admin.map(|address| Admin::listen(address, &reactor)).transpose();
         let admin = admin.map_err(|e| io::Error::new(e.kind(), format!("admin: {e}")))?;
-        let mut sides = Sides { reactor, timers, front, upstream, discovery, health, operate, admin };
+        let takeover = config.takeover.as_deref().map(|path| Takeover::listen(path, &reactor));
+        let takeover = takeover.and_then(|listening| {
+            let note = |e: &io::Error| log::warn!("takeover: the next process can't be listened for: {e}");
+            listening.inspect_err(note).ok()
+        });
+        let mut sides =
+            Sides { reactor, timers, front, upstream, discovery, health, operate, admin, takeover };
         let zones = config.platform.names.zones.clone();
         let knocks = !config.health.is_empty();
         let mut chain = Chain::new(
@@ -90,7 +119,20 @@
         log::info!("{}: serving on {address}", fixed.name);
         sides.timers.set(now, Timer::LookOver);
         sides.timers.set(now, Timer::Load);
-        chain.start(config.known, &mut sides, now);
+        match estate {
+            Some(estate) => {
+                log::info!(
+                    "takeover: {} record servers are known from before",
+                    estate.listing.endpoints.len()
+                );
+                chain.start(estate.listing, &mut sides, now);
+                chain.take_over(estate.hands, &mut sides, now);
+            }
+            None => chain.start(config.known, &mut sides, now),
+        }
+        if let (Some(takeover), Some(link)) = (&mut sides.takeover, link) {
+            takeover.join(link, &sides.reactor);
+        }
         chain.monitor.event(now, availability::Event::Started);
         let proxy = Proxy {
             sides,
@@ -102,7 +144,9 @@
             over: false,
             knocks,
             limits: config.limits,
+            patience: config.patience,
             reloads: None,
+            unheard,
             fixed,
         };
         Ok((proxy, control))
@@ -182,7 +226,8 @@
 
     fn on_ready(&mut self, ready: Ready) {
         let now = Instant::now();
-        let Sides { reactor, timers, front, upstream, discovery, health, operate, admin } = &mut self.sides;
+        let Sides { reactor, timers, front, upstream, discovery, health, operate, admin, takeover } =
+            &mut self.sides;
         match ready.token {
             Token::HealthListener(at) => health.accept(at, &self.chain.monitor.status(), now, reactor),
             Token::Health(key) => health.ready(key, &self.chain.monitor.status(), now, reactor),
@@ -209,6 +254,19 @@
                     }
                 }
             }
+            Token::TakeoverListener => {
+                let (listing, hands) = self.chain.known();
+                let (clients, connections) = (front.clients(), upstream.connections());
+                let estate = || Estate::new(listing.clone(), hands.clone(), clients, connections);
+                if let Some(takeover) = takeover {
+                    takeover.accept(estate, front.listener(), reactor);
+                }
+            }
+            Token::Takeover(key) => {
+                for word in takeover.as_mut().map(|t| t.ready(key, reactor)).unwrap_or_default() {
+                    self.linked(key, word, now);
+                }
+            }
             Token::Listener => {
                 front.accept(now, reactor);
                 if front.paused() {
@@ -265,6 +323,10 @@
                     log::info!("told to stop: answering what has come");
                     // Whether anything is owed is told first: it may have changed since the last round.
                     self.settle(now);
+                    // Whoever comes from now on is the heir's; waiting for them here would take them from it.
+                    if self.sides.takeover.as_ref().is_some_and(Takeover::has_heir) {
+                        self.sides.front.close(now, &self.sides.reactor);
+                    }
                     self.drain(drain::Event::Terminate, now);
                 }
                 Wish::Stop => {}
@@ -323,6 +385,9 @@
             Call::Ready if self.drain.ending() => {
                 return Answer::line(Status::Unavailable, "ending: told to stop");
             }
+            Call::Ready if self.unheard && self.chain.counters.lists == 0 => {
+                return Answer::line(Status::Unavailable, "starting: discovery has not spoken yet");
+            }
             Call::Ready => return Answer::line(Status::Ok, "ready"),
             Call::Telemetry => return self.figures(now),
             Call::Exclude(name) => (name, true),
@@ -330,6 +395,10 @@
         };
         match self.chain.hand(&name, out, &mut self.sides, now) {
             Ok(()) => {
+                let said = if out { Said::Out } else { Said::In };
+                if let Some(takeover) = &mut self.sides.takeover {
+                    takeover.say(&said(name.clone()), None, &self.sides.reactor);
+                }
                 let word = if out { "out" } else { "in" };
                 log::info!("admin: {} is {word} by an operator's word", shown(&name));
                 Answer::line(Status::Ok, word)
@@ -338,6 +407,38 @@
         }
     }
 
+    /// What another process of this proxy has to tell.
+    fn linked(&mut self, from: Key, word: takeover::Word, now: Instant) {
+        let Sides { reactor, front, upstream, takeover, .. } = &mut self.sides;
+        let Some(takeover) = takeover else { return };
+        let (name, out) = match word {
+            takeover::Word::Said(Said::Serving) => {
+                log::info!("takeover: the next process serves; it is left to accept");
+                front.leave_to_heir(true, reactor);
+                // What both hold together must not grow here.
+                return upstream.set_limit(upstream.connections().max(1).min(self.limits.upstream));
+            }
+            takeover::Word::Gone => {
+                log::info!("takeover: the other process is gone");
+                front.leave_to_heir(takeover.has_heir(), reactor);
+                if front.listener().is_some() {
+                    takeover.listen_again(reactor);
+                }
+                if !takeover.has_heir() && !takeover.has_elder() {
+                    front.set_limits(self.limits, self.patience);
+                    upstream.set_limit(self.limits.upstream);
+                }
+                return;
+            }
+            takeover::Word::Said(said @ Said::Out(_)) => (said, true),
+            takeover::Word::Said(said) => (said, false),
+        };
+        takeover.say(&name, Some(from), reactor);
+        if let Said::Out(name) | Said::In(name) = name {
+            _ = self.chain.hand(&name, out, &mut self.sides, now);
+        }
+    }
+
     fn figures(&self, now: Instant) -> Answer {
         let counters = &self.chain.counters;
         let (known, excluded) = self.chain.record_servers(now);
@@ -401,7 +502,7 @@
         let Sides { front, upstream, .. } = &mut self.sides;
         front.set_limits(config.limits, config.patience);
         front.set_balancers(config.checks.clone(), config.proxy_from.clone());
-        self.limits = config.limits;
+        (self.limits, self.patience) = (config.limits, config.patience);
         self.drain.configure(config.drain_settings());
         upstream.set_limit(config.limits.upstream);
         crate::logging::set(&config.logging);
--- a/crates/leverproxy/src/reactor.rs
+++ b/crates/leverproxy/src/reactor.rs
@@ -97,6 +97,9 @@
     /// The second address and who calls there.
     AdminListener,
     Admin(Key),
+    /// Where the next process comes, and the links to others.
+    TakeoverListener,
+    Takeover(Key),
 }
 
 impl Token {
@@ -118,6 +121,8 @@
             Token::Operate(key) => (8, Some(key)),
             Token::AdminListener => (9, None),
             Token::Admin(key) => (10, Some(key)),
+            Token::TakeoverListener => (11, None),
+            Token::Takeover(key) => (12, Some(key)),
         };
         let key = key.map_or(0, |k| u64::from(k.generation) << 32 | u64::from(k.index));
         kind << 56 | key
@@ -137,6 +142,8 @@
             8 => Token::Operate(key),
             9 => Token::AdminListener,
             10 => Token::Admin(key),
+            11 => Token::TakeoverListener,
+            12 => Token::Takeover(key),
             _ => return None,
         })
     }
@@ -192,6 +199,12 @@
         Ok(epoll::modify(&self.epoll, fd, data, interest.flags())?)
     }
 
+    /// No more of it is told. Needed before a descriptor is closed that another process holds too: it would go on
+    /// being watched.
+    pub fn remove(&self, fd: impl AsFd) {
+        _ = epoll::delete(&self.epoll, fd);
+    }
+
     /// Waits for the first event or until `until`; an interrupted wait returns nothing.
     pub fn wait(&self, until: Option<Instant>, ready: &mut Vec<Ready>) -> io::Result<()> {
         ready.clear();
--- a/crates/leverproxy/src/stages/mod.rs
+++ b/crates/leverproxy/src/stages/mod.rs
@@ -21,8 +21,9 @@
 use crate::reactor::{later, Key, Reactor, Timers};
 use crate::request::{Answer, Done, Purpose, Request, Ticket};
 use crate::seldom::Seldom;
+use crate::takeover::Takeover;
 use crate::upstream::{Due, Upstream};
-use maintenance::Unknown;
+use maintenance::{Hand, Unknown};
 use mountshift::{Action, Event, ListNews, Need, RequestId, StoreId, TimerToken};
 use mountshift_settings::{Decoded, Names};
 use std::net::SocketAddr;
@@ -54,6 +55,7 @@
     pub health: Health,
     pub operate: Option<Operate>,
     pub admin: Option<Admin>,
+    pub takeover: Option<Takeover>,
 }
 
 pub struct Chain {
@@ -384,6 +386,18 @@
         Ok(())
     }
 
+    /// What the process before this one was told by operators, beside the list that it had.
+    pub fn take_over(&mut self, hands: Vec<Hand>, sides: &mut Sides, now: Instant) {
+        for (news, changes) in self.directory.take_over(hands, &self.names) {
+            self.listed(news, changes, sides, now);
+        }
+    }
+
+    /// What the next process gets to know: the list and the operators' word.
+    pub fn known(&self) -> (Listing, Vec<Hand>) {
+        (self.directory.listing(), self.directory.hands().hands())
+    }
+
     /// Record servers in the list, and those of them that are avoided at present.
     pub fn record_servers(&self, now: Instant) -> (usize, usize) {
         (self.directory.hands().listed(), self.route.avoided(self.clock.unix(now)))
--- a/crates/leverproxy/tests/admin.rs
+++ b/crates/leverproxy/tests/admin.rs
@@ -1,7 +1,7 @@
 //! Operators' calls on the second address of a real proxy between scripted peers.
 
 mod common;
-use common::{read, Listener, Peer, Stage};
+use common::{get, post, read, Listener, Peer, Stage};
 use leverproxy::admin::CONNECTIONS;
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
@@ -17,27 +17,6 @@
     (stage, admin)
 }
 
-/// The status and the text that a call gets.
-fn call(admin: SocketAddr, bytes: &str) -> (u16, String) {
-    let mut stream = TcpStream::connect(admin).unwrap();
-    stream.set_read_timeout(Some(common::PATIENCE)).unwrap();
-    stream.write_all(bytes.as_bytes()).unwrap();
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer).unwrap();
-    let (head, text) = answer.split_once("\r\n\r\n").unwrap();
-    (head.split(' ').nth(1).unwrap().parse().unwrap(), text.to_owned())
-}
-
-fn get(admin: SocketAddr, path: &str) -> (u16, String) {
-    call(admin, &format!("GET {path} HTTP/1.1\r\nHost: a\r\n\r\n"))
-}
-
-fn post(admin: SocketAddr, word: &str, target: &str) -> u16 {
-    let body = format!(r#"{{"target":"{target}"}}"#);
-    let length = body.len();
-    call(admin, &format!("POST /api/{word} HTTP/1.1\r\nHost: a\r\nContent-Length: {length}\r\n\r\n{body}")).0
-}
-
 fn figures(admin: SocketAddr) -> BTreeMap<String, u64> {
     let (status, text) = get(admin, "/api/telemetry");
     assert_eq!(status, 200);
--- a/crates/leverproxy/tests/common/mod.rs
+++ b/crates/leverproxy/tests/common/mod.rs
@@ -276,6 +276,27 @@
     out
 }
 
+/// The status and the text that a call gets.
+pub fn call(admin: SocketAddr, bytes: &str) -> (u16, String) {
+    let mut stream = TcpStream::connect(admin).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream.write_all(bytes.as_bytes()).unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    let (head, text) = answer.split_once("\r\n\r\n").unwrap();
+    (head.split(' ').nth(1).unwrap().parse().unwrap(), text.to_owned())
+}
+
+pub fn get(admin: SocketAddr, path: &str) -> (u16, String) {
+    call(admin, &format!("GET {path} HTTP/1.1\r\nHost: a\r\n\r\n"))
+}
+
+pub fn post(admin: SocketAddr, word: &str, target: &str) -> u16 {
+    let body = format!(r#"{{"target":"{target}"}}"#);
+    let length = body.len();
+    call(admin, &format!("POST /api/{word} HTTP/1.1\r\nHost: a\r\nContent-Length: {length}\r\n\r\n{body}")).0
+}
+
 pub fn read(id: u32, class: &str, wait_ms: u32) -> String {
     format!(
         "SELECT doc FROM items WHERE id = '7f3a' /* id={id:016x},c={class},t=acme,d={wait_ms},cluster=3 */"
--- /dev/null
+++ b/crates/leverproxy/tests/upgrade.rs
@@ -0,0 +1,115 @@
+//! One proxy in two processes: what an elder leaves to its heir, at every step of an upgrade.
+
+mod common;
+use common::{get, post, read, Listener, Peer, Scratch, Stage};
+use std::io::Write;
+use std::net::SocketAddr;
+use std::os::unix::net::UnixListener;
+use std::path::Path;
+use std::thread;
+
+fn stage(place: &Path, servers: &[(&str, &Listener)]) -> (Stage, SocketAddr) {
+    let stage = Stage::with(servers, |config| {
+        config.admin = Some("127.0.0.1:0".parse().unwrap());
+        config.takeover = Some(place.to_owned());
+    });
+    let admin = stage.admin.unwrap();
+    (stage, admin)
+}
+
+fn place() -> Scratch {
+    let scratch = Scratch::new("");
+    std::fs::remove_file(&scratch.0).unwrap();
+    scratch
+}
+
+/// Asks until the figure is this; the word that changes it is on its way.
+fn until(admin: SocketAddr, line: &str) {
+    while !get(admin, "/api/telemetry").1.lines().any(|l| l == line) {
+        thread::yield_now();
+    }
+}
+
+fn served(client: &mut Peer, upstream: &mut Peer, id: u32) {
+    client.ask(&read(id, "any", 19000));
+    upstream.query();
+    upstream.answer("value", &[]);
+    assert_eq!(client.reply().value.as_deref(), Some("value"));
+}
+
+#[test]
+fn the_heir_serves_from_the_same_queue_and_the_elder_ends_what_it_has() {
+    let (place, server) = (place(), Listener::new());
+    let (mut elder, elder_admin) = stage(&place.0, &[("s-1", &server), ("s-2", &server)]);
+    assert_eq!(post(elder_admin, "exclude", "s-2"), 200);
+    let mut old = Peer::client(elder.address);
+    old.ask(&read(1, "any", 19000));
+    let mut at_elder = server.welcome();
+    at_elder.query();
+    // The heir knows nothing by itself but what the elder leaves it.
+    let (heir, heir_admin) = stage(&place.0, &[]);
+    assert_eq!(heir.address, elder.address);
+    assert_eq!(get(heir_admin, "/api/ready").0, 200);
+    until(heir_admin, "lb_record_servers_known 2");
+    until(heir_admin, "lb_record_servers_excluded 1");
+    // What operators say to either holds for both.
+    assert_eq!(post(heir_admin, "include", "s-2"), 200);
+    until(elder_admin, "lb_record_servers_excluded 0");
+    assert_eq!(post(elder_admin, "exclude", "s-2"), 200);
+    until(heir_admin, "lb_record_servers_excluded 1");
+    // Between the heir's yes and the elder's end, and after it.
+    let mut between = Peer::client(elder.address);
+    elder.control.stop();
+    at_elder.answer("late", &[]);
+    assert_eq!(old.reply().value.as_deref(), Some("late"));
+    assert!(old.ended(), "nothing is owed on it");
+    elder.end();
+    let mut after = Peer::client(heir.address);
+    after.ask(&read(2, "any", 19000));
+    let mut at_heir = server.welcome();
+    at_heir.query();
+    at_heir.answer("new", &[]);
+    assert_eq!(after.reply().value.as_deref(), Some("new"));
+    served(&mut between, &mut at_heir, 3);
+}
+
+#[test]
+fn an_heir_that_dies_leaves_the_elder_serving() {
+    let (place, server) = (place(), Listener::new());
+    let (elder, elder_admin) = stage(&place.0, &[("s-1", &server)]);
+    let (mut heir, _) = stage(&place.0, &[]);
+    heir.control.stop();
+    heir.end();
+    let mut client = Peer::client(elder.address);
+    client.ask(&read(1, "any", 19000));
+    let mut upstream = server.welcome();
+    upstream.query();
+    upstream.answer("value", &[]);
+    assert_eq!(client.reply().value.as_deref(), Some("value"));
+    // The next one finds the elder as the first did.
+    assert_eq!(get(elder_admin, "/api/ready").0, 200);
+    let (second, admin) = stage(&place.0, &[]);
+    assert_eq!(get(admin, "/api/ready").0, 200);
+    assert_eq!(second.address, elder.address);
+}
+
+#[test]
+fn what_can_not_be_trusted_is_left_alone() {
+    for message in [&b"{\"version\":1,\"listing\":"[..], b"{\"version\":99}\n", b""] {
+        let place = place();
+        let listener = UnixListener::bind(&place.0).unwrap();
+        let spoilt = thread::spawn(move || listener.accept().unwrap().0.write_all(message).unwrap());
+        let (mut stage, admin) = stage(&place.0, &[]);
+        spoilt.join().unwrap();
+        // Something was there before; what it knew has to come from discovery first.
+        assert_eq!(get(admin, "/api/ready").0, 503);
+        stage.watch.tell(42, &[]);
+        while get(admin, "/api/ready").0 != 200 {
+            thread::yield_now();
+        }
+    }
+    // A file that is left over from nobody.
+    let place = Scratch::new("not a socket");
+    let (_stage, admin) = stage(&place.0, &[]);
+    assert_eq!(get(admin, "/api/ready").0, 200);
+}
