Values over 64 KiB pass to the client in pieces, with the record server held back

Cause: the answer's limit of 1 MiB took every larger value for a lie (pg::ANSWER_LIMIT, AnswerReader::take); 40 to 60 a second. Ruled out: large statements (no client's message was refused), memory (6 of 48 MB).

Change: AnswerReader passes a row of more than 64 KiB on as it comes; the ledger binds the request to that attempt, the front holds its window (64 KiB, 4 KiB once all are over an eighth of the memory), the upstream side reads nothing meanwhile. What can't be finished ends the client's connection midway. Tests: cuts anywhere, a server that dies midway, a client that leaves, order, lengths that lie, twenty clients that read nothing.

--- a/crates/leverproxy/src/config.rs
+++ b/crates/leverproxy/src/config.rs
@@ -125,6 +125,8 @@
     pub upstream: usize,
     /// Bytes of commands that have not come whole, of all clients.
     pub unfinished: usize,
+    /// Bytes of large answers that wait for their clients, of all clients.
+    pub passing: usize,
     pub memory: usize,
 }
 
@@ -136,6 +138,8 @@
     }
 }
 
+/// Of the memory, for large answers on their way: an eighth, as for unfinished commands.
+const PASSING_SHARE: usize = 8;
 /// Kept for the listener, epoll, signals, discovery, the standard streams and a margin.
 const SPARE_SOCKETS: usize = 32;
 /// Kept for balancers' connections to the clients' listener that ask for nothing.
@@ -426,6 +430,7 @@
         packed,
         upstream: shared - clients,
         unfinished: ours.unfinished.of(memory),
+        passing: memory / PASSING_SHARE,
         memory,
     })
 }
--- a/crates/leverproxy/src/front.rs
+++ b/crates/leverproxy/src/front.rs
@@ -26,6 +26,18 @@
 /// At the limit, who has asked for nothing gives way, but not before this: its first words may be on their way.
 const FIRST_WORDS: Duration = Duration::from_millis(100);
 
+/// Bytes of an answer passing in pieces that wait for its client: as many while those of all clients are within their
+/// share of the memory, so few when they are not. Less would cost more calls than bytes.
+const WINDOW: (usize, usize) = (4 << 10, 64 << 10);
+
+fn window(crowded: bool) -> usize {
+    if crowded {
+        WINDOW.0
+    } else {
+        WINDOW.1
+    }
+}
+
 /// Balancers' connections that have asked for nothing, beside the clients.
 pub const CHECKS: usize = 16;
 
@@ -34,6 +46,18 @@
     Asked(Ticket, Request),
     /// Nobody waits for the answer any more.
     Left(Ticket),
+    /// More of an answer that passes in pieces may come, after [`Front::pass`] had no room.
+    Room(Ticket),
+}
+
+/// What a command of a client gets.
+#[derive(Debug)]
+enum Slot {
+    Waiting,
+    /// Whole, or all that there will be of it.
+    Ready(Vec<u8>),
+    /// Some of it; it goes out as soon as it is the first.
+    Passing(Vec<u8>),
 }
 
 pub struct Front {
@@ -81,7 +105,9 @@
     again: bool,
     /// It has said that it goes: no answer is of use any more.
     gone: bool,
-    answers: VecDeque<Option<Vec<u8>>>,
+    answers: VecDeque<Slot>,
+    /// More of an answer is held back for it.
+    starved: bool,
     /// The number of the first of these.
     first: u64,
     /// Since when no command has come whole from it and no answer gone to it.
@@ -91,12 +117,17 @@
 }
 
 impl Client {
+    /// Of a request among those not answered yet.
+    fn place(&self, ticket: Ticket) -> Option<usize> {
+        usize::try_from(ticket.number.checked_sub(self.first)?).ok()
+    }
+
     fn idle(&self) -> bool {
         self.answers.is_empty() && self.stream.unsent() == 0 && self.stream.input.is_empty()
     }
 
     fn expect(&mut self, answer: Option<Vec<u8>>) -> u64 {
-        self.answers.push_back(answer);
+        self.answers.push_back(answer.map_or(Slot::Waiting, Slot::Ready));
         self.first + self.answers.len() as u64 - 1
     }
 
@@ -235,6 +266,7 @@
             again: false,
             gone: false,
             answers: VecDeque::new(),
+            starved: false,
             first: 0,
             quiet_since: now,
             begun: None,
@@ -403,15 +435,68 @@
     /// The final answer to a request; it goes out when all before it on the connection have.
     pub fn answer(&mut self, ticket: Ticket, answer: Answer, now: Instant, reactor: &Reactor) {
         let Some(client) = self.clients.get_mut(ticket.client) else { return };
-        let place = ticket.number.checked_sub(client.first).and_then(|n| usize::try_from(n).ok());
-        let Some(place) = place.and_then(|n| client.answers.get_mut(n)) else { return };
-        *place = Some(server::answer(answer));
+        let Some(place) = client.place(ticket).and_then(|at| client.answers.get_mut(at)) else { return };
+        let mut bytes = server::answer(answer);
+        if let Slot::Passing(begun) = place {
+            begun.append(&mut bytes);
+            bytes = std::mem::take(begun);
+        }
+        *place = Slot::Ready(bytes);
         self.write(ticket.client, now, reactor);
         if self.clients.len() > self.limits.packed {
             self.clear_idle(now, reactor);
         }
     }
 
+    /// A part of an answer; false: no more may come until [`Event::Room`] is told.
+    pub fn pass(&mut self, ticket: Ticket, bytes: &[u8], now: Instant, reactor: &Reactor) -> bool {
+        let Some(client) = self.clients.get_mut(ticket.client) else { return true };
+        let Some(place) = client.place(ticket).and_then(|at| client.answers.get_mut(at)) else { return true };
+        match place {
+            Slot::Passing(begun) => begun.extend_from_slice(bytes),
+            Slot::Ready(_) => return true,
+            Slot::Waiting => *place = Slot::Passing(bytes.to_vec()),
+        }
+        self.write(ticket.client, now, reactor);
+        let crowded = self.unsent() >= self.limits.passing;
+        let Some(client) = self.clients.get_mut(ticket.client) else { return true };
+        let first = client.first == ticket.number;
+        client.starved |= !first || client.stream.unsent() >= window(crowded);
+        !client.starved
+    }
+
+    /// More may come for a client that has taken its answer but for so many bytes.
+    fn make_room(&mut self, key: Key, left: usize) {
+        let Some(client) = self.clients.get_mut(key).filter(|c| c.stream.unsent() <= left) else { return };
+        client.starved = false;
+        let number = client.first;
+        self.events.push_back(Event::Room(Ticket { client: key, number }));
+    }
+
+    /// Bytes of answers that clients have not taken.
+    pub fn unsent(&self) -> usize {
+        self.clients.iter().map(|(_, c)| c.stream.unsent()).sum()
+    }
+
+    /// An answer that has begun will never be whole: the client can tell by the end of its connection.
+    pub fn cut(&mut self, ticket: Ticket, now: Instant, reactor: &Reactor) {
+        let Some(client) = self.clients.get_mut(ticket.client) else { return };
+        let Some(at) = client.place(ticket) else { return };
+        let behind = client.answers.split_off((at + 1).min(client.answers.len()));
+        for (number, slot) in (ticket.number + 1..).zip(behind) {
+            if !matches!(slot, Slot::Ready(_)) {
+                self.events.push_back(Event::Left(Ticket { client: ticket.client, number }));
+            }
+        }
+        if let Some(slot) = client.answers.get_mut(at) {
+            if let Slot::Passing(begun) = slot {
+                *slot = Slot::Ready(std::mem::take(begun));
+            }
+            client.ending = true;
+        }
+        self.write(ticket.client, now, reactor);
+    }
+
     fn write(&mut self, key: Key, now: Instant, reactor: &Reactor) {
         loop {
             let Some(client) = self.clients.get_mut(key) else { return };
@@ -419,16 +504,34 @@
                 return self.drop_client(key, reactor);
             }
             let full = !client.takes_more(&self.patience);
-            while let Some(Some(_)) = client.answers.front() {
-                if let Some(bytes) = client.answers.pop_front().flatten() {
-                    client.stream.push(&bytes);
-                    client.first += 1;
-                    if client.asked {
-                        client.quiet_since = now;
-                    }
+            while let Some(slot) = client.answers.front_mut() {
+                let (bytes, whole) = match slot {
+                    Slot::Waiting => break,
+                    Slot::Ready(bytes) => (std::mem::take(bytes), true),
+                    Slot::Passing(bytes) => (std::mem::take(bytes), false),
+                };
+                client.stream.push(&bytes);
+                if client.asked {
+                    client.quiet_since = now;
+                }
+                if !whole {
+                    break;
                 }
+                client.answers.pop_front();
+                client.first += 1;
             }
+            let unsent = client.stream.unsent();
             let Ok(written) = client.stream.flush() else { return self.drop_client(key, reactor) };
+            if client.stream.unsent() < unsent && client.asked {
+                // It takes its answers, however slowly.
+                client.quiet_since = now;
+            }
+            let passes = matches!(client.answers.front(), Some(Slot::Passing(_)));
+            if client.starved && passes && client.stream.unsent() <= WINDOW.1 / 2 {
+                let crowded = self.unsent() >= self.limits.passing;
+                self.make_room(key, window(crowded) / 2);
+            }
+            let Some(client) = self.clients.get_mut(key) else { return };
             if written && client.answers.is_empty() {
                 if !client.ending && self.closing && client.greeted && client.idle() {
                     return self.drop_client(key, reactor);
@@ -462,7 +565,7 @@
     fn drop_client(&mut self, key: Key, reactor: &Reactor) {
         let Some(client) = self.remove(key) else { return };
         for (number, answer) in (client.first..).zip(&client.answers) {
-            if answer.is_none() {
+            if !matches!(answer, Slot::Ready(_)) {
                 self.events.push_back(Event::Left(Ticket { client: key, number }));
             }
         }
--- a/crates/leverproxy/src/net.rs
+++ b/crates/leverproxy/src/net.rs
@@ -218,6 +218,13 @@
         Ok(true)
     }
 
+    /// Waits for nothing, not even the peer's end, until it is watched again.
+    pub fn unwatch(&mut self, reactor: &Reactor) {
+        if self.interest.take().is_some() {
+            reactor.remove(&self.fd);
+        }
+    }
+
     /// Sets what the stream waits for, with a system call only where that changes.
     pub fn watch(&mut self, reactor: &Reactor, token: Token, interest: Interest) -> io::Result<()> {
         match self.interest {
--- a/crates/leverproxy/src/pg/client.rs
+++ b/crates/leverproxy/src/pg/client.rs
@@ -1,11 +1,12 @@
 //! The side that record servers see: queries written, their answers read and understood.
 
-use super::{error_field, message, put, sqlstate, text, Malformed, ANSWER_LIMIT, FRAME_SLACK};
+use super::{error_field, message, put, sqlstate, text, Malformed, ANSWER_LIMIT, FRAME_SLACK, VALUE_LIMIT};
 use crate::request::{Question, Verdict};
 use mountshift::{Note, Time};
 use std::time::Duration;
 
-pub const INPUT_LIMIT: usize = ANSWER_LIMIT + (8 << 10);
+/// Bytes of an answer that may wait unread: the largest that is relayed in one piece, and what follows it.
+pub const INPUT_LIMIT: usize = VALUE_LIMIT + FRAME_SLACK + (8 << 10);
 
 pub fn startup() -> Vec<u8> {
     super::server::startup_packet("app", "shop")
@@ -37,6 +38,8 @@
     #[default]
     Asked,
     Described,
+    /// A row too large to be kept: so many bytes of it are still to come.
+    Passing(usize),
     Row,
     /// CommandComplete, or an error.
     Over,
@@ -50,6 +53,8 @@
     /// The messages that a client gets to see.
     relayed: Vec<u8>,
     stage: Stage,
+    /// The answer is passed on as it comes.
+    passes: bool,
     code: Option<String>,
     note: Note,
 }
@@ -78,6 +83,16 @@
         let mut at = 0;
         loop {
             let rest = &bytes[at..];
+            if let Stage::Passing(left) = self.stage {
+                let n = rest.len().min(left);
+                self.relayed.extend_from_slice(&rest[..n]);
+                at += n;
+                self.stage = if n == left { Stage::Row } else { Stage::Passing(left - n) };
+                if n < left {
+                    return Ok((at, false));
+                }
+                continue;
+            }
             let Some(&tag) = rest.first() else { return Ok((at, false)) };
             let spoilt = |what: &str| Malformed(format!("message {:?} {what}", char::from(tag)));
             let longest = longest(tag, self.stage).ok_or_else(|| spoilt("is not expected"))?;
@@ -88,6 +103,17 @@
                 if rest[5..7] != [0, 1] || length(7) + 10 != length(1) {
                     return Err(spoilt("is no row of one value"));
                 }
+                if length(1) > ANSWER_LIMIT {
+                    return Err(spoilt("has a length that is no value's"));
+                }
+                if length(7) > VALUE_LIMIT {
+                    if self.stage != Stage::Described {
+                        return Err(spoilt("is out of place"));
+                    }
+                    self.passes = true;
+                    self.stage = Stage::Passing(length(1) + 1);
+                    continue;
+                }
             }
             let Some(message) = message(rest, longest)? else { return Ok((at, false)) };
             at += message.raw.len();
@@ -130,6 +156,13 @@
         }
     }
 
+    /// The answer passes on in pieces; the one that has come, which is empty at times.
+    pub fn piece(&mut self) -> Option<Vec<u8>> {
+        // What follows the row goes with its end.
+        let row = matches!(self.stage, Stage::Passing(_) | Stage::Row);
+        self.passes.then(|| if row { std::mem::take(&mut self.relayed) } else { Vec::new() })
+    }
+
     /// What came says how it ended, with or without ReadyForQuery: a fatal error needs none.
     pub fn conclusive(&self) -> bool {
         self.code.is_some()
--- a/crates/leverproxy/src/pg/mod.rs
+++ b/crates/leverproxy/src/pg/mod.rs
@@ -7,14 +7,13 @@
 
 use std::fmt;
 
-/// Largest value, and what may stand around it in a message.
+/// Largest value that clients write, and that is relayed in one piece, and what may stand around it in a message.
 const VALUE_LIMIT: usize = 64 << 10;
 const FRAME_SLACK: usize = 4 << 10;
 /// A value in hexadecimal digits inside a statement.
 pub const QUERY_LIMIT: usize = 2 * VALUE_LIMIT + FRAME_SLACK;
-/// Record servers have been seen to give values of over six times the stated limit: what is sound is relayed. Far
-/// beyond that a length is a lie, and would fill the memory.
-pub const ANSWER_LIMIT: usize = 16 * VALUE_LIMIT + FRAME_SLACK;
+/// Record servers give values of up to 4 MiB. Far beyond that a length is a lie.
+const ANSWER_LIMIT: usize = (4 << 20) + FRAME_SLACK;
 const STARTUP_LIMIT: usize = 10_000;
 
 /// SQLSTATE codes, by the names of PostgreSQL's own table.
--- a/crates/leverproxy/src/request.rs
+++ b/crates/leverproxy/src/request.rs
@@ -103,6 +103,18 @@
     NeverSent,
 }
 
+/// A part of an answer that is too large to be kept: it goes to the client before the rest is there.
+#[derive(Debug)]
+pub struct Piece {
+    pub id: RequestId,
+    pub attempt: AttemptNo,
+    /// Of the connection that it came on.
+    pub from: Key,
+    pub store: StoreId,
+    pub elapsed: Duration,
+    pub bytes: Vec<u8>,
+}
+
 #[derive(Debug)]
 pub struct Done {
     pub purpose: Purpose,
--- a/crates/leverproxy/src/stages/admit.rs
+++ b/crates/leverproxy/src/stages/admit.rs
@@ -1,5 +1,6 @@
 //! Admit: what is owed an answer is entered, once, and struck off with its final answer.
 
+use crate::reactor::Key;
 use crate::request::{shown, Answer, Command, Request, Ticket};
 use bulkheads::PoolId;
 use mountshift::{AttemptNo, ClassId, GroupId, RequestId};
@@ -23,6 +24,8 @@
     pub command: Arc<Command>,
     pub read_at: Instant,
     pub wait: Duration,
+    /// The attempt whose answer is on its way to the client in pieces, and the connection that it comes on.
+    pub passing: Option<(AttemptNo, Key)>,
     attempts: u16,
 }
 
@@ -86,7 +89,10 @@
         let group = GroupId(group);
         self.names.insert(name.clone());
         let command = Arc::new(command);
-        self.open.insert(id, Open { name, ticket, class, group, pool, command, read_at, wait, attempts: 0 });
+        self.open.insert(
+            id,
+            Open { name, ticket, class, group, pool, command, read_at, wait, passing: None, attempts: 0 },
+        );
     }
 
     pub fn get_mut(&mut self, id: RequestId) -> Option<&mut Open> {
--- a/crates/leverproxy/src/stages/mod.rs
+++ b/crates/leverproxy/src/stages/mod.rs
@@ -19,7 +19,7 @@
 use crate::monitor::Monitor;
 use crate::operate::Operate;
 use crate::reactor::{later, Key, Reactor, Timers};
-use crate::request::{Answer, Done, Purpose, Request, Ticket};
+use crate::request::{Answer, Done, Piece, Purpose, Request, Ticket};
 use crate::seldom::Seldom;
 use crate::takeover::Takeover;
 use crate::upstream::{Due, Upstream};
@@ -122,12 +122,15 @@
                 self.monitor.sign(sign, now);
             } else if let Some(news) = sides.discovery.pop() {
                 self.on_news(news, sides, now);
+            } else if let Some(piece) = sides.upstream.piece() {
+                self.on_piece(piece, sides, now);
             } else if let Some(done) = sides.upstream.pop() {
                 self.on_done(done, sides, now);
             } else if let Some(event) = sides.front.pop() {
                 match event {
                     front::Event::Asked(ticket, request) => self.on_request(ticket, request, sides, now),
                     front::Event::Left(ticket) => self.on_left(ticket, sides, now),
+                    front::Event::Room(ticket) => self.on_room(ticket, sides, now),
                 }
             } else {
                 break;
@@ -230,21 +233,54 @@
     fn on_left(&mut self, ticket: Ticket, sides: &mut Sides, now: Instant) {
         let Some(id) = self.ledger.id(ticket) else { return };
         if let Some(open) = self.close(id, now) {
+            if let Some((_, from)) = open.passing {
+                sides.upstream.stop(from, now);
+            }
             self.counters.left(open.class);
             self.monitor.left(open.group, now);
             self.decide(Event::Left(id), sides, now);
         }
     }
 
+    /// A part of an answer that is too large to be kept goes to the client at once. With the first the module hears that
+    /// the attempt was answered: that is what is timed.
+    fn on_piece(&mut self, piece: Piece, sides: &mut Sides, now: Instant) {
+        let Piece { id, attempt, from, store, elapsed, bytes } = piece;
+        let Some(open) = self.ledger.get_mut(id).filter(|o| o.passing.is_none_or(|p| p.0 == attempt)) else {
+            // Its client has left, or gets another attempt's answer.
+            return sides.upstream.stop(from, now);
+        };
+        let first = open.passing.replace((attempt, from)).is_none();
+        if !sides.front.pass(open.ticket, &bytes, now, &sides.reactor) {
+            sides.upstream.hold_back(from, now, &sides.reactor);
+        }
+        if first {
+            let note = mountshift::Note::default();
+            let outcome = mountshift::Outcome::Ok;
+            let ended = mountshift::Ended { id, attempt, store, outcome, elapsed, last: true, note };
+            self.learn(Event::Ended(ended), sides, now);
+        }
+    }
+
+    fn on_room(&mut self, ticket: Ticket, sides: &mut Sides, now: Instant) {
+        let open = self.ledger.id(ticket).and_then(|id| self.ledger.get_mut(id));
+        if let Some((_, from)) = open.and_then(|open| open.passing) {
+            sides.upstream.resume(from, now, &sides.reactor);
+        }
+    }
+
     fn on_done(&mut self, mut done: Done, sides: &mut Sides, now: Instant) {
         self.counters.ended(done.class, &done.verdict);
         self.monitor.ended(&done, now);
-        let Purpose::Attempt(id, _) = done.purpose else {
+        let Purpose::Attempt(id, attempt) = done.purpose else {
             return self.learn(book::book(&done, true, self.clock.unix(now)), sides, now);
         };
-        if let Some((open, answer)) = relay::served(id, &mut done.verdict, &mut self.ledger, now) {
+        if let Some((open, answer)) = relay::served(id, attempt, &mut done.verdict, &mut self.ledger, now) {
             self.vacate(&open, now);
             self.relay(open, answer, sides, now);
+        } else if self.ledger.get_mut(id).is_some_and(|o| o.passing.is_some_and(|p| p.0 == attempt)) {
+            // Its rest will never come; the module has heard of it already.
+            return self.answer(id, Answer::Failed, sides, now);
         }
         let last = self.ledger.get_mut(id).is_none();
         self.learn(book::book(&done, last, self.clock.unix(now)), sides, now);
@@ -363,7 +399,14 @@
         self.counters.answered(open.class, &answer);
         let write = self.writes.get(usize::from(open.class.0)).copied().unwrap_or(false);
         self.monitor.answered(open.group, write, &answer, now);
-        sides.front.answer(open.ticket, answer, now, &sides.reactor);
+        match (open.passing, &answer) {
+            // It has begun to reach the client, and won't be finished: the client sees that by its connection.
+            (Some((_, from)), Answer::Refused(_) | Answer::Failed | Answer::Rejected(_)) => {
+                sides.upstream.stop(from, now);
+                sides.front.cut(open.ticket, now, &sides.reactor);
+            }
+            _ => sides.front.answer(open.ticket, answer, now, &sides.reactor),
+        }
     }
 
     /// No request that comes from now on is waited for beyond this.
--- a/crates/leverproxy/src/stages/relay.rs
+++ b/crates/leverproxy/src/stages/relay.rs
@@ -1,19 +1,21 @@
 //! Relay: the first whole answer of a record server goes to the client as it came; all else is the module's
-//! to answer. An answer is passed on only once it is there in full, so that none is ever half sent.
+//! to answer. An answer is passed on once it is there in full, so that none is half sent, but for those too large to be kept.
 
 use super::admit::{Ledger, Open};
 use crate::request::{Answer, Verdict};
-use mountshift::RequestId;
+use mountshift::{AttemptNo, RequestId};
 use std::time::Instant;
 
-/// Takes a served answer out of `verdict`, if the request is still owed one.
+/// Takes a served answer out of `verdict`, if the request is still owed one and no other has begun to reach its client.
 pub fn served(
     id: RequestId,
+    attempt: AttemptNo,
     verdict: &mut Verdict,
     ledger: &mut Ledger,
     now: Instant,
 ) -> Option<(Open, Answer)> {
     let Verdict::Served(bytes) = verdict else { return None };
+    ledger.get_mut(id).filter(|open| open.passing.is_none_or(|(begun, _)| begun == attempt))?;
     let open = ledger.close(id, now)?;
     Some((open, Answer::Served(std::mem::take(bytes))))
 }
--- a/crates/leverproxy/src/upstream.rs
+++ b/crates/leverproxy/src/upstream.rs
@@ -6,7 +6,7 @@
 use crate::net::{Filled, Stream};
 use crate::pg::client::{self, AnswerReader};
 use crate::reactor::{Interest, Key, Reactor, Slots, Token};
-use crate::request::{Done, Purpose, Question, Verdict};
+use crate::request::{Done, Piece, Purpose, Question, Verdict};
 use crate::seldom::Seldom;
 use mountshift::{ClassId, GroupId, Note, StoreId};
 use std::collections::{BTreeMap, VecDeque};
@@ -21,6 +21,12 @@
 /// aims, so that another attempt can still meet them; record servers write an answer in one go.
 const ANSWER_STALL: Duration = Duration::from_millis(40);
 
+/// An answer that passes on in pieces goes on within this. Its server may be slow, and what has begun can't be had
+/// elsewhere; a machine that has fallen silent must not keep its client for good.
+const PIECE_STALL: Duration = Duration::from_secs(5);
+/// Bytes taken in at once of such an answer: other connections get their turn.
+const PIECE: usize = 16 << 10;
+
 /// One exchange: bytes out, one answer back.
 #[derive(Debug)]
 pub struct Exchange {
@@ -53,6 +59,7 @@
     connections: Slots<Connection>,
     pools: BTreeMap<StoreId, Pool>,
     done: VecDeque<Done>,
+    pieces: VecDeque<Piece>,
     signs: VecDeque<Sign>,
     /// Timers asked for.
     due: Vec<(Instant, Due)>,
@@ -94,15 +101,26 @@
         written: bool,
         /// Some of its answer has come.
         begun: bool,
+        passing: Passing,
     },
 }
 
+/// Whether an answer passes on in pieces.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Passing {
+    No,
+    Flows,
+    /// The client has enough; nothing is read.
+    HeldBack,
+}
+
 impl Upstream {
     pub fn new(limit: usize, dial_timeout: Duration, idle_limit: Duration) -> Upstream {
         Upstream {
             connections: Slots::default(),
             pools: BTreeMap::new(),
             done: VecDeque::new(),
+            pieces: VecDeque::new(),
             signs: VecDeque::new(),
             due: Vec::new(),
             misunderstood: Seldom::default(),
@@ -118,6 +136,11 @@
         self.done.pop_front()
     }
 
+    /// A part of an answer; [`Upstream::pop`] tells of its end when no more of these is there.
+    pub fn piece(&mut self) -> Option<Piece> {
+        self.pieces.pop_front()
+    }
+
     pub fn sign(&mut self) -> Option<Sign> {
         self.signs.pop_front()
     }
@@ -268,8 +291,13 @@
         connection.stream.push(&client::question(&exchange.question));
         connection.until = exchange.until;
         self.due.push((exchange.until, Due::Connection(key)));
-        connection.state =
-            State::Busy { exchange, reader: AnswerReader::default(), written: false, begun: false };
+        connection.state = State::Busy {
+            exchange,
+            reader: AnswerReader::default(),
+            written: false,
+            begun: false,
+            passing: Passing::No,
+        };
         self.advance(key, now, reactor);
     }
 
@@ -302,7 +330,15 @@
             self.attempts += u64::from(!*written && exchange.purpose != Purpose::Probe);
             *written = true;
         }
-        let filled = connection.stream.fill(client::INPUT_LIMIT);
+        let passing = match connection.state {
+            State::Busy { passing, .. } => passing,
+            _ => Passing::No,
+        };
+        let filled = match passing {
+            Passing::No => connection.stream.fill(client::INPUT_LIMIT),
+            Passing::Flows => connection.stream.fill(PIECE),
+            Passing::HeldBack => return,
+        };
         let taken = match &mut connection.state {
             State::Connecting => Ok((0, false)),
             State::Idle if connection.stream.input.is_empty() => Ok((0, false)),
@@ -314,6 +350,7 @@
         let used = match taken {
             Ok((used, whole)) => {
                 connection.stream.input.consume(used);
+                self.pass_on(key, now);
                 if whole {
                     return self.answered(key, filled == Filled::Ended, now, reactor);
                 }
@@ -326,12 +363,13 @@
                 return self.spoilt(key, now);
             }
         };
+        let Some(connection) = self.connections.get_mut(key) else { return };
         let Ok(written) = flushed else { return self.broken(key, now) };
         if filled == Filled::Ended {
             return self.broken(key, now);
         }
         let came = !connection.stream.input.is_empty() || used > 0;
-        if let State::Busy { exchange, begun, .. } = &mut connection.state {
+        if let State::Busy { exchange, begun, passing: Passing::No, .. } = &mut connection.state {
             if came {
                 *begun = true;
                 connection.until = exchange.until.min(now + ANSWER_STALL);
@@ -344,6 +382,52 @@
         }
     }
 
+    /// What has come of an answer that is too large to be kept.
+    fn pass_on(&mut self, key: Key, now: Instant) {
+        let Some(Connection { store, state, until, .. }) = self.connections.get_mut(key) else { return };
+        let State::Busy { exchange, reader, begun, passing, .. } = state else { return };
+        let (Purpose::Attempt(id, attempt), Some(bytes)) = (exchange.purpose, reader.piece()) else { return };
+        if bytes.is_empty() {
+            return;
+        }
+        *until = now + PIECE_STALL;
+        if *passing == Passing::No {
+            (*begun, *passing) = (true, Passing::Flows);
+            self.due.push((*until, Due::Connection(key)));
+        }
+        let elapsed = now.saturating_duration_since(exchange.sent);
+        self.pieces.push_back(Piece { id, attempt, from: key, store: *store, elapsed, bytes });
+    }
+
+    /// Nothing more is read of an answer until [`Upstream::resume`].
+    pub fn hold_back(&mut self, key: Key, now: Instant, reactor: &Reactor) {
+        let Some(connection) = self.connections.get_mut(key) else { return };
+        if let State::Busy { passing, .. } = &mut connection.state {
+            *passing = Passing::HeldBack;
+            // The client's own patience counts now.
+            connection.until = crate::reactor::later(now, Duration::MAX);
+            connection.stream.unwatch(reactor);
+        }
+    }
+
+    pub fn resume(&mut self, key: Key, now: Instant, reactor: &Reactor) {
+        let Some(connection) = self.connections.get_mut(key) else { return };
+        if let State::Busy { passing: passing @ Passing::HeldBack, .. } = &mut connection.state {
+            *passing = Passing::Flows;
+            connection.until = now + PIECE_STALL;
+            self.due.push((connection.until, Due::Connection(key)));
+            // What has come is taken in its turn.
+            if connection.stream.watch(reactor, Token::Upstream(key), Interest::READ).is_err() {
+                self.broken(key, now);
+            }
+        }
+    }
+
+    /// Nobody wants the rest of an answer.
+    pub fn stop(&mut self, key: Key, now: Instant) {
+        self.close(key, Verdict::Cancelled, now);
+    }
+
     /// ReadyForQuery has come: the connection is free again.
     fn answered(&mut self, key: Key, ended: bool, now: Instant, reactor: &Reactor) {
         let Some(connection) = self.connections.get_mut(key) else { return };
@@ -475,7 +559,14 @@
     pub fn on_due(&mut self, due: Due, now: Instant, reactor: &Reactor) {
         match due {
             Due::Connection(key) => {
-                let Some(connection) = self.connections.get(key).filter(|c| c.until <= now) else { return };
+                let Some(connection) = self.connections.get(key) else { return };
+                if connection.until > now {
+                    // More of its answer has come meanwhile.
+                    if matches!(connection.state, State::Busy { passing: Passing::Flows, .. }) {
+                        self.due.push((connection.until, Due::Connection(key)));
+                    }
+                    return;
+                }
                 let store = connection.store;
                 match connection.state {
                     State::Busy { written: true, begun: true, .. } => self.spoilt(key, now),
--- a/crates/leverproxy/tests/common/mod.rs
+++ b/crates/leverproxy/tests/common/mod.rs
@@ -121,7 +121,7 @@
     /// The next message: its tag and body.
     pub fn message(&mut self) -> io::Result<(u8, Vec<u8>)> {
         loop {
-            if let Some(message) = pg::message(&self.input, 1 << 20).unwrap() {
+            if let Some(message) = pg::message(&self.input, 8 << 20).unwrap() {
                 let (tag, body, used) = (message.tag, message.body.to_vec(), message.raw.len());
                 self.input.drain(..used);
                 return Ok((tag, body));
@@ -297,6 +297,13 @@
     call(admin, &format!("POST /api/{word} HTTP/1.1\r\nHost: a\r\nContent-Length: {length}\r\n\r\n{body}")).0
 }
 
+/// Asks until the figure is this; the word that changes it is on its way.
+pub fn until(admin: SocketAddr, line: &str) {
+    while !get(admin, "/api/telemetry").1.lines().any(|l| l == line) {
+        thread::yield_now();
+    }
+}
+
 pub fn read(id: u32, class: &str, wait_ms: u32) -> String {
     format!(
         "SELECT doc FROM items WHERE id = '7f3a' /* id={id:016x},c={class},t=acme,d={wait_ms},cluster=3 */"
--- /dev/null
+++ b/crates/leverproxy/tests/large.rs
@@ -0,0 +1,195 @@
+//! Values too large to be kept, on their way through a real proxy, and through its front alone.
+
+mod common;
+use common::{answer, read, Listener, Peer, Reply, Stage};
+use leverproxy::front::{Event, Front};
+use leverproxy::reactor::{Reactor, Token};
+use leverproxy::request::{Answer, Ticket};
+use std::io::Read;
+use std::time::{Duration, Instant};
+
+/// A value whose bytes tell their places.
+fn value(bytes: usize) -> String {
+    (0..bytes).map(|at| char::from(b'a' + (at / 7 % 26) as u8)).collect()
+}
+
+fn asked(server: &Listener, stage: &Stage) -> (Peer, Peer) {
+    let mut client = Peer::client(stage.address);
+    client.ask(&read(1, "any", 19000));
+    let mut upstream = server.welcome();
+    upstream.query();
+    (client, upstream)
+}
+
+#[test]
+fn four_mebibytes_pass_unchanged_in_pieces_cut_anywhere() {
+    let server = Listener::new();
+    let stage = Stage::new(&[("s-1", &server)]);
+    let (mut client, mut upstream) = asked(&server, &stage);
+    let value = value(4 << 20);
+    let bytes = answer(&value, &[("role", "replica")]);
+    let writing = std::thread::spawn(move || {
+        // Every cut through the head of the row, then odd ones.
+        let mut at = 0;
+        for piece in std::iter::repeat_n(1, 60).chain(std::iter::repeat(70_001)) {
+            if at == bytes.len() {
+                return upstream;
+            }
+            let end = bytes.len().min(at + piece);
+            upstream.write(&bytes[at..end]);
+            at = end;
+        }
+        unreachable!()
+    });
+    assert!(client.reply().value == Some(value));
+    // The connection is good for another request.
+    let mut upstream = writing.join().unwrap();
+    client.ask(&read(2, "any", 19000));
+    upstream.query();
+    upstream.answer("small", &[]);
+    assert_eq!(client.reply().value.as_deref(), Some("small"));
+}
+
+/// The first bytes are with the client before the last are written; a server that dies then is not made up for.
+#[test]
+fn what_has_begun_is_never_tried_elsewhere() {
+    let (server, other) = (Listener::new(), Listener::new());
+    let stage = Stage::new(&[("s-1", &server)]);
+    let (mut client, mut upstream) = asked(&server, &stage);
+    let bytes = answer(&value(1 << 20), &[]);
+    upstream.write(&bytes[..200 << 10]);
+    assert_eq!(client.message().unwrap().0, b'T');
+    // Another could serve it now.
+    let mut stage = stage;
+    stage.watch.tell(42, &[other.listed("s-2", "Ready")]);
+    drop(upstream);
+    assert!(client.message().is_err(), "the client can tell that the row is not whole");
+    assert!(server.left_alone(Duration::from_millis(50)) && other.try_accept().is_none());
+}
+
+#[test]
+fn a_client_that_leaves_midway_ends_the_sending() {
+    let server = Listener::new();
+    let stage = Stage::new(&[("s-1", &server)]);
+    let (mut client, mut upstream) = asked(&server, &stage);
+    upstream.write(&answer(&value(1 << 20), &[])[..200 << 10]);
+    assert_eq!(client.message().unwrap().0, b'T');
+    drop(client);
+    assert!(upstream.ended());
+}
+
+/// A large answer that is there before the one asked for first waits for it.
+#[test]
+fn large_answers_keep_the_order_of_commands() {
+    let server = Listener::new();
+    let other = Listener::new();
+    let admin = |config: &mut leverproxy::config::Config| config.admin = Some("127.0.0.1:0".parse().unwrap());
+    let mut stage = Stage::with(&[("s-1", &server)], admin);
+    let (mut client, mut first) = asked(&server, &stage);
+    stage.watch.tell(42, &[other.listed("s-2", "Ready")]);
+    common::until(stage.admin.unwrap(), "lb_record_servers_known 2");
+    client.ask(&read(2, "any", 19000));
+    let mut second = other.welcome();
+    second.query();
+    let large = value(200 << 10);
+    second.answer(&large, &[]);
+    first.answer("first", &[]);
+    assert_eq!(client.reply().value.as_deref(), Some("first"));
+    assert!(client.reply().value == Some(large));
+}
+
+/// What is no row of its length costs its attempt only, while nothing of it has passed.
+#[test]
+fn a_length_beyond_all_values_is_a_lie() {
+    let server = Listener::new();
+    let stage = Stage::new(&[("s-1", &server)]);
+    let (mut client, mut upstream) = asked(&server, &stage);
+    let mut lie = answer("", &[]);
+    let row = lie.iter().rposition(|b| *b == b'D').unwrap();
+    lie.truncate(row + 1);
+    let length = 3_000_000_000_u32;
+    lie.extend(length.to_be_bytes());
+    lie.extend([0, 1]);
+    lie.extend((length - 10).to_be_bytes());
+    upstream.write(&lie);
+    // It is asked how it fares before it gets the request again.
+    let mut upstream = server.welcome();
+    upstream.report_primary();
+    upstream.query();
+    upstream.answer("sound", &[]);
+    assert_eq!(client.reply(), Reply { value: Some("sound".into()), ..Reply::default() });
+}
+
+/// Clients that read nothing hold their senders back, each by its window, all of them by the memory's share.
+#[test]
+fn slow_readers_hold_back_and_the_sum_is_bounded() {
+    const CLIENTS: usize = 20;
+    let stage = Stage::new(&[]);
+    let (now, reactor) = (Instant::now(), Reactor::new().unwrap());
+    let config = leverproxy::config::parse(
+        format!(
+            r#"{{"listen":"127.0.0.1:0","discovery":"{}","settings":{}}}"#,
+            stage.address,
+            common::SETTINGS
+        )
+        .as_bytes(),
+        |_| None,
+    )
+    .unwrap();
+    let mut limits = config.limits;
+    limits.passing = 160 << 10;
+    let mut front = Front::listen(config.listen, None, false, limits, config.patience, &reactor).unwrap();
+    let address = front.local_address().unwrap();
+    let mut clients: Vec<Peer> = (0..CLIENTS as u32)
+        .map(|id| {
+            let mut client = Peer::connect(address);
+            client.write(&leverproxy::pg::server::startup_packet("app", "shop"));
+            client.ask(&read(id, "any", 19000));
+            client
+        })
+        .collect();
+    let mut ready = Vec::new();
+    let mut tickets: Vec<Ticket> = Vec::new();
+    let mut turn = |front: &mut Front, events: &mut Vec<Event>| {
+        reactor.wait(Some(Instant::now() + Duration::from_millis(10)), &mut ready).unwrap();
+        for one in &ready {
+            match one.token {
+                Token::Listener => front.accept(now, &reactor),
+                Token::Client(key) => front.ready(key, one.ended, now, &reactor),
+                _ => {}
+            }
+        }
+        events.extend(std::iter::from_fn(|| front.pop()));
+    };
+    while tickets.len() < CLIENTS {
+        let mut events = Vec::new();
+        turn(&mut front, &mut events);
+        tickets.extend(events.into_iter().filter_map(|e| match e {
+            Event::Asked(ticket, _) => Some(ticket),
+            _ => None,
+        }));
+    }
+    let piece = [b'x'; 4 << 10];
+    for &ticket in &tickets {
+        // Sockets take some megabytes; then it is held back.
+        let passed = (0..16 << 10).take_while(|_| front.pass(ticket, &piece, now, &reactor)).count();
+        assert!(passed < 16 << 10, "never held back");
+    }
+    // One piece more than its window each, at most.
+    assert!(front.unsent() <= limits.passing + CLIENTS * piece.len() * 2, "{} bytes wait", front.unsent());
+    // The one that begins to read gets room.
+    let held = tickets[0];
+    let reader = clients.remove(0);
+    let mut events = Vec::new();
+    let reading = std::thread::spawn(move || {
+        let mut reader = reader;
+        let mut bytes = vec![0; 1 << 16];
+        while reader.stream.read(&mut bytes).is_ok_and(|n| n > 0) {}
+    });
+    while !events.iter().any(|e| matches!(e, Event::Room(_))) {
+        turn(&mut front, &mut events);
+    }
+    front.answer(held, Answer::Served(Vec::new()), now, &reactor);
+    drop((clients, front));
+    reading.join().unwrap();
+}
--- a/crates/leverproxy/tests/upgrade.rs
+++ b/crates/leverproxy/tests/upgrade.rs
@@ -1,7 +1,7 @@
 //! One proxy in two processes: what an elder leaves to its heir, at every step of an upgrade.
 
 mod common;
-use common::{get, post, read, Listener, Peer, Scratch, Stage};
+use common::{get, post, read, until, Listener, Peer, Scratch, Stage};
 use std::io::Write;
 use std::net::SocketAddr;
 use std::os::unix::net::UnixListener;
@@ -23,13 +23,6 @@
     scratch
 }
 
-/// Asks until the figure is this; the word that changes it is on its way.
-fn until(admin: SocketAddr, line: &str) {
-    while !get(admin, "/api/telemetry").1.lines().any(|l| l == line) {
-        thread::yield_now();
-    }
-}
-
 fn served(client: &mut Peer, upstream: &mut Peer, id: u32) {
     client.ask(&read(id, "any", 19000));
     upstream.query();
