New settings at SIGHUP: classes come and go, a file that is not whole changes nothing

Cause: settings waited for the next start (Proxy::reload), so 140 to 260 requests a second of new classes were rejected.

Change: settings::succeed gives each class a place for good; the module takes settings by configure, with averages of surviving classes kept; names, deadlines, ledger and pools follow. A file that lacks a key of the first one, or states a deadline or attempts that are not positive, is named by its key, counted, and nothing of it is taken. Tests: a class that goes while its request is under way, attempts lowered, eleven broken files, bounds of places.

--- a/crates/leverproxy/src/admin.rs
+++ b/crates/leverproxy/src/admin.rs
@@ -37,7 +37,6 @@
         let listener = net::listen(address)?;
         reactor.add(&listener, Token::AdminListener, Interest::READ)?;
         let address = net::local_address(&listener).unwrap_or(address);
-        log::info!("admin: answering calls on {address}");
         Ok(Admin { listener, address, callers: Slots::default(), exhausted: Seldom::default() })
     }
 
--- a/crates/leverproxy/src/cli.rs
+++ b/crates/leverproxy/src/cli.rs
@@ -187,8 +187,9 @@
         Ok(Err(error)) => return misuse(&error),
         Err(_) => return ExitCode::FAILURE,
     };
+    let whole = config.whole.clone();
     let served = Proxy::start(config).and_then(|(mut proxy, control)| {
-        proxy.reread_with(move || crate::config::reread(&variable))?;
+        proxy.reread_with(move || crate::config::reread(&variable, &whole))?;
         control.heed_signals()?;
         let served = proxy.run();
         proxy.report();
--- a/crates/leverproxy/src/config.rs
+++ b/crates/leverproxy/src/config.rs
@@ -13,7 +13,7 @@
 use configuration::source::Sources;
 use configuration::value;
 use ipnet::IpNet;
-use mountshift_settings::{BadSetting, Decoded};
+use mountshift_settings::{BadSetting, Decoded, Shape};
 use serde::Deserialize;
 use std::fmt;
 use std::net::SocketAddr;
@@ -74,6 +74,8 @@
     /// The list as this proxy last had it, maybe old.
     pub known: Listing,
     pub platform: Decoded,
+    /// What a later file has to state as this one does.
+    pub whole: Whole,
     pub dial_timeout: Duration,
     /// Idle connections to record servers are closed after this, before the servers do it.
     pub idle_limit: Duration,
@@ -196,9 +198,49 @@
     parse(&file(&variable)?, variable)
 }
 
-/// Reads both files once more. Where the platform's names discovery, `LB_DISCOVERY` no longer does.
-pub fn reread(variable: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
-    Ok(checked(&file(&variable)?, variable, Reading::Again)?.0)
+/// Reads both files once more, the platform's whole as it was at the start. Where that names discovery, `LB_DISCOVERY` no
+/// longer does.
+pub fn reread(variable: impl Fn(&str) -> Option<String>, whole: &Whole) -> Result<Config, ConfigError> {
+    let text = file(&variable)?;
+    let config = checked(&text, variable, Reading::Again)?.0;
+    whole.check(&text, &config.platform)?;
+    Ok(config)
+}
+
+/// What the platform's first file had. A later one that lacks a key of it was cut off or is not the platform's; read with
+/// defaults it would change what nobody meant to change.
+#[derive(Clone, Debug, Default)]
+pub struct Whole {
+    shape: Shape,
+    /// It allowed any number of attempts.
+    unlimited: bool,
+}
+
+impl Whole {
+    fn of(text: &[u8], platform: &Decoded) -> Whole {
+        let value = stated(text).unwrap_or_default();
+        Whole { shape: Shape::of(&value), unlimited: platform.settings.try_limit == 0 }
+    }
+
+    fn check(&self, text: &[u8], platform: &Decoded) -> Result<(), ConfigError> {
+        let value = stated(text).map_err(|e| ConfigError::new(".", e))?;
+        if let Some(key) = self.shape.missing(&value) {
+            return Err(ConfigError::new(key, "missing, and the first file had it"));
+        }
+        if platform.settings.try_limit == 0 && !self.unlimited {
+            return Err(ConfigError::new("settings.PolicyLimits.TryLimit", "is not a positive number"));
+        }
+        Ok(())
+    }
+}
+
+/// The platform's file, but for the list of record servers, which may hold any.
+fn stated(text: &[u8]) -> Result<serde_json::Value, serde_json::Error> {
+    let mut value: serde_json::Value = serde_json::from_slice(text)?;
+    if let Some(fields) = value.as_object_mut() {
+        fields.remove("known");
+    }
+    Ok(value)
 }
 
 /// Every value that counts, with where it comes from, and the texts of the operators' file.
@@ -372,6 +414,7 @@
         watch_silence: model.discovery.watch_silence,
         linger: model.linger.unwrap_or(LINGER),
         give_up,
+        whole: Whole::of(text, &platform),
         platform,
     };
     Ok((config, told))
--- a/crates/leverproxy/src/counters.rs
+++ b/crates/leverproxy/src/counters.rs
@@ -33,6 +33,12 @@
         Counters { classes, ..Counters::default() }
     }
 
+    /// Classes at places beyond those that there were; what is counted stays.
+    pub fn extend(&mut self, classes: &[String]) {
+        let new = classes.iter().skip(self.classes.len());
+        self.classes.extend(new.map(|name| (name.clone(), Class::default())));
+    }
+
     pub fn name(&self, class: ClassId) -> &str {
         self.classes.get(usize::from(class.0)).map_or("", |(name, _)| name)
     }
--- a/crates/leverproxy/src/operators.rs
+++ b/crates/leverproxy/src/operators.rs
@@ -143,6 +143,7 @@
         (stated.and_then(|c| c.deadline), stated.and_then(|c| c.tries))
     });
     Rules {
+        places: Vec::new(),
         index: Index::new(&model.routes, &model.windows, &names),
         rulings: model.routes.iter().map(|r| ruling(&r.outcome)).collect(),
         caps: caps.collect(),
--- a/crates/leverproxy/src/proxy.rs
+++ b/crates/leverproxy/src/proxy.rs
@@ -11,6 +11,7 @@
 use crate::reactor::{Interest, Key, Reactor, Ready, Timers, Token};
 use crate::reload::Reloads;
 use crate::request::shown;
+use crate::stages::steer::Rules;
 use crate::stages::{Chain, Sides, Timer};
 use crate::takeover::{self, Elder, Estate, Said, Takeover};
 use crate::upstream::Upstream;
@@ -41,6 +42,8 @@
     reloads: Option<Reloads>,
     /// There was a process before this one of which nothing is known: discovery has to speak first.
     unheard: bool,
+    /// The settings in force, with classes at their places.
+    platform: Decoded,
     fixed: Fixed,
 }
 
@@ -50,7 +53,6 @@
     name: String,
     listen: SocketAddr,
     admin: Option<SocketAddr>,
-    platform: Decoded,
     watch_silence: Duration,
 }
 
@@ -90,7 +92,6 @@
             name: config.name,
             listen: config.listen,
             admin: config.admin,
-            platform: config.platform.clone(),
             watch_silence: config.watch_silence,
         };
         let health = Health::new(&config.health, &reactor)?;
@@ -107,6 +108,7 @@
             Sides { reactor, timers, front, upstream, discovery, health, operate, admin, takeover };
         let zones = config.platform.names.zones.clone();
         let knocks = !config.health.is_empty();
+        let platform = config.platform.clone();
         let mut chain = Chain::new(
             config.platform,
             config.rules,
@@ -117,6 +119,9 @@
         );
         let address = sides.front.local_address().unwrap_or(config.listen);
         log::info!("{}: serving on {address}", fixed.name);
+        if let Some(admin) = &sides.admin {
+            log::info!("admin: answering calls on {}", admin.address());
+        }
         sides.timers.set(now, Timer::LookOver);
         sides.timers.set(now, Timer::Load);
         match estate {
@@ -147,6 +152,7 @@
             patience: config.patience,
             reloads: None,
             unheard,
+            platform,
             fixed,
         };
         Ok((proxy, control))
@@ -498,16 +504,28 @@
             }
         };
         let begun = Instant::now();
+        let drain_settings = config.drain_settings();
+        let succession = match mountshift_settings::succeed(&self.platform, config.platform) {
+            Ok(succession) => succession,
+            Err(error) => {
+                self.chain.counters.reloads_failed += 1;
+                return log::error!("configuration: settings.{error}; the configuration stays as it was");
+            }
+        };
         self.chain.counters.reloads += 1;
+        self.platform = succession.next.clone();
+        let rules = Rules { places: succession.places.clone(), ..config.rules };
+        self.chain.configure(succession, config.dial_timeout);
+        self.sides.upstream.set_times(config.dial_timeout, config.idle_limit);
         let Sides { front, upstream, .. } = &mut self.sides;
         front.set_limits(config.limits, config.patience);
         front.set_balancers(config.checks.clone(), config.proxy_from.clone());
         (self.limits, self.patience) = (config.limits, config.patience);
-        self.drain.configure(config.drain_settings());
+        self.drain.configure(drain_settings);
         upstream.set_limit(config.limits.upstream);
         crate::logging::set(&config.logging);
-        let routes = config.rules.rulings.len();
-        let former = self.chain.set_rules(config.rules);
+        let routes = rules.rulings.len();
+        let former = self.chain.set_rules(rules);
         self.chain.discovery_at(config.discovery, &mut self.sides, now);
         let pause_us = begun.elapsed().as_micros() as u64;
         log::info!(pause_us, routes; "the configuration is reread: discovery at {}", config.discovery);
@@ -518,7 +536,6 @@
             ("listen", config.listen == self.fixed.listen),
             ("admin", config.admin == self.fixed.admin),
             ("name", config.name == self.fixed.name),
-            ("settings", config.platform == self.fixed.platform),
             ("discovery watch-silence", config.watch_silence == self.fixed.watch_silence),
         ] {
             if !same {
--- a/crates/leverproxy/src/stages/admit.rs
+++ b/crates/leverproxy/src/stages/admit.rs
@@ -58,6 +58,11 @@
         Ledger { limit, ..Ledger::default() }
     }
 
+    /// What is open stays, above a lower limit too.
+    pub fn set_limit(&mut self, limit: usize) {
+        self.limit = limit;
+    }
+
     pub fn next_id(&mut self) -> RequestId {
         self.last_id += 1;
         RequestId(self.last_id)
--- a/crates/leverproxy/src/stages/mod.rs
+++ b/crates/leverproxy/src/stages/mod.rs
@@ -25,7 +25,7 @@
 use crate::upstream::{Due, Upstream};
 use maintenance::{Hand, Unknown};
 use mountshift::{Action, Event, ListNews, Need, RequestId, StoreId, TimerToken};
-use mountshift_settings::{Decoded, Names};
+use mountshift_settings::{Decoded, Names, Succession};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -208,6 +208,18 @@
         self.steering.replace(rules)
     }
 
+    /// The platform's settings from now on; what was known, and requests under way, stay.
+    pub fn configure(&mut self, succession: Succession, probe_time: Duration) {
+        let Succession { next, heirs, .. } = succession;
+        let Decoded { settings, names, max_open, .. } = next;
+        self.counters.extend(&names.classes);
+        self.deadlines = settings.classes.iter().map(|c| c.deadline).collect();
+        self.writes = settings.classes.iter().map(|c| c.need == Need::Write).collect();
+        (self.names, self.probe_time) = (names, probe_time);
+        self.ledger.set_limit(max_open);
+        self.route.configure(settings, &heirs);
+    }
+
     pub fn steering(&self) -> &steer::Steering {
         &self.steering
     }
--- a/crates/leverproxy/src/stages/route.rs
+++ b/crates/leverproxy/src/stages/route.rs
@@ -1,6 +1,6 @@
 //! Route: the one place where the module is asked. It alone decides.
 
-use mountshift::{Action, Event, Router, Settings, Time};
+use mountshift::{Action, ClassId, Event, Router, Settings, Time};
 
 pub struct Route {
     router: Router,
@@ -11,6 +11,10 @@
         Route { router: Router::new(settings, seed, now) }
     }
 
+    pub fn configure(&mut self, settings: Settings, heirs: &[Option<ClassId>]) {
+        self.router.configure(settings, heirs);
+    }
+
     /// Listed members that get nothing at present.
     pub fn avoided(&self, now: Time) -> usize {
         self.router.avoided(now)
--- a/crates/leverproxy/src/stages/steer.rs
+++ b/crates/leverproxy/src/stages/steer.rs
@@ -35,10 +35,20 @@
     pub margin: Duration,
     /// The longest that the refused are told to wait; none: they may not be told.
     pub come_back_most: Option<Duration>,
+    /// The places of the platform's classes, in the order that all else here goes by; none: they are as the file has them.
+    pub places: Vec<ClassId>,
     /// Names by the numbers that the index knows.
     pub tenants: Vec<String>,
 }
 
+impl Rules {
+    /// The number that the file knows a class by.
+    fn in_file(&self, class: ClassId) -> ClassId {
+        let at = self.places.iter().position(|place| *place == class);
+        at.and_then(|at| u16::try_from(at).ok()).map_or(class, ClassId)
+    }
+}
+
 /// What the routes have made of requests, by reason.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -86,7 +96,7 @@
         at: Time,
         now: Instant,
     ) -> Result<Option<PoolId>, Answer> {
-        let class = arrival.class;
+        let class = self.rules.in_file(arrival.class);
         let spent = now.saturating_duration_since(request.read_at) + self.rules.margin;
         let Rules { index, rulings, caps, deadlines, tenants, .. } = &self.rules;
         let cap = |arrival: &mut Arrival, longest: Option<Duration>| {
@@ -121,7 +131,7 @@
         arrival.tries = fewer(arrival.tries, ruling.tries);
         if let Some(other) = ruling.as_class {
             cap(arrival, deadlines.get(usize::from(other.0)).copied());
-            arrival.class = other;
+            arrival.class = self.rules.places.get(usize::from(other.0)).copied().unwrap_or(other);
         }
         let Some(pool) = ruling.pool.and_then(|at| self.pool_ids.get(at)).copied() else { return Ok(None) };
         match self.pools.take(pool, ruling.priority, at.0) {
--- a/crates/leverproxy/src/stages/take_in.rs
+++ b/crates/leverproxy/src/stages/take_in.rs
@@ -19,7 +19,7 @@
     now: Instant,
 ) -> Result<Arrival, String> {
     let place = |names: &[String], name: &str| {
-        names.iter().position(|n| n == name).and_then(|at| u16::try_from(at).ok())
+        names.iter().position(|n| n == name && !n.is_empty()).and_then(|at| u16::try_from(at).ok())
     };
     let class = place(&names.classes, &request.class)
         .map(ClassId)
--- a/crates/leverproxy/src/upstream.rs
+++ b/crates/leverproxy/src/upstream.rs
@@ -158,6 +158,11 @@
         self.limit = limit;
     }
 
+    /// Of dials and idle connections from now on.
+    pub fn set_times(&mut self, dial_timeout: Duration, idle_limit: Duration) {
+        (self.dial_timeout, self.idle_limit) = (dial_timeout, idle_limit);
+    }
+
     /// The server is there and takes requests.
     pub fn serves(&mut self, store: StoreId, address: SocketAddr) {
         let pool = self.pools.entry(store).or_insert_with(|| Pool {
--- a/crates/leverproxy/tests/common/mod.rs
+++ b/crates/leverproxy/tests/common/mod.rs
@@ -464,6 +464,12 @@
         self.signal(Signal::HUP);
     }
 
+    /// Replaces its configuration by this text, and tells it so.
+    pub fn reload_text(&self, text: &str) {
+        std::fs::write(&self.file, text).unwrap();
+        self.signal(Signal::HUP);
+    }
+
     /// Replaces the operators' file and tells the program so.
     pub fn steer(&self, operators: &str) {
         self.operators.write(&format!("{operators}\n{LATE_LOOP}"));
--- /dev/null
+++ b/crates/leverproxy/tests/settings.rs
@@ -0,0 +1,84 @@
+//! New settings at SIGHUP, to the program as the platform starts it.
+
+mod common;
+use common::{get, read, until, Listener, Peer, Program, Reply, SETTINGS};
+
+fn rejected(client: &mut Peer, id: u32, class: &str) {
+    client.ask(&read(id, class, 19000));
+    assert_eq!(client.reply().code.as_deref(), Some("42601"), "{class}");
+}
+
+#[test]
+fn classes_come_and_go_while_requests_are_under_way() {
+    let server = Listener::new();
+    let mut program = Program::start("export LB_ADMIN=127.0.0.1:0;");
+    let admin = program.line("answering calls on ").rsplit(' ').next().unwrap().parse().unwrap();
+    program.watch.tell(1, &[server.listed("s-1", "Ready")]);
+    until(admin, "lb_record_servers_known 1");
+    let mut client = Peer::client(program.address);
+    rejected(&mut client, 1, "any-v2");
+    let mut under_way = Peer::client(program.address);
+    under_way.ask(&read(2, "any", 19000));
+    let mut upstream = server.welcome();
+    upstream.query();
+    // A class gets another name, an effect gets stricter, fewer attempts are allowed.
+    let renamed = SETTINGS
+        .replace(r#""Name": "any""#, r#""Name": "any-v2""#)
+        .replace(r#""TryLimit": 8"#, r#""TryLimit": 1"#);
+    program.reload_text(&format!(r#"{{"settings":{renamed}}}"#));
+    until(admin, "lb_reloads_ok_total 1");
+    rejected(&mut client, 3, "any");
+    upstream.answer("kept", &[]);
+    assert_eq!(under_way.reply().value.as_deref(), Some("kept"));
+    client.ask(&read(4, "any-v2", 19000));
+    upstream.query();
+    upstream.answer("new", &[]);
+    assert_eq!(client.reply(), Reply { value: Some("new".into()), ..Reply::default() });
+    // One attempt it is: what is turned away is not tried again.
+    client.ask(&read(5, "any-v2", 19000));
+    upstream.query();
+    upstream.error("XX000");
+    assert!(client.reply().code.is_some());
+    let text = get(admin, "/api/telemetry").1;
+    for line in [
+        // One served, and one asked for by a name that is no class any more is nobody's.
+        r#"lb_requests_total{class="any",outcome="served"} 1"#,
+        r#"lb_requests_total{class="any-v2",outcome="served"} 1"#,
+        "lb_attempts_total 3",
+        "lb_reloads_failed_total 0",
+    ] {
+        assert!(text.lines().any(|l| l == line), "{line} in {text}");
+    }
+}
+
+/// Nothing is taken of a file that is not whole, and the log names the key.
+#[test]
+fn a_broken_file_changes_nothing() {
+    let mut program = Program::start("export LB_ADMIN=127.0.0.1:0;");
+    let admin = program.line("answering calls on ").rsplit(' ').next().unwrap().parse().unwrap();
+    let whole = format!(r#"{{"settings":{SETTINGS}}}"#).replace(r#""Name": "any""#, r#""Name": "any-v2""#);
+    let cases = [
+        (String::new(), "EOF"),
+        (whole[..whole.len() / 2].to_owned(), "EOF"),
+        (whole.replacen(r#""Deadline": 20000000, "#, "", 1), "settings.Classes[0].Deadline"),
+        (whole.replacen("20000000", "0", 1), "settings.Classes[0].Deadline"),
+        (whole.replacen("20000000", "-5", 1), "settings.Classes[0].Deadline"),
+        (whole.replacen("20000000", "\"soon\"", 1), "settings.Classes[0].Deadline"),
+        (whole.replace(r#""TryLimit": 8"#, r#""TryLimit": 0"#), "settings.PolicyLimits.TryLimit"),
+        (whole.replace(r#", "TryLimit": 8"#, ""), "settings.PolicyLimits.TryLimit"),
+        (whole.replace(r#""TryLimit": 8"#, r#""TryLimit": -1"#), "settings.PolicyLimits.TryLimit"),
+        (whole.replace(r#""RegistryMode": "on_request","#, ""), "settings.RegistryMode"),
+        ("{}".to_owned(), "settings"),
+    ];
+    let mut client = Peer::client(program.address);
+    for (at, (text, key)) in (1..).zip(&cases) {
+        program.reload_text(text);
+        until(admin, &format!("lb_reloads_failed_total {at}"));
+        let line = program.line("stays as it was");
+        assert!(line.contains(key), "{line}");
+        rejected(&mut client, at, "any-v2");
+    }
+    program.reload_text(&whole);
+    until(admin, "lb_reloads_ok_total 1");
+    rejected(&mut client, 100, "any");
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,6 +2,12 @@
 //! routers reads from it: names, limits of sockets and the meaning of load reports. Unknown keys are ignored.
 #![forbid(unsafe_code)]
 
+mod shape;
+mod succession;
+
+pub use shape::Shape;
+pub use succession::{succeed, Succession};
+
 use mountshift::{Checks, Class, Effect, Need, Report, Scope, Settings, Tenant, Time, ZoneId};
 use serde::Deserialize;
 use std::fmt;
--- /dev/null
+++ b/crates/settings/tests/succession.rs
@@ -0,0 +1,65 @@
+//! New settings under way: places for good, and files that are not whole.
+
+use mountshift::{ClassId, Effect, ZoneId};
+use mountshift_settings::{decode, succeed, Decoded, Shape};
+use serde_json::{json, Value};
+
+fn settings(classes: &[(&str, &str, u64)], zones: &[&str]) -> Decoded {
+    let classes: Vec<Value> = classes
+        .iter()
+        .map(|(name, effect, deadline)| json!({"Name": name, "Effect": effect, "Deadline": deadline, "GoalTime": 1}))
+        .collect();
+    let needs = vec!["loose"; classes.len()];
+    let text = json!({"Classes": classes, "Zones": zones, "MyZone": zones.len() - 1, "FamilyInfo": {"NeedsByClass": needs}});
+    decode(text.to_string().as_bytes()).unwrap()
+}
+
+#[test]
+fn a_class_keeps_its_place_for_as_long_as_it_is_the_same() {
+    let first = settings(&[("a", "safe", 5), ("b", "safe", 5)], &["x", "y"]);
+    // Another order, one that changes, one that is new, one that is gone.
+    let file = settings(&[("c", "safe", 5), ("b", "unsafe", 5)], &["y", "z"]);
+    let next = succeed(&first, file.clone()).unwrap();
+    assert_eq!(next.places, [ClassId(2), ClassId(3)]);
+    assert_eq!(next.next.names.classes, ["", "", "c", "b"]);
+    assert_eq!(next.heirs, [None, None, None, Some(ClassId(1))]);
+    // Requests under way keep their rights at the former places.
+    let effects: Vec<Effect> = next.next.settings.classes.iter().map(|c| c.effect).collect();
+    assert_eq!(effects, [Effect::Safe, Effect::Safe, Effect::Safe, Effect::Unsafe]);
+    assert_eq!(next.next.names.zones, ["x", "y", "z"]);
+    assert_eq!(next.next.settings.zone, ZoneId(2));
+    // The same file again changes nothing; a class that comes back is a new one.
+    let again = succeed(&next.next, file).unwrap();
+    assert_eq!(again.next, next.next);
+    let back = succeed(&again.next, settings(&[("a", "safe", 5)], &["x", "y"])).unwrap();
+    assert_eq!(back.places, [ClassId(4)]);
+}
+
+#[test]
+fn places_are_bounded() {
+    let mut now = settings(&[("a", "safe", 1)], &["x"]);
+    let turned_down = (2..5_000).find_map(|deadline| {
+        let next = succeed(&now, settings(&[("a", "safe", deadline)], &["x"]));
+        next.map(|s| now = s.next).err()
+    });
+    assert_eq!(turned_down.unwrap().key, "Classes");
+    assert_eq!(now.settings.classes.len(), 1_024);
+}
+
+#[test]
+fn what_the_first_had_a_later_one_must_have() {
+    let first = json!({"a": 1, "b": {"c": [{"d": 1, "e": 2}, {"d": 3}]}, "f": []});
+    let shape = Shape::of(&first);
+    assert_eq!(shape.missing(&first), None);
+    assert_eq!(shape.missing(&json!({"a": "x", "b": {"c": [{"d": 9}], "more": 1}, "f": [7]})), None);
+    for (later, key) in [
+        (json!({"b": {"c": []}, "f": []}), "a"),
+        (json!({"a": null, "b": {"c": []}, "f": []}), "a"),
+        (json!({"a": 1, "b": {}, "f": []}), "b.c"),
+        (json!({"a": 1, "b": {"c": [{"d": 1}, {"e": 1}]}, "f": []}), "b.c[1].d"),
+        (json!({"a": 1, "b": 2, "f": []}), "b"),
+        (json!([]), ""),
+    ] {
+        assert_eq!(shape.missing(&later).as_deref(), Some(key), "{later}");
+    }
+}
