--- a/crates/configuration/src/schema.rs
+++ b/crates/configuration/src/schema.rs
@@ -113,7 +113,7 @@
         naming: Naming::Unnamed,
         help: "What clients may take of the proxy, and for how long. `sockets` and `memory` may only be under what the platform states.",
         directives: &[
-            directive("client-patience", One(time(200, 30_000)), "2s", "client-patience 500ms", "a client that comes to no sound request within this, or does not end a command that it began, is told so and put out"),
+            directive("client-patience", One(time(200, 30_000)), "2500ms", "client-patience 500ms", "a client that comes to no sound request within this, or does not end a command that it began, is told so and put out"),
             directive("client-idle", One(time(100, HOUR)), "2s", "client-idle 30s", "among many clients, a connection is kept between requests for this long"),
             directive("answer-unread", One(time(1_000, 10 * MINUTE)), "10s", "answer-unread 5s", "a client that takes nothing of its answers for this long is given up"),
             directive("goodbye", One(time(100, 10_000)), "1s", "goodbye 2s", "a client that was told why its connection ends has this long to read it"),
--- a/crates/leverproxy/src/cli.rs
+++ b/crates/leverproxy/src/cli.rs
@@ -188,13 +188,19 @@
         Err(_) => return ExitCode::FAILURE,
     };
     let whole = config.whole.clone();
-    let served = Proxy::start(config).and_then(|(mut proxy, control)| {
-        proxy.reread_with(move || crate::config::reread(&variable, &whole))?;
-        control.heed_signals()?;
-        let served = proxy.run();
-        proxy.report();
-        served
-    });
+    let (mut proxy, control) = match Proxy::start(config) {
+        Ok(started) => started,
+        Err(error) => {
+            // An address that is taken or not of this machine, most of all: nothing has been served.
+            eprintln!("leverproxy: {error}");
+            return ExitCode::from(MISUSE);
+        }
+    };
+    let served = proxy
+        .reread_with(move || crate::config::reread(&variable, &whole))
+        .and_then(|()| control.heed_signals())
+        .and_then(|()| proxy.run());
+    proxy.report();
     match served {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/crates/leverproxy/tests/operators.rs
+++ b/crates/leverproxy/tests/operators.rs
@@ -236,7 +236,7 @@
     assert_eq!((limits.clients, limits.upstream), (568 * 3 / 5, 568 - 568 * 3 / 5));
     assert_eq!((limits.crowded, limits.packed, limits.unfinished), (100, 150, 6 << 20));
     let patience = config.patience;
-    assert_eq!((patience.first, patience.idle), (Duration::from_secs(2), Duration::from_secs(2)));
+    assert_eq!((patience.first, patience.idle), (Duration::from_millis(2_500), Duration::from_secs(2)));
     assert_eq!((patience.unread, patience.goodbye), (Duration::from_secs(10), Duration::from_secs(1)));
     assert_eq!((patience.pipeline, patience.unsent), (32, 64 << 10));
     assert_eq!(config.watch_silence, Duration::from_secs(3));
--- a/crates/leverproxy/tests/settings.rs
+++ b/crates/leverproxy/tests/settings.rs
@@ -82,3 +82,23 @@
     until(admin, "lb_reloads_ok_total 1");
     rejected(&mut client, 100, "any");
 }
+
+/// A second address that can't be had is a fault of the configuration, told by its key.
+#[test]
+fn a_second_address_that_is_taken_or_none_is_named() {
+    let taken = Listener::new();
+    for address in [taken.address.to_string(), "nowhere".into()] {
+        let file = common::Scratch::new(&format!(r#"{{"settings":{SETTINGS}}}"#));
+        let output = std::process::Command::new(env!("CARGO_BIN_EXE_leverproxy"))
+            .arg("serve")
+            .env("LB_CONFIG", &file.0)
+            .env("LB_LISTEN", "127.0.0.1:0")
+            .env("LB_DISCOVERY", taken.address.to_string())
+            .env("LB_ADMIN", &address)
+            .output()
+            .unwrap();
+        let said = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!(output.status.code(), Some(2), "{said}");
+        assert!(said.contains("admin"), "{said}");
+    }
+}
