Tests of calls cut anywhere and of figures over a run; policy directives take at reload

Need: two hard cases of the issue had no test over sockets.

Change: both tests; tries, second-copies, probes and come-back-most take at reload.

--- a/crates/configuration/src/schema.rs
+++ b/crates/configuration/src/schema.rs
@@ -212,10 +212,10 @@
         naming: Naming::Unnamed,
         help: "What the decision module is told beyond the platform's settings; each can only be tighter than these.",
         directives: &[
-            at_start(directive("tries", One(count(1, 1_000)), "", "tries 4", "attempts for any request")),
-            at_start(directive("second-copies", One(YES), "yes", "second-copies no", "whether a second copy may be sent while the first runs")),
-            at_start(directive("probes", One(YES), "yes", "probes no", "whether record servers are probed")),
-            at_start(directive("come-back-most", One(time(1, 10 * MINUTE)), "", "come-back-most 1s", "the longest that a refused client is told to wait")),
+            directive("tries", One(count(1, 1_000)), "", "tries 4", "attempts for any request"),
+            directive("second-copies", One(YES), "yes", "second-copies no", "whether a second copy may be sent while the first runs"),
+            directive("probes", One(YES), "yes", "probes no", "whether record servers are probed"),
+            directive("come-back-most", One(time(1, 10 * MINUTE)), "", "come-back-most 1s", "the longest that a refused client is told to wait"),
         ],
     },
     Section {
--- a/crates/leverproxy/tests/admin.rs
+++ b/crates/leverproxy/tests/admin.rs
@@ -1,7 +1,7 @@
 //! Operators' calls on the second address of a real proxy between scripted peers.
 
 mod common;
-use common::{get, post, read, Listener, Peer, Stage};
+use common::{call, get, post, read, Listener, Peer, Stage};
 use leverproxy::admin::CONNECTIONS;
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
@@ -114,3 +114,75 @@
     assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
     assert_eq!(get(admin, "/api/readyz").0, 404);
 }
+
+/// A call cut at every byte, its caller gone or waiting: nothing changes, and a whole one behind them all is answered.
+#[test]
+fn a_call_cut_anywhere_changes_nothing() {
+    let server = Listener::new();
+    let (_stage, admin) = stage(&[("s-1", &server)]);
+    let body = r#"{"target":"s-1"}"#;
+    let text =
+        format!("POST /api/exclude HTTP/1.1\r\nHost: a\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    let mut waiting = Vec::new();
+    for cut in 0..text.len() {
+        let mut stream = TcpStream::connect(admin).unwrap();
+        stream.write_all(&text.as_bytes()[..cut]).unwrap();
+        if cut % 2 == 0 {
+            waiting.push(stream);
+        }
+    }
+    assert_eq!(figures(admin)["lb_record_servers_excluded"], 0);
+    assert_eq!(call(admin, &format!("{text}GET /api/ready HTTP/1.1\r\n\r\n")).0, 400);
+    assert_eq!(figures(admin)["lb_record_servers_excluded"], 0);
+    assert_eq!(post(admin, "exclude", "s-1"), 200);
+    assert_eq!(figures(admin)["lb_record_servers_excluded"], 1);
+}
+
+/// Refusals, errors, retries, a server lost, clients that leave: the figures against a ledger that the peers keep.
+#[test]
+fn figures_over_a_run_equal_the_peers_ledger() {
+    let server = Listener::new();
+    let (stage, admin) = stage(&[("s-1", &server)]);
+    let mut client = Peer::client(stage.address);
+    // Warms up: the first of a class may be preceded by a probe, which is no attempt.
+    let (mut served, mut failed, mut attempts) = (0, 0, 0);
+    let mut upstream = None;
+    for id in 0..60 {
+        client.ask(&read(id, "book", 19000));
+        let peer = upstream.get_or_insert_with(|| server.welcome());
+        let mut asked = peer.query();
+        if asked == "SHOW load" {
+            peer.answer("x0=1.0,x1=1,backlog=0", &[]);
+            asked = peer.query();
+        }
+        assert!(asked.contains(&format!("id={id:016x}")), "{asked}");
+        attempts += 1;
+        match id % 3 {
+            0 => peer.answer("value", &[("role", "primary")]),
+            // A write that may have run fails and is not tried again.
+            _ if id < 59 => peer.error("XX000"),
+            // The last one's connection breaks: the server is left alone for a while then.
+            _ => upstream = None,
+        }
+        match client.reply() {
+            reply if reply.value.is_some() => served += 1,
+            reply if reply.code.as_deref() == Some("53300") => panic!("refused, though it may have run"),
+            _ => failed += 1,
+        }
+    }
+    // One leaves while it is under way.
+    client.ask(&read(100, "any", 19000));
+    let peer = upstream.get_or_insert_with(|| server.welcome());
+    while peer.query() == "SHOW load" {
+        peer.answer("x0=1.0,x1=1,backlog=0", &[]);
+    }
+    drop(client);
+    common::until(admin, "lb_in_flight 0");
+    let told = figures(admin);
+    assert_eq!((served, failed), (20, 40));
+    assert_eq!(told[r#"lb_requests_total{class="book",outcome="served"}"#], served);
+    assert_eq!(told[r#"lb_requests_total{class="book",outcome="failed"}"#], failed);
+    assert_eq!(told[r#"lb_requests_total{class="book",outcome="refused"}"#], 0);
+    assert_eq!(told["lb_attempts_total"], attempts + 1);
+    assert_eq!(told.iter().filter(|(k, _)| k.contains("\"any\"")).map(|(_, v)| v).sum::<u64>(), 0);
+}
