--- a/crates/mountshift/src/decide.rs
+++ b/crates/mountshift/src/decide.rs
@@ -259,8 +259,8 @@
         router
     }
 
-    /// From now on by these settings. Classes keep their places, so that requests under way keep theirs, with its
-    /// rights; one at a new place begins with what is known of its heir's, the class that it stands in for.
+    /// From now on by these settings. Classes keep their places, so that requests under way keep theirs with
+    /// its rights; one at a new place begins with what is known of the class that it stands in for.
     pub fn configure(&mut self, settings: Settings, heirs: &[Option<ClassId>]) {
         let aims = settings.classes.iter().map(|c| c.aim).filter(|aim| !aim.is_zero());
         self.tightest_aim = aims.min().unwrap_or(AIM_UNSTATED);
