The module's new settings under way and what it avoids have tests of their own

Need: configure and avoided were tested through the program only. Change: a write under way keeps its class's rights, attempts lowered count at once, leaving and resting members are told.

--- a/crates/mountshift/tests/rules.rs
+++ b/crates/mountshift/tests/rules.rs
@@ -768,3 +768,50 @@
     }
     assert!((1..=20).contains(&alarms), "{alarms} alarms for {} held requests", held.len());
 }
+
+/// A write under way keeps its class's rights where a stricter class takes the name; new ones have the new rights. Fewer
+/// attempts count at once, and what the class takes is known from before.
+#[test]
+fn new_settings_leave_requests_under_way_their_rights() {
+    let mut bench = Bench::new(settings(), 2);
+    let (kept, _) = bench.ask(WRITE);
+    let mut next = settings();
+    let place = next.classes.len() as u16;
+    next.classes.push(Class { effect: Effect::Unsafe, ..next.classes[usize::from(WRITE)].clone() });
+    let mut heirs = vec![None; usize::from(place)];
+    heirs.push(Some(ClassId(WRITE)));
+    bench.router.configure(next.clone(), &heirs);
+    let (strict, actions) = bench.ask(place);
+    let mut actions = [actions, bench.end(kept, 0, 1, Outcome::Failed)].concat();
+    actions.extend(bench.pass(100));
+    assert!(
+        sends(&actions).contains(&1) && !failed(&actions, kept),
+        "repeated inside its window: {actions:?}"
+    );
+    bench.end(kept, 1, 1, Outcome::Ok);
+    let mut ended = bench.pass(200);
+    ended.extend(bench.end(strict, 0, 1, Outcome::Failed));
+    ended.extend(bench.pass(1_000));
+    assert!(failed(&ended, strict) || refused(&ended, strict), "{ended:?}");
+    // One attempt in all from now on.
+    bench.router.configure(Settings { try_limit: 1, ..next }, &[]);
+    let (once, _) = bench.ask(ANY);
+    let mut actions = bench.end(once, 0, 2, Outcome::Failed);
+    actions.extend(bench.pass(1_000));
+    assert!(sends(&actions).is_empty(), "{actions:?}");
+}
+
+#[test]
+fn what_leaves_or_rests_is_told_as_avoided() {
+    let mut bench = Bench::new(settings(), 3);
+    assert_eq!(bench.router.avoided(bench.now), 0);
+    bench.list(vec![entry(2, Listed::Draining)]);
+    assert_eq!(bench.router.avoided(bench.now), 1);
+    let (id, _) = bench.ask(WRITE);
+    bench.end(id, 0, 1, Outcome::ConnectFailed);
+    assert_eq!(bench.router.avoided(bench.now), 2);
+    bench.wait(10_000 * MS);
+    assert_eq!(bench.router.avoided(bench.now), 1);
+    bench.list(vec![entry(2, Listed::Gone)]);
+    assert_eq!(bench.router.avoided(bench.now), 0);
+}
