--- a/crates/leverproxy/src/config.rs
+++ b/crates/leverproxy/src/config.rs
@@ -134,7 +134,7 @@
 
 impl Limits {
     /// What is left beside another process that holds so many.
-    pub fn beside(self, clients: usize, upstream: usize) -> Limits {
+    pub fn beside(self, (clients, upstream): (usize, usize)) -> Limits {
         let left = |all: usize, used: usize| all.saturating_sub(used).max(all / 4);
         Limits { clients: left(self.clients, clients), upstream: left(self.upstream, upstream), ..self }
     }
--- a/crates/leverproxy/src/proxy.rs
+++ b/crates/leverproxy/src/proxy.rs
@@ -39,6 +39,8 @@
     knocks: bool,
     limits: Limits,
     patience: Patience,
+    /// Clients and connections to record servers that the process before this one holds.
+    elder_holds: (usize, usize),
     reloads: Option<Reloads>,
     /// There was a process before this one of which nothing is known: discovery has to speak first.
     unheard: bool,
@@ -79,10 +81,8 @@
                 (Some(listener).filter(|_| ours), Some(estate), Some(link), false)
             }
         };
-        let limits = match &estate {
-            Some(estate) => config.limits.beside(estate.clients, estate.upstream),
-            None => config.limits,
-        };
+        let elder_holds = estate.as_ref().map_or((0, 0), |estate| (estate.clients, estate.upstream));
+        let limits = config.limits.beside(elder_holds);
         let shared = config.takeover.is_some();
         let mut front = Front::listen(config.listen, inherited, shared, limits, config.patience, &reactor)?;
         front.set_balancers(config.checks.clone(), config.proxy_from.clone());
@@ -150,6 +150,7 @@
             knocks,
             limits: config.limits,
             patience: config.patience,
+            elder_holds,
             reloads: None,
             unheard,
             platform,
@@ -415,14 +416,13 @@
 
     /// What another process of this proxy has to tell.
     fn linked(&mut self, from: Key, word: takeover::Word, now: Instant) {
-        let Sides { reactor, front, upstream, takeover, .. } = &mut self.sides;
+        let Sides { reactor, front, takeover, .. } = &mut self.sides;
         let Some(takeover) = takeover else { return };
-        let (name, out) = match word {
+        let said = match word {
             takeover::Word::Said(Said::Serving) => {
                 log::info!("takeover: the next process serves; it is left to accept");
                 front.leave_to_heir(true, reactor);
-                // What both hold together must not grow here.
-                return upstream.set_limit(upstream.connections().max(1).min(self.limits.upstream));
+                return self.share_limits();
             }
             takeover::Word::Gone => {
                 log::info!("takeover: the other process is gone");
@@ -430,21 +430,31 @@
                 if front.listener().is_some() {
                     takeover.listen_again(reactor);
                 }
-                if !takeover.has_heir() && !takeover.has_elder() {
-                    front.set_limits(self.limits, self.patience);
-                    upstream.set_limit(self.limits.upstream);
+                if !takeover.has_elder() {
+                    self.elder_holds = (0, 0);
                 }
-                return;
+                return self.share_limits();
             }
-            takeover::Word::Said(said @ Said::Out(_)) => (said, true),
-            takeover::Word::Said(said) => (said, false),
+            takeover::Word::Said(said) => said,
         };
-        takeover.say(&name, Some(from), reactor);
-        if let Said::Out(name) | Said::In(name) = name {
+        takeover.say(&said, Some(from), reactor);
+        let out = matches!(said, Said::Out(_));
+        if let Said::Out(name) | Said::In(name) = said {
+            // One that this process has not heard of yet: its list is as late as discovery.
             _ = self.chain.hand(&name, out, &mut self.sides, now);
         }
     }
 
+    /// The limits that are left to this process: an heir has what its elder does not hold, which holds no more than it did.
+    fn share_limits(&mut self) {
+        let limits = self.limits.beside(self.elder_holds);
+        let Sides { front, upstream, takeover, .. } = &mut self.sides;
+        front.set_limits(limits, self.patience);
+        let has_heir = takeover.as_ref().is_some_and(Takeover::has_heir);
+        let held = upstream.connections().max(1);
+        upstream.set_limit(if has_heir { held.min(limits.upstream) } else { limits.upstream });
+    }
+
     fn figures(&self, now: Instant) -> Answer {
         let counters = &self.chain.counters;
         let (known, excluded) = self.chain.record_servers(now);
@@ -517,12 +527,10 @@
         let rules = Rules { places: succession.places.clone(), ..config.rules };
         self.chain.configure(succession, config.dial_timeout);
         self.sides.upstream.set_times(config.dial_timeout, config.idle_limit);
-        let Sides { front, upstream, .. } = &mut self.sides;
-        front.set_limits(config.limits, config.patience);
-        front.set_balancers(config.checks.clone(), config.proxy_from.clone());
+        self.sides.front.set_balancers(config.checks.clone(), config.proxy_from.clone());
         (self.limits, self.patience) = (config.limits, config.patience);
+        self.share_limits();
         self.drain.configure(drain_settings);
-        upstream.set_limit(config.limits.upstream);
         crate::logging::set(&config.logging);
         let routes = rules.rulings.len();
         let former = self.chain.set_rules(rules);
--- a/crates/leverproxy/tests/admin.rs
+++ b/crates/leverproxy/tests/admin.rs
@@ -1,7 +1,7 @@
 //! Operators' calls on the second address of a real proxy between scripted peers.
 
 mod common;
-use common::{call, get, post, read, Listener, Peer, Stage};
+use common::{call, get, post, read, served, Listener, Peer, Stage};
 use leverproxy::admin::CONNECTIONS;
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
@@ -76,19 +76,11 @@
     assert_eq!(figures(admin)["lb_record_servers_excluded"], 1);
     stage.watch.tell(42, &[first.listed("s-1", "Ready")]);
     let mut client = Peer::client(stage.address);
-    client.ask(&read(1, "any", 19000));
-    let mut upstream = second.welcome();
-    upstream.query();
-    upstream.answer("one", &[]);
-    assert_eq!(client.reply().value.as_deref(), Some("one"));
+    drop(served(&mut client, &second, 1, "one"));
     assert!(first.try_accept().is_none());
     assert_eq!(post(admin, "include", "s-1"), 200);
     assert_eq!(post(admin, "exclude", "s-2"), 200);
-    client.ask(&read(2, "any", 19000));
-    let mut upstream = first.welcome();
-    upstream.query();
-    upstream.answer("back", &[]);
-    assert_eq!(client.reply().value.as_deref(), Some("back"));
+    drop(served(&mut client, &first, 2, "back"));
     assert!(second.try_accept().is_none());
 }
 
--- a/crates/leverproxy/tests/common/mod.rs
+++ b/crates/leverproxy/tests/common/mod.rs
@@ -297,9 +297,21 @@
     call(admin, &format!("POST /api/{word} HTTP/1.1\r\nHost: a\r\nContent-Length: {length}\r\n\r\n{body}")).0
 }
 
+/// A request goes to a record server on a new connection, which is returned, and its value comes back.
+pub fn served(client: &mut Peer, server: &Listener, id: u32, value: &str) -> Peer {
+    client.ask(&read(id, "any", 19000));
+    let mut upstream = server.welcome();
+    upstream.query();
+    upstream.answer(value, &[]);
+    assert_eq!(client.reply().value.as_deref(), Some(value));
+    upstream
+}
+
 /// Asks until the figure is this; the word that changes it is on its way.
 pub fn until(admin: SocketAddr, line: &str) {
+    let begun = std::time::Instant::now();
     while !get(admin, "/api/telemetry").1.lines().any(|l| l == line) {
+        assert!(begun.elapsed() < PATIENCE, "{line} is not told");
         thread::yield_now();
     }
 }
--- a/crates/leverproxy/tests/large.rs
+++ b/crates/leverproxy/tests/large.rs
@@ -5,7 +5,7 @@
 use leverproxy::front::{Event, Front};
 use leverproxy::reactor::{Reactor, Token};
 use leverproxy::request::{Answer, Ticket};
-use std::io::Read;
+use std::io::{Read, Write};
 use std::time::{Duration, Instant};
 
 /// A value whose bytes tell their places.
@@ -98,6 +98,31 @@
     assert!(client.reply().value == Some(large));
 }
 
+/// Large values on their way to clients that read nothing keep no small request from its answer.
+#[test]
+fn small_requests_pass_beside_held_back_values() {
+    let server = Listener::new();
+    let stage = Stage::new(&[("s-1", &server)]);
+    let bytes = std::sync::Arc::new(answer(&value(4 << 20), &[]));
+    let held: Vec<Peer> = (0..12)
+        .map(|id| {
+            let mut client = Peer::client(stage.address);
+            client.ask(&read(id, "any", 19000));
+            let mut upstream = server.welcome();
+            upstream.query();
+            let bytes = bytes.clone();
+            std::thread::spawn(move || upstream.stream.write_all(&bytes));
+            // Its first bytes are there; the rest waits for who never reads it.
+            assert_eq!(client.message().unwrap().0, b'T');
+            client
+        })
+        .collect();
+    for id in 100..110 {
+        drop(common::served(&mut Peer::client(stage.address), &server, id, "small"));
+    }
+    drop(held);
+}
+
 /// What is no row of its length costs its attempt only, while nothing of it has passed.
 #[test]
 fn a_length_beyond_all_values_is_a_lie() {
--- a/crates/leverproxy/tests/upgrade.rs
+++ b/crates/leverproxy/tests/upgrade.rs
@@ -1,7 +1,7 @@
 //! One proxy in two processes: what an elder leaves to its heir, at every step of an upgrade.
 
 mod common;
-use common::{get, post, read, until, Listener, Peer, Scratch, Stage};
+use common::{get, post, read, served, until, Listener, Peer, Scratch, Stage};
 use std::io::Write;
 use std::net::SocketAddr;
 use std::os::unix::net::UnixListener;
@@ -23,13 +23,6 @@
     scratch
 }
 
-fn served(client: &mut Peer, upstream: &mut Peer, id: u32) {
-    client.ask(&read(id, "any", 19000));
-    upstream.query();
-    upstream.answer("value", &[]);
-    assert_eq!(client.reply().value.as_deref(), Some("value"));
-}
-
 #[test]
 fn the_heir_serves_from_the_same_queue_and_the_elder_ends_what_it_has() {
     let (place, server) = (place(), Listener::new());
@@ -58,12 +51,11 @@
     assert!(old.ended(), "nothing is owed on it");
     elder.end();
     let mut after = Peer::client(heir.address);
-    after.ask(&read(2, "any", 19000));
-    let mut at_heir = server.welcome();
+    let mut at_heir = served(&mut after, &server, 2, "new");
+    between.ask(&read(3, "any", 19000));
     at_heir.query();
-    at_heir.answer("new", &[]);
-    assert_eq!(after.reply().value.as_deref(), Some("new"));
-    served(&mut between, &mut at_heir, 3);
+    at_heir.answer("value", &[]);
+    assert_eq!(between.reply().value.as_deref(), Some("value"));
 }
 
 #[test]
@@ -74,11 +66,7 @@
     heir.control.stop();
     heir.end();
     let mut client = Peer::client(elder.address);
-    client.ask(&read(1, "any", 19000));
-    let mut upstream = server.welcome();
-    upstream.query();
-    upstream.answer("value", &[]);
-    assert_eq!(client.reply().value.as_deref(), Some("value"));
+    drop(served(&mut client, &server, 1, "value"));
     // The next one finds the elder as the first did.
     assert_eq!(get(elder_admin, "/api/ready").0, 200);
     let (second, admin) = stage(&place.0, &[]);
--- a/crates/mountshift/tests/rules.rs
+++ b/crates/mountshift/tests/rules.rs
@@ -793,8 +793,13 @@
     ended.extend(bench.end(strict, 0, 1, Outcome::Failed));
     ended.extend(bench.pass(1_000));
     assert!(failed(&ended, strict) || refused(&ended, strict), "{ended:?}");
-    // One attempt in all from now on.
+    // One attempt in all from now on, under what one under way has used already.
+    let (used, _) = bench.ask(ANY);
+    let first = bench.end(used, 0, 2, Outcome::Full);
     bench.router.configure(Settings { try_limit: 1, ..next }, &[]);
+    let mut rest = bench.end(used, 1, sends(&first)[0], Outcome::Failed);
+    rest.extend(bench.pass(1_000));
+    assert!(sends(&rest).is_empty(), "{rest:?}");
     let (once, _) = bench.ask(ANY);
     let mut actions = bench.end(once, 0, 2, Outcome::Failed);
     actions.extend(bench.pass(1_000));
