--- a/crates/leverlab/src/check.rs
+++ b/crates/ledger/src/lib.rs
@@ -147,6 +147,11 @@
         }
     }
 
+    /// Whether a proxy has been told to send nothing more to a server.
+    pub fn leaves(&self, proxy: usize, server: ServerId) -> bool {
+        self.leaving.contains_key(&(proxy, server))
+    }
+
     pub fn sends(&mut self, id: TryId, server: ServerId, now: Micros) {
         let Some(open) = self.open.get_mut(&id) else { return };
         let again = open.may_have_run || open.out > 0;
--- a/crates/leverlab/src/file.rs
+++ b/crates/leverlab/src/file.rs
@@ -1,7 +1,7 @@
 //! Files of experiments, in the project's configuration language, made into scenarios, policies and experiments.
 
 use crate::policy::{Name, Policy, NAMES};
-use crate::scenario::{Platform, Scenario, Target, Trouble, Weights, What, SECOND};
+use crate::scenario::{Scenario, Target, Trouble, Weights, What, SECOND};
 use crate::table::TABLE;
 use configuration::check::Section;
 use configuration::diagnostic::{self, nearest, Diagnostic};
@@ -15,6 +15,7 @@
 use std::time::Duration;
 use world::clients::{self, Kind, Need, Repeat, Tenant, SURGE_MOST};
 use world::law::{Law, Work};
+use world::platform::Platform;
 use world::{catalog, group, network, server, site, Micros};
 
 /// Who decides, by a name.
--- a/crates/leverlab/src/play/mod.rs
+++ b/crates/leverlab/src/play/mod.rs
@@ -3,7 +3,6 @@
 mod host;
 mod troubles;
 
-use crate::check::{Checker, Final, Rule};
 use crate::file::AFTER;
 use crate::policy::{Decider, Policy};
 use crate::scenario::{Scenario, ORIGIN};
@@ -11,6 +10,7 @@
 use engine::streams::{Stream, Streams};
 use engine::wheel::Wheel;
 use host::{entry, store, Eyes, Host};
+use ledger::{Checker, Final, Rule};
 use mountshift::{
     Action, Arrival, AttemptNo, ClassId, Ended, Event, GroupId, ListNews, Listed, Note, Outcome, Report,
     RequestId, SessionKey, StoreId, TenantId, Time, TimerToken,
--- a/crates/leverlab/src/summary.rs
+++ b/crates/leverlab/src/summary.rs
@@ -1,10 +1,10 @@
 //! Cells put together: a row for each scenario and policy, with the policy compared by pairs of seeds.
 
-use crate::check::Rule;
 use crate::stats::{paired, Difference, Verdict};
 use crate::store::Cell;
 use crate::tally::{histogram, Outcomes};
 use hdrhistogram::Histogram;
+use ledger::Rule;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
--- a/crates/leverlab/src/tally.rs
+++ b/crates/leverlab/src/tally.rs
@@ -1,9 +1,9 @@
 //! The books of a run: goodput as a whole and of its worst parts, latencies, and what happened when.
 
-use crate::check::Rule;
 use crate::scenario::{Scenario, Weights, SECOND};
 use hdrhistogram::serialization::{Deserializer, Serializer, V2Serializer};
 use hdrhistogram::Histogram;
+use ledger::Rule;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use world::clients::{End, Settled};
--- a/crates/leverlab/tests/runs.rs
+++ b/crates/leverlab/tests/runs.rs
@@ -1,6 +1,6 @@
 //! Runs as a whole: the same again, rules caught, bounds kept.
 
-use leverlab::check::{Rule, RULES};
+use ledger::{Rule, RULES};
 use leverlab::file::{suite, Book};
 use leverlab::play::{play, play_with};
 use leverlab::policy::{Decider, Name, Policy, View, NAMES};
@@ -194,9 +194,9 @@
         assert!(outcome.broken.contains_key(&rule), "{rule:?}: {:?}", outcome.broken);
     }
     // What no policy can do: an answer to a write that nobody applied.
-    let mut checker = leverlab::check::Checker::new(0, 0);
+    let mut checker = ledger::Checker::new(0, 0);
     checker.asks(1, 1, world::clients::Repeat::Never, true, 0, 1_000);
-    checker.answers(1, leverlab::check::Final::Served, 10);
+    checker.answers(1, ledger::Final::Served, 10);
     checker.close();
     assert!(checker.broken.contains_key(&Rule::Phantom));
 }
--- /dev/null
+++ b/crates/rig/src/link.rs
@@ -0,0 +1,220 @@
+//! A relay for each link, and what goes wrong on it.
+
+use crate::process::Fault;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_xoshiro::Xoshiro256PlusPlus;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::Handle;
+use tokio::sync::watch;
+
+/// How bytes go one way.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Flow {
+    #[default]
+    Passes,
+    /// Nothing comes through. What was sent waits until the link is healed, as TCP sends it again.
+    Cut,
+    /// Each piece is later by a time between these.
+    Late(Duration, Duration),
+    /// Part of the pieces is lost once: later by this.
+    Lossy { part: f64, resend: Duration },
+    /// Pieces of so many bytes, with this between them.
+    Trickles { bytes: usize, gap: Duration },
+}
+
+/// What becomes of a new connection.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Entry {
+    #[default]
+    Open,
+    /// It is reset at once.
+    Refused,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct State {
+    /// From those who dial to those who are dialled, and back.
+    there: Flow,
+    back: Flow,
+    entry: Entry,
+    /// Grows when all connections are to be reset.
+    resets: u64,
+    target: Option<SocketAddr>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Link {
+    pub address: SocketAddr,
+    state: Arc<watch::Sender<State>>,
+    /// Connections that were taken, and are open.
+    counts: Arc<watch::Sender<(u64, u64)>>,
+}
+
+impl Link {
+    /// A relay on a port of its own; without a target it refuses.
+    pub fn open(on: &Handle, target: Option<SocketAddr>, seed: u64) -> Result<Link, Fault> {
+        let bound = std::net::TcpListener::bind("127.0.0.1:0").and_then(|listener| {
+            listener.set_nonblocking(true)?;
+            let address = listener.local_addr()?;
+            let _on = on.enter();
+            Ok((TcpListener::from_std(listener)?, address))
+        });
+        let (listener, address) = bound.map_err(|e| Fault::new(format!("no port for a link: {e}")))?;
+        let state = Arc::new(watch::Sender::new(State { target, ..State::default() }));
+        let counts = Arc::new(watch::Sender::new((0, 0)));
+        let link = Link { address, state, counts };
+        on.spawn(link.clone().serve(listener, seed));
+        Ok(link)
+    }
+
+    pub fn lead_to(&self, target: Option<SocketAddr>) {
+        self.state.send_modify(|state| state.target = target);
+    }
+
+    pub fn set(&self, there: Flow, back: Flow) {
+        self.state.send_modify(|state| (state.there, state.back) = (there, back));
+    }
+
+    pub fn cut(&self) {
+        self.set(Flow::Cut, Flow::Cut);
+    }
+
+    pub fn refuse(&self) {
+        self.state.send_modify(|state| state.entry = Entry::Refused);
+    }
+
+    /// All passes again; what was held back comes now.
+    pub fn heal(&self) {
+        self.state.send_modify(|s| (s.there, s.back, s.entry) = (Flow::Passes, Flow::Passes, Entry::Open));
+    }
+
+    /// All connections end with a reset.
+    pub fn reset(&self) {
+        self.state.send_modify(|state| state.resets += 1);
+    }
+
+    /// Connections so far.
+    pub fn taken(&self) -> u64 {
+        self.counts.borrow().0
+    }
+
+    /// Connections that are open.
+    pub fn connections(&self) -> u64 {
+        self.counts.borrow().1
+    }
+
+    /// Waits until so many connections were taken.
+    pub async fn until_taken(&self, number: u64) {
+        _ = self.counts.subscribe().wait_for(|(taken, _)| *taken >= number).await;
+    }
+
+    async fn serve(self, listener: TcpListener, seed: u64) {
+        let mut number = 0;
+        while let Ok((near, _)) = listener.accept().await {
+            number += 1;
+            self.counts.send_modify(|(taken, open)| (*taken, *open) = (*taken + 1, *open + 1));
+            let link = self.clone();
+            tokio::spawn(async move {
+                link.carry(near, seed.wrapping_add(number << 1)).await;
+                link.counts.send_modify(|(_, open)| *open -= 1);
+            });
+        }
+    }
+
+    async fn carry(&self, near: TcpStream, seed: u64) {
+        _ = near.set_nodelay(true);
+        let now = *self.state.borrow();
+        let target = now.target.filter(|_| now.entry == Entry::Open);
+        let far = match target {
+            Some(target) => TcpStream::connect(target).await.ok(),
+            None => None,
+        };
+        let Some(far) = far else { return reset(&near) };
+        _ = far.set_nodelay(true);
+        let mut watched = self.state.subscribe();
+        let born = now.resets;
+        let there = pump(&near, &far, self.state.subscribe(), |s| s.there, seed);
+        let back = pump(&far, &near, self.state.subscribe(), |s| s.back, seed | 1);
+        let whole = tokio::select! {
+            both = async { tokio::try_join!(there, back) } => both.is_ok(),
+            _ = watched.wait_for(|s| s.resets > born) => false,
+        };
+        if !whole {
+            reset(&near);
+            reset(&far);
+        }
+    }
+}
+
+pub fn reset(stream: &TcpStream) {
+    _ = rustix::net::sockopt::set_socket_linger(stream, Some(Duration::ZERO));
+}
+
+pub async fn read(from: &TcpStream, bytes: &mut [u8]) -> io::Result<usize> {
+    loop {
+        from.readable().await?;
+        match from.try_read(bytes) {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            read => return read,
+        }
+    }
+}
+
+pub async fn write_all(to: &TcpStream, mut bytes: &[u8]) -> io::Result<()> {
+    while !bytes.is_empty() {
+        to.writable().await?;
+        match to.try_write(bytes) {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            written => bytes = &bytes[written?..],
+        }
+    }
+    Ok(())
+}
+
+/// Carries one direction until its end, which it passes on.
+async fn pump(
+    from: &TcpStream,
+    to: &TcpStream,
+    mut state: watch::Receiver<State>,
+    flow: fn(&State) -> Flow,
+    seed: u64,
+) -> io::Result<()> {
+    let gone = |_| io::Error::from(io::ErrorKind::NotConnected);
+    let mut draws = Xoshiro256PlusPlus::seed_from_u64(seed);
+    let mut bytes = vec![0; 16 << 10];
+    loop {
+        let read = read(from, &mut bytes).await;
+        state.wait_for(|s| flow(s) != Flow::Cut).await.map_err(gone)?;
+        let n = read?;
+        if n == 0 {
+            return Ok(rustix::net::shutdown(to, rustix::net::Shutdown::Write)?);
+        }
+        let (mut piece, mut gap) = (n, Duration::ZERO);
+        let now = flow(&state.borrow());
+        match now {
+            Flow::Passes | Flow::Cut => {}
+            Flow::Late(least, most) => {
+                tokio::time::sleep(least + most.saturating_sub(least).mul_f64(draws.random())).await;
+            }
+            Flow::Lossy { part, resend } => {
+                if draws.random::<f64>() < part {
+                    tokio::time::sleep(resend).await;
+                }
+            }
+            Flow::Trickles { bytes, gap: between } => (piece, gap) = (bytes.max(1), between),
+        }
+        for part in bytes[..n].chunks(piece) {
+            // A cut in the midst holds the rest.
+            state.wait_for(|s| flow(s) != Flow::Cut).await.map_err(gone)?;
+            write_all(to, part).await?;
+            if !gap.is_zero() {
+                tokio::time::sleep(gap).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/rig/src/load.rs
@@ -0,0 +1,124 @@
+//! Clients on sockets: what the truth's clients are to ask, asked.
+
+use crate::process::lock;
+use crate::servers::exchange;
+use crate::truth::{Errand, Truth};
+use crate::wire::{Connection, Idle};
+use ledger::Rule;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use tokio::sync::mpsc;
+use world::clients::{Need, Settings, Try};
+
+/// Connections that nothing is on, by proxy.
+type Pools = Arc<Vec<Mutex<Vec<Connection>>>>;
+
+pub struct Load {
+    pools: Pools,
+    truth: Truth,
+}
+
+/// A client's statement, as the protocol has it.
+pub fn statement(truth: &Truth, set: &Settings, asked: &Try) -> String {
+    let kind = &set.kinds[asked.kind];
+    let mut comment = format!("id={:016x},c={}", asked.id, kind.name);
+    if let Some(tenant) = set.tenants.get(asked.tenant) {
+        comment += &format!(",t={}", tenant.name);
+    }
+    comment += &format!(",d={},cluster={}", asked.wait / 1_000, asked.group);
+    if asked.wrote > 0 {
+        comment += &format!(",after={}", truth.unix(asked.wrote).as_micros().div_ceil(1_000));
+    }
+    if asked.repeated {
+        comment += ",r=1";
+    }
+    let key = asked.session;
+    match kind.need {
+        Need::Write => {
+            format!(
+                "INSERT INTO items (id, doc) VALUES ('{key:016x}', '\\x9f03') RETURNING doc /* {comment} */"
+            )
+        }
+        _ => format!("SELECT doc FROM items WHERE id = '{key:016x}' /* {comment} */"),
+    }
+}
+
+impl Load {
+    /// `proxies`: where clients find each.
+    pub fn new(
+        truth: Truth,
+        set: Settings,
+        proxies: Vec<SocketAddr>,
+        mut errands: mpsc::UnboundedReceiver<Errand>,
+    ) -> Load {
+        let pools: Pools = Arc::new(proxies.iter().map(|_| Mutex::default()).collect());
+        let load = Load { pools: Arc::clone(&pools), truth: truth.clone() };
+        tokio::spawn(async move {
+            while let Some(errand) = errands.recv().await {
+                let (truth, pools) = (truth.clone(), Arc::clone(&pools));
+                let text = statement(&truth, &set, &errand.asked);
+                let address = proxies[errand.asked.proxy];
+                tokio::spawn(async move {
+                    let Errand { asked, cancelled, .. } = errand;
+                    tokio::select! {
+                        // Whoever gives up closes its connection.
+                        _ = cancelled => {}
+                        () = ask(&truth, &pools, address, &asked, &text) => {}
+                    }
+                });
+            }
+        });
+        load
+    }
+
+    /// Nothing was said on a connection after its last answer.
+    pub fn close(&self) {
+        for pool in self.pools.iter() {
+            lock(pool).drain(..).for_each(|mut connection| {
+                if connection.idle() == Idle::Spoke {
+                    self.truth.breaks(Rule::AnsweredTwice);
+                }
+            });
+        }
+    }
+}
+
+/// A connection that was used before and is fit for use.
+fn pooled(truth: &Truth, pool: &Mutex<Vec<Connection>>) -> Option<Connection> {
+    loop {
+        let mut connection = lock(pool).pop()?;
+        match connection.idle() {
+            Idle::Fit => return Some(connection),
+            Idle::Ended => {}
+            Idle::Spoke => truth.breaks(Rule::AnsweredTwice),
+        }
+    }
+}
+
+async fn ask(truth: &Truth, pools: &Pools, address: SocketAddr, asked: &Try, text: &str) {
+    let pool = &pools[asked.proxy];
+    for again in [false, true] {
+        let used = if again { None } else { pooled(truth, pool) };
+        let reused = used.is_some();
+        let connection = match used {
+            Some(connection) => Ok(connection),
+            None => Connection::open(address).await,
+        };
+        let Ok(mut connection) = connection else { return truth.gone(asked.id, false) };
+        match connection.ask(text).await {
+            Ok(reply) => {
+                if !reply.fatal {
+                    lock(pool).push(connection);
+                }
+                return match (&reply.value, reply.refused()) {
+                    (Some(value), _) => truth.served(asked.id, exchange(value, asked.id)),
+                    (None, true) => truth.refused(asked.id, reply.come_back()),
+                    (None, false) => truth.failed(asked.id),
+                };
+            }
+            // The proxy's close of an idle connection has crossed the request: it goes once more, on a new one.
+            Err(_) if reused => truth.crossed(),
+            Err(_) => return truth.gone(asked.id, true),
+        }
+    }
+}
--- /dev/null
+++ b/crates/rig/src/misrule.rs
@@ -0,0 +1,137 @@
+//! A proxy that breaks one rule on purpose: what the checkers are proven by. It knows the truth, so that it can.
+
+use crate::discovery::Addresses;
+use crate::link;
+use crate::process::Fault;
+use crate::truth::Truth;
+use crate::wire::{self, Connection, Reply};
+use ledger::Rule;
+use leverproxy::pg::server::{self, Asked, Startup};
+use leverproxy::pg::statement::{self, Query};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use world::site::ServerId;
+
+#[derive(Clone)]
+pub struct Misrule {
+    pub rule: Rule,
+    pub proxy: usize,
+    pub truth: Truth,
+    pub addresses: Arc<watch::Sender<Addresses>>,
+    /// Its way to the list's service.
+    pub list: SocketAddr,
+}
+
+/// Attempts that no platform of the rig allows.
+const TOO_MANY: usize = 50;
+
+impl Misrule {
+    pub async fn open(self) -> Result<SocketAddr, Fault> {
+        let bound = TcpListener::bind("127.0.0.1:0").await;
+        let listener = bound.map_err(|e| Fault::new(format!("no port for a planted proxy: {e}")))?;
+        let address = listener.local_addr().map_err(|e| Fault::new(format!("a planted proxy: {e}")))?;
+        // It is told what others are told, and heeds nothing of it.
+        let list = self.list;
+        tokio::spawn(async move {
+            let Ok(stream) = TcpStream::connect(list).await else { return };
+            let call = b"GET /catalog/members?watch=1&after=1 HTTP/1.1\r\nHost: list\r\n\r\n";
+            let mut bytes = [0; 4096];
+            if link::write_all(&stream, call).await.is_ok() {
+                while matches!(link::read(&stream, &mut bytes).await, Ok(n) if n > 0) {}
+            }
+        });
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let own = self.clone();
+                tokio::spawn(async move {
+                    _ = own.converse(&stream).await;
+                });
+            }
+        });
+        Ok(address)
+    }
+
+    async fn converse(&self, stream: &TcpStream) -> io::Result<()> {
+        let mut input = Vec::new();
+        let mut bytes = vec![0; 16 << 10];
+        let mut greeted = false;
+        let strange = || io::Error::from(io::ErrorKind::InvalidData);
+        loop {
+            if !greeted {
+                if let Some((Startup::Session(welcome), used)) =
+                    server::startup(&input).map_err(|_| strange())?
+                {
+                    input.drain(..used);
+                    greeted = true;
+                    link::write_all(stream, &welcome).await?;
+                }
+            }
+            if greeted {
+                while let Some((Asked::Query(text), used)) = server::asked(&input).map_err(|_| strange())? {
+                    let out = self.answer(text).await?;
+                    input.drain(..used);
+                    link::write_all(stream, &out).await?;
+                }
+            }
+            match link::read(stream, &mut bytes).await? {
+                0 => return Ok(()),
+                n => input.extend_from_slice(&bytes[..n]),
+            }
+        }
+    }
+
+    /// An error ends the connection.
+    async fn answer(&self, text: &str) -> io::Result<Vec<u8>> {
+        let Ok(Query::Request(request)) = statement::parse(text, Instant::now()) else {
+            return Ok(server::empty_query());
+        };
+        let (primary, member) = {
+            let inner = self.truth.look();
+            (inner.site.primary(request.group), inner.site.members(request.group).last().copied())
+        };
+        let (Some(primary), Some(member)) = (primary, member) else { return Ok(wire::error("53300", &[])) };
+        let target = if text.starts_with("INSERT") { primary } else { member };
+        Ok(match self.rule {
+            Rule::Unanswered => std::future::pending().await,
+            Rule::Lost => return Err(io::ErrorKind::ConnectionAborted.into()),
+            Rule::Phantom => wire::row("made by nobody", &[]),
+            Rule::AnsweredTwice => {
+                let once = shown(self.forward(target, text).await?);
+                [once.clone(), once].concat()
+            }
+            Rule::Repeated | Rule::Doubled => {
+                self.forward(target, text).await?;
+                shown(self.forward(target, text).await?)
+            }
+            Rule::TooManyAttempts => {
+                for _ in 0..TOO_MANY {
+                    self.forward(target, text).await?;
+                }
+                shown(self.forward(target, text).await?)
+            }
+            Rule::FalseRefusal => {
+                self.forward(target, text).await?;
+                wire::error("53300", &[])
+            }
+            // What is wrong is where it goes: to a server that drains, is cold or is behind, for all it knows.
+            Rule::Stale | Rule::Drained | Rule::Collapsed => shown(self.forward(target, text).await?),
+        })
+    }
+
+    async fn forward(&self, server: ServerId, text: &str) -> io::Result<Reply> {
+        let address = self.addresses.borrow().get(&(self.proxy, server)).copied();
+        let address = address.ok_or(io::ErrorKind::NotFound)?;
+        Connection::open(address).await?.ask(text).await
+    }
+}
+
+fn shown(reply: Reply) -> Vec<u8> {
+    match (reply.value, reply.code) {
+        (Some(value), _) => wire::row(&value, &[]),
+        (None, code) => wire::error(code.as_deref().unwrap_or("XX000"), &[]),
+    }
+}
--- /dev/null
+++ b/crates/rig/src/process.rs
@@ -0,0 +1,202 @@
+//! Programs as the rig starts, signals and ends them.
+
+use rustix::process::{getpid, kill_process, Pid, Signal};
+use std::collections::VecDeque;
+use std::fmt;
+use std::io::{BufRead, BufReader};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Nothing on the rig waits longer than this for an event; it is no bound on anything that is measured.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+/// Lines of a program that are kept.
+const LINES: usize = 4_000;
+
+/// A program that did not do as it should: what it said, and how it ended.
+#[derive(Debug)]
+pub struct Fault {
+    pub problem: String,
+    /// The last lines of its standard error.
+    pub words: Vec<String>,
+    pub code: Option<i32>,
+}
+
+impl Fault {
+    pub fn new(problem: impl Into<String>) -> Fault {
+        Fault { problem: problem.into(), words: Vec::new(), code: None }
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.problem)?;
+        if let Some(code) = self.code {
+            write!(f, " (exit code {code})")?;
+        }
+        self.words.iter().try_for_each(|line| write!(f, "\n  {line}"))
+    }
+}
+
+impl std::error::Error for Fault {}
+
+pub fn lock<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
+    of.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// The program of that name that was built beside the one that runs.
+pub fn built(name: &str) -> Result<PathBuf, Fault> {
+    let own = std::env::current_exe().map_err(|e| Fault::new(format!("where this program stands: {e}")))?;
+    // Tests stand in a folder below the programs.
+    let places = own.ancestors().skip(1).take(2).map(|folder| folder.join(name));
+    let found = places.into_iter().find(|path| path.is_file());
+    found.ok_or_else(|| Fault::new(format!("{name} is not built: cargo build --workspace builds it")))
+}
+
+/// A folder that goes with its owner.
+#[derive(Debug)]
+pub struct Folder(PathBuf);
+
+impl Folder {
+    pub fn new() -> std::io::Result<Folder> {
+        static MADE: AtomicU32 = AtomicU32::new(0);
+        let number = MADE.fetch_add(1, Ordering::Relaxed);
+        let path = std::env::temp_dir().join(format!("rig-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&path)?;
+        Ok(Folder(path))
+    }
+
+    pub fn path(&self) -> &Path {
+        &self.0
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// What is to be started.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub program: PathBuf,
+    pub words: Vec<String>,
+    pub variables: Vec<(String, String)>,
+    /// Descriptors that it may hold; 0: as many as the rig.
+    pub files: u64,
+}
+
+#[derive(Debug, Default)]
+struct Said {
+    lines: VecDeque<String>,
+    /// Lines that are no longer kept.
+    dropped: usize,
+    ended: bool,
+}
+
+/// A process; it is killed when its owner lets go of it, and by the kernel when the rig dies.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+    said: Arc<(Mutex<Said>, Condvar)>,
+    stopped: bool,
+}
+
+impl Process {
+    /// The thread that calls this has to outlive the process: the kernel takes its end for the rig's.
+    pub fn start(plan: &Plan) -> Result<Process, Fault> {
+        let mut command = Command::new(built("rig-launch")?);
+        command.arg(getpid().as_raw_nonzero().to_string()).arg(plan.files.to_string());
+        command.arg(&plan.program).args(&plan.words).env_remove("RUST_LOG");
+        command.envs(plan.variables.iter().map(|(name, value)| (name, value)));
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+        let mut child = command
+            .spawn()
+            .map_err(|e| Fault::new(format!("{} can't be started: {e}", plan.program.display())))?;
+        let said = Arc::new((Mutex::new(Said::default()), Condvar::new()));
+        let (words, kept) = (child.stderr.take(), Arc::clone(&said));
+        thread::spawn(move || {
+            for line in words.map(BufReader::new).into_iter().flat_map(|w| w.lines().map_while(Result::ok)) {
+                let mut said = lock(&kept.0);
+                if said.lines.len() == LINES {
+                    said.lines.pop_front();
+                    said.dropped += 1;
+                }
+                said.lines.push_back(line);
+                kept.1.notify_all();
+            }
+            lock(&kept.0).ended = true;
+            kept.1.notify_all();
+        });
+        Ok(Process { child, said, stopped: false })
+    }
+
+    pub fn number(&self) -> u32 {
+        self.child.id()
+    }
+
+    pub fn signal(&mut self, signal: Signal) {
+        // It may have ended by itself.
+        _ = kill_process(Pid::from_child(&self.child), signal);
+        match signal {
+            Signal::STOP => self.stopped = true,
+            Signal::CONT | Signal::KILL => self.stopped = false,
+            _ => {}
+        }
+    }
+
+    pub fn kill(&mut self) {
+        self.signal(Signal::KILL);
+        _ = self.child.wait();
+    }
+
+    /// Its exit code, once it has ended; none by a signal.
+    pub fn wait(&mut self) -> Option<i32> {
+        self.child.wait().ok().and_then(|status| status.code())
+    }
+
+    pub fn running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// The first line with these words among those from number `from` on, and its number.
+    pub fn line(&mut self, words: &str, from: usize) -> Result<(usize, String), Fault> {
+        let until = Instant::now() + PATIENCE;
+        let (said, came) = &*self.said;
+        let mut said = lock(said);
+        loop {
+            let skip = from.saturating_sub(said.dropped);
+            let mut lines = said.lines.iter().enumerate().skip(skip);
+            if let Some((at, line)) = lines.find(|(_, line)| line.contains(words)) {
+                return Ok((said.dropped + at, line.clone()));
+            }
+            let left = until.saturating_duration_since(Instant::now());
+            if said.ended || left.is_zero() {
+                let last = said.lines.iter().rev().take(20).rev().cloned().collect();
+                let (problem, ended) = match said.ended {
+                    true => (format!("it ended before it said {words:?}"), true),
+                    false => (format!("it does not say {words:?}"), false),
+                };
+                drop(said);
+                let code = if ended { self.child.wait().ok().and_then(|s| s.code()) } else { None };
+                return Err(Fault { problem, words: last, code });
+            }
+            said = came.wait_timeout(said, left).unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+
+    /// All lines that are kept.
+    pub fn lines(&self) -> Vec<String> {
+        lock(&self.said.0).lines.iter().cloned().collect()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/crates/rig/src/servers.rs
@@ -0,0 +1,156 @@
+//! Record servers on sockets: one listener each, all answered by the truth.
+
+use crate::link::{self, reset};
+use crate::process::Fault;
+use crate::truth::Truth;
+use crate::wire;
+use leverproxy::pg::server::{self, Asked, Startup};
+use leverproxy::pg::sqlstate;
+use leverproxy::pg::statement::{self, Query};
+use std::net::SocketAddr;
+use std::time::Instant;
+use tokio::net::{TcpListener, TcpStream};
+use world::site::{Answer, ServerId};
+
+/// Listens for a server, on a port that stays its own whatever becomes of it.
+pub async fn open(truth: Truth, server: ServerId) -> Result<SocketAddr, Fault> {
+    let bound = TcpListener::bind("127.0.0.1:0").await;
+    let listener = bound.map_err(|e| Fault::new(format!("no port for server {server}: {e}")))?;
+    let address = listener.local_addr().map_err(|e| Fault::new(format!("server {server}: {e}")))?;
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(connection(truth.clone(), server, stream));
+        }
+    });
+    Ok(address)
+}
+
+/// A place in the server's table of connections, until it is let go.
+struct Place<'a> {
+    truth: &'a Truth,
+    server: ServerId,
+    life: u64,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        // A server that has died since has forgotten all of them.
+        if *self.truth.life(self.server).borrow() == self.life {
+            self.truth.hang_up(self.server);
+        }
+    }
+}
+
+async fn connection(truth: Truth, server: ServerId, stream: TcpStream) {
+    _ = stream.set_nodelay(true);
+    let mut life = truth.life(server);
+    let born = *life.borrow_and_update();
+    let up = truth.dial(server);
+    if !up && !truth.look().site.runs(server) {
+        return reset(&stream);
+    }
+    let place = up.then(|| Place { truth: &truth, server, life: born });
+    tokio::select! {
+        _ = life.wait_for(|now| *now > born) => reset(&stream),
+        sound = converse(&truth, server, &stream, up) => if sound.is_err() {
+            reset(&stream);
+        }
+    }
+    drop(place);
+}
+
+/// What a peer gets that can't be understood, or has gone: the end of the connection.
+struct Over;
+
+async fn converse(truth: &Truth, server: ServerId, stream: &TcpStream, welcome: bool) -> Result<(), Over> {
+    let mut input = Vec::new();
+    let mut bytes = vec![0; 16 << 10];
+    let mut greeted = false;
+    loop {
+        loop {
+            let (out, used) = if !greeted {
+                match server::startup(&input).map_err(|_| Over)? {
+                    None => break,
+                    Some((Startup::Session(bytes), used)) => {
+                        greeted = true;
+                        // A table that is full says so.
+                        let out =
+                            if welcome { bytes } else { wire::error(sqlstate::TOO_MANY_CONNECTIONS, &[]) };
+                        (out, used)
+                    }
+                    Some(_) => return Err(Over),
+                }
+            } else {
+                match server::asked(&input).map_err(|_| Over)? {
+                    None => break,
+                    Some((Asked::Query(text), used)) => (query(truth, server, text).await?, used),
+                    Some((Asked::Terminate, _)) => return Ok(()),
+                    Some((Asked::Sync, used)) => (server::ready(), used),
+                    Some((Asked::Unsupported(tag), used)) => (server::unsupported(tag), used),
+                }
+            };
+            input.drain(..used);
+            link::write_all(stream, &out).await.map_err(|_| Over)?;
+            if !welcome && greeted {
+                return Ok(());
+            }
+        }
+        match link::read(stream, &mut bytes).await {
+            Ok(n) if n > 0 => input.extend_from_slice(&bytes[..n]),
+            _ => return Ok(()),
+        }
+    }
+}
+
+async fn query(truth: &Truth, server: ServerId, text: &str) -> Result<Vec<u8>, Over> {
+    if text == "SHOW load" || text == "SELECT 1" {
+        let Some(report) = truth.probe(server).await.ok().flatten() else { return Err(Over) };
+        let position = truth.unix(report.position).as_secs_f64();
+        let (primary, queued, held) = (u8::from(report.primary), report.queued, report.in_flight);
+        let all = format!("x0={position:.6},x1={primary},backlog={queued},outstanding={held}");
+        return Ok(wire::row(if text == "SELECT 1" { "1" } else { &all }, &[]));
+    }
+    let request = match statement::parse(text, Instant::now()) {
+        Ok(Query::Empty) => return Ok(server::empty_query()),
+        Ok(Query::Setting(tag)) => return Ok(server::done(tag)),
+        Ok(Query::Request(request)) => request,
+        Err(_) => return Ok(wire::error(sqlstate::PROTOCOL_VIOLATION, &[])),
+    };
+    let id = u64::from_str_radix(&request.id, 16).ok();
+    let Some(reply) = id.and_then(|id| truth.request(server, id)) else {
+        return Ok(wire::error(sqlstate::PROTOCOL_VIOLATION, &[]));
+    };
+    // What hangs never answers; what dies resets.
+    let said = reply.await.map_err(|_| Over)?;
+    let mut parameters = Vec::new();
+    if let Some(note) = said.note {
+        // A write's commit is rounded up: what has it has all of it.
+        let micros = truth.unix(note.position).as_micros();
+        let write = said.answer == Answer::Ok && note.primary;
+        let millis = if write { micros.div_ceil(1_000) } else { micros / 1_000 };
+        parameters.push(("role", if note.primary { "primary" } else { "replica" }.to_owned()));
+        parameters.push(("applied_ms", millis.to_string()));
+    }
+    Ok(match said.answer {
+        Answer::Ok => wire::row(&value(id.unwrap_or(0), said.exchange), &parameters),
+        Answer::Miss => {
+            let write = text.starts_with("INSERT");
+            let code = if write { sqlstate::READ_ONLY_SQL_TRANSACTION } else { sqlstate::SNAPSHOT_TOO_OLD };
+            wire::error(code, &parameters)
+        }
+        Answer::Full => wire::error(sqlstate::TOO_MANY_CONNECTIONS, &parameters),
+        Answer::Error => wire::error("XX000", &parameters),
+        Answer::Reset | Answer::Refused => return Err(Over),
+    })
+}
+
+/// The value of an answer: whose it is, and which answer.
+pub fn value(id: u64, exchange: u64) -> String {
+    format!("{id:016x}{exchange:016x}")
+}
+
+/// Which answer a value names, if it is this request's.
+pub fn exchange(value: &str, id: u64) -> Option<u64> {
+    let of = value.get(..16).and_then(|text| u64::from_str_radix(text, 16).ok());
+    of.filter(|of| *of == id).and_then(|_| u64::from_str_radix(value.get(16..)?, 16).ok())
+}
--- /dev/null
+++ b/crates/rig/src/wire.rs
@@ -0,0 +1,146 @@
+//! The protocol's bytes that only peers of a proxy write and read, on the proxy's own codec.
+
+use leverproxy::pg::{self, server};
+use std::io;
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+/// A row of one column as a record server gives it.
+pub fn row(value: &str, parameters: &[(&str, String)]) -> Vec<u8> {
+    let mut out = Vec::new();
+    pg::put(&mut out, b'T', |body| {
+        body.extend([0, 1]);
+        pg::put_text(body, "doc");
+        body.extend([0; 18]);
+    });
+    pg::put(&mut out, b'D', |body| {
+        body.extend([0, 1]);
+        body.extend((value.len() as u32).to_be_bytes());
+        body.extend(value.as_bytes());
+    });
+    pg::put(&mut out, b'C', |body| pg::put_text(body, "SELECT 1"));
+    end(out, parameters)
+}
+
+pub fn error(code: &str, parameters: &[(&str, String)]) -> Vec<u8> {
+    let mut out = Vec::new();
+    pg::put_error(&mut out, "ERROR", code, "as the rig's model has it", None);
+    end(out, parameters)
+}
+
+fn end(mut out: Vec<u8>, parameters: &[(&str, String)]) -> Vec<u8> {
+    for (name, value) in parameters {
+        pg::put(&mut out, b'S', |body| {
+            pg::put_text(body, name);
+            pg::put_text(body, value);
+        });
+    }
+    pg::put_ready(&mut out);
+    out
+}
+
+/// What came for a query.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Reply {
+    pub value: Option<String>,
+    /// Of an error: its code, and whether the connection ends with it.
+    pub code: Option<String>,
+    pub fatal: bool,
+    pub detail: Option<String>,
+}
+
+impl Reply {
+    pub fn refused(&self) -> bool {
+        matches!(self.code.as_deref(), Some("53300" | "57P03"))
+    }
+
+    pub fn come_back(&self) -> Option<Duration> {
+        self.detail.as_ref()?.parse().ok().map(Duration::from_millis)
+    }
+}
+
+/// A connection to a proxy as its client has it, or to a record server as a proxy has it.
+#[derive(Debug)]
+pub struct Connection {
+    pub stream: TcpStream,
+    input: Vec<u8>,
+}
+
+/// Of one message from a peer that is ours.
+const MESSAGE_LIMIT: usize = 8 << 20;
+
+impl Connection {
+    /// Connected and welcomed.
+    pub async fn open(to: std::net::SocketAddr) -> io::Result<Connection> {
+        let stream = TcpStream::connect(to).await?;
+        stream.set_nodelay(true)?;
+        let mut connection = Connection { stream, input: Vec::new() };
+        crate::link::write_all(&connection.stream, &server::startup_packet("app", "shop")).await?;
+        connection.reply().await?;
+        Ok(connection)
+    }
+
+    pub async fn send(&self, query: &str) -> io::Result<()> {
+        let mut out = Vec::new();
+        pg::put(&mut out, b'Q', |body| pg::put_text(body, query));
+        crate::link::write_all(&self.stream, &out).await
+    }
+
+    pub async fn ask(&mut self, query: &str) -> io::Result<Reply> {
+        self.send(query).await?;
+        self.reply().await
+    }
+
+    /// Up to ReadyForQuery, or to the end after a fatal error.
+    pub async fn reply(&mut self) -> io::Result<Reply> {
+        let mut reply = Reply::default();
+        let mut bytes = vec![0; 16 << 10];
+        loop {
+            let fault = |e: pg::Malformed| io::Error::new(io::ErrorKind::InvalidData, e.0);
+            while let Some(message) = pg::message(&self.input, MESSAGE_LIMIT).map_err(fault)? {
+                match message.tag {
+                    b'D' => {
+                        reply.value = message.body.get(6..).map(|v| String::from_utf8_lossy(v).into_owned())
+                    }
+                    b'E' => {
+                        let field = |name| pg::error_field(message.body, name).map(str::to_owned);
+                        (reply.code, reply.detail) = (field(b'C'), field(b'D'));
+                        reply.fatal = field(b'S').as_deref() == Some("FATAL");
+                    }
+                    _ => {}
+                }
+                let (tag, used) = (message.tag, message.raw.len());
+                self.input.drain(..used);
+                if tag == b'Z' || reply.fatal {
+                    return Ok(reply);
+                }
+            }
+            match crate::link::read(&self.stream, &mut bytes).await? {
+                0 => return Err(io::ErrorKind::UnexpectedEof.into()),
+                n => self.input.extend_from_slice(&bytes[..n]),
+            }
+        }
+    }
+
+    /// What an idle connection is: fit for use, ended, or one on which something came that nobody had asked for.
+    pub fn idle(&mut self) -> Idle {
+        let mut bytes = [0; 64];
+        let read = self.stream.try_read(&mut bytes);
+        if !self.input.is_empty() {
+            return Idle::Spoke;
+        }
+        match read {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Idle::Fit,
+            // A last word is no answer.
+            Ok(n) if n > 0 && bytes[0] != b'E' => Idle::Spoke,
+            _ => Idle::Ended,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Idle {
+    Fit,
+    Ended,
+    Spoke,
+}
--- /dev/null
+++ b/crates/rig/tests/common/mod.rs
@@ -0,0 +1,86 @@
+//! Small fleets for tests: what is asked, and of how many.
+#![allow(dead_code)]
+
+use rig::truth::Outcomes;
+use rig::{Rig, Setup};
+use world::clients::{self, Kind, Need, Repeat};
+use world::law::{Law, Work};
+use world::site;
+
+pub const SECOND: u64 = 1_000_000;
+
+pub fn kind(name: &str, need: Need, repeat: Repeat, share: f64) -> Kind {
+    Kind {
+        name: name.into(),
+        need,
+        repeat,
+        share,
+        work: Work::new(Law::Fixed, 2_000.0),
+        // No machine is so busy with other tests that these are missed.
+        aim: 20 * SECOND,
+        deadline: 20 * SECOND,
+        worth: 1.0,
+        late_worth: 0.5,
+    }
+}
+
+pub fn clients(proxies: usize, groups: usize, per_s: f64, length: u64) -> clients::Settings {
+    clients::Settings {
+        kinds: vec![
+            kind("any", Need::Any, Repeat::Safe, 5.0),
+            kind("mine", Need::Session, Repeat::Safe, 3.0),
+            kind("book", Need::Write, Repeat::Never, 2.0),
+        ],
+        tenants: Vec::new(),
+        over_worth: 1.0,
+        per_s,
+        profile: Vec::new(),
+        length,
+        proxies,
+        groups: groups as u32,
+        unequal: 0.0,
+        skew: 0.0,
+        sessions: 20,
+        after_write: 0.5,
+        soon: 400_000,
+        repeats: 0,
+        wait: 100_000,
+        heeds: true,
+        marks: true,
+        patience: (1.0, 1.0),
+    }
+}
+
+/// So many proxies before two groups of three, asked so often for so long.
+pub fn setup(proxies: usize, per_s: f64, length: u64) -> Setup {
+    let site = site::Settings { groups: 2, ..site::Settings::default() };
+    let site = site::Settings { group: world::group::Settings { members: 3, ..site.group }, ..site };
+    let mut setup = Setup::new(site, clients(proxies, 2, per_s, length)).unwrap();
+    setup.list.late = 50_000;
+    setup
+}
+
+pub fn start(setup: Setup) -> Rig {
+    let rig = Rig::start(setup).unwrap_or_else(|fault| panic!("{fault}"));
+    rig.truth.begin();
+    rig
+}
+
+/// Until so many more have been answered; `of`: by which proxy.
+pub fn answered(rig: &Rig, more: u64) {
+    let before = rig.truth.look().checker.answered;
+    rig.until("further answers", |inner| inner.checker.answered >= before + more)
+        .unwrap_or_else(|f| panic!("{f}"));
+}
+
+pub fn served(out: &Outcomes) -> u64 {
+    out.books.iter().map(|b| b.served).sum()
+}
+
+/// All rules held. What is shown else is which did not.
+pub fn sound(rig: Rig) -> Outcomes {
+    let out = rig.finish().unwrap_or_else(|fault| panic!("{fault}"));
+    assert!(out.broken.is_empty(), "{:?} in {:?}", out.broken, out.books);
+    assert!(served(&out) > 0, "{:?}", out.books);
+    out
+}
--- /dev/null
+++ b/crates/rig/tests/faults.rs
@@ -0,0 +1,222 @@
+//! Several processes of the program, and what goes wrong between them and in them: no rule is broken by it.
+
+mod common;
+use common::{answered, setup, sound, start, SECOND};
+use rig::link::Flow;
+use rig::process::{Plan, Process};
+use rig::Rig;
+use rustix::process::Signal;
+use std::time::Duration;
+use world::catalog;
+use world::site::Trouble;
+
+/// Answers to one proxy's clients so far: those that reached a server are the measure.
+fn through(rig: &Rig, proxy: usize) -> u64 {
+    rig.truth.look().reached.iter().filter(|((p, _), _)| *p == proxy).map(|(_, n)| n).sum()
+}
+
+/// Until a proxy has sent more on.
+fn sends(rig: &Rig, proxy: usize, more: u64) {
+    let before = through(rig, proxy);
+    let is = |inner: &rig::truth::Inner| {
+        let sent: u64 = inner.reached.iter().filter(|((p, _), _)| *p == proxy).map(|(_, n)| n).sum();
+        sent >= before + more
+    };
+    rig.until("a proxy sends on", is).unwrap_or_else(|fault| panic!("{fault}"));
+}
+
+/// Nothing but what the dead one held is lost, and the others go on as they were.
+#[test]
+fn kill_9_of_one_in_three() {
+    let mut rig = start(setup(3, 150.0, 6 * SECOND));
+    for proxy in 0..3 {
+        sends(&rig, proxy, 5);
+    }
+    rig.kill(1);
+    sends(&rig, 0, 20);
+    sends(&rig, 2, 20);
+    rig.restart(1).unwrap_or_else(|fault| panic!("{fault}"));
+    sends(&rig, 1, 10);
+    sound(rig);
+}
+
+/// A process that stands still while a server begins to drain: what it does when it goes on is right by then, whatever
+/// waited for it in the meantime.
+#[test]
+fn a_stopped_proxy_goes_on() {
+    let mut setup = setup(3, 150.0, 8 * SECOND);
+    setup.list.late = 0;
+    let mut rig = start(setup);
+    sends(&rig, 1, 5);
+    rig.signal(1, Signal::STOP);
+    let last = *rig.truth.look().site.members(0).last().unwrap();
+    rig.truth.trouble(Trouble::Drain(last));
+    rig.until("the list has told it", |inner| inner.checker.leaves(1, last)).unwrap();
+    // By their schedule these take longer than the grace for drains, however fast the machine.
+    answered(&rig, 150);
+    rig.signal(1, Signal::CONT);
+    sends(&rig, 1, 10);
+    sound(rig);
+}
+
+/// Requests pass and answers don't, to the servers of one building; then the link is whole again.
+#[test]
+fn a_link_cut_one_way() {
+    let rig = start(setup(2, 100.0, 6 * SECOND));
+    sends(&rig, 0, 5);
+    let links = rig.links(&[0], Some(1));
+    assert!(!links.is_empty());
+    links.iter().for_each(|link| link.set(Flow::Passes, Flow::Cut));
+    sends(&rig, 0, 30);
+    sends(&rig, 1, 30);
+    links.iter().for_each(|link| link.heal());
+    answered(&rig, 30);
+    sound(rig);
+}
+
+#[test]
+fn a_building_cut_off_from_one_proxy_and_back() {
+    let rig = start(setup(2, 100.0, 6 * SECOND));
+    sends(&rig, 0, 5);
+    let links = rig.links(&[0], Some(1));
+    links.iter().for_each(|link| link.cut());
+    sends(&rig, 0, 30);
+    links.iter().for_each(|link| link.heal());
+    answered(&rig, 30);
+    sound(rig);
+}
+
+/// Connections reset under requests, answers late, in small pieces, and lost for a time.
+#[test]
+fn links_that_reset_delay_and_trickle() {
+    let rig = start(setup(2, 60.0, 6 * SECOND));
+    sends(&rig, 0, 5);
+    let (first, second) = (rig.links(&[0], None), rig.links(&[1], None));
+    let millis = Duration::from_millis;
+    first.iter().for_each(|link| link.set(Flow::Passes, Flow::Late(millis(5), millis(40))));
+    second.iter().for_each(|link| link.set(Flow::Lossy { part: 0.1, resend: millis(100) }, Flow::Passes));
+    answered(&rig, 20);
+    first.iter().for_each(|link| link.reset());
+    answered(&rig, 20);
+    second.iter().for_each(|link| link.set(Flow::Passes, Flow::Trickles { bytes: 7, gap: millis(1) }));
+    answered(&rig, 20);
+    first.iter().for_each(|link| link.refuse());
+    sends(&rig, 1, 20);
+    first.iter().chain(&second).for_each(|link| link.heal());
+    answered(&rig, 20);
+    sound(rig);
+}
+
+/// A primary dies and another takes over; a server hangs; one drains. All proxies find out for themselves.
+#[test]
+fn servers_die_hang_and_drain() {
+    let mut setup = setup(3, 120.0, 8 * SECOND);
+    (setup.site.group.give_up, setup.site.group.take_over) = (300_000, 300_000);
+    let rig = start(setup);
+    answered(&rig, 20);
+    let (primary, members) = {
+        let inner = rig.truth.look();
+        (inner.site.primary(0).unwrap(), inner.site.members(1).to_vec())
+    };
+    rig.truth.trouble(Trouble::Die(primary));
+    rig.truth.trouble(Trouble::Hang { server: members[1], on: true });
+    rig.truth.trouble(Trouble::Drain(members[2]));
+    let another = |inner: &rig::truth::Inner| inner.site.primary(0).is_some_and(|now| now != primary);
+    rig.until("another primary", another).unwrap();
+    answered(&rig, 60);
+    rig.truth.trouble(Trouble::Start(primary));
+    rig.truth.trouble(Trouble::Hang { server: members[1], on: false });
+    rig.truth.trouble(Trouble::Join { group: 1, place: 0 });
+    answered(&rig, 60);
+    sound(rig);
+}
+
+/// The list's service is down for the whole fleet, and all of it comes back at once.
+#[test]
+fn a_list_that_fails_a_whole_fleet_and_comes_back() {
+    let mut setup = setup(6, 120.0, 10 * SECOND);
+    (setup.list.call, setup.list.patience) = (20_000, 200_000);
+    let rig = start(setup);
+    for proxy in 0..6 {
+        sends(&rig, proxy, 1);
+    }
+    let before: Vec<u64> = rig.proxies.iter().map(|p| p.list.taken()).collect();
+    rig.truth.list(catalog::Event::Down(true));
+    // Everybody's watch has ended, and everybody asks again.
+    for (proxy, taken) in rig.proxies.iter().zip(&before) {
+        rig.wait(proxy.list.until_taken(taken + 1));
+    }
+    let gone = *rig.truth.look().site.members(0).last().unwrap();
+    rig.truth.trouble(Trouble::Retire(gone));
+    answered(&rig, 40);
+    rig.truth.list(catalog::Event::Down(false));
+    rig.until("all watch again", |inner| inner.watching() == 6).unwrap();
+    answered(&rig, 20);
+    sound(rig);
+}
+
+/// A server's table of connections is full: it takes no more, and others bear its load.
+#[test]
+fn a_full_table_of_connections() {
+    let mut setup = setup(4, 200.0, 5 * SECOND);
+    setup.site.connections = 2;
+    // So slow that connections are used side by side.
+    setup.clients.kinds.iter_mut().for_each(|kind| kind.work.mean = 20_000.0);
+    let rig = start(setup);
+    rig.until("a server turned a connection away", |inner| inner.turned_away > 0).unwrap();
+    answered(&rig, 100);
+    sound(rig);
+}
+
+/// Asked to end under load, it ends by itself, and nothing that it had taken is lost.
+#[test]
+fn sigterm_under_load() {
+    let mut rig = start(setup(2, 100.0, 5 * SECOND));
+    sends(&rig, 1, 10);
+    rig.signal(1, Signal::TERM);
+    let code = rig.proxies[1].process.as_mut().unwrap().wait();
+    assert_eq!(code, Some(0));
+    rig.truth.away(1);
+    sends(&rig, 0, 30);
+    rig.restart(1).unwrap_or_else(|fault| panic!("{fault}"));
+    sends(&rig, 1, 5);
+    sound(rig);
+}
+
+/// What a process that can't start says and how it ends reaches the caller, and no other is left behind.
+#[test]
+fn a_process_that_does_not_start() {
+    let mut setup = setup(2, 10.0, SECOND);
+    setup.operators = "nonsense {".into();
+    let fault = Rig::start(setup).err().expect("it can't start");
+    assert_eq!(fault.code, Some(2), "{fault}");
+    assert!(fault.words.iter().any(|line| line.contains("nonsense")), "{fault}");
+    let missing = Plan { program: "/nowhere".into(), words: vec![], variables: vec![], files: 0 };
+    let fault = Process::start(&missing).unwrap().line("serving", 0).unwrap_err();
+    assert_eq!(fault.code, Some(127), "{fault}");
+}
+
+/// Descriptors are bounded as the platform bounds them.
+#[test]
+fn a_proxy_within_its_descriptors() {
+    let mut setup = setup(1, 100.0, 3 * SECOND);
+    setup.sockets = 64;
+    let rig = start(setup);
+    answered(&rig, 50);
+    sound(rig);
+}
+
+/// Its own timers late by a stall of its machine, the rig says how late it was, and claims nothing.
+#[test]
+fn a_rig_that_is_late_claims_nothing() {
+    let rig = start(setup(1, 400.0, 2 * SECOND));
+    answered(&rig, 5);
+    {
+        // Nothing of the rig goes on meanwhile; what was due in this time is late, however fast the machine.
+        let _held = rig.truth.look();
+        std::thread::sleep(20 * rig::truth::LATE);
+    }
+    let out = rig.finish().unwrap();
+    assert!(out.late() > rig::truth::LATE, "{:?}", out.late());
+    assert_eq!(out.goodput(), None);
+}
--- /dev/null
+++ b/crates/rig/tests/planted.rs
@@ -0,0 +1,75 @@
+//! Each rule is broken once by a proxy made for that, and its checker says so; a sound fleet breaks none.
+
+mod common;
+use common::{answered, setup, sound, start, SECOND};
+use ledger::Rule;
+use world::site::Trouble;
+
+/// Whether a fleet of planted proxies is found out.
+fn caught(rule: Rule) {
+    let mut setup = setup(2, 60.0, 30 * SECOND);
+    setup.misrule = Some(rule);
+    // What hides a fault from those who have it.
+    setup.platform.checks = rule != Rule::Stale;
+    match rule {
+        // Clients have to give up for it to be seen.
+        Rule::Unanswered => setup.clients.kinds.iter_mut().for_each(|k| k.deadline = SECOND / 2),
+        Rule::Collapsed => {
+            setup.clients.kinds.iter_mut().for_each(|k| k.work.mean = 100_000.0);
+        }
+        Rule::Stale => setup.site.group.ship = 5 * SECOND,
+        _ => {}
+    }
+    let rig = start(setup);
+    let last = *rig.truth.look().site.members(0).last().unwrap();
+    match rule {
+        Rule::Drained => rig.truth.trouble(Trouble::Drain(last)),
+        Rule::Collapsed => {
+            rig.truth.trouble(Trouble::Die(last));
+            rig.truth.trouble(Trouble::Start(last));
+        }
+        _ => {}
+    }
+    let found = rig.until("the planted fault is found", |inner| inner.checker.broken.contains_key(&rule));
+    found.unwrap_or_else(|fault| panic!("{rule:?}: {fault}"));
+}
+
+macro_rules! planted {
+    ($($name:ident $rule:ident)*) => { $(
+        #[test]
+        fn $name() {
+            caught(Rule::$rule);
+        }
+    )*
+        const PLANTED: &[Rule] = &[$(Rule::$rule),*];
+    };
+}
+
+planted! {
+    no_answer_is_found_out Unanswered
+    two_answers_are_found_out AnsweredTwice
+    a_repeated_write_is_found_out Repeated
+    a_write_that_ran_twice_is_found_out Doubled
+    too_many_attempts_are_found_out TooManyAttempts
+    a_cold_server_pushed_over_is_found_out Collapsed
+    old_data_is_found_out Stale
+    a_drain_not_heeded_is_found_out Drained
+    a_value_of_nobody_is_found_out Phantom
+    a_refusal_of_what_ran_is_found_out FalseRefusal
+    a_request_dropped_is_found_out Lost
+}
+
+#[test]
+fn a_sound_fleet_breaks_no_rule() {
+    let rig = start(setup(3, 100.0, 2 * SECOND));
+    answered(&rig, 50);
+    let out = sound(rig);
+    assert_eq!(out.gone, 0);
+}
+
+#[test]
+fn every_rule_has_its_planted_fault() {
+    for rule in ledger::RULES {
+        assert!(PLANTED.contains(&rule), "{rule:?} has no planted fault");
+    }
+}
--- /dev/null
+++ b/crates/world/src/platform.rs
@@ -0,0 +1,35 @@
+//! What a platform allows the proxies on it.
+
+use crate::Micros;
+
+/// What the platform lets a proxy do.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Platform {
+    /// Attempts for a request; 0: no limit.
+    pub tries: u16,
+    pub probes: bool,
+    pub second_copies: bool,
+    /// The refused may be told to wait; for so long at the most. 0: they may not.
+    pub come_back_most: Micros,
+    pub drain_grace: Micros,
+    /// A connection that idles is closed after this; one that does not come up is given up after that.
+    pub keepalive: Micros,
+    pub dial_wait: Micros,
+    /// Servers turn away reads that they are too far behind for.
+    pub checks: bool,
+}
+
+impl Default for Platform {
+    fn default() -> Platform {
+        Platform {
+            tries: 8,
+            probes: true,
+            second_copies: true,
+            come_back_most: 2_000_000,
+            drain_grace: 500_000,
+            keepalive: 30_000_000,
+            dial_wait: 250_000,
+            checks: true,
+        }
+    }
+}
