--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -98,6 +98,8 @@
     /// By proxy and server, when it was told to send nothing more.
     leaving: FxHashMap<(usize, ServerId), Micros>,
     pub broken: BTreeMap<Rule, u64>,
+    /// The first that each was found by, for whoever follows one.
+    pub found: Vec<(Rule, TryId, Micros)>,
     pub asked: u64,
     pub answered: u64,
     pub left: u64,
@@ -105,6 +107,9 @@
     pub gone: u64,
 }
 
+/// Of breaches, those that are kept one by one.
+const FOUND: usize = 20;
+
 /// Beyond the client's time, in which an answer still counts.
 const GRACE: Micros = 20_000;
 
@@ -117,6 +122,13 @@
         *self.broken.entry(rule).or_default() += 1;
     }
 
+    fn found(&mut self, rule: Rule, id: TryId, now: Micros) {
+        self.breaks(rule);
+        if self.found.len() < FOUND {
+            self.found.push((rule, id, now));
+        }
+    }
+
     pub fn asks(
         &mut self,
         id: TryId,
@@ -170,7 +182,7 @@
             [(repeats, Rule::Repeated), (beyond, Rule::TooManyAttempts), (late, Rule::Drained)]
         {
             if broken {
-                self.breaks(rule);
+                self.found(rule, id, now);
             }
         }
     }
@@ -191,7 +203,7 @@
         let Some(open) = self.open.get_mut(&id) else {
             // Its numbers rise: what was asked and is no longer open has been answered, or its client has left.
             let known = (1..=self.last).contains(&id);
-            return self.breaks(if known { Rule::AnsweredTwice } else { Rule::Lost });
+            return self.found(if known { Rule::AnsweredTwice } else { Rule::Lost }, id, now);
         };
         open.answered = true;
         let late = now > open.deadline + GRACE;
@@ -203,12 +215,12 @@
                 self.effects.entry(request).or_default().served = true;
             }
             if harmful {
-                self.breaks(Rule::FalseRefusal);
+                self.found(Rule::FalseRefusal, id, now);
             }
         }
         self.answered += 1;
         if late {
-            self.breaks(Rule::Unanswered);
+            self.found(Rule::Unanswered, id, now);
         }
     }
 
@@ -228,10 +240,10 @@
     }
 
     /// The client has waited for as long as it would.
-    pub fn gives_up(&mut self, id: TryId) {
+    pub fn gives_up(&mut self, id: TryId, now: Micros) {
         if self.open.remove(&id).is_some_and(|open| !open.answered) {
             self.left += 1;
-            self.breaks(Rule::Unanswered);
+            self.found(Rule::Unanswered, id, now);
         }
     }
 
--- a/crates/leverlab/src/cli/mod.rs
+++ b/crates/leverlab/src/cli/mod.rs
@@ -10,6 +10,7 @@
 mod hunt;
 mod plan;
 mod show;
+mod trial;
 
 use crate::file::{self, Book};
 use crate::policy::NAMES;
@@ -203,6 +204,34 @@
                         .help("The seed"),
                 ),
         )
+        .subcommand(
+            Command::new("trial")
+                .about("Play one scenario on real sockets, with processes of the proxy itself")
+                .arg(text("file", "A file of experiments; the suite that the program brings along, if none is named")
+                    .value_parser(value_parser!(PathBuf)))
+                .arg(option("scenario", "NAME", "The day; needless where the file has one"))
+                .arg(option("seed", "N", "The seed").default_value("1").value_parser(value_parser!(u64)))
+                .arg(
+                    option("program", "PATH", "The proxy; of several builds each process takes the next in turn")
+                        .action(ArgAction::Append)
+                        .value_parser(value_parser!(PathBuf)),
+                )
+                .arg(
+                    option("logs", "FOLDER", "Where the proxies' logs go, with a line for each answer")
+                        .value_parser(value_parser!(PathBuf)),
+                )
+                .arg(
+                    Arg::new("beside")
+                        .long("beside")
+                        .action(ArgAction::SetTrue)
+                        .help("Play the same on virtual time, and show both"),
+                ),
+        )
+        .subcommand(
+            Command::new("demo")
+                .about("Start three proxies and what they serve, and show what troubles do to them")
+                .arg(option("for", "TIME", "Ends by itself after this, 20s if not stated")),
+        )
         .subcommand(
             common(Command::new("gate"))
                 .about("Hold an experiment against a stored baseline")
@@ -241,6 +270,8 @@
         Some(("bisect", with)) => bisect::bisect(with),
         Some(("hunt", with)) => hunt::hunt(with),
         Some(("replay", with)) => replay(with),
+        Some(("trial", with)) => trial::trial(with),
+        Some(("demo", with)) => trial::demo(with),
         Some(("plan", with)) => plan::plan(with),
         Some(("report", with)) => report(with),
         Some(("gate", with)) => gate::gate(with),
--- a/crates/leverlab/src/lib.rs
+++ b/crates/leverlab/src/lib.rs
@@ -19,4 +19,5 @@
 pub mod summary;
 pub mod table;
 pub mod tally;
+pub mod trial;
 pub mod write;
--- /dev/null
+++ b/crates/leverlab/src/trial.rs
@@ -0,0 +1,200 @@
+//! Scenarios on the rig: the same day on real sockets, with processes of the real program.
+//!
+//! What a scenario says of the network is left to loopback; losses on it are played as they are on virtual time, by
+//! what is lost coming later.
+
+use crate::play::troubles::{rolling, struck, struck_proxies, LINGER};
+use crate::scenario::{Scenario, What};
+use engine::streams::Streams;
+use rig::link::Flow;
+use rig::process::Fault;
+use rig::truth::Outcomes;
+use rig::{Rig, Setup};
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+use world::catalog;
+use world::site::{ServerId, Status, Trouble};
+use world::Micros;
+
+/// Processes, and links from them to servers, that one machine bears.
+const PROXIES_MOST: usize = 64;
+const LINKS_MOST: usize = 4_000;
+
+/// How often whoever watches is called.
+const GLANCE: Micros = 500_000;
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Step {
+    Begins(usize),
+    Over(usize),
+    /// One server of a rolling deploy: drained first, then replaced.
+    Drains(ServerId),
+    Replaced(ServerId),
+    Glance,
+}
+
+/// What is wrong with a scenario for a trial, by key.
+pub fn fault(scenario: &Scenario) -> Option<String> {
+    let (proxies, servers) = (scenario.proxies(), scenario.servers());
+    let named = |key: &str, problem: String| Some(format!("scenario {}: {key}: {problem}", scenario.name));
+    if !(1..=PROXIES_MOST).contains(&proxies) {
+        return named("load.proxies", format!("a trial has 1 to {PROXIES_MOST} processes, not {proxies}"));
+    }
+    if proxies * servers > LINKS_MOST {
+        let links = proxies * servers;
+        return named(
+            "fleet",
+            format!("{proxies} proxies and {servers} servers have {links} links; {LINKS_MOST} at most"),
+        );
+    }
+    None
+}
+
+struct Director<'a> {
+    scenario: &'a Scenario,
+    streams: Streams,
+    rig: Rig,
+    agenda: BinaryHeap<Reverse<(Micros, Step)>>,
+    /// Whom each trouble has struck.
+    struck: Vec<(Vec<ServerId>, Vec<usize>)>,
+}
+
+/// Plays a scenario on what `adjust` has made of the usual setup; `watch` is shown the rig now and then, and what has just begun or ended.
+pub fn trial(
+    scenario: &Scenario,
+    seed: u64,
+    adjust: impl FnOnce(&mut Setup),
+    mut watch: impl FnMut(&Rig, &[String]),
+) -> Result<Outcomes, Fault> {
+    if let Some(problem) = fault(scenario) {
+        return Err(Fault::new(problem));
+    }
+    let mut setup = Setup::new(scenario.site.clone(), scenario.clients.clone())?;
+    (setup.list, setup.platform, setup.seed) = (scenario.catalog, scenario.platform.clone(), seed);
+    adjust(&mut setup);
+    let rig = Rig::start(setup)?;
+    let troubles = scenario.troubles.iter().enumerate();
+    let mut agenda: BinaryHeap<_> = troubles.map(|(at, t)| Reverse((t.at, Step::Begins(at)))).collect();
+    agenda.push(Reverse((0, Step::Glance)));
+    let struck = vec![Default::default(); scenario.troubles.len()];
+    let mut director = Director { scenario, streams: Streams::new(seed), rig, agenda, struck };
+    director.rig.truth.begin();
+    let mut marks = Vec::new();
+    // What is to happen later than the last request has no one to see it.
+    while let Some(Reverse((at, step))) =
+        director.agenda.pop().filter(|Reverse((at, _))| *at < scenario.length())
+    {
+        let wait = Duration::from_micros(at.saturating_sub(director.rig.truth.now()));
+        std::thread::sleep(wait);
+        if step == Step::Glance {
+            watch(&director.rig, &marks);
+            marks.clear();
+            director.agenda.push(Reverse((at + GLANCE, Step::Glance)));
+        } else {
+            marks.extend(director.step(at, step)?);
+        }
+    }
+    director.rig.finish()
+}
+
+impl Director<'_> {
+    fn step(&mut self, now: Micros, step: Step) -> Result<Option<String>, Fault> {
+        match step {
+            Step::Begins(at) => self.begins(now, at),
+            Step::Over(at) => return self.over(at),
+            Step::Drains(server) => {
+                if self.rig.truth.look().site.status(server) == Status::Ready {
+                    self.rig.truth.trouble(Trouble::Drain(server));
+                    self.agenda.push(Reverse((now + LINGER, Step::Replaced(server))));
+                }
+                return Ok(None);
+            }
+            Step::Replaced(server) => {
+                let (group, place) = {
+                    let inner = self.rig.truth.look();
+                    (inner.site.group(server), inner.site.place(server))
+                };
+                self.rig.truth.trouble(Trouble::Retire(server));
+                self.rig.truth.trouble(Trouble::Join { group, place });
+                return Ok(None);
+            }
+            Step::Glance => return Ok(None),
+        }
+        let Step::Begins(at) = step else { return Ok(None) };
+        Ok(Some(format!("{} begins", self.scenario.troubles[at].name)))
+    }
+
+    fn each(&self, servers: &[ServerId], trouble: impl Fn(ServerId) -> Trouble) {
+        servers.iter().for_each(|server| self.rig.truth.trouble(trouble(*server)));
+    }
+
+    /// The servers that a trouble of slowness is of: all, if none is named.
+    fn slowed(&self, at: usize) -> Vec<ServerId> {
+        match self.scenario.troubles[at].targets.is_empty() {
+            true => self.rig.truth.look().site.servers().collect(),
+            false => self.struck[at].0.clone(),
+        }
+    }
+
+    fn all(&self) -> Vec<usize> {
+        (0..self.rig.proxies.len()).collect()
+    }
+
+    fn begins(&mut self, now: Micros, at: usize) {
+        let trouble = &self.scenario.troubles[at];
+        let servers = struck(&self.rig.truth.look().site, &trouble.targets, &self.streams, at);
+        let proxies = struck_proxies(self.rig.proxies.len(), self.scenario.site.places, &trouble.targets);
+        self.agenda.push(Reverse((now.saturating_add(trouble.span), Step::Over(at))));
+        self.struck[at] = (servers.clone(), proxies.clone());
+        let truth = self.rig.truth.clone();
+        match trouble.what {
+            What::Die => self.each(&servers, Trouble::Die),
+            What::Hang => self.each(&servers, |server| Trouble::Hang { server, on: true }),
+            What::Slow(times) => self.each(&self.slowed(at), |server| Trouble::Slow { server, times }),
+            What::Hold => self.each(&servers, |server| Trouble::Hold { server, span: trouble.span }),
+            What::Deploy => {
+                let (servers, gap) = rolling(&truth.look().site, servers, trouble.span);
+                for (n, server) in (0..).zip(servers) {
+                    self.agenda.push(Reverse((now + gap * n, Step::Drains(server))));
+                }
+            }
+            What::ListBehind(more) => truth.list(catalog::Event::Behind(more)),
+            What::ListDown => truth.list(catalog::Event::Down(true)),
+            What::Surge(times, tenant) => truth.surge(tenant, times),
+            What::Cut { place, back_only } => {
+                let there = if back_only { Flow::Passes } else { Flow::Cut };
+                self.rig.links(&proxies, Some(place)).iter().for_each(|link| link.set(there, Flow::Cut));
+            }
+            What::Split(place) => truth.trouble(Trouble::Split(place)),
+            What::Loss(part) => {
+                let resend = Duration::from_micros(self.scenario.network.resend);
+                let flow = Flow::Lossy { part, resend };
+                self.rig.links(&self.all(), None).iter().for_each(|link| link.set(flow, flow));
+            }
+            What::ProxyDies => proxies.iter().for_each(|proxy| self.rig.kill(*proxy)),
+        }
+    }
+
+    fn over(&mut self, at: usize) -> Result<Option<String>, Fault> {
+        let trouble = &self.scenario.troubles[at];
+        let (servers, proxies) = self.struck[at].clone();
+        let truth = self.rig.truth.clone();
+        match trouble.what {
+            What::Die => self.each(&servers, Trouble::Start),
+            What::Hang => self.each(&servers, |server| Trouble::Hang { server, on: false }),
+            What::Slow(_) => self.each(&self.slowed(at), |server| Trouble::Slow { server, times: 1.0 }),
+            What::Hold | What::Deploy => {}
+            What::ListBehind(_) => truth.list(catalog::Event::Behind(0)),
+            What::ListDown => truth.list(catalog::Event::Down(false)),
+            What::Surge(_, tenant) => truth.surge(tenant, 1.0),
+            What::Cut { place, .. } => {
+                self.rig.links(&proxies, Some(place)).iter().for_each(|link| link.heal())
+            }
+            What::Split(_) => truth.trouble(Trouble::Meet),
+            What::Loss(_) => self.rig.links(&self.all(), None).iter().for_each(|link| link.heal()),
+            What::ProxyDies => proxies.iter().try_for_each(|proxy| self.rig.restart(*proxy))?,
+        }
+        Ok(Some(format!("{} is over", trouble.name)))
+    }
+}
--- a/crates/leverproxy/tests/large.rs
+++ b/crates/leverproxy/tests/large.rs
@@ -67,6 +67,24 @@
     assert!(server.left_alone(Duration::from_millis(50)) && other.try_accept().is_none());
 }
 
+/// A server that stands still midway, and does not die: the client is let go when its time is over, with a row that it
+/// can tell is not whole, and the server's connection ends with that.
+#[test]
+fn a_server_that_stalls_midway_costs_no_more_than_the_request_s_time() {
+    let server = Listener::new();
+    let stage = Stage::new(&[("s-1", &server)]);
+    let mut client = Peer::client(stage.address);
+    client.ask(&read(1, "any", 1_500));
+    let mut upstream = server.welcome();
+    upstream.query();
+    upstream.write(&answer(&value(1 << 20), &[])[..200 << 10]);
+    assert_eq!(client.message().unwrap().0, b'T');
+    assert!(client.message().is_err(), "the row never ends, and neither does the wait for it");
+    assert!(upstream.ended());
+    // The proxy is as it was.
+    drop(common::served(&mut Peer::client(stage.address), &server, 2, "small"));
+}
+
 #[test]
 fn a_client_that_leaves_midway_ends_the_sending() {
     let server = Listener::new();
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -23,6 +23,7 @@
 use misrule::Misrule;
 use process::{Fault, Folder, Plan, Process};
 use rustix::process::Signal;
+use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -49,6 +50,8 @@
     pub operators: String,
     /// Whether proxies have a second address.
     pub admin: bool,
+    /// Where proxies' logs go, one file each.
+    pub logs: Option<PathBuf>,
     /// In place of programs, proxies that break this rule.
     pub misrule: Option<Rule>,
     /// Descriptors and memory of each proxy.
@@ -68,6 +71,7 @@
             programs: vec![process::built("leverproxy")?],
             operators: String::new(),
             admin: false,
+            logs: None,
             misrule: None,
             sockets: 1_024,
             memory_mb: 192,
@@ -224,7 +228,8 @@
         let programs = &self.setup.programs;
         let program = programs.get(proxy % programs.len().max(1)).cloned();
         let program = program.ok_or_else(|| Fault::new("the rig is told of no program"))?;
-        Ok(Plan { program, words: vec!["serve".to_owned()], variables, files: self.setup.sockets })
+        let log = self.setup.logs.as_ref().map(|folder| folder.join(format!("n{proxy}.log")));
+        Ok(Plan { program, words: vec!["serve".to_owned()], variables, files: self.setup.sockets, log })
     }
 
     fn plant(&mut self, proxy: usize, rule: Rule) -> Result<(), Fault> {
@@ -278,6 +283,41 @@
         Ok(())
     }
 
+    /// New files for a proxy, of a setup that was changed, and the word to read them.
+    pub fn reload(&mut self, proxy: usize, change: impl FnOnce(&mut Setup)) -> Result<(), Fault> {
+        change(&mut self.setup);
+        self.configure(proxy)?;
+        self.signal(proxy, Signal::HUP);
+        Ok(())
+    }
+
+    /// Another process beside a proxy's own, for the same clients and in the same folder, as in an upgrade.
+    pub fn heir(&self, proxy: usize) -> Result<Process, Fault> {
+        let address = self.proxies[proxy].address.map(|a| a.to_string()).unwrap_or_default();
+        Process::start(&self.plan(proxy, &address)?)
+    }
+
+    /// The heir takes its elder's place in the rig, and the elder is told to end.
+    pub fn succeed(&mut self, proxy: usize, heir: Process) -> Result<Option<i32>, Fault> {
+        self.signal(proxy, Signal::TERM);
+        let elder = self.proxies[proxy].process.replace(heir);
+        self.ready(proxy)?;
+        Ok(elder.and_then(|mut elder| elder.wait()))
+    }
+
+    /// What a proxy's second address tells of itself.
+    pub fn figures(&self, proxy: usize) -> Result<rustc_hash::FxHashMap<String, u64>, Fault> {
+        let fault = |e: std::io::Error| Fault::new(format!("figures of proxy {proxy}: {e}"));
+        let admin = self.proxies[proxy].admin.ok_or_else(|| Fault::new("it has no second address"))?;
+        let mut text = String::new();
+        let mut stream = std::net::TcpStream::connect(admin).map_err(fault)?;
+        stream.write_all(b"GET /api/telemetry HTTP/1.1\r\nHost: rig\r\n\r\n").map_err(fault)?;
+        stream.read_to_string(&mut text).map_err(fault)?;
+        let lines = text.lines().filter(|line| line.starts_with("lb_"));
+        let pairs = lines.filter_map(|line| line.rsplit_once(' '));
+        Ok(pairs.filter_map(|(name, value)| Some((name.to_owned(), value.parse().ok()?))).collect())
+    }
+
     pub fn signal(&mut self, proxy: usize, signal: Signal) {
         if let Some(process) = &mut self.proxies[proxy].process {
             process.signal(signal);
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -3,7 +3,8 @@
 use rustix::process::{getpid, kill_process, Pid, Signal};
 use std::collections::VecDeque;
 use std::fmt;
-use std::io::{BufRead, BufReader};
+use std::fs::File;
+use std::io::{BufRead, BufReader, Write};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -88,6 +89,9 @@
     pub variables: Vec<(String, String)>,
     /// Descriptors that it may hold; 0: as many as the rig.
     pub files: u64,
+    /// Where all that it says is written behind what stands there, with a line for each answer; none: some of it is
+    /// kept in memory.
+    pub log: Option<PathBuf>,
 }
 
 #[derive(Debug, Default)]
@@ -112,6 +116,14 @@
         let mut command = Command::new(built("rig-launch")?);
         command.arg(getpid().as_raw_nonzero().to_string()).arg(plan.files.to_string());
         command.arg(&plan.program).args(&plan.words).env_remove("RUST_LOG");
+        let mut log = match &plan.log {
+            None => None,
+            Some(path) => {
+                command.env("RUST_LOG", "debug");
+                let opened = File::options().create(true).append(true).open(path);
+                Some(opened.map_err(|e| Fault::new(format!("{}: {e}", path.display())))?)
+            }
+        };
         command.envs(plan.variables.iter().map(|(name, value)| (name, value)));
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
         let mut child = command
@@ -121,6 +133,10 @@
         let (words, kept) = (child.stderr.take(), Arc::clone(&said));
         thread::spawn(move || {
             for line in words.map(BufReader::new).into_iter().flat_map(|w| w.lines().map_while(Result::ok)) {
+                if let Some(log) = &mut log {
+                    // What can't be written is still heard.
+                    _ = writeln!(log, "{line}");
+                }
                 let mut said = lock(&kept.0);
                 if said.lines.len() == LINES {
                     said.lines.pop_front();
