A door over all groups, learned by time: a burst's end is known in seconds

Ruled out: rooms and missing primaries (6% of the losses after it), probes before each read (price), a tighter constant alone (31 to 47% refused at once 15 s later). At fault: learn() moved Group::door by a tenth an answer, and a proxy hears of each group about once a second.

Change: Router::all, a door over all groups, learned by time from all answers; a group's own is a departure that fades (doors). Late answers shrink it four times as fast as those in time let it grow, half that among few proxies; time-outs once, as a cut link is no load.

--- a/crates/mountshift/src/decide.rs
+++ b/crates/mountshift/src/decide.rs
@@ -65,9 +65,12 @@
     room_late: 0.5,
     /// Under this share of that it may hold more; between the two the room stays.
     room_easy: 0.7,
-    /// The part of its requests that a router takes in grows while more than one in this many of its attempts
-    /// is answered in time, and shrinks while fewer are: what the stores do in vain stays under a third.
+    /// The part of its requests that a router takes in grows while answers come in time, up to this much, and
+    /// shrinks so many times as fast while they are late: what the stores do in vain stays under a fifth.
     door: 1.5,
+    door_fall: 4.0,
+    /// How fast what nothing more is heard of is forgotten, as a share of other memories' speed.
+    door_fade: 0.1,
     /// Least part taken in: without any a router would not learn that the stores have recovered.
     door_least: 0.05,
     /// Weight of a new answer in that average.
@@ -169,6 +172,13 @@
     judged: Time,
 }
 
+impl Group {
+    fn new(judged: Time) -> Group {
+        Group { door: 1.0, judged, ..Group::default() }
+    }
+}
+
+#[derive(Default)]
 struct Request {
     arrival: Arrival,
     came: Time,
@@ -240,6 +250,8 @@
     /// all share, and a router among many hears too seldom from each.
     trust: f64,
     proved: Time,
+    /// The door over all groups, likewise.
+    all: Group,
     /// What its requests are usually worth for their work.
     usual_value: f64,
     /// Mean age of a report on arrival, as the primaries' positions show it.
@@ -253,8 +265,8 @@
 
     /// With other constants, for those who measure what they do.
     pub fn tuned(settings: Settings, tune: Tuning, seed: u64, now: Time) -> Router {
-        let (random, own_order, trust, proved) = (seed, seed, 1.0, now);
-        let mut router = Router { tune, now, random, own_order, trust, proved, ..Router::default() };
+        let (random, own_order, trust, proved, all) = (seed, seed, 1.0, now, Group::new(now));
+        let mut router = Router { tune, now, random, own_order, trust, proved, all, ..Router::default() };
         router.configure(settings, &[]);
         router
     }
@@ -370,8 +382,7 @@
         self.groups.values_mut().for_each(|group| group.members.clear());
         for (&id, store) in &self.stores {
             if store.listed != Listed::Gone || soft {
-                let new = || Group { door: 1.0, judged: self.now, ..Group::default() };
-                self.groups.entry(store.group).or_insert_with(new).members.push(id);
+                self.groups.entry(store.group).or_insert_with(|| Group::new(self.now)).members.push(id);
             }
         }
         // Each router has its own order of members: in one common order all routers to which members look
@@ -382,7 +393,9 @@
             group.widest = group.widest.max(serve);
             group.members.sort_by(|a, b| place(a).total_cmp(&place(b)));
         }
-        self.wake_all(out);
+        for id in self.held.iter().map(|h| h.2).collect::<Vec<_>>() {
+            self.dispatch(id, out);
+        }
     }
 
     /// The list is one service for all routers, which takes calls in turn and wastes those that waited too
@@ -405,23 +418,8 @@
         let deadline = self.now.plus(arrival.time_left);
         let known = usize::from(arrival.class.0) < self.set.classes.len();
         let aim_end = self.aim_end(&arrival);
-        self.requests.insert(
-            id,
-            Request {
-                arrival,
-                came: self.now,
-                deadline,
-                aim_end,
-                token,
-                attempts: 0,
-                out: Vec::new(),
-                may_have_run: None,
-                avoid: Vec::new(),
-                tried: Vec::new(),
-                held: false,
-                recheck: None,
-            },
-        );
+        let request = Request { arrival, came: self.now, deadline, aim_end, token, ..Request::default() };
+        self.requests.insert(id, request);
         if !known || !self.takes_in(id) {
             return self.give_up(id, out);
         }
@@ -456,12 +454,10 @@
             self.forget(id);
         } else if let Some(request) = self.requests.get_mut(&id) {
             request.out.retain(|&(no, _)| no != attempt);
-            match outcome {
-                Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss => {}
-                Outcome::Ok | Outcome::Failed | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled => {
-                    let earliest = request.may_have_run.filter(|&(at, _)| at <= sent);
-                    request.may_have_run = earliest.or(Some((sent, store)));
-                }
+            let never = [Outcome::Full, Outcome::ConnectFailed, Outcome::Moot, Outcome::Miss];
+            if !never.contains(&outcome) {
+                let earliest = request.may_have_run.filter(|&(at, _)| at <= sent);
+                request.may_have_run = earliest.or(Some((sent, store)));
             }
             request.avoid.push(store);
             if request.out.is_empty() {
@@ -502,22 +498,31 @@
         let Class { need, aim, deadline, late_worth, .. } = *self.class(class);
         let (write, aim, at) = (need == Need::Write, aim.max(LEAST), usize::from(class.0));
         // A time-out hides how long it would have taken. Among few routers rooms are cut, and that is enough.
-        let hidden = outcome == Outcome::TimedOut && f64::from(self.set.routers) > tune.few;
-        let took = match outcome {
-            _ if hidden => Some(deadline.div_duration_f64(aim)),
-            Outcome::Ok | Outcome::TimedOut => Some(elapsed.div_duration_f64(aim)),
-            Outcome::Full => Some(deadline.div_duration_f64(aim)),
-            _ => None,
-        };
+        let many = f64::from(self.set.routers) > tune.few;
+        let hidden = many && outcome == Outcome::TimedOut;
+        let waited = if hidden || outcome == Outcome::Full { deadline } else { elapsed };
+        let tells = matches!(outcome, Outcome::Ok | Outcome::TimedOut | Outcome::Full);
+        let took = tells.then(|| waited.div_duration_f64(aim));
         let told = self.stores.get(&id).map(|store| (1.0 - self.kept(store.judged), store.group));
         let Some((memory, at_group)) = told else { return };
-        let door_memory = self.groups.get(&at_group).map_or(0.0, |group| 1.0 - self.kept(group.judged));
-        if let (Some(took), Some(group)) = (took, self.groups.get_mut(&at_group)) {
-            let in_time = if took < 1.0 { 1.0 } else { late_worth };
-            let earned = if outcome == Outcome::Ok { in_time } else { 0.0 };
-            let aimed = (tune.door * earned * group.door).clamp(tune.door_least, tune.door);
-            group.door += door_memory.min(tune.run_weight) * (aimed - group.door);
-            group.judged = now;
+        if let Some(took) = took {
+            let earned = if took < 1.0 { 1.0 } else { late_worth };
+            // No answer may tell of a connection: it weighs no more than one in time. A full store is late.
+            let fall = if many { tune.door_fall } else { tune.door_fall / 2.0 };
+            let step = match outcome {
+                Outcome::TimedOut => -1.0,
+                _ => earned - fall * (1.0 - earned),
+            };
+            let judged = |door: f64, weight: f64| {
+                (door + door * weight.min(tune.run_weight) * step).clamp(tune.door_least, tune.door)
+            };
+            let (all, here) = self.doors(at_group);
+            let here = judged(here, 1.0);
+            self.all.door = judged(all, 1.0 - self.kept(self.all.judged));
+            self.all.judged = now;
+            if let Some(group) = self.groups.get_mut(&at_group) {
+                (group.door, group.judged) = (here, now);
+            }
         }
         let Some(store) = self.stores.get_mut(&id) else { return };
         if let Some(primary) = note.primary {
@@ -616,12 +621,6 @@
         }
     }
 
-    fn wake_all(&mut self, out: &mut Out) {
-        for id in self.held.iter().map(|h| h.2).collect::<Vec<_>>() {
-            self.dispatch(id, out);
-        }
-    }
-
     // ---- The choice ----
 
     fn dispatch(&mut self, id: RequestId, out: &mut Out) {
@@ -698,19 +697,15 @@
                 best = Some(candidate);
             }
         }
+        let patient = self.now < self.patient_until(request);
+        let lasting = patient || request.attempts > 0 || class.late_worth > 0.0;
         match best {
             Some((_, _, id, true)) => Choice::Send(id),
             Some((_, _, id, false)) => Choice::Ask(Some(id)),
-            None if busy
-                && request.attempts == 0
-                && class.late_worth == 0.0
-                && self.now >= self.patient_until(request) =>
-            {
-                Choice::GiveUp
+            None if busy && lasting && self.work[usize::from(request.arrival.class.0)] < time_left => {
+                Choice::Hold
             }
-            None if busy && self.work[usize::from(request.arrival.class.0)] < time_left => Choice::Hold,
-            None if busy => Choice::GiveUp,
-            None if some_later && self.now < self.patient_until(request) => Choice::Ask(None),
+            None if !busy && some_later && patient => Choice::Ask(None),
             None => Choice::GiveUp,
         }
     }
@@ -963,11 +958,18 @@
     fn takes_in(&mut self, id: RequestId) -> bool {
         let value = self.value(id);
         self.usual_value += self.tune.run_weight * (value - self.usual_value);
-        let group = self.requests.get(&id).and_then(|request| self.groups.get(&request.arrival.group));
-        let part = group.map_or(1.0, |group| group.door).powf((self.usual_value / value).sqrt());
+        let door = self.requests.get(&id).map_or(1.0, |request| self.doors(request.arrival.group).1);
+        let part = door.powf((self.usual_value / value).sqrt());
         share_of(self.own_order ^ id.0.rotate_left(32)) < part
     }
 
+    /// Of all groups, and of one: a jam there turns no other's requests away, but is seldom heard of by many.
+    fn doors(&self, group: GroupId) -> (f64, f64) {
+        let all = 1.0 + self.kept(self.all.judged).powf(self.tune.door_fade) * (self.all.door - 1.0);
+        let own = |group: &Group| self.kept(group.judged).sqrt() * (group.door - all);
+        (all, all + self.groups.get(&group).map_or(0.0, own))
+    }
+
     /// The final answer, at once. A refusal promises that nothing ran which a repeat could double.
     fn give_up(&mut self, id: RequestId, out: &mut Out) {
         let Some(request) = self.requests.get(&id) else { return };
--- a/crates/mountshift/src/interface.rs
+++ b/crates/mountshift/src/interface.rs
@@ -263,7 +263,7 @@
     Failed,
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Arrival {
     pub id: RequestId,
     pub class: ClassId,
