--- a/crates/leverlab/src/play/host.rs
+++ b/crates/leverlab/src/play/host.rs
@@ -19,17 +19,6 @@
     store.0.wrapping_sub(1)
 }
 
-/// What is true of a server, as the list would have it.
-pub fn record(site: &Site, server: ServerId) -> Record {
-    Record {
-        server,
-        group: site.group(server),
-        place: site.place(server),
-        status: site.status(server),
-        started: site.started(server),
-    }
-}
-
 pub fn entry(record: &Record, time: impl Fn(Micros) -> Time) -> Entry {
     Entry {
         store: store(record.server),
--- a/crates/leverlab/src/play/mod.rs
+++ b/crates/leverlab/src/play/mod.rs
@@ -175,7 +175,7 @@
 ) -> Outcomes {
     let streams = Streams::new(seed);
     let site = Site::new(scenario.site.clone());
-    let list = Catalog::new(scenario.catalog, site.servers().map(|s| host::record(&site, s)));
+    let list = Catalog::new(scenario.catalog, site.servers().map(|s| catalog::Record::of(&site, s)));
     let places = scenario.site.places.max(1);
     let hosts = (0..scenario.proxies()).map(|proxy| Host::new((proxy % places) as u16)).collect();
     let kinds = &scenario.clients.kinds;
@@ -642,7 +642,7 @@
                     }
                 }
                 site::Action::Changed(server) => {
-                    let record = host::record(&self.site, server);
+                    let record = catalog::Record::of(&self.site, server);
                     self.list(catalog::Event::Changed(record));
                 }
                 site::Action::Primary { group, server } => {
--- a/crates/rig/src/truth.rs
+++ b/crates/rig/src/truth.rs
@@ -131,16 +131,6 @@
     Histogram::new_with_bounds(1, HIGHEST, 3).expect("bounds that fit each other")
 }
 
-fn record(site: &Site, server: ServerId) -> Record {
-    Record {
-        server,
-        group: site.group(server),
-        place: site.place(server),
-        status: site.status(server),
-        started: site.started(server),
-    }
-}
-
 impl Truth {
     pub fn new(
         site: site::Settings,
@@ -152,7 +142,7 @@
     ) -> (Truth, Faces) {
         let streams = Streams::new(seed);
         let site = Site::new(site);
-        let list = Catalog::new(list, site.servers().map(|s| record(&site, s)));
+        let list = Catalog::new(list, site.servers().map(|s| Record::of(&site, s)));
         let (born, new) = mpsc::unbounded_channel();
         let (errands, wanted) = mpsc::unbounded_channel();
         let kinds = clients.kinds.clone();
@@ -530,7 +520,7 @@
                     }
                 }
                 site::Action::Changed(server) => {
-                    let record = record(&self.site, server);
+                    let record = Record::of(&self.site, server);
                     if self.lives.len() <= server as usize {
                         self.lives.push(watch::Sender::new(0));
                         _ = self.born.send(server);
--- a/crates/world/src/catalog.rs
+++ b/crates/world/src/catalog.rs
@@ -1,7 +1,7 @@
 //! Discovery: the list of servers as one service keeps it for all proxies. It is late, it works through calls in turn,
 //! and it can fall further behind or go down.
 
-use crate::site::{ServerId, Status};
+use crate::site::{ServerId, Site, Status};
 use crate::Micros;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -29,6 +29,19 @@
     pub started: Micros,
 }
 
+impl Record {
+    /// What is true of a server, as the list would have it.
+    pub fn of(site: &Site, server: ServerId) -> Record {
+        Record {
+            server,
+            group: site.group(server),
+            place: site.place(server),
+            status: site.status(server),
+            started: site.started(server),
+        }
+    }
+}
+
 /// Whoever calls: a proxy.
 pub type Caller = usize;
 
