--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -175,10 +175,6 @@
         self.child.wait().ok().and_then(|status| status.code())
     }
 
-    pub fn running(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(None))
-    }
-
     /// The first line with these words among those from number `from` on, and its number.
     pub fn line(&mut self, words: &str, from: usize) -> Result<(usize, String), Fault> {
         let until = Instant::now() + PATIENCE;
@@ -204,11 +200,6 @@
             said = came.wait_timeout(said, left).unwrap_or_else(PoisonError::into_inner).0;
         }
     }
-
-    /// All lines that are kept.
-    pub fn lines(&self) -> Vec<String> {
-        lock(&self.said.0).lines.iter().cloned().collect()
-    }
 }
 
 impl Drop for Process {
