The list's clock: silence is answered by a call at once, pushed lists are watched

Seen: a list over several lines ended each watch with "EOF while parsing an object" (http.rs split bodies at line feeds); where the settings do not say on_request no watch was ever opened (only the module's Subscribe opened one, proxy.rs had no other caller); a silent watch was told to the module as a failed call, which waits 2 to 8 s among hundreds (decide.rs, ask_list) after 3 s of silence; a dial that hangs was given the whole watch-silence, which could be 5 s; a trickle of bytes kept a watch alive for good.

Pushed lists are watched from the first moment.

Tests that failed before: an indented list, a trickle, a pushed list.

--- a/crates/configuration/src/schema.rs
+++ b/crates/configuration/src/schema.rs
@@ -134,7 +134,7 @@
         help: "The list of record servers.",
         directives: &[
             directive("address", One(Type::Address), "", "address 127.0.0.1:8500", "where discovery answers, if the platform does not say"),
-            at_start(directive("watch-silence", One(time(500, 5_000)), "3s", "watch-silence 4s", "a watch that says nothing for this long is replaced")),
+            at_start(directive("watch-silence", One(time(500, 3_000)), "3s", "watch-silence 2500ms", "a watch that says nothing for this long is replaced")),
         ],
     },
     Section {
--- a/crates/leverlab/src/scenario.rs
+++ b/crates/leverlab/src/scenario.rs
@@ -156,6 +156,7 @@
             checks: if checks { Checks::Refuse } else { Checks::None },
             tokens_carried: true,
             list_on_request: true,
+            list_within: Duration::from_secs(10),
             may_probe: probes,
             may_cancel: true,
             second_copies,
--- a/crates/leverproxy/src/discovery/mod.rs
+++ b/crates/leverproxy/src/discovery/mod.rs
@@ -1,13 +1,15 @@
-//! The watch on the list of record servers. Whether and when to ask is the module's to say; this keeps one
-//! watch at most and tells when it has broken; while discovery moves, the former one stays open until the new one
-//! speaks.
+//! The watch on the list of record servers. Whether to ask, and when again after an answer that says no, is the module's
+//! to say where the list has to be asked for; when a call is broken is [`list_clock`]'s. This keeps one watch at most and
+//! tells when it has broken; while discovery moves, the former one stays open until the new one speaks.
 
 pub mod directory;
 pub mod wire;
 
-use crate::http::{self, LineReader};
+use crate::http::{self, Part, Reader};
 use crate::net::{Filled, Stream};
 use crate::reactor::{Interest, Key, Reactor, Slots, Token};
+use crate::seldom::Seldom;
+use list_clock::{Action, Clock, Event};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -20,40 +22,49 @@
     /// It has said that nothing has changed.
     Heard,
     Listing(Listing),
+    /// The watch is lost.
+    Lost,
+    /// The module, which orders calls, hears that one has failed.
     Failed,
 }
 
 pub struct Discovery {
     address: SocketAddr,
-    /// Longest that a watch may say nothing.
-    silence: Duration,
+    clock: Clock,
+    /// The clock's origin.
+    start: Instant,
+    /// A timer is set for then.
+    alarm: Option<Instant>,
     watches: Slots<Watch>,
     current: Option<Key>,
     /// At the address that discovery has left; what it has to tell counts until the current one speaks.
     former: Option<Key>,
-    asked: bool,
     news: VecDeque<News>,
+    /// An agent that is down is called ten times a second.
+    losses: Seldom,
 }
 
 struct Watch {
     stream: Stream,
     up: bool,
-    reader: LineReader,
-    heard: Instant,
-    /// A line has come: the answer has begun.
+    reader: Reader,
+    /// The answer has begun.
     spoke: bool,
 }
 
 impl Discovery {
-    pub fn new(address: SocketAddr, silence: Duration) -> Discovery {
+    /// `silence`: the longest that a watch may say nothing; `pushed`: a watch stands from the first moment.
+    pub fn new(address: SocketAddr, silence: Duration, pushed: bool, now: Instant) -> Discovery {
         Discovery {
             address,
-            silence,
+            clock: Clock::new(silence, pushed),
+            start: now,
+            alarm: None,
             watches: Slots::default(),
             current: None,
             former: None,
-            asked: false,
             news: VecDeque::new(),
+            losses: Seldom::default(),
         }
     }
 
@@ -61,10 +72,75 @@
         self.news.pop_front()
     }
 
-    /// Asks for all changes after `index`, in place of the watch there was; returns the new one and when to look
-    /// after it.
-    pub fn subscribe(&mut self, index: u64, now: Instant, reactor: &Reactor) -> Option<(Instant, Key)> {
-        self.asked = true;
+    /// Lists are pushed from now on, or have to be asked for. Where they are pushed a watch is opened, if there is none.
+    pub fn set_pushed(&mut self, pushed: bool, index: u64, now: Instant, reactor: &Reactor) {
+        self.clock.set_pushed(pushed);
+        if pushed && self.current.is_none() {
+            self.subscribe(index, now, reactor);
+        }
+    }
+
+    /// Asks for all changes after `index`, in place of the watch there was.
+    pub fn subscribe(&mut self, index: u64, now: Instant, reactor: &Reactor) {
+        self.act(Event::Ask, index, now, reactor);
+    }
+
+    /// Looks whether the watch has been silent for too long.
+    pub fn check(&mut self, index: u64, now: Instant, reactor: &Reactor) {
+        self.alarm = None;
+        self.act(Event::Tick, index, now, reactor);
+    }
+
+    /// When a timer is to be set that is not yet.
+    pub fn alarm(&mut self) -> Option<Instant> {
+        let due = self.start + self.clock.due()?;
+        if self.alarm.is_some_and(|set| set <= due) {
+            return None;
+        }
+        self.alarm = Some(due);
+        Some(due)
+    }
+
+    /// Discovery is at another address from now on. A watch there goes on from `index`; the one there was is
+    /// kept meanwhile, as the new one may take its time or break.
+    pub fn move_to(&mut self, address: SocketAddr, index: u64, now: Instant, reactor: &Reactor) {
+        if address == self.address {
+            return;
+        }
+        log::info!("discovery: moves from {} to {address}", self.address);
+        self.address = address;
+        let speaks = |key: &Key| self.watches.get(*key).is_some_and(|watch| watch.spoke);
+        if let Some(key) = self.current.filter(speaks) {
+            self.let_go_former();
+            self.former = Some(key);
+            self.current = None;
+        }
+        self.act(Event::Moved, index, now, reactor);
+    }
+
+    fn act(&mut self, event: Event, index: u64, now: Instant, reactor: &Reactor) {
+        let mut actions = Vec::new();
+        self.clock.handle(now.saturating_duration_since(self.start), event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Call => self.call(index, now, reactor),
+                Action::Lost { silent } => {
+                    if silent {
+                        self.losses.warn(now, || "discovery: watch lost: silent for too long".to_owned());
+                    }
+                    self.news.push_back(News::Lost);
+                }
+                Action::Tell => self.news.push_back(News::Failed),
+            }
+        }
+    }
+
+    /// Of the call that is out: the clock hears of it, and orders nothing by it.
+    fn tell(&mut self, event: Event, now: Instant) {
+        self.clock.handle(now.saturating_duration_since(self.start), event, &mut Vec::new());
+    }
+
+    fn call(&mut self, index: u64, now: Instant, reactor: &Reactor) {
         if let Some(old) = self.current.take() {
             self.watches.remove(old);
         }
@@ -72,8 +148,7 @@
             Ok(mut stream) => {
                 let target = format!("/catalog/members?watch=1&after={index}");
                 stream.push(&http::get(&self.address.to_string(), &target));
-                let watch =
-                    Watch { stream, up: false, reader: LineReader::default(), heard: now, spoke: false };
+                let watch = Watch { stream, up: false, reader: Reader::default(), spoke: false };
                 let key = self.watches.insert(watch);
                 self.current = Some(key);
                 let watched = self
@@ -81,42 +156,14 @@
                     .get_mut(key)
                     .map(|w| w.stream.watch(reactor, Token::Discovery(key), Interest::WRITE));
                 if let Some(Err(e)) = watched {
-                    self.fail(key, &e.to_string());
+                    self.fail(key, &e.to_string(), now, reactor);
                 }
             }
             Err(e) => {
-                log::warn!("discovery: cannot dial {}: {e}", self.address);
-                self.news.push_back(News::Failed);
+                self.losses.warn(now, || format!("discovery: cannot dial {}: {e}", self.address));
+                self.act(Event::Ended, index, now, reactor);
             }
         }
-        Some((now + self.silence, self.current?))
-    }
-
-    /// Discovery is at another address from now on. A watch there goes on from `index`; the one there was is
-    /// kept meanwhile, as the new one may take its time or break.
-    pub fn move_to(
-        &mut self,
-        address: SocketAddr,
-        index: u64,
-        now: Instant,
-        reactor: &Reactor,
-    ) -> Option<(Instant, Key)> {
-        if address == self.address {
-            return None;
-        }
-        log::info!("discovery: moves from {} to {address}", self.address);
-        self.address = address;
-        let speaks = |key: &Key| self.watches.get(*key).is_some_and(|watch| watch.spoke);
-        if let Some(key) = self.current.filter(speaks) {
-            self.let_go_former();
-            self.former = Some(key);
-            self.current = None;
-        }
-        if self.asked {
-            self.subscribe(index, now, reactor)
-        } else {
-            None
-        }
     }
 
     fn let_go_former(&mut self) {
@@ -127,58 +174,55 @@
 
     pub fn ready(&mut self, key: Key, now: Instant, reactor: &Reactor) {
         if let Err(why) = self.advance(key, now, reactor) {
-            self.fail(key, &why);
-        }
-    }
-
-    /// Breaks a watch that has been silent for too long; else returns when to look again. One that is gone is
-    /// not looked after any more, or each new watch would add a timer for good.
-    pub fn check(&mut self, key: Key, now: Instant) -> Option<Instant> {
-        let due = self.watches.get(key)?.heard + self.silence;
-        if due <= now {
-            self.fail(key, "silent for too long");
-            return None;
+            self.fail(key, &why, now, reactor);
         }
-        Some(due)
     }
 
     fn advance(&mut self, key: Key, now: Instant, reactor: &Reactor) -> Result<(), String> {
+        let current = self.current == Some(key);
         let Some(watch) = self.watches.get_mut(key) else { return Ok(()) };
+        let mut events = Vec::new();
         if !watch.up {
             watch.stream.connected().map_err(|e| e.to_string())?;
             watch.up = true;
+            events.push(Event::Up);
         }
         let written = watch.stream.flush().map_err(|e| e.to_string())?;
         let filled = watch.stream.fill(INPUT_LIMIT);
         if !watch.stream.input.is_empty() {
-            watch.heard = now;
+            events.push(Event::Bytes);
         }
-        let mut lines = Vec::new();
-        let used = watch.reader.take(watch.stream.input.unused(), &mut lines);
+        let mut parts = Vec::new();
+        let used = watch.reader.take(watch.stream.input.unused(), &mut parts);
         watch.stream.input.consume(used.map_err(|e| e.to_string())?);
-        for line in &lines {
-            if line.trim_ascii().is_empty() {
-                self.news.push_back(News::Heard);
-                continue;
-            }
-            let listing = Listing::parse(line).map_err(|ListingError(problem)| problem)?;
-            self.news.push_back(News::Listing(listing));
+        if !parts.is_empty() {
+            watch.spoke = true;
+            events.push(Event::Whole);
         }
-        let spoke = !lines.is_empty();
-        watch.spoke |= spoke;
         let ended = filled == Filled::Ended || watch.reader.done();
-        if spoke && self.current == Some(key) {
-            self.let_go_former();
+        let interest = Interest { read: true, write: !written };
+        let watched = watch.stream.watch(reactor, Token::Discovery(key), interest);
+        for part in &parts {
+            self.news.push_back(match part {
+                Part::Alive => News::Heard,
+                Part::Object(text) => {
+                    News::Listing(Listing::parse(text.as_bytes()).map_err(|ListingError(problem)| problem)?)
+                }
+            });
+        }
+        if current {
+            events.into_iter().for_each(|event| self.tell(event, now));
+            if !parts.is_empty() {
+                self.let_go_former();
+            }
         }
         if ended {
             return Err("the watch ended".into());
         }
-        let Some(watch) = self.watches.get_mut(key) else { return Ok(()) };
-        let interest = Interest { read: true, write: !written };
-        watch.stream.watch(reactor, Token::Discovery(key), interest).map_err(|e| e.to_string())
+        watched.map_err(|e| e.to_string())
     }
 
-    fn fail(&mut self, key: Key, why: &str) {
+    fn fail(&mut self, key: Key, why: &str, now: Instant, reactor: &Reactor) {
         if self.watches.remove(key).is_none() {
             return;
         }
@@ -186,9 +230,10 @@
             log::info!("discovery: the former watch is over: {why}");
             self.former = None;
         } else {
-            log::warn!("discovery: watch lost: {why}");
+            self.losses.warn(now, || format!("discovery: watch lost: {why}"));
             self.current = None;
-            self.news.push_back(News::Failed);
+            // No call follows at once, so no index is needed.
+            self.act(Event::Ended, 0, now, reactor);
         }
     }
 }
--- a/crates/leverproxy/src/http.rs
+++ b/crates/leverproxy/src/http.rs
@@ -1,23 +1,40 @@
-//! The part of HTTP/1.1 that a watch needs: the head of an answer and a chunked body, taken in as they come.
+//! What a watch needs of HTTP/1.1: the head of an answer, a body in chunks or plain, and the JSON objects in it, taken in as
+//! they come. Objects may be cut anywhere, indented, or several at once; white space between them says that nothing has
+//! changed.
 
-use std::fmt;
+use serde_json::value::RawValue;
+use thiserror::Error;
 
 const HEAD_LIMIT: usize = 16 << 10;
+const HEADERS: usize = 64;
 const SIZE_LINE_LIMIT: usize = 256;
-/// Largest line of a body.
-const LINE_LIMIT: usize = 4 << 20;
+/// Largest object of a body.
+const OBJECT_LIMIT: usize = 4 << 20;
+/// An unfinished object is looked at again when this part more of it has come: a list of megabytes in small pieces
+/// would else be read a thousand times.
+const LOOK_AGAIN: usize = 16;
 
-#[derive(Debug, PartialEq, Eq)]
-pub struct BadHttp(pub String);
-
-impl fmt::Display for BadHttp {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
-    }
-}
-
-fn bad(problem: impl Into<String>) -> BadHttp {
-    BadHttp(problem.into())
+/// What is wrong with an answer, and where to look.
+#[derive(Debug, PartialEq, Eq, Error)]
+pub enum Fault {
+    #[error("this is no HTTP answer ({0}): is it discovery that listens there?")]
+    NotHttp(httparse::Error),
+    #[error("the head of the answer is longer than {HEAD_LIMIT} bytes or {HEADERS} lines")]
+    HeadTooLong,
+    #[error("status {0}: discovery turns the call away")]
+    Status(u16),
+    #[error("transfer encoding {0:?} is not known: chunked or none is read")]
+    Encoding(String),
+    #[error("{0:?} is no content length")]
+    Length(String),
+    #[error("the body is cut into chunks wrongly")]
+    Chunk,
+    #[error("an object of the list is longer than {OBJECT_LIMIT} bytes")]
+    TooLong,
+    #[error("the body is no JSON: {0}")]
+    NotJson(String),
+    #[error("the answer ends in the middle of an object")]
+    Cut,
 }
 
 #[derive(Debug, Default)]
@@ -26,59 +43,64 @@
     Head,
     Size,
     Chunk {
-        left: usize,
+        left: u64,
     },
     ChunkEnd,
     /// A body that lasts until the connection ends or so many bytes have come.
     Plain {
-        left: Option<usize>,
+        left: Option<u64>,
     },
     Done,
 }
 
-/// Takes bytes as they come and yields the lines of the body.
+/// What a body says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// White space: whoever speaks is there, and has nothing to tell.
+    Alive,
+    /// The text of one object.
+    Object(String),
+}
+
+/// Takes bytes as they come and yields the parts of the body.
 #[derive(Debug, Default)]
-pub struct LineReader {
+pub struct Reader {
     state: State,
-    line: Vec<u8>,
+    body: Vec<u8>,
+    /// Length of the body at the last look that found its object unfinished.
+    looked: usize,
 }
 
-impl LineReader {
-    /// Uses up what it can of `bytes` and says how much; whole lines go to `lines`, empty ones too.
-    pub fn take(&mut self, bytes: &[u8], lines: &mut Vec<Vec<u8>>) -> Result<usize, BadHttp> {
+impl Reader {
+    /// Uses up what it can of `bytes` and says how much.
+    pub fn take(&mut self, bytes: &[u8], parts: &mut Vec<Part>) -> Result<usize, Fault> {
         let mut at = 0;
         loop {
             let rest = &bytes[at..];
             match &mut self.state {
-                State::Head => match rest.windows(4).position(|w| w == b"\r\n\r\n") {
-                    Some(end) => {
-                        self.state = head(&rest[..end])?;
-                        at += end + 4;
-                    }
-                    None if rest.len() > HEAD_LIMIT => return Err(bad("the head is too long")),
-                    None => return Ok(at),
-                },
-                State::Size => match rest.windows(2).position(|w| w == b"\r\n") {
-                    Some(end) => {
-                        let left = chunk_size(&rest[..end])?;
+                State::Head => {
+                    let Some((used, state)) = head(rest)? else { return Ok(at) };
+                    self.state = state;
+                    at += used;
+                }
+                State::Size => match httparse::parse_chunk_size(rest).map_err(|_| Fault::Chunk)? {
+                    httparse::Status::Complete((used, left)) => {
                         self.state = if left == 0 { State::Done } else { State::Chunk { left } };
-                        at += end + 2;
-                    }
-                    None if rest.len() > SIZE_LINE_LIMIT => {
-                        return Err(bad("a chunk's size line is too long"))
+                        at += used;
                     }
-                    None => return Ok(at),
+                    httparse::Status::Partial if rest.len() > SIZE_LINE_LIMIT => return Err(Fault::Chunk),
+                    httparse::Status::Partial => return Ok(at),
                 },
                 State::Chunk { left } => {
-                    let n = rest.len().min(*left);
-                    *left -= n;
-                    if *left == 0 {
-                        self.state = State::ChunkEnd;
-                    } else if n == 0 {
+                    let n = rest.len().min(usize::try_from(*left).unwrap_or(usize::MAX));
+                    *left -= n as u64;
+                    let whole = *left == 0;
+                    self.body(&rest[..n], parts)?;
+                    at += n;
+                    if !whole {
                         return Ok(at);
                     }
-                    self.body(&rest[..n], lines)?;
-                    at += n;
+                    self.state = State::ChunkEnd;
                 }
                 State::ChunkEnd => match rest {
                     [b'\r', b'\n', ..] => {
@@ -86,19 +108,21 @@
                         at += 2;
                     }
                     [] | [b'\r'] => return Ok(at),
-                    _ => return Err(bad("a chunk does not end where its size says")),
+                    _ => return Err(Fault::Chunk),
                 },
                 State::Plain { left } => {
-                    let n = rest.len().min(left.unwrap_or(usize::MAX));
-                    *left = left.map(|l| l - n);
+                    let most = left.map_or(usize::MAX, |left| usize::try_from(left).unwrap_or(usize::MAX));
+                    let n = rest.len().min(most);
+                    *left = left.map(|left| left - n as u64);
                     let done = *left == Some(0);
-                    self.body(&rest[..n], lines)?;
+                    self.body(&rest[..n], parts)?;
                     if done {
                         self.state = State::Done;
                     }
                     return Ok(at + n);
                 }
-                State::Done => return Ok(at),
+                State::Done if self.body.is_empty() => return Ok(at),
+                State::Done => return Err(Fault::Cut),
             }
         }
     }
@@ -108,58 +132,75 @@
         matches!(self.state, State::Done)
     }
 
-    fn body(&mut self, bytes: &[u8], lines: &mut Vec<Vec<u8>>) -> Result<(), BadHttp> {
-        let mut parts = bytes.split(|&b| b == b'\n');
-        self.line.extend_from_slice(parts.next().unwrap_or_default());
-        for part in parts {
-            lines.push(std::mem::replace(&mut self.line, part.to_vec()));
+    fn body(&mut self, bytes: &[u8], parts: &mut Vec<Part>) -> Result<(), Fault> {
+        self.body.extend_from_slice(bytes);
+        let begun = self.looked > 0;
+        if begun && !self.body.trim_ascii_end().ends_with(b"}") {
+            let more = self.body.len() - self.looked;
+            if more < self.looked / LOOK_AGAIN {
+                return self.bounded();
+            }
         }
-        if self.line.len() > LINE_LIMIT {
-            return Err(bad(format!("a line is longer than {LINE_LIMIT} bytes")));
+        let mut objects = serde_json::Deserializer::from_slice(&self.body).into_iter::<&RawValue>();
+        let mut found = false;
+        let unfinished = loop {
+            match objects.next() {
+                None => break false,
+                Some(Ok(object)) => {
+                    found = true;
+                    parts.push(Part::Object(object.get().to_owned()));
+                }
+                Some(Err(e)) if e.is_eof() => break true,
+                Some(Err(e)) => return Err(Fault::NotJson(e.to_string())),
+            }
+        };
+        let used = if unfinished { objects.byte_offset() } else { self.body.len() };
+        if !found && !unfinished && used > 0 {
+            parts.push(Part::Alive);
         }
-        Ok(())
+        self.body.drain(..used);
+        self.looked = self.body.len();
+        self.bounded()
     }
-}
 
-fn head(bytes: &[u8]) -> Result<State, BadHttp> {
-    let text = std::str::from_utf8(bytes).map_err(|_| bad("the head is not text"))?;
-    let mut lines = text.split("\r\n");
-    let status_line = lines.next().unwrap_or_default();
-    let mut words = status_line.split_ascii_whitespace();
-    if !words.next().is_some_and(|w| w.starts_with("HTTP/1.")) {
-        return Err(bad(format!("{status_line:?} is no status line")));
-    }
-    match words.next() {
-        Some("200") => {}
-        other => return Err(bad(format!("status {}", other.unwrap_or("absent")))),
-    }
-    let mut state = State::Plain { left: None };
-    for line in lines {
-        let Some((name, value)) = line.split_once(':') else {
-            return Err(bad(format!("{line:?} is no header")));
-        };
-        let value = value.trim();
-        if name.eq_ignore_ascii_case("transfer-encoding") {
-            if !value.eq_ignore_ascii_case("chunked") {
-                return Err(bad(format!("transfer encoding {value:?} is not known")));
-            }
-            return Ok(State::Size);
-        }
-        if name.eq_ignore_ascii_case("content-length") {
-            let left = value.parse().map_err(|_| bad(format!("{value:?} is no length")))?;
-            state = State::Plain { left: Some(left) };
+    fn bounded(&self) -> Result<(), Fault> {
+        if self.body.len() > OBJECT_LIMIT {
+            return Err(Fault::TooLong);
         }
+        Ok(())
     }
-    Ok(state)
 }
 
-fn chunk_size(line: &[u8]) -> Result<usize, BadHttp> {
-    let text = std::str::from_utf8(line).unwrap_or_default();
-    let digits = text.split(';').next().unwrap_or_default().trim();
-    usize::from_str_radix(digits, 16).map_err(|_| bad(format!("{digits:?} is no chunk size")))
+/// The head of an answer, if it is there whole: its length and how the body comes.
+fn head(bytes: &[u8]) -> Result<Option<(usize, State)>, Fault> {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS];
+    let mut answer = httparse::Response::new(&mut headers);
+    let used = match answer.parse(bytes) {
+        Ok(httparse::Status::Complete(used)) => used,
+        Ok(httparse::Status::Partial) if bytes.len() > HEAD_LIMIT => return Err(Fault::HeadTooLong),
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(httparse::Error::TooManyHeaders) => return Err(Fault::HeadTooLong),
+        Err(e) => return Err(Fault::NotHttp(e)),
+    };
+    match answer.code {
+        Some(200) => {}
+        other => return Err(Fault::Status(other.unwrap_or_default())),
+    }
+    let text = |value: &[u8]| String::from_utf8_lossy(value).trim().to_owned();
+    let value =
+        |name: &str| answer.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name)).map(|h| text(h.value));
+    let state = match (value("transfer-encoding"), value("content-length")) {
+        (Some(encoding), _) if encoding.eq_ignore_ascii_case("chunked") => State::Size,
+        (Some(encoding), _) => return Err(Fault::Encoding(encoding)),
+        (None, Some(length)) => {
+            State::Plain { left: Some(length.parse().map_err(|_| Fault::Length(length))?) }
+        }
+        (None, None) => State::Plain { left: None },
+    };
+    Ok(Some((used, state)))
 }
 
-/// A request for a stream of lines.
+/// A request for a stream of objects.
 pub fn get(host: &str, target: &str) -> Vec<u8> {
     format!("GET {target} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n").into_bytes()
 }
--- a/crates/leverproxy/src/proxy.rs
+++ b/crates/leverproxy/src/proxy.rs
@@ -87,7 +87,8 @@
         let mut front = Front::listen(config.listen, inherited, shared, limits, config.patience, &reactor)?;
         front.set_balancers(config.checks.clone(), config.proxy_from.clone());
         let upstream = Upstream::new(limits.upstream, config.dial_timeout, config.idle_limit);
-        let discovery = Discovery::new(config.discovery, config.watch_silence);
+        let pushed = !config.platform.settings.list_on_request;
+        let discovery = Discovery::new(config.discovery, config.watch_silence, pushed, now);
         let fixed = Fixed {
             name: config.name,
             listen: config.listen,
@@ -135,6 +136,7 @@
             }
             None => chain.start(config.known, &mut sides, now),
         }
+        chain.set_pushed(pushed, &mut sides, now);
         if let (Some(takeover), Some(link)) = (&mut sides.takeover, link) {
             takeover.join(link, &sides.reactor);
         }
@@ -293,11 +295,7 @@
         match timer {
             Timer::Module(token) => self.chain.on_module_timer(token, &mut self.sides, now),
             Timer::Upstream(due) => self.sides.upstream.on_due(due, now, &self.sides.reactor),
-            Timer::Watch(key) => {
-                if let Some(again) = self.sides.discovery.check(key, now) {
-                    self.sides.timers.set(again, Timer::Watch(key));
-                }
-            }
+            Timer::Watch => self.chain.on_watch_timer(&mut self.sides, now),
             Timer::LookOver => {
                 let again = self.sides.front.look_over(now, &self.sides.reactor);
                 self.sides.health.look_over(now, &self.sides.reactor);
@@ -535,6 +533,7 @@
         let routes = rules.rulings.len();
         let former = self.chain.set_rules(rules);
         self.chain.discovery_at(config.discovery, &mut self.sides, now);
+        self.chain.set_pushed(!self.platform.settings.list_on_request, &mut self.sides, now);
         let pause_us = begun.elapsed().as_micros() as u64;
         log::info!(pause_us, routes; "the configuration is reread: discovery at {}", config.discovery);
         if let Some(reloads) = &self.reloads {
--- a/crates/leverproxy/src/stages/mod.rs
+++ b/crates/leverproxy/src/stages/mod.rs
@@ -18,7 +18,7 @@
 use crate::health::Health;
 use crate::monitor::Monitor;
 use crate::operate::Operate;
-use crate::reactor::{later, Key, Reactor, Timers};
+use crate::reactor::{later, Reactor, Timers};
 use crate::request::{Answer, Done, Piece, Purpose, Request, Ticket};
 use crate::seldom::Seldom;
 use crate::takeover::Takeover;
@@ -34,7 +34,7 @@
 pub enum Timer {
     Module(u32),
     Upstream(Due),
-    Watch(Key),
+    Watch,
     /// Whoever of the clients has run out of time.
     LookOver,
     /// The listener, full before, may be looked at again.
@@ -139,6 +139,18 @@
         for (at, due) in sides.upstream.take_due() {
             sides.timers.set(at, Timer::Upstream(due));
         }
+        if let Some(at) = sides.discovery.alarm() {
+            sides.timers.set(at, Timer::Watch);
+        }
+    }
+
+    pub fn on_watch_timer(&mut self, sides: &mut Sides, now: Instant) {
+        sides.discovery.check(self.directory.index(), now, &sides.reactor);
+    }
+
+    /// Where lists are pushed, the watch stands whatever the module asks for.
+    pub fn set_pushed(&mut self, pushed: bool, sides: &mut Sides, now: Instant) {
+        sides.discovery.set_pushed(pushed, self.directory.index(), now, &sides.reactor);
     }
 
     pub fn on_module_timer(&mut self, token: u32, sides: &mut Sides, now: Instant) {
@@ -328,11 +340,11 @@
                 let (news, changes) = self.directory.learn(listing, &self.names);
                 self.listed(news, changes, sides, now);
             }
-            News::Failed => {
+            News::Lost => {
                 self.monitor.event(now, availability::Event::Discovery { heard: false });
                 self.counters.watches_lost += 1;
-                self.decide(Event::List(ListNews::Failed), sides, now);
             }
+            News::Failed => self.decide(Event::List(ListNews::Failed), sides, now),
         }
     }
 
@@ -382,16 +394,14 @@
                 sides.timers.set(later(now, after), Timer::Module(token.0));
             }
             Action::Subscribe => {
-                let watch = sides.discovery.subscribe(self.directory.index(), now, &sides.reactor);
-                look_after(watch, sides);
+                sides.discovery.subscribe(self.directory.index(), now, &sides.reactor);
             }
         }
     }
 
     /// Discovery is at another address; what is known of the record servers stays.
     pub fn discovery_at(&mut self, address: SocketAddr, sides: &mut Sides, now: Instant) {
-        let watch = sides.discovery.move_to(address, self.directory.index(), now, &sides.reactor);
-        look_after(watch, sides);
+        sides.discovery.move_to(address, self.directory.index(), now, &sides.reactor);
     }
 
     fn probe(&mut self, store: StoreId, sides: &mut Sides, now: Instant) {
@@ -463,9 +473,3 @@
         self.ledger.len()
     }
 }
-
-fn look_after(watch: Option<(Instant, Key)>, sides: &mut Sides) {
-    if let Some((due, key)) = watch {
-        sides.timers.set(due, Timer::Watch(key));
-    }
-}
--- a/crates/leverproxy/tests/stories.rs
+++ b/crates/leverproxy/tests/stories.rs
@@ -2,11 +2,15 @@
 
 mod common;
 use common::{answer, read, Listener, Peer, Program, Reply, Stage, PATIENCE};
+use leverproxy::config::Config;
 use leverproxy::reactor::{Reactor, Token};
 use leverproxy::request::{Purpose, Question, Verdict};
 use leverproxy::upstream::{Exchange, Upstream};
 use mountshift::{AttemptNo, RequestId, StoreId};
 use rustix::process::Signal;
+use std::io::Write;
+use std::net::Shutdown;
+use std::thread;
 use std::time::{Duration, Instant};
 
 /// The statement and its id pass unchanged, `d` tells the rest of the time, the value comes as it was given.
@@ -155,6 +159,45 @@
     stage.discovery.accept().watch();
 }
 
+/// A list may come indented, over many lines; a watch that trickles it without end is replaced all the same.
+#[test]
+fn an_indented_list_is_taken_and_a_trickle_is_not_waited_for() {
+    let server = Listener::new();
+    let mut stage = Stage::with(&[], |config| config.watch_silence = Duration::from_millis(1_500));
+    let list = format!(
+        "{{\n  \"index\": 58,\n\n  \"endpoints\": [\n    {}\n  ]\n}}\n",
+        server.listed("s-1", "Ready")
+    );
+    for part in [&list[..20], &list[20..]] {
+        stage.watch.write(format!("{:x}\r\n{part}\r\n", part.len()).as_bytes());
+    }
+    let mut client = Peer::client(stage.address);
+    common::served(&mut client, &server, 1, "listed");
+    // A blank in the middle of an object, again and again, is no sign of life.
+    let mut trickle = stage.watch.stream.try_clone().unwrap();
+    thread::spawn(move || {
+        while trickle.write_all(b"2\r\n{ \r\n1\r\n \r\n").is_ok() {
+            thread::sleep(Duration::from_millis(100));
+        }
+    });
+    assert_eq!(stage.discovery.accept().watch(), "GET /catalog/members?watch=1&after=58 HTTP/1.1");
+}
+
+/// Where lists are pushed nobody orders a watch: it stands from the first moment, and again as soon as it has ended.
+#[test]
+fn a_pushed_list_is_watched_from_the_first_moment() {
+    let server = Listener::new();
+    let pushed = |config: &mut Config| config.platform.settings.list_on_request = false;
+    let mut stage = Stage::with(&[], pushed);
+    stage.watch.stream.shutdown(Shutdown::Both).unwrap();
+    let mut again = stage.discovery.accept();
+    assert_eq!(again.watch(), "GET /catalog/members?watch=1&after=41 HTTP/1.1");
+    again.tell(57, &[server.listed("s-1", "Ready")]);
+    again.stream.shutdown(Shutdown::Both).unwrap();
+    stage.watch = stage.discovery.accept();
+    assert_eq!(stage.watch.watch(), "GET /catalog/members?watch=1&after=57 HTTP/1.1");
+}
+
 /// A spoilt answer is a failed attempt: the connection ends at once, not when time is out, even where half of an
 /// answer is all that comes; what may be repeated is, and a write is not.
 #[test]
--- a/crates/leverproxy/tests/units.rs
+++ b/crates/leverproxy/tests/units.rs
@@ -5,7 +5,7 @@
 use leverproxy::config;
 use leverproxy::discovery::directory::{Change, Directory};
 use leverproxy::discovery::wire::Listing;
-use leverproxy::http::LineReader;
+use leverproxy::http::{Fault, Part, Reader};
 use leverproxy::logging::{self, NeverWaits};
 use leverproxy::pg::client::AnswerReader;
 use leverproxy::pg::statement::{self, Query};
@@ -32,27 +32,70 @@
     assert_eq!((slots.len(), slots.keys()), (1, vec![new]));
 }
 
-#[test]
-fn a_chunked_stream_may_be_cut_anywhere() {
-    let stream = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n{\"a\r\n4;x=1\r\n\":1}\r\n2\r\n\n\n\r\n0\r\n";
-    let (mut reader, mut lines, mut kept) = (LineReader::default(), vec![], vec![]);
-    for byte in stream {
-        kept.push(*byte);
-        let used = reader.take(&kept, &mut lines).unwrap();
+/// The parts of a body that comes in pieces of so many bytes.
+fn parts_of(stream: &[u8], piece: usize) -> Result<(Vec<Part>, bool), Fault> {
+    let (mut reader, mut parts, mut kept) = (Reader::default(), vec![], vec![]);
+    for bytes in stream.chunks(piece) {
+        kept.extend_from_slice(bytes);
+        let used = reader.take(&kept, &mut parts)?;
         kept.drain(..used);
     }
-    assert_eq!(lines, [b"{\"a\":1}".to_vec(), vec![]]);
-    assert!(reader.done());
-    let broken: [&[u8]; 3] = [
-        b"HTTP/1.1 503 Busy\r\n\r\n",
-        b"SSH-2.0\r\n\r\n",
-        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+    Ok((parts, reader.done()))
+}
+
+/// An object may be cut anywhere, indented, and one of several; white space between objects is a sign of life.
+#[test]
+fn a_stream_of_objects_may_be_cut_anywhere() {
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let indented = "{\n  \"a\": \"}\\\"{\",\n\n  \"b\": [ {} ]\n}";
+    let chunk = |text: &str| format!("{:x};x=1\r\n{text}\r\n", text.len());
+    let (first, rest) = indented.split_at(9);
+    let said = [chunk(first), chunk(rest), chunk("\n"), chunk("{}{\"c\":1}\n"), chunk("\r\n")].concat();
+    let stream = format!("{head}{said}0\r\n\r\n");
+    for piece in [1, 2, 3, 7, stream.len()] {
+        let (parts, done) = parts_of(stream.as_bytes(), piece).unwrap();
+        let objects: Vec<_> = parts.iter().filter(|part| **part != Part::Alive).cloned().collect();
+        assert_eq!(
+            objects,
+            [indented, "{}", "{\"c\":1}"].map(|text| Part::Object(text.to_owned())),
+            "{piece}"
+        );
+        // Of white space inside the object nothing is heard, of that after it something.
+        assert_eq!(parts.first(), objects.first());
+        assert_eq!(parts.last(), Some(&Part::Alive));
+        assert!(done);
+    }
+    let plain = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+    assert_eq!(parts_of(plain.as_bytes(), 5).unwrap(), (vec![Part::Object("{}".into())], true));
+    let fault = |text: &str| parts_of(format!("{head}{text}").as_bytes(), usize::MAX).unwrap_err();
+    assert!(matches!(fault(&chunk("{} <html>")), Fault::NotJson(_)));
+    assert_eq!(fault("2\r\n{}\n"), Fault::Chunk);
+    assert_eq!(fault("zz\r\n"), Fault::Chunk);
+    assert_eq!(fault("1\r\n{\r\n0\r\n"), Fault::Cut);
+    let broken = [
+        ("HTTP/1.1 503 Busy\r\n\r\n".to_owned(), Fault::Status(503)),
+        ("SSH-2.0\r\n\r\n".to_owned(), Fault::NotHttp(httparse::Error::Version)),
+        (format!("HTTP/1.1 200 OK\r\nA: {}", "x".repeat(17 << 10)), Fault::HeadTooLong),
+        ("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n".into(), Fault::Encoding("gzip".into())),
+        ("HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n".into(), Fault::Length("-1".into())),
     ];
-    for bytes in broken {
-        assert!(LineReader::default().take(bytes, &mut vec![]).is_err());
+    for (text, fault) in broken {
+        assert_eq!(parts_of(text.as_bytes(), usize::MAX), Err(fault), "{text:.40}");
     }
 }
 
+/// A list of megabytes in small pieces is read in good time, and one without end is not kept.
+#[test]
+fn a_large_list_in_small_pieces_is_read_once_or_given_up() {
+    let entry = r#"{"name":"s-1","group":1,"status":"Ready"},"#;
+    let list = format!("{{\"endpoints\":[{}{{}}]}}", entry.repeat(50_000));
+    let stream = format!("HTTP/1.1 200 OK\r\n\r\n{list}");
+    let (parts, _) = parts_of(stream.as_bytes(), 1_400).unwrap();
+    assert_eq!(parts, [Part::Object(list)]);
+    let endless = format!("HTTP/1.1 200 OK\r\n\r\n[{}", entry.repeat(120_000));
+    assert_eq!(parts_of(endless.as_bytes(), 64 << 10), Err(Fault::TooLong));
+}
+
 /// A word for the status that is not known must not break the watch, nor bring anything new to that server.
 #[test]
 fn an_unknown_status_counts_as_draining() {
--- a/crates/mountshift/src/decide.rs
+++ b/crates/mountshift/src/decide.rs
@@ -85,10 +85,10 @@
 }
 
 /// Least wait before the list is asked for again after a failure, and the most; doubled and jittered between.
-/// The list is seconds late by itself, so asking faster gains nothing and slower adds to that.
-const LIST_WAIT: (Duration, Duration) = (Duration::from_millis(125), Duration::from_secs(4));
-/// Beyond a few routers calls are spread so far apart over all, as far as one of them may wait for it.
-const LIST_PACE: Duration = Duration::from_millis(80);
+/// Half as much again as the most is under six seconds: what one has missed so long counts as told.
+const LIST_WAIT: (Duration, Duration) = (Duration::from_millis(125), Duration::from_secs(3));
+/// Beyond a few routers calls are spread so far apart over all, in this share of the time that one may wait.
+const LIST_PACE: (Duration, f64) = (Duration::from_millis(80), 0.75);
 /// Writes remembered; beyond it the old ones are folded into one position that all sessions must see.
 const WRITES_KEPT: usize = 100_000;
 /// An attempt in vain that so many sent later have overtaken tells of its connection, not of the store.
@@ -332,15 +332,12 @@
     // ---- Events ----
 
     fn on_list(&mut self, news: ListNews, out: &mut Out) {
+        if matches!(news, ListNews::Cached(_)) && self.set.list_on_request {
+            self.ask_list(Duration::ZERO);
+        }
         let (entries, complete) = match news {
             ListNews::Changes(entries) => (entries, false),
-            ListNews::Complete(entries) => (entries, true),
-            ListNews::Cached(entries) => {
-                if self.set.list_on_request {
-                    self.ask_list(Duration::ZERO);
-                }
-                (entries, true)
-            }
+            ListNews::Complete(entries) | ListNews::Cached(entries) => (entries, true),
             ListNews::Failed => {
                 self.list_failures += 1;
                 return self.ask_list((LIST_WAIT.0 * (1 << self.list_failures.min(16))).min(LIST_WAIT.1));
@@ -396,7 +393,8 @@
     /// The list is one service for all routers, which takes calls in turn and wastes those that waited too
     /// long: started or cut off together they would keep each other from it for good.
     fn ask_list(&mut self, wait: Duration) {
-        let fleet = (LIST_PACE * self.set.routers.saturating_sub(self.tune.few as u32)).min(LIST_WAIT.1 * 2);
+        let fleet = LIST_PACE.0 * self.set.routers.saturating_sub(self.tune.few as u32);
+        let fleet = fleet.min(self.set.list_within.mul_f64(LIST_PACE.1));
         let due = self.now.plus(wait / 2 + wait.max(fleet).mul_f64(self.chance()));
         self.agenda.insert((due, Task::AskList));
     }
--- a/crates/mountshift/src/interface.rs
+++ b/crates/mountshift/src/interface.rs
@@ -175,6 +175,8 @@
     pub tokens_carried: bool,
     /// The list must be asked for.
     pub list_on_request: bool,
+    /// It has to be asked for within this; what has changed counts as told then.
+    pub list_within: Duration,
     pub may_probe: bool,
     pub may_cancel: bool,
     pub second_copies: bool,
--- a/crates/mountshift/src/lib.rs
+++ b/crates/mountshift/src/lib.rs
@@ -24,6 +24,7 @@
 //!     checks: Checks::Refuse,
 //!     tokens_carried: false,
 //!     list_on_request: false,
+//!     list_within: Duration::from_secs(10),
 //!     may_probe: true,
 //!     may_cancel: true,
 //!     second_copies: true,
--- a/crates/mountshift/tests/common/mod.rs
+++ b/crates/mountshift/tests/common/mod.rs
@@ -38,6 +38,7 @@
         checks: Checks::None,
         tokens_carried: false,
         list_on_request: false,
+        list_within: Duration::from_secs(10),
         may_probe: true,
         may_cancel: true,
         second_copies: true,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -85,6 +85,7 @@
 #[derive(Deserialize, Default)]
 #[serde(rename_all = "PascalCase", default)]
 struct Rules {
+    ask_within: Option<u64>,
     overload_factor: Option<f64>,
     start_capacity: Option<f64>,
     stop_sending_within: u64,
@@ -93,6 +94,9 @@
     soft_removal: bool,
 }
 
+/// Stands for the time within which the list has to be asked for, where none is stated.
+const LIST_WITHIN: Duration = Duration::from_secs(6);
+
 /// A figure of a load report that the module has a use for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Field {
@@ -218,6 +222,7 @@
         },
         tokens_carried: info.token_mode == "client",
         list_on_request: conf.registry_mode == "on_request",
+        list_within: conf.rules.ask_within.map_or(LIST_WITHIN, Duration::from_micros),
         may_probe: conf.policy_limits.probing,
         may_cancel: conf.policy_limits.may_cancel,
         second_copies: conf.policy_limits.second_copies,
