The rig relays datagrams between proxies, with faults for each ordered pair

Members that tell each other of themselves by datagrams could not be tried with losses between them.

--- /dev/null
+++ b/crates/rig/src/datagrams.rs
@@ -0,0 +1,336 @@
+//! A relay for the datagrams from one proxy to another, and what goes wrong on the way.
+
+use crate::process::Fault;
+use rand::{Rng, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use rustix::net::{sendto, SendFlags};
+use std::collections::BTreeMap;
+use std::future::pending;
+use std::net::{SocketAddr, UdpSocket as Bound};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::runtime::Handle;
+use tokio::sync::watch;
+use tokio::time::{sleep_until, Instant};
+
+/// The longest datagram that there is.
+const LONGEST: usize = 1 << 16;
+/// Datagrams of one pair that are late at a time; more are dropped.
+const WAITING_MOST: usize = 4_096;
+
+/// How datagrams go.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Flow {
+    #[default]
+    Passes,
+    /// All are dropped, with what is on its way.
+    Cut,
+    /// Each is later by a time between these: the order may change.
+    Late(Duration, Duration),
+}
+
+/// What happens on the way from one proxy to another. Shares are of all that come, from 0 to 1.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Way {
+    pub flow: Flow,
+    pub lost: f64,
+    pub doubled: f64,
+    /// Held behind the next one.
+    pub reordered: f64,
+    /// With one bit flipped.
+    pub corrupted: f64,
+}
+
+impl From<Flow> for Way {
+    fn from(flow: Flow) -> Way {
+        Way { flow, ..Way::default() }
+    }
+}
+
+/// What became of the datagrams of a pair.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    pub came: u64,
+    /// Sent on, twins too.
+    pub passed: u64,
+    /// Dropped: by a cut, by a share, for want of an address, too many that are late, and not taken by the system.
+    pub cut: u64,
+    pub lost: u64,
+    pub unknown: u64,
+    pub over: u64,
+    pub failed: u64,
+    /// What was done to some of them.
+    pub doubled: u64,
+    pub late: u64,
+    pub reordered: u64,
+    pub corrupted: u64,
+    /// Late or held back at present.
+    pub waiting: u64,
+}
+
+impl Counts {
+    pub fn dropped(&self) -> u64 {
+        self.cut + self.lost + self.unknown + self.over + self.failed
+    }
+
+    /// Nothing has come from nowhere or gone unseen.
+    pub fn add_up(&self) -> bool {
+        self.came + self.doubled == self.passed + self.dropped() + self.waiting
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct State {
+    way: Way,
+    /// Grows with each cut: one that is healed before the relay has seen it is still one.
+    cuts: u64,
+    target: Option<SocketAddr>,
+}
+
+/// One direction between two proxies.
+#[derive(Clone, Debug)]
+pub struct Talk {
+    /// Where the sender finds the receiver.
+    pub address: SocketAddr,
+    state: Arc<watch::Sender<State>>,
+    counts: Arc<watch::Sender<Counts>>,
+}
+
+impl Talk {
+    /// A relay on a port of its own that leads nowhere yet.
+    pub fn open(on: &Handle, seed: u64) -> Result<Talk, Fault> {
+        let bound = Bound::bind("127.0.0.1:0").and_then(|socket| {
+            socket.set_nonblocking(true)?;
+            let address = socket.local_addr()?;
+            let _on = on.enter();
+            Ok((UdpSocket::from_std(socket)?, address))
+        });
+        let (socket, address) = bound.map_err(|e| Fault::new(format!("no port for datagrams: {e}")))?;
+        let talk = Talk { address, state: Arc::default(), counts: Arc::default() };
+        let relay = Relay {
+            socket,
+            talk: talk.clone(),
+            draws: Xoshiro256PlusPlus::seed_from_u64(seed),
+            held: None,
+            late: BTreeMap::new(),
+            counts: Counts::default(),
+            cuts: 0,
+        };
+        on.spawn(relay.serve());
+        Ok(talk)
+    }
+
+    pub fn lead_to(&self, target: Option<SocketAddr>) {
+        self.state.send_modify(|state| state.target = target);
+    }
+
+    /// Once this has returned, nothing goes but as it is set.
+    pub fn set(&self, way: impl Into<Way>) {
+        let way = way.into();
+        self.change(|state| state.way = way);
+    }
+
+    fn change(&self, to: impl FnOnce(&mut State)) {
+        self.state.send_modify(|state| {
+            to(state);
+            state.cuts += u64::from(state.way.flow == Flow::Cut);
+        });
+    }
+
+    /// The shares stay as they are.
+    pub fn cut(&self) {
+        self.change(|state| state.way.flow = Flow::Cut);
+    }
+
+    /// All passes again; what was held behind others comes now.
+    pub fn heal(&self) {
+        self.set(Way::default());
+    }
+
+    pub fn way(&self) -> Way {
+        self.state.borrow().way
+    }
+
+    pub fn counts(&self) -> Counts {
+        *self.counts.borrow()
+    }
+
+    /// Waits until the counts are so.
+    pub async fn until(&self, is: impl FnMut(&Counts) -> bool) -> Counts {
+        let mut watched = self.counts.subscribe();
+        // The sender lives as long as this handle.
+        watched.wait_for(is).await.map(|counts| *counts).unwrap_or_default()
+    }
+}
+
+/// What was drawn for one datagram.
+struct Fate {
+    lost: bool,
+    doubled: bool,
+    reordered: bool,
+    corrupted: bool,
+    /// Of all its bits this, and of the longest lateness this part.
+    bit: u64,
+    late: f64,
+}
+
+impl Fate {
+    /// Always as many draws, in one order: what becomes of a datagram does not depend on what was set for those before.
+    fn draw(draws: &mut impl Rng, way: &Way) -> Fate {
+        let mut falls = |share: f64| draws.random::<f64>() < share;
+        let (lost, doubled) = (falls(way.lost), falls(way.doubled));
+        let (reordered, corrupted) = (falls(way.reordered), falls(way.corrupted));
+        Fate { lost, doubled, reordered, corrupted, bit: draws.random(), late: draws.random() }
+    }
+}
+
+/// A datagram, once or twice, and how much later it goes.
+struct Piece {
+    bytes: Vec<u8>,
+    twice: bool,
+    later: Option<Duration>,
+}
+
+impl Piece {
+    fn copies(&self) -> u64 {
+        1 + u64::from(self.twice)
+    }
+}
+
+struct Relay {
+    socket: UdpSocket,
+    talk: Talk,
+    draws: Xoshiro256PlusPlus,
+    held: Option<Piece>,
+    /// By when they go, and how many had come before.
+    late: BTreeMap<(Instant, u64), Piece>,
+    counts: Counts,
+    /// The cuts that it has seen.
+    cuts: u64,
+}
+
+enum Woken {
+    Otherwise,
+    Due,
+    Came(usize),
+}
+
+impl Relay {
+    async fn serve(mut self) {
+        let mut bytes = vec![0; LONGEST];
+        let mut state = self.talk.state.subscribe();
+        loop {
+            let next = self.late.keys().next().map(|(at, _)| *at);
+            let due = async {
+                match next {
+                    Some(at) => sleep_until(at).await,
+                    None => pending().await,
+                }
+            };
+            let woken = tokio::select! {
+                // It holds a handle itself, so this does not fail.
+                _ = state.changed() => Woken::Otherwise,
+                () = due => Woken::Due,
+                // An error is of something that was sent, and of no datagram that came.
+                came = self.socket.recv_from(&mut bytes) => came.map_or(Woken::Otherwise, |(n, _)| Woken::Came(n)),
+            };
+            self.follow();
+            match woken {
+                Woken::Otherwise => {}
+                Woken::Due => self.due(),
+                Woken::Came(n) => self.came(&bytes[..n]),
+            }
+            self.counts.waiting = self.late.values().chain(self.held.as_ref()).map(Piece::copies).sum();
+            self.talk.counts.send_replace(self.counts);
+        }
+    }
+
+    /// Does what was set since it last looked, before anything else.
+    fn follow(&mut self) {
+        let State { way, cuts, .. } = *self.talk.state.borrow();
+        if cuts > self.cuts {
+            self.cuts = cuts;
+            let late = std::mem::take(&mut self.late).into_values();
+            self.counts.cut += late.chain(self.held.take()).map(|piece| piece.copies()).sum::<u64>();
+        }
+        if way.reordered <= 0.0 {
+            if let Some(piece) = self.held.take() {
+                self.sets_out(piece);
+            }
+        }
+    }
+
+    fn due(&mut self) {
+        while let Some(first) = self.late.first_entry() {
+            if first.key().0 > Instant::now() {
+                break;
+            }
+            let piece = first.remove();
+            self.go(&piece);
+        }
+    }
+
+    fn came(&mut self, bytes: &[u8]) {
+        self.counts.came += 1;
+        let way = self.talk.way();
+        let fate = Fate::draw(&mut self.draws, &way);
+        if way.flow == Flow::Cut {
+            self.counts.cut += 1;
+            return;
+        }
+        if fate.lost {
+            self.counts.lost += 1;
+            return;
+        }
+        let mut bytes = bytes.to_vec();
+        if fate.corrupted && !bytes.is_empty() {
+            let bit = fate.bit % (bytes.len() as u64 * 8);
+            bytes[(bit / 8) as usize] ^= 1 << (bit % 8);
+            self.counts.corrupted += 1;
+        }
+        self.counts.doubled += u64::from(fate.doubled);
+        let later = match way.flow {
+            Flow::Late(least, most) => Some(least + most.saturating_sub(least).mul_f64(fate.late)),
+            Flow::Passes | Flow::Cut => None,
+        };
+        let piece = Piece { bytes, twice: fate.doubled, later };
+        // One that is held goes behind this one, so this one goes now, whatever was drawn for it.
+        match self.held.take() {
+            None if fate.reordered => self.held = Some(piece),
+            before => {
+                self.sets_out(piece);
+                if let Some(before) = before {
+                    self.counts.reordered += 1;
+                    self.sets_out(before);
+                }
+            }
+        }
+    }
+
+    fn sets_out(&mut self, piece: Piece) {
+        let Some(later) = piece.later else { return self.go(&piece) };
+        if self.late.len() >= WAITING_MOST {
+            self.counts.over += piece.copies();
+            return;
+        }
+        self.counts.late += piece.copies();
+        self.late.insert((Instant::now() + later, self.counts.late), piece);
+    }
+
+    fn go(&mut self, piece: &Piece) {
+        // Held while it is sent: whoever sets another way waits for it, and nothing goes the old way afterwards.
+        let state = self.talk.state.borrow();
+        for _ in 0..piece.copies() {
+            let count = match state.target {
+                _ if state.way.flow == Flow::Cut => &mut self.counts.cut,
+                None => &mut self.counts.unknown,
+                Some(target) => match sendto(&self.socket, &piece.bytes, SendFlags::DONTWAIT, &target) {
+                    Ok(_) => &mut self.counts.passed,
+                    Err(_) => &mut self.counts.failed,
+                },
+            };
+            *count += 1;
+        }
+    }
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -6,9 +6,11 @@
 //! ask, waits for events, and at last reads what came of it and which rules were broken. `docs/design/rig.md`.
 #![forbid(unsafe_code)]
 
+pub mod datagrams;
 pub mod discovery;
 pub mod link;
 mod load;
+pub mod members;
 pub mod misrule;
 pub mod process;
 pub mod servers;
@@ -20,6 +22,7 @@
 use ledger::Rule;
 use link::Link;
 use load::Load;
+use members::{Members, Talks};
 use misrule::Misrule;
 use process::{Fault, Folder, Plan, Process};
 use rustix::process::Signal;
@@ -48,6 +51,8 @@
     pub programs: Vec<PathBuf>,
     /// The operators' file, the same for all.
     pub operators: String,
+    /// Proxies that tell each other of themselves by datagrams.
+    pub members: Option<Members>,
     /// Whether proxies have a second address.
     pub admin: bool,
     /// Where proxies' logs go, one file each.
@@ -73,6 +78,7 @@
             seed: 1,
             programs: vec![process::built("leverproxy")?],
             operators: String::new(),
+            members: None,
             admin: false,
             logs: None,
             misrule: None,
@@ -101,6 +107,7 @@
     setup: Setup,
     links: Arc<watch::Sender<Links>>,
     addresses: Arc<watch::Sender<Addresses>>,
+    talks: Talks,
     load: Load,
     /// Ends last: all faces live on it.
     runtime: Runtime,
@@ -165,7 +172,11 @@
             let _on = runtime.enter();
             Load::new(truth.clone(), setup.clients.clone(), setup.slack, doors, faces.errands)
         };
-        let mut rig = Rig { truth, proxies, setup, links, addresses, load, runtime };
+        let talks = match setup.members {
+            Some(_) => members::talks(runtime.handle(), number, setup.seed)?,
+            None => Talks::default(),
+        };
+        let mut rig = Rig { truth, proxies, setup, links, addresses, talks, load, runtime };
         if let Some(rule) = rig.setup.misrule {
             for proxy in 0..number {
                 rig.plant(proxy, rule)?;
@@ -209,7 +220,14 @@
                 .map_err(|e| Fault::new(format!("{name} of proxy {proxy}: {e}")))
         };
         write("config.json", config.to_string())?;
-        write("operators.conf", format!("{}\n{LATE_LOOP}", self.setup.operators))?;
+        let section = members::section(&self.setup, &self.talks, proxy, folder);
+        write("operators.conf", format!("{}\n{LATE_LOOP}{section}", self.setup.operators))?;
+        if let Some(members) = &self.setup.members {
+            write(members::KEY_FILE, members.key_file(*seed))?;
+            let owner = std::os::unix::fs::PermissionsExt::from_mode(0o600);
+            std::fs::set_permissions(folder.join(members::KEY_FILE), owner)
+                .map_err(|e| Fault::new(format!("the key file of proxy {proxy}: {e}")))?;
+        }
         let temporary = folder.join("tmp");
         std::fs::create_dir_all(&temporary)
             .map_err(|e| Fault::new(format!("a folder for proxy {proxy}: {e}")))
@@ -264,6 +282,10 @@
             at.admin = address("answering calls on ")?;
         }
         at.clients.lead_to(at.address);
+        if self.setup.members.as_ref().is_some_and(|members| members.lists(proxy)) {
+            let heard = address(members::HEARD)?;
+            self.lead_talk(proxy, heard);
+        }
         Ok(())
     }
 
@@ -277,6 +299,7 @@
         at.clients.lead_to(None);
         // Whatever was open to it has been reset by the kernel.
         at.clients.reset();
+        self.lead_talk(proxy, None);
     }
 
     /// It starts again under its name, from nothing but an old list.
@@ -315,6 +338,8 @@
         let admin = self.proxies[proxy].admin.ok_or_else(|| Fault::new("it has no second address"))?;
         let mut text = String::new();
         let mut stream = std::net::TcpStream::connect(admin).map_err(fault)?;
+        // A proxy that stands still takes the call and never answers.
+        stream.set_read_timeout(Some(process::PATIENCE)).map_err(fault)?;
         stream.write_all(b"GET /api/telemetry HTTP/1.1\r\nHost: rig\r\n\r\n").map_err(fault)?;
         stream.read_to_string(&mut text).map_err(fault)?;
         let lines = text.lines().filter(|line| line.starts_with("lb_"));
--- /dev/null
+++ b/crates/rig/src/members.rs
@@ -0,0 +1,177 @@
+//! What each proxy is told of the others, and who may hear whom.
+
+use crate::datagrams::{Talk, Way};
+use crate::discovery::zone;
+use crate::process::{Fault, PATIENCE};
+use crate::{Rig, Setup};
+use rand::{Rng, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use rustc_hash::FxHashMap;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::{Duration, Instant};
+use tokio::runtime::Handle;
+
+/// By who sends and who hears.
+pub type Talks = FxHashMap<(usize, usize), Talk>;
+
+pub const KEY_FILE: &str = "members.key";
+/// What a proxy says once it hears others; its address follows.
+pub const HEARD: &str = "members: heard on ";
+/// A proxy's own address in its own file: nothing is sent there, and no relay has it.
+const OWN: &str = "127.0.0.1:9";
+/// Between two looks at a proxy's figures.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// The proxies as members of one roster.
+#[derive(Clone, Debug)]
+pub struct Members {
+    pub version: u64,
+    /// Further lines of the section.
+    pub settings: String,
+    /// The numbers of the keys in the file, in their order.
+    pub keys: Vec<u64>,
+    /// Who is on it; none: all. A proxy that is not on it has no roster, and none hears it.
+    pub roster: Vec<usize>,
+    /// By proxy; those beyond its end go by their place.
+    pub regions: Vec<String>,
+}
+
+impl Default for Members {
+    fn default() -> Members {
+        Members {
+            version: 1,
+            settings: "period 100ms".to_owned(),
+            keys: vec![1],
+            roster: Vec::new(),
+            regions: Vec::new(),
+        }
+    }
+}
+
+impl Members {
+    pub fn lists(&self, proxy: usize) -> bool {
+        self.roster.is_empty() || self.roster.contains(&proxy)
+    }
+
+    /// A key of one number is the same in the files of all.
+    pub fn key_file(&self, seed: u64) -> String {
+        let key = |number: &u64| {
+            let mut draws = Xoshiro256PlusPlus::seed_from_u64(seed ^ number << 32);
+            (0..4).map(|_| format!("{:016x}", draws.random::<u64>())).collect::<String>() + "\n"
+        };
+        self.keys.iter().map(key).collect()
+    }
+}
+
+/// A relay for each ordered pair.
+pub(crate) fn talks(on: &Handle, proxies: usize, seed: u64) -> Result<Talks, Fault> {
+    let pairs = (0..proxies).flat_map(|from| (0..proxies).map(move |to| (from, to)));
+    let open = |(from, to): (usize, usize)| {
+        let seed = seed.wrapping_add((from as u64) << 40 | (to as u64) << 20 | 1);
+        Ok(((from, to), Talk::open(on, seed)?))
+    };
+    pairs.filter(|(from, to)| from != to).map(open).collect()
+}
+
+/// The part of a proxy's operators' file that tells of the others.
+pub(crate) fn section(setup: &Setup, talks: &Talks, proxy: usize, folder: &Path) -> String {
+    let Some(members) = setup.members.as_ref().filter(|members| members.lists(proxy)) else {
+        return String::new();
+    };
+    let mut text = format!(
+        "members {{\n version {}\n listen 127.0.0.1:0\n key-file {}\n",
+        members.version,
+        folder.join(KEY_FILE).display()
+    );
+    for line in members.settings.lines() {
+        text += &format!(" {}\n", line.trim());
+    }
+    text += "}\n";
+    for member in (0..setup.clients.proxies).filter(|member| members.lists(*member)) {
+        let address = talks.get(&(proxy, member)).map_or_else(|| OWN.to_owned(), |t| t.address.to_string());
+        let place = || zone((member % setup.site.places.max(1)) as u16);
+        let region = members.regions.get(member).cloned().unwrap_or_else(place);
+        // Writing to a string does not fail.
+        _ = write!(text, "member n{member} {{\n address {address}\n region {region}\n}}\n");
+    }
+    text
+}
+
+impl Rig {
+    /// The datagrams from one proxy to another, if the rig has members.
+    pub fn talk(&self, from: usize, to: usize) -> Result<Talk, Fault> {
+        let talk = self.talks.get(&(from, to)).cloned();
+        talk.ok_or_else(|| Fault::new(format!("no datagrams go from proxy {from} to {to}: set members")))
+    }
+
+    /// Every direction, with who sends and who hears.
+    pub fn talks(&self) -> impl Iterator<Item = ((usize, usize), &Talk)> {
+        self.talks.iter().map(|(pair, talk)| (*pair, talk))
+    }
+
+    /// No datagram goes from one of these groups to another. Proxies in none of them hear all and are heard.
+    pub fn part(&self, groups: &[&[usize]]) {
+        let of = |proxy: usize| groups.iter().position(|group| group.contains(&proxy));
+        for ((from, to), talk) in self.talks() {
+            if let (Some(here), Some(there)) = (of(from), of(to)) {
+                if here != there {
+                    talk.cut();
+                }
+            }
+        }
+    }
+
+    /// Only from the one to the other: what the other sends is dropped.
+    pub fn one_way(&self, from: usize, to: usize) -> Result<(), Fault> {
+        self.talk(to, from)?.cut();
+        Ok(())
+    }
+
+    /// The same for all directions.
+    pub fn set_talk(&self, way: impl Into<Way>) {
+        let way = way.into();
+        self.talks().for_each(|(_, talk)| talk.set(way));
+    }
+
+    /// All datagrams pass again.
+    pub fn heal_talk(&self) {
+        self.set_talk(Way::default());
+    }
+
+    /// What others send to a proxy goes there from now on.
+    pub fn lead_talk(&self, to: usize, target: Option<SocketAddr>) {
+        for ((_, hears), talk) in self.talks() {
+            if hears == to {
+                talk.lead_to(target);
+            }
+        }
+    }
+
+    /// Looks at a proxy's figure until it is so, and gives it; with [`Setup::admin`].
+    pub fn figure_until(
+        &self,
+        proxy: usize,
+        name: &str,
+        mut is: impl FnMut(u64) -> bool,
+    ) -> Result<u64, Fault> {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let figures = self.figures(proxy);
+            let value = figures.as_ref().ok().and_then(|figures| figures.get(name).copied());
+            if let Some(value) = value.filter(|value| is(*value)) {
+                return Ok(value);
+            }
+            if Instant::now() >= until {
+                let figures = figures?;
+                let mut words: Vec<_> = figures.iter().map(|(name, n)| format!("{name} {n}")).collect();
+                words.sort();
+                let value = value.map_or_else(|| "not told".to_owned(), |value| value.to_string());
+                let problem = format!("figures of proxy {proxy}: {name} is {value} and not as waited for");
+                return Err(Fault { problem, words, code: None });
+            }
+            std::thread::sleep(LOOK);
+        }
+    }
+}
