Faults of datagrams between proxies are each caused and seen in tests

Seven tests between plain sockets and with stand-ins for proxies: each fault's order and counts, cuts that take what is on its way, a roster as it is written, parts and one way, a restart on another port.

--- /dev/null
+++ b/crates/rig/tests/datagrams.rs
@@ -0,0 +1,276 @@
+//! What relays do to datagrams, between plain sockets; and what the rig tells proxies of each other, with stand-ins for
+//! them that say where they are heard.
+
+mod common;
+use ledger::Rule;
+use proptest::prelude::*;
+use rig::datagrams::{Counts, Flow, Talk, Way};
+use rig::members::Members;
+use rig::process::Folder;
+use rig::Rig;
+use std::future::Future;
+use std::os::unix::fs::PermissionsExt;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::runtime::{Handle, Runtime};
+use tokio::time::Instant;
+
+/// A sender, a relay and a receiver.
+struct Pair {
+    sends: UdpSocket,
+    talk: Talk,
+    hears: UdpSocket,
+}
+
+impl Pair {
+    async fn new(seed: u64) -> Pair {
+        let hears = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let talk = Talk::open(&Handle::current(), seed).unwrap();
+        talk.lead_to(hears.local_addr().ok());
+        Pair { sends: UdpSocket::bind("127.0.0.1:0").await.unwrap(), talk, hears }
+    }
+
+    /// One after the other, each once the one before was taken: the order is that of sending.
+    async fn send(&self, texts: impl IntoIterator<Item = u32>) {
+        for text in texts {
+            let came = self.talk.counts().came;
+            self.sends.send_to(&text.to_be_bytes(), self.talk.address).await.unwrap();
+            self.talk.until(|counts| counts.came > came).await;
+        }
+    }
+
+    /// All that has passed since the last call, once nothing waits.
+    async fn heard(&self, before: &mut u64) -> Vec<u32> {
+        let counts = self.talk.until(|counts| counts.waiting == 0).await;
+        assert!(counts.add_up(), "{counts:?}");
+        let mut heard = Vec::new();
+        let mut bytes = [0; 64];
+        while *before < counts.passed {
+            let n = self.hears.recv(&mut bytes).await.unwrap();
+            heard.push(u32::from_be_bytes(bytes[..n].try_into().unwrap()));
+            *before += 1;
+        }
+        assert!(self.hears.try_recv(&mut bytes).is_err(), "more came than passed");
+        heard
+    }
+}
+
+fn block(test: impl Future<Output = ()>) {
+    Runtime::new().unwrap().block_on(test);
+}
+
+/// Each fault alone, of all datagrams: what comes, and what is counted.
+#[test]
+fn each_fault_is_seen_and_counted() {
+    let way = Way::default();
+    let of = |came, passed| Counts { came, passed, ..Counts::default() };
+    let millis = Duration::from_millis;
+    let late = Flow::Late(millis(30), millis(30));
+    let cases: [(Way, &[u32], Counts); 7] = [
+        (way, &[1, 2, 3, 4], of(4, 4)),
+        (Flow::Cut.into(), &[], Counts { cut: 4, ..of(4, 0) }),
+        (Way { lost: 1.0, ..way }, &[], Counts { lost: 4, ..of(4, 0) }),
+        (Way { doubled: 1.0, ..way }, &[1, 1, 2, 2, 3, 3, 4, 4], Counts { doubled: 4, ..of(4, 8) }),
+        (Way { reordered: 1.0, ..way }, &[2, 1, 4, 3], Counts { reordered: 2, ..of(4, 4) }),
+        (late.into(), &[1, 2, 3, 4], Counts { late: 4, ..of(4, 4) }),
+        (
+            Way { doubled: 1.0, reordered: 1.0, flow: late, ..way },
+            &[2, 2, 1, 1, 4, 4, 3, 3],
+            Counts { doubled: 4, late: 8, reordered: 2, ..of(4, 8) },
+        ),
+    ];
+    block(async {
+        for (way, texts, counts) in cases {
+            let pair = Pair::new(1).await;
+            pair.talk.set(way);
+            let begun = Instant::now();
+            pair.send(1..5).await;
+            assert_eq!(pair.heard(&mut 0).await, texts, "{way:?}");
+            assert_eq!(pair.talk.counts(), counts, "{way:?}");
+            assert!(counts.late == 0 || begun.elapsed() >= millis(30), "{way:?}: earlier than it is set");
+        }
+    });
+}
+
+/// Over many, a share is what it was set to; and one bit is flipped, not always the same.
+#[test]
+fn shares_are_as_set_and_one_bit_is_flipped() {
+    block(async {
+        let (pair, mut before) = (Pair::new(7).await, 0);
+        pair.talk.set(Way { lost: 0.2, corrupted: 1.0, ..Way::default() });
+        let mut all = 0;
+        for _ in 0..1_000 {
+            pair.send([0]).await;
+            for bits in pair.heard(&mut before).await {
+                assert_eq!(bits.count_ones(), 1);
+                all |= bits;
+            }
+        }
+        assert_eq!(all, u32::MAX);
+        // Five standard deviations.
+        assert!(pair.talk.counts().lost.abs_diff(200) < 64, "{:?}", pair.talk.counts());
+    });
+}
+
+/// What is late or held back when the cut comes is dropped by it, even when it is healed at once.
+#[test]
+fn a_cut_takes_what_is_on_its_way() {
+    block(async {
+        let hour = Duration::from_secs(3_600);
+        for way in [Flow::Late(hour, hour).into(), Way { reordered: 1.0, ..Way::default() }] {
+            let pair = Pair::new(1).await;
+            pair.talk.set(way);
+            pair.send([1]).await;
+            assert_eq!(pair.talk.counts().waiting, 1);
+            pair.talk.cut();
+            pair.talk.heal();
+            pair.send([2]).await;
+            assert_eq!(pair.heard(&mut 0).await, [2]);
+            assert_eq!(pair.talk.counts().cut, 1);
+        }
+    });
+}
+
+#[test]
+fn what_nothing_follows_comes_once_it_is_healed() {
+    block(async {
+        let pair = Pair::new(1).await;
+        pair.talk.set(Way { reordered: 1.0, ..Way::default() });
+        pair.send([1]).await;
+        pair.talk.heal();
+        assert_eq!(pair.heard(&mut 0).await, [1]);
+    });
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(24))]
+    /// Whatever is set and changed: the counts hold, the receiver hears as many as have passed, and the same seed does
+    /// the same again.
+    #[test]
+    fn counts_add_up_and_seeds_repeat(
+        seed: u64, lost in 0.0..0.9, doubled in 0.0..1.0, reordered in 0.0..1.0, corrupted in 0.0..1.0, cut in 0u32..60,
+    ) {
+        let run = || {
+            let mut result = (Vec::new(), Counts::default());
+            block(async {
+                let (pair, mut before) = (Pair::new(seed).await, 0);
+                let way = Way { lost, doubled, reordered, corrupted, ..Way::default() };
+                pair.talk.set(way);
+                pair.send(0..cut).await;
+                pair.talk.cut();
+                pair.send(60..70).await;
+                pair.talk.set(way);
+                pair.send(100..140).await;
+                pair.talk.heal();
+                result = (pair.heard(&mut before).await, pair.talk.counts());
+            });
+            result
+        };
+        let (heard, counts) = run();
+        prop_assert!(counts.add_up());
+        prop_assert_eq!(counts.came, u64::from(cut) + 50);
+        prop_assert!((10..=12).contains(&counts.cut), "ten, and at most one that was held, twice");
+        prop_assert_eq!(heard.len() as u64, counts.passed);
+        prop_assert_eq!(run(), (heard, counts));
+    }
+}
+
+/// Sections and keys that three proxies are given: every other under the address of a relay, itself under none.
+#[test]
+fn each_proxy_is_told_of_the_others() {
+    let mut setup = common::setup(4, 1.0, common::SECOND);
+    setup.misrule = Some(Rule::Stale);
+    let (regions, settings) = (vec!["north".to_owned()], "period 50ms\ntrust off".to_owned());
+    let roster = vec![0, 1, 3];
+    setup.members = Some(Members { version: 7, settings, keys: vec![2, 1], roster, regions });
+    let rig = Rig::start(setup).unwrap();
+    let read = |proxy| {
+        let plan = rig.plan(proxy, "127.0.0.1:0").unwrap();
+        let at = |name: &str| plan.variables.iter().find(|(n, _)| n == name).unwrap().1.clone();
+        let file = at("LB_OPERATORS");
+        let key_file = file.replace("operators.conf", "members.key");
+        let text = std::fs::read_to_string(&file).unwrap();
+        let keys = std::fs::read_to_string(&key_file).unwrap();
+        (text.split_once("members {").map(|(_, t)| t.to_owned()), key_file, keys)
+    };
+    let (text, key_file, keys) = read(1);
+    let to = |member| rig.talk(1, member).unwrap().address;
+    let expected = format!(
+        "\n version 7\n listen 127.0.0.1:0\n key-file {key_file}\n period 50ms\n trust off\n}}\n\
+         member n0 {{\n address {}\n region north\n}}\nmember n1 {{\n address 127.0.0.1:9\n region p1\n}}\n\
+         member n3 {{\n address {}\n region p1\n}}\n",
+        to(0),
+        to(3)
+    );
+    assert_eq!(text.unwrap(), expected);
+    let lines: Vec<&str> = keys.lines().collect();
+    assert!(lines.iter().all(|key| key.len() == 64 && key.bytes().all(|b| b.is_ascii_hexdigit())), "{keys}");
+    assert!(lines.len() == 2 && lines[0] != lines[1]);
+    assert_eq!(std::fs::metadata(key_file).unwrap().permissions().mode() & 0o777, 0o600);
+    assert_eq!(read(3).2, keys, "all have the same");
+    assert_eq!(read(2).0, None, "who is not on the roster has none");
+    assert!(rig.talk(1, 1).is_err());
+}
+
+/// Who hears whom of three stand-ins, by what each receives of the others.
+fn heard(rig: &Rig, ears: &[UdpSocket]) -> Vec<(usize, usize)> {
+    let pairs = [(0, 1), (0, 2), (1, 0), (1, 2), (2, 0), (2, 1)];
+    let comes = |&(from, to): &(usize, usize)| {
+        let talk = rig.talk(from, to).unwrap();
+        rig.wait(async {
+            let before = talk.counts();
+            ears[from].send_to(&[from as u8, to as u8], talk.address).await.unwrap();
+            let after = talk.until(|counts| counts.came > before.came).await;
+            assert_eq!(after.dropped() + after.passed, before.dropped() + before.passed + 1);
+            if after.passed == before.passed {
+                return false;
+            }
+            let mut bytes = [0; 2];
+            ears[to].recv(&mut bytes).await.unwrap();
+            assert_eq!(bytes, [from as u8, to as u8]);
+            true
+        })
+    };
+    pairs.into_iter().filter(comes).collect()
+}
+
+/// Parted, deaf to one side, killed and started again on another port: who hears whom is as it was set.
+#[test]
+fn parts_hear_none_of_each_other_and_a_restart_is_found() {
+    const ALL: [(usize, usize); 6] = [(0, 1), (0, 2), (1, 0), (1, 2), (2, 0), (2, 1)];
+    let folder = Folder::new().unwrap();
+    let mut setup = common::setup(3, 1.0, common::SECOND);
+    setup.members = Some(Members::default());
+    // Each is a program of its own, that says what stands in its file.
+    let at = |proxy: usize| folder.path().join(format!("stand-in-{proxy}"));
+    let script = "#!/bin/sh\ncat \"$0.says\" >&2\nexec sleep 600\n";
+    setup.programs = (0..3).map(at).collect();
+    for program in &setup.programs {
+        std::fs::write(program, script).unwrap();
+        std::fs::set_permissions(program, PermissionsExt::from_mode(0o700)).unwrap();
+    }
+    let ear = |proxy: usize, on: &Runtime| {
+        let ear = on.block_on(UdpSocket::bind("127.0.0.1:0")).unwrap();
+        let says =
+            format!("n{proxy}: serving on 127.0.0.1:9\nmembers: heard on {}\n", ear.local_addr().unwrap());
+        std::fs::write(format!("{}.says", at(proxy).display()), says).unwrap();
+        ear
+    };
+    let on = Runtime::new().unwrap();
+    let mut ears: Vec<UdpSocket> = (0..3).map(|proxy| ear(proxy, &on)).collect();
+    let mut rig = Rig::start(setup).unwrap_or_else(|fault| panic!("{fault}"));
+    assert_eq!(heard(&rig, &ears), ALL);
+    rig.part(&[&[0, 1], &[2]]);
+    assert_eq!(heard(&rig, &ears), [(0, 1), (1, 0)]);
+    rig.heal_talk();
+    rig.one_way(0, 2).unwrap();
+    assert_eq!(heard(&rig, &ears), [(0, 1), (0, 2), (1, 0), (1, 2), (2, 1)]);
+    rig.part(&[&[0], &[1]]);
+    assert_eq!(heard(&rig, &ears), [(0, 2), (1, 2), (2, 1)]);
+    rig.heal_talk();
+    rig.kill(1);
+    assert_eq!(heard(&rig, &ears), [(0, 2), (1, 0), (1, 2), (2, 0)]);
+    ears[1] = ear(1, &on);
+    rig.restart(1).unwrap_or_else(|fault| panic!("{fault}"));
+    assert_eq!(heard(&rig, &ears), ALL);
+}
--- a/crates/rig/tests/days.rs
+++ b/crates/rig/tests/days.rs
@@ -3,22 +3,11 @@
 
 mod common;
 use common::{answered, setup, sound, start, SECOND};
-use rig::Rig;
-use std::time::Instant;
 
 fn fine<T>(done: Result<T, rig::process::Fault>) -> T {
     done.unwrap_or_else(|fault| panic!("{fault}"))
 }
 
-/// Until a figure of a proxy is this; the word that changes it is on its way.
-fn tells(rig: &Rig, proxy: usize, name: &str, value: u64) {
-    let until = Instant::now() + rig::process::PATIENCE;
-    while fine(rig.figures(proxy)).get(name) != Some(&value) {
-        assert!(Instant::now() < until, "{name} of proxy {proxy} does not come to {value}");
-        std::thread::yield_now();
-    }
-}
-
 /// Heirs that are killed, at once, when the elder has handed over, and when they serve, cost no request; the next takes over.
 #[test]
 fn heirs_that_are_killed_before_they_are_ready() {
@@ -51,7 +40,7 @@
     for proxy in 0..2 {
         answered(&rig, 30);
         fine(rig.reload(proxy, |setup| setup.platform.tries = 4));
-        tells(&rig, proxy, "lb_reloads_ok_total", 1);
+        fine(rig.figure_until(proxy, "lb_reloads_ok_total", |reloads| reloads == 1));
     }
     answered(&rig, 100);
     fine(rig.wait(rig.truth.finished(std::time::Duration::from_secs(5))));
