--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -51,7 +51,7 @@
     pub programs: Vec<PathBuf>,
     /// The operators' file, the same for all.
     pub operators: String,
-    /// Proxies that tell each other of themselves by datagrams.
+    /// Proxies that tell each other of themselves by datagrams; the relays between them are opened at the start alone.
     pub members: Option<Members>,
     /// Whether proxies have a second address.
     pub admin: bool,
