--- /dev/null
+++ b/fuzz/fuzz_targets/datagram.rs
@@ -0,0 +1,29 @@
+//! Any bytes as a datagram, as they are and under a good signature: no panic, nothing beyond the bounds, nothing twice.
+#![no_main]
+
+use hmac::{Hmac, Mac};
+use peers::{Keys, Opener, NAME_LIMIT, PAYLOAD_LIMIT};
+use sha2::{Digest, Sha256};
+
+const KEY: [u8; 32] = [7; 32];
+
+libfuzzer_sys::fuzz_target!(|bytes: &[u8]| {
+    let keys = Keys::parse(&hex::encode(KEY)).expect("a key of 64 digits");
+    let mut opener = Opener::new("n0", keys, ["n1".to_owned(), "n2".to_owned()]);
+    assert!(opener.open(bytes).is_err(), "opened without a signature");
+
+    // The rest is reached behind a good signature alone.
+    let mut signed = b"LVPR\x01\x01".to_vec();
+    if let Some(versions) = bytes.get(..2) {
+        signed[4..].copy_from_slice(versions);
+    }
+    signed.extend(&Sha256::digest(KEY)[..4]);
+    signed.extend(bytes.get(2..).unwrap_or_default());
+    let mac = Hmac::<Sha256>::new_from_slice(&KEY).expect("any length").chain_update(&signed).finalize();
+    signed.extend(&mac.into_bytes()[..16]);
+    if let Ok(opened) = opener.open(&signed) {
+        assert!(opened.from.len() <= NAME_LIMIT && opened.payload.len() <= PAYLOAD_LIMIT);
+        assert!(["n1", "n2"].contains(&opened.from));
+        assert!(opener.open(&signed).is_err(), "opened twice");
+    }
+});
