Operators can state the roster of a fleet: sections members and member

A proxy has to know which others there are, where to hear them and by which key, before it can speak with them. The section members holds the roster's version, the address, the key file and two times; a section member for each proxy holds its address and region. A missing directive, an empty roster, more than 1,000 members, an address twice or one that nothing can be sent to, and a member without members are faults with file, line and key; a faulty line is one fault, not two. diff calls none of it tighter or looser.

Config carries the members, with this proxy's own name among them, and the keys read from the key file; either fault names the file and what to do. Nothing listens yet: the serving loop does not use them.

--- a/crates/configuration/src/diff.rs
+++ b/crates/configuration/src/diff.rs
@@ -128,9 +128,12 @@
 const MORE_IS_TIGHTER: [&str; 2] = ["answer-margin", "reserve"];
 /// Of these neither more nor less is tighter.
 const NEITHER: [&str; 3] = ["address", "level", "form"];
+/// Of these sections' values none says anything of clients' requests.
+const OF_OTHERS: [&str; 2] = ["members", "member"];
 
 fn sense(section: &str, directive: &str, old: Option<&str>, new: Option<&str>) -> Option<&'static str> {
-    if NEITHER.contains(&directive) {
+    let keyword = section.split(' ').next()?;
+    if NEITHER.contains(&directive) || OF_OTHERS.contains(&keyword) {
         return None;
     }
     let order = match (old, new) {
@@ -138,7 +141,7 @@
         (None, Some(_)) => Ordering::Greater,
         (Some(_), None) => Ordering::Less,
         (Some(old), Some(new)) => {
-            let spec = schema::section(section.split(' ').next()?)?.directive(directive)?;
+            let spec = schema::section(keyword)?.directive(directive)?;
             let (schema::Args::One(kind) | schema::Args::Optional(kind)) = spec.args else { return None };
             compare(&kind.parse(old).ok()?, &kind.parse(new).ok()?)?
         }
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod format;
 pub mod index;
 pub mod load;
+pub mod members;
 pub mod model;
 pub mod platform;
 pub mod ranges;
--- /dev/null
+++ b/crates/configuration/src/members.rs
@@ -0,0 +1,127 @@
+//! The roster of a fleet: how its proxies hear one another, and which they are.
+
+use crate::check::Section;
+use crate::diagnostic::Diagnostic;
+use crate::schema::{MEMBERS_LIMIT, MEMBER_NAME_LIMIT};
+use crate::value::Value;
+use crate::values::Values;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Members {
+    /// Of the roster; raised with each change of it.
+    pub version: u64,
+    /// Where this proxy hears the others.
+    pub listen: SocketAddr,
+    pub key_file: PathBuf,
+    /// Each member asks another one this often.
+    pub period: Duration,
+    /// For how long a member may deny its death.
+    pub suspicion: Duration,
+    /// In the order of the file, this proxy among them.
+    pub roster: Vec<Member>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// The platform's name for the proxy.
+    pub name: String,
+    pub address: SocketAddr,
+    /// The part of a rollout that it belongs to; may be empty.
+    pub region: String,
+}
+
+/// `partial`: some of the files could not be read, so that sections which are missing may stand there.
+pub fn members(sections: &[Section], partial: bool, faults: &mut Vec<Diagnostic>) -> Option<Members> {
+    let stated: Vec<&Section> = sections.iter().filter(|s| s.spec.keyword == "member").collect();
+    let Some(section) = sections.iter().find(|s| s.spec.keyword == "members") else {
+        if let Some(first) = stated.first().filter(|_| !partial) {
+            let fault =
+                Diagnostic::error("missing", first.span, "a member is stated, but no section members");
+            faults.push(
+                fault
+                    .label("has no effect")
+                    .help("write a section members { ... } with version, listen and key-file"),
+            );
+        }
+        return None;
+    };
+    if stated.is_empty() && !partial {
+        let fault = Diagnostic::error("missing", section.span, "the roster is empty");
+        faults.push(
+            fault
+                .label("has no members")
+                .help("write a section member NAME { ... } for each proxy, this one too"),
+        );
+    }
+    if let Some(first) = stated.get(MEMBERS_LIMIT) {
+        let message = format!("there are {} members; at most {MEMBERS_LIMIT} are allowed", stated.len());
+        faults.push(Diagnostic::error("many-members", first.span, message).label("one too many"));
+        return None;
+    }
+    let roster = roster(&stated, faults);
+    let v = Values::of(section);
+    let (version, listen) = (v.count("version"), v.address("listen"));
+    let key_file = match v.value("key-file") {
+        Some(Value::Text(path)) => Some(PathBuf::from(path)),
+        _ => None,
+    };
+    for keyword in ["version", "listen", "key-file"] {
+        required(section, keyword, "the section members", faults);
+    }
+    Some(Members {
+        version: version?,
+        listen: listen?,
+        key_file: key_file?,
+        period: v.time("period").unwrap_or_default(),
+        suspicion: v.time("suspicion").unwrap_or_default(),
+        roster,
+    })
+}
+
+fn roster(stated: &[&Section], faults: &mut Vec<Diagnostic>) -> Vec<Member> {
+    let mut roster = Vec::with_capacity(stated.len());
+    let mut places: HashMap<SocketAddr, &Section> = HashMap::new();
+    for section in stated {
+        let (v, length) = (Values::of(section), section.name.len());
+        if length > MEMBER_NAME_LIMIT {
+            let message =
+                format!("a member's name has {length} bytes; at most {MEMBER_NAME_LIMIT} are allowed");
+            faults.push(Diagnostic::error("section-name", section.span, message).label("too long"));
+        }
+        required(section, "address", &format!("the member {}", section.name), faults);
+        let (Some(address), Some(setting)) = (v.address("address"), section.setting("address")) else {
+            continue;
+        };
+        if address.port() == 0 || address.ip().is_unspecified() {
+            let message = format!("nothing can be sent to {address}");
+            let fault = Diagnostic::error("bad-value", setting.span, message).label("of no single place");
+            faults.push(fault.help("state the address and port at which the others reach it"));
+        } else if let Some(other) = places.get(&address) {
+            let message = format!("the address {address} is that of the member {}", other.name);
+            let fault = Diagnostic::error("cross-check", setting.span, message).label("a second one there");
+            faults.push(match other.setting("address") {
+                Some(first) => fault.related(first.span, "first stated here"),
+                None => fault,
+            });
+        } else {
+            places.insert(address, section);
+        }
+        let region = v.name("region").unwrap_or_default();
+        roster.push(Member { name: section.name.clone(), address, region });
+    }
+    roster
+}
+
+fn required(section: &Section, keyword: &'static str, whose: &str, faults: &mut Vec<Diagnostic>) {
+    // A line of a section that could not be read may have stated it.
+    if section.partial || section.setting(keyword).is_some() {
+        return;
+    }
+    let example = section.spec.directive(keyword).map_or("", |d| d.example);
+    let fault = Diagnostic::error("missing", section.span, format!("{whose} has no {keyword}"));
+    faults.push(fault.label(format!("{keyword} is missing here")).help(format!("for example: {example}")));
+}
--- a/crates/configuration/src/model.rs
+++ b/crates/configuration/src/model.rs
@@ -3,6 +3,7 @@
 use crate::calendar::{Almanac, Stated, Window};
 use crate::check::Section;
 use crate::diagnostic::{nearest, Diagnostic};
+pub use crate::members::{Member, Members};
 use crate::route::{fold, Conditions, Outcome, Priority, Route};
 use crate::schema::{self, Takes};
 use crate::source::Span;
@@ -164,6 +165,8 @@
     pub linger: Option<Duration>,
     /// The operators' socket.
     pub control: Option<PathBuf>,
+    /// The other proxies; none: nobody listens for them.
+    pub members: Option<Members>,
 }
 
 impl Default for Model {
@@ -334,6 +337,7 @@
         Some(Value::Text(path)) => Some(PathBuf::from(path)),
         _ => None,
     };
+    let members = crate::members::members(sections, partial, faults);
     let v = once("logging");
     let logging = Logging { level: v.choice("level"), json: v.choice("form") == "json" };
     Model {
@@ -354,6 +358,7 @@
         announce_end,
         linger,
         control,
+        members,
     }
 }
 
--- a/crates/configuration/src/schema.rs
+++ b/crates/configuration/src/schema.rs
@@ -106,6 +106,9 @@
 /// Of a directive's values and of a section's list of values, more are refused.
 pub const VALUES_LIMIT: usize = 10_000;
 pub const WINDOWS_LIMIT: usize = 1_000;
+pub const MEMBERS_LIMIT: usize = 1_000;
+/// Bytes of a member's name.
+pub const MEMBER_NAME_LIMIT: usize = 64;
 
 pub static SECTIONS: &[Section] = &[
     Section {
@@ -267,6 +270,27 @@
             at_start(directive("lag", One(time(1, 1_000)), "10ms", "lag 20ms", "weight falls from this lag of the loop on, and is at its least at 20 times that")),
         ],
     },
+    Section {
+        keyword: "members",
+        naming: Naming::Unnamed,
+        help: "How the proxies of a fleet tell one another who is there. Without this section nothing listens for it; with it, there is a section `member` for each proxy.",
+        directives: &[
+            directive("version", One(count(1, 1_000_000_000_000)), "", "version 3", "required; of the roster: raise it with each change of the sections `member`"),
+            at_start(directive("listen", One(Type::Address), "", "listen 10.0.0.4:7946", "required; the address where this proxy hears the others, over UDP")),
+            directive("key-file", One(Type::Text { most: 4_096 }), "", "key-file /etc/leverproxy/members.key", "required; a file of one or two keys, each a line of 64 hex digits (`openssl rand -hex 32`): the first signs, both are accepted"),
+            at_start(directive("period", One(time(50, 5_000)), "200ms", "period 500ms", "each member asks another one this often whether it is there")),
+            at_start(directive("suspicion", One(time(200, 30_000)), "1s", "suspicion 2s", "a member that does not answer may deny its death for this long")),
+        ],
+    },
+    Section {
+        keyword: "member",
+        naming: Naming::Called,
+        help: "A proxy of the fleet, by the name that the platform gives it (`LB_NAME`), of at most 64 bytes. All proxies have the same sections, their own among them; at most 1,000.",
+        directives: &[
+            directive("address", One(Type::Address), "", "address 10.0.0.4:7946", "required; where it hears the others"),
+            directive("region", One(Type::Name), "", "region thamel", "the part of a rollout that it belongs to"),
+        ],
+    },
     Section {
         keyword: "control",
         naming: Naming::Unnamed,
--- a/crates/leverproxy/src/config.rs
+++ b/crates/leverproxy/src/config.rs
@@ -8,7 +8,7 @@
 use crate::health::Listen;
 use crate::operators;
 use crate::stages::steer::Rules;
-use configuration::model::{Entry, Logging, Model, Origin};
+use configuration::model::{Entry, Logging, Members, Model, Origin};
 use configuration::schema::Takes;
 use configuration::source::Sources;
 use configuration::value;
@@ -30,7 +30,7 @@
 }
 
 impl ConfigError {
-    fn new(key: impl Into<String>, problem: impl ToString) -> ConfigError {
+    pub(crate) fn new(key: impl Into<String>, problem: impl ToString) -> ConfigError {
         ConfigError { key: key.into(), problem: problem.to_string(), faults: Vec::new() }
     }
 }
@@ -65,6 +65,10 @@
     /// The operators' socket.
     pub control: Option<PathBuf>,
     pub balancers: Vec<drain::Balancer>,
+    /// The fleet that this proxy is of, its own name in the roster, and the keys of its key file; none without the
+    /// section `members`.
+    pub members: Option<Members>,
+    pub member_keys: Option<peers::Keys>,
     /// The end is announced to the balancers first.
     pub announce_end: bool,
     /// Networks of balancers that only check, and of those that name their clients first.
@@ -387,6 +391,7 @@
     let limits = share_out(&file.limits, &model, admin.is_some())?;
     let told = Told { listen: listen_from, discovery: discovery_from };
     let name = variable("LB_NAME").or(file.name).unwrap_or_else(|| "leverproxy".into());
+    let member_keys = model.members.as_ref().map(|m| operators::member_keys(m, &name)).transpose()?;
     let place = variable("TMPDIR").filter(|place| admin.is_some() && !place.is_empty());
     // The name of a proxy is the platform's, and may hold what no file's name does.
     let file_name = name.replace(|c: char| !c.is_ascii_alphanumeric(), "-");
@@ -404,6 +409,8 @@
         availability: operators::availability(&model),
         control: model.control.clone(),
         balancers: operators::balancers(&model),
+        members: model.members.clone(),
+        member_keys,
         announce_end: model.announce_end,
         checks: model.balancers.iter().flat_map(|b| b.networks.clone()).collect(),
         proxy_from: model.listeners.iter().flat_map(|l| l.proxy_from.clone()).collect(),
--- a/crates/leverproxy/src/operators.rs
+++ b/crates/leverproxy/src/operators.rs
@@ -1,12 +1,13 @@
 //! The operators' file: read from disk, held against the platform's word, and made into what the stages go by.
 
+use crate::config::ConfigError;
 use crate::health::{Listen, Protocol};
 use crate::stages::steer::{Rules, Ruling};
 use bulkheads::{Priority, Rate, Settings as Pool};
 use configuration::diagnostic;
 use configuration::index::{Index, Names};
 use configuration::load::Loader;
-use configuration::model::Model;
+use configuration::model::{Members, Model};
 use configuration::platform::{self, Platform};
 use configuration::route::{self, Outcome};
 use configuration::Reading;
@@ -19,17 +20,21 @@
 /// Files of the system.
 pub struct Disk;
 
+/// A file's first bytes, at most so many.
+fn bytes(path: &Path, limit: usize) -> Result<Vec<u8>, String> {
+    use std::io::Read;
+    let file = std::fs::File::open(path).map_err(|e| e.to_string())?;
+    if !file.metadata().map_err(|e| e.to_string())?.is_file() {
+        return Err("is not a file".into());
+    }
+    let mut bytes = Vec::new();
+    file.take(limit as u64).read_to_end(&mut bytes).map_err(|e| e.to_string())?;
+    Ok(bytes)
+}
+
 impl Loader for Disk {
     fn read(&self, path: &Path) -> Result<Vec<u8>, String> {
-        use std::io::Read;
-        let file = std::fs::File::open(path).map_err(|e| e.to_string())?;
-        if !file.metadata().map_err(|e| e.to_string())?.is_file() {
-            return Err("is not a file".into());
-        }
-        let mut bytes = Vec::new();
-        let limit = configuration::load::FILE_LIMIT as u64 + 1;
-        file.take(limit).read_to_end(&mut bytes).map_err(|e| e.to_string())?;
-        Ok(bytes)
+        bytes(path, configuration::load::FILE_LIMIT + 1)
     }
 
     fn identity(&self, path: &Path) -> Result<PathBuf, String> {
@@ -184,6 +189,35 @@
     model.balancers.iter().map(balancer).collect()
 }
 
+/// Of a key file, more is not read: two keys, and room for what operators write about them.
+const KEY_FILE_LIMIT: usize = 16 << 10;
+
+/// The keys of the fleet, if a proxy of that name is of it.
+pub fn member_keys(members: &Members, name: &str) -> Result<peers::Keys, ConfigError> {
+    if !members.roster.iter().any(|m| m.name == name) {
+        let names = members.roster.iter().map(|m| m.name.as_str());
+        let near = match diagnostic::nearest(name, names) {
+            Some(near) => format!("; did you mean {near}?"),
+            None => String::new(),
+        };
+        let problem = format!(
+            "the operators' file (LB_OPERATORS) has no section `member {name}` for this proxy itself: add it, or set \
+             LB_NAME to the name that stands there{near}"
+        );
+        return Err(ConfigError::new("members", problem));
+    }
+    let path = members.key_file.display();
+    let fault = |problem: String| ConfigError::new("members.key-file", problem);
+    let bytes = bytes(&members.key_file, KEY_FILE_LIMIT + 1).map_err(|e| {
+        fault(format!("{path} can't be read: {e}; put the fleet's keys there, readable for the proxy's user"))
+    })?;
+    if bytes.len() > KEY_FILE_LIMIT {
+        return Err(fault(format!("{path} has more than {KEY_FILE_LIMIT} bytes: it can't be a key file")));
+    }
+    // What is no text is no hex digit either, and told so with its line.
+    peers::Keys::parse(&String::from_utf8_lossy(&bytes)).map_err(|e| fault(format!("{path}: {e}")))
+}
+
 pub fn availability(model: &Model) -> availability::Settings {
     let stated = &model.availability;
     let part = |share: configuration::value::Share| f64::from(share.part) / f64::from(share.whole.max(1));
--- a/crates/leverproxy/tests/operators.rs
+++ b/crates/leverproxy/tests/operators.rs
@@ -226,6 +226,49 @@
     assert_eq!(config.limits.clients + config.limits.upstream, 300 - 32);
 }
 
+/// A proxy is a member by its own name, with keys that can be read; without members it needs neither.
+#[test]
+fn a_member_has_its_name_in_the_roster_and_its_keys() {
+    let [first, second] = ["ab", "cd"].map(|two| two.repeat(32));
+    let keys = Scratch::new(&format!("{first}\n{second} # the former\n"));
+    let roster = |name: &str, path: &str| {
+        format!(
+            "members {{\n version 3\n listen 127.0.0.1:0\n key-file {path}\n}}\n\
+             member {name} {{\n address 127.0.0.1:7946\n region thamel\n}}\n"
+        )
+    };
+    let config = parse(&roster("leverproxy", keys.path())).unwrap();
+    let shown = format!("{config:?}");
+    assert!(!shown.contains(&first) && !shown.contains(&second));
+    let members = config.members.unwrap();
+    assert_eq!(
+        (members.version, members.period, members.suspicion.as_secs()),
+        (3, Duration::from_millis(200), 1)
+    );
+    assert_eq!(
+        (members.roster[0].name.as_str(), members.roster[0].region.as_str()),
+        ("leverproxy", "thamel")
+    );
+    assert_eq!(config.member_keys.unwrap().ids().len(), 2);
+    let faulty = Scratch::new(&format!("# ours\n{}\n", &first[1..]));
+    for (operators, key, problem) in [
+        (roster("leverprxy", keys.path()), "members", "did you mean leverprxy?"),
+        (
+            roster("leverproxy", "/nowhere/members.key"),
+            "members.key-file",
+            "/nowhere/members.key can't be read",
+        ),
+        (roster("leverproxy", "/"), "members.key-file", "is not a file"),
+        (roster("leverproxy", faulty.path()), "members.key-file", "line 2 has 63 characters"),
+    ] {
+        let error = parse(&operators).map(|_| ()).unwrap_err();
+        assert_eq!(error.key, key, "{error}");
+        assert!(error.problem.contains(problem), "{error}");
+    }
+    let none = parse("").unwrap();
+    assert!(none.members.is_none() && none.member_keys.is_none());
+}
+
 /// Without an operators' file everything is as the constants before it were.
 #[test]
 fn defaults_are_what_they_were() {
