Membership: who is heard by foca, states and acts while proxies differ, facts that spread

Loans and stages of a policy need a view and a rule of what may be done while views differ. The core wraps foca (roster, pauses, leave, direct or hearsay), keeps the standing of fleet and regions, and spreads facts.

--- /dev/null
+++ b/crates/membership/src/core.rs
@@ -0,0 +1,696 @@
+//! The core: events in, actions out.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand_10::rngs::StdRng;
+use rand_10::seq::{IndexedRandom, IteratorRandom};
+use rand_10::SeedableRng;
+
+use crate::facts::{Fact, Frame, Limits, Name, Said, Store, Taken, TellError};
+use crate::roster::{number, Known, Roster, RosterError};
+use crate::standing::{rule, Act, Denied, Heads, Rule, Standing, State};
+use crate::swim::{Bad, Id, Pace, Swim, SWIM};
+use crate::view::{Counts, Sight, Status, View};
+
+/// No datagram is longer.
+pub const DATAGRAM_BYTES: usize = 1200;
+/// Datagrams in answer to one.
+const ANSWERS: usize = 4;
+/// Members that what is new here goes to, twice each.
+const RUMOUR: usize = 2;
+/// The first byte of a datagram about facts.
+const FACTS: u8 = 2;
+
+/// What a core is made of.
+#[derive(Clone, Debug)]
+pub struct Config {
+    pub me: String,
+    /// The start of this process: Unix milliseconds. A later one of the same name replaces it.
+    pub start: u64,
+    pub roster: Roster,
+    /// One member is probed in each.
+    pub period: Duration,
+    /// How long a suspected member has to say that it lives.
+    pub suspicion: Duration,
+    /// Others that are asked to probe who did not answer.
+    pub indirect: usize,
+    /// Members told of news, each half period.
+    pub gossip: usize,
+    /// How long a majority has to be heard until it counts.
+    pub regain: Duration,
+    /// Own timers that much too late make this process doubt itself.
+    pub late: Duration,
+    /// How long it doubts at least.
+    pub settle: Duration,
+    pub limits: Limits,
+}
+
+impl Config {
+    pub fn new(me: &str, start: u64, roster: Roster) -> Self {
+        Self::with_period(me, start, roster, Duration::from_millis(200))
+    }
+
+    /// All times in proportion to the period.
+    pub fn with_period(me: &str, start: u64, roster: Roster, period: Duration) -> Self {
+        Self {
+            me: me.to_owned(),
+            start,
+            roster,
+            period,
+            suspicion: period * 4,
+            indirect: 4,
+            gossip: 3,
+            regain: period * 4,
+            late: period * 2,
+            settle: period * 10,
+            limits: Limits::default(),
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+pub enum Event<'a> {
+    Start,
+    /// A datagram whose envelope vouches for the name and the start of its sender.
+    Heard {
+        from: &'a str,
+        start: u64,
+        bytes: &'a [u8],
+    },
+    Timer(u64),
+    Roster(Roster),
+    Leave,
+    /// An own fact, which replaces the one of that kind and key.
+    Tell {
+        kind: u8,
+        key: Vec<u8>,
+        body: Vec<u8>,
+        lasts: Duration,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    Send {
+        to: String,
+        address: SocketAddr,
+        bytes: Vec<u8>,
+    },
+    /// Wake the core then. A later one replaces it: only the last token asked for counts.
+    Timer {
+        after: Duration,
+        token: u64,
+    },
+    Changed(String, Status),
+    State(State),
+    /// A fact of another that is new here.
+    Fact(Fact),
+    /// An own fact was not taken.
+    Untold(TellError),
+    /// A roster was not taken; the former stays.
+    BadRoster(RosterError),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    status: Status,
+    since: Duration,
+    id: Option<Id>,
+    direct: bool,
+}
+
+pub struct Core {
+    me: u32,
+    start: u64,
+    config: Config,
+    roster: Known,
+    swim: Swim,
+    store: Store,
+    rng: StdRng,
+    seen: BTreeMap<u32, Seen>,
+    fleet: Standing,
+    regions: BTreeMap<String, Standing>,
+    shown: State,
+    doubt: Option<Doubt>,
+    /// Facts to pass on, and how many times still.
+    fresh: BTreeMap<Name, u8>,
+    /// Members that all summaries go to at once, since they were not heard before.
+    returned: BTreeSet<u32>,
+    beat: Option<Duration>,
+    beats: u64,
+    armed: Option<Duration>,
+    token: u64,
+    left: bool,
+    counts: Counts,
+}
+
+#[derive(Clone, Debug)]
+struct Doubt {
+    since: Duration,
+    acked: BTreeSet<u32>,
+}
+
+impl Core {
+    pub fn new(config: Config, seed: u64) -> Result<Self, RosterError> {
+        let roster = Known::new(&config.me, config.roster.clone())?;
+        let me = number(&config.me);
+        let id = Id { number: me, start: config.start, returns: 0, roster: roster.version };
+        let swim = Swim::new(id, pace(&config, &roster), seed);
+        let mut core = Self {
+            me,
+            start: config.start,
+            swim,
+            store: Store::new(me, config.start, config.limits),
+            rng: StdRng::seed_from_u64(seed ^ 0x6d65_6d62),
+            seen: BTreeMap::new(),
+            fleet: Standing::default(),
+            regions: BTreeMap::new(),
+            shown: State::Alone,
+            doubt: None,
+            fresh: BTreeMap::new(),
+            returned: BTreeSet::new(),
+            beat: None,
+            beats: 0,
+            armed: None,
+            token: 0,
+            left: false,
+            counts: Counts::default(),
+            config,
+            roster,
+        };
+        core.fit(Duration::ZERO);
+        Ok(core)
+    }
+
+    /// Brings what is kept for each member into line with the roster.
+    fn fit(&mut self, now: Duration) {
+        let (me, members) = (self.me, &self.roster.members);
+        let gone: Vec<Seen> =
+            self.seen.iter().filter(|(number, _)| !members.contains_key(number)).map(|(_, s)| *s).collect();
+        for id in gone.into_iter().filter_map(|seen| seen.id) {
+            self.swim.drop(now, id);
+        }
+        let members = &self.roster.members;
+        self.seen.retain(|number, _| members.contains_key(number));
+        for number in members.keys().filter(|number| **number != me) {
+            let new = Seen { status: Status::NeverHeard, since: now, id: None, direct: false };
+            self.seen.entry(*number).or_insert(new);
+        }
+        self.regions.retain(|region, _| members.values().any(|member| member.region == *region));
+        for member in members.values() {
+            self.regions.entry(member.region.clone()).or_default();
+        }
+    }
+
+    pub fn handle(&mut self, now: Duration, event: Event<'_>, actions: &mut Vec<Action>) {
+        if self.left {
+            return;
+        }
+        self.notice_lateness(now);
+        let mut look = false;
+        match event {
+            Event::Start if self.beat.is_none() => {
+                self.beat = Some(now + self.config.period / 2);
+                self.seek(now, 3);
+            }
+            Event::Start => {}
+            Event::Heard { from, start, bytes } => look = self.heard(now, from, start, bytes, actions),
+            Event::Timer(token) => {
+                if token == self.token {
+                    self.armed = None;
+                }
+            }
+            Event::Roster(roster) => {
+                self.adopt(now, roster, actions);
+                look = true;
+            }
+            Event::Leave => self.leave(now),
+            Event::Tell { kind, key, body, lasts } => match self.store.tell(now, kind, key, body, lasts) {
+                Ok(name) => self.pass_on(name),
+                Err(error) => actions.push(Action::Untold(error)),
+            },
+        }
+        self.swim.run(now);
+        for number in self.swim.take_unanswered() {
+            if let Some(seen) = self.seen.get_mut(&number) {
+                seen.direct = false;
+            }
+        }
+        let beat = self.beat.is_some_and(|beat| beat <= now);
+        if beat {
+            self.on_beat(now);
+        }
+        if beat || look || std::mem::take(&mut self.swim.changed) {
+            self.look(now, actions);
+        }
+        self.flush(actions);
+        self.counts.errors = self.swim.errors;
+        if !self.left {
+            self.arm(now, actions);
+        }
+    }
+
+    fn due(&self) -> Option<Duration> {
+        self.swim.due().into_iter().chain(self.beat).min()
+    }
+
+    fn arm(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let due = self.due();
+        if due != self.armed {
+            self.armed = due;
+            if let Some(due) = due {
+                self.token += 1;
+                actions.push(Action::Timer { after: due.saturating_sub(now), token: self.token });
+            }
+        }
+    }
+
+    fn is_late(&self, now: Duration) -> bool {
+        self.due().is_some_and(|due| now.saturating_sub(due) > self.config.late)
+    }
+
+    /// A process that was paused has to wait for answers before it calls anyone dead, and to hear again before it
+    /// acts.
+    fn notice_lateness(&mut self, now: Duration) {
+        if !self.is_late(now) {
+            return;
+        }
+        let Some(due) = self.due() else { return };
+        let by = now - due + self.config.period;
+        self.swim.postpone(by);
+        self.beat = self.beat.map(|_| now);
+        self.counts.pauses += 1;
+        self.doubt = Some(Doubt { since: now, acked: BTreeSet::new() });
+        self.fleet.forget();
+        self.regions.values_mut().for_each(Standing::forget);
+    }
+
+    fn heard(
+        &mut self,
+        now: Duration,
+        from: &str,
+        start: u64,
+        bytes: &[u8],
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let from = number(from);
+        let Some(seen) = self.seen.get(&from) else {
+            self.counts.strangers += 1;
+            return false;
+        };
+        if seen.id.is_some_and(|id| id.start > start) {
+            self.counts.earlier += 1;
+            return false;
+        }
+        let done = match bytes.split_first() {
+            _ if bytes.len() > DATAGRAM_BYTES => Err(Bad::Malformed),
+            Some((&SWIM, packet)) => {
+                let known = |number| self.roster.members.contains_key(&number);
+                self.swim.heard(now, (from, start), packet, known).map(|told| {
+                    self.counts.strangers += told.strangers as u64;
+                    if let (Some((number, _)), Some(doubt)) = (told.acked, &mut self.doubt) {
+                        doubt.acked.insert(number);
+                    }
+                    told.news
+                })
+            }
+            Some((&FACTS, packet)) => self.heard_facts(now, from, packet, actions).map(|()| false),
+            _ => Err(Bad::Malformed),
+        };
+        match done {
+            Ok(news) => {
+                if let Some(seen) = self.seen.get_mut(&from) {
+                    seen.direct = true;
+                }
+                news
+            }
+            Err(Bad::Malformed) => {
+                self.counts.malformed += 1;
+                false
+            }
+            Err(Bad::Sender) => {
+                self.counts.imposters += 1;
+                false
+            }
+        }
+    }
+
+    fn heard_facts(
+        &mut self,
+        now: Duration,
+        from: u32,
+        packet: &[u8],
+        actions: &mut Vec<Action>,
+    ) -> Result<(), Bad> {
+        let frame: Frame = postcard::from_bytes(packet).map_err(|_| Bad::Malformed)?;
+        let Frame::Facts(facts) = frame else {
+            let answers = self.store.answer(now, frame);
+            self.pack(from, answers);
+            return Ok(());
+        };
+        for said in facts {
+            let Some(source) = self.roster.members.get(&said.source).map(|member| member.name.clone()) else {
+                self.counts.facts_refused += 1;
+                continue;
+            };
+            match self.store.hear(now, said) {
+                Taken::New(name) => {
+                    actions.extend(self.store.fact(now, &name, &source).map(Action::Fact));
+                    self.pass_on(name);
+                }
+                Taken::Known => {}
+                Taken::Invented => self.counts.invented += 1,
+                Taken::Full => self.counts.facts_refused += 1,
+            }
+        }
+        Ok(())
+    }
+
+    fn pass_on(&mut self, name: Name) {
+        // With the next beat, so that what is told in one go is in one datagram.
+        self.fresh.insert(name, 2);
+    }
+
+    fn adopt(&mut self, now: Duration, roster: Roster, actions: &mut Vec<Action>) {
+        match Known::new(&self.config.me, roster) {
+            Ok(known) => {
+                self.roster = known;
+                self.fit(now);
+                let pace = pace(&self.config, &self.roster);
+                self.swim.roster(now, self.roster.version, pace);
+            }
+            Err(error) => {
+                self.counts.rosters_refused += 1;
+                actions.push(Action::BadRoster(error));
+            }
+        }
+    }
+
+    fn leave(&mut self, now: Duration) {
+        self.swim.leave(now);
+        self.left = true;
+        self.beat = None;
+    }
+
+    /// Announces itself to some of the roster that are not heard.
+    fn seek(&mut self, now: Duration, count: usize) {
+        let unheard = self.seen.iter().filter(|(_, seen)| !is_heard(seen.status));
+        for (number, seen) in unheard.map(|(number, seen)| (*number, *seen)).sample(&mut self.rng, count) {
+            let unknown = Id { number, start: 0, returns: 0, roster: 0 };
+            self.swim.announce(now, seen.id.unwrap_or(unknown));
+        }
+    }
+
+    fn on_beat(&mut self, now: Duration) {
+        self.beats += 1;
+        self.beat = Some(now + self.config.period / 2);
+        let alone = !self.seen.values().any(|seen| is_heard(seen.status));
+        if self.beats.is_multiple_of(2) {
+            self.seek(now, if alone { 3 } else { 1 });
+            self.store.tidy(now);
+        }
+        self.spread(now);
+        if self.beats.is_multiple_of(4) {
+            let to = self.others().choose(&mut self.rng).copied();
+            if let Some(to) = to {
+                let summary = self.store.summary();
+                self.send(to, &summary);
+            }
+        }
+        // One that came back gets a summary a beat, until the window has gone round.
+        if let Some(to) = self.returned.pop_first() {
+            for _ in 0..ANSWERS {
+                let summary = self.store.summary();
+                let last = matches!(&summary, Frame::Summary { part, .. } if part.to == u64::MAX);
+                self.send(to, &summary);
+                if last {
+                    break;
+                }
+            }
+        }
+        if let Some(doubt) = &self.doubt {
+            let enough = doubt.acked.len() >= self.seen.len().min(3);
+            if enough && now >= doubt.since + self.config.settle {
+                self.doubt = None;
+            }
+        }
+    }
+
+    fn others(&self) -> Vec<u32> {
+        self.seen.iter().filter(|(_, seen)| is_heard(seen.status)).map(|(number, _)| *number).collect()
+    }
+
+    /// Sends what is new here to some.
+    fn spread(&mut self, now: Duration) {
+        if self.fresh.is_empty() {
+            return;
+        }
+        let said: Vec<Said> = self.fresh.keys().filter_map(|name| self.store.get(now, name)).collect();
+        let to: Vec<u32> = self.others().sample(&mut self.rng, RUMOUR).copied().collect();
+        if to.is_empty() {
+            return;
+        }
+        for number in to {
+            let facts = said.iter().map(|said| Frame::Facts(vec![said.clone()])).collect();
+            self.pack(number, facts);
+        }
+        self.fresh.retain(|_, times| {
+            *times -= 1;
+            *times > 0
+        });
+    }
+
+    /// Sends frames, facts together as far as they fit; no more than some datagrams, what is left comes with the
+    /// next exchange.
+    fn pack(&mut self, to: u32, frames: Vec<Frame>) {
+        let mut sent = 0;
+        let mut facts: Vec<Said> = Vec::new();
+        let mut bytes = 0;
+        for frame in frames {
+            match frame {
+                Frame::Facts(said) => {
+                    for said in said {
+                        let size = postcard::experimental::serialized_size(&said).unwrap_or(DATAGRAM_BYTES);
+                        if bytes + size > DATAGRAM_BYTES - 8 && sent < ANSWERS {
+                            self.send(to, &Frame::Facts(std::mem::take(&mut facts)));
+                            bytes = 0;
+                            sent += 1;
+                        }
+                        bytes += size;
+                        facts.push(said);
+                    }
+                }
+                other => {
+                    if sent < ANSWERS {
+                        self.send(to, &other);
+                        sent += 1;
+                    }
+                }
+            }
+            if sent >= ANSWERS {
+                return;
+            }
+        }
+        if !facts.is_empty() {
+            self.send(to, &Frame::Facts(facts));
+        }
+    }
+
+    fn send(&mut self, to: u32, frame: &Frame) {
+        match postcard::to_extend(frame, vec![FACTS]) {
+            Ok(bytes) if bytes.len() <= DATAGRAM_BYTES => self.out(to, bytes),
+            _ => self.counts.errors += 1,
+        }
+    }
+
+    fn out(&mut self, to: u32, bytes: Vec<u8>) {
+        self.swim.out.push((to, bytes));
+    }
+
+    /// Turns what is to be sent into actions, to the addresses of one's own roster.
+    fn flush(&mut self, actions: &mut Vec<Action>) {
+        for (to, bytes) in self.swim.out.drain(..) {
+            if let Some(member) = self.roster.members.get(&to) {
+                actions.push(Action::Send { to: member.name.clone(), address: member.address, bytes });
+            }
+        }
+    }
+
+    /// Takes over who is there, and what state that is.
+    fn look(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        for member in self.swim.members() {
+            let id = *member.id();
+            let Some(seen) = self.seen.get_mut(&id.number) else { continue };
+            let status = match member.state() {
+                foca::State::Alive => Status::Alive,
+                foca::State::Suspect => Status::Suspect,
+                foca::State::Down if id.has_left() => Status::Left,
+                foca::State::Down => Status::Down,
+            };
+            let was = seen.id.replace(id);
+            if was.is_none_or(|was| was.roster != id.roster) && id.roster != self.roster.version {
+                self.counts.roster_differs += 1;
+            }
+            if status != seen.status || was.is_some_and(|was| was.start != id.start) {
+                if is_heard(status) && !is_heard(seen.status) {
+                    self.returned.insert(id.number);
+                }
+                seen.status = status;
+                seen.since = now;
+                if let Some(member) = self.roster.members.get(&id.number) {
+                    actions.push(Action::Changed(member.name.clone(), status));
+                }
+            }
+        }
+        let hold = self.config.regain;
+        self.fleet.step(now, self.heads(None), hold);
+        let regions: Vec<String> = self.regions.keys().cloned().collect();
+        for region in regions {
+            let heads = self.heads(Some(&region));
+            if let Some(standing) = self.regions.get_mut(&region) {
+                standing.step(now, heads, hold);
+            }
+        }
+        let state = self.state(now);
+        if state != self.shown {
+            self.shown = state;
+            actions.push(Action::State(state));
+        }
+    }
+
+    fn heads(&self, region: Option<&str>) -> Heads {
+        let mut heads = Heads::default();
+        for (number, member) in &self.roster.members {
+            if region.is_some_and(|region| member.region != region) {
+                continue;
+            }
+            heads.of += 1;
+            match self.seen.get(number).map(|seen| seen.status) {
+                None => {
+                    heads.me = true;
+                    heads.heard += 1;
+                }
+                Some(Status::Alive) => heads.heard += 1,
+                Some(Status::Suspect) => heads.suspect += 1,
+                Some(Status::Left) => heads.left += 1,
+                Some(Status::Down | Status::NeverHeard) => {}
+            }
+        }
+        heads
+    }
+
+    fn doubting(&self, now: Duration) -> bool {
+        self.doubt.is_some() || self.is_late(now)
+    }
+
+    fn state(&self, now: Duration) -> State {
+        if self.doubting(now) {
+            self.fleet.state.min(State::Degraded)
+        } else {
+            self.fleet.state
+        }
+    }
+
+    fn differing(&self) -> usize {
+        let version = self.roster.version;
+        self.seen
+            .values()
+            .filter(|seen| is_heard(seen.status) && seen.id.is_some_and(|id| id.roster != version))
+            .count()
+    }
+
+    /// Whether something may be done now; for a region, if it concerns only that.
+    pub fn allowed(&self, now: Duration, act: Act, region: Option<&str>) -> Result<(), Denied> {
+        let standings: Vec<(Option<&str>, &Standing)> = match region {
+            None => vec![(None, &self.fleet)],
+            Some(region) => {
+                let part =
+                    self.regions.get(region).ok_or_else(|| Denied::UnknownRegion(region.to_owned()))?;
+                let fleet = (act == Act::Promote).then_some((None, &self.fleet));
+                fleet.into_iter().chain([(Some(region), part)]).collect()
+            }
+        };
+        let doubting = self.doubting(now);
+        for (region, standing) in standings {
+            match rule(act, standing.state, doubting) {
+                Rule::Yes | Rule::UntilLapse => {}
+                Rule::No | Rule::Agreed if doubting => return Err(Denied::Doubting),
+                Rule::No => {
+                    let Heads { heard, of, .. } = standing.heads;
+                    let region = region.map(str::to_owned);
+                    return Err(Denied::TooFew { state: standing.state, heard, of, region });
+                }
+                Rule::Agreed if self.left => return Err(Denied::Left),
+                Rule::Agreed => match self.differing() {
+                    0 => {}
+                    members => return Err(Denied::RosterDiffers(members)),
+                },
+            }
+        }
+        if self.left && act == Act::Lend {
+            return Err(Denied::Left);
+        }
+        Ok(())
+    }
+
+    /// What others said of a kind, and has not lapsed.
+    pub fn facts(&self, now: Duration, kind: u8) -> Vec<Fact> {
+        self.store
+            .names()
+            .filter(|name| name.1 == kind)
+            .filter(|name| name.0 != self.me || self.store.is_former(name))
+            .filter_map(|name| {
+                let source = self.roster.members.get(&name.0)?;
+                self.store.fact(now, name, &source.name)
+            })
+            .collect()
+    }
+
+    pub fn view(&self, now: Duration) -> View {
+        let sight = |(number, seen): (&u32, &Seen)| {
+            let member = self.roster.members.get(number)?;
+            Some(Sight {
+                name: member.name.clone(),
+                address: member.address,
+                region: member.region.clone(),
+                status: seen.status,
+                since: seen.since,
+                start: seen.id.map(|id| id.start),
+                roster: seen.id.map(|id| id.roster),
+                direct: seen.direct && is_heard(seen.status),
+            })
+        };
+        View {
+            state: self.state(now),
+            doubting: self.doubting(now),
+            heads: self.fleet.heads,
+            roster: self.roster.version,
+            roster_differs: self.differing(),
+            regions: self.regions.iter().map(|(region, part)| (region.clone(), part.state)).collect(),
+            members: self.seen.iter().filter_map(sight).collect(),
+            facts: self.store.len(),
+            fact_bytes: self.store.bytes(),
+            counts: self.counts,
+        }
+    }
+
+    pub fn start(&self) -> u64 {
+        self.start
+    }
+}
+
+fn is_heard(status: Status) -> bool {
+    matches!(status, Status::Alive | Status::Suspect)
+}
+
+fn pace(config: &Config, roster: &Known) -> Pace {
+    Pace {
+        period: config.period,
+        suspicion: config.suspicion,
+        indirect: config.indirect,
+        gossip: config.gossip,
+        members: roster.members.len(),
+    }
+}
--- /dev/null
+++ b/crates/membership/src/facts.rs
@@ -0,0 +1,455 @@
+//! What each proxy says, held by all: last writer wins by the source's own start and count, ages travel, clocks
+//! are never compared.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+pub const KEY_BYTES: usize = 32;
+pub const BODY_BYTES: usize = 512;
+/// No source counts so far in earnest: an invented count beyond it would leave the source no answer.
+const LAST_SEQUENCE: u64 = 1 << 60;
+/// What an entry costs beside its key and body, in the bound of bytes.
+const ENTRY_BYTES: usize = 96;
+/// Sources in one summary, versions in one detail: so that neither is longer than a datagram.
+const SUMMARY: usize = 100;
+const DETAIL: usize = 36;
+const NO_PART: Part = Part { from: 0, to: u64::MAX };
+
+/// A fact of another proxy.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fact {
+    pub source: String,
+    pub start: u64,
+    pub kind: u8,
+    pub key: Vec<u8>,
+    pub sequence: u64,
+    pub body: Vec<u8>,
+    pub age: Duration,
+    pub lasts: Duration,
+}
+
+/// Bounds of what is held.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    pub facts_per_source: usize,
+    pub bytes: usize,
+    /// The longest that a fact may last; what has lapsed is remembered until then.
+    pub lasts_max: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { facts_per_source: 64, bytes: 8 << 20, lasts_max: Duration::from_secs(600) }
+    }
+}
+
+/// Why an own fact was not taken.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum TellError {
+    #[error("a fact's key has {0} bytes, at most {KEY_BYTES} fit")]
+    Key(usize),
+    #[error("a fact's body has {0} bytes, at most {BODY_BYTES} fit")]
+    Body(usize),
+    #[error("a fact would last {0:?}, at most {1:?} are allowed: say it again before it lapses instead")]
+    Lasts(Duration, Duration),
+    #[error("no room for another fact: let some lapse, or raise the bound of facts a source or of bytes")]
+    Full,
+}
+
+/// A fact on the wire.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Said {
+    pub source: u32,
+    pub start: u64,
+    pub kind: u8,
+    pub key: Vec<u8>,
+    pub sequence: u64,
+    pub age_ms: u32,
+    pub lasts_ms: u32,
+    pub body: Vec<u8>,
+}
+
+/// From a number to a number, both within.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Part {
+    pub from: u64,
+    pub to: u64,
+}
+
+/// What two proxies tell each other to hold the same facts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Frame {
+    /// Each source within the part, with the hash of all its versions.
+    Summary {
+        part: Part,
+        sources: Vec<(u32, u32)>,
+    },
+    /// Each fact of a source within the part, by the hash of its key: start and sequence.
+    Detail {
+        answer: bool,
+        source: u32,
+        part: Part,
+        versions: Vec<(u64, u64, u64)>,
+    },
+    Facts(Vec<Said>),
+}
+
+pub(crate) type Name = (u32, u8, Vec<u8>);
+
+#[derive(Clone, Debug)]
+struct Held {
+    start: u64,
+    sequence: u64,
+    body: Vec<u8>,
+    lasts: Duration,
+    /// When it is forgotten: when it was said, and `lasts_max`. So it is known when it was said without a time
+    /// before this process began.
+    gone: Duration,
+}
+
+/// What came of a fact that was heard.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum Taken {
+    New(Name),
+    Known,
+    /// It speaks for this process, and this process never said it.
+    Invented,
+    Full,
+}
+
+pub(crate) struct Store {
+    me: u32,
+    start: u64,
+    limits: Limits,
+    sequence: u64,
+    held: BTreeMap<Name, Held>,
+    /// For each source: how many facts, and the hash of their versions.
+    sources: BTreeMap<u32, (usize, u32)>,
+    bytes: usize,
+    window: u64,
+}
+
+fn mixed(seed: u64) -> u64 {
+    let z = seed.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
+
+fn key_hash(kind: u8, key: &[u8]) -> u64 {
+    key.iter().fold(mixed(u64::from(kind)), |hash, byte| mixed(hash ^ u64::from(*byte)))
+}
+
+fn version_hash(name: &Name, held: &Held) -> u32 {
+    mixed(key_hash(name.1, &name.2) ^ mixed(held.start ^ mixed(held.sequence))) as u32
+}
+
+fn millis(duration: Duration) -> u32 {
+    u32::try_from(duration.as_nanos().div_ceil(1_000_000)).unwrap_or(u32::MAX)
+}
+
+impl Store {
+    pub fn new(me: u32, start: u64, limits: Limits) -> Self {
+        Self {
+            me,
+            start,
+            limits,
+            sequence: 0,
+            held: BTreeMap::new(),
+            sources: BTreeMap::new(),
+            bytes: 0,
+            window: 0,
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.held.len()
+    }
+
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    fn age(&self, now: Duration, held: &Held) -> Duration {
+        self.limits.lasts_max.saturating_sub(held.gone.saturating_sub(now))
+    }
+
+    fn remove(&mut self, name: &Name) {
+        if let Some(held) = self.held.remove(name) {
+            self.bytes -= ENTRY_BYTES + name.2.len() + held.body.len();
+            if let Some(source) = self.sources.get_mut(&name.0) {
+                source.0 -= 1;
+                source.1 ^= version_hash(name, &held);
+                if source.0 == 0 {
+                    self.sources.remove(&name.0);
+                }
+            }
+        }
+    }
+
+    /// Puts a fact in the place of the one of that name, if there is room: marks of what has lapsed give way first.
+    fn put(&mut self, now: Duration, name: &Name, held: Held) -> bool {
+        let size = ENTRY_BYTES + name.2.len() + held.body.len();
+        self.remove(name);
+        if self.sources.get(&name.0).is_some_and(|source| source.0 >= self.limits.facts_per_source) {
+            let lapsed = self
+                .of(name.0)
+                .filter(|(_, held)| self.age(now, held) >= held.lasts)
+                .min_by_key(|(_, held)| held.gone)
+                .map(|(name, _)| name.clone());
+            match lapsed {
+                Some(lapsed) => self.remove(&lapsed),
+                None => return false,
+            }
+        }
+        if self.bytes + size > self.limits.bytes {
+            return false;
+        }
+        self.bytes += size;
+        let source = self.sources.entry(name.0).or_default();
+        source.0 += 1;
+        source.1 ^= version_hash(name, &held);
+        self.held.insert(name.clone(), held);
+        true
+    }
+
+    fn of(&self, source: u32) -> impl Iterator<Item = (&Name, &Held)> {
+        self.held.range((source, 0, Vec::new())..).take_while(move |(name, _)| name.0 == source)
+    }
+
+    pub fn tell(
+        &mut self,
+        now: Duration,
+        kind: u8,
+        key: Vec<u8>,
+        body: Vec<u8>,
+        lasts: Duration,
+    ) -> Result<Name, TellError> {
+        if key.len() > KEY_BYTES {
+            return Err(TellError::Key(key.len()));
+        }
+        if body.len() > BODY_BYTES {
+            return Err(TellError::Body(body.len()));
+        }
+        if lasts > self.limits.lasts_max {
+            return Err(TellError::Lasts(lasts, self.limits.lasts_max));
+        }
+        self.sequence += 1;
+        let name = (self.me, kind, key);
+        let gone = now + self.limits.lasts_max;
+        let held = Held { start: self.start, sequence: self.sequence, body, lasts, gone };
+        if self.put(now, &name, held) {
+            Ok(name)
+        } else {
+            Err(TellError::Full)
+        }
+    }
+
+    pub fn hear(&mut self, now: Duration, said: Said) -> Taken {
+        let age = Duration::from_millis(said.age_ms.into());
+        let lasts = Duration::from_millis(said.lasts_ms.into());
+        if age >= self.limits.lasts_max || lasts > self.limits.lasts_max || said.sequence > LAST_SEQUENCE {
+            return Taken::Known;
+        }
+        let name = (said.source, said.kind, said.key);
+        let version = (said.start, said.sequence);
+        let gone = now + self.limits.lasts_max - age;
+        if said.source == self.me && said.start >= self.start {
+            return self.about_me(now, name, version);
+        }
+        if let Some(held) = self.held.get_mut(&name) {
+            if (held.start, held.sequence) >= version {
+                if (held.start, held.sequence) == version {
+                    held.gone = held.gone.min(gone);
+                }
+                return Taken::Known;
+            }
+        }
+        let lapsed = age >= lasts;
+        let body = if lapsed { Vec::new() } else { said.body };
+        let held = Held { start: said.start, sequence: said.sequence, body, lasts, gone };
+        match self.put(now, &name, held) {
+            true if lapsed => Taken::Known,
+            true => Taken::New(name),
+            false => Taken::Full,
+        }
+    }
+
+    /// Another tells what this process is to have said. What it never said it takes back, under a greater count.
+    fn about_me(&mut self, now: Duration, name: Name, version: (u64, u64)) -> Taken {
+        let invented = version > (self.start, self.sequence);
+        if version.0 > self.start {
+            return Taken::Invented;
+        }
+        if self.held.get(&name).is_some_and(|held| (held.start, held.sequence) >= version) {
+            return Taken::Known;
+        }
+        self.sequence = self.sequence.max(version.1) + 1;
+        let (body, lasts, gone) = match self.held.get(&name) {
+            Some(held) => (held.body.clone(), held.lasts, held.gone),
+            None => (Vec::new(), Duration::ZERO, now + self.limits.lasts_max),
+        };
+        let held = Held { start: self.start, sequence: self.sequence, body, lasts, gone };
+        self.put(now, &name, held);
+        if invented {
+            Taken::Invented
+        } else {
+            Taken::Known
+        }
+    }
+
+    /// Forgets what is long gone, and the bodies of what has lapsed.
+    pub fn tidy(&mut self, now: Duration) {
+        let max = self.limits.lasts_max;
+        let mut freed = 0;
+        let mut gone = Vec::new();
+        for (name, held) in &mut self.held {
+            if held.gone <= now {
+                gone.push(name.clone());
+            } else if !held.body.is_empty() && max.saturating_sub(held.gone - now) >= held.lasts {
+                freed += held.body.len();
+                held.body = Vec::new();
+            }
+        }
+        self.bytes -= freed;
+        for name in gone {
+            self.remove(&name);
+        }
+    }
+
+    pub fn get(&self, now: Duration, name: &Name) -> Option<Said> {
+        self.held.get(name).map(|held| self.said(now, name, held))
+    }
+
+    fn said(&self, now: Duration, name: &Name, held: &Held) -> Said {
+        Said {
+            source: name.0,
+            start: held.start,
+            kind: name.1,
+            key: name.2.clone(),
+            sequence: held.sequence,
+            age_ms: millis(self.age(now, held)),
+            lasts_ms: millis(held.lasts),
+            body: held.body.clone(),
+        }
+    }
+
+    /// A held fact as others see it, unless it has lapsed.
+    pub fn fact(&self, now: Duration, name: &Name, source: &str) -> Option<Fact> {
+        let held = self.held.get(name)?;
+        let age = self.age(now, held);
+        (age < held.lasts).then(|| Fact {
+            source: source.to_owned(),
+            start: held.start,
+            kind: name.1,
+            key: name.2.clone(),
+            sequence: held.sequence,
+            body: held.body.clone(),
+            age,
+            lasts: held.lasts,
+        })
+    }
+
+    /// Whether it was said by an earlier process of that name.
+    pub fn is_former(&self, name: &Name) -> bool {
+        self.held.get(name).is_some_and(|held| held.start < self.start)
+    }
+
+    pub fn names(&self) -> impl Iterator<Item = &Name> {
+        self.held.keys()
+    }
+
+    /// The next summary; the window moves on with each.
+    pub fn summary(&mut self) -> Frame {
+        let from = self.window;
+        let first = u32::try_from(from).unwrap_or(0);
+        let mut rest = self.sources.range(first..).map(|(source, (_, hash))| (*source, *hash));
+        let sources: Vec<(u32, u32)> = rest.by_ref().take(SUMMARY).collect();
+        let to = match (rest.next(), sources.last()) {
+            (Some(_), Some((last, _))) => u64::from(*last),
+            _ => u64::MAX,
+        };
+        self.window = if to == u64::MAX { 0 } else { to + 1 };
+        Frame::Summary { part: Part { from, to }, sources }
+    }
+
+    /// Answers a summary or a detail.
+    pub fn answer(&self, now: Duration, frame: Frame) -> Vec<Frame> {
+        match frame {
+            Frame::Summary { part, sources } => self.compare(part, &sources),
+            Frame::Detail { answer, source, part, versions } => {
+                self.lacking(now, answer, source, part, &versions)
+            }
+            Frame::Facts(_) => Vec::new(),
+        }
+    }
+
+    fn compare(&self, part: Part, theirs: &[(u32, u32)]) -> Vec<Frame> {
+        let first = u32::try_from(part.from).unwrap_or(u32::MAX);
+        let last = u32::try_from(part.to).unwrap_or(u32::MAX);
+        let theirs: BTreeMap<u32, u32> =
+            theirs.iter().copied().filter(|(source, _)| (first..=last).contains(source)).collect();
+        let mine = (Bound::Included(first), Bound::Included(last.max(first)));
+        let all: BTreeSet<u32> =
+            self.sources.range(mine).map(|(source, _)| *source).chain(theirs.keys().copied()).collect();
+        let differs = |source: &u32| self.sources.get(source).map(|s| s.1) != theirs.get(source).copied();
+        all.into_iter().filter(differs).flat_map(|source| self.details(source, false)).collect()
+    }
+
+    fn versions(&self, source: u32) -> BTreeMap<u64, (&Name, &Held)> {
+        self.of(source).map(|(name, held)| (key_hash(name.1, &name.2), (name, held))).collect()
+    }
+
+    fn details(&self, source: u32, answer: bool) -> Vec<Frame> {
+        let versions: Vec<(u64, u64, u64)> = self
+            .versions(source)
+            .into_iter()
+            .map(|(hash, (_, held))| (hash, held.start, held.sequence))
+            .collect();
+        if versions.is_empty() {
+            return vec![Frame::Detail { answer, source, part: NO_PART, versions }];
+        }
+        let pieces = versions.chunks(DETAIL).count();
+        let mut from = 0;
+        let mut frames = Vec::new();
+        for (at, piece) in versions.chunks(DETAIL).enumerate() {
+            let to = if at + 1 == pieces { u64::MAX } else { piece[piece.len() - 1].0 };
+            let part = Part { from, to };
+            frames.push(Frame::Detail { answer, source, part, versions: piece.to_vec() });
+            from = to.saturating_add(1);
+        }
+        frames
+    }
+
+    /// What the sender of a detail lacks; and, if it has what is lacking here, a detail in answer.
+    fn lacking(
+        &self,
+        now: Duration,
+        answer: bool,
+        source: u32,
+        part: Part,
+        theirs: &[(u64, u64, u64)],
+    ) -> Vec<Frame> {
+        let mine = self.versions(source);
+        let theirs: BTreeMap<u64, (u64, u64)> =
+            theirs.iter().map(|(hash, start, sequence)| (*hash, (*start, *sequence))).collect();
+        let mut facts = Vec::new();
+        for (hash, (name, held)) in &mine {
+            let within = part.from <= *hash && *hash <= part.to;
+            if within && theirs.get(hash).is_none_or(|version| *version < (held.start, held.sequence)) {
+                facts.push(self.said(now, name, held));
+            }
+        }
+        let mut frames: Vec<Frame> = facts.into_iter().map(|said| Frame::Facts(vec![said])).collect();
+        let newer = |(hash, version): (&u64, &(u64, u64))| {
+            mine.get(hash).is_none_or(|(_, held)| (held.start, held.sequence) < *version)
+        };
+        if !answer && theirs.iter().any(newer) {
+            frames.extend(self.details(source, true));
+        }
+        frames
+    }
+}
--- /dev/null
+++ b/crates/membership/src/swim.rs
@@ -0,0 +1,304 @@
+//! `foca` for one roster: its timers, its packets without strangers, and what their headers tell.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::num::{NonZeroU8, NonZeroUsize};
+use std::time::Duration;
+
+use foca::{
+    AccumulatingRuntime, Codec, Config, Foca, Header, Identity, Member, Message, NoCustomBroadcast,
+    PeriodicParams, PostcardCodec, Timer,
+};
+use rand_10::rngs::StdRng;
+use rand_10::SeedableRng;
+use serde::{Deserialize, Serialize};
+
+/// What `foca` may fill of a datagram of 1,200 bytes, beside the byte of its kind.
+const PACKET_BYTES: usize = 1199;
+/// The first byte of a datagram with such a packet.
+pub(crate) const SWIM: u8 = 1;
+/// The count of returns of who has left: no other way to tell a leave from a death.
+const LEFT: u16 = u16::MAX;
+
+/// A process of a member: the number of its name, its start, how often it came back after it was called dead
+/// (or changed its roster), and the version of its roster.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Id {
+    pub number: u32,
+    pub start: u64,
+    pub returns: u16,
+    pub roster: u64,
+}
+
+impl Id {
+    pub fn has_left(self) -> bool {
+        self.returns == LEFT
+    }
+}
+
+impl Identity for Id {
+    type Addr = u32;
+
+    fn renew(&self) -> Option<Self> {
+        // One before the last: the last means that it left.
+        (self.returns < LEFT - 1).then(|| Self { returns: self.returns + 1, ..*self })
+    }
+
+    fn addr(&self) -> u32 {
+        self.number
+    }
+
+    fn win_addr_conflict(&self, other: &Self) -> bool {
+        (self.start, self.returns) > (other.start, other.returns)
+    }
+}
+
+/// How `foca` is set.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Pace {
+    pub period: Duration,
+    pub suspicion: Duration,
+    pub indirect: usize,
+    pub gossip: usize,
+    pub members: usize,
+}
+
+fn some(count: usize) -> NonZeroUsize {
+    NonZeroUsize::new(count).unwrap_or(NonZeroUsize::MIN)
+}
+
+impl Pace {
+    fn config(self) -> Config {
+        // Each update is sent often enough that all hear of it: as often as a number of that size has bits, and
+        // half again against loss.
+        let bits = usize::BITS - self.members.leading_zeros();
+        Config {
+            probe_period: self.period,
+            probe_rtt: self.period * 2 / 5,
+            num_indirect_probes: some(self.indirect),
+            max_transmissions: NonZeroU8::new(4 + 3 * bits as u8 / 2).unwrap_or(NonZeroU8::MIN),
+            suspect_to_down_after: self.suspicion,
+            // As many as the roster has are remembered: strangers never reach it.
+            remove_down_after: None,
+            max_packet_size: some(PACKET_BYTES),
+            notify_down_members: true,
+            periodic_announce: None,
+            periodic_announce_to_down_members: None,
+            periodic_gossip: Some(PeriodicParams {
+                frequency: self.period / 2,
+                num_members: some(self.gossip),
+            }),
+        }
+    }
+}
+
+/// What a packet told, beside what `foca` makes of it.
+#[derive(Debug, Default)]
+pub(crate) struct Told {
+    /// Members that answered a probe of ours, and whether it was by their own datagram.
+    pub acked: Option<(u32, bool)>,
+    /// Members that are not in the roster, of whom the packet spoke.
+    pub strangers: usize,
+    /// Whether it carried news of members.
+    pub news: bool,
+}
+
+/// A packet whose sender is not who the envelope says, or that is none.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum Bad {
+    Malformed,
+    Sender,
+}
+
+pub(crate) struct Swim {
+    foca: Foca<Id, PostcardCodec, StdRng, NoCustomBroadcast>,
+    runtime: AccumulatingRuntime<Id>,
+    timers: BTreeMap<(Duration, u64), Timer<Id>>,
+    count: u64,
+    /// Datagrams to send, taken by the core.
+    pub out: Vec<(u32, Vec<u8>)>,
+    /// Members whose probe went on to others, since they did not answer: since the core last looked.
+    pub unanswered: Vec<u32>,
+    /// Something changed in who is there.
+    pub changed: bool,
+    /// Calls that `foca` found wrong, which should not be.
+    pub errors: u64,
+}
+
+impl Swim {
+    pub fn new(id: Id, pace: Pace, seed: u64) -> Self {
+        Self {
+            foca: Foca::new(id, pace.config(), StdRng::seed_from_u64(seed), PostcardCodec),
+            runtime: AccumulatingRuntime::new(),
+            timers: BTreeMap::new(),
+            count: 0,
+            out: Vec::new(),
+            unanswered: Vec::new(),
+            changed: false,
+            errors: 0,
+        }
+    }
+
+    pub fn id(&self) -> Id {
+        *self.foca.identity()
+    }
+
+    pub fn members(&self) -> impl Iterator<Item = &Member<Id>> {
+        self.foca.iter_membership_state()
+    }
+
+    /// When it wants to be woken.
+    pub fn due(&self) -> Option<Duration> {
+        self.timers.keys().next().map(|(due, _)| *due)
+    }
+
+    /// Moves all its timers on, in their order: after a pause no answer is missing yet.
+    pub fn postpone(&mut self, by: Duration) {
+        let timers = std::mem::take(&mut self.timers);
+        self.timers = timers.into_iter().map(|((due, count), timer)| ((due + by, count), timer)).collect();
+    }
+
+    pub fn run(&mut self, now: Duration) {
+        while self.due().is_some_and(|due| due <= now) {
+            let Some((_, timer)) = self.timers.pop_first() else { break };
+            let done = self.foca.handle_timer(timer, &mut self.runtime);
+            self.after(now, done);
+        }
+    }
+
+    pub fn announce(&mut self, now: Duration, to: Id) {
+        let done = self.foca.announce(to, &mut self.runtime);
+        self.after(now, done);
+    }
+
+    /// Says another version of the roster from now on.
+    pub fn roster(&mut self, now: Duration, version: u64, pace: Pace) {
+        // What depends on the size may be changed as it runs, and nothing else of it changes.
+        let done = self.foca.set_config(pace.config());
+        self.after(now, done);
+        if let Some(id) = self.id().renew().filter(|id| id.roster != version) {
+            let done = self.foca.change_identity(Id { roster: version, ..id }, &mut self.runtime);
+            self.after(now, done);
+        }
+    }
+
+    /// A member is no longer in the roster: it is not probed any more, and no other is told that it died.
+    pub fn drop(&mut self, now: Duration, id: Id) {
+        let done = self.foca.apply_many(std::iter::once(Member::down(id)), false, &mut self.runtime);
+        self.after(now, done);
+    }
+
+    pub fn leave(&mut self, now: Duration) {
+        let id = Id { returns: LEFT, ..self.id() };
+        let done = self.foca.change_identity(id, &mut self.runtime);
+        self.after(now, done);
+        let done = self.foca.leave_cluster(&mut self.runtime);
+        self.after(now, done);
+        self.timers.clear();
+    }
+
+    /// Takes a packet from the process that the envelope vouches for.
+    pub fn heard(
+        &mut self,
+        now: Duration,
+        from: (u32, u64),
+        bytes: &[u8],
+        known: impl Fn(u32) -> bool,
+    ) -> Result<Told, Bad> {
+        let mut rest = bytes;
+        let header: Header<Id> = PostcardCodec.decode_header(&mut rest).map_err(|_| Bad::Malformed)?;
+        if (header.src.number, header.src.start) != from {
+            return Err(Bad::Sender);
+        }
+        let mut told = Told::default();
+        let (kept, strangers, news) = members_within(rest, &known).ok_or(Bad::Malformed)?;
+        told.strangers = strangers;
+        told.news = news;
+        if !message_numbers(&header.message).is_none_or(known) {
+            // It asks for a probe of a stranger: there is no address to send to.
+            told.strangers += 1;
+            return Ok(told);
+        }
+        let mine = header.dst.number == self.id().number;
+        told.acked = match &header.message {
+            Message::Ack(_) if mine => Some((header.src.number, true)),
+            Message::ForwardedAck { origin, .. } if mine => Some((origin.number, false)),
+            _ => None,
+        };
+        let done = match kept {
+            None => self.foca.handle_data(bytes, &mut self.runtime),
+            Some(kept) => {
+                let mut clean = bytes[..bytes.len() - rest.len()].to_vec();
+                clean.extend_from_slice(&kept);
+                self.foca.handle_data(&clean, &mut self.runtime)
+            }
+        };
+        self.after(now, done);
+        Ok(told)
+    }
+
+    fn after(&mut self, now: Duration, done: Result<(), foca::Error>) {
+        match done {
+            // Asked to gossip while nobody is heard, or sent a packet that was for an earlier self: daily life.
+            Ok(()) | Err(foca::Error::NotConnected) => {}
+            Err(_) => self.errors += 1,
+        }
+        while let Some((to, bytes)) = self.runtime.to_send() {
+            let mut rest: &[u8] = &bytes;
+            let header: Result<Header<Id>, _> = PostcardCodec.decode_header(&mut rest);
+            if let Ok(Header { message: Message::PingReq { target, .. }, .. }) = header {
+                self.unanswered.push(target.number);
+            }
+            let mut datagram = vec![SWIM];
+            datagram.extend_from_slice(&bytes);
+            self.out.push((to.number, datagram));
+        }
+        while let Some((after, timer)) = self.runtime.to_schedule() {
+            self.count += 1;
+            self.timers.insert((now + after, self.count), timer);
+        }
+        while self.runtime.to_notify().is_some() {
+            self.changed = true;
+        }
+    }
+
+    /// Probes that went on to others since this was last asked.
+    pub fn take_unanswered(&mut self) -> BTreeSet<u32> {
+        self.unanswered.drain(..).collect()
+    }
+}
+
+/// Another member that the message speaks of.
+fn message_numbers(message: &Message<Id>) -> Option<u32> {
+    match message {
+        Message::PingReq { target, .. } | Message::IndirectAck { target, .. } => Some(target.number),
+        Message::IndirectPing { origin, .. } | Message::ForwardedAck { origin, .. } => Some(origin.number),
+        _ => None,
+    }
+}
+
+/// The updates of a packet behind its header without strangers (none if there are none to take out), how many
+/// those are, and whether any are left. `foca` documents the layout: a count of two bytes, then the members.
+#[allow(clippy::type_complexity)]
+fn members_within(rest: &[u8], known: impl Fn(u32) -> bool) -> Option<(Option<Vec<u8>>, usize, bool)> {
+    if rest.is_empty() {
+        return Some((None, 0, false));
+    }
+    let (count, mut rest) = rest.split_first_chunk::<2>()?;
+    let count = u16::from_be_bytes(*count);
+    let mut kept = vec![0, 0];
+    let mut left: u16 = 0;
+    for _ in 0..count {
+        let before = rest;
+        let member: Member<Id> = Codec::<Id>::decode_member(&mut PostcardCodec, &mut rest).ok()?;
+        if known(member.id().number) {
+            kept.extend_from_slice(&before[..before.len() - rest.len()]);
+            left += 1;
+        }
+    }
+    if !rest.is_empty() {
+        return None;
+    }
+    kept[..2].copy_from_slice(&left.to_be_bytes());
+    let strangers = usize::from(count - left);
+    Some(((strangers > 0).then_some(kept), strangers, left > 0))
+}
--- /dev/null
+++ b/crates/membership/tests/figures.rs
@@ -0,0 +1,89 @@
+//! Figures for `docs/results/one-fleet/members.md`. The long ones are ignored:
+//! `cargo test -p membership --test figures -- --ignored --nocapture`.
+mod fleet;
+
+use std::time::Duration;
+
+use fleet::{ms, Fleet};
+use membership::Status;
+
+/// Kills one after another; gives when all others knew, in order.
+fn deaths(size: usize, loss: f64, times: usize, seed: u64) -> Vec<Duration> {
+    let mut fleet = Fleet::new(size, seed);
+    fleet.loss = loss;
+    fleet.run(ms(8000));
+    let mut known = Vec::new();
+    for time in 0..times {
+        let who = time * 7 % size;
+        let killed = fleet.now;
+        fleet.changes.clear();
+        fleet.kill(who);
+        fleet.run(killed + ms(6000));
+        let others = (0..size).filter(|other| *other != who);
+        let when = |other: usize| {
+            let mut told = fleet.changes.iter().filter(|(_, at, of, _)| *at == other && *of == who);
+            told.find(|(.., status)| *status == Status::Down).map_or(ms(6000), |(at, ..)| *at - killed)
+        };
+        known.extend(others.map(when).max());
+        fleet.start(who);
+        fleet.run(killed + ms(10_000));
+    }
+    known.sort();
+    known
+}
+
+fn false_deaths(size: usize, loss: f64, minutes: u64, seed: u64) -> (usize, usize) {
+    let mut fleet = Fleet::new(size, seed);
+    fleet.run(ms(8000));
+    fleet.loss = loss;
+    fleet.changes.clear();
+    let (mut down, mut suspect) = (0, 0);
+    for minute in 1..=minutes {
+        fleet.run(ms(8000 + 60_000 * minute));
+        down += fleet.changes.iter().filter(|(.., status)| *status == Status::Down).count();
+        suspect += fleet.changes.iter().filter(|(.., status)| *status == Status::Suspect).count();
+        fleet.changes.clear();
+    }
+    (down, suspect)
+}
+
+#[test]
+#[ignore]
+fn figures_deaths() {
+    for (size, times) in [(5, 200), (20, 200), (100, 200)] {
+        let known = deaths(size, 0.05, times, 7);
+        let at = |part: f64| known[((known.len() - 1) as f64 * part).round() as usize];
+        println!(
+            "deaths size {size}: p50 {:?} p90 {:?} p99 {:?} max {:?}",
+            at(0.5),
+            at(0.9),
+            at(0.99),
+            at(1.0)
+        );
+    }
+}
+
+#[test]
+#[ignore]
+fn figures_false_deaths() {
+    let minutes = std::env::var("MINUTES").map_or(60, |text| text.parse().unwrap());
+    println!("false deaths in {minutes} min, 100 members, 5 %: {:?}", false_deaths(100, 0.05, minutes, 3));
+}
+
+#[test]
+#[ignore]
+fn figures_bytes() {
+    for size in [3, 10, 100, 500] {
+        let mut fleet = Fleet::new(size, 1);
+        fleet.run(ms(20_000));
+        let (bytes, sent) = (fleet.sent_bytes, fleet.sent);
+        fleet.run(ms(40_000));
+        let per = |total: u64| total as f64 / size as f64 / 20.0;
+        println!(
+            "size {size}: {:.0} B/s {:.1} datagrams/s, alive {}",
+            per(fleet.sent_bytes - bytes),
+            per(fleet.sent - sent),
+            fleet.count(0, Status::Alive)
+        );
+    }
+}
