--- a/crates/peers/tests/envelope.rs
+++ b/crates/peers/tests/envelope.rs
@@ -172,6 +172,18 @@
     }
 }
 
+/// The oldest that the window holds, and the one before it.
+#[test]
+fn the_window_holds_1024() {
+    let mut opener = opener(OLD);
+    for (at, taken) in
+        [(0, true), (1_023, true), (1, true), (0, false), (1_024, true), (1, false), (2_500, true)]
+    {
+        assert_eq!(opener.open(&MANY[at]).is_ok(), taken, "number {at}");
+    }
+    assert_eq!((opener.open(&MANY[1_476]).is_ok(), opener.open(&MANY[1_477]).is_ok()), (false, true));
+}
+
 /// One start's first datagrams.
 static MANY: LazyLock<Vec<Vec<u8>>> = LazyLock::new(|| {
     let mut sealer = Sealer::new("n1", 5, keys(OLD));
@@ -179,6 +191,8 @@
 });
 
 proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
     #[test]
     fn what_is_sealed_is_opened_once(
         name in "[^\\pC]{1,16}", start: u64, kind: u8, roster: u64,
