The roster that the rig writes is read by the program's own reader in a test

The rig wrote sections that no reader knew at the time. Its test now reads each proxy's file with the reader of the operators' files: sound for all four, three members for those on the roster and none for the one that is not.

--- a/crates/rig/tests/datagrams.rs
+++ b/crates/rig/tests/datagrams.rs
@@ -180,7 +180,7 @@
 fn each_proxy_is_told_of_the_others() {
     let mut setup = common::setup(4, 1.0, common::SECOND);
     setup.misrule = Some(Rule::Stale);
-    let (regions, settings) = (vec!["north".to_owned()], "period 50ms\ntrust off".to_owned());
+    let (regions, settings) = (vec!["north".to_owned()], "period 50ms\nsuspicion 500ms".to_owned());
     let roster = vec![0, 1, 3];
     setup.members = Some(Members { version: 7, settings, keys: vec![2, 1], roster, regions });
     let rig = Rig::start(setup).unwrap();
@@ -190,13 +190,19 @@
         let file = at("LB_OPERATORS");
         let key_file = file.replace("operators.conf", "members.key");
         let text = std::fs::read_to_string(&file).unwrap();
+        let read = configuration::read(file.as_ref(), &configuration::load::Memory::from([(&*file, &*text)]));
+        assert!(read.sound(), "{:?}", read.diagnostics);
+        assert_eq!(
+            read.model.members.map_or(0, |members| members.roster.len()),
+            if proxy == 2 { 0 } else { 3 }
+        );
         let keys = std::fs::read_to_string(&key_file).unwrap();
         (text.split_once("members {").map(|(_, t)| t.to_owned()), key_file, keys)
     };
     let (text, key_file, keys) = read(1);
     let to = |member| rig.talk(1, member).unwrap().address;
     let expected = format!(
-        "\n version 7\n listen 127.0.0.1:0\n key-file {key_file}\n period 50ms\n trust off\n}}\n\
+        "\n version 7\n listen 127.0.0.1:0\n key-file {key_file}\n period 50ms\n suspicion 500ms\n}}\n\
          member n0 {{\n address {}\n region north\n}}\nmember n1 {{\n address 127.0.0.1:9\n region p1\n}}\n\
          member n3 {{\n address {}\n region p1\n}}\n",
         to(0),
