Members in the program: proxies hear each other, and say what may be done meanwhile

Change: leverproxy::members carries the core (crates/membership) over a UDP socket in the one loop, in the envelope of crates/peers. Off without a section `members`; joined, left and changed at SIGHUP (roster and keys at once, port and times at the next start). `leverproxy status` and the second address show state, members and what may be done.

Not chosen: a thread of its own for members. It would be heard in time while the loop is late, and say alive for a proxy that serves nobody.

--- a/crates/leverproxy/src/clock.rs
+++ b/crates/leverproxy/src/clock.rs
@@ -27,3 +27,8 @@
         Time(self.unix + at.saturating_duration_since(self.anchor))
     }
 }
+
+/// Milliseconds of Unix time, by the system's clock as it is now.
+pub fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
--- a/crates/leverproxy/src/lib.rs
+++ b/crates/leverproxy/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod health;
 pub mod http;
 pub mod logging;
+pub mod members;
 pub mod monitor;
 pub mod net;
 pub mod operate;
--- a/crates/leverproxy/src/proxy.rs
+++ b/crates/leverproxy/src/proxy.rs
@@ -1,11 +1,13 @@
 //! The loop of the one thread: waits, lets the sides take what has come, and runs the chain over it.
 
 use crate::admin::Admin;
+use crate::clock;
 use crate::config::{Config, ConfigError, Limits, Patience};
 use crate::control::{self, Control, Wish};
 use crate::discovery::Discovery;
 use crate::front::Front;
 use crate::health::Health;
+use crate::members::Members;
 use crate::monitor::{self, Monitor, Usage};
 use crate::operate::{Operate, Word};
 use crate::reactor::{Interest, Key, Reactor, Ready, Timers, Token};
@@ -47,6 +49,9 @@
     /// The settings in force, with classes at their places.
     platform: Decoded,
     fixed: Fixed,
+    /// The other proxies of the fleet, where the operators' file names them.
+    members: Option<Members>,
+    seed: u64,
 }
 
 /// What only a new start changes.
@@ -141,8 +146,15 @@
             takeover.join(link, &sides.reactor);
         }
         chain.monitor.event(now, availability::Event::Started);
+        let members = config.members.map(|stated| {
+            let start = clock::unix_ms();
+            Members::join(stated, config.member_keys, &fixed.name, start, config.seed, now, &sides.reactor)
+        });
+        let members = members.transpose().map_err(|e| io::Error::new(io::ErrorKind::InvalidInput, e))?;
         let proxy = Proxy {
             sides,
+            members,
+            seed: config.seed,
             chain,
             wishes,
             start: now,
@@ -171,7 +183,9 @@
         loop {
             self.chain.turn(&mut self.sides, Instant::now());
             self.settle(Instant::now());
+            self.set_member_timers();
             if self.over {
+                self.leave_fleet();
                 let (clients, owed) = (self.sides.front.clients(), self.chain.owed());
                 log::info!("ended, with {clients} clients left and {owed} requests owed an answer");
                 return Ok(());
@@ -227,6 +241,9 @@
                 Action::End => self.over = true,
             }
         }
+        if let Some(members) = &mut self.members {
+            members.serves(self.drain.phase() == drain::Phase::Serving, now);
+        }
         self.sides.health.publish(&self.chain.monitor.status());
         if let Some(due) = self.drain.due() {
             self.sides.timers.set(self.start + due, Timer::Drain);
@@ -284,6 +301,11 @@
             }
             Token::Control => self.on_wishes(now),
             Token::Discovery(key) => discovery.ready(key, now, reactor),
+            Token::Members => {
+                if let Some(members) = &mut self.members {
+                    members.ready(now);
+                }
+            }
             Token::Client(key) => front.ready(key, ready.ended, now, reactor),
             Token::Upstream(key) => upstream.ready(key, now, reactor),
         }
@@ -317,6 +339,11 @@
                 self.sides.timers.set(now + monitor::LOOK, Timer::Load);
             }
             Timer::Drain => self.drain(drain::Event::Tick, now),
+            Timer::Members(token) => {
+                if let Some(members) = &mut self.members {
+                    members.on_timer(token, now, &self.sides.reactor);
+                }
+            }
         }
         self.chain.turn(&mut self.sides, now);
     }
@@ -378,7 +405,8 @@
             drain::Phase::Drained => "drained".into(),
             drain::Phase::Lingering { .. } | drain::Phase::Closing | drain::Phase::Over => "ending".into(),
         };
-        let text = format!("phase {phase}\n{}", self.chain.monitor.lines());
+        let members = self.members.as_ref().map_or(String::new(), |members| members.lines(now));
+        let text = format!("phase {phase}\n{}{members}", self.chain.monitor.lines());
         if let Some(operate) = &mut self.sides.operate {
             operate.answer(key, &text);
         }
@@ -476,6 +504,9 @@
         ] {
             figures.one(name, help, value);
         }
+        if let Some(members) = &self.members {
+            members.figures(now, &mut figures);
+        }
         figures.answer()
     }
 
@@ -534,6 +565,7 @@
         let former = self.chain.set_rules(rules);
         self.chain.discovery_at(config.discovery, &mut self.sides, now);
         self.chain.set_pushed(!self.platform.settings.list_on_request, &mut self.sides, now);
+        let waits = self.reload_members(config.members, config.member_keys, now);
         let pause_us = begun.elapsed().as_micros() as u64;
         log::info!(pause_us, routes; "the configuration is reread: discovery at {}", config.discovery);
         if let Some(reloads) = &self.reloads {
@@ -544,13 +576,56 @@
             ("admin", config.admin == self.fixed.admin),
             ("name", config.name == self.fixed.name),
             ("discovery watch-silence", config.watch_silence == self.fixed.watch_silence),
-        ] {
+        ]
+        .into_iter()
+        .chain(waits.into_iter().map(|key| (key, false)))
+        {
             if !same {
                 log::warn!(key; "configuration: {key}: a change of it counts from the next start");
             }
         }
     }
 
+    /// The fleet as the file now states it: joined, left, or with another roster. What waits for the next start.
+    fn reload_members(
+        &mut self,
+        stated: Option<configuration::model::Members>,
+        keys: Option<peers::Keys>,
+        now: Instant,
+    ) -> Vec<&'static str> {
+        match (&mut self.members, stated, keys) {
+            (Some(members), Some(stated), Some(keys)) => return members.reload(&stated, keys, now),
+            (None, Some(stated), keys) => {
+                let (name, reactor) = (&self.fixed.name, &self.sides.reactor);
+                match Members::join(stated, keys, name, clock::unix_ms(), self.seed, now, reactor) {
+                    Ok(members) => self.members = Some(members),
+                    Err(error) => log::error!("configuration: {error}; this proxy stays by itself"),
+                }
+            }
+            (Some(members), ..) => {
+                log::info!("members: the file names none any more; the fleet is left");
+                members.leave(now);
+                self.members = None;
+            }
+            (None, None, _) => {}
+        }
+        Vec::new()
+    }
+
+    fn set_member_timers(&mut self) {
+        for (at, token) in self.members.as_mut().map(Members::take_timers).unwrap_or_default() {
+            self.sides.timers.set(at, Timer::Members(token));
+        }
+    }
+
+    /// An heir goes on under this name, and nobody is to miss it.
+    fn leave_fleet(&mut self) {
+        let has_heir = self.sides.takeover.as_ref().is_some_and(Takeover::has_heir);
+        if let Some(members) = self.members.as_mut().filter(|_| !has_heir) {
+            members.leave(Instant::now());
+        }
+    }
+
     /// The counters, on standard error: whoever asks wants them at any log level.
     pub fn report(&self) {
         let Sides { front, upstream, .. } = &self.sides;
--- a/crates/leverproxy/src/reactor.rs
+++ b/crates/leverproxy/src/reactor.rs
@@ -100,6 +100,8 @@
     /// Where the next process comes, and the links to others.
     TakeoverListener,
     Takeover(Key),
+    /// Datagrams of other proxies.
+    Members,
 }
 
 impl Token {
@@ -123,6 +125,7 @@
             Token::Admin(key) => (10, Some(key)),
             Token::TakeoverListener => (11, None),
             Token::Takeover(key) => (12, Some(key)),
+            Token::Members => (13, None),
         };
         let key = key.map_or(0, |k| u64::from(k.generation) << 32 | u64::from(k.index));
         kind << 56 | key
@@ -144,6 +147,7 @@
             10 => Token::Admin(key),
             11 => Token::TakeoverListener,
             12 => Token::Takeover(key),
+            13 => Token::Members,
             _ => return None,
         })
     }
--- a/crates/leverproxy/src/stages/mod.rs
+++ b/crates/leverproxy/src/stages/mod.rs
@@ -43,6 +43,8 @@
     Load,
     /// The drain has a step to take.
     Drain,
+    /// Of the members of the fleet, by token.
+    Members(u64),
 }
 
 /// The sides that the chain works on.
