--- a/crates/leverlab/src/file.rs
+++ b/crates/leverlab/src/file.rs
@@ -479,6 +479,7 @@
                 self.fault(section.span, "patience-from is above patience-to", "in this load");
             }
         }
+        let proxies: usize = load.count("proxies");
         clients::Settings {
             kinds,
             tenants,
@@ -486,9 +487,11 @@
             per_s: load.number("rate"),
             profile,
             length,
-            proxies: load.count("proxies"),
+            proxies,
             groups,
             unequal: load.number("unequal"),
+            busy: (load.part("busy") * proxies as f64).ceil() as usize,
+            busy_carry: load.part("busy-carry"),
             skew: load.number("skew"),
             sessions: load.count("sessions"),
             after_write: load.part("after-write"),
--- a/crates/leverlab/src/play/host.rs
+++ b/crates/leverlab/src/play/host.rs
@@ -1,11 +1,13 @@
 //! One proxy: its policy, its list and its connections.
 
+use super::Open;
 use crate::policy::{Decider, View};
 use crate::scenario::ORIGIN;
-use mountshift::{Action, Entry, GroupId, KindId, Listed, StoreId, Time, ZoneId};
+use mountshift::{Action, Entry, GroupId, KindId, Listed, RequestId, StoreId, Time, ZoneId};
 use rustc_hash::FxHashMap;
 use std::time::Duration;
 use world::catalog::Record;
+use world::clients::TryId;
 use world::network::{Network, Spot};
 use world::site::{ServerId, Site, Status};
 use world::Micros;
@@ -157,6 +159,7 @@
     /// Where the proxy stands.
     pub spot: Spot,
     pub ready: &'a [Vec<StoreId>],
+    pub open: &'a FxHashMap<TryId, Open>,
     pub now: Micros,
     pub cores: f64,
     /// Of a request, in microseconds of a core.
@@ -197,6 +200,14 @@
         Duration::from_secs_f64(self.mean_work / 1e6 * shared / self.site.capacity(at, self.now).max(1e-6))
     }
 
+    fn within(&self, id: RequestId) -> bool {
+        self.open.get(&id.0).is_none_or(|open| open.asked.within)
+    }
+
+    fn spare(&self, store: StoreId) -> f64 {
+        self.cores - self.site.held(server(store)) as f64 - 1.0
+    }
+
     fn position(&mut self, store: StoreId) -> Time {
         Time::from_micros(ORIGIN + self.site.position(server(store), self.now))
     }
--- a/crates/leverlab/src/play/mod.rs
+++ b/crates/leverlab/src/play/mod.rs
@@ -94,7 +94,7 @@
 }
 
 /// A try that a proxy has taken.
-struct Open {
+pub(crate) struct Open {
     asked: Try,
     came: Micros,
     attempts: u16,
@@ -381,6 +381,7 @@
             network: &self.network,
             spot,
             ready: &host.ready,
+            open: &self.open,
             now,
             cores: self.scenario.site.server.cores,
             mean_work: self.mean_work,
--- a/crates/leverlab/src/policy.rs
+++ b/crates/leverlab/src/policy.rs
@@ -8,6 +8,7 @@
 use rand::{Rng, SeedableRng};
 use std::collections::BTreeMap;
 use std::time::Duration;
+use world::account::Account;
 
 /// What is true, for those that may look.
 pub trait View {
@@ -22,6 +23,10 @@
     /// What a request more would take there, about.
     fn expected(&self, store: StoreId) -> Duration;
     fn position(&mut self, store: StoreId) -> Time;
+    /// The request is within its tenant's quota, by the fleet's one account.
+    fn within(&self, id: RequestId) -> bool;
+    /// A request more would leave this many cores there that nothing is on.
+    fn spare(&self, store: StoreId) -> f64;
 }
 
 /// Who decides in one proxy.
@@ -39,10 +44,12 @@
     LeastOutstanding,
     TwoChoices,
     PeakEwma,
+    /// Peak-EWMA behind a plain limiter: each proxy has an even share of each tenant's quota, and refuses the rest.
+    LocalQuota,
     Oracle,
 }
 
-pub const NAMES: [(&str, Name); 8] = [
+pub const NAMES: [(&str, Name); 9] = [
     ("module", Name::Module),
     ("primary-only", Name::PrimaryOnly),
     ("random", Name::Random),
@@ -50,6 +57,7 @@
     ("least-outstanding", Name::LeastOutstanding),
     ("two-choices", Name::TwoChoices),
     ("peak-ewma", Name::PeakEwma),
+    ("local-quota", Name::LocalQuota),
     ("oracle", Name::Oracle),
 ];
 
@@ -103,14 +111,20 @@
     rng: StdRng,
     /// Requests that the oracle holds.
     held: Vec<RequestId>,
+    /// Of tenants, in this proxy alone.
+    shares: Vec<Account>,
 }
 
 /// Part of a request's time for which the oracle holds it.
 const HELD: f64 = 0.8;
 /// Part of the aim that the oracle lets an answer take on average: run times scatter.
 const ADMITTED: f64 = 0.7;
+/// Cores of a server that the oracle keeps free of what is beyond a quota, for what is within and comes next.
+const KEPT: f64 = 1.0;
 /// The oracle looks again this often at what it holds.
 const LOOK_AGAIN: Duration = Duration::from_millis(10);
+/// What baselines and the oracle tell those whom they refuse.
+const COME_BACK: Duration = Duration::from_millis(200);
 /// A list that could not be had is asked for again after this.
 const ASK_AGAIN: Duration = Duration::from_secs(1);
 const LIST_TIMER: TimerToken = TimerToken(1);
@@ -119,7 +133,9 @@
 
 impl Baseline {
     fn new(choice: Name, set: Settings, seed: u64) -> Baseline {
+        let proxies = f64::from(set.routers.max(1));
         Baseline {
+            shares: set.tenants.iter().map(|t| Account::new(t.quota_per_s / proxies)).collect(),
             choice,
             set,
             open: BTreeMap::new(),
@@ -177,7 +193,7 @@
                 members.into_iter().min_by_key(|m| self.outstanding(*m))?
             }
             Name::TwoChoices => *[members[a], members[b]].iter().min_by_key(|m| self.outstanding(**m))?,
-            Name::PeakEwma => {
+            Name::PeakEwma | Name::LocalQuota => {
                 let cost = |m: &StoreId| {
                     let known = self.cost.get(m).map_or(0.05, |(cost, _)| *cost);
                     known * f64::from(self.outstanding(*m) + 1)
@@ -194,6 +210,10 @@
         let class = self.class(open.arrival.class);
         let worth_for = if class.late_worth > 0.0 { class.deadline } else { class.aim };
         let left = worth_for.saturating_sub(now.since(open.came));
+        // What is beyond its tenant's quota is served only from room that is left when those within have theirs.
+        if !view.within(open.arrival.id) && view.spare(store) < KEPT {
+            return false;
+        }
         // What is worth less gives way before a server is full.
         let best = self.set.classes.iter().map(|c| c.worth).fold(0.0, f64::max).max(1e-9);
         let part = if view.crowded(store) { (class.worth / best).sqrt() } else { 1.0 };
@@ -234,7 +254,7 @@
                 self.open.insert(id, open);
             }
             None if open.ran => actions.push(Action::Fail { id }),
-            None => actions.push(Action::Refuse { id, come_back: Some(Duration::from_millis(200)) }),
+            None => actions.push(Action::Refuse { id, come_back: Some(COME_BACK) }),
         }
     }
 }
@@ -244,6 +264,12 @@
         match event {
             Event::Arrived(arrival) => {
                 let id = arrival.id;
+                let share = self.shares.get_mut(usize::from(arrival.tenant.0));
+                let limited = self.choice == Name::LocalQuota;
+                if limited && share.is_some_and(|share| !share.draw(now.0.as_micros() as u64)) {
+                    actions.push(Action::Refuse { id, come_back: Some(COME_BACK) });
+                    return;
+                }
                 self.open.insert(id, Open { arrival, came: now, tried: Vec::new(), ran: false });
                 self.attempt(id, now, view, actions);
             }
@@ -273,7 +299,10 @@
             }
             Event::Timer(token) if token == LIST_TIMER => actions.push(Action::Subscribe),
             Event::Timer(_) => {
-                for id in std::mem::take(&mut self.held) {
+                let mut held = std::mem::take(&mut self.held);
+                // Those within their quota first.
+                held.sort_by_key(|id| !view.within(*id));
+                for id in held {
                     self.attempt(id, now, view, actions);
                 }
             }
--- a/crates/leverlab/src/table.rs
+++ b/crates/leverlab/src/table.rs
@@ -107,6 +107,8 @@
             directive("rate", One(number(0.0, 1e7)), "500", "rate 1700", "requests a second, to all proxies together"),
             directive("proxies", One(count(0, 10_000)), "4", "proxies 40", "proxies"),
             directive("unequal", One(number(0.0, 4.0)), "0", "unequal 1", "the n-th proxy's part falls with n to this power"),
+            directive("busy", One(share((0, 1), (1, 1))), "0%", "busy 10%", "of the proxies, those that are busier than the others; 0%: none"),
+            directive("busy-carry", One(ANY_SHARE), "90%", "busy-carry 80%", "of the requests, those that come to the busy"),
             directive("skew", One(number(0.0, 4.0)), "0", "skew 0.7", "the n-th group's part falls with n to this power"),
             directive("classes", Many(Type::Reference("class")), "", "classes nearby-cabs confirm-ride", "the classes that are asked for"),
             directive("tenants", Many(Type::Reference("tenant")), "", "tenants ratna-park koteshwor", "those who ask; none: one who has no name"),
@@ -174,7 +176,7 @@
         naming: Naming::Named,
         help: "Who decides in the proxies.",
         directives: &[
-            directive("kind", One(Type::Choice(&["module", "primary-only", "random", "round-robin", "least-outstanding", "two-choices", "peak-ewma", "oracle"])), "module", "kind two-choices", "the decision module, a baseline, or who sees everything"),
+            directive("kind", One(Type::Choice(&["module", "primary-only", "random", "round-robin", "least-outstanding", "two-choices", "peak-ewma", "local-quota", "oracle"])), "module", "kind two-choices", "the decision module, a baseline, or who sees everything"),
             directive("tuning", One(Type::Reference("tuning")), "", "tuning patient", "of the module"),
         ],
     },
--- a/crates/leverlab/src/write.rs
+++ b/crates/leverlab/src/write.rs
@@ -207,6 +207,11 @@
         ("patience-from", share(clients.patience.0)),
         ("patience-to", share(clients.patience.1)),
     ];
+    if clients.busy > 0 {
+        // Rounded down, since it is rounded up when it is read.
+        let part = (clients.busy as f64 - 0.5) / clients.proxies.max(1) as f64;
+        lines.extend([("busy", share(part)), ("busy-carry", share(clients.busy_carry))]);
+    }
     if !clients.tenants.is_empty() {
         lines.push(("tenants", names(clients.tenants.iter().map(|t| t.name.as_str()).collect())));
     }
--- a/crates/rig/tests/common/mod.rs
+++ b/crates/rig/tests/common/mod.rs
@@ -40,6 +40,8 @@
         proxies,
         groups: groups as u32,
         unequal: 0.0,
+        busy: 0,
+        busy_carry: 0.0,
         skew: 0.0,
         sessions: 20,
         after_write: 0.5,
--- a/crates/world/src/clients.rs
+++ b/crates/world/src/clients.rs
@@ -3,6 +3,7 @@
 //! Every arrival draws the same numbers, so two policies on one seed are asked the same. What is drawn for repeats goes
 //! by the request's own number, for the same reason.
 
+use crate::account::Account;
 use crate::law::Work;
 use crate::Micros;
 use engine::streams::{Stream, Streams};
@@ -69,6 +70,9 @@
     pub groups: u32,
     /// How unequal the proxies' shares are: the n-th gets in proportion to n to the power of minus this.
     pub unequal: f64,
+    /// So many of the first proxies carry this part of the requests together; 0: no more than by `unequal`.
+    pub busy: usize,
+    pub busy_carry: f64,
     /// The same of the groups.
     pub skew: f64,
     /// Sessions at each proxy; the part of their reads that come soon after one of their writes, and how soon.
@@ -103,6 +107,8 @@
     /// The session's last write, as the client knows it; 0: none.
     pub wrote: Micros,
     pub repeated: bool,
+    /// Its request is within its tenant's quota, which a proxy can't know.
+    pub within: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -191,6 +197,7 @@
     proxy: usize,
     came: Micros,
     worth: f64,
+    within: bool,
     /// The try that is out.
     out: Option<TryId>,
     tries: u32,
@@ -223,8 +230,8 @@
     tries: FxHashMap<TryId, u64>,
     commits: FxHashMap<u64, Micros>,
     recent: Vec<VecDeque<(u64, u32, Micros)>>,
-    /// Of tenants: what is left of their quota, and since when.
-    quota: Vec<(f64, Micros)>,
+    /// Of tenants.
+    accounts: Vec<Account>,
     last_request: u64,
     last_try: TryId,
 }
@@ -253,7 +260,7 @@
             surges: vec![1.0; set.tenants.len().max(1)],
             surge_all: 1.0,
             up: vec![true; set.proxies],
-            proxies: sums(&mut (0..set.proxies).map(|n| ((n + 1) as f64).powf(-set.unequal))),
+            proxies: sums(&mut proxy_parts(&set).into_iter()),
             groups: sums(&mut (0..set.groups).map(|n| f64::from(n + 1).powf(-set.skew))),
             kinds: sums(&mut set.kinds.iter().map(|k| k.share)),
             shares: sums(&mut set.tenants.iter().map(|t| t.share)),
@@ -261,7 +268,7 @@
             tries: FxHashMap::default(),
             commits: FxHashMap::default(),
             recent: vec![VecDeque::new(); set.proxies],
-            quota: set.tenants.iter().map(|t| (t.quota, 0)).collect(),
+            accounts: set.tenants.iter().map(|t| Account::new(t.quota)).collect(),
             last_request: 0,
             last_try: 0,
             set,
@@ -351,8 +358,10 @@
                 (session, group) = (*s, *g);
             }
         }
-        let worth = stated.worth;
-        let worth = worth * self.within_quota(tenant, now);
+        // What is beyond a tenant's quota is worth less, whatever is done with it. Its repeats draw no more: what was
+        // asked for would depend on what was refused.
+        let within = self.accounts.get_mut(tenant).is_none_or(|account| account.draw(now));
+        let worth = stated.worth * if within { 1.0 } else { self.set.over_worth };
         self.last_request += 1;
         let request = self.last_request;
         let open = Request {
@@ -363,6 +372,7 @@
             proxy,
             came: now,
             worth,
+            within,
             out: None,
             tries: 0,
             seed,
@@ -372,20 +382,6 @@
         self.ask(request, now, actions);
     }
 
-    /// What is beyond a tenant's quota is worth less, whatever is done with it.
-    fn within_quota(&mut self, tenant: usize, now: Micros) -> f64 {
-        let Some(stated) = self.set.tenants.get(tenant).filter(|t| t.quota > 0.0) else { return 1.0 };
-        let (left, since) = &mut self.quota[tenant];
-        *left = (*left + (now - *since) as f64 / 1e6 * stated.quota).min(stated.quota);
-        *since = now;
-        if *left >= 1.0 {
-            *left -= 1.0;
-            1.0
-        } else {
-            self.set.over_worth
-        }
-    }
-
     fn ask(&mut self, request: u64, now: Micros, actions: &mut Vec<Action>) {
         let Some(open) = self.requests.get_mut(&request) else { return };
         let kind = &self.set.kinds[open.kind];
@@ -421,6 +417,7 @@
             wait,
             wrote,
             repeated: open.tries > 1 && self.set.marks,
+            within: open.within,
         }));
     }
 
@@ -511,6 +508,20 @@
     }
 }
 
+/// Parts of the requests that proxies get, in proportion.
+fn proxy_parts(set: &Settings) -> Vec<f64> {
+    let mut parts: Vec<f64> = (0..set.proxies).map(|n| ((n + 1) as f64).powf(-set.unequal)).collect();
+    let busy = set.busy.min(parts.len());
+    if busy > 0 && busy < parts.len() {
+        let (first, others) = parts.split_at_mut(busy);
+        for (some, carry) in [(first, set.busy_carry), (others, 1.0 - set.busy_carry)] {
+            let sum: f64 = some.iter().sum();
+            some.iter_mut().for_each(|part| *part *= carry / sum);
+        }
+    }
+    parts
+}
+
 /// The place of a draw among sums of shares.
 fn pick(sums: &[f64], u: f64) -> usize {
     let all = sums.last().copied().unwrap_or(0.0);
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`catalog`] the list of them, [`clients`] those who ask, [`platform`] what proxies may do. Whoever drives them (virtual time, or real sockets) brings
 //! the time and carries actions from one to the other.
 
+pub mod account;
 pub mod catalog;
 pub mod clients;
 pub mod group;
--- a/crates/world/tests/site.rs
+++ b/crates/world/tests/site.rs
@@ -234,6 +234,8 @@
         proxies: 3,
         groups: 2,
         unequal: 1.0,
+        busy: 0,
+        busy_carry: 0.0,
         skew: 0.0,
         sessions: 100,
         after_write: 0.7,
