--- /dev/null
+++ b/crates/world/tests/account.rs
@@ -0,0 +1,46 @@
+//! A tenant's account against what a bucket of one second's depth is by its definition.
+
+use proptest::prelude::*;
+use world::account::Account;
+use world::Micros;
+
+/// A request counts in full if, from every earlier arrival on and from the start, those that did are no more than a
+/// second's worth and what came since. None: the verdicts are those; else the first that is not.
+fn first_fault(micro_per_s: u64, times: &[Micros], verdicts: &[bool]) -> Option<usize> {
+    let whole = 1_000_000_000_000_u128;
+    let depth = (u128::from(micro_per_s) * 1_000_000).max(whole);
+    (0..times.len()).find(|&at| {
+        let mut counted = 0_u128;
+        let mut room = true;
+        for from in (0..=at).rev() {
+            counted += u128::from(from == at || verdicts[from]);
+            room &= counted * whole <= depth + u128::from(micro_per_s) * u128::from(times[at] - times[from]);
+        }
+        verdicts[at] != room
+    })
+}
+
+proptest! {
+    /// Never more than the quota and its depth, in no span; and nothing is lost: what has room is within.
+    #[test]
+    fn as_many_count_as_there_is_room_for_and_no_more(
+        micro_per_s in prop_oneof![1_u64..2_000_000, 1_000_000_u64..60_000_000],
+        gaps in prop::collection::vec(prop_oneof![Just(0_u64), 0_u64..60_000, 0_u64..3_000_000], 1..120),
+        planted in any::<prop::sample::Index>(),
+    ) {
+        let mut account = Account::new(micro_per_s as f64 / 1e6);
+        let times: Vec<Micros> = gaps.iter().scan(0, |at, gap| { *at += gap; Some(*at) }).collect();
+        let mut verdicts: Vec<bool> = times.iter().map(|at| account.draw(*at)).collect();
+        prop_assert_eq!(first_fault(micro_per_s, &times, &verdicts), None);
+        // One verdict that is wrong is found.
+        let at = planted.index(verdicts.len());
+        verdicts[at] = !verdicts[at];
+        prop_assert_eq!(first_fault(micro_per_s, &times, &verdicts), Some(at));
+    }
+}
+
+#[test]
+fn without_a_quota_all_is_within_it() {
+    let mut account = Account::new(0.0);
+    assert!((0..1_000).all(|_| account.draw(5)));
+}
--- a/crates/world/tests/site.rs
+++ b/crates/world/tests/site.rs
@@ -367,3 +367,12 @@
     let tries: Vec<usize> = tries.collect();
     assert!(!tries.is_empty() && tries.iter().all(|proxy| *proxy != 0));
 }
+
+#[test]
+fn busy_proxies_carry_their_part() {
+    let set = clients::Settings { busy: 1, busy_carry: 0.8, unequal: 0.0, ..settings() };
+    let asked = asked(&play(set, |_| Some(Told::Served { commit: 0 }), 2));
+    let part = |proxy| asked.iter().filter(|(_, t)| t.proxy == proxy).count() as f64 / asked.len() as f64;
+    // Three standard deviations are 0.01.
+    assert!((part(0) - 0.8).abs() < 0.01 && (part(1) - 0.1).abs() < 0.01, "{} {}", part(0), part(1));
+}
