Members: other rooms of a proxy say facts, hear them and ask what is allowed

Need: loans and roll-outs speak to other proxies only by facts, and act only as the table of states allows.

--- a/crates/leverproxy/src/members.rs
+++ b/crates/leverproxy/src/members.rs
@@ -5,7 +5,9 @@
 
 use crate::reactor::{Interest, Reactor, Token};
 use configuration::model::Members as Stated;
-use membership::{Act, Action, Config, Core, Event, Member, Roster, RosterError, State, Status};
+use membership::{
+    Act, Action, Config, Core, Denied, Event, Fact, Member, Roster, RosterError, State, Status, View,
+};
 use peers::{Keys, Opener, Sealer, DATAGRAM_LIMIT, MEMBERSHIP};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -28,6 +30,9 @@
 /// Of what a fact of that kind looks like.
 const ACCOUNT_VERSION: u8 = 1;
 
+/// Facts that wait to be fetched.
+const HEARD_MOST: usize = 1_024;
+
 /// Why a fleet can't be joined.
 #[derive(Debug, Error)]
 pub enum Fault {
@@ -55,6 +60,7 @@
     serving: bool,
     told: Option<Instant>,
     timers: Vec<(Instant, u64)>,
+    heard: Vec<Fact>,
     complained: bool,
     sent: u64,
     sent_bytes: u64,
@@ -91,6 +97,7 @@
             serving: true,
             told: None,
             timers: Vec::new(),
+            heard: Vec::new(),
             complained: false,
             sent: 0,
             sent_bytes: 0,
@@ -194,6 +201,11 @@
                     let heads = self.core.view(now.saturating_duration_since(self.origin)).heads;
                     log::info!("members: {state}, {} of {} are heard", heads.heard, heads.of);
                 }
+                // Whoever keeps it may be slow to fetch it; the newest matter.
+                Action::Fact(fact) if fact.kind != ACCOUNT => {
+                    self.heard.truncate(HEARD_MOST - 1);
+                    self.heard.push(fact);
+                }
                 Action::Fact(_) => {}
                 Action::Untold(error) => {
                     log::warn!("members: what this proxy says of itself is not told: {error}")
@@ -224,6 +236,29 @@
         self.handle(Event::Tell { kind: ACCOUNT, key: Vec::new(), body, lasts: ACCOUNT_LASTS }, now);
     }
 
+    /// What another room of this proxy has to say to the others: it replaces what that said before under that key.
+    pub fn say(&mut self, kind: u8, key: Vec<u8>, body: Vec<u8>, lasts: Duration, now: Instant) {
+        self.handle(Event::Tell { kind, key, body, lasts }, now);
+    }
+
+    /// What others have newly said, of all kinds but this room's own.
+    pub fn take_heard(&mut self) -> Vec<Fact> {
+        std::mem::take(&mut self.heard)
+    }
+
+    /// What others have said of a kind and still holds.
+    pub fn facts(&self, kind: u8, now: Instant) -> Vec<Fact> {
+        self.core.facts(now.saturating_duration_since(self.origin), kind)
+    }
+
+    pub fn allowed(&self, act: Act, region: Option<&str>, now: Instant) -> Result<(), Denied> {
+        self.core.allowed(now.saturating_duration_since(self.origin), act, region)
+    }
+
+    pub fn view(&self, now: Instant) -> View {
+        self.core.view(now.saturating_duration_since(self.origin))
+    }
+
     /// It has been told to end, or serves after all.
     pub fn serves(&mut self, serving: bool, now: Instant) {
         if self.serving != serving {
--- a/crates/rig/tests/members.rs
+++ b/crates/rig/tests/members.rs
@@ -67,7 +67,11 @@
     rig.signal(3, Signal::TERM);
     each(&rig, [0, 1, 2, 4], &status(3, "left"), 1);
     each(&rig, [0, 1, 2, 4], &state("whole"), 1);
-    assert_eq!([0, 1, 2, 4].map(|proxy| deaths(&rig, proxy)), [1, 1, 1, 0], "one death, of the one that died");
+    assert_eq!(
+        [0, 1, 2, 4].map(|proxy| deaths(&rig, proxy)),
+        [1, 1, 1, 0],
+        "one death, of the one that died"
+    );
     drop(rig);
 }
 
