At its end a proxy refuses what it never sent, instead of failing it

At its end one proxy answered 6 writes as failed, "whether the statement ran is not known", though nothing had been sent for 5 of them (fail_all in stages/mod.rs gave all the same word). They are refused now, and the client may come again elsewhere.

Ruled out by a log of each request: closes with an answer owed or bytes unread (0 of 597 and of 624), clients left at the end (0), the first seconds of new processes (0.1 to 0.3% of requests).

--- a/crates/leverproxy/src/stages/mod.rs
+++ b/crates/leverproxy/src/stages/mod.rs
@@ -438,10 +438,13 @@
         self.end = Some(end);
     }
 
-    /// The last word to all who are owed one: better than a connection that just ends.
+    /// The last word to all who are owed one: better than a connection that just ends. What was never sent is refused:
+    /// that nothing of it ran is known, and another proxy may still serve it.
     pub fn fail_all(&mut self, sides: &mut Sides, now: Instant) {
         for id in self.ledger.ids() {
-            self.answer(id, Answer::Failed, sides, now);
+            let untried = self.ledger.get_mut(id).is_some_and(|open| open.attempts() == 0);
+            let answer = if untried { Answer::Refused(None) } else { Answer::Failed };
+            self.answer(id, answer, sides, now);
         }
     }
 
--- a/crates/leverproxy/tests/stories.rs
+++ b/crates/leverproxy/tests/stories.rs
@@ -435,8 +435,17 @@
     client.ask(&read(1, "any", 19000));
     let mut upstream = server.welcome();
     upstream.query();
+    // The primary is not known: this one is held.
+    let mut untried = Peer::client(stage.address);
+    untried.ask(&read(2, "book", 19000));
+    let _probed = server.welcome();
     stage.control.stop();
     assert_eq!(client.reply().code.as_deref(), Some("08007"));
+    assert_eq!(
+        untried.reply().code.as_deref(),
+        Some("53300"),
+        "nothing of it ran: another proxy may serve it"
+    );
     stage.end();
 }
 
