Membership: proxies compare who is down, so that no half holds itself for more for long

After a cut into halves of 100 one process kept its majority for 14.7 s: news of fifty deaths at once goes round by chance, and one was lost.

--- a/crates/membership/src/core.rs
+++ b/crates/membership/src/core.rs
@@ -11,7 +11,7 @@
 use crate::facts::{Fact, Frame, Limits, Name, Said, Store, Taken, TellError};
 use crate::roster::{number, Known, Roster, RosterError};
 use crate::standing::{rule, Act, Denied, Heads, Rule, Standing, State};
-use crate::swim::{Bad, Id, Pace, Swim, SWIM};
+use crate::swim::{Bad, Id, Pace, Swim, Views, SWIM};
 use crate::view::{Counts, Sight, Status, View};
 
 /// No datagram is longer.
@@ -22,6 +22,11 @@
 const RUMOUR: usize = 2;
 /// The first byte of a datagram about facts.
 const FACTS: u8 = 2;
+const VIEWS: u8 = 3;
+/// Members in one datagram of who is down: so that it is not too long.
+const DOWNS: usize = 40;
+/// For so many beats after a change views are compared in each, else in each fourth.
+const LIVELY: u64 = 20;
 
 /// What a core is made of.
 #[derive(Clone, Debug)]
@@ -140,6 +145,8 @@
     returned: BTreeSet<u32>,
     beat: Option<Duration>,
     beats: u64,
+    /// Until which beat views are compared in each.
+    lively: u64,
     armed: Option<Duration>,
     token: u64,
     left: bool,
@@ -173,6 +180,7 @@
             returned: BTreeSet::new(),
             beat: None,
             beats: 0,
+            lively: 0,
             armed: None,
             token: 0,
             left: false,
@@ -320,6 +328,7 @@
                 })
             }
             Some((&FACTS, packet)) => self.heard_facts(now, from, packet, actions).map(|()| false),
+            Some((&VIEWS, packet)) => self.heard_view(now, from, packet).map(|()| false),
             _ => Err(Bad::Malformed),
         };
         match done {
@@ -340,6 +349,42 @@
         }
     }
 
+    fn heard_view(&mut self, now: Duration, from: u32, packet: &[u8]) -> Result<(), Bad> {
+        let mine = self.swim.downs();
+        match postcard::from_bytes(packet).map_err(|_| Bad::Malformed)? {
+            hash @ Views::Hash(_) if hash != Views::hash(&mine) => self.send_downs(from, false, mine),
+            Views::Hash(_) => {}
+            Views::Down { answer, ids } => {
+                let theirs: BTreeSet<Id> = ids.into_iter().collect();
+                if !answer {
+                    self.send_downs(from, true, mine.difference(&theirs).copied().collect());
+                }
+                let me = self.me;
+                let known = |id: &Id| id.number != me && self.roster.members.contains_key(&id.number);
+                self.swim.take_downs(now, theirs.into_iter().filter(known));
+            }
+        }
+        Ok(())
+    }
+
+    fn send_downs(&mut self, to: u32, answer: bool, downs: BTreeSet<Id>) {
+        let downs: Vec<Id> = downs.into_iter().sample(&mut self.rng, DOWNS * ANSWERS);
+        if downs.is_empty() && !answer {
+            // Nothing to tell, but the other has something.
+            self.send_view(to, &Views::Down { answer, ids: Vec::new() });
+        }
+        for ids in downs.chunks(DOWNS) {
+            self.send_view(to, &Views::Down { answer, ids: ids.to_vec() });
+        }
+    }
+
+    fn send_view(&mut self, to: u32, views: &Views) {
+        match postcard::to_extend(views, vec![VIEWS]) {
+            Ok(bytes) if bytes.len() <= DATAGRAM_BYTES => self.out(to, bytes),
+            _ => self.counts.errors += 1,
+        }
+    }
+
     fn heard_facts(
         &mut self,
         now: Duration,
@@ -416,6 +461,11 @@
         }
         self.settle_suspicions(now);
         self.spread(now);
+        if self.beats < self.lively || self.beats.is_multiple_of(4) {
+            if let Some(to) = self.others().choose(&mut self.rng).copied() {
+                self.send_view(to, &Views::hash(&self.swim.downs()));
+            }
+        }
         if self.beats.is_multiple_of(4) {
             let to = self.others().choose(&mut self.rng).copied();
             if let Some(to) = to {
@@ -554,6 +604,9 @@
                 if is_heard(status) && !is_heard(seen.status) {
                     self.returned.insert(id.number);
                 }
+                if !is_heard(status) {
+                    self.lively = self.beats + LIVELY;
+                }
                 seen.status = status;
                 seen.since = now;
                 if let Some(member) = self.roster.members.get(&id.number) {
--- a/crates/membership/src/facts.rs
+++ b/crates/membership/src/facts.rs
@@ -7,6 +7,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::roster::{hash_bytes, mixed};
+
 pub const KEY_BYTES: usize = 32;
 pub const BODY_BYTES: usize = 512;
 /// No source counts so far in earnest: an invented count beyond it would leave the source no answer.
@@ -132,15 +134,8 @@
     window: u64,
 }
 
-fn mixed(seed: u64) -> u64 {
-    let z = seed.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    let z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    z ^ (z >> 31)
-}
-
 fn key_hash(kind: u8, key: &[u8]) -> u64 {
-    key.iter().fold(mixed(u64::from(kind)), |hash, byte| mixed(hash ^ u64::from(*byte)))
+    hash_bytes(u64::from(kind), key)
 }
 
 fn version_hash(name: &Name, held: &Held) -> u32 {
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -36,6 +36,19 @@
     name.bytes().fold(0x811c_9dc5_u32, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
 }
 
+/// The finaliser of SplitMix64: numbers that look random, the same everywhere.
+pub(crate) fn mixed(seed: u64) -> u64 {
+    let z = seed.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
+
+/// A hash goes on over bytes.
+pub(crate) fn hash_bytes(hash: u64, bytes: &[u8]) -> u64 {
+    bytes.iter().fold(mixed(hash), |hash, byte| mixed(hash ^ u64::from(*byte)))
+}
+
 /// A roster with its members by number.
 #[derive(Clone, Debug)]
 pub(crate) struct Known {
--- a/crates/membership/src/swim.rs
+++ b/crates/membership/src/swim.rs
@@ -12,6 +12,8 @@
 use rand_10::SeedableRng;
 use serde::{Deserialize, Serialize};
 
+use crate::roster::hash_bytes;
+
 /// What `foca` may fill of a datagram of 1,200 bytes, beside the byte of its kind.
 const PACKET_BYTES: usize = 1199;
 /// The first byte of a datagram with such a packet.
@@ -21,7 +23,7 @@
 
 /// A process of a member: the number of its name, its start, how often it came back after it was called dead
 /// (or changed its roster), and the version of its roster.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub(crate) struct Id {
     pub number: u32,
     pub start: u64,
@@ -91,6 +93,25 @@
     }
 }
 
+/// How two proxies bring their views together. News of a death goes round by chance, and of many at once, as in a cut
+/// into halves, some is lost: one member that is falsely held alive can be what makes a half more than a half.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Views {
+    /// The hash of who is down.
+    Hash(u64),
+    Down {
+        answer: bool,
+        ids: Vec<Id>,
+    },
+}
+
+impl Views {
+    pub fn hash(downs: &BTreeSet<Id>) -> Self {
+        let bytes = |id: &Id| postcard::to_stdvec(id).unwrap_or_default();
+        Self::Hash(downs.iter().fold(0, |hash, id| hash_bytes(hash, &bytes(id))))
+    }
+}
+
 /// What a packet told, beside what `foca` makes of it.
 #[derive(Debug, Default)]
 pub(crate) struct Told {
@@ -216,6 +237,23 @@
         self.after(now, done);
     }
 
+    /// Who is down, as it is told to another whose view differs.
+    pub fn downs(&self) -> BTreeSet<Id> {
+        let down = self.members().filter(|member| member.state() == foca::State::Down);
+        down.map(|member| *member.id()).collect()
+    }
+
+    /// Takes over who another says is down.
+    pub fn take_downs(&mut self, now: Duration, downs: impl Iterator<Item = Id>) {
+        let known = self.downs();
+        let new: Vec<Member<Id>> = downs.filter(|id| !known.contains(id)).map(Member::down).collect();
+        if !new.is_empty() {
+            self.changed = true;
+            let done = self.foca.apply_many(new.into_iter(), true, &mut self.runtime);
+            self.after(now, done);
+        }
+    }
+
     fn suspected(&self, number: u32) -> Option<Member<Id>> {
         let mut members = self.members().filter(|member| member.state() == foca::State::Suspect);
         members.find(|member| member.id().number == number).cloned()
