Quota counts: what is beyond it is refused first, and served when there is room

Need: quota_per_s and over_share_worth were read and used nowhere; what is beyond a quota is worth a twentieth.

Change: crates/quota, a core free of I/O: a bucket a tenant, filled with the quota times the part of the fleet's traffic that this proxy is taken to see (the largest ratio of rate to quota that does not stand out from the middle; never under 1/n). Wired into the proxy (also at SIGHUP), the simulator's host and the lab.

--- a/crates/leverlab/src/play/mod.rs
+++ b/crates/leverlab/src/play/mod.rs
@@ -344,6 +344,7 @@
             time_left: span(asked.wait.saturating_sub(MARGIN).max(1)),
             wrote_ago: (asked.wrote > 0).then(|| span(now.saturating_sub(asked.wrote))),
             repeated: asked.repeated,
+            beyond: false,
             tries: None,
         };
         self.tell(asked.proxy, Event::Arrived(arrival));
--- a/crates/leverlab/src/policy.rs
+++ b/crates/leverlab/src/policy.rs
@@ -4,6 +4,7 @@
     Action, Arrival, ClassId, Effect, Event, GroupId, ListNews, Need, Outcome, RequestId, Router, Settings,
     StoreId, Time, TimerToken, Tuning,
 };
+use quota::{Mark, Quota};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::collections::BTreeMap;
@@ -75,17 +76,25 @@
 
     pub fn make(&self, settings: &Settings, seed: u64, now: Time) -> Box<dyn Decider> {
         match self.kind {
-            Name::Module => Box::new(Module(Router::tuned(settings.clone(), self.tuning, seed, now))),
+            Name::Module => {
+                let quotas = settings.tenants.iter().map(|tenant| tenant.quota_per_s).collect();
+                let quota = Quota::new(&quota::Settings { proxies: settings.routers, quotas });
+                Box::new(Module(Router::tuned(settings.clone(), self.tuning, seed, now), quota))
+            }
             choice => Box::new(Baseline::new(choice, settings.clone(), seed)),
         }
     }
 }
 
 /// The real decision module, unchanged, by its public interface.
-struct Module(Router);
+struct Module(Router, Quota);
 
 impl Decider for Module {
-    fn handle(&mut self, now: Time, event: Event, _: &mut dyn View, actions: &mut Vec<Action>) {
+    fn handle(&mut self, now: Time, mut event: Event, _: &mut dyn View, actions: &mut Vec<Action>) {
+        if let Event::Arrived(arrival) = &mut event {
+            let asked = self.1.asked(now.since(Time::ZERO), arrival.tenant.0.into(), arrival.repeated);
+            arrival.beyond = asked == Mark::Beyond;
+        }
         self.0.handle(now, event, actions);
     }
 }
--- a/crates/leverproxy/src/proxy.rs
+++ b/crates/leverproxy/src/proxy.rs
@@ -632,8 +632,9 @@
         let (clients, turned_out) = (front.clients(), front.turned_out);
         let (connections, dials) = (upstream.connections(), upstream.dials);
         let (steering, health) = (self.chain.steering(), self.sides.health.lines());
+        let quota = self.chain.quota();
         crate::logging::say(&format!(
-            "{}\nconnections: clients {clients}, turned out {turned_out}; upstream {connections}; dials {dials}{steering}{health}",
+            "{}\nconnections: clients {clients}, turned out {turned_out}; upstream {connections}; dials {dials}{steering}{quota}{health}",
             self.chain.counters,
         ));
     }
--- a/crates/leverproxy/src/stages/mod.rs
+++ b/crates/leverproxy/src/stages/mod.rs
@@ -1,7 +1,8 @@
-//! The chain that a request passes: take in, steer, admit, route, send, relay, book.
+//! The chain that a request passes: take in, steer, quota, admit, route, send, relay, book.
 
 pub mod admit;
 pub mod book;
+pub mod quota;
 pub mod relay;
 pub mod route;
 pub mod send;
@@ -72,6 +73,7 @@
     ledger: admit::Ledger,
     route: route::Route,
     steering: steer::Steering,
+    quota: quota::Quota,
     rejections: Seldom,
     /// When the proxy ends, once it is told to: no request has time beyond that.
     end: Option<Instant>,
@@ -89,6 +91,8 @@
         now: Instant,
     ) -> Chain {
         let clock = Clock::start();
+        let mut quota = quota::Quota::default();
+        quota.configure(&platform);
         let Decoded { settings, names, max_open, .. } = platform;
         Chain {
             counters: Counters::new(&names.classes),
@@ -102,6 +106,7 @@
             directory: Directory::default(),
             ledger: admit::Ledger::new(max_open),
             steering: steer::Steering::new(rules),
+            quota,
             route: route::Route::new(settings, seed, clock.unix(now)),
             clock,
         }
@@ -181,6 +186,7 @@
             Ok(pool) => pool,
             Err(answer) => return self.turn_away(ticket, class, answer, sides, now),
         };
+        self.quota.mark(&mut arrival, request.tenant.is_some(), now);
         self.ledger.admit(id, ticket, class, pool, request);
         self.counters.taken(class);
         self.monitor.asked(arrival.group, now);
@@ -225,6 +231,7 @@
     /// The platform's settings from now on; what was known, and requests under way, stay.
     pub fn configure(&mut self, succession: Succession, probe_time: Duration) {
         let Succession { next, heirs, .. } = succession;
+        self.quota.configure(&next);
         let Decoded { settings, names, max_open, .. } = next;
         self.counters.extend(&names.classes);
         self.deadlines = settings.classes.iter().map(|c| c.deadline).collect();
@@ -234,6 +241,10 @@
         self.route.configure(settings, &heirs);
     }
 
+    pub fn quota(&self) -> &quota::Quota {
+        &self.quota
+    }
+
     pub fn steering(&self) -> &steer::Steering {
         &self.steering
     }
--- a/crates/leverproxy/src/stages/take_in.rs
+++ b/crates/leverproxy/src/stages/take_in.rs
@@ -44,6 +44,7 @@
         time_left: wait.saturating_sub(spent),
         wrote_ago: request.after.map(|at| unix_now.since(Time(at))),
         repeated: request.repeated,
+        beyond: false,
         tries: None,
     })
 }
--- a/crates/mountshift/src/decide.rs
+++ b/crates/mountshift/src/decide.rs
@@ -68,6 +68,8 @@
     /// shrinks so many times as fast while they are late: what the stores do in vain stays under a fifth.
     door: 1.5,
     door_fall: 4.0,
+    /// What is beyond a quota has a door of its own, which falls so fast that few answers are late for it.
+    spare_fall: 30.0,
     /// How fast what nothing more is heard of is forgotten, as a share of other memories' speed.
     door_fade: 0.1,
     /// Least part taken in: without any a router would not learn that the stores have recovered.
@@ -142,12 +144,10 @@
     /// The least part of its full capacity that it has now.
     fn capacity(&self, set: &Settings, now: Time) -> f64 {
         let warmth = now.since(self.started).div_duration_f64(set.warm_after.max(LEAST));
-        let started = (set.cold_share + (1.0 - set.cold_share) * warmth).min(1.0);
         if self.started == Time::ZERO {
-            1.0
-        } else {
-            started
+            return 1.0;
         }
+        (set.cold_share + (1.0 - set.cold_share) * warmth).min(1.0)
     }
 
     /// The list's word on its state. Draining binds; gone does too unless the settings say that it does not.
@@ -245,6 +245,8 @@
     proved: Time,
     /// The door over all groups, likewise.
     all: Group,
+    /// The door for what is beyond a quota.
+    spare: f64,
     /// What its requests are usually worth for their work.
     usual_value: f64,
     /// Mean age of a report on arrival, as the primaries' positions show it.
@@ -259,7 +261,8 @@
     /// With other constants, for those who measure what they do.
     pub fn tuned(settings: Settings, tune: Tuning, seed: u64, now: Time) -> Router {
         let (random, own_order, trust, proved) = (seed, seed, 1.0, now);
-        let mut router = Router { tune, now, random, own_order, trust, proved, ..Router::default() };
+        let mut router =
+            Router { tune, now, random, own_order, trust, proved, spare: 1.0, ..Router::default() };
         router.configure(settings, &[]);
         router
     }
@@ -399,7 +402,8 @@
         self.agenda.insert((due, Task::AskList));
     }
 
-    fn on_arrival(&mut self, arrival: Arrival, out: &mut Out) {
+    fn on_arrival(&mut self, mut arrival: Arrival, out: &mut Out) {
+        arrival.beyond &= self.set.over_share_worth < 1.0;
         let id = arrival.id;
         let token = match (arrival.wrote_ago, arrival.session) {
             (Some(ago), _) => self.now.minus(ago),
@@ -422,9 +426,8 @@
 
     fn on_end(&mut self, ended: Ended, out: &mut Out) {
         let Ended { id, attempt, store, outcome, elapsed, last, note } = ended;
-        let class = self.requests.get(&id).map(|r| r.arrival.class);
         let known = self.stores.get_mut(&store).and_then(|s| s.out.remove(&(id, attempt)));
-        let class = class.or(known.map(|(class, ..)| class));
+        let class = self.requests.get(&id).map(|r| r.arrival.class).or(known.map(|(class, ..)| class));
         let (_, sent, overtaken) = known.unwrap_or((ClassId(0), self.now.minus(elapsed), 0));
         if let (Some(request), Outcome::Miss) = (self.requests.get(&id), outcome) {
             if let (Some(need), Some(store)) = (self.needed(request), self.stores.get_mut(&store)) {
@@ -502,17 +505,15 @@
             let earned = if took < 1.0 { 1.0 } else { late_worth };
             // No answer may tell of a connection: it weighs no more than one in time. A full store is late.
             let fall = if many { tune.door_fall } else { tune.door_fall / 2.0 };
-            let step = match outcome {
-                Outcome::TimedOut => -1.0,
-                _ => earned - fall * (1.0 - earned),
-            };
-            let judged = |door: f64, weight: f64| {
-                (door + door * weight.min(tune.run_weight) * step).clamp(tune.door_least, tune.door) - 1.0
+            let earns = |fall: f64| earned - fall * (1.0 - earned);
+            let step = if outcome == Outcome::TimedOut { -1.0 } else { earns(fall) };
+            let judged = |door: f64, weight: f64, step: f64| {
+                (door + door * weight.min(tune.run_weight) * step).clamp(tune.door_least, tune.door)
             };
             let (all, here) = self.doors(at_group);
-            let here = judged(here, 1.0);
-            self.all.door = judged(all, 1.0 - self.kept(self.all.judged));
-            self.all.judged = now;
+            let (here, weight) = (judged(here, 1.0, step) - 1.0, 1.0 - self.kept(self.all.judged));
+            self.spare = judged(self.spare, weight, earns(tune.spare_fall));
+            (self.all.door, self.all.judged) = (judged(all, weight, step) - 1.0, now);
             if let Some(group) = self.groups.get_mut(&at_group) {
                 (group.door, group.judged) = (here, now);
             }
@@ -698,12 +699,11 @@
         }
         let patient = self.now < self.patient_until(request);
         let lasting = patient || request.attempts > 0 || class.late_worth > 0.0;
+        let soon = self.work[usize::from(request.arrival.class.0)] < time_left;
         match best {
             Some((_, _, id, true)) => Choice::Send(id),
             Some((_, _, id, false)) => Choice::Ask(Some(id)),
-            None if busy && lasting && self.work[usize::from(request.arrival.class.0)] < time_left => {
-                Choice::Hold
-            }
+            None if busy && lasting && soon => Choice::Hold,
             None if !busy && !shut && some_later && patient => Choice::Ask(None),
             None => Choice::GiveUp,
         }
@@ -740,9 +740,7 @@
     /// average counts for as long as it has done so: floored at zero, a hung store would look idle. Harms
     /// where run times fall into two kinds.
     fn remaining_work(&self, store: &Store) -> Duration {
-        let left = |&(class, sent, _): &(ClassId, Time, u32)| {
-            self.run_time(store, class).abs_diff(self.now.since(sent))
-        };
+        let left = |&(class, sent, _)| self.run_time(store, class).abs_diff(self.now.since(sent));
         store.out.values().map(left).sum()
     }
 
@@ -754,12 +752,10 @@
     /// start, with little traffic. Does harm where misses or probes are dear.
     fn catch_up(&self, request: &Request, store: &Store) -> Duration {
         let Some(need) = self.needed(request) else { return Duration::ZERO };
-        let gap =
-            |from: Time, at: Time, age: Duration| need.since(from).saturating_sub(self.now.since(at) + age);
+        let gap = |from, at, age: Duration| need.since(from).saturating_sub(self.now.since(at) + age);
         let missed = store.missed.filter(|&(from, _)| store.position.is_none_or(|told| told < from));
         let behind = missed.map_or(Duration::ZERO, |(from, at)| gap(from, at, Duration::ZERO).max(LEAST));
-        let told =
-            store.position.map_or(Duration::ZERO, |position| gap(position, store.told, self.report_age));
+        let told = store.position.map_or(Duration::ZERO, |at| gap(at, store.told, self.report_age));
         told.max(behind)
     }
 
@@ -802,12 +798,11 @@
 
     /// What an answer would earn for the work it takes.
     fn value(&self, id: RequestId) -> f64 {
-        self.requests.get(&id).map_or(0.0, |request| {
-            let class = self.class(request.arrival.class);
-            let late = self.now >= request.aim_end;
-            class.worth * if late { class.late_worth } else { 1.0 }
-                / self.work[usize::from(request.arrival.class.0)].as_secs_f64()
-        })
+        let Some(request) = self.requests.get(&id) else { return 0.0 };
+        let Arrival { class, beyond, .. } = request.arrival;
+        let late = if self.now >= request.aim_end { self.class(class).late_worth } else { 1.0 };
+        let counted = if beyond { self.set.over_share_worth } else { 1.0 };
+        self.class(class).worth * late * counted / self.work[usize::from(class.0)].as_secs_f64()
     }
 
     /// The aim counts from a client's first try. A repeat with less time than first tries have has what is
@@ -952,12 +947,17 @@
     /// Whether a new request is taken in at all: the part that the stores have lately shown to bear, the more
     /// valuable for their work sooner. Guards against jams of which no store and no room is the cause: many
     /// routers' attempts, retried by clients and run in vain, keep every store full (flash crowds, mass
-    /// restarts, too few primaries). Harms when a fault that costs worth is over, for the time of memory.
+    /// restarts, too few primaries). Harms when a fault that costs worth is over, for the time of memory. What
+    /// is beyond a quota has its own door, and repeats of it have to wait until that is quite open.
     fn takes_in(&mut self, id: RequestId) -> bool {
         let value = self.value(id);
         self.usual_value += self.tune.run_weight * (value - self.usual_value);
-        let door = self.requests.get(&id).map_or(1.0, |request| self.doors(request.arrival.group).1);
-        let part = door.powf((self.usual_value / value).powi(2));
+        let Some(Request { arrival, .. }) = self.requests.get(&id) else { return true };
+        let part = match (arrival.beyond, arrival.repeated) {
+            (true, false) => self.spare,
+            (true, true) => self.spare.floor(),
+            _ => self.doors(arrival.group).1.powf((self.usual_value / value).powi(2)),
+        };
         share_of(self.own_order ^ id.0.rotate_left(32)) < part
     }
 
--- a/crates/mountshift/src/interface.rs
+++ b/crates/mountshift/src/interface.rs
@@ -280,6 +280,8 @@
     pub wrote_ago: Option<Duration>,
     /// The client says that it repeats itself.
     pub repeated: bool,
+    /// Beyond its tenant's quota.
+    pub beyond: bool,
     /// Attempts allowed for it, where that is fewer than the settings allow.
     pub tries: Option<u16>,
 }
--- a/crates/mountshift/tests/common/mod.rs
+++ b/crates/mountshift/tests/common/mod.rs
@@ -127,6 +127,7 @@
             time_left: 1_000 * MS,
             wrote_ago: None,
             repeated: false,
+            beyond: false,
             tries: None,
         }
     }
--- a/crates/mountshift/tests/fleet.rs
+++ b/crates/mountshift/tests/fleet.rs
@@ -328,3 +328,31 @@
     assert!(sent[0] * 10 < asked && sent[1] * 2 > asked, "{sent:?} of {asked} while jammed, and after");
     assert_eq!(held, 0, "what a draw refuses is told at once");
 }
+
+/// Of two hundred requests in as many fleets, how many are sent after three answers, the last of a full store or not.
+fn sent_of_those_beyond(full: bool, beyond: bool, over_share_worth: f64) -> usize {
+    let mut sent = 0;
+    for seed in 0..200 {
+        let mut bench = Bench::seeded(Settings { over_share_worth, ..settings() }, 3, seed);
+        bench.report(1, true, Duration::ZERO);
+        for answer in 0..3 {
+            bench.pass(100);
+            let (id, actions) = bench.ask(ANY);
+            let outcome = if full && answer == 2 { Outcome::Full } else { Outcome::Ok };
+            bench.end(id, 0, sends(&actions)[0], outcome);
+            bench.event(Event::Left(id));
+        }
+        let arrival = Arrival { beyond, ..bench.arrival(ANY) };
+        sent += sends(&bench.event(Event::Arrived(arrival))).len();
+    }
+    sent
+}
+
+#[test]
+fn what_is_beyond_a_quota_is_refused_first_and_served_when_there_is_room() {
+    assert_eq!(sent_of_those_beyond(false, true, 0.05), 200);
+    assert!(sent_of_those_beyond(true, true, 0.05) < 40);
+    assert!(sent_of_those_beyond(true, false, 0.05) > 120);
+    // Where it is worth as much as any, it is served as any.
+    assert!(sent_of_those_beyond(true, true, 1.0) > 120);
+}
--- /dev/null
+++ b/crates/quota/src/lib.rs
@@ -0,0 +1,160 @@
+//! Which requests are beyond their tenant's quota, as far as one of many proxies can tell by itself.
+//!
+//! A quota is in requests a second over all proxies. A proxy does not know which part of all requests it sees, so
+//! that part is estimated from the tenants themselves: the rate of one that keeps to its quota, over that quota, is
+//! never above the part. The middle of these ratios can't be moved by one tenant, and one that is far above it is
+//! beyond. Where that tells nothing the part is taken as larger rather than smaller: what is within and marked as
+//! beyond loses its whole worth when room is short, while what is beyond and not marked costs little.
+//!
+//! Plain data in, plain data out; time is an argument and never goes back.
+
+use std::time::Duration;
+
+/// Time since an origin of the caller's.
+pub type Time = Duration;
+
+/// Rates go by the requests of about this long.
+const MEMORY: Duration = Duration::from_secs(3);
+/// The part is judged anew this often: often against the memory, seldom against requests.
+const JUDGED_EVERY: Duration = Duration::from_millis(500);
+/// Within this the part is forgotten: a quiet minute does not make it smaller.
+const HELD: Duration = Duration::from_secs(60);
+/// Fewer requests than these in memory tell nothing of a rate: their number scatters by a quarter by itself.
+const ENOUGH: f64 = 16.0;
+/// A ratio stands out from here on, in times of the middle one: tenants use their quotas unequally, and one that
+/// uses all of its own among others that use half is within.
+const STANDS_OUT: f64 = 2.0;
+/// A bucket holds what comes within this: what a quota of requests a second is stated by.
+const DEPTH: Duration = Duration::from_secs(1);
+/// And so many deviations of a Poisson stream over that time, and requests, which no rate explains.
+const DEVIATIONS: f64 = 3.0;
+const SPARE: f64 = 3.0;
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Settings {
+    /// That share the quotas; 0 counts as 1.
+    pub proxies: u32,
+    /// By tenant, in requests a second over all proxies; 0: all that it asks counts in full.
+    pub quotas: Vec<f64>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mark {
+    /// No quota holds for it.
+    Free,
+    Within,
+    Beyond,
+}
+
+/// What a tenant has asked so far, repeats included.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    pub within: u64,
+    pub beyond: u64,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Tenant {
+    quota: f64,
+    /// Requests in memory, at the time of the last judgement and since.
+    recent: f64,
+    /// What is left in the bucket, and since when; none: it was never used, and is full.
+    left: Option<(f64, Time)>,
+    counts: Counts,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Quota {
+    proxies: u32,
+    tenants: Vec<Tenant>,
+    started: Option<Time>,
+    judged: Time,
+    /// The part of the fleet's requests that this proxy is taken to see; none: nothing tells yet.
+    part: Option<f64>,
+}
+
+impl Quota {
+    pub fn new(settings: &Settings) -> Quota {
+        let mut quota = Quota::default();
+        quota.configure(settings, Some);
+        quota
+    }
+
+    /// From now on by these. `former` tells which of the tenants so far one is: it keeps what is known of it.
+    pub fn configure(&mut self, settings: &Settings, former: impl Fn(usize) -> Option<usize>) {
+        let known = std::mem::take(&mut self.tenants);
+        let tenant = |(at, quota): (usize, &f64)| {
+            let quota = if quota.is_finite() { quota.max(0.0) } else { 0.0 };
+            let known = former(at).and_then(|at| known.get(at)).copied().unwrap_or_default();
+            Tenant { quota, ..known }
+        };
+        self.tenants = settings.quotas.iter().enumerate().map(tenant).collect();
+        if std::mem::replace(&mut self.proxies, settings.proxies.max(1)) != self.proxies {
+            self.part = None;
+        }
+    }
+
+    /// A request of this tenant has come. A repeat takes nothing: the quota is of requests, not of tries. It is
+    /// what a first try would be now.
+    pub fn asked(&mut self, now: Time, tenant: usize, repeated: bool) -> Mark {
+        if self.tenants.get(tenant).is_none_or(|t| t.quota <= 0.0) {
+            return Mark::Free;
+        }
+        let started = *self.started.get_or_insert(now);
+        if now.saturating_sub(self.judged.max(started)) >= JUDGED_EVERY {
+            self.judge(now, started);
+        }
+        let part = self.part();
+        let Some(tenant) = self.tenants.get_mut(tenant) else { return Mark::Free };
+        let rate = tenant.quota * part;
+        let usual = rate * DEPTH.as_secs_f64();
+        let depth = usual + DEVIATIONS * usual.sqrt() + SPARE;
+        let left = tenant.left.map_or(depth, |(left, since)| {
+            (left + rate * now.saturating_sub(since).as_secs_f64()).min(depth)
+        });
+        let within = left >= if repeated { depth / 2.0 } else { 1.0 };
+        tenant.left = Some((if within && !repeated { left - 1.0 } else { left }, now));
+        tenant.recent += if repeated { 0.0 } else { 1.0 };
+        if within {
+            tenant.counts.within += 1;
+            Mark::Within
+        } else {
+            tenant.counts.beyond += 1;
+            Mark::Beyond
+        }
+    }
+
+    /// The part of all quotas that counts here. As long as nothing tells, all of it: what is beyond a whole quota
+    /// here is so wherever the rest goes.
+    pub fn part(&self) -> f64 {
+        let least = 1.0 / f64::from(self.proxies.max(1));
+        self.part.unwrap_or(1.0).clamp(least, 1.0)
+    }
+
+    pub fn counts(&self) -> impl Iterator<Item = Counts> + '_ {
+        self.tenants.iter().map(|tenant| tenant.counts)
+    }
+
+    /// Upwards at once, since requests that move here from another proxy raise all ratios and are within;
+    /// downwards slowly.
+    fn judge(&mut self, now: Time, started: Time) {
+        let seconds = |span: Time| span.as_secs_f64();
+        let age = seconds(now.saturating_sub(started)) / seconds(MEMORY);
+        // Of a stream that began so long ago, as much is in memory.
+        let span = seconds(MEMORY) * (1.0 - (-age).exp());
+        let quotas = self.tenants.iter().filter(|t| t.quota > 0.0 && t.recent >= ENOUGH);
+        let mut ratios: Vec<f64> = quotas.map(|t| t.recent / span / t.quota).collect();
+        ratios.sort_by(f64::total_cmp);
+        // One alone has no others to stand out from.
+        let middle = ratios.get(ratios.len().saturating_sub(1) / 2).filter(|_| ratios.len() > 1);
+        let usual = middle.and_then(|m| ratios.iter().rfind(|ratio| **ratio <= STANDS_OUT * m));
+        let since = seconds(now.saturating_sub(self.judged.max(started)));
+        if let Some(&seen) = usual {
+            let held = self.part.unwrap_or(0.0);
+            self.part = Some(seen.max(held + (seen - held) * (1.0 - (-since / seconds(HELD)).exp())));
+        }
+        let kept = (-since / seconds(MEMORY)).exp();
+        self.tenants.iter_mut().for_each(|tenant| tenant.recent *= kept);
+        self.judged = now;
+    }
+}
--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -3,12 +3,14 @@
 use crate::wire::{batch_header, ListKind, Malformed, Reader, Record, Reply, BATCH_HEADER};
 use mountshift::{Action, Ended, Entry, Event, ListNews, Note, Outcome, Report, Router, Time};
 use mountshift_settings::{self as conf, Field};
+use quota::{Mark, Quota};
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::time::Duration;
 
 struct Instance {
     router: Router,
+    quota: Quota,
     fields: Vec<Field>,
     zero: Time,
 }
@@ -50,9 +52,12 @@
                 Record::Spawn { inst, seed, conf } => {
                     let decoded = conf::decode(conf)
                         .map_err(|e| reader.fault(format!("settings are not sound: {e}")))?;
+                    let quotas = decoded.settings.tenants.iter().map(|tenant| tenant.quota_per_s).collect();
+                    let proxies = decoded.settings.routers;
+                    let quota = Quota::new(&quota::Settings { proxies, quotas });
                     let router = Router::new(decoded.settings, seed, now);
                     let (fields, zero) = (decoded.fields, decoded.zero);
-                    self.instances.insert(inst, Instance { router, fields, zero });
+                    self.instances.insert(inst, Instance { router, quota, fields, zero });
                     continue;
                 }
                 Record::Stop { inst } => {
@@ -78,7 +83,14 @@
                     };
                     (inst, Event::List(news))
                 }
-                Record::Incoming { inst, arrival } => (inst, Event::Arrived(arrival)),
+                Record::Incoming { inst, mut arrival } => {
+                    if let Some(instance) = self.instances.get_mut(&inst) {
+                        let (now, tenant) = (now.since(Time::ZERO), arrival.tenant.0.into());
+                        let mark = instance.quota.asked(now, tenant, arrival.repeated);
+                        arrival.beyond = mark == Mark::Beyond;
+                    }
+                    (inst, Event::Arrived(arrival))
+                }
                 Record::Probed { inst, store, ok, elapsed, gauge } => {
                     let report = match self.instances.get(&inst) {
                         Some(i) => report(&i.fields, i.zero, &gauge),
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -232,8 +232,18 @@
         let group = GroupId(if set >= 0.0 { set as u32 } else { u32::MAX });
         let _work = self.u32()?;
         let repeated = attrs & 2 != 0;
-        let arrival =
-            Arrival { id, class, tenant, group, session, time_left, wrote_ago, repeated, tries: None };
+        let arrival = Arrival {
+            id,
+            class,
+            tenant,
+            group,
+            session,
+            time_left,
+            wrote_ago,
+            repeated,
+            beyond: false,
+            tries: None,
+        };
         Ok(Record::Incoming { inst, arrival })
     }
 
