--- a/crates/membership/tests/behaviour.rs
+++ b/crates/membership/tests/behaviour.rs
@@ -114,7 +114,8 @@
     assert!(fleet.status(0, 2) != Status::Down && fleet.status(2, 0) != Status::Down);
     assert!(!direct(&fleet, 0, 2) && !direct(&fleet, 2, 0) && direct(&fleet, 1, 0) && direct(&fleet, 0, 1));
 
-    let splits: [(usize, fn(usize) -> usize, &[State]); 4] = [
+    type Split = (usize, fn(usize) -> usize, &'static [State]);
+    let splits: [Split; 4] = [
         (6, |who| who % 2, &[State::Minority; 6]),
         (
             5,
--- a/crates/membership/tests/schedules.rs
+++ b/crates/membership/tests/schedules.rs
@@ -121,8 +121,10 @@
     all_agree(&fleet)
 }
 
-/// Of a fact, without its age: two proxies that hold it hear of it at different times.
-fn held(fleet: &Fleet, who: usize) -> Vec<(String, u64, Vec<u8>, u64, Vec<u8>)> {
+/// A fact without its age: two proxies that hold it hear of it at different times.
+type Held = (String, u64, Vec<u8>, u64, Vec<u8>);
+
+fn held(fleet: &Fleet, who: usize) -> Vec<Held> {
     let (core, now) = fleet.core(who);
     let facts = core.facts(now, 1).into_iter();
     facts.map(|fact| (fact.source, fact.start, fact.key, fact.sequence, fact.body)).collect()
