Membership: who gets no answer doubts, and announces itself anew

Under a new identity foca sends no probe until somebody speaks to it: one that came back and was cut off at once kept its majority for over 5 s, and a fleet that changed its roster at once was silent for over 4 s.

--- a/crates/membership/src/core.rs
+++ b/crates/membership/src/core.rs
@@ -140,6 +140,8 @@
     regions: BTreeMap<String, Standing>,
     shown: State,
     doubt: Option<Doubt>,
+    /// When a probe of ours was last answered.
+    answered: Duration,
     /// Facts to pass on, and how many times still.
     fresh: BTreeMap<Name, u8>,
     /// Members that all summaries go to at once, since they were not heard before.
@@ -177,6 +179,7 @@
             regions: BTreeMap::new(),
             shown: State::Alone,
             doubt: None,
+            answered: Duration::ZERO,
             fresh: BTreeMap::new(),
             returned: BTreeSet::new(),
             beat: None,
@@ -317,8 +320,11 @@
                 let known = |number| self.roster.members.contains_key(&number);
                 self.swim.heard(now, (from, start), packet, known).map(|told| {
                     self.counts.strangers += told.strangers as u64;
-                    if let (Some(number), Some(doubt)) = (told.acked, &mut self.doubt) {
-                        doubt.acked.insert(number);
+                    if let Some(number) = told.acked {
+                        self.answered = now;
+                        if let Some(doubt) = &mut self.doubt {
+                            doubt.acked.insert(number);
+                        }
                     }
                     told.news
                 })
@@ -440,7 +446,10 @@
 
     /// Announces itself to some of the roster that are not heard.
     fn seek(&mut self, now: Duration, count: usize) {
-        let unheard = self.seen.iter().filter(|(_, seen)| !is_heard(seen.status));
+        // Under a new identity (another roster, a return) `foca` is silent until somebody speaks to it: if all change
+        // theirs at once, nobody would. So without answers it is announced to those that are heard as well.
+        let silent = now > self.answered + self.config.period * 2;
+        let unheard = self.seen.iter().filter(|(_, seen)| silent || !is_heard(seen.status));
         for (number, seen) in unheard.map(|(number, seen)| (*number, *seen)).sample(&mut self.rng, count) {
             let unknown = Id { number, start: 0, returns: 0, roster: 0 };
             self.swim.announce(now, seen.id.unwrap_or(unknown));
@@ -480,8 +489,14 @@
                 }
             }
         }
+        // Probes that nobody answers for so long, or none sent: `foca` sends none once it came back under a new
+        // identity that nobody has taken up yet, and would hold all for alive meanwhile.
+        if !alone && now > self.answered + self.config.settle {
+            self.doubt.get_or_insert_with(|| Doubt { since: now, acked: BTreeSet::new() });
+        }
         if let Some(doubt) = &self.doubt {
-            let enough = doubt.acked.len() >= self.seen.len().min(3);
+            // As many as make a majority with oneself, or three.
+            let enough = doubt.acked.len() >= (self.roster.members.len() / 2).min(3);
             if enough && now >= doubt.since + self.config.settle {
                 self.doubt = None;
             }
--- a/crates/membership/tests/schedules.rs
+++ b/crates/membership/tests/schedules.rs
@@ -182,6 +182,13 @@
     assert!(format!("{parted:?}").contains("may promote"), "{parted:?}");
 }
 
+#[test]
+fn one_that_came_back_and_was_cut_off_at_once() {
+    let mut steps = vec![(Step::Block(5), 4630), (Step::Heal, 336), (Step::Split(2, 3), 152)];
+    steps.extend([(Step::Pause(3, 4923), 3799), (Step::Kill(3), 5852)]);
+    play(5, 5_524_463_678_602_353_450, steps, |_| {}).unwrap();
+}
+
 fn cases(default: u32) -> u32 {
     std::env::var("CASES").map_or(default, |text| text.parse().unwrap())
 }
