Core of staged rollouts: proposals, votes by roster, halts, evidence at any time

A new operators' file is to reach a fleet region by region and go back by itself where it harms. The core takes facts and a view and says what to run; each proxy moves itself by votes of more than half of the roster, and a halt by anyone is final. New is compared with old by a bettor's wealth, in total and by class.

--- /dev/null
+++ b/crates/rollout/src/core.rs
@@ -0,0 +1,433 @@
+//! A proxy's part in a rollout: facts and what operators say in, what to run and what to tell out.
+
+use crate::evidence::{Evidence, Limits, Verdict};
+use crate::machine::{Machine, Peer, Phase, Sight};
+use crate::words::{
+    self, Class, Counts, Halted, Hash, Proposal, Ready, Stored, Why, Word, BODY_BYTES, CLASSES,
+};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+use thiserror::Error;
+
+/// Kinds of facts, from the first that is this room's own.
+const PROPOSAL: u8 = 0;
+const WORD: u8 = 1;
+const HALTS: u8 = 2;
+const COUNTS: u8 = 3;
+/// So many kinds are used.
+pub const KINDS: u8 = 4;
+/// Starts of one process during a rollout that are taken for an operator's.
+const STARTS: u32 = 1;
+/// Halts are told for this long, and again before.
+const HALTS_LAST: Duration = Duration::from_secs(600);
+
+#[derive(Clone, Debug)]
+pub struct Config {
+    pub name: String,
+    /// The start of this process.
+    pub start: u64,
+    /// What runs now.
+    pub base: Hash,
+    pub limits: Limits,
+    /// How long one that runs the new version may be unheard, or cut off.
+    pub dark: Duration,
+    /// How long a word holds.
+    pub lasts: Duration,
+    /// What an earlier process left in the state directory.
+    pub stored: Option<Vec<u8>>,
+}
+
+/// What another said, and still holds.
+#[derive(Clone, Debug)]
+pub struct Told {
+    pub source: String,
+    pub start: u64,
+    /// From 0, below `KINDS`.
+    pub kind: u8,
+    pub body: Vec<u8>,
+}
+
+/// All that is known at a moment, once a window and whenever something new was heard.
+#[derive(Clone, Debug, Default)]
+pub struct Look {
+    pub peers: Vec<Peer>,
+    pub promote: BTreeSet<String>,
+    pub facts: Vec<Told>,
+    /// Worth asked for and lost since the start of the process, by class.
+    pub counts: Vec<Class>,
+}
+
+#[derive(Clone, Debug)]
+pub enum Event {
+    Look(Look),
+    Propose {
+        hash: Hash,
+        order: Vec<String>,
+        canary: u16,
+        again: bool,
+    },
+    Halt,
+    Return,
+    /// What came of `Check`, or of a `Run` that failed.
+    Ready(Hash, Result<(), String>),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Tell the others: kind, body, how long it holds.
+    Say(u8, Vec<u8>, Duration),
+    /// Find out whether that version is there and sound.
+    Check(Hash),
+    /// Run that version, all of it or nothing.
+    Run(Hash),
+    /// Keep that where a restart finds it.
+    Save(Vec<u8>),
+    Phase(Phase),
+    Refused(Refused),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum Refused {
+    #[error("another rollout (epoch {0}) is under way: halt it or wait for its end")]
+    UnderWay(u64),
+    #[error("this version was halted in epoch {0}: `resume` proposes it again all the same")]
+    Halted(u64),
+    #[error("this version runs already")]
+    Runs,
+    #[error("no rollout is under way")]
+    Nothing,
+    #[error("the order has to name each region of the roster once: {0:?}")]
+    Order(Vec<String>),
+    #[error("the order of regions takes {0} bytes, at most {BODY_BYTES} fit: shorten their names")]
+    Long(usize),
+}
+
+/// For operators.
+#[derive(Clone, Debug)]
+pub struct Status {
+    pub phase: Phase,
+    pub proposal: Option<Proposal>,
+    pub halted: Option<Halted>,
+    pub runs: Hash,
+    pub verdict: Verdict,
+    pub windows: u64,
+    pub harm: f64,
+    pub safe: f64,
+    /// By member: votes, runs new, why it can't run it.
+    pub members: Vec<(String, Word)>,
+    pub superseded: u64,
+    pub malformed: u64,
+}
+
+/// How a member that runs the new version fares.
+#[derive(Clone, Debug, Default)]
+struct Watched {
+    start: u64,
+    starts: u32,
+    unheard: Option<Duration>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Core {
+    config: Config,
+    machine: Machine,
+    evidence: Evidence,
+    look: Look,
+    words: BTreeMap<String, Word>,
+    watched: BTreeMap<String, Watched>,
+    verdict: Verdict,
+    /// Version counted for, and where its counts began.
+    turn: u32,
+    from: Vec<Class>,
+    runs: Hash,
+    phase: Phase,
+    checked: Option<(u64, Hash)>,
+    judged: Option<(u64, Hash, u8)>,
+    saved: Vec<u8>,
+    said: BTreeMap<u8, (Duration, Vec<u8>)>,
+    superseded: u64,
+    malformed: u64,
+}
+
+impl Core {
+    pub fn new(config: Config, now: Duration) -> Self {
+        let mut machine = Machine::new(&config.name, config.base, config.dark);
+        let stored: Option<Stored> = config.stored.as_deref().and_then(words::decode);
+        if let Some(stored) = stored {
+            machine.restore(stored);
+        }
+        Self {
+            evidence: Evidence::new(config.limits, now),
+            runs: config.base,
+            machine,
+            look: Look::default(),
+            words: BTreeMap::new(),
+            watched: BTreeMap::new(),
+            verdict: Verdict::TooLittle,
+            turn: 0,
+            from: Vec::new(),
+            phase: Phase::Idle,
+            checked: None,
+            judged: None,
+            saved: Vec::new(),
+            said: BTreeMap::new(),
+            superseded: 0,
+            malformed: 0,
+            config,
+        }
+    }
+
+    pub fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Look(look) => self.look = look,
+            Event::Propose { hash, order, canary, again } => match self.propose(hash, order, canary, again) {
+                Ok(()) => {}
+                Err(refused) => return actions.push(Action::Refused(refused)),
+            },
+            Event::Halt | Event::Return => {
+                let why = if matches!(event, Event::Halt) { Why::Operator } else { Why::Return };
+                if !self.machine.halt(why) {
+                    return actions.push(Action::Refused(Refused::Nothing));
+                }
+            }
+            Event::Ready(hash, result) => {
+                let ready = match result {
+                    Ok(()) => Ready::Yes,
+                    Err(why) => Ready::Cannot(words::reason(&why)),
+                };
+                self.machine.set_ready(hash, ready);
+            }
+        }
+        self.go_on(now, actions);
+    }
+
+    fn propose(&mut self, hash: Hash, order: Vec<String>, canary: u16, again: bool) -> Result<(), Refused> {
+        if self.machine.under_way() {
+            return Err(Refused::UnderWay(self.machine.epoch()));
+        }
+        if hash == self.runs {
+            return Err(Refused::Runs);
+        }
+        let halted = self.machine.halts().iter().find(|h| h.hash == hash);
+        if let Some(halted) = halted.filter(|_| !again) {
+            return Err(Refused::Halted(halted.epoch));
+        }
+        let regions: BTreeSet<&String> = self.look.peers.iter().map(|p| &p.region).collect();
+        if regions.len() != order.len() || !order.iter().all(|r| regions.contains(r)) {
+            return Err(Refused::Order(order));
+        }
+        let epoch = self.machine.epoch().max(self.words.values().map(|w| w.epoch).max().unwrap_or(0)) + 1;
+        let proposal = Proposal { epoch, hash, proposer: self.config.name.clone(), order, canary };
+        let length = words::encode(&proposal).len();
+        if length > BODY_BYTES {
+            return Err(Refused::Long(length));
+        }
+        self.machine.adopt(&proposal);
+        Ok(())
+    }
+
+    fn go_on(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let (mut proposals, mut halts, mut said) = (Vec::new(), Vec::new(), Vec::new());
+        self.words.clear();
+        for told in &self.look.facts {
+            let read = match told.kind {
+                PROPOSAL => words::decode::<Proposal>(&told.body).map(|p| proposals.push(p)),
+                WORD => words::decode::<Word>(&told.body).map(|w| {
+                    self.words.insert(told.source.clone(), w);
+                }),
+                HALTS => words::decode::<Vec<Halted>>(&told.body).map(|h| halts.extend(h)),
+                COUNTS => words::decode::<Counts>(&told.body)
+                    .map(|counts| said.push((told.source.as_str(), told.start, counts))),
+                _ => None,
+            };
+            self.malformed += u64::from(read.is_none());
+        }
+        // A word of an earlier start of this process comes back to it; what it says now is in the machine.
+        self.words.remove(&self.config.name);
+        let me = self.config.name.clone();
+        let mine = self.counts();
+        let start = self.config.start;
+        let epoch = mine.epoch;
+        let of_now = said.into_iter().filter(|(name, _, c)| *name != me && c.epoch == epoch);
+        let all = of_now.chain([(me.as_str(), start, mine.clone())]);
+        self.evidence.look(now, all);
+        self.verdict = match self.watch(now) {
+            Some(why) => Verdict::Harm(why),
+            None => self.evidence.verdict(now),
+        };
+        let verdict = if self.judged_now() { self.verdict } else { Verdict::TooLittle };
+        let under_way = self.machine.under_way();
+        self.machine.step(
+            now,
+            &Sight {
+                peers: &self.look.peers,
+                promote: &self.look.promote,
+                words: &self.words,
+                proposals: &proposals,
+                halts: &halts,
+                verdict,
+            },
+        );
+        let before = self.judged.map(|(epoch, hash, _)| (epoch, hash));
+        self.begin(now);
+        let after = self.judged.map(|(epoch, hash, _)| (epoch, hash));
+        self.superseded += u64::from(under_way && before.is_some() && before != after);
+        self.act(actions);
+        self.tell(now, actions);
+    }
+
+    /// What the evidence is about: the proposal and its stage.
+    fn subject(&self) -> Option<(u64, Hash, u8)> {
+        self.machine.current().map(|c| (c.proposal.epoch, c.proposal.hash, c.reached))
+    }
+
+    fn judged_now(&self) -> bool {
+        self.judged == self.subject()
+    }
+
+    /// Another rollout has evidence of its own, another stage its own soak.
+    fn begin(&mut self, now: Duration) {
+        let subject = self.subject();
+        if self.judged == subject {
+            return;
+        }
+        let same = |a: Option<(u64, Hash, u8)>| a.map(|(epoch, hash, _)| (epoch, hash));
+        if same(self.judged) == same(subject) {
+            self.evidence.stage(now);
+        } else {
+            self.evidence = Evidence::new(self.config.limits, now);
+            self.watched.clear();
+        }
+        self.judged = subject;
+    }
+
+    /// Those that run the new version: whether they are still there, and are the processes that they were.
+    fn watch(&mut self, now: Duration) -> Option<Why> {
+        let current = self.machine.current()?;
+        if !self.machine.under_way() {
+            self.watched.clear();
+            return None;
+        }
+        for (name, _) in self.words.iter().filter(|(_, w)| w.new && w.of(&current.proposal)) {
+            self.watched.entry(name.clone()).or_default();
+        }
+        let mut found = None;
+        for (name, watched) in &mut self.watched {
+            let Some(peer) = self.look.peers.iter().find(|p| p.name == *name) else { continue };
+            if let Some(start) = peer.start.filter(|&s| s > watched.start) {
+                watched.starts += u32::from(watched.start > 0);
+                watched.start = start;
+            }
+            let missed = !peer.heard && !peer.left;
+            watched.unheard = if missed { watched.unheard.or(Some(now)) } else { None };
+            if watched.starts > STARTS {
+                found = Some(Why::Crash);
+            } else if watched.unheard.is_some_and(|since| now.saturating_sub(since) >= self.config.dark) {
+                found = found.or(Some(Why::Gone));
+            }
+        }
+        found
+    }
+
+    fn act(&mut self, actions: &mut Vec<Action>) {
+        let phase = self.machine.phase();
+        if phase != self.phase {
+            self.phase = phase;
+            actions.push(Action::Phase(phase));
+        }
+        if let Some(current) = self.machine.current() {
+            let key = (current.proposal.epoch, current.proposal.hash);
+            if self.checked != Some(key) {
+                self.checked = Some(key);
+                actions.push(Action::Check(key.1));
+            }
+        }
+        let stored = words::encode(&self.machine.stored());
+        if stored != self.saved {
+            self.saved.clone_from(&stored);
+            actions.push(Action::Save(stored));
+        }
+        let runs = self.machine.runs(&self.look.peers);
+        if runs != self.runs {
+            self.runs = runs;
+            self.turn += 1;
+            self.from.clone_from(&self.look.counts);
+            actions.push(Action::Run(runs));
+        }
+    }
+
+    fn counts(&self) -> Counts {
+        let since = |class: &Class| {
+            let from = self.from.iter().find(|c| c.class == class.class).copied().unwrap_or_default();
+            Class {
+                class: class.class,
+                asked: class.asked.saturating_sub(from.asked),
+                lost: class.lost.saturating_sub(from.lost),
+            }
+        };
+        let mut classes: Vec<Class> = self.look.counts.iter().map(since).collect();
+        let sum = |of: fn(&Class) -> u64| classes.iter().map(of).sum();
+        let total = Class { class: 0, asked: sum(|c| c.asked), lost: sum(|c| c.lost) };
+        classes.sort_by_key(|c| std::cmp::Reverse(c.asked));
+        classes.truncate(CLASSES);
+        Counts {
+            epoch: self.machine.current().map_or(0, |c| c.proposal.epoch),
+            new: self.machine.new_here(&self.look.peers),
+            turn: self.turn,
+            total,
+            classes,
+        }
+    }
+
+    fn tell(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let lasts = self.config.lasts;
+        let counts = self.machine.under_way().then(|| self.counts());
+        let mut say = |kind, body: Vec<u8>, lasts: Duration| {
+            let again = self
+                .said
+                .get(&kind)
+                .is_none_or(|(at, was)| *was != body || now.saturating_sub(*at) >= lasts / 3);
+            if again && body.len() <= BODY_BYTES {
+                self.said.insert(kind, (now, body.clone()));
+                actions.push(Action::Say(kind, body, lasts));
+            }
+        };
+        if !self.machine.halts().is_empty() {
+            say(HALTS, words::encode(&self.machine.halts()), HALTS_LAST);
+        }
+        if let Some(current) = self.machine.current() {
+            say(PROPOSAL, words::encode(&current.proposal), lasts * 6);
+        }
+        if let Some(word) = self.machine.word(&self.look.peers) {
+            say(WORD, words::encode(&word), lasts);
+        }
+        if let Some(counts) = counts {
+            say(COUNTS, words::encode(&counts), lasts);
+        }
+    }
+
+    pub fn status(&self) -> Status {
+        let (windows, harm, safe) = self.evidence.figures();
+        let mut members: Vec<(String, Word)> =
+            self.words.iter().map(|(name, word)| (name.clone(), word.clone())).collect();
+        members.extend(self.machine.word(&self.look.peers).map(|word| (self.config.name.clone(), word)));
+        members.sort_by(|a, b| a.0.cmp(&b.0));
+        Status {
+            phase: self.machine.phase(),
+            proposal: self.machine.current().map(|c| c.proposal.clone()),
+            halted: self.machine.halted().cloned(),
+            runs: self.runs,
+            verdict: self.verdict,
+            windows,
+            harm,
+            safe,
+            members,
+            superseded: self.superseded,
+            malformed: self.malformed,
+        }
+    }
+
+    pub fn machine(&self) -> &Machine {
+        &self.machine
+    }
+}
--- /dev/null
+++ b/crates/rollout/src/model.rs
@@ -0,0 +1,367 @@
+//! Every order of words, losses, restarts, cuts and votes in a small fleet, by a model checker; and that each guard
+//! is missed when it is gone.
+
+use crate::evidence::Verdict;
+use crate::machine::{entry, Guard, Machine, Peer, Phase, Sight};
+use crate::words::{Halted, Hash, Proposal, Ready, Why, Word};
+use stateright::{Checker, Model, Property};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+const NAMES: [&str; 3] = ["a", "b", "c"];
+const REGIONS: [&str; 3] = ["one", "one", "two"];
+const ALL: usize = NAMES.len();
+const BASE: Hash = [0; 32];
+const DARK: u8 = 1;
+/// Ticks for which a word holds.
+const LASTS: u8 = 2;
+
+/// What one knows of another, and how old it is.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Heard {
+    word: Option<Word>,
+    proposal: Option<Proposal>,
+    halts: Vec<Halted>,
+    age: u8,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct World {
+    machines: [Machine; ALL],
+    heard: [[Option<Heard>; ALL]; ALL],
+    clean: bool,
+    clock: u8,
+    /// The one that is cut off from the others, and whether it was so at the last tick.
+    cut: Option<usize>,
+    permits: Option<usize>,
+    /// What has been used of the scenario.
+    proposed: [bool; 2],
+    restarts: u8,
+    halts: u8,
+    cuts: u8,
+    /// Ghosts: the most votes for each version, who has ever known a halt of it, when a majority did.
+    voted: [[u8; ALL]; 2],
+    knew: [[bool; ALL]; 2],
+    known: [Option<u8>; 2],
+    wrong: Option<&'static str>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Step {
+    Propose(usize),
+    Hear(usize, usize),
+    Clean,
+    Halt(usize),
+    Restart(usize),
+    Cut(usize),
+    Heal,
+    Tick,
+}
+
+#[derive(Clone, Copy)]
+struct Fleet {
+    without: Option<Guard>,
+    proposals: usize,
+    restarts: u8,
+    halts: u8,
+    cuts: u8,
+    clock: u8,
+}
+
+/// The first is a's, the second c's; both have the same epoch, so that rank decides.
+fn proposal(at: usize) -> Proposal {
+    Proposal {
+        epoch: 1 + at as u64,
+        hash: [1 + at as u8; 32],
+        proposer: NAMES[[0, 2][at]].into(),
+        order: vec!["one".into(), "two".into()],
+        canary: 1,
+    }
+}
+
+impl World {
+    fn apart(&self, a: usize, b: usize) -> bool {
+        a != b && (self.cut == Some(a) || self.cut == Some(b))
+    }
+
+    fn peers(&self, of: usize) -> Vec<Peer> {
+        let peer = |at: usize| Peer {
+            name: NAMES[at].into(),
+            region: REGIONS[at].into(),
+            start: Some(1),
+            heard: !self.apart(of, at),
+            left: false,
+        };
+        (0..ALL).map(peer).collect()
+    }
+
+    /// By the rules of membership: more than half of the fleet, and of the region.
+    fn promote(&self, of: usize) -> BTreeSet<String> {
+        let with = |at: usize| at == of || (self.permits != Some(at) && self.permits != Some(of));
+        let most = |of: &dyn Fn(usize) -> bool| {
+            let all: Vec<usize> = (0..ALL).filter(|&at| of(at)).collect();
+            all.iter().filter(|&&at| with(at)).count() * 2 > all.len()
+        };
+        let fleet = most(&|_| true);
+        ["one", "two"]
+            .into_iter()
+            .filter(|r| fleet && most(&|at| REGIONS[at] == *r))
+            .map(String::from)
+            .collect()
+    }
+
+    fn go(&mut self, at: usize) {
+        let (peers, promote) = (self.peers(at), self.promote(at));
+        let heard = || self.heard[at].iter().enumerate().filter_map(|(from, h)| Some((from, h.as_ref()?)));
+        let words: BTreeMap<String, Word> =
+            heard().filter_map(|(from, h)| Some((NAMES[from].to_owned(), h.word.clone()?))).collect();
+        let proposals: Vec<Proposal> = heard().filter_map(|(_, h)| h.proposal.clone()).collect();
+        let halts: Vec<Halted> = heard().flat_map(|(_, h)| h.halts.clone()).collect();
+        let verdict = if self.clean { Verdict::Clean } else { Verdict::Soaking };
+        let machine = &mut self.machines[at];
+        let before = machine.current().map(|c| (c.proposal.epoch, c.reached));
+        let sight = Sight {
+            peers: &peers,
+            promote: &promote,
+            words: &words,
+            proposals: &proposals,
+            halts: &halts,
+            verdict,
+        };
+        let now = Duration::from_secs(u64::from(self.clock));
+        machine.step(now, &sight);
+        if let Some(hash) = machine.current().map(|c| c.proposal.hash) {
+            machine.set_ready(hash, Ready::Yes);
+        }
+        let after = machine.current().map(|c| (c.proposal.epoch, c.reached));
+        let Some((epoch, reached)) = after else { return };
+        let version = epoch as usize - 1;
+        self.voted[version][at] = self.voted[version][at].max(machine.current().map_or(0, |c| c.votes));
+        for version in 0..2 {
+            self.knew[version][at] |= machine.halts().iter().any(|h| h.epoch == version as u64 + 1);
+            let most = self.knew[version].iter().filter(|k| **k).count() * 2 > ALL;
+            self.known[version] = self.known[version].or(most.then_some(self.clock));
+        }
+        let rose = before.map_or(0, |(e, r)| if e == epoch { r } else { 0 }) < reached;
+        if rose {
+            if promote.is_empty() {
+                self.wrong = Some("promoted in a minority");
+            }
+            if self.known[version].is_some_and(|since| self.clock > since + LASTS) {
+                self.wrong = Some("promoted beside a halt that a majority knew before the votes lapsed");
+            }
+            let votes = self.voted[version].iter().filter(|v| **v >= reached).count();
+            let first = self.voted[version][..2].iter().filter(|v| **v >= reached).count();
+            if reached == 1 && votes * 2 <= ALL || reached <= 3 && first * 2 <= 2 {
+                self.wrong = Some("promoted without more than half of the roster");
+            }
+            if reached >= 2 && !self.clean {
+                self.wrong = Some("promoted without evidence");
+            }
+        }
+    }
+
+    fn running(&self) -> BTreeSet<Hash> {
+        (0..ALL).map(|at| self.machines[at].runs(&self.peers(at))).filter(|h| *h != BASE).collect()
+    }
+}
+
+impl Model for Fleet {
+    type State = World;
+    type Action = Step;
+
+    fn init_states(&self) -> Vec<World> {
+        let machine = |name: &&str| {
+            let mut machine = Machine::new(name, BASE, Duration::from_secs(u64::from(DARK)));
+            machine.without = self.without;
+            machine
+        };
+        let world = World {
+            machines: NAMES.each_ref().map(machine),
+            heard: Default::default(),
+            clean: false,
+            clock: 0,
+            cut: None,
+            permits: None,
+            proposed: [false; 2],
+            restarts: 0,
+            halts: 0,
+            cuts: 0,
+            voted: Default::default(),
+            knew: Default::default(),
+            known: [None; 2],
+            wrong: None,
+        };
+        vec![world]
+    }
+
+    fn actions(&self, world: &World, steps: &mut Vec<Step>) {
+        if world.wrong.is_some() {
+            return;
+        }
+        steps.extend((0..self.proposals).filter(|&at| !world.proposed[at]).map(Step::Propose));
+        for to in 0..ALL {
+            steps.extend(
+                (0..ALL)
+                    .filter(|&from| {
+                        world.machines[from].current().is_some() && from != to && !world.apart(from, to)
+                    })
+                    .map(|f| Step::Hear(f, to)),
+            );
+            if world.halts < self.halts && world.machines[to].under_way() {
+                steps.push(Step::Halt(to));
+            }
+            if world.restarts < self.restarts && world.machines[to].current().is_some() {
+                steps.push(Step::Restart(to));
+            }
+        }
+        if !world.clean && world.machines[0].current().is_some_and(|c| c.reached > 0) {
+            steps.push(Step::Clean);
+        }
+        if world.cuts < self.cuts && world.cut.is_none() {
+            // One of the first region, and the other region.
+            steps.extend([0, 2].map(Step::Cut));
+        }
+        if world.cut.is_some() {
+            steps.push(Step::Heal);
+        }
+        if world.clock < self.clock {
+            steps.push(Step::Tick);
+        }
+    }
+
+    fn next_state(&self, before: &World, step: Step) -> Option<World> {
+        let mut world = before.clone();
+        match step {
+            Step::Propose(at) => {
+                world.proposed[at] = true;
+                let by = [0, 2][at];
+                world.machines[by].adopt(&proposal(at));
+                world.go(by);
+                // Only now is it known that the file is there.
+                world.go(by);
+            }
+            Step::Hear(from, to) => {
+                let peers = world.peers(from);
+                let machine = &world.machines[from];
+                world.heard[to][from] = Some(Heard {
+                    word: machine.word(&peers),
+                    proposal: machine.current().map(|c| c.proposal.clone()),
+                    halts: machine.halts().to_vec(),
+                    age: 0,
+                });
+                world.go(to);
+                world.go(to);
+            }
+            Step::Clean => {
+                world.clean = true;
+                (0..ALL).for_each(|at| world.go(at));
+            }
+            Step::Halt(at) => {
+                world.halts += 1;
+                world.machines[at].halt(Why::Operator);
+                world.go(at);
+            }
+            Step::Restart(at) => {
+                world.restarts += 1;
+                let stored = world.machines[at].stored();
+                let mut machine = Machine::new(NAMES[at], BASE, Duration::from_secs(u64::from(DARK)));
+                machine.without = self.without;
+                machine.restore(stored);
+                world.machines[at] = machine;
+                world.heard[at] = Default::default();
+                world.go(at);
+            }
+            Step::Cut(at) => {
+                world.cuts += 1;
+                world.cut = Some(at);
+            }
+            Step::Heal => {
+                world.cut = None;
+                world.permits = None;
+            }
+            Step::Tick => {
+                world.clock += 1;
+                world.permits = world.cut;
+                for heard in world.heard.iter_mut().flatten() {
+                    if let Some(h) = heard {
+                        h.age += 1;
+                        if h.age > LASTS {
+                            *heard = None;
+                        }
+                    }
+                }
+                (0..ALL).for_each(|at| world.go(at));
+            }
+        }
+        (world != *before).then_some(world)
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always("nothing of that is done", |_, w: &World| w.wrong.is_none()),
+            Property::always("a halt that is known stops it", |_, w: &World| {
+                (0..ALL).all(|at| {
+                    let runs = w.machines[at].runs(&w.peers(at));
+                    (0..2).all(|v| !w.knew[v][at] || runs != proposal(v).hash)
+                })
+            }),
+            Property::always("one new version beside the old", |_, w: &World| w.running().len() <= 1),
+            Property::always("none runs it before its turn", |_, w: &World| {
+                (0..ALL).all(|at| {
+                    let peers = w.peers(at);
+                    w.machines[at].current().is_none_or(|c| {
+                        !w.machines[at].new_here(&peers)
+                            || entry(&c.proposal, &peers, NAMES[at]) <= Some(c.reached)
+                    })
+                })
+            }),
+            Property::sometimes("the whole", |_, w: &World| {
+                w.machines.iter().all(|m| m.phase() == Phase::Whole)
+            }),
+        ]
+    }
+}
+
+fn fleet(without: Option<Guard>, proposals: usize, [restarts, halts, cuts, clock]: [u8; 4]) -> Fleet {
+    Fleet { without, proposals, restarts, halts, cuts, clock }
+}
+
+/// Broken rules that a search finds.
+fn broken(fleet: Fleet) -> (Vec<&'static str>, usize) {
+    let checker = fleet.checker().threads(3).target_state_count(3_000_000).spawn_dfs().join();
+    let broken = checker.discoveries().into_keys().filter(|name| *name != "the whole").collect();
+    (broken, checker.unique_state_count())
+}
+
+const SCENARIOS: [(usize, [u8; 4]); 4] =
+    [(1, [1, 1, 0, 0]), (1, [0, 0, 1, 1]), (2, [0, 0, 1, 3]), (2, [0, 1, 0, 0])];
+
+#[test]
+fn no_order_of_events_breaks_a_rule() {
+    for (proposals, budget) in SCENARIOS {
+        let (broken, states) = broken(fleet(None, proposals, budget));
+        println!("{proposals} proposals, {budget:?}: {states} states");
+        assert_eq!(broken, Vec::<&str>::new(), "{proposals} proposals, {budget:?}");
+    }
+    let checker = fleet(None, 1, [0, 0, 0, 0]).checker().spawn_bfs().join();
+    assert!(checker.discovery("the whole").is_some(), "a good version comes to its end");
+}
+
+#[test]
+fn each_guard_is_missed() {
+    for (guard, scenario) in [
+        (Guard::Quorum, 0),
+        (Guard::Roster, 1),
+        (Guard::Permission, 1),
+        (Guard::HaltWins, 0),
+        (Guard::Remembers, 0),
+        (Guard::OneAtATime, 2),
+        (Guard::Consent, 0),
+    ] {
+        let (proposals, budget) = SCENARIOS[scenario];
+        let (broken, _) = broken(fleet(Some(guard), proposals, budget));
+        assert!(!broken.is_empty(), "without {guard:?} nothing is found wrong");
+        println!("without {guard:?}: {broken:?}");
+    }
+}
--- /dev/null
+++ b/crates/rollout/tests/simulation.rs
@@ -0,0 +1,184 @@
+//! A fleet in virtual time: requests that fail by chance, facts that are lost, and how rollouts of good and bad versions
+//! end. Figures: `cargo test -p rollout --release --test simulation -- --ignored --nocapture`.
+
+use rand::{Rng, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use rollout::{Action, Class, Config, Core, Event, Limits, Look, Peer, Phase, Told};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const OLD: [u8; 32] = [0; 32];
+const NEW: [u8; 32] = [1; 32];
+const FLEET: [(&str, &str); 6] =
+    [("a", "east"), ("b", "east"), ("c", "east"), ("d", "west"), ("e", "west"), ("f", "west")];
+
+#[derive(Clone, Copy)]
+struct Site {
+    /// Requests a second of each proxy, in two classes of three and one parts.
+    asked: u64,
+    loss: f64,
+    /// What the new version loses beyond that, of all and of the smaller class.
+    harm: f64,
+    class_harm: f64,
+    facts_lost: f64,
+    seconds: u64,
+}
+
+const SITE: Site =
+    Site { asked: 40, loss: 0.02, harm: 0.0, class_harm: 0.0, facts_lost: 0.05, seconds: 3_000 };
+
+#[derive(Debug, PartialEq)]
+struct End {
+    phase: Phase,
+    seconds: u64,
+    /// Proxies that ever ran the new version.
+    exposed: usize,
+    /// The second region did.
+    beyond: bool,
+}
+
+fn limits() -> Limits {
+    Limits {
+        least_harm: 0.05,
+        error: 0.01,
+        soak: Duration::from_secs(30),
+        window_least: 20,
+        stage_least: 500,
+        fresh: Duration::from_secs(10),
+    }
+}
+
+fn play(site: Site, seed: u64) -> End {
+    let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
+    let core = |(name, _): &(&str, &str)| {
+        let config = Config {
+            name: (*name).into(),
+            start: 1,
+            base: OLD,
+            limits: limits(),
+            dark: Duration::from_secs(60),
+            lasts: Duration::from_secs(10),
+            stored: None,
+        };
+        Core::new(config, Duration::ZERO)
+    };
+    let mut cores: Vec<Core> = FLEET.iter().map(core).collect();
+    let peers: Vec<Peer> = FLEET
+        .iter()
+        .map(|(name, region)| Peer {
+            name: (*name).into(),
+            region: (*region).into(),
+            start: Some(1),
+            heard: true,
+            left: false,
+        })
+        .collect();
+    let mut said: BTreeMap<(usize, u8), Vec<u8>> = BTreeMap::new();
+    let mut heard: Vec<BTreeMap<(usize, u8), Vec<u8>>> = vec![BTreeMap::new(); FLEET.len()];
+    let (mut counts, mut runs) = (vec![[Class::default(); 2]; FLEET.len()], [OLD; FLEET.len()]);
+    let mut exposed = [false; FLEET.len()];
+    for second in 1..=site.seconds {
+        let now = Duration::from_secs(second);
+        for at in 0..FLEET.len() {
+            for (class, asked) in [(0, site.asked * 3 / 4), (1, site.asked / 4)] {
+                let worse = if class == 1 { site.harm + site.class_harm } else { site.harm };
+                let loss = site.loss + if runs[at] == NEW { worse } else { 0.0 };
+                counts[at][class].class = class as u32 + 1;
+                counts[at][class].asked += asked;
+                counts[at][class].lost +=
+                    (0..asked).filter(|_| rng.random_bool(loss.min(1.0))).count() as u64;
+            }
+        }
+        for at in 0..FLEET.len() {
+            for (key, body) in &said {
+                if key.0 != at && !rng.random_bool(site.facts_lost) {
+                    heard[at].insert(*key, body.clone());
+                }
+            }
+            let told = |((from, kind), body): (&(usize, u8), &Vec<u8>)| Told {
+                source: FLEET[*from].0.into(),
+                start: 1,
+                kind: *kind,
+                body: body.clone(),
+            };
+            let look = Look {
+                peers: peers.clone(),
+                promote: ["east", "west"].map(String::from).into(),
+                facts: heard[at].iter().map(told).collect(),
+                counts: counts[at].to_vec(),
+            };
+            let mut actions = Vec::new();
+            cores[at].handle(now, Event::Look(look), &mut actions);
+            if second == 5 && at == 0 {
+                let order = vec!["east".into(), "west".into()];
+                let event = Event::Propose { hash: NEW, order, canary: 1, again: false };
+                cores[at].handle(now, event, &mut actions);
+            }
+            let mut next = 0;
+            while let Some(action) = actions.get(next).cloned() {
+                next += 1;
+                match action {
+                    Action::Say(kind, body, _) => _ = said.insert((at, kind), body),
+                    Action::Check(hash) => cores[at].handle(now, Event::Ready(hash, Ok(())), &mut actions),
+                    Action::Run(hash) => {
+                        runs[at] = hash;
+                        exposed[at] |= hash == NEW;
+                    }
+                    _ => {}
+                }
+            }
+        }
+        let phases: Vec<Phase> = cores.iter().map(|c| c.status().phase).collect();
+        let over = |p: &Phase| matches!(p, Phase::Whole | Phase::Halted(_));
+        if phases.iter().all(|p| over(p) && *p == phases[0]) || second == site.seconds {
+            assert!(!matches!(phases[0], Phase::Halted(_)) || runs == [OLD; FLEET.len()], "all are back");
+            let exposed_of = |region| FLEET.iter().zip(exposed).filter(|(f, e)| f.1 == region && *e).count();
+            let (east, west) = (exposed_of("east"), exposed_of("west"));
+            return End { phase: phases[0], seconds: second, exposed: east + west, beyond: west > 0 };
+        }
+    }
+    unreachable!("the last second returns")
+}
+
+/// Runs so many seeds; (halted, whole, halted in the first region, median seconds).
+fn table(title: &str, site: Site, seeds: u64) -> (usize, usize, usize, u64) {
+    let ends: Vec<End> = (0..seeds).map(|seed| play(site, seed)).collect();
+    let halted = ends.iter().filter(|e| matches!(e.phase, Phase::Halted(_))).count();
+    let whole = ends.iter().filter(|e| e.phase == Phase::Whole).count();
+    let first = ends.iter().filter(|e| matches!(e.phase, Phase::Halted(_)) && !e.beyond).count();
+    let mut seconds: Vec<u64> = ends.iter().map(|e| e.seconds).collect();
+    seconds.sort_unstable();
+    let median = seconds[seconds.len() / 2];
+    let exposed = ends.iter().map(|e| e.exposed).sum::<usize>() as f64 / ends.len() as f64;
+    println!(
+        "| {title} | {seeds} | {halted} | {first} | {whole} | {median} | {} | {exposed:.1} |",
+        seconds[seconds.len() * 9 / 10]
+    );
+    (halted, whole, first, median)
+}
+
+#[test]
+fn a_good_version_comes_to_its_end_and_a_bad_one_does_not() {
+    let (halted, whole, ..) = table("A against A", SITE, 40);
+    assert!(halted <= 1 && whole >= 39);
+    let (_, _, first, _) = table("harm 0.05", Site { harm: 0.05, ..SITE }, 20);
+    assert!(first >= 18);
+    let (_, _, first, seconds) = table("refuses a class", Site { class_harm: 1.0, ..SITE }, 5);
+    assert!(first == 5 && seconds < 60);
+    let end = play(Site { asked: 0, seconds: 300, ..SITE }, 1);
+    assert_eq!((end.phase, end.exposed), (Phase::Canary, 1), "without traffic it waits");
+}
+
+#[test]
+#[ignore = "the figures of the results, minutes long"]
+fn figures() {
+    println!("| case | seeds | halted | in the first region | whole | median s | 90% s | proxies exposed |");
+    table("A against A", SITE, 400);
+    table("A against A, loss 0.2", Site { loss: 0.2, ..SITE }, 400);
+    table("A against A, 8 a second", Site { asked: 8, ..SITE }, 200);
+    table("harm 0.02", Site { harm: 0.02, ..SITE }, 100);
+    table("harm 0.05", Site { harm: 0.05, ..SITE }, 200);
+    table("harm 0.05, loss 0.2", Site { harm: 0.05, loss: 0.2, ..SITE }, 100);
+    table("harm 0.2", Site { harm: 0.2, ..SITE }, 100);
+    table("refuses a class of a quarter", Site { class_harm: 1.0, ..SITE }, 100);
+}
