Rollouts in the program: section rollout, words of operators, figures

The core needs files, facts and a reload to act on. Operators say propose, resume, halt, return and status over the control socket; figures lb_rollout_* stand on the second address.

--- a/crates/configuration/src/diff.rs
+++ b/crates/configuration/src/diff.rs
@@ -129,7 +129,7 @@
 /// Of these neither more nor less is tighter.
 const NEITHER: [&str; 3] = ["address", "level", "form"];
 /// Of these sections' values none says anything of clients' requests.
-const OF_OTHERS: [&str; 2] = ["members", "member"];
+const OF_OTHERS: [&str; 3] = ["members", "member", "rollout"];
 
 fn sense(section: &str, directive: &str, old: Option<&str>, new: Option<&str>) -> Option<&'static str> {
     let keyword = section.split(' ').next()?;
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod model;
 pub mod platform;
 pub mod ranges;
+pub mod rollout;
 pub mod route;
 pub mod schema;
 pub mod shadow;
--- a/crates/configuration/src/members.rs
+++ b/crates/configuration/src/members.rs
@@ -116,7 +116,7 @@
     roster
 }
 
-fn required(section: &Section, keyword: &'static str, whose: &str, faults: &mut Vec<Diagnostic>) {
+pub(crate) fn required(section: &Section, keyword: &'static str, whose: &str, faults: &mut Vec<Diagnostic>) {
     // A line of a section that could not be read may have stated it.
     if section.partial || section.setting(keyword).is_some() {
         return;
--- a/crates/configuration/src/model.rs
+++ b/crates/configuration/src/model.rs
@@ -4,6 +4,7 @@
 use crate::check::Section;
 use crate::diagnostic::{nearest, Diagnostic};
 pub use crate::members::{Member, Members};
+pub use crate::rollout::Rollout;
 use crate::route::{fold, Conditions, Outcome, Priority, Route};
 use crate::schema::{self, Takes};
 use crate::source::Span;
@@ -167,6 +168,7 @@
     pub control: Option<PathBuf>,
     /// The other proxies; none: nobody listens for them.
     pub members: Option<Members>,
+    pub rollout: Option<Rollout>,
 }
 
 impl Default for Model {
@@ -338,6 +340,7 @@
         _ => None,
     };
     let members = crate::members::members(sections, partial, faults);
+    let rollout = crate::rollout::rollout(sections, partial, faults);
     let v = once("logging");
     let logging = Logging { level: v.choice("level"), json: v.choice("form") == "json" };
     Model {
@@ -359,6 +362,7 @@
         linger,
         control,
         members,
+        rollout,
     }
 }
 
--- /dev/null
+++ b/crates/configuration/src/rollout.rs
@@ -0,0 +1,57 @@
+//! How a new operators' file reaches the fleet.
+
+use crate::check::Section;
+use crate::diagnostic::Diagnostic;
+use crate::value::Value;
+use crate::values::Values;
+use std::path::PathBuf;
+use std::time::Duration;
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Rollout {
+    /// Where new files are.
+    pub candidates: PathBuf,
+    /// Regions; empty: by their names.
+    pub order: Vec<String>,
+    pub canary: u16,
+    pub least_harm: f64,
+    pub error: f64,
+    pub soak: Duration,
+    pub dark: Duration,
+    pub period: Duration,
+    pub window_least: u64,
+    pub stage_least: u64,
+    pub state: Option<PathBuf>,
+}
+
+/// `partial`: some of the files could not be read.
+pub fn rollout(sections: &[Section], partial: bool, faults: &mut Vec<Diagnostic>) -> Option<Rollout> {
+    let section = sections.iter().find(|s| s.spec.keyword == "rollout")?;
+    if !partial && !sections.iter().any(|s| s.spec.keyword == "members") {
+        let fault = Diagnostic::error("missing", section.span, "a rollout is stated, but no section members");
+        faults.push(fault.label("has nobody to tell").help("write a section members { ... } and the roster"));
+    }
+    let v = Values::of(section);
+    let path = |keyword| match v.value(keyword) {
+        Some(Value::Text(path)) => Some(PathBuf::from(path)),
+        _ => None,
+    };
+    crate::members::required(section, "candidates", "the section rollout", faults);
+    let name = |value: &Value| match value {
+        Value::Name(name) => Some(name.clone()),
+        _ => None,
+    };
+    Some(Rollout {
+        candidates: path("candidates")?,
+        order: v.all("order", name),
+        canary: v.small("canary").unwrap_or(1),
+        least_harm: v.part("least-harm"),
+        error: v.part("error"),
+        soak: v.time("soak").unwrap_or_default(),
+        dark: v.time("dark").unwrap_or_default(),
+        period: v.time("period").unwrap_or_default(),
+        window_least: v.count("window-least").unwrap_or(1),
+        stage_least: v.count("stage-least").unwrap_or(1),
+        state: path("state"),
+    })
+}
--- a/crates/leverproxy/src/cli.rs
+++ b/crates/leverproxy/src/cli.rs
@@ -55,6 +55,14 @@
         .arg(socket());
     let undrain = Command::new("undrain").about("Bring a drained proxy back").arg(socket());
     let status = Command::new("status").about("Print how a serving proxy fares").arg(socket());
+    let words = ["halt", "return", "status", "resume", "propose"];
+    let rollout = Command::new("rollout")
+        .about(
+            "Bring a new operators' file to the fleet in stages, see how it fares, halt it or take it back",
+        )
+        .arg(Arg::new("word").required(true).value_parser(words).help("What is to be done"))
+        .arg(Arg::new("version").value_name("HASH|FILE").help("For propose and resume: which"))
+        .arg(socket());
     let completions = Command::new("completions")
         .about("Print completions for a shell")
         .arg(Arg::new("shell").required(true).value_parser(clap::value_parser!(Shell)));
@@ -66,7 +74,7 @@
         .subcommand(serve)
         .subcommand(check)
         .subcommand(config::command())
-        .subcommands([drain, undrain, status])
+        .subcommands([drain, undrain, status, rollout])
         .subcommand(completions)
         .subcommand(Command::new("version").about("Print the version"))
         .arg(
@@ -98,6 +106,7 @@
         Some(("check", with)) => check(variables(with)),
         Some(("config", with)) => config::run(with),
         Some((word @ ("drain" | "undrain" | "status"), with)) => tell(word, with),
+        Some(("rollout", with)) => roll(with),
         Some(("completions", with)) => {
             if let Some(shell) = with.get_one::<Shell>("shell") {
                 clap_complete::generate(*shell, &mut command(), "leverproxy", &mut std::io::stdout());
@@ -108,6 +117,27 @@
     }
 }
 
+/// A word for the fleet; a file is told by its hash, which is the same on all hosts.
+fn roll(with: &ArgMatches) -> ExitCode {
+    let word = with.get_one::<String>("word").map_or("", String::as_str);
+    let needs = matches!(word, "propose" | "resume");
+    let version = match with.get_one::<String>("version") {
+        Some(text) if needs => match crate::rollout::version(text) {
+            Ok(hash) => format!(" {hash}"),
+            Err(problem) => {
+                eprintln!("leverproxy: {problem}");
+                return ExitCode::from(MISUSE);
+            }
+        },
+        None if !needs => String::new(),
+        _ => {
+            eprintln!("leverproxy: propose and resume need a HASH or a FILE, the other words need none");
+            return ExitCode::from(MISUSE);
+        }
+    };
+    tell(&format!("rollout {word}{version}"), with)
+}
+
 /// A serving proxy answers within this, or something is wrong with it.
 const ANSWER_TIME: std::time::Duration = std::time::Duration::from_secs(5);
 
@@ -197,7 +227,14 @@
         }
     };
     let served = proxy
-        .reread_with(move || crate::config::reread(&variable, &whole))
+        .reread_with(move |operators| {
+            // A version of a rollout stands in the place of the operators' file.
+            let with = |name: &str| match operators {
+                Some(path) if name == "LB_OPERATORS" => Some(path.display().to_string()),
+                _ => variable(name),
+            };
+            crate::config::reread(with, &whole)
+        })
         .and_then(|()| control.heed_signals())
         .and_then(|()| proxy.run());
     proxy.report();
--- a/crates/leverproxy/src/config.rs
+++ b/crates/leverproxy/src/config.rs
@@ -8,7 +8,7 @@
 use crate::health::Listen;
 use crate::operators;
 use crate::stages::steer::Rules;
-use configuration::model::{Entry, Logging, Members, Model, Origin};
+use configuration::model::{Entry, Logging, Members, Model, Origin, Rollout};
 use configuration::schema::Takes;
 use configuration::source::Sources;
 use configuration::value;
@@ -69,6 +69,10 @@
     /// section `members`.
     pub members: Option<Members>,
     pub member_keys: Option<peers::Keys>,
+    /// How new operators' files reach the fleet.
+    pub rollout: Option<Rollout>,
+    /// The operators' file that was read.
+    pub operators: Option<PathBuf>,
     /// The end is announced to the balancers first.
     pub announce_end: bool,
     /// Networks of balancers that only check, and of those that name their clients first.
@@ -411,6 +415,8 @@
         balancers: operators::balancers(&model),
         members: model.members.clone(),
         member_keys,
+        rollout: model.rollout.clone(),
+        operators: variable("LB_OPERATORS").filter(|path| !path.is_empty()).map(PathBuf::from),
         announce_end: model.announce_end,
         checks: model.balancers.iter().flat_map(|b| b.networks.clone()).collect(),
         proxy_from: model.listeners.iter().flat_map(|l| l.proxy_from.clone()).collect(),
--- a/crates/leverproxy/src/members.rs
+++ b/crates/leverproxy/src/members.rs
@@ -259,6 +259,11 @@
         self.core.view(now.saturating_duration_since(self.origin))
     }
 
+    /// The roster: names with their regions.
+    pub fn regions(&self) -> Vec<(String, String)> {
+        self.stated.roster.iter().map(|m| (m.name.clone(), m.region.clone())).collect()
+    }
+
     /// It has been told to end, or serves after all.
     pub fn serves(&mut self, serving: bool, now: Instant) {
         if self.serving != serving {
--- a/crates/leverproxy/src/operate.rs
+++ b/crates/leverproxy/src/operate.rs
@@ -2,6 +2,7 @@
 
 use crate::net::{self, Filled, Stream};
 use crate::reactor::{Interest, Key, Reactor, Slots, Token};
+use ::rollout::Hash;
 use std::io;
 use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
@@ -12,6 +13,18 @@
     Drain,
     Undrain,
     Status,
+    Rollout(Said),
+}
+
+/// Of a rollout.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Said {
+    Propose(Hash),
+    /// The same, though it was halted before.
+    Resume(Hash),
+    Halt,
+    Return,
+    Status,
 }
 
 /// At once; who has more to say waits.
@@ -76,7 +89,7 @@
             Some("drain") => Some(Word::Drain),
             Some("undrain") => Some(Word::Undrain),
             Some("status") => Some(Word::Status),
-            Some(_) => None,
+            Some(line) => line.strip_prefix("rollout ").and_then(crate::rollout::said).map(Word::Rollout),
             None if filled == Filled::Ended || input.len() >= LINE_LIMIT => {
                 self.peers.remove(key);
                 return None;
@@ -89,7 +102,7 @@
         }
         peer.answered = true;
         if word.is_none() {
-            self.answer(key, "error: the words are drain, undrain and status\n");
+            self.answer(key, "error: the words are drain, undrain, status and rollout (propose HASH, resume HASH, halt, return, status)\n");
         }
         word.map(|word| (key, word))
     }
--- a/crates/leverproxy/src/proxy.rs
+++ b/crates/leverproxy/src/proxy.rs
@@ -11,8 +11,9 @@
 use crate::monitor::{self, Monitor, Usage};
 use crate::operate::{Operate, Word};
 use crate::reactor::{Interest, Key, Reactor, Ready, Timers, Token};
-use crate::reload::Reloads;
+use crate::reload::{Ask, Reloads};
 use crate::request::shown;
+use crate::rollout::Rollout;
 use crate::stages::steer::Rules;
 use crate::stages::{Chain, Sides, Timer};
 use crate::takeover::{self, Elder, Estate, Said, Takeover};
@@ -22,6 +23,7 @@
 use mountshift_settings::Decoded;
 use std::io;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::time::{Duration, Instant};
 use wire_admin::{Answer, Call, Figures, Status};
 
@@ -51,6 +53,8 @@
     fixed: Fixed,
     /// The other proxies of the fleet, where the operators' file names them.
     members: Option<Members>,
+    /// How new versions of the operators' file reach it.
+    rollout: Option<Rollout>,
     seed: u64,
 }
 
@@ -151,7 +155,15 @@
             Members::join(stated, config.member_keys, &fixed.name, start, config.seed, now, &sides.reactor)
         });
         let members = members.transpose().map_err(|e| io::Error::new(io::ErrorKind::InvalidInput, e))?;
+        let rollout = config.rollout.filter(|_| members.is_some());
+        let rollout = rollout.map(|stated| {
+            Rollout::begin(stated, &fixed.name, config.operators.as_deref(), clock::unix_ms(), now)
+        });
+        if rollout.is_some() {
+            sides.timers.set(now, Timer::Rollout);
+        }
         let proxy = Proxy {
+            rollout,
             sides,
             members,
             seed: config.seed,
@@ -338,6 +350,7 @@
                 }
                 self.sides.timers.set(now + monitor::LOOK, Timer::Load);
             }
+            Timer::Rollout => self.look_at_rollout(now),
             Timer::Drain => self.drain(drain::Event::Tick, now),
             Timer::Members(token) => {
                 if let Some(members) = &mut self.members {
@@ -369,11 +382,52 @@
                 },
             }
         }
-        while let Some(read) = self.reloads.as_mut().and_then(Reloads::ended) {
-            self.reload(read, now);
+        while let Some((ask, read)) = self.reloads.as_mut().and_then(Reloads::ended) {
+            let result = match ask {
+                Ask::Again => {
+                    _ = self.reload(read, now);
+                    continue;
+                }
+                Ask::Check(hash, _) => {
+                    (hash, read.map_err(|e| e.to_string()).and_then(|config| self.fits(&config)))
+                }
+                Ask::Run(hash, _) => (hash, self.reload(read, now)),
+            };
+            if let (Some(rollout), Some(members)) = (&mut self.rollout, &mut self.members) {
+                let asks = rollout.read(result.0, result.1, members, &self.chain.counters, now);
+                self.ask(asks);
+            }
+        }
+    }
+
+    /// Whether a file could take the place of the one that runs: it must not take this proxy out of the fleet.
+    fn fits(&self, config: &Config) -> Result<(), String> {
+        let missing = |what: &str| Err(format!("it has no section {what}: include the host's own file"));
+        match (&config.members, &config.rollout) {
+            (None, _) => missing("members"),
+            (_, None) => missing("rollout"),
+            _ => mountshift_settings::succeed(&self.platform, config.platform.clone())
+                .map(|_| ())
+                .map_err(|error| format!("settings.{error}")),
         }
     }
 
+    fn ask(&mut self, asks: Vec<Ask>) {
+        for ask in asks {
+            match &mut self.reloads {
+                Some(reloads) => reloads.ask(ask),
+                None => log::warn!("rollout: the configuration has no source here"),
+            }
+        }
+    }
+
+    fn look_at_rollout(&mut self, now: Instant) {
+        let (Some(rollout), Some(members)) = (&mut self.rollout, &mut self.members) else { return };
+        let asks = rollout.look(members, &self.chain.counters, now);
+        self.sides.timers.set(now + rollout.period(), Timer::Rollout);
+        self.ask(asks);
+    }
+
     fn usage(&self) -> Usage {
         let Sides { front, upstream, .. } = &self.sides;
         Usage {
@@ -387,10 +441,24 @@
     }
 
     fn operate(&mut self, key: crate::reactor::Key, word: Word, now: Instant) {
+        if let Word::Rollout(said) = word {
+            let text = match (&mut self.rollout, &mut self.members) {
+                (Some(rollout), Some(members)) => {
+                    let (text, asks) = rollout.told(said, members, &self.chain.counters, now);
+                    self.ask(asks);
+                    text
+                }
+                _ => "error: the operators' file has no section rollout\n".to_owned(),
+            };
+            if let Some(operate) = &mut self.sides.operate {
+                operate.answer(key, &text);
+            }
+            return;
+        }
         let event = match word {
             Word::Drain => Some(drain::Event::Drain),
             Word::Undrain => Some(drain::Event::Undrain),
-            Word::Status => None,
+            Word::Status | Word::Rollout(_) => None,
         };
         if let Some(event) = event {
             log::info!(word:? = word; "told by an operator");
@@ -507,6 +575,9 @@
         if let Some(members) = &self.members {
             members.figures(now, &mut figures);
         }
+        if let Some(rollout) = &self.rollout {
+            rollout.figures(&mut figures);
+        }
         figures.answer()
     }
 
@@ -523,7 +594,7 @@
     /// What is to be asked for the configuration when it has changed. It is asked on a thread of its own.
     pub fn reread_with(
         &mut self,
-        reread: impl FnMut() -> Result<Config, ConfigError> + Send + 'static,
+        reread: impl FnMut(Option<&Path>) -> Result<Config, ConfigError> + Send + 'static,
     ) -> io::Result<()> {
         self.reloads = Some(Reloads::new(Box::new(reread), self.wishes.waker()?));
         Ok(())
@@ -531,7 +602,7 @@
 
     /// Takes over the configuration as it was read, while requests, connections and what the module knows stay. A
     /// faulty one changes nothing.
-    fn reload(&mut self, read: Result<Config, ConfigError>, now: Instant) {
+    fn reload(&mut self, read: Result<Config, ConfigError>, now: Instant) -> Result<(), String> {
         let config = match read {
             Ok(config) => config,
             Err(error) => {
@@ -539,7 +610,8 @@
                 for fault in &error.faults {
                     log::error!("configuration: {fault}");
                 }
-                return log::error!("{error}; the configuration stays as it was");
+                log::error!("{error}; the configuration stays as it was");
+                return Err(error.to_string());
             }
         };
         let begun = Instant::now();
@@ -548,7 +620,8 @@
             Ok(succession) => succession,
             Err(error) => {
                 self.chain.counters.reloads_failed += 1;
-                return log::error!("configuration: settings.{error}; the configuration stays as it was");
+                log::error!("configuration: settings.{error}; the configuration stays as it was");
+                return Err(format!("settings.{error}"));
             }
         };
         self.chain.counters.reloads += 1;
@@ -584,6 +657,7 @@
                 log::warn!(key; "configuration: {key}: a change of it counts from the next start");
             }
         }
+        Ok(())
     }
 
     /// The fleet as the file now states it: joined, left, or with another roster. What waits for the next start.
--- a/crates/leverproxy/src/reload.rs
+++ b/crates/leverproxy/src/reload.rs
@@ -4,18 +4,32 @@
 //! One thread for all of it, which lasts from the first reload on: memory that one reload needed serves the next.
 
 use crate::config::{Config, ConfigError};
+use crate::rollout;
 use crate::stages::steer::Rules;
+use ::rollout::Hash;
 use std::io::{self, Write};
 use std::os::unix::net::UnixStream;
+use std::path::{Path, PathBuf};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::thread;
 
 type Read = Result<Config, ConfigError>;
-/// Reads the configuration again, wherever it came from.
-pub type Reread = Box<dyn FnMut() -> Read + Send>;
+/// Reads the configuration again, wherever it came from; with a path, with that as the operators' file.
+pub type Reread = Box<dyn FnMut(Option<&Path>) -> Read + Send>;
+
+/// What is to be read, and what for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Ask {
+    /// What runs now may have changed.
+    Again,
+    /// Whether a candidate could run.
+    Check(Hash, PathBuf),
+    /// A candidate, or the operators' own file, is to run.
+    Run(Hash, Option<PathBuf>),
+}
 
 enum Job {
-    Read,
+    Read(Ask),
     /// Taking apart what is large takes long.
     Drop(Box<Rules>),
 }
@@ -27,7 +41,7 @@
     /// Until the thread has it.
     reread: Option<(Reread, UnixStream)>,
     jobs: Option<Sender<Job>>,
-    ended: Option<Receiver<Read>>,
+    ended: Option<Receiver<(Ask, Read)>>,
     under_way: usize,
 }
 
@@ -38,13 +52,17 @@
     }
 
     pub fn begin(&mut self) {
-        if self.under_way >= UNDER_WAY {
-            return;
+        if self.under_way < UNDER_WAY {
+            self.ask(Ask::Again);
         }
+    }
+
+    /// A version of a rollout. There are few: one check and one run for each proposal.
+    pub fn ask(&mut self, ask: Ask) {
         if let Err(error) = self.start() {
             return log::error!("the configuration can't be reread: {error}");
         }
-        if self.jobs.as_ref().is_some_and(|jobs| jobs.send(Job::Read).is_ok()) {
+        if self.jobs.as_ref().is_some_and(|jobs| jobs.send(Job::Read(ask)).is_ok()) {
             self.under_way += 1;
         }
     }
@@ -53,12 +71,22 @@
         let Some((mut reread, mut waker)) = self.reread.take() else { return Ok(()) };
         let (send, jobs) = channel();
         let (done, ended) = channel();
+        let mut running = None;
         let work = move || {
             for job in jobs {
                 match job {
                     Job::Drop(rules) => drop(rules),
-                    Job::Read => {
-                        if done.send(reread()).is_err() {
+                    Job::Read(ask) => {
+                        let read = match &ask {
+                            Ask::Again => reread(running.as_deref()),
+                            Ask::Check(hash, folder) => {
+                                rollout::find(folder, hash).and_then(|path| reread(Some(&path)))
+                            }
+                            Ask::Run(_, None) => reread(None).inspect(|_| running = None),
+                            Ask::Run(hash, Some(folder)) => rollout::find(folder, hash)
+                                .and_then(|path| reread(Some(&path)).inspect(|_| running = Some(path))),
+                        };
+                        if done.send((ask, read)).is_err() {
                             return;
                         }
                         // A full socket wakes the loop as well as one more byte would.
@@ -73,7 +101,7 @@
     }
 
     /// What was read, once it is there.
-    pub fn ended(&mut self) -> Option<Read> {
+    pub fn ended(&mut self) -> Option<(Ask, Read)> {
         let read = self.ended.as_ref()?.try_recv().ok()?;
         self.under_way = self.under_way.saturating_sub(1);
         Some(read)
--- /dev/null
+++ b/crates/leverproxy/src/rollout.rs
@@ -0,0 +1,355 @@
+//! New versions of the operators' file, between the fleet and the reload: what others say comes from `members`, what
+//! runs goes through `reload`, and which version runs is `rollout`'s to say.
+
+use crate::config::ConfigError;
+use crate::counters::Counters;
+use crate::members::Members;
+use crate::operate::Said;
+use crate::operators::Disk;
+use crate::reload::Ask;
+use configuration::load::{Loader, FILE_LIMIT};
+use configuration::model::Rollout as Stated;
+use membership::{Act, Status as Heard};
+use rollout::{
+    Action, Class, Config, Core, Event, Hash, Limits, Look, Peer, Phase, Ready, Told, Verdict, KINDS,
+};
+use sha2::{Digest, Sha256};
+use std::collections::BTreeSet;
+use std::fmt::Write;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+use wire_admin::Figures;
+
+/// The first of the kinds of facts that are this room's.
+const KIND: u8 = 20;
+/// What a proxy says of a rollout holds for so many periods, and no less than that.
+const LASTS_PERIODS: u32 = 10;
+const LASTS_LEAST: Duration = Duration::from_secs(5);
+/// Files of a directory of candidates that are looked at.
+const FILES: usize = 256;
+const STATE_FILE: &str = "rollout.state";
+/// A state file is far smaller.
+const STATE_LIMIT: u64 = 16 << 10;
+
+pub struct Rollout {
+    stated: Stated,
+    core: Core,
+    name: String,
+    /// The operators' own file, as it was at the start.
+    base: Hash,
+    origin: Instant,
+    refused: Option<String>,
+    runs_failed: u64,
+}
+
+pub fn hex(hash: &Hash) -> String {
+    hash.iter().fold(String::new(), |mut text, byte| {
+        // Writing to a string does not fail.
+        _ = write!(text, "{byte:02x}");
+        text
+    })
+}
+
+fn unhex(text: &str) -> Option<Hash> {
+    let digits = text.as_bytes();
+    if digits.len() != 64 || !digits.iter().all(u8::is_ascii_hexdigit) {
+        return None;
+    }
+    let mut hash = [0; 32];
+    for (byte, at) in hash.iter_mut().zip((0..64).step_by(2)) {
+        *byte = u8::from_str_radix(text.get(at..at + 2)?, 16).ok()?;
+    }
+    Some(hash)
+}
+
+/// The hash of what an operator names: the hash itself, or a file.
+pub fn version(text: &str) -> Result<String, String> {
+    if unhex(text).is_some() {
+        return Ok(text.to_ascii_lowercase());
+    }
+    of_file(Path::new(text))
+        .map(|hash| hex(&hash))
+        .map_err(|e| format!("{text} is no hash, and as a file: {e}"))
+}
+
+fn of_file(path: &Path) -> Result<Hash, String> {
+    let bytes = Disk.read(path)?;
+    if bytes.len() > FILE_LIMIT {
+        return Err(format!("it has more than {FILE_LIMIT} bytes"));
+    }
+    Ok(Sha256::digest(&bytes).into())
+}
+
+/// What an operator says over the control socket.
+pub fn said(line: &str) -> Option<Said> {
+    let mut words = line.split_whitespace();
+    let said = match (words.next()?, words.next()) {
+        ("propose", Some(hash)) => Said::Propose(unhex(hash)?),
+        ("resume", Some(hash)) => Said::Resume(unhex(hash)?),
+        ("halt", None) => Said::Halt,
+        ("return", None) => Said::Return,
+        ("status", None) => Said::Status,
+        _ => return None,
+    };
+    words.next().is_none().then_some(said)
+}
+
+/// The candidate of that hash. Read beside the loop.
+pub fn find(folder: &Path, hash: &Hash) -> Result<PathBuf, ConfigError> {
+    let fault = |problem: String| ConfigError::new("rollout.candidates", problem);
+    let place = folder.display();
+    let mut names = Disk.names(folder).map_err(|e| fault(format!("{place} can't be read: {e}")))?;
+    names.sort();
+    let paths = names.iter().take(FILES).map(|name| folder.join(name));
+    let found = paths.into_iter().find(|path| of_file(path).is_ok_and(|h| h == *hash));
+    found.ok_or_else(|| fault(format!("{place} has no file of the hash {}: place it there", hex(hash))))
+}
+
+impl Rollout {
+    /// `start`: Unix milliseconds of this process's start; `operators`: the file that it runs.
+    pub fn begin(stated: Stated, name: &str, operators: Option<&Path>, start: u64, now: Instant) -> Rollout {
+        let base = operators.and_then(|path| of_file(path).ok()).unwrap_or_default();
+        let stored = stated.state.as_deref().and_then(load);
+        let limits = Limits {
+            least_harm: stated.least_harm,
+            error: stated.error,
+            soak: stated.soak,
+            window_least: stated.window_least,
+            stage_least: stated.stage_least,
+            fresh: stated.period * LASTS_PERIODS,
+        };
+        let lasts = (stated.period * LASTS_PERIODS).max(LASTS_LEAST);
+        let config = Config { name: name.to_owned(), start, base, limits, dark: stated.dark, lasts, stored };
+        Rollout {
+            core: Core::new(config, Duration::ZERO),
+            name: name.to_owned(),
+            base,
+            origin: now,
+            refused: None,
+            runs_failed: 0,
+            stated,
+        }
+    }
+
+    pub fn period(&self) -> Duration {
+        self.stated.period
+    }
+
+    pub fn look(&mut self, members: &mut Members, counters: &Counters, now: Instant) -> Vec<Ask> {
+        let event = Event::Look(self.sight(members, counters, now));
+        self.handle(event, members, now)
+    }
+
+    fn sight(&self, members: &Members, counters: &Counters, now: Instant) -> Look {
+        let view = members.view(now);
+        let regions = members.regions();
+        let mut peers: Vec<Peer> = regions
+            .iter()
+            .map(|(name, region)| Peer {
+                name: name.clone(),
+                region: region.clone(),
+                start: None,
+                heard: *name == self.name,
+                left: false,
+            })
+            .collect();
+        for sight in view.members {
+            if let Some(peer) = peers.iter_mut().find(|p| p.name == sight.name) {
+                peer.start = sight.start;
+                peer.heard = matches!(sight.status, Heard::Alive | Heard::Suspect);
+                peer.left = sight.status == Heard::Left;
+            }
+        }
+        let may = |region: &&String| members.allowed(Act::Promote, Some(region), now).is_ok();
+        let names: BTreeSet<&String> = regions.iter().map(|(_, region)| region).collect();
+        let promote = names.into_iter().filter(may).cloned().collect();
+        let told = |kind: u8| {
+            members.facts(KIND + kind, now).into_iter().map(move |fact| Told {
+                source: fact.source,
+                start: fact.start,
+                kind,
+                body: fact.body,
+            })
+        };
+        let counts = counters.requests().map(|(class, [(_, served), (_, refused), (_, failed)])| Class {
+            class: membership::number(class),
+            asked: served + refused + failed,
+            lost: refused + failed,
+        });
+        Look { peers, promote, facts: (0..KINDS).flat_map(told).collect(), counts: counts.collect() }
+    }
+
+    /// What came of reading a version.
+    pub fn read(
+        &mut self,
+        hash: Hash,
+        result: Result<(), String>,
+        members: &mut Members,
+        counters: &Counters,
+        now: Instant,
+    ) -> Vec<Ask> {
+        if let Err(why) = &result {
+            self.runs_failed += 1;
+            log::error!("rollout: {} can't run here: {why}", hex(&hash));
+        }
+        let mut asks = self.handle(Event::Ready(hash, result), members, now);
+        asks.extend(self.look(members, counters, now));
+        asks
+    }
+
+    pub fn told(
+        &mut self,
+        said: Said,
+        members: &mut Members,
+        counters: &Counters,
+        now: Instant,
+    ) -> (String, Vec<Ask>) {
+        let mut asks = self.look(members, counters, now);
+        let propose = |hash, again, stated: &Stated, members: &Members| {
+            let mut order = stated.order.clone();
+            if order.is_empty() {
+                let regions: BTreeSet<String> = members.regions().into_iter().map(|(_, r)| r).collect();
+                order = regions.into_iter().collect();
+            }
+            Event::Propose { hash, order, canary: stated.canary, again }
+        };
+        let event = match said {
+            Said::Propose(hash) => Some(propose(hash, false, &self.stated, members)),
+            Said::Resume(hash) => Some(propose(hash, true, &self.stated, members)),
+            Said::Halt => Some(Event::Halt),
+            Said::Return => Some(Event::Return),
+            Said::Status => None,
+        };
+        if let Some(event) = event {
+            log::info!(said:?; "rollout: told by an operator");
+            asks.extend(self.handle(event, members, now));
+        }
+        match self.refused.take() {
+            Some(why) => (format!("error: {why}\n"), asks),
+            None => (self.lines(), asks),
+        }
+    }
+
+    fn handle(&mut self, event: Event, members: &mut Members, now: Instant) -> Vec<Ask> {
+        let (mut actions, mut asks) = (Vec::new(), Vec::new());
+        self.core.handle(now.saturating_duration_since(self.origin), event, &mut actions);
+        let folder =
+            |hash: &Hash, base: &Hash, stated: &Stated| (hash != base).then(|| stated.candidates.clone());
+        for action in actions {
+            match action {
+                Action::Say(kind, body, lasts) => members.say(KIND + kind, Vec::new(), body, lasts, now),
+                Action::Check(hash) => asks.push(Ask::Check(hash, self.stated.candidates.clone())),
+                Action::Run(hash) => {
+                    log::warn!("rollout: {} is to run here", hex(&hash));
+                    asks.push(Ask::Run(hash, folder(&hash, &self.base, &self.stated)));
+                }
+                Action::Save(bytes) => self.save(&bytes),
+                Action::Phase(phase) => log::warn!("rollout: {}", words(phase)),
+                Action::Refused(why) => self.refused = Some(why.to_string()),
+            }
+        }
+        asks
+    }
+
+    /// It is small and rare. One that can't be kept is heard from the others after a restart.
+    fn save(&self, bytes: &[u8]) {
+        let Some(folder) = &self.stated.state else { return };
+        let (next, path) = (folder.join("rollout.next"), folder.join(STATE_FILE));
+        let kept = std::fs::write(&next, bytes).and_then(|()| std::fs::rename(&next, &path));
+        if let Err(error) = kept {
+            log::error!(
+                "rollout: {} can't be written: {error}; a restart would not know of it",
+                path.display()
+            );
+        }
+    }
+
+    pub fn lines(&self) -> String {
+        let status = self.core.status();
+        let mut text = format!("rollout {}\n  runs {}\n", words(status.phase), hex(&status.runs));
+        // Writing to a string does not fail.
+        if let Some(p) = &status.proposal {
+            let order = p.order.join(", then ");
+            _ = writeln!(text, "  version {} epoch {} by {}: {order}", hex(&p.hash), p.epoch, p.proposer);
+        }
+        if let Some(halted) = &status.halted {
+            _ = writeln!(text, "  halted by {}: {}", halted.by, halted.why.text());
+        }
+        let evidence = match status.verdict {
+            Verdict::Harm(why) => why.text(),
+            Verdict::Clean => "no harm",
+            Verdict::Soaking => "soaking, nothing shown yet",
+            Verdict::TooLittle => "too little traffic, or not on both versions: waiting",
+            Verdict::Doubtful => "a sign of harm, not shown: waiting",
+        };
+        let (windows, harm, safe) = (status.windows, status.harm, status.safe);
+        _ = writeln!(
+            text,
+            "  evidence {evidence}; {windows} windows, wealth {harm:.2} for harm, {safe:.2} against"
+        );
+        for (name, word) in &status.members {
+            let runs = if word.new { "new" } else { "former" };
+            let ready = match &word.ready {
+                Ready::NotYet => "has not looked at it yet".to_owned(),
+                Ready::Yes => "can run it".to_owned(),
+                Ready::Cannot(why) => format!("cannot run it: {why}"),
+            };
+            _ = writeln!(text, "  member {name} runs {runs}, votes for {} stages, {ready}", word.votes);
+        }
+        text
+    }
+
+    pub fn figures(&self, figures: &mut Figures) {
+        let status = self.core.status();
+        let phases = ["idle", "proposed", "canary", "region", "whole", "halted", "returned"];
+        let is = short(status.phase);
+        let phase = phases.map(|name| (vec![("phase", name)], u64::from(name == is)));
+        figures.many("lb_rollout_phase", "How far the rollout has come.", phase);
+        let new = status.proposal.as_ref().is_some_and(|p| p.hash == status.runs);
+        let stage = match status.phase {
+            Phase::Region(at) => at as u64 + 1,
+            _ => 0,
+        };
+        let ready = status.members.iter().find(|(name, _)| *name == self.name).map(|(_, word)| &word.ready);
+        let unable = status.members.iter().filter(|(_, w)| matches!(w.ready, Ready::Cannot(_))).count();
+        for (name, help, value) in [
+            ("lb_rollout_epoch", "Of the proposal.", status.proposal.as_ref().map_or(0, |p| p.epoch)),
+            ("lb_rollout_region", "The region that it has come to, from 1.", stage),
+            ("lb_rollout_new", "Whether the new version runs here.", u64::from(new)),
+            ("lb_rollout_can_run", "Whether it could run here.", u64::from(ready == Some(&Ready::Yes))),
+            ("lb_rollout_cannot_run", "Proxies that say they can't run it.", unable as u64),
+            ("lb_rollout_windows_total", "Comparisons of both versions.", status.windows),
+            ("lb_rollout_superseded_total", "Proposals that gave way to another.", status.superseded),
+            ("lb_rollout_malformed_total", "Facts that could not be read.", status.malformed),
+            ("lb_rollout_runs_failed_total", "Versions that could not be read here.", self.runs_failed),
+        ] {
+            figures.one(name, help, value);
+        }
+    }
+}
+
+fn load(folder: &Path) -> Option<Vec<u8>> {
+    let path = folder.join(STATE_FILE);
+    let fits = std::fs::metadata(&path).ok()?.len() <= STATE_LIMIT;
+    fits.then(|| std::fs::read(&path).ok()).flatten()
+}
+
+fn short(phase: Phase) -> &'static str {
+    match phase {
+        Phase::Idle => "idle",
+        Phase::Proposed => "proposed",
+        Phase::Canary => "canary",
+        Phase::Region(_) => "region",
+        Phase::Whole => "whole",
+        Phase::Halted(_) => "halted",
+        Phase::Returned => "returned",
+    }
+}
+
+fn words(phase: Phase) -> String {
+    match phase {
+        Phase::Region(at) => format!("in region {}", at + 1),
+        Phase::Halted(why) => format!("halted: {}", why.text()),
+        phase => short(phase).to_owned(),
+    }
+}
--- a/crates/leverproxy/src/stages/mod.rs
+++ b/crates/leverproxy/src/stages/mod.rs
@@ -46,6 +46,8 @@
     Drain,
     /// Of the members of the fleet, by token.
     Members(u64),
+    /// A rollout is looked at.
+    Rollout,
 }
 
 /// The sides that the chain works on.
--- a/crates/rollout/src/machine.rs
+++ b/crates/rollout/src/machine.rs
@@ -110,7 +110,6 @@
     /// What an earlier process left. How far it had come counts as its votes only: it runs nothing new before it has
     /// seen a quorum again.
     pub(crate) fn restore(&mut self, stored: words::Stored) {
-        self.base = stored.base;
         if guard!(self, Remembers) {
             self.halts = stored.halts;
         }
