--- a/crates/leverproxy/src/proxy.rs
+++ b/crates/leverproxy/src/proxy.rs
@@ -415,7 +415,7 @@
     fn ask(&mut self, asks: Vec<Ask>) {
         for ask in asks {
             match &mut self.reloads {
-                Some(reloads) => reloads.ask(ask),
+                Some(reloads) => _ = reloads.ask(ask),
                 None => log::warn!("rollout: the configuration has no source here"),
             }
         }
--- a/crates/leverproxy/src/reload.rs
+++ b/crates/leverproxy/src/reload.rs
@@ -52,19 +52,18 @@
     }
 
     pub fn begin(&mut self) {
-        if self.under_way < UNDER_WAY {
-            self.ask(Ask::Again);
+        if self.under_way < UNDER_WAY && self.ask(Ask::Again) {
+            self.under_way += 1;
         }
     }
 
-    /// A version of a rollout. There are few: one check and one run for each proposal.
-    pub fn ask(&mut self, ask: Ask) {
+    /// A version of a rollout. There are few: a check and a run for each proposal.
+    pub fn ask(&mut self, ask: Ask) -> bool {
         if let Err(error) = self.start() {
-            return log::error!("the configuration can't be reread: {error}");
-        }
-        if self.jobs.as_ref().is_some_and(|jobs| jobs.send(Job::Read(ask)).is_ok()) {
-            self.under_way += 1;
+            log::error!("the configuration can't be reread: {error}");
+            return false;
         }
+        self.jobs.as_ref().is_some_and(|jobs| jobs.send(Job::Read(ask)).is_ok())
     }
 
     fn start(&mut self) -> io::Result<()> {
@@ -103,7 +102,7 @@
     /// What was read, once it is there.
     pub fn ended(&mut self) -> Option<(Ask, Read)> {
         let read = self.ended.as_ref()?.try_recv().ok()?;
-        self.under_way = self.under_way.saturating_sub(1);
+        self.under_way -= usize::from(read.0 == Ask::Again && self.under_way > 0);
         Some(read)
     }
 
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -49,7 +49,7 @@
     pub seed: u64,
     /// The proxy; of several builds, each proxy takes the next in turn.
     pub programs: Vec<PathBuf>,
-    /// The operators' file, the same for all.
+    /// The operators' file, the same for all but for `FOLDER`.
     pub operators: String,
     /// Proxies that tell each other of themselves by datagrams; the relays between them are opened at the start alone.
     pub members: Option<Members>,
@@ -116,6 +116,9 @@
 /// By proxy and server.
 pub type Links = rustc_hash::FxHashMap<(usize, ServerId), Link>;
 
+/// In the operators' file: the proxy's own folder.
+pub const FOLDER: &str = "{folder}";
+
 /// A machine that is busy with tests makes loops late, and a proxy says so to its balancers: no trial is about that.
 const LATE_LOOP: &str = "availability {\n lag 1s\n}\n";
 
@@ -221,7 +224,8 @@
         };
         write("config.json", config.to_string())?;
         let section = members::section(&self.setup, &self.talks, proxy, folder);
-        write("operators.conf", format!("{}\n{LATE_LOOP}{section}", self.setup.operators))?;
+        let operators = self.setup.operators.replace(FOLDER, &folder.display().to_string());
+        write("operators.conf", format!("{operators}\n{LATE_LOOP}{section}"))?;
         if let Some(members) = &self.setup.members {
             write(members::KEY_FILE, members.key_file(*seed))?;
             let owner = std::os::unix::fs::PermissionsExt::from_mode(0o600);
@@ -347,6 +351,11 @@
         Ok(pairs.filter_map(|(name, value)| Some((name.to_owned(), value.parse().ok()?))).collect())
     }
 
+    /// Where a proxy's files are.
+    pub fn folder(&self, proxy: usize) -> &std::path::Path {
+        self.proxies[proxy].folder.path()
+    }
+
     pub fn signal(&mut self, proxy: usize, signal: Signal) {
         if let Some(process) = &mut self.proxies[proxy].process {
             process.signal(signal);
--- /dev/null
+++ b/crates/rig/tests/rollout.rs
@@ -0,0 +1,163 @@
+//! New versions of the operators' file in fleets of several processes: what good ones, bad ones, cuts, deaths and missing
+//! files come to. All is read from second addresses; operators speak through the program's own words.
+
+mod common;
+use common::{answered, setup, SECOND};
+use rig::members::Members;
+use rig::{process, Rig};
+use std::process::Command;
+
+const OPERATORS: &str = "control {\n socket {folder}/control\n}\nrollout {\n candidates {folder}/candidates\n \
+                         state {folder}/candidates/state\n soak 2s\n dark 1min\n period 200ms\n window-least 3\n \
+                         stage-least 10\n}\n";
+const GOOD: &str = "include ../operators.conf\nclass any {\n tries 3\n}\n";
+const BAD: &str = "include ../operators.conf\nroute none {\n class any\n refuse 1s\n}\n";
+
+/// So many proxies: the first ones are in the first region, the last two in the second. All have the candidate.
+fn fleet(proxies: usize, candidate: &str) -> Rig {
+    let mut setup = setup(proxies, 150.0, 60 * SECOND);
+    setup.admin = true;
+    setup.operators = OPERATORS.to_owned();
+    let region = |proxy| if proxy + 2 < proxies { "east" } else { "west" }.to_owned();
+    setup.members = Some(Members { regions: (0..proxies).map(region).collect(), ..Members::default() });
+    let rig = Rig::start(setup).unwrap_or_else(|fault| panic!("{fault}"));
+    (0..proxies).for_each(|proxy| place(&rig, proxy, candidate));
+    each(&rig, 0..proxies, "lb_members_state{state=\"whole\"}", 1);
+    rig.truth.begin();
+    answered(&rig, 20);
+    rig
+}
+
+fn place(rig: &Rig, proxy: usize, candidate: &str) {
+    let folder = rig.folder(proxy).join("candidates");
+    std::fs::create_dir_all(folder.join("state")).unwrap();
+    std::fs::write(folder.join("new.conf"), candidate).unwrap();
+}
+
+/// What an operator says to a proxy.
+fn say(rig: &Rig, proxy: usize, words: &[&str]) -> String {
+    let program = process::built("leverproxy").unwrap_or_else(|fault| panic!("{fault}"));
+    let socket = rig.folder(proxy).join("control");
+    let out = Command::new(program).arg("rollout").args(words).arg("--socket").arg(socket).output().unwrap();
+    String::from_utf8_lossy(&out.stdout).into_owned() + &String::from_utf8_lossy(&out.stderr)
+}
+
+fn propose(rig: &Rig, proxy: usize) {
+    let file = rig.folder(proxy).join("candidates/new.conf");
+    let answer = say(rig, proxy, &["propose", &file.display().to_string()]);
+    assert!(answer.starts_with("rollout proposed"), "{answer}");
+}
+
+fn each(rig: &Rig, proxies: impl IntoIterator<Item = usize>, name: &str, value: u64) {
+    for proxy in proxies {
+        let seen = rig.figure_until(proxy, name, |n| n == value);
+        let status = || say(rig, proxy, &["status"]);
+        seen.unwrap_or_else(|fault| panic!("{fault}\n{}", status()));
+    }
+}
+
+fn figure(rig: &Rig, proxy: usize, name: &str) -> u64 {
+    let figures = rig.figures(proxy).unwrap_or_else(|fault| panic!("{fault}"));
+    figures.get(name).copied().unwrap_or_default()
+}
+
+fn phase(name: &str) -> String {
+    format!("lb_rollout_phase{{phase=\"{name}\"}}")
+}
+
+const NEW: &str = "lb_rollout_new";
+const REGION: &str = "lb_rollout_region";
+
+/// A good version goes through the canary and both regions to the whole, and back when an operator wants.
+#[test]
+fn a_good_version_reaches_all_and_goes_back_in_order() {
+    let rig = fleet(4, GOOD);
+    propose(&rig, 2);
+    each(&rig, 0..1, NEW, 1);
+    each(&rig, 0..4, &phase("whole"), 1);
+    each(&rig, 0..4, NEW, 1);
+    say(&rig, 1, &["return"]);
+    each(&rig, 0..4, &phase("returned"), 1);
+    each(&rig, 0..4, NEW, 0);
+}
+
+/// One that refuses a class is halted while only the canary runs it; it is not proposed again unless an operator insists.
+#[test]
+fn a_version_that_refuses_a_class_stays_in_its_first_region() {
+    let rig = fleet(4, BAD);
+    propose(&rig, 0);
+    each(&rig, 0..4, &phase("halted"), 1);
+    each(&rig, 0..4, NEW, 0);
+    let ran = (2..4).map(|proxy| figure(&rig, proxy, "lb_reloads_ok_total")).sum::<u64>();
+    assert_eq!(ran, 0, "the second region never ran it");
+    let file = rig.folder(3).join("candidates/new.conf").display().to_string();
+    assert!(say(&rig, 3, &["propose", &file]).contains("halted in epoch 1"));
+}
+
+/// The smaller side of a cut goes no further, and on when it has healed.
+#[test]
+fn a_minority_does_not_promote() {
+    let rig = fleet(5, GOOD);
+    propose(&rig, 4);
+    each(&rig, 0..5, &phase("canary"), 1);
+    rig.part(&[&[0, 1, 2], &[3, 4]]);
+    each(&rig, 0..3, REGION, 1);
+    each(&rig, 3..5, "lb_members_state{state=\"minority\"}", 1);
+    assert_eq!((figure(&rig, 3, NEW), figure(&rig, 4, NEW)), (0, 0));
+    rig.heal_talk();
+    each(&rig, 0..5, &phase("whole"), 1);
+}
+
+/// A halt that a minority says while the majority promotes wins as soon as it is heard.
+#[test]
+fn a_halt_on_one_side_wins_over_votes_on_the_other() {
+    let rig = fleet(5, GOOD);
+    propose(&rig, 0);
+    each(&rig, 0..5, &phase("canary"), 1);
+    rig.part(&[&[0, 1, 2], &[3, 4]]);
+    say(&rig, 3, &["halt"]);
+    each(&rig, 0..3, REGION, 1);
+    each(&rig, 0..3, NEW, 1);
+    rig.heal_talk();
+    each(&rig, 0..5, &phase("halted"), 1);
+    each(&rig, 0..5, NEW, 0);
+}
+
+/// A host without the file stops the promotion to its region, says so, and goes on when it has the file.
+#[test]
+fn a_file_that_is_missing_on_a_host_stops_there() {
+    let rig = fleet(4, GOOD);
+    place(&rig, 3, "route broken {\n");
+    propose(&rig, 0);
+    each(&rig, 0..4, "lb_rollout_cannot_run", 1);
+    each(&rig, 0..2, REGION, 1);
+    assert!(say(&rig, 0, &["status"]).contains("member n3 runs former, votes for 2 stages, cannot run it"));
+    place(&rig, 3, GOOD);
+    each(&rig, 0..4, &phase("whole"), 1);
+}
+
+/// All die in mid-stage and start again: the rollout goes on from what was kept.
+#[test]
+fn a_restart_of_all_goes_on() {
+    let mut rig = fleet(4, GOOD);
+    propose(&rig, 1);
+    each(&rig, 0..4, REGION, 1);
+    (0..4).for_each(|proxy| rig.kill(proxy));
+    (0..4).for_each(|proxy| rig.restart(proxy).unwrap_or_else(|fault| panic!("{fault}")));
+    each(&rig, 0..4, &phase("whole"), 1);
+    each(&rig, 0..4, NEW, 1);
+}
+
+/// One that was dead while the version was halted does not run it when it comes back.
+#[test]
+fn a_late_one_does_not_run_what_was_halted() {
+    let mut rig = fleet(4, GOOD);
+    propose(&rig, 0);
+    each(&rig, 0..1, NEW, 1);
+    rig.kill(0);
+    say(&rig, 1, &["halt"]);
+    each(&rig, 1..4, &phase("halted"), 1);
+    rig.restart(0).unwrap_or_else(|fault| panic!("{fault}"));
+    each(&rig, 0..4, &phase("halted"), 1);
+    assert_eq!(figure(&rig, 0, "lb_reloads_ok_total"), 0);
+}
--- a/crates/rollout/src/core.rs
+++ b/crates/rollout/src/core.rs
@@ -141,7 +141,7 @@
     from: Vec<Class>,
     runs: Hash,
     phase: Phase,
-    checked: Option<(u64, Hash)>,
+    checked: Option<(u64, Hash, Duration)>,
     judged: Option<(u64, Hash, u8)>,
     saved: Vec<u8>,
     said: BTreeMap<u8, (Duration, Vec<u8>)>,
@@ -272,7 +272,7 @@
         self.begin(now);
         let after = self.judged.map(|(epoch, hash, _)| (epoch, hash));
         self.superseded += u64::from(under_way && before.is_some() && before != after);
-        self.act(actions);
+        self.act(now, actions);
         self.tell(now, actions);
     }
 
@@ -329,17 +329,22 @@
         found
     }
 
-    fn act(&mut self, actions: &mut Vec<Action>) {
+    fn act(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let phase = self.machine.phase();
         if phase != self.phase {
             self.phase = phase;
             actions.push(Action::Phase(phase));
         }
         if let Some(current) = self.machine.current() {
-            let key = (current.proposal.epoch, current.proposal.hash);
-            if self.checked != Some(key) {
-                self.checked = Some(key);
-                actions.push(Action::Check(key.1));
+            let (epoch, hash) = (current.proposal.epoch, current.proposal.hash);
+            let unable = matches!(current.ready, Ready::Cannot(_));
+            // A file that was missing may have been placed since.
+            let known = self.checked.is_some_and(|(e, h, at)| {
+                (e, h) == (epoch, hash) && !(unable && now.saturating_sub(at) >= self.config.lasts)
+            });
+            if !known {
+                self.checked = Some((epoch, hash, now));
+                actions.push(Action::Check(hash));
             }
         }
         let stored = words::encode(&self.machine.stored());
