Rollouts compare proxies of one region; one of each stays behind until the whole

A canary compared with other regions is blamed for what those differ in. New and old are now compared within each region, and one proxy of each region keeps the former file until the whole, so that there is something to compare with. Only where no region has both are they pooled.

--- a/crates/rollout/src/core.rs
+++ b/crates/rollout/src/core.rs
@@ -250,6 +250,8 @@
         let epoch = mine.epoch;
         let of_now = said.into_iter().filter(|(name, _, c)| *name != me && c.epoch == epoch);
         let all = of_now.chain([(me.as_str(), start, mine.clone())]);
+        let region = |name: &str| self.look.peers.iter().find(|p| p.name == name).map(|p| p.region.as_str());
+        let all = all.filter_map(|(name, start, counts)| Some((name, region(name)?, start, counts)));
         self.evidence.look(now, all);
         self.verdict = match self.watch(now) {
             Some(why) => Verdict::Harm(why),
--- a/crates/rollout/src/evidence.rs
+++ b/crates/rollout/src/evidence.rs
@@ -61,16 +61,19 @@
 /// What has come of one side since the last bet, by proxy.
 type Side = BTreeMap<String, Class>;
 
+/// Old and new.
+type Sides = [Side; 2];
+
 #[derive(Clone, Debug, Default)]
 struct Series {
     harm: Bettor,
-    old: Side,
-    new: Side,
+    /// By region: what regions differ in is no harm of a version, so that proxies of one are compared.
+    regions: BTreeMap<String, Sides>,
 }
 
 impl Series {
-    fn add(&mut self, who: &str, new: bool, more: Class) {
-        let side = if new { &mut self.new } else { &mut self.old };
+    fn add(&mut self, (who, region): (&str, &str), new: bool, more: Class) {
+        let side = &mut self.regions.entry(region.to_owned()).or_default()[usize::from(new)];
         let sum = side.entry(who.to_owned()).or_default();
         sum.asked += more.asked;
         sum.lost += more.lost;
@@ -78,17 +81,39 @@
 
     /// The difference, once enough has been asked of both sides. That depends on what was asked, never on what was lost.
     fn window(&mut self, least: u64) -> Option<f64> {
-        let asked = |side: &Side| side.values().map(|c| c.asked).sum::<u64>();
-        if asked(&self.old) < least.max(1) || asked(&self.new) < least.max(1) {
+        let both = |sides: &&Sides| sides.iter().all(|side| asked(side) > 0);
+        let mut strata: Vec<Sides> = self.regions.values().filter(both).cloned().collect();
+        if strata.is_empty() {
+            // Regions of one proxy each: there is nothing else to compare with.
+            let mut all = Sides::default();
+            for (sides, sum) in self.regions.values().flat_map(|sides| sides.iter().zip(0..)) {
+                let more = sides.iter().map(|(name, class)| (name.clone(), *class));
+                if let Some(all) = all.get_mut::<usize>(sum) {
+                    all.extend(more);
+                }
+            }
+            strata.push(all);
+        }
+        if [0, 1].iter().any(|&side| strata.iter().map(|s| asked(&s[side])).sum::<u64>() < least.max(1)) {
             return None;
         }
-        let difference = rate(&self.new) - rate(&self.old);
-        (self.old, self.new) = (Side::new(), Side::new());
+        let (mut weights, mut sum) = (0.0, 0.0);
+        for [old, new] in &strata {
+            let weight = asked(old).min(asked(new)) as f64;
+            weights += weight;
+            sum += weight * (rate(new) - rate(old));
+        }
+        self.regions.clear();
+        let difference = sum / f64::max(weights, 1.0);
         self.harm.bet(difference);
         Some(difference)
     }
 }
 
+fn asked(side: &Side) -> u64 {
+    side.values().map(|c| c.asked).sum()
+}
+
 fn rate(side: &Side) -> f64 {
     let mut asked: Vec<u64> = side.values().map(|c| c.asked).filter(|&n| n > 0).collect();
     asked.sort_unstable();
@@ -143,9 +168,9 @@
         (self.safe, self.stage_asked, self.since, self.counted) = (Bettor::default(), 0, now, None);
     }
 
-    /// What is said now: name, start of the process, counts. A look without news counts for nothing.
-    pub fn look<'a>(&mut self, now: Duration, said: impl Iterator<Item = (&'a str, u64, Counts)>) {
-        for (name, start, counts) in said {
+    /// What is said now: name and region, start of the process, counts. A look without news counts for nothing.
+    pub fn look<'a>(&mut self, now: Duration, said: impl Iterator<Item = (&'a str, &'a str, u64, Counts)>) {
+        for (name, region, start, counts) in said {
             let before = self.last.insert(name.to_owned(), (start, counts.clone()));
             let Some((_, before)) = before.filter(|(s, c)| {
                 *s == start && c.turn == counts.turn && c.new == counts.new && c.epoch == counts.epoch
@@ -153,12 +178,16 @@
                 continue;
             };
             let total = more(before.total, counts.total);
-            self.total.add(name, counts.new, total);
+            self.total.add((name, region), counts.new, total);
             self.stage_asked += if counts.new { total.asked } else { 0 };
             for class in &counts.classes {
                 let Some(was) = before.classes.iter().find(|c| c.class == class.class) else { continue };
                 if self.classes.contains_key(&class.class) || self.classes.len() < CLASSES {
-                    self.classes.entry(class.class).or_default().add(name, counts.new, more(*was, *class));
+                    self.classes.entry(class.class).or_default().add(
+                        (name, region),
+                        counts.new,
+                        more(*was, *class),
+                    );
                 }
             }
         }
--- a/crates/rollout/src/machine.rs
+++ b/crates/rollout/src/machine.rs
@@ -410,13 +410,12 @@
         peers.iter().filter(|peer| peer.region == *region).map(|peer| peer.name.as_str()).collect();
     names.sort_unstable();
     let place = names.iter().position(|n| *n == name)?;
-    let last = at + 1 == p.order.len();
     let canaries = if at == 0 { usize::from(p.canary.max(1)) } else { 0 };
     if place < canaries {
         return Some(1);
     }
-    // The last of all stays behind to compare with, unless it is the only one to come.
-    if last && place + 1 == names.len() && names.len() > canaries + 1 {
+    // The last of each region stays behind to compare with, unless it is the only one to come.
+    if place + 1 == names.len() && names.len() > canaries + 1 {
         return u8::try_from(stages(p)).ok();
     }
     u8::try_from(at + 2).ok()
