--- a/crates/leverproxy/src/rollout.rs
+++ b/crates/leverproxy/src/rollout.rs
@@ -14,7 +14,7 @@
     Action, Class, Config, Core, Event, Hash, Limits, Look, Peer, Phase, Ready, Told, Verdict, KINDS,
 };
 use sha2::{Digest, Sha256};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
@@ -157,8 +157,10 @@
                 left: false,
             })
             .collect();
+        let mut by_name: BTreeMap<String, &mut Peer> =
+            peers.iter_mut().map(|peer| (peer.name.clone(), peer)).collect();
         for sight in view.members {
-            if let Some(peer) = peers.iter_mut().find(|p| p.name == sight.name) {
+            if let Some(peer) = by_name.get_mut(&sight.name) {
                 peer.start = sight.start;
                 peer.heard = matches!(sight.status, Heard::Alive | Heard::Suspect);
                 peer.left = sight.status == Heard::Left;
--- a/crates/rollout/src/core.rs
+++ b/crates/rollout/src/core.rs
@@ -1,7 +1,7 @@
 //! A proxy's part in a rollout: facts and what operators say in, what to run and what to tell out.
 
 use crate::evidence::{Evidence, Limits, Verdict};
-use crate::machine::{Machine, Peer, Phase, Sight};
+use crate::machine::{Machine, Peer, Phase, Sight, REGIONS};
 use crate::words::{
     self, Class, Counts, Halted, Hash, Proposal, Ready, Stored, Why, Word, BODY_BYTES, CLASSES,
 };
@@ -213,10 +213,12 @@
             return Err(Refused::Halted(halted.epoch));
         }
         let regions: BTreeSet<&String> = self.look.peers.iter().map(|p| &p.region).collect();
-        if regions.len() != order.len() || !order.iter().all(|r| regions.contains(r)) {
+        if order.len() > REGIONS || regions.len() != order.len() || !order.iter().all(|r| regions.contains(r))
+        {
             return Err(Refused::Order(order));
         }
-        let epoch = self.machine.epoch().max(self.words.values().map(|w| w.epoch).max().unwrap_or(0)) + 1;
+        let epoch = self.machine.epoch().max(self.words.values().map(|w| w.epoch).max().unwrap_or(0));
+        let epoch = epoch.saturating_add(1);
         let proposal = Proposal { epoch, hash, proposer: self.config.name.clone(), order, canary };
         let length = words::encode(&proposal).len();
         if length > BODY_BYTES {
@@ -250,8 +252,10 @@
         let epoch = mine.epoch;
         let of_now = said.into_iter().filter(|(name, _, c)| *name != me && c.epoch == epoch);
         let all = of_now.chain([(me.as_str(), start, mine.clone())]);
-        let region = |name: &str| self.look.peers.iter().find(|p| p.name == name).map(|p| p.region.as_str());
-        let all = all.filter_map(|(name, start, counts)| Some((name, region(name)?, start, counts)));
+        let region = |p: &'_ Peer| (p.name.clone(), p.region.clone());
+        let regions: BTreeMap<String, String> = self.look.peers.iter().map(region).collect();
+        let all =
+            all.filter_map(|(name, start, counts)| Some((name, regions.get(name)?.as_str(), start, counts)));
         self.evidence.look(now, all);
         self.verdict = match self.watch(now) {
             Some(why) => Verdict::Harm(why),
--- a/crates/rollout/src/machine.rs
+++ b/crates/rollout/src/machine.rs
@@ -5,6 +5,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+/// Regions of one rollout; stages are counted in a byte.
+pub const REGIONS: usize = 200;
+
 /// A member of the roster, oneself too.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Peer {
@@ -222,7 +225,7 @@
     /// Takes a proposal that is greater than what it goes by.
     pub fn adopt(&mut self, proposal: &Proposal) {
         let former = self.current.as_ref();
-        if former.is_some_and(|c| c.proposal.rank() >= proposal.rank()) {
+        if former.is_some_and(|c| c.proposal.rank() >= proposal.rank()) || proposal.order.len() > REGIONS {
             return;
         }
         if self.phase() == Phase::Whole && self.seen {
@@ -357,8 +360,9 @@
     /// Nobody that would have to run it has said that it can't, and all heard of those that enter have said they can.
     fn able(&self, current: &Current, stage: usize, sight: &Sight<'_>) -> bool {
         let p = &current.proposal;
+        let entries = entries(p, sight.peers);
         sight.peers.iter().all(|peer| {
-            if entry(p, sight.peers, &peer.name).is_none_or(|at| usize::from(at) > stage) {
+            if entries.get(peer.name.as_str()).is_none_or(|at| usize::from(*at) > stage) {
                 return true;
             }
             if peer.name == self.me {
@@ -402,21 +406,33 @@
     regions
 }
 
-/// The quorum with which a member begins to run the new version.
-pub fn entry(p: &Proposal, peers: &[Peer], name: &str) -> Option<u8> {
-    let region = &peers.iter().find(|peer| peer.name == name)?.region;
-    let at = p.order.iter().position(|r| r == region)?;
-    let mut names: Vec<&str> =
-        peers.iter().filter(|peer| peer.region == *region).map(|peer| peer.name.as_str()).collect();
-    names.sort_unstable();
-    let place = names.iter().position(|n| *n == name)?;
-    let canaries = if at == 0 { usize::from(p.canary.max(1)) } else { 0 };
-    if place < canaries {
-        return Some(1);
+/// The quorum with which each member begins to run the new version, by name.
+pub fn entries<'a>(p: &Proposal, peers: &'a [Peer]) -> BTreeMap<&'a str, u8> {
+    let mut regions: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
+    for peer in peers {
+        regions.entry(&peer.region).or_default().push(&peer.name);
     }
-    // The last of each region stays behind to compare with, unless it is the only one to come.
-    if place + 1 == names.len() && names.len() > canaries + 1 {
-        return u8::try_from(stages(p)).ok();
+    let mut entries = BTreeMap::new();
+    for (at, region) in p.order.iter().enumerate() {
+        let mut names = regions.remove(region.as_str()).unwrap_or_default();
+        names.sort_unstable();
+        let canaries = if at == 0 { usize::from(p.canary.max(1)) } else { 0 };
+        let length = names.len();
+        for (place, name) in names.into_iter().enumerate() {
+            let stage = if place < canaries {
+                1
+            } else if place + 1 == length && length > canaries + 1 {
+                // The last of each region stays behind to compare with, unless it is the only one to come.
+                stages(p)
+            } else {
+                at + 2
+            };
+            entries.extend(u8::try_from(stage).map(|stage| (name, stage)));
+        }
     }
-    u8::try_from(at + 2).ok()
+    entries
+}
+
+pub fn entry(p: &Proposal, peers: &[Peer], name: &str) -> Option<u8> {
+    entries(p, peers).get(name).copied()
 }
--- a/crates/rollout/tests/simulation.rs
+++ b/crates/rollout/tests/simulation.rs
@@ -3,7 +3,7 @@
 
 use rand::{Rng, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
-use rollout::{Action, Class, Config, Core, Event, Limits, Look, Peer, Phase, Told};
+use rollout::{Action, Class, Config, Core, Event, Limits, Look, Peer, Phase, Told, Why};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -22,12 +22,29 @@
     class_harm: f64,
     /// What the second region loses beyond that, whatever it runs.
     west: f64,
+    /// What others see of the canary from the 30th second on.
+    canary: Canary,
     facts_lost: f64,
     seconds: u64,
 }
 
-const SITE: Site =
-    Site { asked: 40, loss: 0.02, harm: 0.0, class_harm: 0.0, west: 0.0, facts_lost: 0.05, seconds: 3_000 };
+const SITE: Site = Site {
+    asked: 40,
+    loss: 0.02,
+    harm: 0.0,
+    class_harm: 0.0,
+    west: 0.0,
+    canary: Canary::Well,
+    facts_lost: 0.05,
+    seconds: 3_000,
+};
+
+#[derive(Clone, Copy, PartialEq)]
+enum Canary {
+    Well,
+    StartsAgain,
+    Silent,
+}
 
 #[derive(Debug, PartialEq)]
 struct End {
@@ -110,6 +127,13 @@
                 facts: heard[at].iter().map(told).collect(),
                 counts: counts[at].to_vec(),
             };
+            let mut look = look;
+            let seen = &mut look.peers[0];
+            match site.canary {
+                Canary::StartsAgain if second >= 30 => seen.start = Some(second / 10),
+                Canary::Silent if second >= 30 => seen.heard = at == 0,
+                _ => {}
+            }
             let mut actions = Vec::new();
             cores[at].handle(now, Event::Look(look), &mut actions);
             if second == 5 && at == 0 {
@@ -170,6 +194,10 @@
     assert!(first >= 18);
     let (_, _, first, seconds) = table("refuses a class", Site { class_harm: 1.0, ..SITE }, 5);
     assert!(first == 5 && seconds < 60);
+    for (canary, why) in [(Canary::StartsAgain, Why::Crash), (Canary::Silent, Why::Gone)] {
+        let end = play(Site { asked: 5, canary, ..SITE }, 1);
+        assert_eq!((end.phase, end.exposed), (Phase::Halted(why), 1));
+    }
     let end = play(Site { asked: 0, seconds: 300, ..SITE }, 1);
     assert_eq!((end.phase, end.exposed), (Phase::Canary, 1), "without traffic it waits");
 }
