--- /dev/null
+++ b/crates/lending/src/said.rs
@@ -0,0 +1,176 @@
+//! What proxies say to each other: bodies of facts, and how rows merge.
+
+use std::collections::BTreeMap;
+
+use serde::{de::DeserializeOwned, Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+use crate::rules::Milli;
+
+pub const KEY_BYTES: usize = 32;
+pub const BODY_BYTES: usize = 512;
+/// The first byte of each body.
+const VERSION: u8 = 1;
+
+pub const PULSE: u8 = 64;
+pub const FOUNDED: u8 = 65;
+pub const ROW: u8 = 66;
+pub const WITNESS: u8 = 67;
+pub const CLAIM: u8 = 68;
+pub const VOTE: u8 = 69;
+
+/// All lanes of a stand together.
+pub const WHOLE: u32 = 1 << 30;
+
+/// A name as a number (FNV-1a), as long as no two of one roster or one set of rules meet.
+pub fn number(name: &str) -> u32 {
+    name.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
+}
+
+/// A name with the start at which a lane, or a memory, began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Id {
+    pub name: u32,
+    pub from: u64,
+}
+
+/// Who says it: with which memory, for which lane, in which process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Head {
+    /// Of the founders that it knows of; 0: none.
+    pub founders: u64,
+    pub memory: u64,
+    pub lane: u64,
+    pub life: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pulse {
+    pub head: Head,
+    /// Has waited so long since its start that nothing that a former life lent is out.
+    pub ripe: bool,
+    pub beat: u32,
+    /// The last beat heard of each: number of the founder, or the lane of another.
+    pub founders: Vec<(u8, u32)>,
+    pub others: Vec<(Id, u32)>,
+}
+
+/// A beat as it is echoed.
+pub fn mark(life: u64, beat: u32) -> u32 {
+    let mut hash = 0x811c_9dc5_u32;
+    for byte in life.to_le_bytes().into_iter().chain(beat.to_le_bytes()) {
+        hash = (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193);
+    }
+    hash
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Founded {
+    pub head: Head,
+    pub least: u64,
+    pub members: Vec<(u32, u64)>,
+}
+
+/// What a lane says of a stand. One writer; every number but the line and the demand only grows.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Row {
+    /// What its rules say: the smallest heard holds.
+    pub line: Milli,
+    pub lent: Milli,
+    pub repaid: Milli,
+    pub written_off: Milli,
+    /// Asked beyond quota lately.
+    pub demand: Milli,
+    /// Shares of dead lanes.
+    pub took: u32,
+    pub gave: BTreeMap<Id, u32>,
+}
+
+impl Row {
+    pub fn given(&self) -> u32 {
+        self.gave.values().fold(0, |sum, gave| sum.saturating_add(*gave))
+    }
+
+    /// The greater of each number. Line and demand are those of the newer row, which has lent, repaid and given no less.
+    pub fn merge(&mut self, other: &Row) {
+        let newer = |row: &Row| (row.lent, row.repaid, row.written_off, row.given(), row.took);
+        if (newer(other), other.line, other.demand) > (newer(self), self.line, self.demand) {
+            self.line = other.line;
+            self.demand = other.demand;
+        }
+        self.lent = self.lent.max(other.lent);
+        self.repaid = self.repaid.max(other.repaid);
+        self.written_off = self.written_off.max(other.written_off);
+        self.took = self.took.max(other.took);
+        for (to, gave) in &other.gave {
+            let mine = self.gave.entry(*to).or_default();
+            *mine = (*mine).max(*gave);
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SaidRow {
+    pub head: Head,
+    pub row: Row,
+}
+
+/// What each lane gave in all for a stand, as far as seen.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Witness {
+    pub head: Head,
+    pub founders: Vec<(u8, u32)>,
+    pub others: Vec<(Id, u32)>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    pub head: Head,
+    pub lane: Id,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Vote {
+    pub to: Id,
+    /// What the lane gave in all for each stand, as far as seen; no more is seen of it afterwards.
+    pub given: BTreeMap<u32, u32>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SaidVote {
+    pub head: Head,
+    pub lane: Id,
+    pub vote: Vote,
+}
+
+/// None: longer than a fact may be.
+pub fn encode<T: Serialize>(body: &T) -> Option<Vec<u8>> {
+    let bytes = postcard::to_extend(body, vec![VERSION]).ok()?;
+    (bytes.len() <= BODY_BYTES).then_some(bytes)
+}
+
+/// None: not of this version, or not whole.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Option<T> {
+    match bytes.split_first() {
+        Some((&VERSION, rest)) => match postcard::take_from_bytes(rest) {
+            Ok((body, [])) => Some(body),
+            _ => None,
+        },
+        _ => None,
+    }
+}
+
+pub fn digest(founders: &[Id]) -> u64 {
+    if founders.is_empty() {
+        return 0;
+    }
+    let mut sha = Sha256::new();
+    for id in founders {
+        sha.update(id.name.to_le_bytes());
+        sha.update(id.from.to_le_bytes());
+    }
+    let all: [u8; 32] = sha.finalize().into();
+    let mut first = [0; 8];
+    first.copy_from_slice(&all[..8]);
+    u64::from_le_bytes(first).max(1)
+}
