--- /dev/null
+++ b/crates/lending/tests/fleet/mod.rs
@@ -0,0 +1,433 @@
+//! A fleet on virtual time with faults, and a checker that sees all loans. It trusts no book of a core.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use lending::said::Id;
+use lending::{Action, Config, Core, Event, Guards, Member, Rule, Rules, Verdict};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+pub const STAND: &str = "depot";
+const TERM: Duration = Duration::from_millis(1500);
+const WRITE_OFF: Duration = Duration::from_millis(1500);
+pub const LINE_SECONDS: u32 = 4;
+const STEP: Duration = Duration::from_millis(250);
+
+#[derive(Clone)]
+struct Said {
+    start: u64,
+    sequence: u64,
+    body: Vec<u8>,
+    at: Duration,
+    lasts: Duration,
+}
+
+type Key = (usize, u8, Vec<u8>);
+
+struct Process {
+    core: Core,
+    start: u64,
+    token: u64,
+    due: Duration,
+    paused: bool,
+    known: BTreeMap<Key, (u64, u64)>,
+}
+
+/// A clock of its own: where it began, and thousandths that it runs at.
+#[derive(Clone, Copy)]
+struct Clock {
+    origin: Duration,
+    rate: u32,
+}
+
+impl Clock {
+    fn at(self, now: Duration) -> Duration {
+        self.origin + now * self.rate / 1000
+    }
+}
+
+struct Node {
+    name: String,
+    clock: Clock,
+    process: Option<Process>,
+    file: Option<Vec<u8>>,
+    said: BTreeMap<Key, VecDeque<Said>>,
+    /// Loans that are out, by the time of its clock, of this memory and of former ones.
+    loans: VecDeque<(Duration, u64)>,
+    former: VecDeque<(Duration, u64)>,
+    lent: u64,
+}
+
+pub struct Fleet {
+    rng: ChaCha8Rng,
+    pub now: Duration,
+    nodes: Vec<Node>,
+    side: Vec<u8>,
+    drops: u32,
+    stored: bool,
+    guards: Guards,
+    sequence: u64,
+    quota: Vec<u64>,
+    /// Lanes that were taken, by whom.
+    taken: BTreeMap<Id, usize>,
+    pub lent: u64,
+    pub takings: usize,
+    pub gifts: bool,
+    wrong_views: bool,
+}
+
+impl Fleet {
+    pub fn new(seed: u64, members: usize, stored: bool, guards: Guards) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let node = |at: usize| Node {
+            name: format!("proxy-{at}"),
+            clock: Clock {
+                origin: Duration::from_secs(rng.random_range(0..1000)),
+                rate: rng.random_range(970..1030),
+            },
+            process: None,
+            file: None,
+            said: BTreeMap::new(),
+            loans: VecDeque::new(),
+            former: VecDeque::new(),
+            lent: 0,
+        };
+        let nodes = (0..members).map(node).collect();
+        let mut fleet = Self {
+            rng,
+            now: Duration::ZERO,
+            nodes,
+            side: vec![0; members],
+            drops: 0,
+            stored,
+            guards,
+            sequence: 1,
+            quota: vec![members as u64 * 4000; members],
+            taken: BTreeMap::new(),
+            lent: 0,
+            takings: 0,
+            gifts: false,
+            wrong_views: true,
+        };
+        (0..members).for_each(|at| fleet.start(at, true));
+        fleet
+    }
+
+    fn rules(&self, at: usize) -> Rules {
+        let rule = Rule {
+            line_seconds: LINE_SECONDS,
+            quota: self.quota[at],
+            term: TERM,
+            floor: 500,
+            write_off: WRITE_OFF,
+            classes: vec!["normal".into()],
+            rate_most: 1 << 40,
+        };
+        Rules::new(vec![(STAND.into(), rule)], TERM + WRITE_OFF).expect("the rule is sound")
+    }
+
+    fn line(&self) -> u64 {
+        self.quota.iter().max().map_or(0, |quota| quota * u64::from(LINE_SECONDS))
+    }
+
+    pub fn start(&mut self, at: usize, keep_file: bool) {
+        self.sequence += 1;
+        let start = 1_700_000_000_000 + self.sequence * 7;
+        let local = self.nodes[at].clock.at(self.now);
+        let mut config = Config::new(&self.nodes[at].name, start, self.stored);
+        config.longest = TERM + WRITE_OFF;
+        config.lease = Duration::from_secs(1);
+        config.step = STEP;
+        config.guards = self.guards;
+        if !keep_file {
+            self.nodes[at].file = None;
+        }
+        let remembers = self.nodes[at].file.is_some();
+        let core = Core::new(&config, local, self.nodes[at].file.as_deref());
+        let node = &mut self.nodes[at];
+        if !remembers {
+            let loans = std::mem::take(&mut node.loans);
+            node.former.extend(loans);
+        }
+        node.process =
+            Some(Process { core, start, token: 0, due: self.now, paused: false, known: BTreeMap::new() });
+        let rules = self.rules(at);
+        self.event(at, Event::Rules(rules));
+    }
+
+    fn event(&mut self, at: usize, event: Event<'_>) {
+        let mut actions = Vec::new();
+        let (now, node) = (self.now, &mut self.nodes[at]);
+        let local = node.clock.at(now);
+        let Some(process) = node.process.as_mut() else { return };
+        process.core.handle(local, event, &mut actions);
+        self.act(at, actions);
+    }
+
+    fn act(&mut self, at: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Tell { kind, key, body, lasts } => {
+                    assert!(body.len() <= 512 && key.len() <= 32, "a fact is too long");
+                    self.sequence += 1;
+                    let node = &mut self.nodes[at];
+                    let start = node.process.as_ref().map_or(0, |process| process.start);
+                    let said = Said { start, sequence: self.sequence, body, at: self.now, lasts };
+                    let versions = node.said.entry((at, kind, key)).or_default();
+                    versions.push_back(said);
+                    if versions.len() > 3 {
+                        versions.pop_front();
+                    }
+                }
+                Action::Save { sequence, bytes } => {
+                    // A disk that is slow, or gives up: then nothing is confirmed until the next start.
+                    if self.rng.random_range(0..100) < 98 {
+                        self.nodes[at].file = Some(bytes);
+                        self.event(at, Event::Saved(sequence));
+                    }
+                }
+                Action::Timer { after, token } => {
+                    let node = &mut self.nodes[at];
+                    let due = self.now + after * 1000 / node.clock.rate;
+                    if let Some(process) = node.process.as_mut() {
+                        (process.due, process.token) = (due, token);
+                    }
+                }
+                Action::Notice(_) => {}
+            }
+        }
+    }
+
+    fn linked(&self, a: usize, b: usize) -> bool {
+        self.side[a] == self.side[b]
+    }
+
+    fn view(&mut self, at: usize) {
+        let members: Vec<Member> = (0..self.nodes.len())
+            .map(|other| Member {
+                name: self.nodes[other].name.clone(),
+                start: 0,
+                up: self.linked(at, other)
+                    && self.nodes[other].process.as_ref().is_some_and(|process| !process.paused),
+            })
+            .collect();
+        let roster: Vec<String> = members.iter().map(|member| member.name.clone()).collect();
+        let heard = members.iter().filter(|member| member.up).count();
+        let lend = heard * 2 > members.len() || self.wrong_views && self.rng.random_bool(0.3);
+        self.event(at, Event::View { lend, roster: &roster, members: &members });
+    }
+
+    /// What one knows of all that another knows or says, some of it old or twice, some lost.
+    fn hear(&mut self, at: usize, from: usize) {
+        let keys: Vec<Key> = {
+            let Some(there) = &self.nodes[from].process else { return };
+            there.known.keys().chain(self.nodes[from].said.keys()).cloned().collect()
+        };
+        for key in keys.into_iter().filter(|key| key.0 != at) {
+            if self.drops > 0 && self.rng.random_range(0..100) < self.drops {
+                continue;
+            }
+            let old = self.rng.random_range(0..40) == 0;
+            let there =
+                self.nodes[from].process.as_ref().and_then(|process| process.known.get(&key)).copied();
+            let versions = &self.nodes[key.0].said[&key];
+            let has = |said: &&Said| key.0 == from || there.is_some_and(|v| (said.start, said.sequence) <= v);
+            let mut versions = versions.iter().rev().filter(has);
+            let said = if old { versions.last() } else { versions.next() };
+            let Some(said) = said.filter(|said| self.now < said.at + said.lasts).cloned() else { continue };
+            let version = (said.start, said.sequence);
+            let Some(process) = self.nodes[at].process.as_mut() else { return };
+            let known = process.known.get(&key).copied().unwrap_or_default();
+            if version <= known && !old {
+                continue;
+            }
+            process.known.insert(key.clone(), known.max(version));
+            let source = self.nodes[key.0].name.clone();
+            let (key, kind, age) = (key.2, key.1, self.now - said.at);
+            let fact =
+                Event::Fact { source: &source, start: said.start, kind, key: &key, body: &said.body, age };
+            self.event(at, fact);
+        }
+    }
+
+    pub fn ask(&mut self, at: usize) {
+        let local = self.nodes[at].clock.at(self.now);
+        let mut actions = Vec::new();
+        let Some(process) = self.nodes[at].process.as_mut() else { return };
+        if process.paused {
+            return;
+        }
+        let verdict = process.core.ask(local, STAND, "normal", 1000, &mut actions);
+        self.act(at, actions);
+        if verdict == Verdict::Borrowed {
+            let node = &mut self.nodes[at];
+            node.loans.push_back((local, 1000));
+            node.lent += 1000;
+            self.lent += 1000;
+        }
+    }
+
+    fn repay(&mut self, at: usize, amount: u64) {
+        let node = &mut self.nodes[at];
+        let Some(process) = node.process.as_mut().filter(|process| !process.paused) else { return };
+        let mut paid = process.core.repay(STAND, amount);
+        while let Some((_, left)) = node.loans.front_mut() {
+            let part = paid.min(*left);
+            (*left, paid) = (*left - part, paid - part);
+            if *left > 0 {
+                break;
+            }
+            node.loans.pop_front();
+        }
+    }
+
+    /// One quarter second: trouble, words, requests; then the checker.
+    pub fn step(&mut self, trouble: bool) -> Result<(), String> {
+        self.now += Duration::from_millis(250);
+        let members = self.nodes.len();
+        if trouble {
+            self.trouble();
+        }
+        for at in 0..members {
+            if self.nodes[at].process.as_ref().is_none_or(|process| process.paused) {
+                continue;
+            }
+            if self.rng.random_range(0..4) == 0 || self.now < Duration::from_secs(1) {
+                self.view(at);
+            }
+            let process = self.nodes[at].process.as_ref().map(|process| (process.due, process.token));
+            if let Some((due, token)) = process.filter(|(due, _)| *due <= self.now) {
+                let _ = due;
+                self.event(at, Event::Timer(token));
+            }
+            for _ in 0..3 {
+                let from = self.rng.random_range(0..members);
+                if from != at && self.linked(at, from) {
+                    let awake = |node: &Node| node.process.as_ref().is_some_and(|there| !there.paused);
+                    if awake(&self.nodes[from]) {
+                        self.hear(at, from);
+                    }
+                }
+            }
+            // One proxy has most of the traffic for a while.
+            let busy = (self.now.as_secs() / 5) as usize % members == at;
+            for _ in 0..if busy { 12 } else { 2 } {
+                self.ask(at);
+                self.check()?;
+            }
+            if self.rng.random_bool(0.3) {
+                let amount = self.rng.random_range(0..4000);
+                self.repay(at, amount);
+            }
+        }
+        self.check()
+    }
+
+    fn trouble(&mut self) {
+        let at = self.rng.random_range(0..self.nodes.len());
+        match self.rng.random_range(0..60) {
+            0 => self.nodes[at].process = None,
+            1 => {
+                if let Some(process) = self.nodes[at].process.as_mut() {
+                    process.paused = true;
+                }
+            }
+            2 => {
+                let sides = self.rng.random_range(2..4);
+                self.side = (0..self.nodes.len()).map(|_| self.rng.random_range(0..sides)).collect();
+            }
+            3..6 => self.side.fill(0),
+            6 => self.side[at] = 9,
+            7 => self.drops = self.rng.random_range(0..60),
+            8 => self.drops = 0,
+            9..14 if self.nodes[at].process.is_none() => {
+                let keep = self.rng.random_bool(0.7);
+                self.start(at, keep);
+            }
+            14..20 => self.resume(at),
+            20 => {
+                // Killed while it wrote: torn.
+                let cut = self.rng.random_range(0..64);
+                let node = &mut self.nodes[at];
+                node.process = None;
+                if let Some(file) = node.file.as_mut().filter(|_| cut < 8) {
+                    file.truncate(file.len().saturating_sub(1 + cut));
+                    let loans = std::mem::take(&mut node.loans);
+                    node.former.extend(loans);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn resume(&mut self, at: usize) {
+        if let Some(process) = self.nodes[at].process.as_mut().filter(|process| process.paused) {
+            process.paused = false;
+            // The first thing that it does is to lend, if it may.
+            (0..8).for_each(|_| self.ask(at));
+        }
+    }
+
+    fn check(&mut self) -> Result<(), String> {
+        let longest = TERM + WRITE_OFF;
+        let mut out = 0;
+        for (at, node) in self.nodes.iter_mut().enumerate() {
+            let local = node.clock.at(self.now);
+            for loans in [&mut node.loans, &mut node.former] {
+                loans.retain(|(since, _)| local < *since + longest);
+                out += loans.iter().map(|(_, left)| left).sum::<u64>();
+            }
+            let Some(process) = &node.process else { continue };
+            if let Some(book) = process.core.book(local, STAND) {
+                if book.lent != book.repaid + book.owed + book.written_off {
+                    return Err(format!("{} at {:?}: {book:?} does not add up", node.name, self.now));
+                }
+            }
+            for lane in process.core.taken() {
+                let first = *self.taken.entry(lane).or_insert_with(|| {
+                    self.takings += 1;
+                    at
+                });
+                if first != at {
+                    return Err(format!("{lane:?} was taken by {first} and {at} at {:?}", self.now));
+                }
+            }
+        }
+        if out > self.line() {
+            return Err(format!("{out} is owed at {:?}, of a line of {}", self.now, self.line()));
+        }
+        Ok(())
+    }
+
+    /// What each holds of the line, of all that is held.
+    pub fn shares(&self) -> Vec<u32> {
+        let share = |node: &Node| node.process.as_ref().map_or(0, |process| process.core.held(STAND).0);
+        self.nodes.iter().map(share).collect()
+    }
+
+    pub fn kill(&mut self, at: usize) {
+        self.nodes[at].process = None;
+    }
+
+    pub fn founded(&self) -> usize {
+        let founded = |node: &&Node| node.process.as_ref().is_some_and(|process| process.core.is_founded());
+        self.nodes.iter().filter(founded).count()
+    }
+
+    pub fn names(&self) -> BTreeSet<&str> {
+        self.nodes.iter().map(|node| node.name.as_str()).collect()
+    }
+
+    /// A schedule: founded in peace, then trouble.
+    pub fn play(seed: u64, members: usize, steps: usize, guards: Guards) -> Result<Fleet, String> {
+        let mut fleet = Fleet::new(seed, members, seed % 4 != 0, guards);
+        for _ in 0..80 {
+            fleet.step(false)?;
+        }
+        for _ in 0..steps {
+            fleet.step(true)?;
+        }
+        Ok(fleet)
+    }
+}
