--- a/crates/lending/src/book.rs
+++ b/crates/lending/src/book.rs
@@ -20,6 +20,8 @@
     /// Lanes of dead proxies held.
     pub took: u32,
     pub in_default: bool,
+    /// Without a new echo nothing is lent from then on.
+    pub lends_until: Duration,
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
--- a/crates/lending/src/core.rs
+++ b/crates/lending/src/core.rs
@@ -561,9 +561,9 @@
     /// Chunks of an eighth of the part, at least two requests: the file has them before they are lent.
     fn reserve(&mut self, stand: u32) {
         let Some(known) = self.stands.get(&stand) else { return };
-        let chunk = (known.part / 8).max(2000);
+        let chunk = if self.guards.reserve { (known.part / 8).max(2000) } else { 0 };
         let Some(row) = self.kept.rows.get_mut(&stand) else { return };
-        if row.lent < known.loans.lent + chunk / 2 {
+        if row.lent < known.loans.lent + chunk / 2 && self.guards.reserve {
             row.lent = known.loans.lent + chunk;
             self.dirty = true;
         }
@@ -667,6 +667,7 @@
             part: known.part,
             took: self.kept.rows.get(&key).map_or(0, |row| row.took),
             in_default: known.loans.in_default(now, term),
+            lends_until: self.lease_until,
         })
     }
 
@@ -861,6 +862,7 @@
         self.dirty = false;
         for (key, known) in &self.stands {
             if let Some(row) = self.kept.rows.get_mut(key) {
+                row.lent = row.lent.max(known.loans.lent);
                 row.repaid = known.loans.repaid;
                 row.written_off = known.loans.written_off;
             }
--- a/crates/lending/tests/schedules.rs
+++ b/crates/lending/tests/schedules.rs
@@ -34,3 +34,42 @@
 fn ten_thousand_schedules_of_five() {
     play(0..10_000, 5, 400);
 }
+
+/// Each guard taken away is noticed: else the schedules, or the checker, would be too mild.
+#[test]
+fn each_guard_taken_away_is_noticed() {
+    let all = Guards::ALL;
+    let without = [
+        ("part", Guards { part: false, ..all }),
+        ("lease", Guards { lease: false, ..all }),
+        ("witness", Guards { witness: false, ..all }),
+        ("hold", Guards { hold: false, ..all }),
+        ("once", Guards { once: false, ..all }),
+        ("frozen", Guards { frozen: false, ..all }),
+        ("reserve", Guards { reserve: false, ..all }),
+        ("memory", Guards { memory: false, ..all }),
+    ];
+    for (name, guards) in without {
+        let noticed = (0..400).find_map(|seed| {
+            let played = match name {
+                "witness" => Fleet::gift_in_the_dark(seed, guards),
+                "lease" | "frozen" => Fleet::cut_off(seed, guards),
+                _ => Fleet::play(seed, 5, 400, guards),
+            };
+            Some((seed, played.err()?))
+        });
+        println!("without {name}: {noticed:?}");
+        assert!(noticed.is_some(), "nobody notices that {name} is gone");
+    }
+}
+
+#[test]
+fn lanes_of_the_dead_and_of_the_cut_off_are_taken_once() {
+    let mut takings = 0;
+    for seed in 0..20 {
+        for play in [Fleet::gift_in_the_dark, Fleet::cut_off] {
+            takings += play(seed, Guards::ALL).unwrap_or_else(|wrong| panic!("seed {seed}: {wrong}")).takings;
+        }
+    }
+    assert!(takings >= 30, "{takings} lanes were taken over in 40 schedules");
+}
