--- a/crates/lending/tests/fleet/mod.rs
+++ b/crates/lending/tests/fleet/mod.rs
@@ -488,4 +488,41 @@
         fleet.steps(20)?;
         Ok(fleet)
     }
+
+    /// The rules of one become stricter: what all parts come to once all have heard it, and its stricter line.
+    pub fn stricter(seed: u64) -> Result<(u64, u64), String> {
+        let mut fleet = Self::peace(seed, Guards::ALL)?;
+        let at = (seed % 5) as usize;
+        let former = fleet.line();
+        fleet.quota[at] /= 4;
+        let rules = fleet.rules(at);
+        fleet.event(at, Event::Rules(rules));
+        // What was lent before has to be over.
+        fleet.steps(24)?;
+        let part = |at: usize| fleet.withheld(at, 0, Duration::ZERO).1.map_or(0, |book| book.part);
+        Ok(((0..5).map(part).sum(), former / 4))
+    }
+
+    /// Asks until the answer is no.
+    pub fn exhaust(&mut self, at: usize) -> Verdict {
+        let local = self.nodes[at].clock.at(self.now);
+        let core = &mut self.nodes[at].process.as_mut().expect("it runs").core;
+        let mut asked = (0..1000).map(|_| core.ask(local, STAND, "normal", 1000, &mut Vec::new()));
+        asked.find(|verdict| *verdict != Verdict::Borrowed).unwrap_or(Verdict::Borrowed)
+    }
+
+    /// Withheld at such a use of the quota of one request a second; and the book.
+    pub fn withheld(&self, at: usize, used: u32, later: Duration) -> (u32, Option<lending::Book>) {
+        let local = self.nodes[at].clock.at(self.now) + later;
+        let core = &self.nodes[at].process.as_ref().expect("it runs").core;
+        (core.withhold(local, STAND, 1 << 40, used), core.book(local, STAND))
+    }
+
+    pub fn founded_in_peace(seed: u64) -> Fleet {
+        Self::peace(seed, Guards::ALL).unwrap_or_else(|wrong| panic!("{wrong}"))
+    }
+
+    pub fn tell(&mut self, at: usize, event: Event<'_>) {
+        self.event(at, event);
+    }
 }
--- a/crates/lending/tests/schedules.rs
+++ b/crates/lending/tests/schedules.rs
@@ -2,10 +2,10 @@
 
 mod fleet;
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use fleet::Fleet;
-use lending::Guards;
+use lending::{Event, Guards, Reason, Rules, Verdict};
 
 fn play(seeds: std::ops::Range<u64>, members: usize, steps: usize) {
     const THREADS: usize = 3;
@@ -95,3 +95,30 @@
     }
     assert!(takings >= 30, "{takings} lanes were taken over in 60 schedules");
 }
+
+#[test]
+fn the_stricter_of_two_lines_holds_for_all() {
+    for seed in 0..10 {
+        let (parts, line) = Fleet::stricter(seed).unwrap_or_else(|wrong| panic!("seed {seed}: {wrong}"));
+        assert!(parts <= line && parts > line / 2, "seed {seed}: {parts} of {line}");
+    }
+}
+
+#[test]
+fn each_reason_for_no_is_said_and_the_floor_stays() {
+    let mut fleet = Fleet::founded_in_peace(1);
+    assert!(matches!(fleet.exhaust(0), Verdict::No(Reason::Line | Reason::Unsaved)));
+    // Quiet: all but the floor. In full use: what the term needs. Others need the room: all but the floor.
+    assert_eq!(fleet.withheld(0, 0, Duration::ZERO).0, 500);
+    assert!(fleet.withheld(0, 1000, Duration::ZERO).0 < 10);
+    assert!(fleet.withheld(0, 1000, Duration::from_secs(2)).1.is_some_and(|book| book.in_default));
+    for (event, reason) in [
+        (Event::Short(true), Reason::Short),
+        (Event::Open { stand: fleet::STAND, open: false }, Reason::Closed),
+        (Event::Rules(Rules::default()), Reason::NoRule),
+    ] {
+        fleet.tell(0, event);
+        assert_eq!(fleet.exhaust(0), Verdict::No(reason));
+        assert!(reason == Reason::NoRule || fleet.withheld(0, 1000, Duration::ZERO).0 == 500);
+    }
+}
