--- a/crates/lending/src/lib.rs
+++ b/crates/lending/src/lib.rs
@@ -15,6 +15,7 @@
 //! with a later start each; give time that never goes back and does not stand still while others' runs.
 #![forbid(unsafe_code)]
 
+mod api;
 mod book;
 mod core;
 mod file;
@@ -22,7 +23,8 @@
 mod rules;
 pub mod said;
 
+pub use crate::api::{Action, Config, Event, Guards, Member, Notice, Reason, Verdict};
 pub use crate::book::Book;
-pub use crate::core::{Action, Config, Core, Event, Guards, Member, Notice, Reason, Verdict};
+pub use crate::core::Core;
 pub use crate::file::{BadFile, Store, StoreError};
 pub use crate::rules::{Milli, Rule, Rules, RulesError};
