--- a/crates/leverproxy/src/rollout.rs
+++ b/crates/leverproxy/src/rollout.rs
@@ -43,22 +43,12 @@
 }
 
 pub fn hex(hash: &Hash) -> String {
-    hash.iter().fold(String::new(), |mut text, byte| {
-        // Writing to a string does not fail.
-        _ = write!(text, "{byte:02x}");
-        text
-    })
+    ::hex::encode(hash)
 }
 
 fn unhex(text: &str) -> Option<Hash> {
-    let digits = text.as_bytes();
-    if digits.len() != 64 || !digits.iter().all(u8::is_ascii_hexdigit) {
-        return None;
-    }
     let mut hash = [0; 32];
-    for (byte, at) in hash.iter_mut().zip((0..64).step_by(2)) {
-        *byte = u8::from_str_radix(text.get(at..at + 2)?, 16).ok()?;
-    }
+    ::hex::decode_to_slice(text, &mut hash).ok()?;
     Some(hash)
 }
 
