Configuration: sections lending and credit, for stands that borrow beyond their quota

The lending core needs a folder, lease, step and longest term, and a line for each stand that may borrow. Section `lending` (once, needs `members`) and `credit NAME` (at most 20) are read into Model::lending. Cross-checks: step against lease, term with write-off against longest, rates by the second, windows of not-during, stands and classes of the platform. A window that a credit goes by is used, and shows in the diff when other times lie in it. Shared: fault of an unknown name, need of members, paths among typed values.

--- a/crates/configuration/src/check.rs
+++ b/crates/configuration/src/check.rs
@@ -87,17 +87,22 @@
             if known().any(|n| n == name) {
                 continue;
             }
-            let fault = Diagnostic::error("unknown-name", *span, format!("there is no {wanted} {name}"))
-                .label("not defined in any file that was read");
-            faults.push(match nearest(name, known()) {
-                Some(near) => fault.help(format!("did you mean {near}?")),
-                None if known().next().is_none() => fault.help(format!("no {wanted} is defined")),
-                None => fault,
-            });
+            faults.push(unknown_name(wanted, name, *span, &known().collect::<Vec<_>>()));
         }
     }
 }
 
+/// Of a section of that keyword, among those that there are.
+pub(crate) fn unknown_name(wanted: &str, name: &str, span: Span, known: &[&str]) -> Diagnostic {
+    let fault = Diagnostic::error("unknown-name", span, format!("there is no {wanted} {name}"))
+        .label("not defined in any file that was read");
+    match nearest(name, known.iter().copied()) {
+        Some(near) => fault.help(format!("did you mean {near}?")),
+        None if known.is_empty() => fault.help(format!("no {wanted} is defined")),
+        None => fault,
+    }
+}
+
 fn unknown_section(keyword: &Arg, table: Table) -> Diagnostic {
     let fault =
         Diagnostic::error("unknown-section", keyword.span, format!("there is no section {:?}", keyword.text))
--- a/crates/configuration/src/diff.rs
+++ b/crates/configuration/src/diff.rs
@@ -1,5 +1,6 @@
 //! What behaves otherwise between two configurations, not which lines differ.
 
+use crate::calendar::Window;
 use crate::model::{entries, Entry, Model};
 use crate::ranges::{merge, minus_all, Ranges, Region};
 use crate::route::{Outcome, Route};
@@ -8,7 +9,7 @@
 use crate::value::{Type, Value};
 use crate::Reading;
 use std::cmp::Ordering;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 /// A value that counts otherwise.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -73,16 +74,31 @@
     Difference { changes, routes, incomplete, space }
 }
 
-/// Windows and routes show in what becomes of requests; so do pools that no route leads to, which do nothing.
-fn counts(entry: &Entry, pools: &HashSet<&str>) -> bool {
+/// Routes, and windows as far as routes go by them, show in what becomes of requests; so do pools that no route
+/// leads to, which do nothing. `windows`: those that differ and that credits go by.
+fn counts(entry: &Entry, pools: &HashSet<&str>, windows: &HashSet<&str>) -> bool {
     let (section, name) = entry.section.split_once(' ').unwrap_or((&entry.section, ""));
     match section {
-        "route" | "window" | "calendar" => false,
+        "route" => false,
+        "window" => windows.contains(name),
+        "calendar" => !windows.is_empty(),
         "pool" => pools.contains(name),
         _ => true,
     }
 }
 
+/// The windows that a credit goes by, and in which other times lie now.
+fn lent_by<'a>(old: &'a Model, new: &'a Model) -> HashSet<&'a str> {
+    let of = |model: &'a Model| -> HashMap<&'a str, &'a Window> {
+        let credits = model.lending.iter().flat_map(|l| &l.credits);
+        let places = credits.flat_map(|c| c.not_during.iter().copied());
+        places.map(|at| (model.named_windows[at].name.as_str(), &model.windows[at])).collect()
+    };
+    let (before, after) = (of(old), of(new));
+    let both = before.keys().filter(|name| after.get(*name).is_some_and(|w| *w != before[*name]));
+    both.copied().collect()
+}
+
 /// A list says the same in any order.
 fn canonical(entry: &Entry) -> String {
     let spec = schema::section(entry.section.split(' ').next().unwrap_or_default())
@@ -101,6 +117,9 @@
                 .collect();
             words.join(" ")
         }
+        Some(schema::Args::Many(_)) if entry.section.starts_with("credit ") => {
+            entry.value.split(' ').collect::<BTreeSet<_>>().into_iter().collect::<Vec<_>>().join(" ")
+        }
         _ => entry.value.clone(),
     }
 }
@@ -108,12 +127,13 @@
 fn changes(old: &Reading, new: &Reading) -> Vec<Change> {
     let outcomes = old.model.routes.iter().chain(&new.model.routes).map(|r| &r.outcome);
     let pools: HashSet<&str> = outcomes.filter_map(|o| o.pool.as_deref()).collect();
+    let windows = lent_by(&old.model, &new.model);
     let table = |reading: &Reading| -> BTreeMap<(String, &'static str), String> {
-        let entries = entries(&reading.sections).into_iter().filter(|e| counts(e, &pools));
+        let entries = entries(&reading.sections).into_iter().filter(|e| counts(e, &pools, &windows));
         entries.map(|e| ((e.section.clone(), e.directive), canonical(&e))).collect()
     };
     let (before, after) = (table(old), table(new));
-    let keys: std::collections::BTreeSet<_> = before.keys().chain(after.keys()).collect();
+    let keys: BTreeSet<_> = before.keys().chain(after.keys()).collect();
     keys.into_iter()
         .filter(|key| before.get(key) != after.get(key))
         .map(|key| {
@@ -128,8 +148,8 @@
 const MORE_IS_TIGHTER: [&str; 2] = ["answer-margin", "reserve"];
 /// Of these neither more nor less is tighter.
 const NEITHER: [&str; 3] = ["address", "level", "form"];
-/// Of these sections' values none says anything of clients' requests.
-const OF_OTHERS: [&str; 3] = ["members", "member", "rollout"];
+/// Of these sections' values none is tighter or looser for clients' requests.
+const OF_OTHERS: [&str; 6] = ["members", "member", "rollout", "lending", "credit", "window"];
 
 fn sense(section: &str, directive: &str, old: Option<&str>, new: Option<&str>) -> Option<&'static str> {
     let keyword = section.split(' ').next()?;
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod explain;
 pub mod format;
 pub mod index;
+pub mod lending;
 pub mod load;
 pub mod members;
 pub mod model;
--- a/crates/configuration/src/members.rs
+++ b/crates/configuration/src/members.rs
@@ -3,7 +3,6 @@
 use crate::check::Section;
 use crate::diagnostic::Diagnostic;
 use crate::schema::{MEMBERS_LIMIT, MEMBER_NAME_LIMIT};
-use crate::value::Value;
 use crate::values::Values;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -65,17 +64,13 @@
     let roster = roster(&stated, faults);
     let v = Values::of(section);
     let (version, listen) = (v.count("version"), v.address("listen"));
-    let key_file = match v.value("key-file") {
-        Some(Value::Text(path)) => Some(PathBuf::from(path)),
-        _ => None,
-    };
     for keyword in ["version", "listen", "key-file"] {
         required(section, keyword, "the section members", faults);
     }
     Some(Members {
         version: version?,
         listen: listen?,
-        key_file: key_file?,
+        key_file: v.path("key-file")?,
         period: v.time("period").unwrap_or_default(),
         suspicion: v.time("suspicion").unwrap_or_default(),
         roster,
@@ -116,6 +111,21 @@
     roster
 }
 
+/// A section that says nothing without the section members.
+pub(crate) fn needed(
+    sections: &[Section],
+    section: &Section,
+    what: &str,
+    label: &str,
+    faults: &mut Vec<Diagnostic>,
+) {
+    if !sections.iter().any(|s| s.spec.keyword == "members") {
+        let message = format!("{what} is stated, but no section members");
+        let fault = Diagnostic::error("missing", section.span, message).label(label);
+        faults.push(fault.help("write a section members { ... } and the roster"));
+    }
+}
+
 pub(crate) fn required(section: &Section, keyword: &'static str, whose: &str, faults: &mut Vec<Diagnostic>) {
     // A line of a section that could not be read may have stated it.
     if section.partial || section.setting(keyword).is_some() {
--- a/crates/configuration/src/model.rs
+++ b/crates/configuration/src/model.rs
@@ -1,8 +1,9 @@
 //! The typed, resolved model, with the place of every value, and the checks between values.
 
 use crate::calendar::{Almanac, Stated, Window};
-use crate::check::Section;
-use crate::diagnostic::{nearest, Diagnostic};
+use crate::check::{unknown_name, Section};
+use crate::diagnostic::Diagnostic;
+pub use crate::lending::{Credit, Lending};
 pub use crate::members::{Member, Members};
 pub use crate::rollout::Rollout;
 use crate::route::{fold, Conditions, Outcome, Priority, Route};
@@ -169,6 +170,8 @@
     /// The other proxies; none: nobody listens for them.
     pub members: Option<Members>,
     pub rollout: Option<Rollout>,
+    /// Who may borrow; none: nothing is lent.
+    pub lending: Option<Lending>,
 }
 
 impl Default for Model {
@@ -178,7 +181,7 @@
     }
 }
 
-fn name(value: &Value) -> Option<String> {
+pub(crate) fn name(value: &Value) -> Option<String> {
     match value {
         Value::Name(name) => Some(name.clone()),
         _ => None,
@@ -335,12 +338,10 @@
                 .help("state a balancer"),
         );
     }
-    let control = match once("control").value("socket") {
-        Some(Value::Text(path)) => Some(PathBuf::from(path)),
-        _ => None,
-    };
+    let control = once("control").path("socket");
     let members = crate::members::members(sections, partial, faults);
     let rollout = crate::rollout::rollout(sections, partial, faults);
+    let lending = crate::lending::lending(sections, &named_windows, partial, faults);
     let v = once("logging");
     let logging = Logging { level: v.choice("level"), json: v.choice("form") == "json" };
     Model {
@@ -363,6 +364,7 @@
         control,
         members,
         rollout,
+        lending,
     }
 }
 
@@ -490,18 +492,19 @@
         named.push(NamedWindow { name: section.name.clone(), stated });
         windows.push(window);
     }
-    let used: std::collections::HashSet<&str> = used(sections, "during").collect();
+    let used: std::collections::HashSet<&str> =
+        used(sections, "route", "during").chain(used(sections, "credit", "not-during")).collect();
     for section in sections.iter().filter(|s| s.spec.keyword == "window" && !used.contains(s.name.as_str())) {
-        let message = format!("no route goes by the window {}", section.name);
+        let message = format!("no route and no credit goes by the window {}", section.name);
         faults.push(Diagnostic::warning("unused-window", section.span, message).label("never used"));
     }
     (named, windows)
 }
 
-/// The names that routes refer to by a directive.
-fn used<'a>(sections: &'a [Section], keyword: &'a str) -> impl Iterator<Item = &'a str> {
-    let routes = sections.iter().filter(|s| s.spec.keyword == "route");
-    routes.flat_map(move |s| s.values(keyword)).filter_map(|(value, _)| match value {
+/// The names that sections of a kind refer to by a directive.
+fn used<'a>(sections: &'a [Section], kind: &'a str, keyword: &'a str) -> impl Iterator<Item = &'a str> {
+    let those = sections.iter().filter(move |s| s.spec.keyword == kind);
+    those.flat_map(move |s| s.values(keyword)).filter_map(|(value, _)| match value {
         Value::Name(name) => Some(name.as_str()),
         _ => None,
     })
@@ -534,13 +537,7 @@
         if partial {
             return;
         }
-        let fault = Diagnostic::error("unknown-name", span, format!("there is no {what} {name}"))
-            .label("not defined in any file that was read");
-        faults.push(match nearest(name, known.iter().copied()) {
-            Some(near) => fault.help(format!("did you mean {near}?")),
-            None if known.is_empty() => fault.help(format!("no {what} is defined")),
-            None => fault,
-        });
+        faults.push(unknown_name(what, name, span, &known));
     };
     let mut routes = Vec::new();
     let mut checks = Vec::new();
@@ -599,7 +596,7 @@
         }
     }
     faults.extend(checks);
-    let used: std::collections::HashSet<&str> = used(sections, "pool").collect();
+    let used: std::collections::HashSet<&str> = used(sections, "route", "pool").collect();
     for section in sections.iter().filter(|s| s.spec.keyword == "pool" && !used.contains(s.name.as_str())) {
         let message = format!("no route leads to the pool {}", section.name);
         faults.push(Diagnostic::warning("unused-pool", section.span, message).label("never used"));
--- a/crates/configuration/src/platform.rs
+++ b/crates/configuration/src/platform.rs
@@ -68,6 +68,7 @@
         match section.spec.keyword {
             "class" => class(section, platform, &mut faults),
             "route" => route(section, model, platform, &mut faults),
+            "credit" => credit(section, platform, &mut faults),
             "limits" => {
                 bounded(section, "sockets", platform.sockets.map(|n| n as u64), &mut faults);
                 bounded(section, "memory", platform.memory, &mut faults);
@@ -142,6 +143,15 @@
     }
 }
 
+fn credit(section: &Section, platform: &Platform, faults: &mut Vec<Diagnostic>) {
+    let classes: Vec<&str> = platform.classes.iter().map(|c| c.name.as_str()).collect();
+    let tenants: Vec<&str> = platform.tenants.iter().map(String::as_str).collect();
+    names(section, "class", "class", &classes, faults);
+    if !tenants.is_empty() && !tenants.contains(&section.name.as_str()) {
+        faults.push(unknown("tenant", &section.name, section.span, &tenants));
+    }
+}
+
 fn route(section: &Section, model: &Model, platform: &Platform, faults: &mut Vec<Diagnostic>) {
     let classes: Vec<&str> = platform.classes.iter().map(|c| c.name.as_str()).collect();
     let tenants: Vec<&str> = platform.tenants.iter().map(String::as_str).collect();
--- a/crates/configuration/src/rollout.rs
+++ b/crates/configuration/src/rollout.rs
@@ -27,22 +27,17 @@
 /// `partial`: some of the files could not be read.
 pub fn rollout(sections: &[Section], partial: bool, faults: &mut Vec<Diagnostic>) -> Option<Rollout> {
     let section = sections.iter().find(|s| s.spec.keyword == "rollout")?;
-    if !partial && !sections.iter().any(|s| s.spec.keyword == "members") {
-        let fault = Diagnostic::error("missing", section.span, "a rollout is stated, but no section members");
-        faults.push(fault.label("has nobody to tell").help("write a section members { ... } and the roster"));
+    if !partial {
+        crate::members::needed(sections, section, "a rollout", "has nobody to tell", faults);
     }
     let v = Values::of(section);
-    let path = |keyword| match v.value(keyword) {
-        Some(Value::Text(path)) => Some(PathBuf::from(path)),
-        _ => None,
-    };
     crate::members::required(section, "candidates", "the section rollout", faults);
     let name = |value: &Value| match value {
         Value::Name(name) => Some(name.clone()),
         _ => None,
     };
     Some(Rollout {
-        candidates: path("candidates")?,
+        candidates: v.path("candidates")?,
         order: v.all("order", name),
         canary: v.small("canary").unwrap_or(1),
         least_harm: v.part("least-harm"),
@@ -52,6 +47,6 @@
         period: v.time("period").unwrap_or_default(),
         window_least: v.count("window-least").unwrap_or(1),
         stage_least: v.count("stage-least").unwrap_or(1),
-        state: path("state"),
+        state: v.path("state"),
     })
 }
--- a/crates/configuration/src/schema.rs
+++ b/crates/configuration/src/schema.rs
@@ -107,6 +107,8 @@
 pub const VALUES_LIMIT: usize = 10_000;
 pub const WINDOWS_LIMIT: usize = 1_000;
 pub const MEMBERS_LIMIT: usize = 1_000;
+/// Stands that may borrow: the core keeps books of no more.
+pub const CREDITS_LIMIT: usize = 20;
 /// Bytes of a member's name.
 pub const MEMBER_NAME_LIMIT: usize = 64;
 
@@ -309,6 +311,31 @@
             at_start(directive("state", One(Type::Text { most: 4_096 }), "", "state /var/lib/leverproxy", "a directory where the state of the rollout outlives a restart; without it, it is heard from the others")),
         ],
     },
+    Section {
+        keyword: "lending",
+        naming: Naming::Unnamed,
+        help: "How the proxies of a fleet agree on what they lend to stands that are beyond their quota; needs the section `members`. Without this section nothing is lent.",
+        directives: &[
+            at_start(directive("state", One(Type::Text { most: 4_096 }), "", "state /var/lib/leverproxy/lending", "a directory of this proxy alone, where its book of loans outlives a restart; without it, a restarted proxy has no memory and gets a part of the line only from others")),
+            at_start(directive("lease", One(time(200, MINUTE)), "5s", "lease 10s", "a proxy lends for this long after more than half of the fleet heard it; the same at all proxies")),
+            at_start(directive("step", One(time(50, 10_000)), "1s", "step 500ms", "from one beat to the next; at most a third of `lease`")),
+            at_start(directive("longest", One(time(1_000, 24 * HOUR)), "2min", "longest 10min", "no credit's term and write-off together are longer; the same at all proxies")),
+        ],
+    },
+    Section {
+        keyword: "credit",
+        naming: Naming::Called,
+        help: "What a stand may borrow, by the platform's name of the tenant; needs the section `lending`. At most 20; a stand without one borrows nothing.",
+        directives: &[
+            directive("line", One(time(100, HOUR)), "", "line 10s", "required; what the stand may owe, as time of its quota of the whole fleet"),
+            directive("term", One(time(100, 12 * HOUR)), "60s", "term 30s", "a loan is repaid within this"),
+            directive("write-off", One(time(0, 12 * HOUR)), "60s", "write-off 30s", "what is still owed so long after the term is written off"),
+            directive("floor", One(share((0, 1), (99, 100))), "50%", "floor 80%", "the part of the quota that always stays, whatever is repaid"),
+            directive("class", Many(Type::Name), "", "class nearby-cabs trip-history", "required; the classes that loans are made for"),
+            directive("rate", One(Type::Rate { least: 1, most: 1_000_000 }), "", "rate 100/s", "required; the most that all proxies together lend, a second"),
+            directive("not-during", Many(Type::Reference("window")), "", "not-during dashain", "windows in which nothing is lent"),
+        ],
+    },
     Section {
         keyword: "control",
         naming: Naming::Unnamed,
--- a/crates/configuration/src/values.rs
+++ b/crates/configuration/src/values.rs
@@ -4,6 +4,7 @@
 use crate::schema;
 use crate::value::{Share, Value};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
 /// Typed values of a section, from the file or from the table's defaults.
@@ -76,6 +77,13 @@
         }
     }
 
+    pub fn path(&self, keyword: &'static str) -> Option<PathBuf> {
+        match self.value(keyword)? {
+            Value::Text(path) => Some(PathBuf::from(path)),
+            _ => None,
+        }
+    }
+
     pub fn share(&self, keyword: &'static str) -> Share {
         match self.value(keyword) {
             Some(Value::Share(share)) => share,
