Proxy: the model's lending stands in Config beside rollout

The stage that lends will need what the operators' file says of credits. It is carried from the model into Config, in the same way as rollout; nothing reads it yet.

--- a/crates/leverproxy/src/config.rs
+++ b/crates/leverproxy/src/config.rs
@@ -8,7 +8,7 @@
 use crate::health::Listen;
 use crate::operators;
 use crate::stages::steer::Rules;
-use configuration::model::{Entry, Logging, Members, Model, Origin, Rollout};
+use configuration::model::{Entry, Lending, Logging, Members, Model, Origin, Rollout};
 use configuration::schema::Takes;
 use configuration::source::Sources;
 use configuration::value;
@@ -71,6 +71,8 @@
     pub member_keys: Option<peers::Keys>,
     /// How new operators' files reach the fleet.
     pub rollout: Option<Rollout>,
+    /// What stands may borrow beyond their quota; none: nothing is lent.
+    pub lending: Option<Lending>,
     /// The operators' file that was read.
     pub operators: Option<PathBuf>,
     /// The end is announced to the balancers first.
@@ -416,6 +418,7 @@
         members: model.members.clone(),
         member_keys,
         rollout: model.rollout.clone(),
+        lending: model.lending.clone(),
         operators: variable("LB_OPERATORS").filter(|path| !path.is_empty()).map(PathBuf::from),
         announce_end: model.announce_end,
         checks: model.balancers.iter().flat_map(|b| b.networks.clone()).collect(),
