Stands borrow over the fleet in the program: asked, marked, withheld, kept and told

Need: the core of loans stood beside the program. Change: the stage quota asks it for each request beyond quota and marks it borrowed; what was never tried is given back; what a stand does without repays; proxies tell each other their rates (one account) and that room is short; the file is written beside the loop by atomic-write-file under a lock of its directory; sections lending and credit, figures, lines of status.

--- a/crates/lending/src/api.rs
+++ b/crates/lending/src/api.rs
@@ -175,6 +175,25 @@
     Crowded,
 }
 
+impl Reason {
+    /// For figures.
+    pub fn name(self) -> &'static str {
+        match self {
+            Reason::NoRule => "no-rule",
+            Reason::Class => "class",
+            Reason::Closed => "closed",
+            Reason::Short => "short",
+            Reason::View => "view",
+            Reason::Alone => "alone",
+            Reason::Default => "default",
+            Reason::Rate => "rate",
+            Reason::Line => "line",
+            Reason::Unsaved => "unsaved",
+            Reason::Crowded => "crowded",
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
     Borrowed,
--- a/crates/lending/src/core.rs
+++ b/crates/lending/src/core.rs
@@ -497,6 +497,11 @@
         })
     }
 
+    /// The line of each stand that may borrow, by this proxy's rules.
+    pub fn lines(&self) -> impl Iterator<Item = (&str, Milli)> + '_ {
+        self.rules.by.values().map(|(stand, rule)| (stand.as_str(), rule.line()))
+    }
+
     /// The part of all of a stand's line that this lane holds, of [`WHOLE`], and the start that names the lane.
     pub fn held(&self, stand: &str) -> (u32, u64) {
         (self.share(number(stand)), self.kept.lane)
--- a/crates/lending/src/lib.rs
+++ b/crates/lending/src/lib.rs
@@ -22,9 +22,11 @@
 mod lanes;
 mod rules;
 pub mod said;
+mod shortage;
 
 pub use crate::api::{Action, Config, Event, Guards, Member, Notice, Reason, Verdict};
 pub use crate::book::Book;
 pub use crate::core::Core;
 pub use crate::file::{BadFile, Store, StoreError};
 pub use crate::rules::{Milli, Rule, Rules, RulesError};
+pub use crate::shortage::{Shortage, SHORT_LASTS};
--- a/crates/leverproxy/src/config.rs
+++ b/crates/leverproxy/src/config.rs
@@ -8,6 +8,7 @@
 use crate::health::Listen;
 use crate::operators;
 use crate::stages::steer::Rules;
+use configuration::calendar::Window;
 use configuration::model::{Entry, Lending, Logging, Members, Model, Origin, Rollout};
 use configuration::schema::Takes;
 use configuration::source::Sources;
@@ -73,6 +74,8 @@
     pub rollout: Option<Rollout>,
     /// What stands may borrow beyond their quota; none: nothing is lent.
     pub lending: Option<Lending>,
+    /// Windows of the file, in which a credit may be closed.
+    pub windows: Vec<Window>,
     /// The operators' file that was read.
     pub operators: Option<PathBuf>,
     /// The end is announced to the balancers first.
@@ -419,6 +422,7 @@
         member_keys,
         rollout: model.rollout.clone(),
         lending: model.lending.clone(),
+        windows: model.windows.clone(),
         operators: variable("LB_OPERATORS").filter(|path| !path.is_empty()).map(PathBuf::from),
         announce_end: model.announce_end,
         checks: model.balancers.iter().flat_map(|b| b.networks.clone()).collect(),
--- a/crates/leverproxy/src/members.rs
+++ b/crates/leverproxy/src/members.rs
@@ -52,6 +52,9 @@
 
 pub struct Members {
     stated: Stated,
+    name: String,
+    /// Of this process, in Unix milliseconds.
+    start: u64,
     socket: Option<UdpSocket>,
     core: Core,
     sealer: Sealer,
@@ -92,6 +95,8 @@
             sealer: Sealer::new(name, start, keys.clone()),
             opener: Opener::new(name, keys, names),
             stated,
+            name: name.to_owned(),
+            start,
             socket: None,
             origin: now,
             serving: true,
@@ -154,6 +159,19 @@
         }
     }
 
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    pub fn start(&self) -> u64 {
+        self.start
+    }
+
+    /// It can be heard: in an upgrade, once the elder has ended.
+    pub fn is_heard(&self) -> bool {
+        self.socket.is_some()
+    }
+
     /// Datagrams have come.
     pub fn ready(&mut self, now: Instant) {
         // One byte more than the longest, so that a longer one is known for it.
@@ -371,6 +389,7 @@
         let beyond = beyond.map(|(reason, n)| (vec![("reason", reason)], n));
         figures.many("lb_members_refused_total", "Datagrams not taken in, by reason.", refused.chain(beyond));
         for (name, help, value) in [
+            ("lb_start_ms", "When this process started, in Unix milliseconds.", self.start),
             ("lb_members_heard", "Members heard, this one too.", view.heads.heard as u64),
             ("lb_members_roster_version", "Version of the roster.", view.roster),
             (
--- a/crates/leverproxy/src/proxy.rs
+++ b/crates/leverproxy/src/proxy.rs
@@ -7,6 +7,7 @@
 use crate::discovery::Discovery;
 use crate::front::Front;
 use crate::health::Health;
+use crate::lending::Lending;
 use crate::members::Members;
 use crate::monitor::{self, Monitor, Usage};
 use crate::operate::{Operate, Word};
@@ -14,10 +15,12 @@
 use crate::reload::{Ask, Reloads};
 use crate::request::shown;
 use crate::rollout::Rollout;
+use crate::stages::quota;
 use crate::stages::steer::Rules;
 use crate::stages::{Chain, Sides, Timer};
 use crate::takeover::{self, Elder, Estate, Said, Takeover};
 use crate::upstream::Upstream;
+use configuration::calendar::Window;
 use drain::{Action, Drain};
 use maintenance::Unknown;
 use mountshift_settings::Decoded;
@@ -162,6 +165,13 @@
         if rollout.is_some() {
             sides.timers.set(now, Timer::Rollout);
         }
+        if members.is_some() {
+            sides.timers.set(now, Timer::Quota);
+        }
+        if let Some(stated) = config.lending.filter(|_| members.is_some()) {
+            chain.quota.lending = Some(Lending::new(stated, config.windows, wishes.waker()?, now));
+            chain.quota.rule(now);
+        }
         let proxy = Proxy {
             rollout,
             sides,
@@ -195,7 +205,7 @@
         loop {
             self.chain.turn(&mut self.sides, Instant::now());
             self.settle(Instant::now());
-            self.set_member_timers();
+            self.settle_members();
             if self.over {
                 self.leave_fleet();
                 let (clients, owed) = (self.sides.front.clients(), self.chain.owed());
@@ -316,6 +326,9 @@
             Token::Members => {
                 if let Some(members) = &mut self.members {
                     members.ready(now);
+                    for fact in members.take_heard() {
+                        self.chain.quota.heard(&fact, now);
+                    }
                 }
             }
             Token::Client(key) => front.ready(key, ready.ended, now, reactor),
@@ -351,6 +364,12 @@
                 self.sides.timers.set(now + monitor::LOOK, Timer::Load);
             }
             Timer::Rollout => self.look_at_rollout(now),
+            Timer::Quota => {
+                if let Some(members) = &mut self.members {
+                    self.chain.quota.look(members, now);
+                    self.sides.timers.set(now + quota::LOOK, Timer::Quota);
+                }
+            }
             Timer::Drain => self.drain(drain::Event::Tick, now),
             Timer::Members(token) => {
                 if let Some(members) = &mut self.members {
@@ -474,7 +493,8 @@
             drain::Phase::Lingering { .. } | drain::Phase::Closing | drain::Phase::Over => "ending".into(),
         };
         let members = self.members.as_ref().map_or(String::new(), |members| members.lines(now));
-        let text = format!("phase {phase}\n{}{members}", self.chain.monitor.lines());
+        let loans = self.chain.quota.lending.as_ref().map_or(String::new(), |loans| loans.lines(now));
+        let text = format!("phase {phase}\n{}{members}{loans}", self.chain.monitor.lines());
         if let Some(operate) = &mut self.sides.operate {
             operate.answer(key, &text);
         }
@@ -575,6 +595,9 @@
         if let Some(members) = &self.members {
             members.figures(now, &mut figures);
         }
+        if let Some(loans) = &self.chain.quota.lending {
+            loans.figures(now, &mut figures);
+        }
         if let Some(rollout) = &self.rollout {
             rollout.figures(&mut figures);
         }
@@ -627,7 +650,7 @@
         self.chain.counters.reloads += 1;
         self.platform = succession.next.clone();
         let rules = Rules { places: succession.places.clone(), ..config.rules };
-        self.chain.configure(succession, config.dial_timeout);
+        self.chain.configure(succession, config.dial_timeout, now);
         self.sides.upstream.set_times(config.dial_timeout, config.idle_limit);
         self.sides.front.set_balancers(config.checks.clone(), config.proxy_from.clone());
         (self.limits, self.patience) = (config.limits, config.patience);
@@ -638,7 +661,8 @@
         let former = self.chain.set_rules(rules);
         self.chain.discovery_at(config.discovery, &mut self.sides, now);
         self.chain.set_pushed(!self.platform.settings.list_on_request, &mut self.sides, now);
-        let waits = self.reload_members(config.members, config.member_keys, now);
+        let mut waits = self.reload_members(config.members, config.member_keys, now);
+        waits.extend(self.reload_lending(config.lending, config.windows, now));
         let pause_us = begun.elapsed().as_micros() as u64;
         log::info!(pause_us, routes; "the configuration is reread: discovery at {}", config.discovery);
         if let Some(reloads) = &self.reloads {
@@ -673,7 +697,10 @@
             (None, Some(stated), keys) => {
                 let (name, reactor) = (&self.fixed.name, &self.sides.reactor);
                 match Members::join(stated, keys, name, clock::unix_ms(), self.seed, now, reactor) {
-                    Ok(members) => self.members = Some(members),
+                    Ok(members) => {
+                        self.members = Some(members);
+                        self.sides.timers.set(now, Timer::Quota);
+                    }
                     Err(error) => log::error!("configuration: {error}; this proxy stays by itself"),
                 }
             }
@@ -681,13 +708,42 @@
                 log::info!("members: the file names none any more; the fleet is left");
                 members.leave(now);
                 self.members = None;
+                self.chain.quota.alone();
             }
             (None, None, _) => {}
         }
         Vec::new()
     }
 
-    fn set_member_timers(&mut self) {
+    /// Loans as the file now states them. Without its section nothing more is lent; what is owed is known until the end.
+    fn reload_lending(
+        &mut self,
+        stated: Option<configuration::model::Lending>,
+        windows: Vec<Window>,
+        now: Instant,
+    ) -> Vec<&'static str> {
+        let lending = &mut self.chain.quota.lending;
+        let waits = match (lending.as_mut(), stated) {
+            (Some(lending), Some(stated)) => lending.reload(stated, windows),
+            (Some(lending), None) => lending.end(),
+            (None, Some(stated)) if self.members.is_some() => {
+                match self.wishes.waker() {
+                    Ok(waker) => *lending = Some(Lending::new(stated, windows, waker, now)),
+                    Err(error) => log::error!("loans: {error}; nothing is lent here"),
+                }
+                Vec::new()
+            }
+            (None, _) => Vec::new(),
+        };
+        self.chain.quota.rule(now);
+        waits
+    }
+
+    /// What the other rooms have to say goes out, and the members' timers are set.
+    fn settle_members(&mut self) {
+        if let Some(members) = &mut self.members {
+            self.chain.quota.flush(members, Instant::now());
+        }
         for (at, token) in self.members.as_mut().map(Members::take_timers).unwrap_or_default() {
             self.sides.timers.set(at, Timer::Members(token));
         }
@@ -707,7 +763,7 @@
         let (clients, turned_out) = (front.clients(), front.turned_out);
         let (connections, dials) = (upstream.connections(), upstream.dials);
         let (steering, health) = (self.chain.steering(), self.sides.health.lines());
-        let quota = self.chain.quota();
+        let quota = &self.chain.quota;
         crate::logging::say(&format!(
             "{}\nconnections: clients {clients}, turned out {turned_out}; upstream {connections}; dials {dials}{steering}{quota}{health}",
             self.chain.counters,
--- a/crates/leverproxy/src/stages/admit.rs
+++ b/crates/leverproxy/src/stages/admit.rs
@@ -3,7 +3,7 @@
 use crate::reactor::Key;
 use crate::request::{shown, Answer, Command, Request, Ticket};
 use bulkheads::PoolId;
-use mountshift::{AttemptNo, ClassId, GroupId, RequestId};
+use mountshift::{Arrival, AttemptNo, ClassId, GroupId, RequestId, Standing, TenantId};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -19,6 +19,9 @@
     pub ticket: Ticket,
     pub class: ClassId,
     pub group: GroupId,
+    /// Whose it is, and where it stands in that quota.
+    pub tenant: TenantId,
+    pub standing: Standing,
     /// The pool that it counts against.
     pub pool: Option<PoolId>,
     pub command: Arc<Command>,
@@ -80,24 +83,37 @@
         taken.then(|| Answer::Rejected(format!("id={} is another request's", shown(&request.id))))
     }
 
-    /// Enters a request that nothing bars.
+    /// Enters a request that nothing bars. `class`: the one that its client said.
     pub fn admit(
         &mut self,
-        id: RequestId,
+        arrival: &Arrival,
         ticket: Ticket,
         class: ClassId,
         pool: Option<PoolId>,
         request: Request,
     ) {
+        let Arrival { id, tenant, standing, .. } = *arrival;
         self.tickets.insert(ticket, id);
         let Request { id: name, command, read_at, wait, group, .. } = request;
         let group = GroupId(group);
         self.names.insert(name.clone());
         let command = Arc::new(command);
-        self.open.insert(
-            id,
-            Open { name, ticket, class, group, pool, command, read_at, wait, passing: None, attempts: 0 },
-        );
+        let (passing, attempts) = (None, 0);
+        let open = Open {
+            name,
+            ticket,
+            class,
+            group,
+            tenant,
+            standing,
+            pool,
+            command,
+            read_at,
+            wait,
+            passing,
+            attempts,
+        };
+        self.open.insert(id, open);
     }
 
     pub fn get_mut(&mut self, id: RequestId) -> Option<&mut Open> {
--- a/crates/leverproxy/src/stages/mod.rs
+++ b/crates/leverproxy/src/stages/mod.rs
@@ -48,6 +48,8 @@
     Members(u64),
     /// A rollout is looked at.
     Rollout,
+    /// What others say of quotas and loans is looked at.
+    Quota,
 }
 
 /// The sides that the chain works on.
@@ -75,7 +77,7 @@
     ledger: admit::Ledger,
     route: route::Route,
     steering: steer::Steering,
-    quota: quota::Quota,
+    pub quota: quota::Quota,
     rejections: Seldom,
     /// When the proxy ends, once it is told to: no request has time beyond that.
     end: Option<Instant>,
@@ -94,7 +96,7 @@
     ) -> Chain {
         let clock = Clock::start();
         let mut quota = quota::Quota::default();
-        quota.configure(&platform);
+        quota.configure(&platform, now);
         let Decoded { settings, names, max_open, .. } = platform;
         Chain {
             counters: Counters::new(&names.classes),
@@ -189,7 +191,7 @@
             Err(answer) => return self.turn_away(ticket, class, answer, sides, now),
         };
         self.quota.mark(&mut arrival, request.tenant.is_some(), now);
-        self.ledger.admit(id, ticket, class, pool, request);
+        self.ledger.admit(&arrival, ticket, class, pool, request);
         self.counters.taken(class);
         self.monitor.asked(arrival.group, now);
         self.decide(Event::Arrived(arrival), sides, now);
@@ -231,9 +233,9 @@
     }
 
     /// The platform's settings from now on; what was known, and requests under way, stay.
-    pub fn configure(&mut self, succession: Succession, probe_time: Duration) {
+    pub fn configure(&mut self, succession: Succession, probe_time: Duration, now: Instant) {
         let Succession { next, heirs, .. } = succession;
-        self.quota.configure(&next);
+        self.quota.configure(&next, now);
         let Decoded { settings, names, max_open, .. } = next;
         self.counters.extend(&names.classes);
         self.deadlines = settings.classes.iter().map(|c| c.deadline).collect();
@@ -243,10 +245,6 @@
         self.route.configure(settings, &heirs);
     }
 
-    pub fn quota(&self) -> &quota::Quota {
-        &self.quota
-    }
-
     pub fn steering(&self) -> &steer::Steering {
         &self.steering
     }
@@ -276,6 +274,7 @@
                 sides.upstream.stop(from, now);
             }
             self.counters.left(open.class);
+            self.quota.ended(&open, None, now);
             self.monitor.left(open.group, now);
             self.decide(Event::Left(id), sides, now);
         }
@@ -434,6 +433,7 @@
     fn relay(&mut self, open: admit::Open, answer: Answer, sides: &mut Sides, now: Instant) {
         log::debug!("{}: {}", self.counters.name(open.class), relay::account(&open, &answer, now));
         self.counters.answered(open.class, &answer);
+        self.quota.ended(&open, Some(&answer), now);
         let write = self.writes.get(usize::from(open.class.0)).copied().unwrap_or(false);
         self.monitor.answered(open.group, write, &answer, now);
         match (open.passing, &answer) {
--- a/crates/leverproxy/tests/units.rs
+++ b/crates/leverproxy/tests/units.rs
@@ -14,7 +14,10 @@
 use leverproxy::seldom::Seldom;
 use leverproxy::stages::admit::Ledger;
 use leverproxy::stages::book;
-use mountshift::{ClassId, Event, ListNews, Listed, Note, Report, RequestId, StoreId, Time};
+use mountshift::{
+    Arrival, ClassId, Event, GroupId, ListNews, Listed, Note, Report, RequestId, Standing, StoreId, TenantId,
+    Time,
+};
 use mountshift_settings::Names;
 use std::io::{Read, Write};
 use std::os::unix::net::UnixStream;
@@ -188,6 +191,21 @@
     assert_eq!(rest, text.as_bytes());
 }
 
+fn arrival(no: u64) -> Arrival {
+    Arrival {
+        id: RequestId(no),
+        class: ClassId(0),
+        tenant: TenantId(0),
+        group: GroupId(2),
+        session: None,
+        time_left: Duration::from_millis(480),
+        wrote_ago: None,
+        repeated: false,
+        standing: Standing::Within,
+        tries: None,
+    }
+}
+
 /// On a long day every name is new: what is kept of them must not grow.
 #[test]
 fn names_of_requests_are_forgotten() {
@@ -198,7 +216,7 @@
         let Ok(Query::Request(request)) = statement::parse(&text, now) else { panic!("{text}") };
         let ticket = Ticket { client: Slots::default().insert(()), number: no };
         assert!(ledger.bars(&request).is_none());
-        ledger.admit(RequestId(no), ticket, ClassId(0), None, request);
+        ledger.admit(&arrival(no), ticket, ClassId(0), None, request);
         assert!(ledger.close(RequestId(no), now).is_some());
     }
     assert!(ledger.is_empty() && ledger.names() <= 500, "{} names are kept", ledger.names());
