Checkers of loans and of rollouts over several proxies, from looks at each

What several proxies do together (one line for a stand, one new version at a time) is seen by no server, so the ledger had no rule for it. Two checkers, independent of the cores, judge skewed rounds of looks and say only what is a breach for sure.

--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -1,6 +1,9 @@
 //! The rules, watched from outside: what policies ask for, what clients get and what takes effect is all that counts
 //! here.
 
+pub mod loans;
+pub mod versions;
+
 use mountshift::Outcome;
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
@@ -110,6 +113,28 @@
 /// Of breaches, those that are kept one by one.
 const FOUND: usize = 20;
 
+/// Breaches of what several proxies do together: how many, and the first of them.
+#[derive(Clone, Debug)]
+pub struct Breaches<B> {
+    pub count: u64,
+    pub first: Vec<B>,
+}
+
+impl<B> Default for Breaches<B> {
+    fn default() -> Breaches<B> {
+        Breaches { count: 0, first: Vec::new() }
+    }
+}
+
+impl<B> Breaches<B> {
+    fn add(&mut self, breach: B) {
+        self.count += 1;
+        if self.first.len() < FOUND {
+            self.first.push(breach);
+        }
+    }
+}
+
 /// Beyond the client's time, in which an answer still counts.
 const GRACE: Micros = 20_000;
 
--- /dev/null
+++ b/crates/ledger/tests/loans.rs
@@ -0,0 +1,207 @@
+//! Each rule of loans is broken once and found; skewed looks at a history that keeps the line find nothing.
+
+use ledger::loans::{Book, Breach, Checker};
+use proptest::prelude::*;
+
+fn book(lent: u64, repaid: u64, written_off: u64, line: u64) -> Book {
+    Book { lent, repaid, written_off, owed: lent - repaid - written_off, part: line / 2, line }
+}
+
+/// Rounds of looks at a, b and so on, in their first starts, each after the word that goes with it.
+fn rounds(checker: &mut Checker, rounds: &[&[Book]]) {
+    for round in rounds {
+        for (proxy, book) in ["a", "b"].iter().zip(*round) {
+            checker.look(proxy, 1, "bus", *book);
+        }
+        checker.round();
+    }
+}
+
+fn passed(checker: &Checker) -> Option<(u64, u64)> {
+    checker.broken.first.iter().find_map(|breach| match breach {
+        Breach::LinePassed { owed, line, .. } => Some((*owed, *line)),
+        _ => None,
+    })
+}
+
+#[test]
+fn books_that_do_not_add_up_are_found() {
+    let mut checker = Checker::new(None);
+    rounds(&mut checker, &[&[Book { owed: 4, ..book(10, 5, 0, 100) }]]);
+    assert!(matches!(checker.broken.first[..], [Breach::Unbalanced { .. }]), "{:?}", checker.broken);
+}
+
+#[test]
+fn a_count_that_shrinks_is_found_unless_the_proxy_started_anew() {
+    let was = book(30, 10, 5, 100);
+    for is in [book(29, 10, 5, 100), book(30, 9, 5, 100), book(30, 10, 4, 100)] {
+        let mut checker = Checker::new(None);
+        rounds(&mut checker, &[&[was], &[is]]);
+        assert!(matches!(checker.broken.first[..], [Breach::Backwards { .. }]), "{:?}", checker.broken);
+        let mut checker = Checker::new(None);
+        rounds(&mut checker, &[&[was]]);
+        checker.look("a", 2, "bus", is);
+        assert_eq!(checker.broken.count, 0);
+    }
+}
+
+#[test]
+fn two_proxies_that_lend_the_same_room_are_found() {
+    let mut checker = Checker::new(None);
+    let (a, b) = (book(60, 0, 0, 100), book(61, 20, 0, 100));
+    rounds(&mut checker, &[&[a, b], &[a, b]]);
+    assert_eq!(passed(&checker), Some((101, 100)));
+}
+
+#[test]
+fn a_smaller_line_binds_once_all_have_heard_of_it_and_old_loans_are_back() {
+    let (a, b) = (book(60, 0, 0, 100), book(40, 0, 0, 100));
+    let (low, back) = (|b: Book| Book { line: 50, ..b }, book(60, 50, 0, 100));
+    let mut checker = Checker::new(Some(1));
+    rounds(&mut checker, &[&[a, b], &[low(a), b], &[low(a), b], &[low(a), b]]);
+    assert_eq!(checker.broken.count, 0, "{:?}", checker.broken);
+    let more = book(45, 0, 0, 100);
+    rounds(&mut checker, &[&[low(back), b], &[low(back), b], &[low(back), more], &[low(back), more]]);
+    assert_eq!(passed(&checker), Some((55, 50)));
+}
+
+/// What a dead one owes takes up room until its lane is over; a start with its file goes on with it, one without begins
+/// anew beside it.
+#[test]
+fn what_the_dead_owe_counts_until_it_is_over() {
+    let (a, b) = (book(70, 0, 0, 100), book(41, 0, 0, 100));
+    let dead = |repaid: u64, then: fn(&mut Checker)| {
+        let mut checker = Checker::new(None);
+        rounds(&mut checker, &[&[a, book(20, 0, 0, 100)]]);
+        checker.dead("a", repaid);
+        then(&mut checker);
+        for _ in 0..2 {
+            checker.look("b", 1, "bus", b);
+            checker.round();
+        }
+        passed(&checker)
+    };
+    assert_eq!(dead(10, |_| ()), Some((101, 100)));
+    assert_eq!(dead(11, |_| ()), None);
+    assert_eq!(dead(0, |checker| checker.forget("a")), None);
+    assert_eq!(dead(0, |checker| checker.look("a", 2, "bus", book(78, 0, 0, 100))), None);
+    assert_eq!(dead(0, |checker| checker.look("a", 2, "bus", book(0, 0, 0, 100))), Some((111, 100)));
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Lend(usize, u64),
+    Return(usize, u64, bool),
+    Line(u64),
+    Die(usize),
+    /// With its file, which has so much more reserved, or without.
+    Start(usize, bool, u64),
+    Over(usize),
+    Look,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let proxy = 0..3_usize;
+    prop_oneof![
+        4 => (proxy.clone(), 1..40_u64).prop_map(|(p, n)| Step::Lend(p, n)),
+        3 => (proxy.clone(), 1..40_u64, any::<bool>()).prop_map(|(p, n, off)| Step::Return(p, n, off)),
+        1 => (40..120_u64).prop_map(Step::Line),
+        1 => proxy.clone().prop_map(Step::Die),
+        1 => (proxy.clone(), any::<bool>(), 0..20_u64).prop_map(|(p, file, n)| Step::Start(p, file, n)),
+        1 => proxy.prop_map(Step::Over),
+        6 => Just(Step::Look),
+    ]
+}
+
+/// A proxy as it is, and what of its former starts is owed beside its book.
+#[derive(Clone, Copy, Debug)]
+struct Proxy {
+    book: Book,
+    start: u64,
+    dead: bool,
+    left: u64,
+    /// Of what its book says is owed, what is over.
+    over: u64,
+    /// Since its last look.
+    returned: u64,
+}
+
+impl Proxy {
+    fn looked(&mut self, checker: &mut Checker, at: usize, line: u64) {
+        if !self.dead {
+            checker.look(&at.to_string(), self.start, "bus", Book { line, ..self.book });
+            self.returned = 0;
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 400,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Any proxy may lend whatever room there is at that instant, as if gifts took no time; looks go round one by one.
+    #[test]
+    fn no_sound_history_is_called_a_breach(steps in prop::collection::vec(step(), 1..300)) {
+        let mut checker = Checker::new(Some(0));
+        // A line stands until a whole round has seen it.
+        let (mut line, mut next, mut whole) = (100, 0, 0);
+        let new = Proxy { book: book(0, 0, 0, 100), start: 1, dead: false, left: 0, over: 0, returned: 0 };
+        let mut proxies = [new; 3];
+        proxies.iter_mut().enumerate().for_each(|(at, proxy)| proxy.looked(&mut checker, at, line));
+        for step in steps {
+            let owed: u64 = proxies.iter().map(|p| p.left + p.book.owed - p.over).sum();
+            match step {
+                Step::Lend(at, n) if !proxies[at].dead && owed + n <= line => {
+                    proxies[at].book.lent += n;
+                    proxies[at].book.owed += n;
+                }
+                Step::Return(at, n, off) if !proxies[at].dead => {
+                    let Proxy { book, over, returned, .. } = &mut proxies[at];
+                    let n = n.min(book.owed);
+                    book.owed -= n;
+                    *over = over.saturating_sub(n);
+                    *returned += n;
+                    *if off { &mut book.written_off } else { &mut book.repaid } += n;
+                }
+                Step::Line(n) if whole > 1 => (line, whole) = (n, 0),
+                Step::Die(at) if !proxies[at].dead => {
+                    proxies[at].dead = true;
+                    checker.dead(&at.to_string(), proxies[at].returned);
+                }
+                Step::Start(at, file, n) if proxies[at].dead => {
+                    let proxy = &mut proxies[at];
+                    (proxy.dead, proxy.start) = (false, proxy.start + 1);
+                    if file {
+                        proxy.book.lent += n;
+                        proxy.book.owed += n;
+                    } else {
+                        proxy.left += proxy.book.owed - proxy.over;
+                        (proxy.book, proxy.over) = (book(0, 0, 0, line), 0);
+                    }
+                    proxy.looked(&mut checker, at, line);
+                }
+                Step::Over(at) => {
+                    checker.forget(&at.to_string());
+                    proxies[at].left = 0;
+                    if proxies[at].dead {
+                        proxies[at].over = proxies[at].book.owed;
+                    }
+                }
+                Step::Look => {
+                    proxies[next].looked(&mut checker, next, line);
+                    next = (next + 1) % 3;
+                    if next == 0 {
+                        checker.round();
+                        whole += 1;
+                    }
+                }
+                _ => {}
+            }
+        }
+        prop_assert_eq!(checker.broken.count, 0, "{:?}", checker.broken.first);
+    }
+}
