--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -6,6 +6,7 @@
 //! ask, waits for events, and at last reads what came of it and which rules were broken. `docs/design/rig.md`.
 #![forbid(unsafe_code)]
 
+pub mod books;
 pub mod datagrams;
 pub mod discovery;
 pub mod link;
--- a/crates/rig/tests/rollout.rs
+++ b/crates/rig/tests/rollout.rs
@@ -3,9 +3,13 @@
 
 mod common;
 use common::{answered, setup, SECOND};
+use ledger::versions::Checker;
 use rig::members::Members;
 use rig::{process, Rig};
+use std::cell::RefCell;
+use std::ops::{Deref, DerefMut};
 use std::process::Command;
+use std::time::{Duration, Instant};
 
 const OPERATORS: &str = "control {\n socket {folder}/control\n}\nrollout {\n candidates {folder}/candidates\n \
                          state {folder}/candidates/state\n soak 2s\n dark 1min\n period 200ms\n window-least 3\n \
@@ -15,14 +19,58 @@
 const EXTRA: &str = "class any {\n tries 3\n}\n";
 const BAD: &str = "include ../operators.conf\nroute none {\n class any\n refuse 1s\n}\n";
 
+/// Longer than any vote of these fleets holds.
+const VOTES_LAST: Duration = Duration::from_secs(10);
+
+/// A rig, and what its proxies have told of versions.
+struct Fleet {
+    rig: Rig,
+    versions: RefCell<Checker>,
+    from: Instant,
+}
+
+impl Deref for Fleet {
+    type Target = Rig;
+
+    fn deref(&self) -> &Rig {
+        &self.rig
+    }
+}
+
+impl DerefMut for Fleet {
+    fn deref_mut(&mut self) -> &mut Rig {
+        &mut self.rig
+    }
+}
+
+impl Fleet {
+    /// No rule of rollouts is broken, as far as two looks at all that live show.
+    fn is_sound(&self) {
+        let alive = |proxy: &usize| self.rig.proxies[*proxy].process.is_some();
+        let mut versions = self.versions.borrow_mut();
+        for _ in 0..2 {
+            let proxies = (0..self.rig.proxies.len()).filter(alive);
+            let looked = self.rig.look_at_versions(proxies, self.from.elapsed(), &mut versions);
+            looked.unwrap_or_else(|fault| panic!("{fault}"));
+        }
+        assert_eq!(versions.broken.count, 0, "{:?}", versions.broken.first);
+    }
+}
+
 /// So many proxies: the first ones are in the first region, the last two in the second. All have the candidate.
-fn fleet(proxies: usize, candidate: &str) -> Rig {
+fn fleet(proxies: usize, candidate: &str) -> Fleet {
     let mut setup = setup(proxies, 150.0, 60 * SECOND);
     setup.admin = true;
     setup.operators = OPERATORS.to_owned();
     let region = |proxy| if proxy + 2 < proxies { "east" } else { "west" }.to_owned();
     setup.members = Some(Members { regions: (0..proxies).map(region).collect(), ..Members::default() });
+    let named = |name: &str| {
+        let of = (0..proxies).filter(|proxy| region(*proxy) == name);
+        (name.to_owned(), of.map(|proxy| format!("n{proxy}")).collect())
+    };
+    let versions = RefCell::new(Checker::new(vec![named("east"), named("west")], VOTES_LAST));
     let rig = Rig::start(setup).unwrap_or_else(|fault| panic!("{fault}"));
+    let rig = Fleet { rig, versions, from: Instant::now() };
     (0..proxies).for_each(|proxy| place(&rig, proxy, candidate));
     each(&rig, 0..proxies, "lb_members_state{state=\"whole\"}", 1);
     rig.truth.begin();
@@ -51,12 +99,14 @@
     assert!(answer.starts_with("rollout proposed"), "{answer}");
 }
 
-fn each(rig: &Rig, proxies: impl IntoIterator<Item = usize>, name: &str, value: u64) {
+/// Until it is so for each; then all are looked at.
+fn each(rig: &Fleet, proxies: impl IntoIterator<Item = usize>, name: &str, value: u64) {
     for proxy in proxies {
         let seen = rig.figure_until(proxy, name, |n| n == value);
         let status = || say(rig, proxy, &["status"]);
         seen.unwrap_or_else(|fault| panic!("{fault}\n{}", status()));
     }
+    rig.is_sound();
 }
 
 fn figure(rig: &Rig, proxy: usize, name: &str) -> u64 {
