Peers, membership, rollout, lending: each error says what an operator can do

Need: messages say what happened in a line of a log; what to do in each state stood on pages, or nowhere (rollout, lending). Change: a method advice() on each error type of the four crates, in a file of its own, a match without wildcard.

--- a/crates/lending/src/lib.rs
+++ b/crates/lending/src/lib.rs
@@ -15,6 +15,7 @@
 //! with a later start each; give time that never goes back and does not stand still while others' runs.
 #![forbid(unsafe_code)]
 
+mod advice;
 mod api;
 mod book;
 mod core;
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! The reasons, the table of states and acts, and all bounds: `docs/design/members.md`.
 
+mod advice;
 mod core;
 mod facts;
 mod roster;
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -3,6 +3,7 @@
 //! A datagram is bounded, versioned and authenticated by a key that all members have, and none is taken in twice.
 //! What its payload says is for others to read. See `docs/design/peers-envelope.md`.
 
+mod advice;
 mod head;
 mod keys;
 mod open;
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! The reasons and all bounds: `docs/design/rollout.md`.
 
+mod advice;
 mod core;
 mod evidence;
 mod machine;
