--- a/crates/leverproxy/src/config.rs
+++ b/crates/leverproxy/src/config.rs
@@ -19,9 +19,11 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
+use thiserror::Error;
 
 /// What is wrong with which key.
-#[derive(Debug, PartialEq, Eq)]
+#[derive(Debug, Error, PartialEq, Eq)]
+#[error("configuration: {key}: {problem}{}", Further(.faults))]
 pub struct ConfigError {
     pub key: String,
     pub problem: String,
@@ -33,17 +35,34 @@
     pub(crate) fn new(key: impl Into<String>, problem: impl ToString) -> ConfigError {
         ConfigError { key: key.into(), problem: problem.to_string(), faults: Vec::new() }
     }
+
+    /// What an operator can do, by the key. A reload that fails changes nothing; a start ends.
+    pub fn advice(&self) -> &'static str {
+        match self.key.as_str() {
+            "LB_CONFIG" => "Set LB_CONFIG to the platform's file, readable for the proxy's user.",
+            "LB_OPERATORS" => {
+                "`leverproxy config check FILE` shows each fault with its line and what would be right. A reload keeps what runs until it is mended; then SIGHUP."
+            }
+            "members" => "Add the section `member`, or set LB_NAME to the name that stands there, and start again.",
+            "members.key-file" => {
+                "Put the fleet's key file there, the same on every host (a new one: `openssl rand -hex 32`), readable for the proxy's user; then SIGHUP."
+            }
+            "rollout.candidates" => {
+                "Place the file in `candidates` on this host, readable for the proxy's user. It is looked for again every few seconds, and the rollout waits."
+            }
+            _ => "Put that key right in the platform's file, or in the variable that the message names. A reload keeps what runs until then; then SIGHUP.",
+        }
+    }
 }
 
-impl fmt::Display for ConfigError {
+struct Further<'a>(&'a [String]);
+
+impl fmt::Display for Further<'_> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "configuration: {}: {}", self.key, self.problem)?;
-        self.faults.iter().try_for_each(|fault| write!(f, "; {fault}"))
+        self.0.iter().try_for_each(|fault| write!(f, "; {fault}"))
     }
 }
 
-impl std::error::Error for ConfigError {}
-
 /// Everything a proxy is told before it starts, checked.
 #[derive(Debug)]
 pub struct Config {
--- a/crates/leverproxy/src/lib.rs
+++ b/crates/leverproxy/src/lib.rs
@@ -36,7 +36,7 @@
 pub mod reactor;
 pub mod reload;
 pub mod request;
-mod rollout;
+pub mod rollout;
 pub mod seldom;
 pub mod stages;
 pub mod takeover;
--- a/crates/leverproxy/src/members.rs
+++ b/crates/leverproxy/src/members.rs
@@ -42,6 +42,15 @@
     NoKeys,
 }
 
+impl Fault {
+    pub fn advice(&self) -> &'static str {
+        match self {
+            Fault::Roster(error) => error.advice(),
+            Fault::NoKeys => "Report it with the build. Without the section `members` the proxy starts, and serves as before.",
+        }
+    }
+}
+
 /// What each proxy tells the others of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct Account {
--- a/crates/leverproxy/src/rollout.rs
+++ b/crates/leverproxy/src/rollout.rs
@@ -16,8 +16,10 @@
 use sha2::{Digest, Sha256};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write;
+use std::io;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
+use thiserror::Error;
 use wire_admin::Figures;
 
 /// The first of the kinds of facts that are this room's.
@@ -31,6 +33,47 @@
 /// A state file is far smaller.
 const STATE_LIMIT: u64 = 16 << 10;
 
+/// What is wrong with a file of a version, or of what is known of a rollout.
+#[derive(Debug, Error)]
+pub enum Fault {
+    #[error("{} can't be read: {}", .0.display(), .1)]
+    Unread(PathBuf, String),
+    #[error("{} has more than {FILE_LIMIT} bytes", .0.display())]
+    Large(PathBuf),
+    #[error("{0} is no hash, and as a file: {1}")]
+    NoVersion(String, #[source] Box<Fault>),
+    #[error("{} has no file of the hash {}: place it there", .0.display(), .1)]
+    Missing(PathBuf, String),
+    #[error("{} can't be read: {}; this proxy starts without it", .0.display(), .1)]
+    Forgotten(PathBuf, #[source] io::Error),
+    #[error("{} has more than {STATE_LIMIT} bytes: it is no state file, and this proxy starts without it", .0.display())]
+    NoState(PathBuf),
+    #[error("{} can't be written: {}; a restart would not know of it", .0.display(), .1)]
+    Unkept(PathBuf, #[source] io::Error),
+}
+
+impl Fault {
+    pub fn advice(&self) -> &'static str {
+        match self {
+            Fault::Unread(..) => "Give the proxy's user (for a command: the one that runs it) the right to read it.",
+            Fault::Large(_) => "A version is an operators' file: name that, and let it `include` what makes it large.",
+            Fault::NoVersion(..) => {
+                "Name a file that can be read here, or the 64 hex digits of its SHA-256 (`sha256sum FILE`)."
+            }
+            Fault::Missing(..) => {
+                "Place the file there on this host, unchanged to the byte (`sha256sum` tells). It is looked for again every few seconds; only the first 256 files by name are looked at."
+            }
+            Fault::Forgotten(..) => {
+                "Look at the rights of `state`. The rollout is heard from the others; only if all start anew at once it is forgotten."
+            }
+            Fault::NoState(_) => "Remove it, and give `state` a directory that nothing else writes to.",
+            Fault::Unkept(..) => {
+                "The rollout goes on. Look at room and rights of `state`; until it can be written, do not start all proxies anew at once."
+            }
+        }
+    }
+}
+
 pub struct Rollout {
     stated: Stated,
     core: Core,
@@ -53,19 +96,18 @@
 }
 
 /// The hash of what an operator names: the hash itself, or a file.
-pub fn version(text: &str) -> Result<String, String> {
+pub fn version(text: &str) -> Result<String, Fault> {
     if unhex(text).is_some() {
         return Ok(text.to_ascii_lowercase());
     }
-    of_file(Path::new(text))
-        .map(|hash| hex(&hash))
-        .map_err(|e| format!("{text} is no hash, and as a file: {e}"))
+    let hash = of_file(Path::new(text)).map_err(|e| Fault::NoVersion(text.to_owned(), Box::new(e)))?;
+    Ok(hex(&hash))
 }
 
-fn of_file(path: &Path) -> Result<Hash, String> {
-    let bytes = Disk.read(path)?;
+fn of_file(path: &Path) -> Result<Hash, Fault> {
+    let bytes = Disk.read(path).map_err(|why| Fault::Unread(path.to_owned(), why))?;
     if bytes.len() > FILE_LIMIT {
-        return Err(format!("it has more than {FILE_LIMIT} bytes"));
+        return Err(Fault::Large(path.to_owned()));
     }
     Ok(Sha256::digest(&bytes).into())
 }
@@ -86,20 +128,24 @@
 
 /// The candidate of that hash. Read beside the loop.
 pub fn find(folder: &Path, hash: &Hash) -> Result<PathBuf, ConfigError> {
-    let fault = |problem: String| ConfigError::new("rollout.candidates", problem);
-    let place = folder.display();
-    let mut names = Disk.names(folder).map_err(|e| fault(format!("{place} can't be read: {e}")))?;
+    let fault = |fault: Fault| ConfigError::new("rollout.candidates", fault);
+    let mut names = Disk.names(folder).map_err(|why| fault(Fault::Unread(folder.to_owned(), why)))?;
     names.sort();
     let paths = names.iter().take(FILES).map(|name| folder.join(name));
     let found = paths.into_iter().find(|path| of_file(path).is_ok_and(|h| h == *hash));
-    found.ok_or_else(|| fault(format!("{place} has no file of the hash {}: place it there", hex(hash))))
+    found.ok_or_else(|| fault(Fault::Missing(folder.to_owned(), hex(hash))))
 }
 
 impl Rollout {
     /// `start`: Unix milliseconds of this process's start; `operators`: the file that it runs.
     pub fn begin(stated: Stated, name: &str, operators: Option<&Path>, start: u64, now: Instant) -> Rollout {
         let base = operators.and_then(|path| of_file(path).ok()).unwrap_or_default();
-        let stored = stated.state.as_deref().and_then(load);
+        let stored = stated.state.as_deref().and_then(|folder| {
+            load(folder).unwrap_or_else(|fault| {
+                log::error!("rollout: {fault}");
+                None
+            })
+        });
         let limits = Limits {
             least_harm: stated.least_harm,
             error: stated.error,
@@ -241,7 +287,7 @@
                 }
                 Action::Save(bytes) => self.save(&bytes),
                 Action::Phase(phase) => log::warn!("rollout: {}", words(phase)),
-                Action::Refused(why) => self.refused = Some(why.to_string()),
+                Action::Refused(why) => self.refused = Some(format!("{why}. {}", why.advice())),
             }
         }
         asks
@@ -253,10 +299,7 @@
         let (next, path) = (folder.join("rollout.next"), folder.join(STATE_FILE));
         let kept = std::fs::write(&next, bytes).and_then(|()| std::fs::rename(&next, &path));
         if let Err(error) = kept {
-            log::error!(
-                "rollout: {} can't be written: {error}; a restart would not know of it",
-                path.display()
-            );
+            log::error!("rollout: {}", Fault::Unkept(path, error));
         }
     }
 
@@ -324,10 +367,19 @@
     }
 }
 
-fn load(folder: &Path) -> Option<Vec<u8>> {
+fn load(folder: &Path) -> Result<Option<Vec<u8>>, Fault> {
     let path = folder.join(STATE_FILE);
-    let fits = std::fs::metadata(&path).ok()?.len() <= STATE_LIMIT;
-    fits.then(|| std::fs::read(&path).ok()).flatten()
+    let read = std::fs::metadata(&path).and_then(|about| {
+        let fits = about.len() <= STATE_LIMIT;
+        fits.then(|| std::fs::read(&path)).transpose()
+    });
+    match read {
+        Ok(Some(bytes)) => Ok(Some(bytes)),
+        Ok(None) => Err(Fault::NoState(path)),
+        // The first start with that directory.
+        Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
+        Err(error) => Err(Fault::Forgotten(path, error)),
+    }
 }
 
 fn short(phase: Phase) -> &'static str {
--- a/crates/leverproxy/src/takeover.rs
+++ b/crates/leverproxy/src/takeover.rs
@@ -16,6 +16,7 @@
 use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
+use thiserror::Error;
 
 /// Of the message; another is not understood.
 const VERSION: u32 = 1;
@@ -54,12 +55,45 @@
     Serving,
 }
 
+/// Why nothing sound came from an elder: this process then shares its address, and starts without what it knew.
+#[derive(Debug, Error)]
+pub enum Fault {
+    #[error("it can't be read from: {0}")]
+    Read(#[from] io::Error),
+    #[error("it ended before its message did")]
+    CutShort,
+    #[error("its message has more than {MESSAGE_LIMIT} bytes")]
+    Long,
+    #[error("its message is not understood: {0}")]
+    Form(#[from] serde_json::Error),
+    #[error("its message has version {0}, and this process takes {VERSION}")]
+    Version(u32),
+    #[error("no listener came with its message")]
+    NoListener,
+}
+
+impl Fault {
+    pub fn advice(&self) -> &'static str {
+        match self {
+            Fault::Read(_) | Fault::CutShort => {
+                "If the elder has ended, nothing. Else both accept clients now, and this one is ready once discovery has given its list: then send the elder SIGTERM. What operators took out has to be taken out here again."
+            }
+            Fault::Long | Fault::Form(_) | Fault::Version(_) => {
+                "The two builds do not understand each other. Both accept clients now, and this one is ready once discovery has given its list: then send the elder SIGTERM. What operators took out has to be taken out here again."
+            }
+            Fault::NoListener => {
+                "This process is short of descriptors, or something else listens at that place in `$TMPDIR`. Both accept clients now: wait until this one is ready, then send the elder SIGTERM."
+            }
+        }
+    }
+}
+
 /// What came of asking for an elder.
 pub enum Elder {
     /// There is none.
     Nobody,
     /// There may be one, but nothing sound came from it.
-    Unheard(String),
+    Unheard(Fault),
     Left(Box<Estate>, OwnedFd, UnixStream),
 }
 
@@ -68,18 +102,18 @@
     let Ok(stream) = UnixStream::connect(path) else { return Elder::Nobody };
     match receive(&stream) {
         Ok((estate, listener)) => Elder::Left(Box::new(estate), listener, stream),
-        Err(error) => Elder::Unheard(error.to_string()),
+        Err(error) => Elder::Unheard(error),
     }
 }
 
-fn receive(mut stream: &UnixStream) -> io::Result<(Estate, OwnedFd)> {
-    let bad = |text: &str| io::Error::new(io::ErrorKind::InvalidData, text.to_owned());
+fn receive(mut stream: &UnixStream) -> Result<(Estate, OwnedFd), Fault> {
     stream.set_read_timeout(Some(PATIENCE))?;
     let mut chunk = [0; 16 << 10];
     let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
     let mut ancillary = RecvAncillaryBuffer::new(&mut space);
     let mut parts = [IoSliceMut::new(&mut chunk)];
-    let came = recvmsg(stream, &mut parts, &mut ancillary, RecvFlags::CMSG_CLOEXEC)?.bytes;
+    let came =
+        recvmsg(stream, &mut parts, &mut ancillary, RecvFlags::CMSG_CLOEXEC).map_err(io::Error::from)?.bytes;
     let listener = ancillary.drain().find_map(|message| match message {
         RecvAncillaryMessage::ScmRights(mut fds) => fds.next(),
         _ => None,
@@ -87,16 +121,16 @@
     let mut text = chunk[..came].to_vec();
     while !text.ends_with(b"\n") {
         match stream.read(&mut chunk)? {
-            0 => return Err(bad("it ended before its message did")),
-            n if text.len() + n > MESSAGE_LIMIT => return Err(bad("its message is too long")),
+            0 => return Err(Fault::CutShort),
+            n if text.len() + n > MESSAGE_LIMIT => return Err(Fault::Long),
             n => text.extend_from_slice(&chunk[..n]),
         }
     }
     let estate: Estate = serde_json::from_slice(&text)?;
     if estate.version != VERSION {
-        return Err(bad(&format!("its message has version {}", estate.version)));
+        return Err(Fault::Version(estate.version));
     }
-    Ok((estate, listener.ok_or_else(|| bad("no listener came with it"))?))
+    Ok((estate, listener.ok_or(Fault::NoListener)?))
 }
 
 pub struct Takeover {
