--- a/crates/rollout/src/evidence.rs
+++ b/crates/rollout/src/evidence.rs
@@ -75,8 +75,9 @@
     fn add(&mut self, (who, region): (&str, &str), new: bool, more: Class) {
         let side = &mut self.regions.entry(region.to_owned()).or_default()[usize::from(new)];
         let sum = side.entry(who.to_owned()).or_default();
-        sum.asked += more.asked;
-        sum.lost += more.lost;
+        // What others say may be any number.
+        sum.asked = sum.asked.saturating_add(more.asked);
+        sum.lost = sum.lost.saturating_add(more.lost);
     }
 
     /// The difference, once enough has been asked of both sides. That depends on what was asked, never on what was lost.
@@ -94,7 +95,8 @@
             }
             strata.push(all);
         }
-        if [0, 1].iter().any(|&side| strata.iter().map(|s| asked(&s[side])).sum::<u64>() < least.max(1)) {
+        let all = |side: usize| total(strata.iter().map(|sides| asked(&sides[side])));
+        if [0, 1].into_iter().any(|side| all(side) < least.max(1)) {
             return None;
         }
         let (mut weights, mut sum) = (0.0, 0.0);
@@ -111,7 +113,11 @@
 }
 
 fn asked(side: &Side) -> u64 {
-    side.values().map(|c| c.asked).sum()
+    total(side.values().map(|c| c.asked))
+}
+
+fn total(parts: impl Iterator<Item = u64>) -> u64 {
+    parts.fold(0, u64::saturating_add)
 }
 
 fn rate(side: &Side) -> f64 {
@@ -179,7 +185,7 @@
             };
             let total = more(before.total, counts.total);
             self.total.add((name, region), counts.new, total);
-            self.stage_asked += if counts.new { total.asked } else { 0 };
+            self.stage_asked = self.stage_asked.saturating_add(if counts.new { total.asked } else { 0 });
             for class in &counts.classes {
                 let Some(was) = before.classes.iter().find(|c| c.class == class.class) else { continue };
                 if self.classes.contains_key(&class.class) || self.classes.len() < CLASSES {
--- a/crates/rollout/src/machine.rs
+++ b/crates/rollout/src/machine.rs
@@ -114,13 +114,12 @@
     /// seen a quorum again.
     pub(crate) fn restore(&mut self, stored: words::Stored) {
         if guard!(self, Remembers) {
-            self.halts = stored.halts;
+            self.merge(&stored.halts);
         }
-        self.current = stored.proposal.map(|proposal| Current {
-            proposal,
-            reached: stored.reached,
-            votes: stored.reached,
-            ready: Ready::NotYet,
+        self.current = stored.proposal.filter(|p| p.order.len() <= REGIONS).map(|proposal| {
+            // No file says more stages than there are, unless it was changed.
+            let reached = u8::try_from(stages(&proposal)).map_or(0, |all| stored.reached.min(all));
+            Current { proposal, reached, votes: reached, ready: Ready::NotYet }
         });
         self.seen = false;
     }
@@ -215,7 +214,8 @@
     fn merge(&mut self, heard: &[Halted]) {
         for halted in heard {
             if !self.halts.iter().any(|h| h.epoch == halted.epoch && h.hash == halted.hash) {
-                self.halts.push(halted.clone());
+                // All of them have to fit into one fact, whatever name another gave.
+                self.halts.push(Halted { by: words::name(&halted.by), ..halted.clone() });
             }
         }
         self.halts.sort_by(|a, b| b.cmp(a));
