--- /dev/null
+++ b/crates/lending/tests/bytes.rs
@@ -0,0 +1,154 @@
+//! Whatever one member says, and whatever the file holds: no panic, nothing said that does not fit, and nothing lent, since
+//! one of five is no majority of the founders.
+
+use std::time::Duration;
+
+use lending::said::{
+    digest, encode, number, Claim, Founded, Head, Id, Pulse, Row, SaidRow, SaidVote, Vote, Witness,
+    BODY_BYTES, CLAIM, FOUNDED, PULSE, ROW, VOTE, WITNESS,
+};
+use lending::{Action, Config, Core, Event, Member, Rule, Rules, Verdict};
+use proptest::collection::{btree_map, vec};
+use proptest::prelude::*;
+use proptest::sample::Index;
+use proptest::test_runner::RngSeed;
+
+const NAMES: [&str; 5] = ["a", "b", "c", "d", "e"];
+const STAND: &str = "stand";
+
+fn founders() -> Vec<Id> {
+    let mut founders: Vec<Id> = NAMES.iter().map(|name| Id { name: number(name), from: 1 }).collect();
+    founders.sort_unstable();
+    founders
+}
+
+fn big() -> impl Strategy<Value = u64> {
+    prop_oneof![0..3_u64, Just(u64::MAX), any::<u64>()]
+}
+
+fn small() -> impl Strategy<Value = u32> {
+    prop_oneof![0..3_u32, Just(1 << 30), Just(u32::MAX), any::<u32>()]
+}
+
+fn id() -> impl Strategy<Value = Id> {
+    let names = prop_oneof![proptest::sample::select(&NAMES[..]).prop_map(number), any::<u32>()];
+    (names, big()).prop_map(|(name, from)| Id { name, from })
+}
+
+fn head() -> impl Strategy<Value = Head> {
+    let known = digest(&founders());
+    (prop_oneof![Just(known), Just(0), any::<u64>()], big(), big(), big())
+        .prop_map(|(founders, memory, lane, life)| Head { founders, memory, lane, life })
+}
+
+fn row() -> impl Strategy<Value = Row> {
+    ((big(), big(), big(), big(), big()), small(), btree_map(id(), small(), 0..30)).prop_map(
+        |((line, lent, repaid, written_off, demand), took, gave)| Row {
+            line,
+            lent,
+            repaid,
+            written_off,
+            demand,
+            took,
+            gave,
+        },
+    )
+}
+
+/// Kind, start and body of any values, which others could not have said.
+fn sound() -> impl Strategy<Value = (u8, u64, Vec<u8>)> {
+    let few = || vec((any::<u8>(), small()), 0..9);
+    let lanes = || vec((id(), small()), 0..9);
+    let pulse =
+        (head(), any::<bool>(), small(), few(), lanes()).prop_map(|(head, ripe, beat, founders, others)| {
+            (head.life, encode(&Pulse { head, ripe, beat, founders, others }))
+        });
+    let founded = (head(), big(), vec((small(), big()), 0..60))
+        .prop_map(|(head, least, members)| (0, encode(&Founded { head, least, members })));
+    let row = (head(), row()).prop_map(|(head, row)| (0, encode(&SaidRow { head, row })));
+    let witness = (head(), few(), lanes())
+        .prop_map(|(head, founders, others)| (0, encode(&Witness { head, founders, others })));
+    let claim = (head(), id()).prop_map(|(head, lane)| (0, encode(&Claim { head, lane })));
+    let vote = (head(), id(), id(), btree_map(small(), small(), 0..9))
+        .prop_map(|(head, lane, to, given)| (0, encode(&SaidVote { head, lane, vote: Vote { to, given } })));
+    prop_oneof![
+        pulse.prop_map(|(start, body)| (PULSE, start, body)),
+        founded.prop_map(|(start, body)| (FOUNDED, start, body)),
+        row.prop_map(|(start, body)| (ROW, start, body)),
+        witness.prop_map(|(start, body)| (WITNESS, start, body)),
+        claim.prop_map(|(start, body)| (CLAIM, start, body)),
+        vote.prop_map(|(start, body)| (VOTE, start, body)),
+    ]
+    .prop_map(|(kind, start, body)| (kind, start, body.unwrap_or_default()))
+}
+
+fn fact() -> impl Strategy<Value = (u8, u64, Vec<u8>)> {
+    let some = vec((any::<Index>(), any::<u8>()), 0..4);
+    let mutated = (sound(), some).prop_map(|((kind, start, mut body), changes)| {
+        let length = body.len();
+        for (at, to) in changes.iter().filter(|_| length > 0) {
+            body[at.index(length)] = *to;
+        }
+        (kind, start, body)
+    });
+    prop_oneof![sound(), mutated, (PULSE..=VOTE, big(), vec(any::<u8>(), 0..BODY_BYTES))]
+}
+
+fn rules() -> Rules {
+    let rule = Rule {
+        line_seconds: 10,
+        quota: 10_000,
+        term: Duration::from_secs(10),
+        write_off: Duration::from_secs(10),
+        floor: 100,
+        classes: vec!["class".into()],
+        rate_most: 10_000,
+    };
+    Rules::new(vec![(STAND.into(), rule)], Duration::from_secs(120)).expect("the rule is sound")
+}
+
+proptest! {
+    // The same cases each time; PROPTEST_CASES for more of them.
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
+
+    #[test]
+    fn one_member_and_the_file_lend_nothing(
+        file in proptest::option::of(vec(any::<u8>(), 0..400)),
+        founded in any::<bool>(),
+        steps in vec((fact(), prop_oneof![Just(number(STAND)), small()], 0..3_000_u64, 0..9_000_u64), 1..60),
+    ) {
+        let mut core = Core::new(&Config::new("a", 1, true), Duration::ZERO, file.as_deref());
+        let (mut actions, mut now, mut token) = (Vec::new(), Duration::ZERO, 0);
+        let roster = NAMES.map(String::from);
+        let members = NAMES.map(|name| Member { name: name.into(), start: 1, up: true });
+        core.handle(now, Event::View { lend: true, roster: &roster, members: &members }, &mut actions);
+        core.handle(now, Event::Rules(rules()), &mut actions);
+        let first = Founded {
+            head: Head { founders: digest(&founders()), memory: 1, lane: 1, life: 1 },
+            least: 1,
+            members: founders().iter().map(|id| (id.name, 0)).collect(),
+        };
+        let first = founded.then(|| (FOUNDED, 1, encode(&first).expect("five fit")));
+        let steps = first.map(|fact| (fact, 0, 0, 0)).into_iter().chain(steps);
+        for ((kind, start, body), stand, pause, age) in steps {
+            now += Duration::from_millis(pause);
+            let (key, age) = (stand.to_le_bytes(), Duration::from_millis(age));
+            let key: &[u8] = if matches!(kind, ROW | WITNESS) { &key } else { &[] };
+            core.handle(now, Event::Fact { source: "b", start, kind, key, body: &body, age }, &mut actions);
+            core.handle(now, Event::Timer(token), &mut actions);
+            let asked = core.ask(now, STAND, "class", 1_000, &mut actions);
+            prop_assert!(matches!(asked, Verdict::No(_)), "lent by one member's word");
+            let mut next = 0;
+            while let Some(action) = actions.get(next).cloned() {
+                next += 1;
+                match action {
+                    Action::Tell { body, .. } => prop_assert!(body.len() <= BODY_BYTES),
+                    Action::Save { sequence, .. } => core.handle(now, Event::Saved(sequence), &mut actions),
+                    Action::Timer { token: new, .. } => token = new,
+                    Action::Notice(_) => {}
+                }
+            }
+            actions.clear();
+        }
+    }
+}
