--- a/crates/lending/src/core.rs
+++ b/crates/lending/src/core.rs
@@ -507,6 +507,11 @@
         (self.share(number(stand)), self.kept.lane)
     }
 
+    /// The start that names this proxy's lane: another one when others have taken the former.
+    pub fn lane_from(&self) -> u64 {
+        self.kept.lane
+    }
+
     /// Lanes of others taken over: number of the name and start.
     pub fn taken(&self) -> impl Iterator<Item = Id> + '_ {
         self.kept.taken.keys().copied()
--- a/crates/leverproxy/src/kept.rs
+++ b/crates/leverproxy/src/kept.rs
@@ -13,10 +13,22 @@
     /// In an upgrade the elder has it until it ends.
     #[error("{0} is held by another process")]
     Held(PathBuf),
-    #[error("{0} can't be locked: {1}; make the directory, and let the proxy's user write there")]
+    #[error("{0} can't be locked: {1}")]
     Io(PathBuf, #[source] io::Error),
 }
 
+impl LockError {
+    pub fn advice(&self) -> &'static str {
+        match self {
+            LockError::Held(_) => {
+                "in an upgrade, wait until the former process has ended: it is tried again twice a second; else see \
+                 who runs under that name, or give each proxy a directory of its own"
+            }
+            LockError::Io(..) => "make the directory, and let the proxy's user write there",
+        }
+    }
+}
+
 /// A directory is this process's alone for as long as this lives.
 #[derive(Debug)]
 pub struct Lock {
--- a/crates/leverproxy/src/lending.rs
+++ b/crates/leverproxy/src/lending.rs
@@ -5,7 +5,7 @@
 use crate::kept::{self, Lock, LockError};
 use crate::members::Members;
 use configuration::calendar::{Moment, Window};
-use configuration::model::Lending as Stated;
+use configuration::model::{Credit, Lending as Stated};
 use lending::{
     Action, Book, Config, Core, Event, Member, Milli, Rule, Rules, Shortage, Store, StoreError, Verdict,
     SHORT_LASTS,
@@ -41,10 +41,21 @@
 pub enum Fault {
     #[error("loans: {0}; nothing is lent here until then")]
     Lock(#[from] LockError),
-    #[error("loans: no thread for their file: {0}; nothing is lent here")]
+    #[error("loans: no thread for their file: {0}; nothing is lent here until there is one")]
     Thread(#[source] std::io::Error),
 }
 
+impl Fault {
+    pub fn advice(&self) -> &'static str {
+        match self {
+            Fault::Lock(error) => error.advice(),
+            Fault::Thread(_) => {
+                "raise the limit of the proxy's threads or memory; it is tried again twice a second"
+            }
+        }
+    }
+}
+
 /// The file in its directory.
 struct Disk {
     path: PathBuf,
@@ -76,6 +87,7 @@
         // One that is there and can't be read is a memory that is lost, which the core has to know of.
         let found = disk.load().unwrap_or_else(|error| {
             log::error!("loans: {error}");
+            // Nothing of it fits, so it is a bad file to the core.
             Some(Vec::new())
         });
         let (jobs, wanted) = channel::<(u64, Vec<u8>)>();
@@ -102,6 +114,11 @@
     keeper: Option<Keeper>,
 }
 
+/// Nothing more is lent by it, and what is owed is repaid as before.
+fn closed(credit: Credit) -> Credit {
+    Credit { line: Duration::ZERO, not_during: Vec::new(), ..credit }
+}
+
 /// A fact that waits to be said.
 type Saying = (u8, Vec<u8>, Vec<u8>, Duration);
 
@@ -162,7 +179,10 @@
 
     /// Other rules from now on; what waits for the next start.
     pub fn reload(&mut self, stated: Stated, windows: Vec<Window>) -> Vec<&'static str> {
-        let former = std::mem::replace(&mut self.stated, stated);
+        let mut former = std::mem::replace(&mut self.stated, stated);
+        let gone = |credit: &Credit| !self.stated.credits.iter().any(|c| c.stand == credit.stand);
+        let gone: Vec<Credit> = former.credits.drain(..).filter(gone).collect();
+        self.stated.credits.extend(gone.into_iter().map(closed));
         self.windows = windows;
         let waits = [
             ("lending state", former.state == self.stated.state),
@@ -175,10 +195,10 @@
         waits.into_iter().filter(|(_, same)| !same).map(|(key, _)| key).collect()
     }
 
-    /// Nothing more is lent; the next start is without loans.
-    pub fn end(&mut self) -> Vec<&'static str> {
-        self.stated.credits.clear();
-        Vec::new()
+    /// The file states no loans any more; the next start is without them.
+    pub fn end(&mut self) {
+        self.windows.clear();
+        self.stated.credits = self.stated.credits.drain(..).map(closed).collect();
     }
 
     /// The rules as the platform's quotas now make them. `quotas`: names of stands, in requests a second.
@@ -477,6 +497,7 @@
                 "Lanes of dead proxies held.",
                 core.map_or(0, |c| c.taken().count() as u64),
             ),
+            ("lb_loans_lane_ms", "The start that names this proxy's lane.", core.map_or(0, Core::lane_from)),
             ("lb_loans_given_back_total", "Requests lent that nothing was tried for.", self.given_back),
             ("lb_loans_saves_total", "Files written.", self.saves),
             ("lb_loans_saves_failed_total", "Files that could not be written.", self.saves_failed),
--- a/crates/leverproxy/src/lib.rs
+++ b/crates/leverproxy/src/lib.rs
@@ -25,7 +25,7 @@
 pub mod front;
 pub mod health;
 pub mod http;
-mod kept;
+pub mod kept;
 pub mod lending;
 pub mod logging;
 pub mod members;
--- a/crates/leverproxy/src/proxy.rs
+++ b/crates/leverproxy/src/proxy.rs
@@ -725,7 +725,10 @@
         let lending = &mut self.chain.quota.lending;
         let waits = match (lending.as_mut(), stated) {
             (Some(lending), Some(stated)) => lending.reload(stated, windows),
-            (Some(lending), None) => lending.end(),
+            (Some(lending), None) => {
+                lending.end();
+                Vec::new()
+            }
             (None, Some(stated)) if self.members.is_some() => {
                 match self.wishes.waker() {
                     Ok(waker) => *lending = Some(Lending::new(stated, windows, waker, now)),
--- a/crates/leverproxy/tests/errors.rs
+++ b/crates/leverproxy/tests/errors.rs
@@ -192,6 +192,18 @@
             Unkept => E::Unkept(path(), cause()),
         ]);
     }
+    {
+        use leverproxy::lending::Fault as E;
+        rows!(table, "leverproxy: `lending::Fault`", leverproxy::lending::Fault, [
+            Lock => E::Lock(leverproxy::kept::LockError::Io("DIRECTORY".into(), cause())),
+            Thread => E::Thread(cause()),
+        ]);
+        use leverproxy::kept::LockError as L;
+        rows!(table, "leverproxy: `kept::LockError`", leverproxy::kept::LockError, [
+            Held => L::Held("DIRECTORY".into()),
+            Io => L::Io("DIRECTORY".into(), cause()),
+        ]);
+    }
     {
         use leverproxy::takeover::Fault as E;
         let form = || serde_json::from_str::<u8>("").expect_err("nothing is no number");
--- a/crates/rig/src/books.rs
+++ b/crates/rig/src/books.rs
@@ -11,6 +11,8 @@
 
 const LENT: &str = "lb_loan_lent_milli{stand=\"";
 const START: &str = "lb_start_ms";
+/// Books begin anew with a lane, too: others may have taken the former.
+const LANE: &str = "lb_loans_lane_ms";
 
 /// By stand, the books that these figures tell.
 fn books(figures: &Told) -> Result<Vec<(&str, Book)>, String> {
@@ -57,8 +59,9 @@
             let fault = |problem| Fault::new(format!("figures of proxy {proxy}: {problem}"));
             let books = books(&figures).map_err(fault)?;
             let start = figures.get(START).copied().ok_or_else(|| fault(format!("{START} is not told")))?;
+            let lane = figures.get(LANE).copied().unwrap_or_default();
             for (stand, book) in books {
-                checker.look(&name(proxy), start, stand, book);
+                checker.look(&name(proxy), start ^ lane.rotate_left(20), stand, book);
             }
         }
         checker.round();
--- a/crates/rig/tests/lending.rs
+++ b/crates/rig/tests/lending.rs
@@ -1,55 +1,293 @@
 //! Stands that borrow over a fleet of several processes, and what goes wrong between these. All is read from second addresses;
-//! a checker that knows no lane looks whether all that is owed fits into one line.
+//! a checker that knows no lane looks whether what is owed over all of them fits into one line.
 
 mod common;
 use common::{setup, SECOND};
+use ledger::loans::Checker;
 use rig::members::Members;
+use rig::process::PATIENCE;
 use rig::{Rig, Setup};
-use std::time::Duration;
+use rustix::process::Signal;
+use std::time::{Duration, Instant};
 use world::clients::Tenant;
 
 /// Loans are over soon, so that what waits for their end does not wait long.
-const OPERATORS: &str = "lending {\n state {folder}/tmp\n lease 1s\n step 200ms\n longest 3s\n}\n\
-                         credit bus {\n line 5s\n term 2s\n write-off 1s\n floor 20%\n class any mine\n rate 200/s\n}\n";
-/// In requests a second: what the stand may ask, and usually does.
-const QUOTA: f64 = 60.0;
+const LENDING: &str = "lending {\n lease 1s\n step 200ms\n longest 3s\n";
+const CREDIT: &str = "credit bus {\n term 2s\n write-off 1s\n floor 20%\n class any mine\n rate 200/s\n";
+const STATE: &str = " state {folder}/tmp\n";
+/// In requests a second: what the stand may ask. It usually asks less, and in a surge five times as much.
+const QUOTA: u64 = 60;
+const SURGE: f64 = 5.0;
+/// A round of looks in which all have heard of a line that has changed.
+const SETTLED: u32 = 200;
 
-fn fleet(proxies: usize, adjust: impl FnOnce(&mut Setup)) -> Rig {
-    let mut setup = setup(proxies, 100.0, 60 * SECOND);
-    setup.admin = true;
-    setup.operators = OPERATORS.to_owned();
-    setup.members = Some(Members::default());
-    let tenant = |name: &str, share, quota| Tenant { name: name.into(), share, quota };
-    setup.clients.tenants = vec![tenant("bus", 0.4, QUOTA), tenant("desk", 0.6, 200.0)];
-    setup.clients.over_worth = 0.05;
-    setup.slack = Duration::from_secs(10);
-    adjust(&mut setup);
-    let rig = Rig::start(setup).unwrap_or_else(|fault| panic!("{fault}"));
-    rig.truth.begin();
-    each(&rig, 0..proxies, "lb_loans_founded", 1);
-    rig
+fn operators(state: &str, line: &str) -> String {
+    format!("{LENDING}{state}}}\n{CREDIT} line {line}\n}}\n")
 }
 
-fn each(rig: &Rig, proxies: impl IntoIterator<Item = usize>, name: &str, value: u64) {
-    for proxy in proxies {
-        rig.figure_until(proxy, name, |n| n == value).unwrap_or_else(|fault| panic!("{fault}"));
+struct Fleet {
+    rig: Rig,
+    checker: Checker,
+    /// Who is looked at: the living.
+    looked: Vec<usize>,
+}
+
+impl Fleet {
+    /// All have founded before anything goes wrong.
+    fn start(proxies: usize, adjust: impl FnOnce(&mut Setup)) -> Fleet {
+        let mut setup = setup(proxies, 100.0, 60 * SECOND);
+        setup.admin = true;
+        setup.operators = operators(STATE, "5s");
+        setup.members = Some(Members::default());
+        let tenant = |name: &str, share, quota| Tenant { name: name.into(), share, quota };
+        setup.clients.tenants = vec![tenant("bus", 0.4, QUOTA as f64), tenant("desk", 0.6, 0.0)];
+        setup.clients.over_worth = 0.05;
+        setup.slack = Duration::from_secs(10);
+        adjust(&mut setup);
+        let rig = Rig::start(setup).unwrap_or_else(|fault| panic!("{fault}"));
+        rig.truth.begin();
+        let mut fleet = Fleet { rig, checker: Checker::new(Some(SETTLED)), looked: (0..proxies).collect() };
+        fleet.until(0..proxies, "lb_loans_founded", |n| n == 1);
+        fleet
+    }
+
+    fn figure(&self, proxy: usize, name: &str) -> u64 {
+        let figures = self.rig.figures(proxy).unwrap_or_else(|fault| panic!("{fault}"));
+        figures.get(name).copied().unwrap_or_default()
     }
+
+    fn look(&mut self) {
+        let looked = self.looked.iter().copied();
+        self.rig.look_at_loans(looked, &mut self.checker).unwrap_or_else(|fault| panic!("{fault}"));
+        assert_eq!(self.checker.broken.count, 0, "{:?}", self.checker.broken);
+    }
+
+    /// Rounds of looks until a figure of each of these is so.
+    fn until(&mut self, proxies: impl IntoIterator<Item = usize>, name: &str, is: impl Fn(u64) -> bool) {
+        let end = Instant::now() + PATIENCE;
+        for proxy in proxies {
+            loop {
+                self.look();
+                let value = self.figure(proxy, name);
+                if is(value) {
+                    break;
+                }
+                let figures = || self.rig.figures(proxy);
+                assert!(Instant::now() < end, "{name} of proxy {proxy} is {value}: {:#?}", figures());
+            }
+        }
+    }
+
+    /// So many more loans at each of these.
+    fn lends(&mut self, proxies: impl IntoIterator<Item = usize>, more: u64) {
+        for proxy in proxies {
+            let before = self.figure(proxy, LOANS);
+            self.until([proxy], LOANS, |n| n >= before + more);
+        }
+    }
+
+    fn surge(&self, on: bool) {
+        self.rig.truth.surge(Some(0), if on { SURGE } else { 1.0 });
+    }
+
+    /// Nothing is owed any more, and the books say what became of it.
+    fn settle(&mut self) {
+        self.surge(false);
+        self.until(self.looked.clone(), &book("owed"), |n| n == 0);
+        for proxy in self.looked.clone() {
+            let figures = self.rig.figures(proxy).unwrap_or_else(|fault| panic!("{fault}"));
+            let [lent, owed, repaid, lost] =
+                ["lent", "owed", "repaid", "written_off"].map(|part| figures[&book(part)]);
+            assert_eq!(lent, owed + repaid + lost, "proxy {proxy}");
+        }
+    }
+
+    /// Kill -9. What it owed counts on, but for what it may have got back since it was looked at.
+    fn kill(&mut self, proxy: usize) {
+        self.look();
+        let looked = Instant::now();
+        self.rig.kill(proxy);
+        let since = looked.elapsed().as_millis() as u64;
+        self.checker.dead(&format!("n{proxy}"), QUOTA * since);
+        self.looked.retain(|looked| *looked != proxy);
+    }
+
+    fn restart(&mut self, proxy: usize) {
+        self.rig.restart(proxy).unwrap_or_else(|fault| panic!("{fault}"));
+        self.looked.push(proxy);
+    }
+}
+
+const LOANS: &str = "lb_loans_total{stand=\"bus\"}";
+const LINE: u64 = 5 * QUOTA * 1000;
+
+fn book(part: &str) -> String {
+    format!("lb_loan_{part}_milli{{stand=\"bus\"}}")
+}
+
+fn refused(reason: &str) -> String {
+    format!("lb_loans_refused_total{{reason=\"{reason}\"}}")
 }
 
+/// A bus arrives: its stand borrows at each proxy, nothing beyond the line, and repays it when the bus is gone.
 #[test]
 fn a_stand_borrows_and_repays() {
-    let rig = fleet(3, |_| {});
-    rig.truth.surge(Some(0), 5.0);
-    for proxy in 0..3 {
-        rig.figure_until(proxy, "lb_loans_total{stand=\"bus\"}", |n| n >= 20)
-            .unwrap_or_else(|f| panic!("{f}"));
+    let mut fleet = Fleet::start(3, |_| {});
+    fleet.surge(true);
+    fleet.lends(0..3, 20);
+    fleet.settle();
+    assert!((0..3).all(|proxy| fleet.figure(proxy, &book("repaid")) > 0));
+    assert!(fleet.figure(0, "lb_loans_saves_total") > 0);
+}
+
+/// Halves that both borrow: the smaller side ends with its lease, the larger goes on with what it holds and no more. Healed,
+/// both lend.
+#[test]
+fn both_sides_of_a_cut_keep_within_one_line() {
+    let mut fleet = Fleet::start(5, |_| {});
+    fleet.surge(true);
+    fleet.lends(0..5, 5);
+    fleet.rig.part(&[&[0, 1], &[2, 3, 4]]);
+    for proxy in 0..2 {
+        let view = fleet.figure(proxy, &refused("view"));
+        fleet.until([proxy], &refused("view"), |n| n > view);
+        let before = fleet.figure(proxy, LOANS);
+        fleet.lends([2], 5);
+        assert_eq!(fleet.figure(proxy, LOANS), before, "the smaller side has ended");
+    }
+    fleet.rig.heal_talk();
+    fleet.lends(0..5, 5);
+    fleet.settle();
+}
+
+/// One dies while parts of the line are on their way to it and from it, and comes back before its lane is over: with its
+/// file it goes on as a founder, and what it owed is owed still.
+#[test]
+fn one_that_dies_in_mid_transfer_goes_on_with_its_file() {
+    // Most comes to few, so that parts are handed to them.
+    let mut fleet = Fleet::start(4, |setup| setup.clients.unequal = 2.0);
+    fleet.surge(true);
+    let first = LINE / 4;
+    let greatest = |fleet: &Fleet| (0..4).max_by_key(|proxy| fleet.figure(*proxy, &book("part"))).unwrap();
+    fleet.lends(0..1, 1);
+    let end = Instant::now() + PATIENCE;
+    let holder = loop {
+        fleet.look();
+        let holder = greatest(&fleet);
+        if fleet.figure(holder, &book("part")) > first + first / 10 {
+            break holder;
+        }
+        assert!(Instant::now() < end, "no part moved");
+    };
+    fleet.kill(holder);
+    fleet.restart(holder);
+    fleet.until([holder], "lb_loans_founded", |n| n == 1);
+    fleet.lends([holder], 5);
+    fleet.settle();
+    assert!((0..4).all(|proxy| fleet.figure(proxy, "lb_loans_lanes_taken") == 0));
+}
+
+/// The lane of one that stays dead is taken over, by one alone. When it comes back it has a lane of nothing, and lends again
+/// what others give.
+#[test]
+fn the_lane_of_a_dead_one_is_taken_once() {
+    let mut fleet = Fleet::start(4, |_| {});
+    fleet.surge(true);
+    fleet.lends(0..4, 5);
+    fleet.kill(3);
+    let taken = |fleet: &Fleet| (0..3).map(|proxy| fleet.figure(proxy, "lb_loans_lanes_taken")).sum::<u64>();
+    let end = Instant::now() + PATIENCE;
+    while taken(&fleet) == 0 {
+        fleet.look();
+        assert!(Instant::now() < end, "the lane of the dead one is not taken");
     }
-    rig.truth.surge(Some(0), 1.0);
-    each(&rig, 0..3, "lb_loan_owed_milli{stand=\"bus\"}", 0);
+    // By then all that it lent was over.
+    fleet.checker.forget("n3");
+    fleet.restart(3);
+    fleet.until([3], "lb_loans_founded", |n| n == 1);
+    fleet.lends(0..4, 5);
+    assert_eq!(taken(&fleet), 1);
+    fleet.settle();
+}
+
+/// One that stood still does not lend what it held before, until others have heard it again.
+#[test]
+fn a_stopped_one_lends_nothing_until_it_is_heard() {
+    let mut fleet = Fleet::start(3, |_| {});
+    fleet.surge(true);
+    fleet.lends(0..3, 5);
+    fleet.look();
+    fleet.rig.signal(1, Signal::STOP);
+    fleet.looked.retain(|proxy| *proxy != 1);
+    let down = "lb_member{member=\"n1\",status=\"down\"}";
+    fleet.rig.figure_until(0, down, |n| n == 1).unwrap_or_else(|fault| panic!("{fault}"));
+    fleet.rig.signal(1, Signal::CONT);
+    let stopped = fleet.figure(1, LOANS);
+    fleet.looked.push(1);
+    fleet.until([1], "lb_members_pauses_total", |n| n >= 1);
+    fleet.until([1], &refused("view"), |n| n >= 1);
+    fleet.until([1], LOANS, |n| n >= stopped + 5);
+    fleet.settle();
+}
+
+/// All die and start at once: with files they are founders still and lend as soon as they hear each other.
+#[test]
+fn all_that_start_again_at_once_go_on() {
+    let mut fleet = Fleet::start(3, |_| {});
+    fleet.surge(true);
+    fleet.lends(0..3, 5);
+    (0..3).for_each(|proxy| fleet.kill(proxy));
+    (0..3).for_each(|proxy| fleet.restart(proxy));
+    fleet.lends(0..3, 5);
+    fleet.settle();
+}
+
+/// Without a file one that starts again has forgotten what it lent: it has no lane and lends only what is given to it.
+#[test]
+fn one_that_has_forgotten_lends_what_it_is_given() {
+    let mut fleet = Fleet::start(4, |setup| setup.operators = operators("", "5s"));
+    fleet.surge(true);
+    fleet.lends(0..4, 5);
+    fleet.kill(0);
+    fleet.restart(0);
+    fleet.until([0], "lb_loans_founded", |n| n == 1);
+    fleet.lends(0..4, 5);
+    fleet.settle();
+}
+
+/// Two versions of the rules live side by side: the stricter line holds for all.
+#[test]
+fn the_stricter_of_two_lines_holds_in_sum() {
+    let mut fleet = Fleet::start(3, |_| {});
+    fleet.surge(true);
+    fleet.lends(0..3, 5);
+    let strict = |setup: &mut Setup| setup.operators = operators(STATE, "1s");
+    fleet.rig.reload(1, strict).unwrap_or_else(|fault| panic!("{fault}"));
     for proxy in 0..3 {
-        let figures = rig.figures(proxy).unwrap_or_else(|fault| panic!("{fault}"));
-        let of = |name: &str| figures[&format!("lb_loan_{name}_milli{{stand=\"bus\"}}")];
-        assert!(of("repaid") > 0, "{figures:?}");
-        assert_eq!(of("lent"), of("repaid") + of("written_off"), "{figures:?}");
+        fleet.until([proxy], &book("part"), |part| part <= LINE / 5);
     }
+    let parts: u64 = (0..3).map(|proxy| fleet.figure(proxy, &book("part"))).sum();
+    assert!(parts <= LINE / 5, "{parts}");
+    fleet.settle();
+}
+
+/// Where those within their quota find no room nothing is lent, at no proxy; borrowed work gives way first.
+#[test]
+fn nothing_is_lent_while_others_need_the_room() {
+    let mut fleet = Fleet::start(3, |setup| {
+        // Clients tell of all the time that they have.
+        setup.slack = Duration::ZERO;
+        for kind in &mut setup.clients.kinds {
+            (kind.aim, kind.deadline) = (SECOND, 2 * SECOND);
+            kind.work = world::law::Work::new(world::law::Law::Fixed, 40_000.0);
+        }
+    });
+    fleet.surge(true);
+    fleet.lends(0..3, 2);
+    fleet.rig.truth.surge(Some(1), 60.0);
+    fleet.until(0..3, &refused("short"), |n| n >= 5);
+    fleet.rig.truth.surge(Some(1), 1.0);
+    fleet.until(0..3, "lb_loans_short", |n| n == 0);
+    fleet.lends(0..3, 2);
+    fleet.settle();
 }
