--- a/crates/lending/src/lib.rs
+++ b/crates/lending/src/lib.rs
@@ -20,6 +20,8 @@
 mod core;
 mod file;
 mod lanes;
+#[cfg(test)]
+mod recorded;
 mod rules;
 pub mod said;
 
--- a/crates/leverproxy/src/members.rs
+++ b/crates/leverproxy/src/members.rs
@@ -429,3 +429,6 @@
     };
     Roster { version: stated.version, members: stated.roster.iter().map(member).collect() }
 }
+
+#[cfg(test)]
+mod recorded;
--- a/crates/leverproxy/src/takeover.rs
+++ b/crates/leverproxy/src/takeover.rs
@@ -233,3 +233,6 @@
         self.links.iter().any(|(_, link)| link.elder)
     }
 }
+
+#[cfg(test)]
+mod recorded;
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -6,6 +6,8 @@
 
 mod core;
 mod facts;
+#[cfg(test)]
+mod recorded;
 mod roster;
 mod standing;
 mod swim;
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -9,6 +9,8 @@
 mod machine;
 #[cfg(test)]
 mod model;
+#[cfg(test)]
+mod recorded;
 mod words;
 
 pub use core::{Action, Config, Core, Event, Look, Refused, Status, Told, KINDS};
--- /dev/null
+++ b/crates/rollout/src/recorded.rs
@@ -0,0 +1,122 @@
+//! Bodies and a state file as a build of the first form wrote them, and what comes of those of a later one.
+
+use crate::words::{self, Class, Counts, Halted, Hash, Proposal, Ready, Stored, Why, Word};
+use crate::{Action, Config, Core, Event, Limits, Look, Peer, Phase, Told, KINDS};
+use std::time::Duration;
+
+/// The bytes of that name.
+fn recorded(name: &str) -> Vec<u8> {
+    let lines = include_str!("../tests/version-1.hex").lines();
+    let hex = lines.filter_map(|line| line.split_once(' ')).find(|(of, _)| *of == name);
+    hex::decode(hex.unwrap_or_else(|| panic!("nothing is recorded as {name}")).1).unwrap()
+}
+
+fn hash() -> Hash {
+    std::array::from_fn(|at| at as u8 + 1)
+}
+
+fn proposal() -> Proposal {
+    let order = vec!["east".into(), "west".into()];
+    Proposal { epoch: 300, hash: hash(), proposer: "n2".into(), order, canary: 1 }
+}
+
+fn halts() -> Vec<Halted> {
+    vec![
+        Halted { epoch: 299, hash: [7; 32], by: "n1".into(), why: Why::Class },
+        Halted { epoch: 3, hash: hash(), by: "n0".into(), why: Why::CutOff },
+    ]
+}
+
+#[test]
+fn facts_of_the_first_form_are_read_for_good() {
+    assert_eq!(words::decode(&recorded("proposal")), Some(proposal()));
+    for (name, ready) in [
+        ("word-not-yet", Ready::NotYet),
+        ("word", Ready::Yes),
+        ("word-cannot", Ready::Cannot("no file".into())),
+    ] {
+        let word =
+            Word { epoch: 300, hash: hash(), proposer: "n2".into(), votes: 2, reached: 1, new: true, ready };
+        assert_eq!(words::decode(&recorded(name)), Some(word), "{name}");
+    }
+    assert_eq!(words::decode(&recorded("halts")), Some(halts()));
+    let counts = Counts {
+        epoch: 300,
+        new: true,
+        turn: 2,
+        total: Class { class: 0, asked: 1_000, lost: 129 },
+        classes: vec![Class { class: 0xdead_beef, asked: 400, lost: 3 }],
+    };
+    assert_eq!(words::decode(&recorded("counts")), Some(counts));
+}
+
+#[test]
+fn reasons_of_halts_keep_their_numbers() {
+    let whys = [Why::Operator, Why::Return, Why::Loss, Why::Class, Why::Crash, Why::Gone, Why::CutOff];
+    for (number, why) in whys.into_iter().enumerate() {
+        assert_eq!(words::decode(&[1, number as u8]), Some(why));
+    }
+    assert_eq!(words::decode::<Why>(&[1, whys.len() as u8]), None, "of a later build");
+}
+
+#[test]
+fn a_state_file_of_the_first_form_is_read_for_good() {
+    let stored = Stored { base: [9; 32], proposal: Some(proposal()), reached: 1, halts: halts() };
+    assert_eq!(words::decode(&recorded("state")), Some(stored));
+    let epoch = |core: &Core| core.status().proposal.map(|p| p.epoch);
+    assert_eq!(epoch(&core(Some(recorded("state")))), Some(300));
+    assert_eq!(epoch(&core(Some(later(recorded("state"))))), None, "of a later form: no memory");
+}
+
+fn core(stored: Option<Vec<u8>>) -> Core {
+    let limits = Limits {
+        least_harm: 0.01,
+        error: 0.05,
+        soak: Duration::from_secs(10),
+        window_least: 3,
+        stage_least: 10,
+        fresh: Duration::from_secs(5),
+    };
+    let second = Duration::from_secs(1);
+    let config =
+        Config { name: "n0".into(), start: 5, base: [9; 32], limits, dark: second, lasts: second, stored };
+    Core::new(config, Duration::ZERO)
+}
+
+fn later(mut body: Vec<u8>) -> Vec<u8> {
+    body[0] += 1;
+    body
+}
+
+/// What is said in a later form is counted, and changes nothing: no proposal, no halt, nothing that runs.
+#[test]
+fn facts_of_a_later_form_are_counted_and_not_heard() {
+    let mut core = core(None);
+    let bodies = ["proposal", "word", "halts", "counts"];
+    assert_eq!(bodies.len(), usize::from(KINDS));
+    let facts = bodies.into_iter().zip(0..).map(|(name, kind)| Told {
+        source: "n1".into(),
+        start: 6,
+        kind,
+        body: later(recorded(name)),
+    });
+    let peer = |name: &str| Peer {
+        name: name.into(),
+        region: "east".into(),
+        start: Some(6),
+        heard: true,
+        left: false,
+    };
+    let look = Look {
+        peers: vec![peer("n0"), peer("n1")],
+        promote: ["east".to_owned()].into(),
+        facts: facts.collect(),
+        counts: Vec::new(),
+    };
+    let mut actions = Vec::new();
+    core.handle(Duration::from_secs(1), Event::Look(look), &mut actions);
+    let status = core.status();
+    assert_eq!(status.malformed, u64::from(KINDS));
+    assert_eq!((status.phase, status.proposal), (Phase::Idle, None));
+    assert!(!actions.iter().any(|action| matches!(action, Action::Run(_) | Action::Check(_))), "{actions:?}");
+}
