--- a/crates/lending/tests/bytes.rs
+++ b/crates/lending/tests/bytes.rs
@@ -96,7 +96,7 @@
 
 fn rules() -> Rules {
     let rule = Rule {
-        line_seconds: 10,
+        line_time: Duration::from_secs(10),
         quota: 10_000,
         term: Duration::from_secs(10),
         write_off: Duration::from_secs(10),
--- a/crates/leverproxy/src/takeover.rs
+++ b/crates/leverproxy/src/takeover.rs
@@ -267,3 +267,6 @@
         self.links.iter().any(|(_, link)| link.elder)
     }
 }
+
+#[cfg(test)]
+mod recorded;
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -7,6 +7,8 @@
 mod advice;
 mod core;
 mod facts;
+#[cfg(test)]
+mod recorded;
 mod roster;
 mod standing;
 mod swim;
