Trials of rollouts: two proposals at once, a stopped voter, dark, crashing, a roster that changes

Need: hard cases of the issue that no trial of several processes had. Change: five trials in crates/rig/tests/rollout.rs, each with looks of the checker of versions after each wait.

--- a/crates/rig/tests/rollout.rs
+++ b/crates/rig/tests/rollout.rs
@@ -59,9 +59,13 @@
 
 /// So many proxies: the first ones are in the first region, the last two in the second. All have the candidate.
 fn fleet(proxies: usize, candidate: &str) -> Fleet {
+    fleet_by(proxies, candidate, OPERATORS)
+}
+
+fn fleet_by(proxies: usize, candidate: &str, operators: &str) -> Fleet {
     let mut setup = setup(proxies, 150.0, 60 * SECOND);
     setup.admin = true;
-    setup.operators = OPERATORS.to_owned();
+    setup.operators = operators.to_owned();
     let region = |proxy| if proxy + 2 < proxies { "east" } else { "west" }.to_owned();
     setup.members = Some(Members { regions: (0..proxies).map(region).collect(), ..Members::default() });
     let named = |name: &str| {
@@ -94,7 +98,11 @@
 }
 
 fn propose(rig: &Rig, proxy: usize) {
-    let file = rig.folder(proxy).join("candidates/new.conf");
+    propose_file(rig, proxy, "new.conf");
+}
+
+fn propose_file(rig: &Rig, proxy: usize, name: &str) {
+    let file = rig.folder(proxy).join("candidates").join(name);
     let answer = say(rig, proxy, &["propose", &file.display().to_string()]);
     assert!(answer.starts_with("rollout proposed"), "{answer}");
 }
@@ -218,3 +226,92 @@
     each(&rig, 0..4, &phase("halted"), 1);
     assert_eq!(figure(&rig, 0, "lb_reloads_ok_total"), 0);
 }
+
+/// Two are proposed on the sides of a cut; when it heals one gives way on all, and the other reaches all.
+#[test]
+fn of_two_proposals_at_once_one_gives_way() {
+    let rig = fleet(4, GOOD);
+    for proxy in 0..4 {
+        let other = format!("# another one\n{GOOD}");
+        std::fs::write(rig.folder(proxy).join("candidates/other.conf"), other).unwrap();
+    }
+    rig.part(&[&[0, 1], &[2, 3]]);
+    each(&rig, 0..4, "lb_members_state{state=\"minority\"}", 1);
+    propose(&rig, 0);
+    propose_file(&rig, 3, "other.conf");
+    each(&rig, [1], &phase("proposed"), 1);
+    each(&rig, [2], &phase("proposed"), 1);
+    assert_eq!((0..4).map(|proxy| figure(&rig, proxy, NEW)).sum::<u64>(), 0, "no side has a quorum");
+    rig.heal_talk();
+    each(&rig, 0..4, &phase("whole"), 1);
+    each(&rig, 0..4, NEW, 1);
+    let runs = |proxy| say(&rig, proxy, &["status"]).lines().nth(1).map(str::to_owned);
+    assert!((1..4).all(|proxy| runs(proxy) == runs(0)), "all run the same one");
+    let gave_way = (0..4).map(|proxy| figure(&rig, proxy, "lb_rollout_superseded_total")).sum::<u64>();
+    assert!(gave_way >= 2, "{gave_way}");
+}
+
+/// A voter that stands still is no vote: its region waits for it, and goes on when it is back.
+#[test]
+fn a_stopped_voter_is_waited_for() {
+    let mut rig = fleet(4, GOOD);
+    propose(&rig, 3);
+    each(&rig, 0..1, NEW, 1);
+    rig.signal(1, rustix::process::Signal::STOP);
+    let down = "lb_member{member=\"n1\",status=\"down\"}";
+    for proxy in [0, 2, 3] {
+        rig.figure_until(proxy, down, |n| n == 1).unwrap_or_else(|fault| panic!("{fault}"));
+    }
+    assert_eq!((figure(&rig, 2, NEW), figure(&rig, 3, NEW)), (0, 0));
+    rig.signal(1, rustix::process::Signal::CONT);
+    each(&rig, 0..4, &phase("whole"), 1);
+}
+
+/// A proxy that runs the new version and is not heard for `dark` ends the rollout on all, and does not run it again.
+#[test]
+fn one_that_goes_dark_on_the_new_version_ends_it() {
+    let mut rig =
+        fleet_by(4, GOOD, &OPERATORS.replace("soak 2s", "soak 1min").replace("dark 1min", "dark 2s"));
+    propose(&rig, 2);
+    each(&rig, 0..1, NEW, 1);
+    rig.kill(0);
+    each(&rig, 1..4, &phase("halted"), 1);
+    rig.restart(0).unwrap_or_else(|fault| panic!("{fault}"));
+    each(&rig, 0..4, &phase("halted"), 1);
+    each(&rig, 0..4, NEW, 0);
+}
+
+/// One that starts anew twice under the new version has crashed by it, as far as anyone can tell.
+#[test]
+fn a_version_under_which_a_proxy_dies_twice_is_halted() {
+    let mut rig = fleet_by(4, GOOD, &OPERATORS.replace("soak 2s", "soak 1min"));
+    propose(&rig, 2);
+    for _ in 0..2 {
+        each(&rig, 0..1, NEW, 1);
+        rig.kill(0);
+        rig.restart(0).unwrap_or_else(|fault| panic!("{fault}"));
+    }
+    each(&rig, 0..4, &phase("halted"), 1);
+    each(&rig, 0..4, NEW, 0);
+    assert_eq!((2..4).map(|proxy| figure(&rig, proxy, "lb_reloads_ok_total")).sum::<u64>(), 0);
+}
+
+/// While rosters differ nothing is promoted; when all have the new one the rollout goes on.
+#[test]
+fn a_roster_that_changes_during_a_rollout_holds_it() {
+    let mut rig = fleet_by(4, GOOD, &OPERATORS.replace("soak 2s", "soak 4s"));
+    propose(&rig, 2);
+    each(&rig, 0..1, NEW, 1);
+    let version = |setup: &mut rig::Setup| setup.members.as_mut().unwrap().version = 2;
+    rig.reload(1, version).unwrap_or_else(|fault| panic!("{fault}"));
+    for proxy in [0, 2, 3] {
+        each(&rig, [proxy], "lb_members_roster_differs", 1);
+        each(&rig, [proxy], "lb_members_allowed{act=\"promote\"}", 0);
+    }
+    assert_eq!((figure(&rig, 2, NEW), figure(&rig, 3, NEW)), (0, 0));
+    for proxy in [0, 2, 3] {
+        rig.reload(proxy, |_| {}).unwrap_or_else(|fault| panic!("{fault}"));
+    }
+    each(&rig, 0..4, "lb_members_allowed{act=\"promote\"}", 1);
+    each(&rig, 0..4, &phase("whole"), 1);
+}
