Lab: fleets of the module that talk, with one account and loans between them

Need: the lab played proxies that know nothing of each other, so neither one account over the fleet nor loans could be measured. Change: talk in a scenario (every, late, loss, dead, lease): facts of rates, of short room and of lending::Core go late and lossy between proxies; credit by tenant (line, term, write-off, floor, classes, rate) in the world's account too; a second figure counts whichever requests of a tenant are served.

--- a/crates/leverlab/src/cli/show.rs
+++ b/crates/leverlab/src/cli/show.rs
@@ -74,6 +74,7 @@
         outcomes.worst_kind,
         outcomes.worst_tenant
     );
+    say!("by count: goodput {:.4}, worst 10 s {:.4}", outcomes.by_count.0, outcomes.by_count.1);
     say!(
         "tries {}, attempts {}, misses {}, probes {}, dials {}, writes applied {}, undone {}; rules broken {:?}\n",
         outcomes.tries,
@@ -108,6 +109,7 @@
         out.add_row([tenant.name.clone()].into_iter().chain(cells(part)).chain([blank(), blank(), blank()]));
     }
     say(format!("{out}\n"));
+    loans(scenario, outcomes);
     let mut out =
         table(&["second", "goodput", "asked", "served", "refused", "failed", "left", "what happens"]);
     for (second, part) in outcomes.seconds.iter().enumerate() {
@@ -121,6 +123,44 @@
     say(out);
 }
 
+/// What was lent, where proxies talk: in requests.
+fn loans(scenario: &Scenario, outcomes: &Outcomes) {
+    let lent = scenario.clients.tenants.iter().zip(&outcomes.loans).filter(|(_, loans)| loans.line > 0);
+    let mut out = table(&[
+        "tenant",
+        "line",
+        "most owed",
+        "within",
+        "borrowed",
+        "given back",
+        "repaid",
+        "written off",
+        "owed",
+        "line passed",
+        "books wrong",
+    ]);
+    let requests = |milli: u64| format!("{:.1}", milli as f64 / 1e3);
+    for (tenant, loans) in lent {
+        let all = &loans.all;
+        out.add_row([
+            tenant.name.clone(),
+            requests(loans.line),
+            requests(loans.owed_most),
+            all.within.to_string(),
+            all.borrowed.to_string(),
+            requests(all.back),
+            requests(all.repaid),
+            requests(all.written_off),
+            requests(loans.owed),
+            loans.passed.to_string(),
+            loans.unbalanced.to_string(),
+        ]);
+    }
+    if out.row_count() > 0 {
+        say(format!("{out}\n"));
+    }
+}
+
 fn cells(part: &crate::tally::Part) -> [String; 6] {
     [
         part.goodput().map_or("-".to_owned(), |g| format!("{g:.4}")),
--- a/crates/leverlab/src/file.rs
+++ b/crates/leverlab/src/file.rs
@@ -1,7 +1,7 @@
 //! Files of experiments, in the project's configuration language, made into scenarios, policies and experiments.
 
 use crate::policy::{Name, Policy, NAMES};
-use crate::scenario::{Scenario, Target, Trouble, Weights, What, SECOND};
+use crate::scenario::{Scenario, Talk, Target, Trouble, Weights, What, SECOND};
 use crate::table::TABLE;
 use configuration::check::Section;
 use configuration::diagnostic::{self, nearest, Diagnostic};
@@ -13,6 +13,7 @@
 use mountshift::Tuning;
 use std::path::Path;
 use std::time::Duration;
+use world::account::Credit;
 use world::clients::{self, Kind, Need, Repeat, Tenant, SURGE_MOST};
 use world::law::{Law, Work};
 use world::platform::Platform;
@@ -426,6 +427,13 @@
                 dial_wait: s.micros("dial-wait"),
                 checks: fleet.yes("checks"),
             },
+            talk: s.yes("talk").then(|| Talk {
+                every: s.micros("talk-every"),
+                late: s.micros("talk-late"),
+                loss: s.part("talk-loss"),
+                dead: s.micros("talk-dead"),
+                lease: s.micros("lease"),
+            }),
             weights: Weights::default(),
             troubles,
         })
@@ -456,7 +464,8 @@
             .filter_map(|name| self.book.find("tenant", name))
             .map(|section| {
                 let t = self.seen("tenant", Some(section));
-                Tenant { name: section.name.clone(), share: t.number("share"), quota: t.number("quota") }
+                let (share, quota) = (t.number("share"), t.number("quota"));
+                Tenant { name: section.name.clone(), share, quota, credit: credit(&t, &kinds) }
             })
             .collect();
         let mut profile = Vec::new();
@@ -561,6 +570,7 @@
             "split" => What::Split(place),
             "loss" => What::Loss(t.part("part")),
             "proxy-dies" => What::ProxyDies,
+            "apart" => What::Apart,
             _ => {
                 let named = t.value("tenant").as_ref().and_then(name_of);
                 let tenant = named.as_ref().and_then(|n| clients.tenants.iter().position(|x| x.name == *n));
@@ -588,7 +598,13 @@
         }
         let needed = matches!(
             what,
-            What::Die | What::Hang | What::Hold | What::Deploy | What::Cut { .. } | What::ProxyDies
+            What::Die
+                | What::Hang
+                | What::Hold
+                | What::Deploy
+                | What::Cut { .. }
+                | What::ProxyDies
+                | What::Apart
         );
         if section.setting("of").is_none() && needed && !section.partial {
             self.fault(section.span, "the trouble does not say whose it is", "of is missing here");
@@ -598,6 +614,21 @@
     }
 }
 
+/// What a tenant may borrow; none: nothing.
+fn credit(t: &Seen<'_>, kinds: &[Kind]) -> Option<Credit> {
+    let named = t.values.all("borrows", name_of);
+    let lent = |(_, kind): &(usize, &Kind)| named.is_empty() || named.contains(&kind.name);
+    let credit = Credit {
+        line: t.micros("line"),
+        term: t.micros("term"),
+        write_off: t.micros("write-off"),
+        floor: (t.part("floor") * 1000.0).round() as u32,
+        kinds: kinds.iter().enumerate().filter(lent).map(|(at, _)| at).collect(),
+        rate: t.count("lend-rate"),
+    };
+    Some(credit).filter(|credit| credit.line > 0)
+}
+
 fn site_of(f: &Seen<'_>) -> site::Settings {
     site::Settings {
         groups: f.count("groups"),
--- a/crates/leverlab/src/lib.rs
+++ b/crates/leverlab/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cli;
 pub mod file;
 pub mod hunt;
+pub mod member;
 pub mod plan;
 pub mod play;
 pub mod policy;
--- a/crates/leverlab/src/play/mod.rs
+++ b/crates/leverlab/src/play/mod.rs
@@ -1,5 +1,6 @@
 //! Plays a scenario for one policy and one seed.
 
+pub mod fleet;
 mod host;
 pub(crate) mod troubles;
 
@@ -9,6 +10,7 @@
 use crate::tally::{Outcomes, Tally};
 use engine::streams::{Stream, Streams};
 use engine::wheel::Wheel;
+use fleet::Fleet;
 use host::{entry, store, Eyes, Host};
 use ledger::{Checker, Final, Rule};
 use mountshift::{
@@ -18,6 +20,7 @@
 use rand::SeedableRng;
 use rand_xoshiro::Xoshiro256PlusPlus;
 use rustc_hash::FxHashMap;
+use std::sync::Arc;
 use std::time::Duration;
 use troubles::Troubles;
 use world::catalog::{self, Catalog};
@@ -78,6 +81,16 @@
         probe: u64,
         report: Option<site::Report>,
     },
+    /// A proxy looks at its loans and says what it sees, or hears another; the lab looks at all loans.
+    Look {
+        proxy: usize,
+        epoch: u32,
+    },
+    Hear {
+        proxy: usize,
+        word: Arc<crate::member::Word>,
+    },
+    Books,
     Trouble(usize),
     Over(usize),
     /// Clients have noticed that a proxy is down.
@@ -142,6 +155,7 @@
     list: Catalog,
     clients: Clients,
     hosts: Vec<Host>,
+    fleet: Option<Fleet>,
     open: FxHashMap<TryId, Open>,
     attempts: FxHashMap<u64, Attempt>,
     probes: FxHashMap<u64, Probe>,
@@ -187,8 +201,10 @@
         site,
         network: Network::new(scenario.network),
         list,
-        clients: Clients::new(scenario.clients.clone(), &streams),
+        clients: Clients::new(scenario.clients.clone(), &streams)
+            .before(scenario.servers() as f64 * scenario.site.server.cores),
         hosts,
+        fleet: Fleet::new(scenario, &streams),
         open: FxHashMap::default(),
         attempts: FxHashMap::default(),
         probes: FxHashMap::default(),
@@ -204,6 +220,7 @@
     for proxy in 0..scenario.proxies() {
         play.start(proxy);
     }
+    play.books(false);
     for (at, trouble) in scenario.troubles.iter().enumerate() {
         play.wheel.put(trouble.at, Step::Trouble(at));
     }
@@ -229,6 +246,7 @@
                 self.tally.settled(&settled);
             }
         }
+        self.tally.counts().loans = self.loans();
         self.checker.close();
         self.tally.close(self.checker.broken)
     }
@@ -270,6 +288,13 @@
                 }
             }
             Step::ProbeBack { probe, report } => self.probed(probe, report),
+            Step::Look { proxy, epoch } => {
+                if self.hosts[proxy].epoch == epoch {
+                    self.look(proxy);
+                }
+            }
+            Step::Hear { proxy, word } => self.hear(proxy, &word),
+            Step::Books => self.books(false),
             Step::Trouble(at) => self.trouble(at),
             Step::Over(at) => self.over(at),
             Step::Unseen { proxy, epoch } => {
@@ -737,6 +762,7 @@
         host.policy = Some((self.policy)(proxy, host.epoch, &self.streams));
         host.index = self.list.index();
         host.learn(&records, true);
+        self.join(proxy);
         let entries = records.iter().filter(|r| r.status != Status::Gone).map(|r| entry(r, time)).collect();
         self.tell(proxy, Event::List(ListNews::Cached(entries)));
     }
--- a/crates/leverlab/src/play/troubles.rs
+++ b/crates/leverlab/src/play/troubles.rs
@@ -120,6 +120,7 @@
             What::Split(place) => self.site(site::Event::Trouble(Trouble::Split(place))),
             What::Loss(part) => self.network.set_extra_loss(part),
             What::ProxyDies => proxies.iter().for_each(|proxy| self.proxy_dies(*proxy)),
+            What::Apart => self.apart(proxies.clone()),
         }
         (self.troubles.servers[at], self.troubles.proxies[at]) = (servers, proxies);
     }
@@ -144,6 +145,7 @@
             What::Cut { place, back_only } => self.cut(&proxies, place, back_only, false),
             What::Split(_) => self.site(site::Event::Trouble(Trouble::Meet)),
             What::Loss(_) => self.network.set_extra_loss(0.0),
+            What::Apart => self.apart(Vec::new()),
             What::ProxyDies => {
                 for proxy in proxies {
                     self.hosts[proxy].down = false;
@@ -185,6 +187,7 @@
         if !self.hosts[proxy].up() {
             return;
         }
+        self.leaves(proxy);
         self.hosts[proxy].die(&mut self.site);
         self.list(world::catalog::Event::Leave(proxy));
         let mut held: Vec<u64> =
--- a/crates/leverlab/src/policy.rs
+++ b/crates/leverlab/src/policy.rs
@@ -1,10 +1,10 @@
 //! Policies under test, behind one trait: the real decision module, baselines, and an oracle.
 
+use crate::member::Member;
 use mountshift::{
     Action, Arrival, ClassId, Effect, Event, GroupId, ListNews, Need, Outcome, RequestId, Router, Settings,
-    Standing, StoreId, Time, TimerToken, Tuning,
+    StoreId, Time, TimerToken, Tuning,
 };
-use quota::{Mark, Quota};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::collections::BTreeMap;
@@ -33,6 +33,11 @@
 /// Who decides in one proxy.
 pub trait Decider: Send {
     fn handle(&mut self, now: Time, event: Event, view: &mut dyn View, actions: &mut Vec<Action>);
+
+    /// What it has of a fleet whose proxies talk; none: it knows of no others.
+    fn member(&mut self) -> Option<&mut Member> {
+        None
+    }
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -77,9 +82,8 @@
     pub fn make(&self, settings: &Settings, seed: u64, now: Time) -> Box<dyn Decider> {
         match self.kind {
             Name::Module => {
-                let quotas = settings.tenants.iter().map(|tenant| tenant.quota_per_s).collect();
-                let quota = Quota::new(&quota::Settings { proxies: settings.routers, quotas });
-                Box::new(Module(Router::tuned(settings.clone(), self.tuning, seed, now), quota))
+                let member = Member::new(settings);
+                Box::new(Module(Router::tuned(settings.clone(), self.tuning, seed, now), member))
             }
             choice => Box::new(Baseline::new(choice, settings.clone(), seed)),
         }
@@ -87,17 +91,23 @@
 }
 
 /// The real decision module, unchanged, by its public interface.
-struct Module(Router, Quota);
+struct Module(Router, Member);
 
 impl Decider for Module {
     fn handle(&mut self, now: Time, mut event: Event, _: &mut dyn View, actions: &mut Vec<Action>) {
-        if let Event::Arrived(arrival) = &mut event {
-            let asked = self.1.asked(now.since(Time::ZERO), arrival.tenant.0.into(), arrival.repeated);
-            if asked == Mark::Beyond {
-                arrival.standing = Standing::Beyond;
-            }
+        let Module(router, member) = self;
+        let before = actions.len();
+        match &mut event {
+            Event::Arrived(arrival) => arrival.standing = member.arrived(now, arrival),
+            Event::Left(id) => member.ended(*id, false),
+            _ => {}
         }
-        self.0.handle(now, event, actions);
+        router.handle(now, event, actions);
+        actions[before..].iter().for_each(|action| member.did(action));
+    }
+
+    fn member(&mut self) -> Option<&mut Member> {
+        Some(&mut self.1)
     }
 }
 
--- a/crates/leverlab/src/scenario.rs
+++ b/crates/leverlab/src/scenario.rs
@@ -48,8 +48,10 @@
     Split(u16),
     /// Further loss on the network.
     Loss(f64),
-    /// Proxies die, and come back knowing nothing but an old list.
+    /// Proxies die, and come back knowing nothing but an old list and their files.
     ProxyDies,
+    /// The targets' proxies and the others do not hear each other.
+    Apart,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -77,6 +79,20 @@
     }
 }
 
+/// How proxies of the module hear each other.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Talk {
+    /// From word to word of one proxy.
+    pub every: Micros,
+    /// The most that a word is late, and the part of them that never comes.
+    pub late: Micros,
+    pub loss: f64,
+    /// Who was not heard for so long is taken to be dead by those that hear most of the fleet.
+    pub dead: Micros,
+    /// How long a proxy lends after most have echoed it.
+    pub lease: Micros,
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub struct Scenario {
     pub name: String,
@@ -86,6 +102,7 @@
     pub catalog: catalog::Settings,
     pub clients: clients::Settings,
     pub platform: Platform,
+    pub talk: Option<Talk>,
     pub weights: Weights,
     pub troubles: Vec<Trouble>,
 }
--- a/crates/leverlab/src/table.rs
+++ b/crates/leverlab/src/table.rs
@@ -97,6 +97,12 @@
         directives: &[
             directive("share", One(number(0.0, 1e9)), "1", "share 54", "its part of the requests, in proportion to the others'"),
             directive("quota", One(number(0.0, 1e9)), "0", "quota 300", "requests a second that count in full; 0: all"),
+            directive("line", One(time(0, 60 * MINUTE)), "0s", "line 20s", "the most that it may owe, as a time of its quota; 0s: it borrows nothing"),
+            directive("term", One(time(1, 60 * MINUTE)), "20s", "term 60s", "in which a loan is repaid"),
+            directive("write-off", One(time(0, 60 * MINUTE)), "5s", "write-off 30s", "after that, what is owed still is written off"),
+            directive("floor", One(share((0, 1), (99, 100))), "50%", "floor 70%", "of its quota, what stays while it repays"),
+            directive("borrows", Many(Type::Reference("class")), "", "borrows nearby-cabs", "classes that it borrows for; none: all"),
+            directive("lend-rate", One(count(1, 10_000_000)), "1000000", "lend-rate 500", "the most that is lent in a second"),
         ],
     },
     Section {
@@ -130,7 +136,7 @@
         naming: Naming::Named,
         help: "Something that goes wrong for a while.",
         directives: &[
-            directive("kind", One(Type::Choice(&["die", "hang", "slow", "hold", "deploy", "list-behind", "list-down", "surge", "cut", "split", "loss", "proxy-dies"])), "", "kind hang", "what it is"),
+            directive("kind", One(Type::Choice(&["die", "hang", "slow", "hold", "deploy", "list-behind", "list-down", "surge", "cut", "split", "loss", "proxy-dies", "apart"])), "", "kind hang", "what it is"),
             directive("at", One(time(0, 60 * MINUTE)), "10s", "at 15s", "when it begins"),
             directive("for", One(time(0, 60 * MINUTE)), "12s", "for 5s", "how long it lasts; what has died is back after this"),
             directive("of", Many(text()), "", "of primary:0-2 member:1.3 place:1 share:25% proxy:0-3 all", "which servers, or proxies"),
@@ -161,6 +167,12 @@
             directive("drain-grace", One(time(0, MINUTE)), "500ms", "drain-grace 250ms", "sends to a draining server have to stop within this"),
             directive("keepalive", One(time(1, 60 * MINUTE)), "30s", "keepalive 5s", "an idle connection is closed after this"),
             directive("dial-wait", One(time(1, MINUTE)), "250ms", "dial-wait 1s", "a connection that does not come up is given up after this"),
+            directive("talk", One(YES), "no", "talk yes", "whether proxies of the module hear what the others see, and lend; one account over the fleet"),
+            directive("talk-every", One(time(250, MINUTE)), "1s", "talk-every 2s", "from word to word of a proxy"),
+            directive("talk-late", One(time(0, MINUTE)), "1s", "talk-late 300ms", "the most that a word is late; the least is three tenths of that"),
+            directive("talk-loss", One(ANY_SHARE), "0%", "talk-loss 10%", "of the words, those that never come"),
+            directive("talk-dead", One(time(1, 10 * MINUTE)), "5s", "talk-dead 10s", "who was not heard for so long counts as dead where most are heard"),
+            directive("lease", One(time(1, 10 * MINUTE)), "5s", "lease 2s", "how long a proxy lends after most have echoed it"),
         ],
     },
     Section {
--- a/crates/leverlab/src/tally.rs
+++ b/crates/leverlab/src/tally.rs
@@ -1,5 +1,6 @@
 //! The books of a run: goodput as a whole and of its worst parts, latencies, and what happened when.
 
+use crate::play::fleet::Loans;
 use crate::scenario::{Scenario, Weights, SECOND};
 use hdrhistogram::serialization::{Deserializer, Serializer, V2Serializer};
 use hdrhistogram::Histogram;
@@ -25,6 +26,8 @@
 pub struct Part {
     pub worth: f64,
     pub earned: f64,
+    #[serde(default)]
+    pub counted: f64,
     pub asked: u64,
     pub served: u64,
     pub refused: u64,
@@ -36,6 +39,7 @@
     fn add(&mut self, settled: &Settled) {
         self.worth += settled.worth;
         self.earned += settled.earned;
+        self.counted += settled.counted;
         self.asked += 1;
         match settled.end {
             End::Served => self.served += 1,
@@ -87,6 +91,9 @@
     /// Worth answered within its aim, and less for late, over the worth asked for.
     pub goodput: f64,
     pub worst_span: f64,
+    /// Goodput and its worst span, if a tenant's account is drawn on by what is served, whichever of its requests that is.
+    #[serde(default)]
+    pub by_count: (f64, f64),
     pub worst_kind: f64,
     pub worst_tenant: f64,
     pub whole: Part,
@@ -107,6 +114,9 @@
     pub undone: u64,
     pub broken: BTreeMap<Rule, u64>,
     pub marks: Vec<Mark>,
+    /// By tenant, where proxies talk.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub loans: Vec<Loans>,
     /// Steps of the engine.
     pub steps: u64,
 }
@@ -182,14 +192,16 @@
             0 => out.goodput,
             _ => least(&mut out.tenants.iter().map(Part::goodput)),
         };
-        let window = |parts: &[Part]| {
-            let (worth, earned) = parts.iter().fold((0.0, 0.0), |(w, e), p| (w + p.worth, e + p.earned));
+        let window = |parts: &[Part], of: fn(&Part) -> f64| {
+            let (worth, earned) = parts.iter().fold((0.0, 0.0), |(w, e), p| (w + p.worth, e + of(p)));
             (worth > 0.0).then(|| earned / worth)
         };
-        out.worst_span = match out.seconds.len() {
-            n if n <= WORST => out.goodput,
-            _ => least(&mut out.seconds.windows(WORST).map(window)),
+        let worst = |of: fn(&Part) -> f64| match out.seconds.len() {
+            n if n <= WORST => window(&[out.whole], of).unwrap_or(1.0),
+            _ => least(&mut out.seconds.windows(WORST).map(|parts| window(parts, of))),
         };
+        out.worst_span = worst(|part| part.earned);
+        out.by_count = (window(&[out.whole], |part| part.counted).unwrap_or(1.0), worst(|part| part.counted));
         out.score = weights.whole * out.goodput
             + weights.worst_span * out.worst_span
             + weights.worst_kind * out.worst_kind
--- a/crates/leverlab/src/trial.rs
+++ b/crates/leverlab/src/trial.rs
@@ -173,6 +173,8 @@
                 self.rig.links(&self.all(), None).iter().for_each(|link| link.set(flow, flow));
             }
             What::ProxyDies => proxies.iter().for_each(|proxy| self.rig.kill(*proxy)),
+            // What proxies say to each other does not pass the rig's links.
+            What::Apart => {}
         }
     }
 
@@ -184,7 +186,7 @@
             What::Die => self.each(&servers, Trouble::Start),
             What::Hang => self.each(&servers, |server| Trouble::Hang { server, on: false }),
             What::Slow(_) => self.each(&self.slowed(at), |server| Trouble::Slow { server, times: 1.0 }),
-            What::Hold | What::Deploy => {}
+            What::Hold | What::Deploy | What::Apart => {}
             What::ListBehind(_) => truth.list(catalog::Event::Behind(0)),
             What::ListDown => truth.list(catalog::Event::Down(false)),
             What::Surge(_, tenant) => truth.surge(tenant, 1.0),
--- a/crates/leverlab/src/write.rs
+++ b/crates/leverlab/src/write.rs
@@ -86,6 +86,7 @@
             "loss"
         }
         What::ProxyDies => "proxy-dies",
+        What::Apart => "apart",
     };
     let mut all = vec![("kind", kind.to_owned()), ("at", time(trouble.at)), ("for", time(trouble.span))];
     if !trouble.targets.is_empty() {
@@ -186,7 +187,18 @@
         out.section(&format!("class {}", kind.name), &lines);
     }
     for tenant in &clients.tenants {
-        let lines = [("share", tenant.share.to_string()), ("quota", tenant.quota.to_string())];
+        let mut lines = vec![("share", tenant.share.to_string()), ("quota", tenant.quota.to_string())];
+        if let Some(credit) = &tenant.credit {
+            let kinds = credit.kinds.iter().filter_map(|at| clients.kinds.get(*at));
+            lines.extend([
+                ("line", time(credit.line)),
+                ("term", time(credit.term)),
+                ("write-off", time(credit.write_off)),
+                ("floor", share(f64::from(credit.floor) / 1000.0)),
+                ("borrows", kinds.map(|k| k.name.as_str()).collect::<Vec<_>>().join(" ")),
+                ("lend-rate", credit.rate.to_string()),
+            ]);
+        }
         out.section(&format!("tenant {}", tenant.name), &lines);
     }
     let names = |names: Vec<&str>| names.join(" ");
@@ -239,6 +251,16 @@
         ("keepalive", time(platform.keepalive)),
         ("dial-wait", time(platform.dial_wait)),
     ];
+    if let Some(talk) = &scenario.talk {
+        lines.extend([
+            ("talk", "yes".into()),
+            ("talk-every", time(talk.every)),
+            ("talk-late", time(talk.late)),
+            ("talk-loss", share(talk.loss)),
+            ("talk-dead", time(talk.dead)),
+            ("lease", time(talk.lease)),
+        ]);
+    }
     if scenario.about.is_empty() {
         lines.remove(0);
     }
--- a/crates/world/src/clients.rs
+++ b/crates/world/src/clients.rs
@@ -3,7 +3,7 @@
 //! Every arrival draws the same numbers, so two policies on one seed are asked the same. What is drawn for repeats goes
 //! by the request's own number, for the same reason.
 
-use crate::account::Account;
+use crate::account::{Account, Credit, Drawn};
 use crate::law::Work;
 use crate::Micros;
 use engine::streams::{Stream, Streams};
@@ -54,6 +54,7 @@
     pub share: f64,
     /// Requests a second that count in full; 0: all.
     pub quota: f64,
+    pub credit: Option<Credit>,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -107,7 +108,7 @@
     /// The session's last write, as the client knows it; 0: none.
     pub wrote: Micros,
     pub repeated: bool,
-    /// Its request is within its tenant's quota, which a proxy can't know.
+    /// Its request is within its tenant's quota, or lent to it, which a proxy can't know.
     pub within: bool,
 }
 
@@ -162,6 +163,8 @@
     pub worth: f64,
     /// What it earned, and after which time; none: it was not served.
     pub earned: f64,
+    /// The same if those of its tenant that were served count in full as far as its account goes, whichever they are.
+    pub counted: f64,
     pub took: Option<Micros>,
     pub tries: u32,
     pub end: End,
@@ -207,6 +210,9 @@
     last: End,
 }
 
+/// How long what was asked for tells how busy servers are.
+const BUSY: f64 = 1e6;
+
 /// The last writes of a proxy's clients, which reads come after.
 const RECENT: usize = 32;
 
@@ -232,6 +238,11 @@
     recent: Vec<VecDeque<(u64, u32, Micros)>>,
     /// Of tenants.
     accounts: Vec<Account>,
+    /// The same accounts, drawn on by what is served.
+    served: Vec<Account>,
+    /// Cores that there are, and what counts in full asks of them, of the last second.
+    cores: f64,
+    busy: (f64, Micros),
     last_request: u64,
     last_try: TryId,
 }
@@ -268,13 +279,22 @@
             tries: FxHashMap::default(),
             commits: FxHashMap::default(),
             recent: vec![VecDeque::new(); set.proxies],
-            accounts: set.tenants.iter().map(|t| Account::new(t.quota)).collect(),
+            served: accounts(&set),
+            accounts: accounts(&set),
+            cores: f64::INFINITY,
+            busy: (0.0, 0),
             last_request: 0,
             last_try: 0,
             set,
         }
     }
 
+    /// Of whom tenants borrow only as long as what counts in full asks for less than these cores.
+    pub fn before(mut self, cores: f64) -> Clients {
+        self.cores = cores;
+        self
+    }
+
     /// Requests that are neither served nor given up.
     pub fn open(&self) -> usize {
         self.requests.len()
@@ -360,7 +380,13 @@
         }
         // What is beyond a tenant's quota is worth less, whatever is done with it. Its repeats draw no more: what was
         // asked for would depend on what was refused.
-        let within = self.accounts.get_mut(tenant).is_none_or(|account| account.draw(now));
+        let (busy, since) = self.busy;
+        let busy = busy * (-((now - since) as f64) / BUSY).exp();
+        let room = busy < self.cores;
+        let account = self.accounts.get_mut(tenant);
+        let within = account.is_none_or(|account| account.draw_on(now, kind, room) != Drawn::Beyond);
+        let work = if within { stated.work.mean / BUSY } else { 0.0 };
+        self.busy = (busy + work, now);
         let worth = stated.worth * if within { 1.0 } else { self.set.over_worth };
         self.last_request += 1;
         let request = self.last_request;
@@ -439,8 +465,13 @@
                 }
                 let took = now - open.came;
                 let part = if took <= kind.aim { 1.0 } else { kind.late_worth };
-                let earned = open.worth * if took <= kind.deadline { part } else { 0.0 };
-                self.settle(request, End::Served, earned, Some(took), actions);
+                let part = if took <= kind.deadline { part } else { 0.0 };
+                let earned = open.worth * part;
+                let (at, room, whole) = (open.kind, self.busy.0 < self.cores, kind.worth * part);
+                let account = self.served.get_mut(open.tenant).filter(|_| part > 0.0);
+                let full = account.is_none_or(|account| account.draw_on(now, at, room) != Drawn::Beyond);
+                let counted = whole * if full { 1.0 } else { self.set.over_worth };
+                self.settle(request, End::Served, (earned, counted), Some(took), actions);
             }
             Answer::Refused { come_back } => self.ended(request, End::Refused, come_back, now, actions),
             Answer::Failed => self.ended(request, End::Failed, None, now, actions),
@@ -470,7 +501,7 @@
         if may && open.tries <= self.set.repeats && at < open.came + kind.deadline {
             actions.push(Action::DueAt(at, Due::Repeat(request)));
         } else {
-            self.settle(request, end, 0.0, None, actions);
+            self.settle(request, end, (0.0, 0.0), None, actions);
         }
     }
 
@@ -478,7 +509,7 @@
         &mut self,
         request: u64,
         end: End,
-        earned: f64,
+        (earned, counted): (f64, f64),
         took: Option<Micros>,
         actions: &mut Vec<Action>,
     ) {
@@ -492,6 +523,7 @@
             came,
             worth,
             earned,
+            counted,
             took,
             tries,
             end,
@@ -503,11 +535,15 @@
         let mut open: Vec<(u64, End)> = self.requests.iter().map(|(id, r)| (*id, r.last)).collect();
         open.sort_unstable_by_key(|(id, _)| *id);
         for (request, last) in open {
-            self.settle(request, last, 0.0, None, actions);
+            self.settle(request, last, (0.0, 0.0), None, actions);
         }
     }
 }
 
+fn accounts(set: &Settings) -> Vec<Account> {
+    set.tenants.iter().map(|t| Account::new(t.quota).with(t.credit.clone())).collect()
+}
+
 /// Parts of the requests that proxies get, in proportion.
 fn proxy_parts(set: &Settings) -> Vec<f64> {
     let mut parts: Vec<f64> = (0..set.proxies).map(|n| ((n + 1) as f64).powf(-set.unequal)).collect();
--- a/crates/world/tests/site.rs
+++ b/crates/world/tests/site.rs
@@ -223,7 +223,7 @@
 }
 
 fn settings() -> clients::Settings {
-    let tenant = |name: &str, share, quota| Tenant { name: name.into(), share, quota };
+    let tenant = |name: &str, share, quota| Tenant { name: name.into(), share, quota, credit: None };
     clients::Settings {
         kinds: kinds(),
         tenants: vec![tenant("a", 0.75, 0.0), tenant("b", 0.25, 10.0)],
