--- a/crates/leverlab/src/file.rs
+++ b/crates/leverlab/src/file.rs
@@ -433,6 +433,8 @@
                 loss: s.part("talk-loss"),
                 dead: s.micros("talk-dead"),
                 lease: s.micros("lease"),
+                short_least: s.count("short-least"),
+                short_part: s.part("short-part"),
             }),
             weights: Weights::default(),
             troubles,
--- a/crates/leverlab/src/member.rs
+++ b/crates/leverlab/src/member.rs
@@ -13,9 +13,6 @@
 pub const LOOK: Duration = Duration::from_millis(250);
 /// Room is short for so long after a look that found it so.
 const SHORT: Duration = Duration::from_secs(2);
-/// In a look: so many refused, and more than this part of those asked.
-const SHORT_LEAST: u64 = 2;
-const SHORT_PART: f64 = 0.01;
 /// What another sees counts for so long after it was last heard, unless it is known to be dead.
 const LASTS: Duration = Duration::from_secs(60);
 /// A loan is for one request.
@@ -57,6 +54,9 @@
     pub lease: Duration,
     pub every: Duration,
     pub dead: Duration,
+    /// Room is short when so many are refused in a look, and more than this part of those asked.
+    pub short_least: u64,
+    pub short_part: f64,
 }
 
 /// Requests of one tenant so far, in one proxy or in all of them.
@@ -321,7 +321,7 @@
         }
         self.who_is_there(now, quota, stands);
         let (asked, refused) = std::mem::take(&mut self.window);
-        if refused >= SHORT_LEAST && refused as f64 > SHORT_PART * asked as f64 {
+        if refused >= self.place.short_least && refused as f64 > self.place.short_part * asked as f64 {
             self.short = self.short.max(now.plus(SHORT));
             self.out.push(Said::Short);
         }
--- a/crates/leverlab/src/play/fleet.rs
+++ b/crates/leverlab/src/play/fleet.rs
@@ -88,6 +88,8 @@
             lease: super::span(talk.lease),
             every: super::span(talk.every),
             dead: super::span(talk.dead),
+            short_least: talk.short_least,
+            short_part: talk.short_part,
         };
         Some(Fleet {
             talk,
--- a/crates/leverlab/src/write.rs
+++ b/crates/leverlab/src/write.rs
@@ -259,6 +259,8 @@
             ("talk-loss", share(talk.loss)),
             ("talk-dead", time(talk.dead)),
             ("lease", time(talk.lease)),
+            ("short-least", talk.short_least.to_string()),
+            ("short-part", share(talk.short_part)),
         ]);
     }
     if scenario.about.is_empty() {
