Who repays does not borrow for it; shortage is judged by a twentieth, and lasts longer when it comes back

Change: the account tells what is beyond only for being withheld (Mark::Withheld) from what is beyond the quota; shortage takes three refusals and a twentieth in half a second, and doubles up to 16 s when it comes back soon.

--- a/crates/leverlab/src/member.rs
+++ b/crates/leverlab/src/member.rs
@@ -1,6 +1,6 @@
 //! What one proxy of a fleet knows of its tenants' quotas: its own account, what others see, and its loans.
 
-use lending::{Action as Asked, Config, Core, Notice, Rules, Verdict};
+use lending::{Action as Asked, Config, Core, Notice, Rules, Shortage, Verdict, SHORT_LASTS};
 use mountshift::{Action, Arrival, RequestId, Settings, Standing, Time};
 use quota::{Mark, Others, Quota};
 use rustc_hash::FxHashMap;
@@ -11,8 +11,6 @@
 
 /// A proxy looks at its loans, and at what it refused, this often.
 pub const LOOK: Duration = Duration::from_millis(250);
-/// Room is short for so long after a look that found it so.
-const SHORT: Duration = Duration::from_secs(2);
 /// What another sees counts for so long after it was last heard, unless it is known to be dead.
 const LASTS: Duration = Duration::from_secs(60);
 /// A loan is for one request.
@@ -107,8 +105,7 @@
     told: Option<Time>,
     /// Room is short until then, by its own eyes and by others' word.
     short: Time,
-    /// Asked and refused within quota since the last look.
-    window: (u64, u64),
+    shortage: Shortage,
     /// Of what was withheld, less than a thousandth.
     rest: Vec<f64>,
     /// What each lane of this process owed and had lent and repaid when it began.
@@ -140,6 +137,7 @@
         core.handle(now.0, lending::Event::Rules(place.rules.clone()), &mut out);
         let books = place.tenants.iter().map(|name| core.book(now.0, name).unwrap_or_default());
         let began = books.map(|book| (book.lent, book.repaid)).collect();
+        let shortage = Shortage::new(place.short_least as u32, place.short_part);
         let mut talking = Talking {
             rest: vec![0.0; place.tenants.len()],
             place,
@@ -152,7 +150,7 @@
             out: Vec::new(),
             told: None,
             short: Time::ZERO,
-            window: (0, 0),
+            shortage,
             began,
         };
         talking.asked(now, out, &mut self.stands);
@@ -163,20 +161,26 @@
         let tenant = usize::from(arrival.tenant.0);
         let mark = self.quota.asked(now.0, tenant, arrival.repeated);
         let Some(talking) = self.talking.as_mut().filter(|_| tenant < self.stands.len()) else {
-            return if mark == Mark::Beyond { Standing::Beyond } else { Standing::Within };
+            return if matches!(mark, Mark::Free | Mark::Within) {
+                Standing::Within
+            } else {
+                Standing::Beyond
+            };
+        };
+        let standing = match mark {
+            Mark::Free | Mark::Within => Standing::Within,
+            Mark::Beyond if talking.lends(now, tenant, arrival, &mut self.stands) => Standing::Borrowed,
+            Mark::Withheld | Mark::Beyond => {
+                self.stands[tenant].beyond += 1;
+                return Standing::Beyond;
+            }
         };
-        if mark == Mark::Beyond && !talking.lends(now, tenant, arrival, &mut self.stands) {
-            self.stands[tenant].beyond += 1;
-            return Standing::Beyond;
-        }
-        let standing = if mark == Mark::Beyond { Standing::Borrowed } else { Standing::Within };
         let stand = &mut self.stands[tenant];
         match standing {
             Standing::Borrowed => stand.borrowed += 1,
             _ => {
                 // A repeat is no request more, and takes nothing.
                 stand.within += u64::from(!arrival.repeated);
-                talking.window.0 += 1;
             }
         }
         self.waiting.insert(arrival.id, (tenant, standing));
@@ -184,24 +188,30 @@
     }
 
     /// What the module has made of it.
-    pub fn did(&mut self, action: &Action) {
+    pub fn did(&mut self, now: Time, action: &Action) {
         match action {
-            Action::Send { id, .. } => _ = self.waiting.remove(id),
-            Action::Refuse { id, .. } => self.ended(*id, true),
-            Action::Fail { id } => self.ended(*id, false),
+            Action::Send { id, .. } => {
+                let within =
+                    self.waiting.remove(id).is_some_and(|(_, standing)| standing == Standing::Within);
+                if let Some(talking) = self.talking.as_mut().filter(|_| within) {
+                    talking.shortage.ended(now.0, false);
+                }
+            }
+            Action::Refuse { id, .. } => self.ended(now, *id, true),
+            Action::Fail { id } => self.ended(now, *id, false),
             _ => {}
         }
     }
 
     /// A request is over. One that was lent and not used is given back.
-    pub fn ended(&mut self, id: RequestId, refused: bool) {
+    pub fn ended(&mut self, now: Time, id: RequestId, refused: bool) {
         let Some((tenant, standing)) = self.waiting.remove(&id) else { return };
         let (Some(talking), stand) = (&mut self.talking, &mut self.stands[tenant]) else { return };
         if standing == Standing::Borrowed {
-            stand.back += talking.core.repay(&talking.place.tenants[tenant], ONE);
+            stand.back += talking.core.give_back(&talking.place.tenants[tenant], ONE);
         } else if refused {
             stand.refused += 1;
-            talking.window.1 += 1;
+            talking.shortage.ended(now.0, true);
         }
     }
 
@@ -304,12 +314,20 @@
         match &word.said {
             Said::Rates(rates) if newer => other.rates.clone_from(rates),
             Said::Rates(_) => {}
-            Said::Short => self.short = self.short.max(word.at.plus(SHORT)),
+            Said::Short => self.short = self.short.max(word.at.plus(SHORT_LASTS)),
             Said::Loans { kind, key, body } => {
                 let source = self.place.names[word.from].clone();
                 let (start, kind, age) = (word.start, *kind, now.since(word.at));
                 let event = lending::Event::Fact { source: &source, start, kind, key, body, age };
+                let repaid =
+                    |core: &Core, name: &String| core.book(now.0, name).map_or(0, |book| book.repaid);
+                let names = self.place.tenants.iter().filter(|_| kind == lending::said::PAID);
+                let before: Vec<u64> = names.map(|name| repaid(&self.core, name)).collect();
                 self.handle(now, event, stands);
+                // Others may have paid for it.
+                for ((stand, name), before) in stands.iter_mut().zip(self.place.tenants.iter()).zip(before) {
+                    stand.repaid += repaid(&self.core, name).saturating_sub(before);
+                }
             }
         }
     }
@@ -320,12 +338,11 @@
             self.handle(now, lending::Event::Saved(sequence), stands);
         }
         self.who_is_there(now, quota, stands);
-        let (asked, refused) = std::mem::take(&mut self.window);
-        if refused >= self.place.short_least && refused as f64 > self.place.short_part * asked as f64 {
-            self.short = self.short.max(now.plus(SHORT));
+        let own = self.shortage.is_short(now.0);
+        if own {
             self.out.push(Said::Short);
         }
-        self.handle(now, lending::Event::Short(now < self.short), stands);
+        self.handle(now, lending::Event::Short(own || now < self.short), stands);
         if let Some((_, token)) = self.timer.take_if(|(at, _)| *at <= now) {
             self.handle(now, lending::Event::Timer(token), stands);
         }
@@ -336,7 +353,7 @@
             self.rest[tenant] += withheld * ONE as f64;
             let whole = self.rest[tenant].floor();
             self.rest[tenant] -= whole;
-            stands[tenant].repaid += self.core.repay(name, whole as u64);
+            stands[tenant].repaid += self.core.repay(now.0, name, whole as u64);
         }
         if self.told.is_none_or(|told| now.since(told) >= self.place.every) {
             self.told = Some(now);
--- a/crates/leverlab/src/policy.rs
+++ b/crates/leverlab/src/policy.rs
@@ -99,11 +99,11 @@
         let before = actions.len();
         match &mut event {
             Event::Arrived(arrival) => arrival.standing = member.arrived(now, arrival),
-            Event::Left(id) => member.ended(*id, false),
+            Event::Left(id) => member.ended(now, *id, false),
             _ => {}
         }
         router.handle(now, event, actions);
-        actions[before..].iter().for_each(|action| member.did(action));
+        actions[before..].iter().for_each(|action| member.did(now, action));
     }
 
     fn member(&mut self) -> Option<&mut Member> {
--- a/crates/leverlab/src/scenario.rs
+++ b/crates/leverlab/src/scenario.rs
@@ -91,7 +91,7 @@
     pub dead: Micros,
     /// How long a proxy lends after most have echoed it.
     pub lease: Micros,
-    /// In a quarter second of one proxy: so many refused within their quota, and more than this part, and room is short.
+    /// In half a second of one proxy: so many refused within their quota, and more than this part, and room is short.
     pub short_least: u64,
     pub short_part: f64,
 }
--- a/crates/leverlab/src/table.rs
+++ b/crates/leverlab/src/table.rs
@@ -173,8 +173,8 @@
             directive("talk-loss", One(ANY_SHARE), "0%", "talk-loss 10%", "of the words, those that never come"),
             directive("talk-dead", One(time(1, 10 * MINUTE)), "5s", "talk-dead 10s", "who was not heard for so long counts as dead where most are heard"),
             directive("lease", One(time(1, 10 * MINUTE)), "5s", "lease 2s", "how long a proxy lends after most have echoed it"),
-            directive("short-least", One(count(1, 1_000)), "2", "short-least 5", "nobody borrows while a proxy refuses so many within their quota in a quarter second ..."),
-            directive("short-part", One(ANY_SHARE), "1%", "short-part 5%", "... and more than this part of those asked there"),
+            directive("short-least", One(count(1, 1_000)), "3", "short-least 5", "nobody borrows while a proxy refuses so many within their quota in half a second ..."),
+            directive("short-part", One(ANY_SHARE), "5%", "short-part 5%", "... and more than this part of those asked there"),
         ],
     },
     Section {
--- a/crates/leverproxy/src/stages/quota.rs
+++ b/crates/leverproxy/src/stages/quota.rs
@@ -63,10 +63,12 @@
             return;
         }
         let since = self.since(now);
-        if self.account.asked(since, arrival.tenant.0.into(), arrival.repeated) == Mark::Beyond {
-            let lent = self.lent(arrival, now);
-            arrival.standing = if lent { Standing::Borrowed } else { Standing::Beyond };
-        }
+        arrival.standing = match self.account.asked(since, arrival.tenant.0.into(), arrival.repeated) {
+            Mark::Free | Mark::Within => Standing::Within,
+            Mark::Beyond if self.lent(arrival, now) => Standing::Borrowed,
+            // Who repays does not borrow for it.
+            Mark::Withheld | Mark::Beyond => Standing::Beyond,
+        };
     }
 
     fn lent(&mut self, arrival: &Arrival, now: Instant) -> bool {
--- a/crates/mountshift/src/decide.rs
+++ b/crates/mountshift/src/decide.rs
@@ -948,8 +948,8 @@
     /// valuable for their work sooner. Guards against jams of which no store and no room is the cause: many
     /// routers' attempts, retried by clients and run in vain, keep every store full (flash crowds, mass
     /// restarts, too few primaries). Harms when a fault that costs worth is over, for the time of memory. What
-    /// is beyond a quota has its own door, and repeats of it have to wait until that is quite open. What is
-    /// borrowed takes no place that one within is refused for.
+    /// is beyond a quota has its own door, its repeats wait until that is quite open; what is borrowed takes
+    /// no place that one within is refused for.
     fn takes_in(&mut self, id: RequestId) -> bool {
         let value = self.value(id);
         self.usual_value += self.tune.run_weight * (value - self.usual_value);
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -51,6 +51,8 @@
     /// No quota holds for it.
     Free,
     Within,
+    /// Within its quota, but of the share that its tenant does without: it repays, and is no cause to borrow.
+    Withheld,
     Beyond,
 }
 
@@ -77,6 +79,8 @@
     recent: f64,
     /// What is left in the bucket, and since when; none: it was never used, and is full.
     left: Option<(f64, Time)>,
+    /// What would be left if nothing were withheld, at the same time.
+    whole: f64,
     /// Requests a second, as last judged; and what others see.
     rate: f64,
     others: f64,
@@ -87,15 +91,24 @@
 }
 
 impl Tenant {
-    /// What is left in its bucket, and what that holds, at this rate.
-    fn left(&self, now: Time, rate: f64) -> (f64, f64) {
+    /// As it stands at this rate.
+    fn bucket(&self, now: Time, rate: f64) -> Bucket {
         let usual = rate * DEPTH.as_secs_f64();
         let depth = usual + DEVIATIONS * usual.sqrt() + SPARE;
-        let more = |since| rate * (1.0 - self.withheld) * now.saturating_sub(since).as_secs_f64();
-        (self.left.map_or(depth, |(left, since)| (left + more(since)).min(depth)), depth)
+        let Some((left, since)) = self.left else { return Bucket { left: depth, whole: depth, depth } };
+        let more = rate * now.saturating_sub(since).as_secs_f64();
+        let left = (left + more * (1.0 - self.withheld)).min(depth);
+        Bucket { left, whole: (self.whole + more).min(depth), depth }
     }
 }
 
+/// What is left, what would be if nothing were withheld, and what it holds.
+struct Bucket {
+    left: f64,
+    whole: f64,
+    depth: f64,
+}
+
 #[derive(Clone, Debug, Default)]
 pub struct Quota {
     proxies: u32,
@@ -138,16 +151,24 @@
         self.look(now);
         let rate = self.rate_of(tenant);
         let Some(tenant) = self.tenants.get_mut(tenant) else { return Mark::Free };
-        let (left, depth) = tenant.left(now, rate);
-        let within = left >= if repeated { depth / 2.0 } else { 1.0 };
-        tenant.left = Some((if within && !repeated { left - 1.0 } else { left }, now));
+        let Bucket { left, whole, depth } = tenant.bucket(now, rate);
+        let least = if repeated { depth / 2.0 } else { 1.0 };
+        let (within, owed) = (left >= least, whole >= least);
+        let taken = if repeated { 0.0 } else { 1.0 };
+        tenant.left = Some((if within { left - taken } else { left }, now));
+        // Who is within takes of both, or the two would drift apart and those beyond would find the rest.
+        tenant.whole = if within || owed { whole - taken } else { whole };
         tenant.recent += if repeated { 0.0 } else { 1.0 };
         if within {
             tenant.counts.within += 1;
             Mark::Within
         } else {
             tenant.counts.beyond += 1;
-            Mark::Beyond
+            if owed {
+                Mark::Withheld
+            } else {
+                Mark::Beyond
+            }
         }
     }
 
@@ -196,7 +217,8 @@
         let rate = self.rate_of(tenant);
         let Some(t) = self.tenants.get_mut(tenant) else { return 0.0 };
         // What was filled so far was filled at the former share.
-        t.left = t.left.map(|_| (t.left(now, rate).0, now));
+        let Bucket { left, whole, .. } = t.bucket(now, rate);
+        (t.left, t.whole) = (t.left.map(|_| (left, now)), whole);
         let before = t.withheld * rate * now.saturating_sub(t.counted).as_secs_f64();
         (t.withheld, t.counted) = (if share.is_finite() { share.clamp(0.0, 1.0) } else { 0.0 }, now);
         before
--- a/crates/quota/tests/fleet.rs
+++ b/crates/quota/tests/fleet.rs
@@ -144,7 +144,7 @@
 fn what_is_withheld_is_counted_and_missing() {
     let settings = Settings { proxies: 1, quotas: vec![100.0] };
     let (mut plain, mut short) = (Quota::new(&settings), Quota::new(&settings));
-    let (mut within, mut withheld) = ([0u32; 2], 0.0);
+    let (mut within, mut withheld, mut repaying) = ([0u32; 2], 0.0, 0u32);
     for tick in 0..60_000u64 {
         let now = Duration::from_millis(tick);
         if tick % 250 == 0 {
@@ -152,13 +152,17 @@
         }
         if tick % 5 == 0 {
             for (quota, within) in [&mut plain, &mut short].into_iter().zip(&mut within) {
-                *within += u32::from(quota.asked(now, 0, false) == Mark::Within);
+                let mark = quota.asked(now, 0, false);
+                *within += u32::from(mark == Mark::Within);
+                repaying += u32::from(mark == Mark::Withheld);
             }
         }
     }
     assert!((withheld - 0.4 * 100.0 * 30.0).abs() < 1e-6, "{withheld}");
     let missing = f64::from(within[0] - within[1]);
     assert!((missing - withheld).abs() <= 2.0, "{missing} are missing of {withheld}");
+    // Of twice the quota, those that repay are told from those beyond.
+    assert!((f64::from(repaying) - withheld).abs() <= 2.0, "{repaying} repay of {withheld}");
 }
 
 /// A day of a fleet that tells keeps the quota within a hundredth; alone, each would have guessed.
