Lab: how near cold servers come to what they bear, by start, in tables and reports

Only 'no server fell' was known of the cold servers' budget. ledger::cold keeps, for each cold start, the fullest time that the settings name: requests of mean work got over N + 3 root N + 3, and what of it came from proxies told of the start.

--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -1,6 +1,7 @@
 //! The rules, watched from outside: what policies ask for, what clients get and what takes effect is all that counts
 //! here.
 
+pub mod cold;
 pub mod loans;
 pub mod versions;
 
--- /dev/null
+++ b/crates/ledger/tests/cold.rs
@@ -0,0 +1,68 @@
+//! The margin of cold servers, by plain counts and by planted breaches.
+
+use ledger::cold::{Bounds, Checker, Peak};
+use proptest::prelude::*;
+
+/// In a second, 16 requests of mean work at the start, then more, up to 64 when the server is warm after 10 s.
+const BOUNDS: Bounds = Bounds { cold: 0.25, warm_after: 10_000_000, tip: 2.0, window: 1_000_000, warm: 32.0 };
+const START: u64 = 5_000_000;
+const MEAN: u64 = 1_000;
+
+fn burst(number: usize, proxies: usize) -> Checker {
+    let mut checker = Checker::new(BOUNDS, MEAN as f64);
+    (0..number).for_each(|n| checker.got(START, n % proxies, 7, START, MEAN));
+    checker
+}
+
+#[test]
+fn a_planted_breach_shows_a_ratio_above_one() {
+    // 16 + 3 x 4 + 3.
+    for (number, breaches) in [(31, 0), (32, 1), (90, 1)] {
+        let checker = burst(number, 60);
+        let [peak] = checker.peaks()[..] else { panic!("one start") };
+        assert_eq!(peak.ratio(), number as f64 / 31.0);
+        assert_eq!(peak.of_allowed(), number as f64 / 16.0);
+        assert_eq!((checker.breaches, peak.proxies), (breaches, number.min(60) as u64));
+    }
+}
+
+#[test]
+fn only_cold_starts_count_and_each_by_itself() {
+    let mut checker = burst(20, 1);
+    // It runs since long ago; it is warm; it starts again.
+    checker.got(START, 0, 8, 0, 90 * MEAN);
+    checker.got(START + 10_000_000, 0, 7, START, 900 * MEAN);
+    checker.got(START + 11_000_000, 0, 7, START + 11_000_000, MEAN);
+    let got: Vec<f64> = checker.peaks().iter().map(|peak| peak.got).collect();
+    assert_eq!(got, [20.0, 1.0]);
+}
+
+#[test]
+fn who_had_been_told_is_known_by_start() {
+    let mut checker = Checker::new(BOUNDS, MEAN as f64);
+    checker.told(0, 7, START);
+    checker.told(1, 7, START - 1);
+    checker.told(2, 7, 0);
+    (0..3).for_each(|proxy| checker.got(START + 1, proxy, 7, START, MEAN));
+    let [peak] = checker.peaks()[..] else { panic!("one start") };
+    assert_eq!((peak.got, peak.told), (3.0, 1.0));
+}
+
+proptest! {
+    /// Against all windows looked at one by one.
+    #[test]
+    fn the_fullest_window_is_found(came in prop::collection::vec((0u64..400_000, 0u64..5_000), 1..80)) {
+        let mut checker = Checker::new(BOUNDS, MEAN as f64);
+        let mut now = START;
+        let came: Vec<(u64, u64)> = came.into_iter().map(|(gap, work)| { now += gap; (now, work) }).collect();
+        came.iter().for_each(|(at, work)| checker.got(*at, 0, 7, START, *work));
+        let ratio = |end: u64| {
+            let inside = came.iter().filter(|(at, _)| *at <= end && at + BOUNDS.window > end);
+            let got = inside.map(|(_, work)| work).sum::<u64>() as f64 / MEAN as f64;
+            BOUNDS.allowed(end - START).map(|allowed| Peak { got, allowed, ..Peak::default() }.ratio())
+        };
+        let most = came.iter().filter_map(|(at, _)| ratio(*at)).fold(0.0, f64::max);
+        let found = checker.peaks().first().map_or(0.0, Peak::ratio);
+        prop_assert!((found - most).abs() < 1e-9, "{found} against {most}");
+    }
+}
--- a/crates/leverlab/src/cli/show.rs
+++ b/crates/leverlab/src/cli/show.rs
@@ -4,13 +4,17 @@
 use crate::results::{Day, Line, Manifest};
 use crate::scenario::{Scenario, SECOND};
 use crate::store::{Cell, Store, SOURCES};
-use crate::summary::{merged, Row};
+use crate::summary::{merged, Cold, Row};
 use crate::tally::Outcomes;
 use comfy_table::presets::ASCII_MARKDOWN;
 use comfy_table::{CellAlignment, Table};
+use ledger::cold::Peak;
 use std::error::Error;
 use std::fs::File;
 
+/// Cold starts that a run's report names.
+const NEAREST: usize = 8;
+
 pub fn table(head: &[&str]) -> Table {
     let mut table = Table::new();
     table.load_preset(ASCII_MARKDOWN).set_header(head);
@@ -36,6 +40,7 @@
         "probes",
         "p50 ms",
         "p99 ms",
+        "cold p50/p99/max",
         "broken",
     ]);
     for row in rows {
@@ -57,12 +62,21 @@
             format!("{:.3}", row.probes),
             format!("{:.0}", row.p50 as f64 / 1e3),
             format!("{:.0}", row.p99 as f64 / 1e3),
+            cold(&row.cold),
             row.rules_broken().to_string(),
         ]);
     }
     say(out);
 }
 
+/// Of what cold servers bear, what they got.
+fn cold(cold: &Cold) -> String {
+    match cold.starts {
+        0 => "-".to_owned(),
+        _ => format!("{:.2}/{:.2}/{:.2}", cold.p50, cold.p99, cold.max),
+    }
+}
+
 /// One run, whole.
 pub fn one(scenario: &Scenario, outcomes: &Outcomes) {
     say!("{}: {}\n", scenario.name, scenario.about);
@@ -85,6 +99,7 @@
         outcomes.undone,
         outcomes.broken
     );
+    nearest(outcomes);
     let mut out = table(&[
         "class or tenant",
         "goodput",
@@ -121,6 +136,45 @@
     say(out);
 }
 
+/// The cold starts that came nearest to what they bear.
+fn nearest(outcomes: &Outcomes) {
+    let mut peaks: Vec<&Peak> = outcomes.cold.iter().collect();
+    peaks.sort_by(|a, b| b.ratio().total_cmp(&a.ratio()));
+    if peaks.is_empty() {
+        return;
+    }
+    let seconds = |micros: u64| format!("{:.2}", micros as f64 / SECOND as f64);
+    let mut out = table(&[
+        "cold server",
+        "start s",
+        "its fullest time ends s",
+        "got",
+        "N",
+        "over N",
+        "over all that it bears",
+        "requests",
+        "of proxies",
+        "told of the start",
+    ]);
+    for peak in peaks.iter().take(NEAREST) {
+        out.add_row([
+            peak.server.to_string(),
+            seconds(peak.started),
+            seconds(peak.at),
+            format!("{:.1}", peak.got),
+            format!("{:.1}", peak.allowed),
+            format!("{:.2}", peak.of_allowed()),
+            format!("{:.2}", peak.ratio()),
+            peak.requests.to_string(),
+            peak.proxies.to_string(),
+            format!("{:.0}%", 100.0 * peak.told / peak.got.max(f64::MIN_POSITIVE)),
+        ]);
+    }
+    let starts = Cold::of(std::iter::once(outcomes));
+    say!("cold starts {}, of what they bear p50/p99/max {}", starts.starts, cold(&starts));
+    say(format!("{out}\n"));
+}
+
 fn cells(part: &crate::tally::Part) -> [String; 6] {
     [
         part.goodput().map_or("-".to_owned(), |g| format!("{g:.4}")),
--- a/crates/leverlab/src/file.rs
+++ b/crates/leverlab/src/file.rs
@@ -615,6 +615,7 @@
             warm_after: f.micros("warm-after"),
             tip: f.number("tip"),
             tip_after: f.micros("tip-after"),
+            falls: f.yes("falls"),
         },
         group: group::Settings {
             members: f.count("members"),
--- a/crates/leverlab/src/play/mod.rs
+++ b/crates/leverlab/src/play/mod.rs
@@ -10,7 +10,7 @@
 use engine::streams::{Stream, Streams};
 use engine::wheel::Wheel;
 use host::{entry, store, Eyes, Host};
-use ledger::{Checker, Final, Rule};
+use ledger::{cold, Checker, Final, Rule};
 use mountshift::{
     Action, Arrival, AttemptNo, ClassId, Ended, Event, GroupId, ListNews, Listed, Note, Outcome, Report,
     RequestId, SessionKey, Standing, StoreId, TenantId, Time, TimerToken,
@@ -148,6 +148,7 @@
     next: u64,
     troubles: Troubles,
     checker: Checker,
+    cold: cold::Checker,
     tally: Tally,
     way: Stream,
     mean_work: f64,
@@ -178,6 +179,7 @@
     let hosts = (0..scenario.proxies()).map(|proxy| Host::new((proxy % places) as u16)).collect();
     let kinds = &scenario.clients.kinds;
     let shares: f64 = kinds.iter().map(|k| k.share).sum();
+    let mean_work = kinds.iter().map(|k| k.share * k.work.mean).sum::<f64>() / shares.max(1e-9);
     let mut play = Play {
         scenario,
         streams,
@@ -195,9 +197,10 @@
         next: 0,
         troubles: Troubles::new(scenario.troubles.len()),
         checker: Checker::new(scenario.platform.tries, scenario.platform.drain_grace),
+        cold: cold::Checker::new(scenario.bounds(mean_work), mean_work),
         tally: Tally::new(scenario),
         way: streams.stream("network", 0),
-        mean_work: kinds.iter().map(|k| k.share * k.work.mean).sum::<f64>() / shares.max(1e-9),
+        mean_work,
         site_actions: Vec::new(),
         client_actions: Vec::new(),
     };
@@ -230,6 +233,10 @@
             }
         }
         self.checker.close();
+        self.tally.counts().cold = self.cold.peaks();
+        if !self.scenario.site.server.falls {
+            (0..self.cold.breaches).for_each(|_| self.checker.breaks(Rule::Collapsed));
+        }
         self.tally.close(self.checker.broken)
     }
 
@@ -531,6 +538,10 @@
     fn reach(&mut self, number: u64) {
         if let Some(attempt) = self.attempts.get(&number) {
             let (server, ask) = (attempt.server, attempt.ask);
+            if self.site.runs(server) {
+                let started = self.site.started(server);
+                self.cold.got(self.now, attempt.proxy, server, started, ask.work);
+            }
             self.site(site::Event::Request { exchange: number << 1, server, ask });
         }
     }
@@ -714,6 +725,7 @@
                 let host = &mut self.hosts[proxy];
                 host.index = index;
                 host.learn(&records, complete);
+                records.iter().for_each(|r| self.cold.told(proxy, r.server, r.started));
                 let entries: Vec<_> = records.iter().map(|r| entry(r, time)).collect();
                 for entry in &entries {
                     let leaving = entry.listed != Listed::Ready;
@@ -737,6 +749,7 @@
         host.policy = Some((self.policy)(proxy, host.epoch, &self.streams));
         host.index = self.list.index();
         host.learn(&records, true);
+        records.iter().for_each(|r| self.cold.told(proxy, r.server, r.started));
         let entries = records.iter().filter(|r| r.status != Status::Gone).map(|r| entry(r, time)).collect();
         self.tell(proxy, Event::List(ListNews::Cached(entries)));
     }
--- a/crates/leverlab/src/report/mod.rs
+++ b/crates/leverlab/src/report/mod.rs
@@ -137,7 +137,7 @@
 fn table(manifest: &Manifest, body: &mut String) -> Result<()> {
     body.push_str(
         "<table><tr><th>scenario<th>policy<th>score<th>goodput<th>worst 10 s<th>worst class<th>difference<th>effect\
-         <th>verdict<th>attempts<th>probes<th>p50 ms<th>p99 ms<th>broken</tr>\n",
+         <th>verdict<th>attempts<th>probes<th>p50 ms<th>p99 ms<th>cold max<th>broken</tr>\n",
     );
     for row in &manifest.rows {
         let (difference, effect) = match &row.against {
@@ -149,7 +149,7 @@
         writeln!(
             body,
             "<tr{}><td>{}<td>{}<td>{:.4}<td>{:.4}<td>{:.4}<td>{:.4}<td>{difference}<td>{effect}\
-             <td class=\"{verdict}\">{verdict}<td>{:.2}<td>{:.3}<td>{:.0}<td>{:.0}<td>{broken}</tr>",
+             <td class=\"{verdict}\">{verdict}<td>{:.2}<td>{:.3}<td>{:.0}<td>{:.0}<td>{:.2}<td>{broken}</tr>",
             if broken > 0 { " class=\"broken\"" } else { "" },
             escape(&row.title()),
             escape(&row.policy),
@@ -161,6 +161,7 @@
             row.probes,
             row.p50 as f64 / 1e3,
             row.p99 as f64 / 1e3,
+            row.cold.max,
         )?;
     }
     body.push_str("</table>\n");
--- a/crates/leverlab/src/results.rs
+++ b/crates/leverlab/src/results.rs
@@ -2,7 +2,7 @@
 
 use crate::scenario::Scenario;
 use crate::store::Cell;
-use crate::summary::{merged, Row};
+use crate::summary::{merged, Cold, Row};
 use crate::tally::Outcomes;
 use serde::{Deserialize, Serialize};
 
@@ -32,6 +32,11 @@
     pub p50_us: u64,
     pub p99_us: u64,
     pub rules_broken: u64,
+    /// Cold starts, and what they got at the most, over what they bear.
+    pub cold_starts: usize,
+    pub cold_p50: f64,
+    pub cold_p99: f64,
+    pub cold_max: f64,
     /// The run itself, by its key.
     pub cell: String,
 }
@@ -40,6 +45,7 @@
     pub fn new(cell: &Cell, o: &Outcomes) -> Line {
         let varied: Vec<String> = cell.varied.iter().map(|(k, v)| format!("{k}={v}")).collect();
         let latencies = merged(std::iter::once(o), None);
+        let cold = Cold::of(std::iter::once(o));
         Line {
             scenario: cell.scenario.name.clone(),
             varied: varied.join(" "),
@@ -63,6 +69,10 @@
             p50_us: latencies.value_at_quantile(0.5),
             p99_us: latencies.value_at_quantile(0.99),
             rules_broken: o.rules_broken(),
+            cold_starts: cold.starts,
+            cold_p50: cold.p50,
+            cold_p99: cold.p99,
+            cold_max: cold.max,
             cell: cell.key(),
         }
     }
--- a/crates/leverlab/src/scenario.rs
+++ b/crates/leverlab/src/scenario.rs
@@ -1,5 +1,6 @@
 //! What there is, who asks for what, and what goes wrong.
 
+use ledger::cold::Bounds;
 use mountshift::{Checks, Class, Effect, Need, Scope, Settings, ZoneId};
 use std::time::Duration;
 use world::clients::{self, Repeat};
@@ -123,6 +124,14 @@
         (work(false) / all.max(1e-9), work(true) / primaries.max(1e-9))
     }
 
+    /// What a cold server may get, where a request's work has this mean.
+    pub fn bounds(&self, mean_work: f64) -> Bounds {
+        let server = &self.site.server;
+        let warm = server.cores * server.tip_after as f64 / mean_work.max(1e-9);
+        let (cold, warm_after, tip, window) = (server.cold, server.warm_after, server.tip, server.tip_after);
+        Bounds { cold, warm_after, tip, window, warm }
+    }
+
     /// What the platform would tell the decision module of a proxy.
     pub fn settings(&self, proxy: usize) -> Settings {
         let Platform { tries, probes, second_copies, come_back_most, drain_grace, keepalive, checks, .. } =
--- a/crates/leverlab/src/summary.rs
+++ b/crates/leverlab/src/summary.rs
@@ -4,10 +4,36 @@
 use crate::store::Cell;
 use crate::tally::{histogram, Outcomes};
 use hdrhistogram::Histogram;
+use ledger::cold::Peak;
 use ledger::Rule;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
+/// Over cold starts, what each got in its fullest time over what it bears: above 1 it falls.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Cold {
+    pub starts: usize,
+    pub p50: f64,
+    pub p99: f64,
+    pub max: f64,
+    /// The greatest over N alone, without what is left to chance.
+    pub max_of_allowed: f64,
+}
+
+impl Cold {
+    pub fn of<'a>(runs: impl Iterator<Item = &'a Outcomes>) -> Cold {
+        let peaks: Vec<&Peak> = runs.flat_map(|o| &o.cold).collect();
+        let mut ratios: Vec<f64> = peaks.iter().map(|peak| peak.ratio()).collect();
+        ratios.sort_by(f64::total_cmp);
+        let at = |q: f64| {
+            let rank = (ratios.len() as f64 * q).ceil() as usize;
+            ratios.get(rank.saturating_sub(1)).copied().unwrap_or(0.0)
+        };
+        let max_of_allowed = peaks.iter().map(|peak| peak.of_allowed()).fold(0.0, f64::max);
+        Cold { starts: ratios.len(), p50: at(0.5), p99: at(0.99), max: at(1.0), max_of_allowed }
+    }
+}
+
 /// Means over seeds.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Row {
@@ -27,6 +53,8 @@
     /// Of all that was served, in microseconds; histograms are put together, not their quantiles.
     pub p50: u64,
     pub p99: u64,
+    #[serde(default)]
+    pub cold: Cold,
     pub broken: BTreeMap<Rule, u64>,
     /// This policy's score, and its goodput, less that of the one which it is compared with.
     pub against: Option<(Difference, Difference)>,
@@ -125,6 +153,7 @@
         probes: each(|o| o.probes),
         p50: all.value_at_quantile(0.5),
         p99: all.value_at_quantile(0.99),
+        cold: Cold::of(runs.iter().map(|(_, o)| *o)),
         broken,
         against,
     }
--- a/crates/leverlab/src/table.rs
+++ b/crates/leverlab/src/table.rs
@@ -34,6 +34,7 @@
             directive("warm-after", One(time(0, 10 * MINUTE)), "18s", "warm-after 5s", "until it has all of it"),
             directive("tip", One(number(0.1, 1000.0)), "2", "tip 3", "a cold server that is sent more than this many times what it can do ..."),
             directive("tip-after", One(time(1, MINUTE)), "1500ms", "tip-after 1s", "... for so long falls over"),
+            directive("falls", One(YES), "yes", "falls no", "whether it does; no: it goes on, and is only counted as broken where it got more than chance explains"),
             directive("ship", One(time(0, MINUTE)), "8ms", "ship 15ms", "the log's way to a replica"),
             directive("apply", One(time(0, 10_000)), "4ms", "apply 2ms", "what a commit takes a replica's one thread"),
             directive("give-up", One(time(0, MINUTE)), "2s", "give-up 1s", "a lost primary is given up after this"),
--- a/crates/leverlab/src/tally.rs
+++ b/crates/leverlab/src/tally.rs
@@ -3,6 +3,7 @@
 use crate::scenario::{Scenario, Weights, SECOND};
 use hdrhistogram::serialization::{Deserializer, Serializer, V2Serializer};
 use hdrhistogram::Histogram;
+use ledger::cold::Peak;
 use ledger::Rule;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -105,6 +106,9 @@
     /// Writes that took effect, and those of them that were undone when the groups met again or another took over.
     pub applied: u64,
     pub undone: u64,
+    /// The fullest time of each cold start.
+    #[serde(default)]
+    pub cold: Vec<Peak>,
     pub broken: BTreeMap<Rule, u64>,
     pub marks: Vec<Mark>,
     /// Steps of the engine.
--- a/crates/leverlab/src/write.rs
+++ b/crates/leverlab/src/write.rs
@@ -112,6 +112,7 @@
         ("warm-after", time(server.warm_after)),
         ("tip", server.tip.to_string()),
         ("tip-after", time(server.tip_after)),
+        ("falls", yes(server.falls).into()),
         ("ship", time(group.ship)),
         ("apply", time(group.apply)),
         ("give-up", time(group.give_up)),
--- a/crates/world/src/server.rs
+++ b/crates/world/src/server.rs
@@ -23,6 +23,8 @@
     /// More work within that time than so many times what a cold server can do in it makes it collapse.
     pub tip: f64,
     pub tip_after: Micros,
+    /// Whether it does collapse; else it goes on, and only whoever counts sees what it was sent.
+    pub falls: bool,
 }
 
 impl Default for Settings {
@@ -36,6 +38,7 @@
             warm_after: 18_000_000,
             tip: 2.0,
             tip_after: 1_500_000,
+            falls: true,
         }
     }
 }
@@ -190,7 +193,7 @@
             actions.push(Action::Lost(id));
             return;
         }
-        if self.overrun(work) {
+        if self.overrun(work) && self.set.falls {
             actions.push(Action::Collapsed);
             actions.push(Action::Lost(id));
             self.die(actions);
