--- /dev/null
+++ b/crates/leverproxy/tests/names.rs
@@ -0,0 +1,79 @@
+//! Names pass as the platform's file writes them: nothing in the program knows any by itself.
+
+mod common;
+use common::{get, read, Listener, Peer, Reply};
+use leverproxy::config;
+use leverproxy::proxy::Proxy;
+use serde_json::json;
+use std::thread;
+
+/// What a statement's comment can carry: all but a comma and the comment's end.
+const CLASSES: [&str; 7] = ["ride", "ride-2", "x x", "काठमाडौं", "'; DROP TABLE items; --", "a=b", "\"q\\"];
+
+/// Every class is served by its own name for a tenant of that name, and one that no file names is not known.
+fn plays(tenants: &[&str], tenant: &str, stranger: bool) {
+    let discovery = Listener::new();
+    let server = Listener::new();
+    let classes: Vec<_> = CLASSES
+        .iter()
+        .map(|name| json!({"Name": name, "Effect": "safe", "Deadline": 20_000_000, "GoalTime": 10_000_000}))
+        .collect();
+    let realms: Vec<_> = tenants.iter().map(|name| json!({"Name": name, "QuotaPerS": 100.0})).collect();
+    let zone = "पूर्व \"east\"";
+    let known = json!({"index": 41, "snapshot": true, "endpoints": [{"name": "s 1; '\"", "zone": zone, "type": "",
+        "address": server.address.to_string(), "group": 3, "status": "Ready", "since_ms": 0}]});
+    let text = json!({"name": "एक /../ '", "listen": "127.0.0.1:0", "admin": "127.0.0.1:0",
+        "discovery": discovery.address.to_string(), "known": known,
+        "settings": {"Balancers": 1, "Zones": [zone], "HostTypes": [""], "Classes": classes, "Realms": realms,
+            "FamilyInfo": {"NeedsByClass": vec!["loose"; CLASSES.len()]}, "RegistryMode": "on_request",
+            "PolicyLimits": {"DialTimeout": 9_000_000, "Keepalive": 30_000_000, "TryLimit": 8},
+            "Rules": {"StopSendingWithin": 500_000, "StartCapacity": 0.15, "OverloadFactor": 2.0}}});
+    let config = config::parse(text.to_string().as_bytes(), |_| None).unwrap();
+    let (mut proxy, control) = Proxy::start(config).unwrap();
+    let (address, admin) = (proxy.local_address().unwrap(), proxy.admin_address().unwrap());
+    let running = thread::spawn(move || proxy.run());
+    discovery.accept().watch();
+    let mut client = Peer::client(address);
+    let ask =
+        |id, class: &str, tenant: &str| read(id, class, 19_000).replace("t=acme", &format!("t={tenant}"));
+    let mut upstream = None;
+    for (id, class) in (1..).zip(CLASSES) {
+        let query = ask(id, class, tenant);
+        client.ask(&query);
+        let upstream = upstream.get_or_insert_with(|| server.welcome());
+        assert_eq!(upstream.query().split(",d=").next(), query.split(",d=").next());
+        upstream.answer(class, &[]);
+        assert_eq!(client.reply(), Reply { value: Some(class.into()), ..Reply::default() });
+    }
+    let unknown = |client: &mut Peer, query: &str| {
+        client.ask(query);
+        assert_eq!(client.reply().code.as_deref(), Some("42601"), "{query}");
+    };
+    for (id, class) in (90..).zip(["rid", "ride-", "RIDE", ""]) {
+        unknown(&mut client, &ask(id, class, tenant));
+    }
+    if stranger {
+        unknown(&mut client, &ask(99, "ride", "nobody's"));
+    }
+    let text = get(admin, "/api/telemetry").1;
+    for class in CLASSES {
+        let label = class.replace('\\', "\\\\").replace('"', "\\\"");
+        let line = format!("lb_requests_total{{class=\"{label}\",outcome=\"served\"}} 1");
+        assert!(text.lines().any(|l| l == line), "{line} in {text}");
+    }
+    control.stop();
+    running.join().unwrap().unwrap();
+}
+
+#[test]
+fn odd_names_serve_as_any_others() {
+    let tenants = ["ride", "", "ते; DROP TABLE", "ride-2"];
+    plays(&tenants, tenants[2], true);
+    plays(&tenants, "ride", true);
+}
+
+/// Without tenants in the settings all are one, whatever they call themselves.
+#[test]
+fn no_tenants_are_needed() {
+    plays(&[], "whoever", false);
+}
