--- a/crates/leverlab/src/play/mod.rs
+++ b/crates/leverlab/src/play/mod.rs
@@ -12,7 +12,7 @@
 use engine::wheel::Wheel;
 use fleet::Fleet;
 use host::{entry, store, Eyes, Host};
-use ledger::{Checker, Final, Rule};
+use ledger::{cold, Checker, Final, Rule};
 use mountshift::{
     Action, Arrival, AttemptNo, ClassId, Ended, Event, GroupId, ListNews, Listed, Note, Outcome, Report,
     RequestId, SessionKey, Standing, StoreId, TenantId, Time, TimerToken,
@@ -162,6 +162,7 @@
     next: u64,
     troubles: Troubles,
     checker: Checker,
+    cold: cold::Checker,
     tally: Tally,
     way: Stream,
     mean_work: f64,
@@ -192,6 +193,7 @@
     let hosts = (0..scenario.proxies()).map(|proxy| Host::new((proxy % places) as u16)).collect();
     let kinds = &scenario.clients.kinds;
     let shares: f64 = kinds.iter().map(|k| k.share).sum();
+    let mean_work = kinds.iter().map(|k| k.share * k.work.mean).sum::<f64>() / shares.max(1e-9);
     let mut play = Play {
         scenario,
         streams,
@@ -211,9 +213,10 @@
         next: 0,
         troubles: Troubles::new(scenario.troubles.len()),
         checker: Checker::new(scenario.platform.tries, scenario.platform.drain_grace),
+        cold: cold::Checker::new(scenario.bounds(mean_work), mean_work),
         tally: Tally::new(scenario),
         way: streams.stream("network", 0),
-        mean_work: kinds.iter().map(|k| k.share * k.work.mean).sum::<f64>() / shares.max(1e-9),
+        mean_work,
         site_actions: Vec::new(),
         client_actions: Vec::new(),
     };
@@ -248,6 +251,10 @@
         }
         self.tally.counts().loans = self.loans();
         self.checker.close();
+        self.tally.counts().cold = self.cold.peaks();
+        if !self.scenario.site.server.falls {
+            (0..self.cold.breaches).for_each(|_| self.checker.breaks(Rule::Collapsed));
+        }
         self.tally.close(self.checker.broken)
     }
 
@@ -556,6 +563,10 @@
     fn reach(&mut self, number: u64) {
         if let Some(attempt) = self.attempts.get(&number) {
             let (server, ask) = (attempt.server, attempt.ask);
+            if self.site.runs(server) {
+                let started = self.site.started(server);
+                self.cold.got(self.now, attempt.proxy, server, started, ask.work);
+            }
             self.site(site::Event::Request { exchange: number << 1, server, ask });
         }
     }
@@ -739,6 +750,7 @@
                 let host = &mut self.hosts[proxy];
                 host.index = index;
                 host.learn(&records, complete);
+                records.iter().for_each(|r| self.cold.told(proxy, r.server, r.started));
                 let entries: Vec<_> = records.iter().map(|r| entry(r, time)).collect();
                 for entry in &entries {
                     let leaving = entry.listed != Listed::Ready;
@@ -763,6 +775,7 @@
         host.index = self.list.index();
         host.learn(&records, true);
         self.join(proxy);
+        records.iter().for_each(|r| self.cold.told(proxy, r.server, r.started));
         let entries = records.iter().filter(|r| r.status != Status::Gone).map(|r| entry(r, time)).collect();
         self.tell(proxy, Event::List(ListNews::Cached(entries)));
     }
--- a/crates/leverlab/src/tally.rs
+++ b/crates/leverlab/src/tally.rs
@@ -4,6 +4,7 @@
 use crate::scenario::{Scenario, Weights, SECOND};
 use hdrhistogram::serialization::{Deserializer, Serializer, V2Serializer};
 use hdrhistogram::Histogram;
+use ledger::cold::Peak;
 use ledger::Rule;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -112,6 +113,9 @@
     /// Writes that took effect, and those of them that were undone when the groups met again or another took over.
     pub applied: u64,
     pub undone: u64,
+    /// The fullest time of each cold start.
+    #[serde(default)]
+    pub cold: Vec<Peak>,
     pub broken: BTreeMap<Rule, u64>,
     pub marks: Vec<Mark>,
     /// By tenant, where proxies talk.
