Hashes that go over the wire are those of well-kept crates, with the same numbers

FNV-1a of 32 bits was written by hand in membership and twice in lending, FNV-1a of 64 bits and the SplitMix64 finaliser in concert and membership. Now hash32, fnv and rand_xoshiro (SplitMix64::seed_from_u64(s).next_u64() is the same finaliser). Measured: the recorded bytes and numbers of membership and lending pass unchanged; concert's keys and orders had no recorded numbers, so a test of them was added, which passes with the code before and after.

--- a/crates/concert/src/lib.rs
+++ b/crates/concert/src/lib.rs
@@ -19,6 +19,11 @@
 //! - All members stay in the order: what it begins with is met first, and nothing is out of reach.
 #![forbid(unsafe_code)]
 
+use fnv::FnvHasher;
+use rand_xoshiro::rand_core::{RngCore, SeedableRng};
+use rand_xoshiro::SplitMix64;
+use std::hash::Hasher;
+
 /// Puts the members of a group into the order in which proxy `number` (from 0) meets them. `key` names a
 /// member by a number that all proxies know it by.
 pub fn order<T: Copy>(number: u32, group: u32, members: &mut [T], key: impl Fn(T) -> u32) {
@@ -37,18 +42,14 @@
     members.div_ceil(2)
 }
 
-/// The number that all proxies know a server of that name by (FNV-1a, mixed).
+/// The number that all proxies know a server of that name by (FNV-1a of 64 bits, mixed).
 pub fn key(name: &str) -> u32 {
-    let hash = name.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
-    });
-    mixed(hash) as u32
+    let mut hasher = FnvHasher::default();
+    hasher.write(name.as_bytes());
+    mixed(hasher.finish()) as u32
 }
 
-/// A number that looks random (the finaliser of SplitMix64).
+/// A number that looks random: the first of SplitMix64 from that seed.
 fn mixed(seed: u64) -> u64 {
-    let z = seed.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    let z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    z ^ (z >> 31)
+    SplitMix64::seed_from_u64(seed).next_u64()
 }
--- a/crates/concert/tests/subsets.rs
+++ b/crates/concert/tests/subsets.rs
@@ -108,3 +108,16 @@
     let keys: BTreeSet<u32> = (0..10_000).map(|n| key(&format!("booking-db-{n}"))).collect();
     assert!(keys.len() >= 9_998, "{} keys of 10,000 names", keys.len());
 }
+
+/// As all proxies of earlier builds know servers and meet members: another hash would part a fleet of two builds.
+#[test]
+fn numbers_and_orders_are_the_same_for_good() {
+    assert_eq!(["", "replica-0", "shop/a-1"].map(key), [0x6ba4_ff30, 0xca81_287e, 0x430f_f1be]);
+    for (number, group, expected) in
+        [(0, 1, [6, 1, 7, 5, 4, 8, 3, 2, 0]), (6, 3, [0, 6, 1, 5, 7, 4, 2, 8, 3])]
+    {
+        let mut members: Vec<u32> = (0..9).collect();
+        order(number, group, &mut members, |id| id);
+        assert_eq!(members, expected, "proxy {number}, group {group}");
+    }
+}
--- a/crates/lending/src/said.rs
+++ b/crates/lending/src/said.rs
@@ -1,7 +1,9 @@
 //! What proxies say to each other: bodies of facts, and how rows merge.
 
 use std::collections::BTreeMap;
+use std::hash::Hasher as _;
 
+use hash32::{FnvHasher, Hasher as _};
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
@@ -22,9 +24,16 @@
 /// All lanes of a stand together.
 pub const WHOLE: u32 = 1 << 30;
 
-/// A name as a number (FNV-1a), as long as no two of one roster or one set of rules meet.
+/// FNV-1a of 32 bits.
+fn hash(bytes: &[u8]) -> u32 {
+    let mut hasher = FnvHasher::default();
+    hasher.write(bytes);
+    hasher.finish32()
+}
+
+/// A name as a number, as long as no two of one roster or one set of rules meet.
 pub fn number(name: &str) -> u32 {
-    name.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
+    hash(name.as_bytes())
 }
 
 /// A name with the start at which a lane, or a memory, began.
@@ -57,11 +66,10 @@
 
 /// A beat as it is echoed.
 pub fn mark(life: u64, beat: u32) -> u32 {
-    let mut hash = 0x811c_9dc5_u32;
-    for byte in life.to_le_bytes().into_iter().chain(beat.to_le_bytes()) {
-        hash = (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193);
-    }
-    hash
+    let mut bytes = [0; 12];
+    bytes[..8].copy_from_slice(&life.to_le_bytes());
+    bytes[8..].copy_from_slice(&beat.to_le_bytes());
+    hash(&bytes)
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -1,8 +1,13 @@
 //! Who should be there: the operators' file, apart from who is heard.
 
 use std::collections::BTreeMap;
+use std::hash::Hasher as _;
 use std::net::SocketAddr;
 
+use hash32::{FnvHasher, Hasher as _};
+use rand_xoshiro::rand_core::{RngCore, SeedableRng};
+use rand_xoshiro::SplitMix64;
+
 /// One proxy of the fleet. Its address is the one that this proxy sends to: others may have another for it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Member {
@@ -33,15 +38,14 @@
 
 /// The number that all proxies know a name by (FNV-1a, 32 bits): gossip is shorter for it, and needs no table.
 pub fn number(name: &str) -> u32 {
-    name.bytes().fold(0x811c_9dc5_u32, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
+    let mut hasher = FnvHasher::default();
+    hasher.write(name.as_bytes());
+    hasher.finish32()
 }
 
-/// The finaliser of SplitMix64: numbers that look random, the same everywhere.
+/// The first number of SplitMix64 from that seed: one that looks random, the same everywhere.
 pub(crate) fn mixed(seed: u64) -> u64 {
-    let z = seed.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    let z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    z ^ (z >> 31)
+    SplitMix64::seed_from_u64(seed).next_u64()
 }
 
 /// A hash goes on over bytes.
