Loans: what one member says takes bounded memory; facts that can't be read are counted

Each ROW of a member with the fleet's key added receivers to a row without end, each WITNESS to what is seen of it. Now a row has 24 receivers (more: nothing of it is kept, and its sum is witnessed by nobody, so that no other gift counts by it), and sums seen and gifts that count have 1024 x 20 entries. Core::malformed counts facts of a later version, torn ones and such rows. Planted: without either bound, or with the untrue sum taken for a witness, the new tests fail.

--- a/crates/lending/src/core.rs
+++ b/crates/lending/src/core.rs
@@ -19,6 +19,10 @@
 const VOTES_SAID: usize = 16;
 const CLAIMS: usize = 4;
 const LANES: usize = 1024;
+/// Rows of lanes, of which any number is kept.
+pub(crate) const ROWS: usize = LANES * STANDS;
+/// What is seen of a row that no lane has: more than can be given. It witnesses nothing, and leaves nothing to take over.
+pub(crate) const UNTRUE: u32 = u32::MAX;
 
 /// Another proxy, as of its last word.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
@@ -78,6 +82,7 @@
     /// Claims heard lately: whose lane, until when votes on it are said.
     claims: BTreeMap<Id, Duration>,
     bad: Option<BadFile>,
+    malformed: u64,
 }
 
 impl Core {
@@ -121,6 +126,7 @@
             closed: BTreeSet::new(),
             claims: BTreeMap::new(),
             bad,
+            malformed: 0,
         }
     }
 
@@ -133,7 +139,10 @@
         match event {
             Event::View { lend, roster, members } => self.view(lend, roster, members, actions),
             Event::Fact { source, start, kind, key, body, age } => {
-                self.fact(now, number(source), start, kind, key, body, age);
+                let source = number(source);
+                if source != self.me && self.fact(now, source, start, kind, key, body, age).is_none() {
+                    self.malformed = self.malformed.saturating_add(1);
+                }
                 self.refresh(now);
             }
             Event::Rules(rules) => {
@@ -171,6 +180,7 @@
         self.up.insert(self.me);
     }
 
+    /// None: not of this version, not whole, or nothing that a proxy says.
     #[allow(clippy::too_many_arguments)] // The parts of one fact.
     fn fact(
         &mut self,
@@ -181,49 +191,35 @@
         key: &[u8],
         body: &[u8],
         age: Duration,
-    ) {
-        if source == self.me || key.len() > KEY_BYTES {
-            return;
+    ) -> Option<()> {
+        if key.len() > KEY_BYTES {
+            return None;
         }
+        let stand = || Some(u32::from_le_bytes(key.try_into().ok()?));
         match kind {
             said::PULSE => {
-                if let Some(pulse) = decode::<Pulse>(body).filter(|pulse| pulse.head.life == start) {
+                let pulse: Pulse = decode(body)?;
+                if pulse.head.life == start {
                     self.pulse(now, source, pulse, age);
                 }
             }
-            said::FOUNDED => {
-                if let Some(founded) = decode::<said::Founded>(body) {
-                    self.founded(founded);
-                }
-            }
+            said::FOUNDED => self.founded(decode(body)?),
             said::ROW => {
-                let stand = <[u8; 4]>::try_from(key).map(u32::from_le_bytes);
-                if let (Some(said), Ok(stand)) = (decode::<said::SaidRow>(body), stand) {
-                    if self.same(&said.head) {
-                        self.row(now, Id { name: source, from: said.head.lane }, stand, said.row, age);
-                    }
+                let (said, stand): (said::SaidRow, u32) = (decode(body)?, stand()?);
+                if self.same(&said.head) {
+                    let lane = Id { name: source, from: said.head.lane };
+                    return self.row(now, lane, stand, said.row, age);
                 }
             }
             said::WITNESS => {
-                let stand = <[u8; 4]>::try_from(key).map(u32::from_le_bytes);
-                let said = decode::<said::Witness>(body).filter(|said| self.same(&said.head));
-                if let (Some(said), Ok(stand)) = (said, stand) {
-                    let founders = said.founders.into_iter();
-                    let named = founders
-                        .filter_map(|(at, given)| Some((*self.kept.founders.get(usize::from(at))?, given)));
-                    let all: Vec<(Id, u32)> = named.chain(said.others).collect();
-                    if let Some(peer) = self.heard(source, &said.head) {
-                        for (lane, given) in all {
-                            let seen = peer.seen.entry((lane, stand)).or_default();
-                            *seen = (*seen).max(given);
-                        }
-                        self.firm();
-                    }
+                let (said, stand): (said::Witness, u32) = (decode(body)?, stand()?);
+                if self.same(&said.head) {
+                    self.witness(source, said, stand);
                 }
             }
             said::CLAIM => {
-                let said = decode::<said::Claim>(body).filter(|said| self.same(&said.head));
-                if let Some(said) = said {
+                let said: said::Claim = decode(body)?;
+                if self.same(&said.head) {
                     if self.claims.len() < LANES {
                         self.claims.insert(said.lane, now + self.hold);
                     }
@@ -231,22 +227,43 @@
                 }
             }
             said::VOTE => {
-                let said = decode::<said::SaidVote>(body).filter(|said| self.same(&said.head));
-                if let Some(said) = said {
-                    let once = self.guards.once;
-                    if let Some(peer) = self.heard(source, &said.head) {
-                        if peer.votes.len() < VOTES {
-                            if once {
-                                peer.votes.entry(said.lane).or_insert(said.vote);
-                            } else {
-                                peer.votes.insert(said.lane, said.vote);
-                            }
-                        }
-                    }
+                let said: said::SaidVote = decode(body)?;
+                if self.same(&said.head) {
+                    self.voted(source, said);
                 }
             }
             _ => {}
         }
+        Some(())
+    }
+
+    fn witness(&mut self, source: u32, said: said::Witness, stand: u32) {
+        let founders = said.founders.into_iter();
+        let named =
+            founders.filter_map(|(at, given)| Some((*self.kept.founders.get(usize::from(at))?, given)));
+        let all: Vec<(Id, u32)> = named.chain(said.others).collect();
+        let Some(peer) = self.heard(source, &said.head) else { return };
+        for (lane, given) in all {
+            // What is not kept of its word is one witness less: a gift may not count then, never count twice.
+            if peer.seen.len() < ROWS || peer.seen.contains_key(&(lane, stand)) {
+                let seen = peer.seen.entry((lane, stand)).or_default();
+                *seen = (*seen).max(given);
+            }
+        }
+        self.firm();
+    }
+
+    fn voted(&mut self, source: u32, said: said::SaidVote) {
+        let once = self.guards.once;
+        let Some(peer) = self.heard(source, &said.head) else { return };
+        if peer.votes.len() >= VOTES {
+            return;
+        }
+        if once {
+            peer.votes.entry(said.lane).or_insert(said.vote);
+        } else {
+            peer.votes.insert(said.lane, said.vote);
+        }
     }
 
     /// Of the same founders?
@@ -319,22 +336,30 @@
         self.dirty = true;
     }
 
-    fn row(&mut self, now: Duration, lane: Id, stand: u32, row: Row, age: Duration) {
+    /// None: together with what is known, more receivers than any lane gives to. A part of it must not be kept: without the
+    /// rest the lane seems to have given less, and whoever takes it over would hold again what others have. So nothing of it
+    /// is, as if it had been lost on its way. But this proxy may have witnessed as great a sum of other gifts of that lane, and
+    /// for who heard only these that would make them count: so from now on it says that the lane's row is untrue.
+    fn row(&mut self, now: Duration, lane: Id, stand: u32, row: Row, age: Duration) -> Option<()> {
         if !self.lanes.contains_key(&lane) && self.lanes.len() >= LANES {
-            return;
+            return Some(());
         }
         let until = now + self.row_lasts().saturating_sub(age);
         let frozen = self.kept.votes.contains_key(&lane) && self.guards.frozen;
         let known = self.lanes.entry(lane).or_default();
         if !known.rows.contains_key(&stand) && known.rows.len() >= STANDS {
-            return;
+            return Some(());
         }
         let (mine, held) = known.rows.entry(stand).or_default();
-        mine.merge(&row);
-        *held = (*held).max(until);
-        let given = mine.given();
+        let kept = mine.receivers_with(&row) <= RECEIVERS;
+        if kept {
+            mine.merge(&row);
+            *held = (*held).max(until);
+        }
+        let given = if kept { mine.given() } else { UNTRUE };
         let seen = self.kept.seen.get(&(lane, stand)).copied().unwrap_or(0);
-        if given > seen && !frozen {
+        let room = self.kept.seen.len() < ROWS || self.kept.seen.contains_key(&(lane, stand));
+        if given > seen && !frozen && room {
             self.kept.seen.insert((lane, stand), given);
             self.dirty = true;
         }
@@ -343,6 +368,7 @@
             self.open_row(now, stand);
         }
         self.firm();
+        kept.then_some(())
     }
 
     fn row_lasts(&self) -> Duration {
@@ -517,6 +543,11 @@
         self.kept.taken.keys().copied()
     }
 
+    /// Facts that could not be read, or that no proxy of this version says.
+    pub fn malformed(&self) -> u64 {
+        self.malformed
+    }
+
     pub fn is_founded(&self) -> bool {
         !self.kept.founders.is_empty()
     }
--- a/crates/lending/src/lanes.rs
+++ b/crates/lending/src/lanes.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::core::{Core, Peer};
+use crate::core::{Core, Peer, ROWS, UNTRUE};
 use crate::file::Kept;
 use crate::said::{Id, Row, Vote, WHOLE};
 
@@ -106,16 +106,18 @@
                 if given == 0 || counted >= given {
                     continue;
                 }
+                let witnessed = |seen: &u32| *seen >= given && *seen < UNTRUE;
                 let mut seen = 0;
                 for (name, peer) in &self.peers {
                     // Who gives has seen it, whatever became of its memory since.
                     let giver = *name == lane.name && self.kept.is_founder(lane.name, lane.from);
-                    let told = peer.seen.get(&key).is_some_and(|seen| *seen >= given);
+                    let told = peer.seen.get(&key).is_some_and(witnessed);
                     seen += usize::from(giver || told && self.kept.is_founder(*name, peer.memory));
                 }
-                let own = self.saved.seen.get(&key).is_some_and(|seen| *seen >= given);
+                let own = self.saved.seen.get(&key).is_some_and(witnessed);
                 seen += usize::from(own && self.kept.is_founder(self.me, self.kept.memory));
-                if seen >= self.kept.majority() || !self.guards.witness {
+                let room = self.kept.firm.len() < ROWS || self.kept.firm.contains_key(&key);
+                if (seen >= self.kept.majority() || !self.guards.witness) && room {
                     self.kept.firm.insert(key, row.gave.clone());
                     self.dirty = true;
                 }
--- a/crates/lending/src/lib.rs
+++ b/crates/lending/src/lib.rs
@@ -18,6 +18,8 @@
 mod advice;
 mod api;
 mod book;
+#[cfg(test)]
+mod bounds;
 mod core;
 mod file;
 mod lanes;
--- a/crates/lending/src/recorded.rs
+++ b/crates/lending/src/recorded.rs
@@ -111,7 +111,7 @@
     assert!(actions.contains(&Action::Notice(Notice::BadFile(BadFile::Version))), "{actions:?}");
 }
 
-/// What is said in a later version, or with more behind it, is not heard: what a core does is what it does without.
+/// What is said in a later version, or with more behind it, is counted and not heard: what a core does is what it does without.
 #[test]
 fn facts_of_a_later_version_change_nothing() {
     let bodies = ["pulse", "founded", "row", "witness", "claim", "vote"];
@@ -127,10 +127,13 @@
             core.handle(Duration::ZERO, fact, &mut actions);
         }
         core.handle(Duration::from_secs(1), Event::Timer(0), &mut actions);
-        actions
+        (actions, core.malformed())
     };
-    let without = play(None);
-    assert_eq!(play(Some(|body| body[0] += 1)), without);
-    assert_eq!(play(Some(|body| body.push(0))), without);
-    assert_ne!(play(Some(|_| {})), without, "the same of the first version is heard");
+    let (without, none) = play(None);
+    assert_eq!(none, 0);
+    assert_eq!(play(Some(|body| body[0] += 1)), (without.clone(), 6));
+    assert_eq!(play(Some(|body| body.push(0))), (without.clone(), 6));
+    let (heard, none) = play(Some(|_| {}));
+    assert_ne!(heard, without, "the same of the first version is heard");
+    assert_eq!(none, 0);
 }
--- a/crates/lending/src/said.rs
+++ b/crates/lending/src/said.rs
@@ -99,6 +99,11 @@
         self.gave.values().fold(0, |sum, gave| sum.saturating_add(*gave))
     }
 
+    /// How many both name together.
+    pub fn receivers_with(&self, other: &Row) -> usize {
+        self.gave.len() + other.gave.keys().filter(|to| !self.gave.contains_key(to)).count()
+    }
+
     /// The greater of each number. Line and demand are those of the newer row, which has lent, repaid and given no less.
     pub fn merge(&mut self, other: &Row) {
         let newer = |row: &Row| (row.lent, row.repaid, row.written_off, row.given(), row.took);
