Rollout: a state file that can't be read is said, and kept whole and synced

A state file that was torn or of a later form was dropped without a word, bytes behind a body were taken, and the file was written and renamed without a sync. Now the core tells its host once (Action::Unread), which logs it with advice; lb_rollout_state_unread is 1 then or when the file could not be loaded; the process begins with the operators' own file and no rollout, as at a first start. The file goes through kept.rs.

--- a/crates/leverproxy/src/rollout.rs
+++ b/crates/leverproxy/src/rollout.rs
@@ -3,6 +3,7 @@
 
 use crate::config::ConfigError;
 use crate::counters::Counters;
+use crate::kept;
 use crate::members::Members;
 use crate::operate::Said;
 use crate::operators::Disk;
@@ -46,7 +47,7 @@
     Missing(PathBuf, String),
     #[error("{} can't be read: {}; this proxy starts without it", .0.display(), .1)]
     Forgotten(PathBuf, #[source] io::Error),
-    #[error("{} has more than {STATE_LIMIT} bytes: it is no state file, and this proxy starts without it", .0.display())]
+    #[error("{} is torn, or of a later build: this proxy starts without it, and replaces it", .0.display())]
     NoState(PathBuf),
     #[error("{} can't be written: {}; a restart would not know of it", .0.display(), .1)]
     Unkept(PathBuf, #[source] io::Error),
@@ -64,9 +65,11 @@
                 "Place the file there on this host, unchanged to the byte (`sha256sum` tells). It is looked for again every few seconds; only the first 256 files by name are looked at."
             }
             Fault::Forgotten(..) => {
-                "Look at the rights of `state`. The rollout is heard from the others; only if all start anew at once it is forgotten."
+                "Look at the rights of `state`, and let nothing else write there. The rollout is heard from the others; only if all start anew at once it is forgotten."
+            }
+            Fault::NoState(_) => {
+                "After a return to a former build: nothing, the rollout is heard from the others. Else look at the disk, and give `state` a directory that nothing else writes to. Halts that all proxies have forgotten have to be told again."
             }
-            Fault::NoState(_) => "Remove it, and give `state` a directory that nothing else writes to.",
             Fault::Unkept(..) => {
                 "The rollout goes on. Look at room and rights of `state`; until it can be written, do not start all proxies anew at once."
             }
@@ -83,6 +86,8 @@
     origin: Instant,
     refused: Option<String>,
     runs_failed: u64,
+    /// There is a state file that could not be loaded.
+    unloaded: bool,
 }
 
 pub fn hex(hash: &Hash) -> String {
@@ -140,11 +145,11 @@
     /// `start`: Unix milliseconds of this process's start; `operators`: the file that it runs.
     pub fn begin(stated: Stated, name: &str, operators: Option<&Path>, start: u64, now: Instant) -> Rollout {
         let base = operators.and_then(|path| of_file(path).ok()).unwrap_or_default();
-        let stored = stated.state.as_deref().and_then(|folder| {
-            load(folder).unwrap_or_else(|fault| {
-                log::error!("rollout: {fault}");
-                None
-            })
+        let loaded = stated.state.as_deref().map_or(Ok(None), load);
+        let unloaded = loaded.is_err();
+        let stored = loaded.unwrap_or_else(|fault| {
+            log::error!("rollout: {fault}. {}", fault.advice());
+            None
         });
         let limits = Limits {
             least_harm: stated.least_harm,
@@ -163,6 +168,7 @@
             origin: now,
             refused: None,
             runs_failed: 0,
+            unloaded,
             stated,
         }
     }
@@ -288,6 +294,11 @@
                 Action::Save(bytes) => self.save(&bytes),
                 Action::Phase(phase) => log::warn!("rollout: {}", words(phase)),
                 Action::Refused(why) => self.refused = Some(format!("{why}. {}", why.advice())),
+                Action::Unread => {
+                    let path = self.stated.state.as_deref().unwrap_or(Path::new("")).join(STATE_FILE);
+                    let fault = Fault::NoState(path);
+                    log::error!("rollout: {fault}. {}", fault.advice());
+                }
             }
         }
         asks
@@ -296,9 +307,8 @@
     /// It is small and rare. One that can't be kept is heard from the others after a restart.
     fn save(&self, bytes: &[u8]) {
         let Some(folder) = &self.stated.state else { return };
-        let (next, path) = (folder.join("rollout.next"), folder.join(STATE_FILE));
-        let kept = std::fs::write(&next, bytes).and_then(|()| std::fs::rename(&next, &path));
-        if let Err(error) = kept {
+        let path = folder.join(STATE_FILE);
+        if let Err(error) = kept::save(&path, bytes) {
             log::error!("rollout: {}", Fault::Unkept(path, error));
         }
     }
@@ -360,6 +370,11 @@
             ("lb_rollout_windows_total", "Comparisons of both versions.", status.windows),
             ("lb_rollout_superseded_total", "Proposals that gave way to another.", status.superseded),
             ("lb_rollout_malformed_total", "Facts that could not be read.", status.malformed),
+            (
+                "lb_rollout_state_unread",
+                "Whether this process began without the state that was kept: it could not be read.",
+                u64::from(self.unloaded || status.unread),
+            ),
             ("lb_rollout_runs_failed_total", "Versions that could not be read here.", self.runs_failed),
         ] {
             figures.one(name, help, value);
@@ -367,19 +382,10 @@
     }
 }
 
+/// None: the first start with that directory.
 fn load(folder: &Path) -> Result<Option<Vec<u8>>, Fault> {
     let path = folder.join(STATE_FILE);
-    let read = std::fs::metadata(&path).and_then(|about| {
-        let fits = about.len() <= STATE_LIMIT;
-        fits.then(|| std::fs::read(&path)).transpose()
-    });
-    match read {
-        Ok(Some(bytes)) => Ok(Some(bytes)),
-        Ok(None) => Err(Fault::NoState(path)),
-        // The first start with that directory.
-        Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
-        Err(error) => Err(Fault::Forgotten(path, error)),
-    }
+    kept::load(&path, STATE_LIMIT).map_err(|error| Fault::Forgotten(path, error))
 }
 
 fn short(phase: Phase) -> &'static str {
--- a/crates/rollout/src/core.rs
+++ b/crates/rollout/src/core.rs
@@ -84,6 +84,9 @@
     Save(Vec<u8>),
     Phase(Phase),
     Refused(Refused),
+    /// What an earlier process left can't be read: this one begins without memory, with the base and no rollout, and
+    /// hears what there is from the others. What it keeps from now on replaces it.
+    Unread,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
@@ -117,6 +120,8 @@
     pub members: Vec<(String, Word)>,
     pub superseded: u64,
     pub malformed: u64,
+    /// What an earlier process left could not be read.
+    pub unread: bool,
 }
 
 /// How a member that runs the new version fares.
@@ -147,13 +152,17 @@
     said: BTreeMap<u8, (Duration, Vec<u8>)>,
     superseded: u64,
     malformed: u64,
+    unread: bool,
+    /// The host has been told so.
+    unread_told: bool,
 }
 
 impl Core {
     pub fn new(config: Config, now: Duration) -> Self {
         let mut machine = Machine::new(&config.name, config.base, config.dark);
-        let stored: Option<Stored> = config.stored.as_deref().and_then(words::decode);
-        if let Some(stored) = stored {
+        let stored: Option<Option<Stored>> = config.stored.as_deref().map(words::decode);
+        let unread = matches!(stored, Some(None));
+        if let Some(stored) = stored.flatten() {
             machine.restore(stored);
         }
         Self {
@@ -173,11 +182,16 @@
             said: BTreeMap::new(),
             superseded: 0,
             malformed: 0,
+            unread,
+            unread_told: false,
             config,
         }
     }
 
     pub fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
+        if self.unread && !std::mem::replace(&mut self.unread_told, true) {
+            actions.push(Action::Unread);
+        }
         match event {
             Event::Look(look) => self.look = look,
             Event::Propose { hash, order, canary, again } => match self.propose(hash, order, canary, again) {
@@ -435,6 +449,7 @@
             members,
             superseded: self.superseded,
             malformed: self.malformed,
+            unread: self.unread,
         }
     }
 
--- a/crates/rollout/src/recorded.rs
+++ b/crates/rollout/src/recorded.rs
@@ -30,6 +30,8 @@
 #[test]
 fn facts_of_the_first_form_are_read_for_good() {
     assert_eq!(words::decode(&recorded("proposal")), Some(proposal()));
+    let longer = [recorded("proposal"), vec![0]].concat();
+    assert_eq!(words::decode::<Proposal>(&longer), None, "with more behind it");
     for (name, ready) in [
         ("word-not-yet", Ready::NotYet),
         ("word", Ready::Yes),
@@ -68,6 +70,26 @@
     assert_eq!(epoch(&core(Some(later(recorded("state"))))), None, "of a later form: no memory");
 }
 
+/// One that is torn, of a later form or longer is no memory: it is said once, and what runs is the operators' own file.
+#[test]
+fn a_state_file_that_cannot_be_read_is_told() {
+    let torn = recorded("state")[..40].to_vec();
+    let longer = [recorded("state"), vec![0]].concat();
+    let all = [(None, 0), (Some(recorded("state")), 0)];
+    let unread = [vec![], torn, longer, later(recorded("state"))].map(|bytes| (Some(bytes), 1));
+    for (stored, times) in all.into_iter().chain(unread) {
+        let mut core = core(stored);
+        let mut actions = Vec::new();
+        for _ in 0..2 {
+            core.handle(Duration::from_secs(1), Event::Look(Look::default()), &mut actions);
+        }
+        assert_eq!(actions.iter().filter(|action| **action == Action::Unread).count(), times);
+        let status = core.status();
+        assert_eq!((status.unread, status.runs), (times == 1, [9; 32]));
+        assert!(times == 0 || status.proposal.is_none());
+    }
+}
+
 fn core(stored: Option<Vec<u8>>) -> Core {
     let limits = Limits {
         least_harm: 0.01,
--- a/crates/rollout/src/words.rs
+++ b/crates/rollout/src/words.rs
@@ -151,9 +151,13 @@
     postcard::to_extend(what, vec![FORM]).unwrap_or_default()
 }
 
+/// None: of another form, torn, or with more behind it.
 pub(crate) fn decode<T: DeserializeOwned>(body: &[u8]) -> Option<T> {
     match body.split_first() {
-        Some((&FORM, rest)) => postcard::from_bytes(rest).ok(),
+        Some((&FORM, rest)) => match postcard::take_from_bytes(rest) {
+            Ok((read, [])) => Some(read),
+            _ => None,
+        },
         _ => None,
     }
 }
--- a/crates/rollout/tests/bytes.rs
+++ b/crates/rollout/tests/bytes.rs
@@ -137,7 +137,7 @@
             Action::Save(bytes) => prop_assert!(bytes.len() <= STATE_BYTES, "{} bytes to keep", bytes.len()),
             Action::Run(hash) => prop_assert!(false, "{hash:?} runs by one member's word"),
             Action::Check(hash) => core.handle(now, Event::Ready(hash, Ok(())), &mut actions),
-            Action::Phase(_) | Action::Refused(_) => {}
+            Action::Phase(_) | Action::Refused(_) | Action::Unread => {}
         }
     }
     prop_assert!(body(&core.machine().halts()).len() <= BODY_BYTES, "halts can't be told any more");
