Members, loans: facts that can't be read are counted, the first unmade datagram is logged

Facts of loans, accounts and rates of another version or torn were ignored without a count, and a datagram that could not be sealed was only counted among the unsent. Now lb_loans_malformed_total, lb_members_facts_unread_total by account and rates, lb_members_unsealed_total, and a log line with advice for the first.

--- a/crates/leverproxy/src/lending.rs
+++ b/crates/leverproxy/src/lending.rs
@@ -145,6 +145,8 @@
     withheld: BTreeMap<String, u32>,
     saves: u64,
     saves_failed: u64,
+    /// Facts that could not be read, those that earlier cores counted too.
+    malformed: u64,
 }
 
 impl Lending {
@@ -170,6 +172,7 @@
             withheld: BTreeMap::new(),
             saves: 0,
             saves_failed: 0,
+            malformed: 0,
         }
     }
 
@@ -291,6 +294,8 @@
         if CORE_KINDS.contains(&fact.kind) {
             let Fact { source, start, kind, key, body, age, .. } = fact;
             self.handle(Event::Fact { source, start: *start, kind: *kind, key, body, age: *age }, now);
+        } else if fact.kind == SHORT && fact.body != [SHORT_VERSION] {
+            self.malformed += 1;
         }
     }
 
@@ -368,7 +373,9 @@
         if !members.is_heard() || now < self.try_again {
             return false;
         }
-        self.running = None;
+        if let Some(former) = self.running.take() {
+            self.malformed += former.core.malformed();
+        }
         let keeper =
             match self.stated.state.as_deref() {
                 None => Ok((None, None)),
@@ -499,6 +506,11 @@
             ),
             ("lb_loans_lane_ms", "The start that names this proxy's lane.", core.map_or(0, Core::lane_from)),
             ("lb_loans_given_back_total", "Requests lent that nothing was tried for.", self.given_back),
+            (
+                "lb_loans_malformed_total",
+                "Facts of loans that could not be read.",
+                self.malformed + core.map_or(0, Core::malformed),
+            ),
             ("lb_loans_saves_total", "Files written.", self.saves),
             ("lb_loans_saves_failed_total", "Files that could not be written.", self.saves_failed),
         ] {
--- a/crates/leverproxy/src/members.rs
+++ b/crates/leverproxy/src/members.rs
@@ -77,7 +77,11 @@
     sent: u64,
     sent_bytes: u64,
     unsent: u64,
+    /// Of these, those that could not be made.
+    unsealed: u64,
     received: u64,
+    accounts_unread: u64,
+    rates_unread: u64,
     /// By reason; the first of each has a line in the log.
     refused: BTreeMap<&'static str, u64>,
     /// How often members became that.
@@ -116,7 +120,10 @@
             sent: 0,
             sent_bytes: 0,
             unsent: 0,
+            unsealed: 0,
             received: 0,
+            accounts_unread: 0,
+            rates_unread: 0,
             refused: BTreeMap::new(),
             changes: BTreeMap::new(),
         };
@@ -233,7 +240,7 @@
                     self.heard.truncate(HEARD_MOST - 1);
                     self.heard.push(fact);
                 }
-                Action::Fact(_) => {}
+                Action::Fact(fact) => self.accounts_unread += u64::from(account(&fact.body).is_none()),
                 Action::Untold(error) => {
                     log::warn!("members: what this proxy says of itself is not told: {error}")
                 }
@@ -244,9 +251,16 @@
 
     fn send(&mut self, to: SocketAddr, payload: &[u8]) {
         let mut out = Vec::new();
-        let sealed = self.sealer.seal(MEMBERSHIP, self.stated.version, payload, &mut out);
+        if let Err(error) = self.sealer.seal(MEMBERSHIP, self.stated.version, payload, &mut out) {
+            self.unsent += 1;
+            self.unsealed += 1;
+            if self.unsealed == 1 {
+                log::error!("members: {error}. {} Further ones are only counted", error.advice());
+            }
+            return;
+        }
         let Some(socket) = &self.socket else { return };
-        match sealed.map_err(io::Error::other).and_then(|()| socket.send_to(&out, to)) {
+        match socket.send_to(&out, to) {
             Ok(_) => {
                 self.sent += 1;
                 self.sent_bytes += out.len() as u64;
@@ -273,6 +287,11 @@
         std::mem::take(&mut self.heard)
     }
 
+    /// Rates that another told of could not be read.
+    pub fn rates_unread(&mut self) {
+        self.rates_unread += 1;
+    }
+
     /// What others have said of a kind and still holds.
     pub fn facts(&self, kind: u8, now: Instant) -> Vec<Fact> {
         self.core.facts(now.saturating_duration_since(self.origin), kind)
@@ -324,11 +343,7 @@
 
     fn accounts(&self, now: Instant) -> BTreeMap<String, Account> {
         let facts = self.core.facts(now.saturating_duration_since(self.origin), ACCOUNT);
-        let read = |body: &[u8]| match body.split_first() {
-            Some((&ACCOUNT_VERSION, rest)) => postcard::from_bytes(rest).ok(),
-            _ => None,
-        };
-        facts.into_iter().filter_map(|fact| Some((fact.source, read(&fact.body)?))).collect()
+        facts.into_iter().filter_map(|fact| Some((fact.source, account(&fact.body)?))).collect()
     }
 
     /// For an operator, a line a member.
@@ -397,6 +412,9 @@
         ];
         let beyond = beyond.map(|(reason, n)| (vec![("reason", reason)], n));
         figures.many("lb_members_refused_total", "Datagrams not taken in, by reason.", refused.chain(beyond));
+        let unread = [("account", self.accounts_unread), ("rates", self.rates_unread)];
+        let unread = unread.map(|(of, n)| (vec![("of", of)], n));
+        figures.many("lb_members_facts_unread_total", "Facts of another version, or torn.", unread);
         for (name, help, value) in [
             ("lb_start_ms", "When this process started, in Unix milliseconds.", self.start),
             ("lb_members_heard", "Members heard, this one too.", view.heads.heard as u64),
@@ -414,6 +432,11 @@
             ("lb_members_pauses_total", "Times that it was late enough for that.", counts.pauses),
             ("lb_members_facts", "Facts of others that are kept.", view.facts as u64),
             ("lb_members_facts_invented_total", "Facts told in this one's name by others.", counts.invented),
+            (
+                "lb_members_unsealed_total",
+                "Datagrams that could not be made; the first has a line in the log.",
+                self.unsealed,
+            ),
             ("lb_members_sent_total", "Datagrams sent.", self.sent),
             ("lb_members_sent_bytes_total", "Bytes of these.", self.sent_bytes),
             ("lb_members_unsent_total", "Datagrams that could not be sent.", self.unsent),
@@ -428,6 +451,14 @@
 const STATUSES: [Status; 5] =
     [Status::NeverHeard, Status::Alive, Status::Suspect, Status::Down, Status::Left];
 
+/// None: of another version, or torn.
+fn account(body: &[u8]) -> Option<Account> {
+    match body.split_first() {
+        Some((&ACCOUNT_VERSION, rest)) => postcard::from_bytes(rest).ok(),
+        _ => None,
+    }
+}
+
 fn name(act: Act) -> &'static str {
     match act {
         Act::Lend => "lend",
@@ -460,3 +491,5 @@
 
 #[cfg(test)]
 mod recorded;
+#[cfg(test)]
+mod unsealed;
--- a/crates/leverproxy/src/members/recorded.rs
+++ b/crates/leverproxy/src/members/recorded.rs
@@ -9,7 +9,7 @@
 const BODY: &str = "0105302e312e3001";
 const KEY: &str = "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f";
 
-fn joined(now: Instant) -> Members {
+pub(super) fn joined(now: Instant) -> Members {
     let member = |at: u16| configuration::model::Member {
         name: format!("n{at}"),
         address: ([127, 0, 0, 1], 7_000 + at).into(),
@@ -38,9 +38,10 @@
     hear(&mut members, &hex::decode(DATAGRAM).unwrap(), now);
     let account = Account { build: "0.1.0".into(), serving: true };
     assert_eq!(members.accounts(now), [("n1".to_owned(), account)].into());
+    assert_eq!(members.accounts_unread, 0);
 }
 
-/// It is a fact that was not heard: who says it is known, and not what it says.
+/// It is a fact that was not heard, and is counted: who says it is known, and not what it says.
 #[test]
 fn an_account_of_a_later_version_is_not_heard() {
     let now = Instant::now();
@@ -50,4 +51,5 @@
     assert_eq!(members.core.facts(Duration::ZERO, ACCOUNT).len(), 1);
     assert_eq!(members.accounts(now), BTreeMap::new());
     assert_eq!(members.view(now).counts.malformed, 0);
+    assert_eq!((members.accounts_unread, members.rates_unread), (1, 0));
 }
--- /dev/null
+++ b/crates/leverproxy/src/members/unsealed.rs
@@ -0,0 +1,42 @@
+//! A datagram that can't be made: the log says why, once.
+
+use super::recorded::joined;
+use super::*;
+use std::cell::RefCell;
+
+thread_local! {
+    static LINES: RefCell<Vec<String>> = const { RefCell::new(Vec::new()) };
+}
+
+/// Keeps lines by thread: each test has its own.
+struct Log;
+
+impl log::Log for Log {
+    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        LINES.with_borrow_mut(|lines| lines.push(record.args().to_string()));
+    }
+
+    fn flush(&self) {}
+}
+
+#[test]
+fn the_first_datagram_that_cannot_be_made_is_logged() {
+    log::set_logger(&Log).expect("no other test of this program keeps its log");
+    log::set_max_level(log::LevelFilter::Error);
+    let mut members = joined(Instant::now());
+    LINES.with_borrow_mut(Vec::clear);
+    let long = vec![0; DATAGRAM_LIMIT];
+    for _ in 0..2 {
+        members.send(([127, 0, 0, 1], 9).into(), &long);
+    }
+    assert_eq!((members.unsealed, members.unsent), (2, 2));
+    let lines = LINES.take();
+    assert!(
+        matches!(&lines[..], [line] if line.contains("at most") && line.contains("only counted") && line.contains("A fault of the program")),
+        "{lines:?}"
+    );
+}
--- a/crates/leverproxy/src/proxy.rs
+++ b/crates/leverproxy/src/proxy.rs
@@ -20,6 +20,7 @@
 use crate::stages::{Chain, Sides, Timer};
 use crate::takeover::{self, Elder, Estate, Said, Takeover};
 use crate::upstream::Upstream;
+use crate::usage;
 use configuration::calendar::Window;
 use drain::{Action, Drain};
 use maintenance::Unknown;
@@ -327,6 +328,9 @@
                 if let Some(members) = &mut self.members {
                     members.ready(now);
                     for fact in members.take_heard() {
+                        if usage::is_unread(&fact) {
+                            members.rates_unread();
+                        }
                         self.chain.quota.heard(&fact, now);
                     }
                 }
--- a/crates/leverproxy/src/usage.rs
+++ b/crates/leverproxy/src/usage.rs
@@ -1,7 +1,7 @@
 //! How much of each tenant's traffic each proxy sees, told to the others: so all parts of a quota together are the quota.
 
 use crate::members::Members;
-use membership::{number, Act, Status};
+use membership::{number, Act, Fact, Status};
 use quota::Others;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -41,6 +41,11 @@
     }
 }
 
+/// Of rates, and of another version or torn.
+pub fn is_unread(fact: &Fact) -> bool {
+    fact.kind == KIND && decode(&fact.body).is_none()
+}
+
 /// What all others see; none while nobody tells.
 pub fn others(members: &Members, names: &[String], now: Instant) -> Option<Others> {
     let view = members.view(now);
@@ -80,9 +85,20 @@
     }
 
     #[test]
-    fn what_is_of_a_later_version_or_torn_says_nothing() {
+    fn what_is_of_a_later_version_or_torn_says_nothing_and_counts() {
         for body in [&[2, 0][..], &[1, 2, 0xe8], &[]] {
             assert_eq!(decode(body), None);
+            let fact = |kind| Fact {
+                source: "n1".into(),
+                start: 1,
+                kind,
+                key: vec![0],
+                sequence: 1,
+                body: body.into(),
+                age: Duration::ZERO,
+                lasts: LASTS,
+            };
+            assert!(is_unread(&fact(KIND)) && !is_unread(&fact(KIND + 1)));
         }
     }
 }
