--- a/crates/lending/src/said.rs
+++ b/crates/lending/src/said.rs
@@ -2,7 +2,9 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::hash::Hasher as _;
 
+use hash32::{FnvHasher, Hasher as _};
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
@@ -31,9 +33,16 @@
 /// All lanes of a stand together.
 pub const WHOLE: u32 = 1 << 30;
 
-/// A name as a number (FNV-1a), as long as no two of one roster or one set of rules meet.
+/// FNV-1a of 32 bits.
+fn hash(bytes: &[u8]) -> u32 {
+    let mut hasher = FnvHasher::default();
+    hasher.write(bytes);
+    hasher.finish32()
+}
+
+/// A name as a number, as long as no two of one roster or one set of rules meet.
 pub fn number(name: &str) -> u32 {
-    name.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
+    hash(name.as_bytes())
 }
 
 /// A name with the start at which a lane, or a memory, began.
@@ -66,11 +75,10 @@
 
 /// A beat as it is echoed.
 pub fn mark(life: u64, beat: u32) -> u32 {
-    let mut hash = 0x811c_9dc5_u32;
-    for byte in life.to_le_bytes().into_iter().chain(beat.to_le_bytes()) {
-        hash = (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193);
-    }
-    hash
+    let mut bytes = [0; 12];
+    bytes[..8].copy_from_slice(&life.to_le_bytes());
+    bytes[8..].copy_from_slice(&beat.to_le_bytes());
+    hash(&bytes)
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -100,6 +108,11 @@
         self.gave.values().fold(0, |sum, gave| sum.saturating_add(*gave))
     }
 
+    /// How many both name together.
+    pub fn receivers_with(&self, other: &Row) -> usize {
+        self.gave.len() + other.gave.keys().filter(|to| !self.gave.contains_key(to)).count()
+    }
+
     /// The greater of each number. Line and demand are those of the newer row, which has lent, repaid and given no less;
     /// where that does not tell, the stricter line: a lane at rest says a new rule with the old numbers.
     pub fn merge(&mut self, other: &Row) {
--- a/crates/lending/tests/fleet/mod.rs
+++ b/crates/lending/tests/fleet/mod.rs
@@ -517,7 +517,7 @@
         fleet.event(at, Event::Rules(rules));
         // What was lent before has to be over.
         fleet.steps(24)?;
-        let mut part = |at: usize| fleet.withheld(at, 0, Duration::ZERO).1.map_or(0, |book| book.part);
+        let part = |at: usize| fleet.withheld(at, 0, Duration::ZERO).1.map_or(0, |book| book.part);
         Ok(((0..5).map(part).sum(), former / 4))
     }
 
--- a/crates/leverproxy/src/lending.rs
+++ b/crates/leverproxy/src/lending.rs
@@ -143,6 +143,8 @@
     withheld: BTreeMap<String, u32>,
     saves: u64,
     saves_failed: u64,
+    /// Facts that could not be read, those that earlier cores counted too.
+    malformed: u64,
 }
 
 impl Lending {
@@ -168,6 +170,7 @@
             withheld: BTreeMap::new(),
             saves: 0,
             saves_failed: 0,
+            malformed: 0,
         }
     }
 
@@ -289,6 +292,8 @@
         if lending::said::is_said(fact.kind) {
             let Fact { source, start, kind, key, body, age, .. } = fact;
             self.handle(Event::Fact { source, start: *start, kind: *kind, key, body, age: *age }, now);
+        } else if fact.kind == SHORT && fact.body != [SHORT_VERSION] {
+            self.malformed += 1;
         }
     }
 
@@ -366,7 +371,9 @@
         if !members.is_heard() || now < self.try_again {
             return false;
         }
-        self.running = None;
+        if let Some(former) = self.running.take() {
+            self.malformed += former.core.malformed();
+        }
         let keeper =
             match self.stated.state.as_deref() {
                 None => Ok((None, None)),
@@ -497,6 +504,11 @@
             ),
             ("lb_loans_lane_ms", "The start that names this proxy's lane.", core.map_or(0, Core::lane_from)),
             ("lb_loans_given_back_total", "Requests lent that nothing was tried for.", self.given_back),
+            (
+                "lb_loans_malformed_total",
+                "Facts of loans that could not be read.",
+                self.malformed + core.map_or(0, Core::malformed),
+            ),
             ("lb_loans_saves_total", "Files written.", self.saves),
             ("lb_loans_saves_failed_total", "Files that could not be written.", self.saves_failed),
         ] {
--- a/crates/rig/tests/common/loans.rs
+++ b/crates/rig/tests/common/loans.rs
@@ -36,7 +36,7 @@
         setup.admin = true;
         setup.operators = operators(STATE, "5s");
         setup.members = Some(Members::default());
-        let tenant = |name: &str, share, quota| Tenant { name: name.into(), share, quota };
+        let tenant = |name: &str, share, quota| Tenant { name: name.into(), share, quota, credit: None };
         setup.clients.tenants = vec![tenant("bus", 0.4, QUOTA as f64), tenant("desk", 0.6, 0.0)];
         setup.clients.over_worth = 0.05;
         setup.slack = Duration::from_secs(10);
