--- a/crates/leverproxy/src/members.rs
+++ b/crates/leverproxy/src/members.rs
@@ -179,6 +179,11 @@
         &self.name
     }
 
+    /// Of the roster.
+    pub fn size(&self) -> usize {
+        self.stated.roster.len()
+    }
+
     pub fn start(&self) -> u64 {
         self.start
     }
--- a/crates/leverproxy/src/stages/quota.rs
+++ b/crates/leverproxy/src/stages/quota.rs
@@ -14,8 +14,6 @@
 
 /// How often what others say is looked at, while there are others: a lender's own traffic comes first within a second.
 pub const LOOK: Duration = Duration::from_millis(250);
-/// What this proxy sees is told to them so often.
-const TELL: Duration = Duration::from_secs(1);
 
 #[derive(Default)]
 pub struct Quota {
@@ -120,7 +118,7 @@
     /// With others about: one account with them, and loans.
     pub fn look(&mut self, members: &mut Members, now: Instant) {
         let since = self.since(now);
-        if self.told.is_none_or(|told| now.saturating_duration_since(told) >= TELL) {
+        if self.told.is_none_or(|told| now.saturating_duration_since(told) >= usage::pace(members)) {
             self.told = Some(now);
             usage::say(members, &self.names, self.account.rates(since), now);
         }
--- a/crates/leverproxy/src/usage.rs
+++ b/crates/leverproxy/src/usage.rs
@@ -11,6 +11,8 @@
 const VERSION: u8 = 1;
 /// One that is cut off keeps its part so long; then those who are left share it.
 const LASTS: Duration = Duration::from_secs(60);
+/// In a small fleet it is said so often: what it tells is a mean over some seconds.
+const EVERY: Duration = Duration::from_secs(1);
 /// Tenants in one fact: a number of five bytes at most, and a rate of as many.
 const TENANTS: usize = 48;
 /// Facts of one proxy, so that loans and rollouts find room.
@@ -30,6 +32,11 @@
     }
 }
 
+/// How often to say it, in a fleet of that size.
+pub fn pace(members: &Members) -> Duration {
+    membership::pace(members.size(), 1, EVERY, LASTS)
+}
+
 /// Tenants beyond what fits are not told of: for them each proxy goes on by itself.
 pub fn say(members: &mut Members, names: &[String], rates: impl Iterator<Item = f64>, now: Instant) {
     let milli = |rate: f64| (rate * 1e3) as u32;
