--- a/crates/leverproxy/src/takeover/recorded.rs
+++ b/crates/leverproxy/src/takeover/recorded.rs
@@ -32,7 +32,7 @@
     let second = Duration::from_secs;
     let (out, before) = (Some(Duration::from_millis(1_800_000_000_500)), Some((second(5), second(6))));
     assert_eq!(estate.hands, [Hand { name: "s-1".into(), out, before }]);
-    assert_eq!(received(ESTATE), "no listener came with it");
+    assert_eq!(received(ESTATE), "no listener came with its message");
 }
 
 #[test]
@@ -45,7 +45,7 @@
 /// needs. More than it knows, in the same version, is no reason to refuse.
 #[test]
 fn an_estate_of_a_later_version_is_refused() {
-    assert_eq!(received(&ESTATE.replace("\"version\":1", "\"version\":2")), "its message has version 2");
+    assert_eq!(received(&ESTATE.replace("\"version\":1", "\"version\":2")), "its message has version 2, and this process takes 1");
     assert!(received("{\"version\":2}").contains("missing field"));
-    assert_eq!(received(&ESTATE.replace("\"hands\"", "\"more\":[1],\"hands\"")), "no listener came with it");
+    assert_eq!(received(&ESTATE.replace("\"hands\"", "\"more\":[1],\"hands\"")), "no listener came with its message");
 }
