--- /dev/null
+++ b/crates/site-plan/src/lib.rs
@@ -0,0 +1,18 @@
+//! The loss of a whole site, free of I/O: what one proxy knows of each site ([`Sites`]), what is served of what is asked
+//! once a site is gone ([`order::served`], from what [`Capacity`] has learned), and how fast a site that returns is given its
+//! load back ([`Pace`]). Nothing here decides where a request goes. `docs/design/site-loss.md`.
+#![forbid(unsafe_code)]
+
+mod state;
+
+pub use state::{Event, Guards, Listed, Report, Settings, Sites, Source, State};
+
+use std::time::Duration;
+
+/// Time since an origin of the caller's, on a clock that does not go back. If it does, it stands.
+pub type Time = Duration;
+
+/// Sites, servers and groups that are told apart; what comes beyond counts for nothing here.
+pub const SITES_LIMIT: usize = 64;
+pub const SERVERS_LIMIT: usize = 4_096;
+pub const GROUPS_LIMIT: usize = 1_024;
