--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod route;
 pub mod schema;
 pub mod shadow;
+pub mod sites;
 pub mod source;
 pub mod space;
 pub mod syntax;
--- a/crates/configuration/src/model.rs
+++ b/crates/configuration/src/model.rs
@@ -8,6 +8,7 @@
 pub use crate::rollout::Rollout;
 use crate::route::{fold, Conditions, Outcome, Priority, Route};
 use crate::schema::{self, Takes};
+pub use crate::sites::Sites;
 use crate::source::Span;
 use crate::value::{Dates, Hours, Rate, Share, Value};
 use crate::values::Values;
@@ -172,6 +173,8 @@
     pub rollout: Option<Rollout>,
     /// Who may borrow; none: nothing is lent.
     pub lending: Option<Lending>,
+    /// What is told of sites; none: nothing is.
+    pub sites: Option<Sites>,
 }
 
 impl Default for Model {
@@ -342,6 +345,7 @@
     let members = crate::members::members(sections, partial, faults);
     let rollout = crate::rollout::rollout(sections, partial, faults);
     let lending = crate::lending::lending(sections, &named_windows, partial, faults);
+    let sites = crate::sites::sites(sections);
     let v = once("logging");
     let logging = Logging { level: v.choice("level"), json: v.choice("form") == "json" };
     Model {
@@ -365,6 +369,7 @@
         members,
         rollout,
         lending,
+        sites,
     }
 }
 
--- a/crates/configuration/src/schema.rs
+++ b/crates/configuration/src/schema.rs
@@ -336,6 +336,16 @@
             directive("not-during", Many(Type::Reference("window")), "", "not-during dashain", "windows in which nothing is lent"),
         ],
     },
+    Section {
+        keyword: "sites",
+        naming: Naming::Unnamed,
+        help: "What is told of each site (a zone of the list) at the control socket and among the figures. Without this section nothing is told; with it, nothing is steered yet.",
+        directives: &[
+            at_start(directive("lost-after", One(time(100, MINUTE)), "500ms", "lost-after 1s", "a site is lost when its servers fail for this long, none answers, and others elsewhere do")),
+            at_start(directive("return-after", One(time(100, HOUR)), "5s", "return-after 30s", "a site that answers again returns for this long at least before it counts as whole")),
+            at_start(directive("dwell", One(time(100, HOUR)), "2s", "dwell 5s", "a site is lost, or ceases to be, at most once in this span")),
+        ],
+    },
     Section {
         keyword: "control",
         naming: Naming::Unnamed,
--- a/crates/leverproxy/src/config.rs
+++ b/crates/leverproxy/src/config.rs
@@ -93,6 +93,8 @@
     pub rollout: Option<Rollout>,
     /// What stands may borrow beyond their quota; none: nothing is lent.
     pub lending: Option<Lending>,
+    /// How sites are told of; none: nothing is.
+    pub sites: Option<site_plan::Settings>,
     /// Windows of the file, in which a credit may be closed.
     pub windows: Vec<Window>,
     /// The operators' file that was read.
@@ -441,6 +443,7 @@
         member_keys,
         rollout: model.rollout.clone(),
         lending: model.lending.clone(),
+        sites: operators::sites(&model),
         windows: model.windows.clone(),
         operators: variable("LB_OPERATORS").filter(|path| !path.is_empty()).map(PathBuf::from),
         announce_end: model.announce_end,
--- a/crates/leverproxy/src/lib.rs
+++ b/crates/leverproxy/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod request;
 pub mod rollout;
 pub mod seldom;
+pub mod sites;
 pub mod stages;
 pub mod takeover;
 pub mod upstream;
--- a/crates/leverproxy/src/monitor.rs
+++ b/crates/leverproxy/src/monitor.rs
@@ -3,10 +3,13 @@
 
 use crate::clock::Clock;
 use crate::request::{Answer, Done, Verdict};
+use crate::sites::{self, Sites};
 use crate::upstream::Sign;
 use availability::{Availability, Cause, Condition, Ended, Event, Link, Load, Reason, Report, Settings};
-use mountshift::{Entry, GroupId, Listed, StoreId, Time};
+use mountshift::{Entry, GroupId, ListNews, Listed, StoreId, Time};
+use site_plan::Event as SiteEvent;
 use std::time::{Duration, Instant};
+use wire_admin::Figures;
 use wire_health::Status;
 
 /// The proxy's load is taken this often, and its memory, which costs a system call more, this often.
@@ -30,6 +33,8 @@
 
 pub struct Monitor {
     model: Availability,
+    /// Where the operators' file asks for it.
+    sites: Option<Sites>,
     /// Names of the places that the platform knows.
     zones: Vec<String>,
     start: Instant,
@@ -49,9 +54,15 @@
 }
 
 impl Monitor {
-    pub fn new(settings: Settings, zones: Vec<String>, now: Instant) -> Monitor {
+    pub fn new(
+        settings: Settings,
+        sites: Option<site_plan::Settings>,
+        zones: Vec<String>,
+        now: Instant,
+    ) -> Monitor {
         Monitor {
             model: Availability::new(settings, Duration::ZERO),
+            sites: sites.map(Sites::new),
             zones,
             start: now,
             lag: Duration::ZERO,
@@ -72,6 +83,29 @@
         self.model.handle(now.saturating_duration_since(self.start), event);
     }
 
+    fn of_sites(&mut self, now: Instant, event: SiteEvent) {
+        if let Some(sites) = &mut self.sites {
+            let zones = &self.zones;
+            sites.event(now.saturating_duration_since(self.start), event, |place| {
+                zone(zones, place).to_owned()
+            });
+        }
+    }
+
+    /// The watch on the list stands, or is lost. With it all that it says has been told.
+    pub fn list(&mut self, heard: bool, now: Instant) {
+        self.of_sites(now, SiteEvent::List { heard });
+    }
+
+    /// An operator's word on servers, beside what becomes of the list by it.
+    pub fn hands(&mut self, news: &ListNews, now: Instant) {
+        let ListNews::Changes(entries) = news else { return };
+        for entry in entries {
+            let out = entry.listed != Listed::Ready;
+            self.of_sites(now, SiteEvent::Hand { server: entry.store.0, out });
+        }
+    }
+
     /// A request has been taken in.
     pub fn asked(&mut self, group: GroupId, now: Instant) {
         self.event(now, Event::Asked { group: group.0 });
@@ -101,6 +135,18 @@
         if let Some(group) = done.group {
             self.event(now, Event::Ended { group: group.0, how, elapsed: done.elapsed });
         }
+        let server = done.store.0;
+        let sign = match done.verdict {
+            // One whose time was over before it was written got no connection.
+            Verdict::ConnectFailed => Some(SiteEvent::Unreached { server }),
+            Verdict::Reset => Some(SiteEvent::Reset { server }),
+            Verdict::TimedOut => Some(SiteEvent::Silent { server }),
+            Verdict::Cancelled | Verdict::NeverSent => None,
+            _ => Some(SiteEvent::Answered { server }),
+        };
+        if let Some(sign) = sign {
+            self.of_sites(now, sign);
+        }
         // Of an exchange that never got a connection its dial has told.
         let word = matches!(how, Ended::Answered | Ended::TurnedAway) || done.verdict == Verdict::Reset;
         self.event(now, Event::Over { server: done.store.0, word });
@@ -134,9 +180,11 @@
             let (server, place, group) = (entry.store.0, entry.zone.0, entry.group.0);
             let there = entry.listed != Listed::Gone;
             self.event(now, Event::Listed { server, place, group, there });
+            self.of_sites(now, sites::listed(entry));
         }
         for store in gone {
             self.event(now, Event::Listed { server: store.0, place: 0, group: 0, there: false });
+            self.of_sites(now, sites::gone(store));
         }
     }
 
@@ -193,6 +241,26 @@
             memory: self.memory,
         };
         self.event(now, Event::Load(load));
+        if self.sites.is_some() {
+            self.of_sites(now, SiteEvent::Late(load.lag));
+            let links: Vec<(u16, Link)> = self.model.links().collect();
+            for (site, link) in links {
+                self.of_sites(now, SiteEvent::Cut { site, on: link == Link::Cut });
+            }
+            self.of_sites(now, SiteEvent::Tick);
+        }
+    }
+
+    /// What is told of sites, at the control socket and among the figures.
+    pub fn site_lines(&self, now: Instant) -> String {
+        let now = now.saturating_duration_since(self.start);
+        self.sites.as_ref().map_or(String::new(), |sites| sites.lines(now, |p| self.zone(p).to_owned()))
+    }
+
+    pub fn site_figures(&self, figures: &mut Figures) {
+        if let Some(sites) = &self.sites {
+            sites.figures(figures, |place| self.zone(place).to_owned());
+        }
     }
 
     pub fn report(&self) -> &Report {
@@ -232,7 +300,7 @@
     }
 
     fn zone(&self, place: u16) -> &str {
-        self.zones.get(usize::from(place)).map_or("a place without a name", String::as_str)
+        zone(&self.zones, place)
     }
 
     fn reason(&self, report: &Report) -> String {
@@ -276,6 +344,10 @@
     }
 }
 
+fn zone(zones: &[String], place: u16) -> &str {
+    zones.get(usize::from(place)).map_or("a place without a name", String::as_str)
+}
+
 fn part(used: usize, limit: usize) -> f64 {
     used as f64 / limit.max(1) as f64
 }
--- a/crates/leverproxy/src/operators.rs
+++ b/crates/leverproxy/src/operators.rs
@@ -233,6 +233,16 @@
     }
 }
 
+pub fn sites(model: &Model) -> Option<site_plan::Settings> {
+    let stated = model.sites.as_ref()?;
+    Some(site_plan::Settings {
+        lost_after: stated.lost_after,
+        return_after: stated.return_after,
+        dwell: stated.dwell,
+        ..site_plan::Settings::default()
+    })
+}
+
 /// The loop's lag at which the weight is at its least, as a multiple of that at which it begins to fall.
 const LAG_WORST: u32 = 20;
 
--- a/crates/leverproxy/src/proxy.rs
+++ b/crates/leverproxy/src/proxy.rs
@@ -68,6 +68,7 @@
     listen: SocketAddr,
     admin: Option<SocketAddr>,
     watch_silence: Duration,
+    sites: Option<site_plan::Settings>,
 }
 
 impl Proxy {
@@ -106,6 +107,7 @@
             listen: config.listen,
             admin: config.admin,
             watch_silence: config.watch_silence,
+            sites: config.sites,
         };
         let health = Health::new(&config.health, &reactor)?;
         let operate = config.control.as_deref().map(|path| Operate::listen(path, &reactor)).transpose()?;
@@ -125,7 +127,7 @@
         let mut chain = Chain::new(
             config.platform,
             config.rules,
-            Monitor::new(config.availability, zones, now),
+            Monitor::new(config.availability, config.sites, zones, now),
             config.seed,
             config.dial_timeout,
             now,
@@ -494,7 +496,8 @@
         };
         let members = self.members.as_ref().map_or(String::new(), |members| members.lines(now));
         let loans = self.chain.quota.lending.as_ref().map_or(String::new(), |loans| loans.lines(now));
-        let text = format!("phase {phase}\n{}{members}{loans}", self.chain.monitor.lines());
+        let (monitor, sites) = (self.chain.monitor.lines(), self.chain.monitor.site_lines(now));
+        let text = format!("phase {phase}\n{monitor}{sites}{members}{loans}");
         if let Some(operate) = &mut self.sides.operate {
             operate.answer(key, &text);
         }
@@ -598,6 +601,7 @@
         if let Some(loans) = &self.chain.quota.lending {
             loans.figures(now, &mut figures);
         }
+        self.chain.monitor.site_figures(&mut figures);
         if let Some(rollout) = &self.rollout {
             rollout.figures(&mut figures);
         }
@@ -673,6 +677,7 @@
             ("admin", config.admin == self.fixed.admin),
             ("name", config.name == self.fixed.name),
             ("rollout", config.rollout.as_ref() == self.rollout.as_ref().map(Rollout::stated)),
+            ("sites", config.sites == self.fixed.sites),
             ("discovery watch-silence", config.watch_silence == self.fixed.watch_silence),
         ]
         .into_iter()
--- a/crates/leverproxy/src/stages/mod.rs
+++ b/crates/leverproxy/src/stages/mod.rs
@@ -353,8 +353,10 @@
                 self.counters.lists += 1;
                 let (news, changes) = self.directory.learn(listing, &self.names);
                 self.listed(news, changes, sides, now);
+                self.monitor.list(true, now);
             }
             News::Lost => {
+                self.monitor.list(false, now);
                 self.monitor.event(now, availability::Event::Discovery { heard: false });
                 self.counters.watches_lost += 1;
             }
@@ -464,6 +466,7 @@
     /// Operators take a server out or call it back.
     pub fn hand(&mut self, name: &str, out: bool, sides: &mut Sides, now: Instant) -> Result<(), Unknown> {
         if let Some((news, changes)) = self.directory.hand(name, out, self.clock.unix(now), &self.names)? {
+            self.monitor.hands(&news, now);
             self.listed(news, changes, sides, now);
         }
         Ok(())
@@ -472,6 +475,7 @@
     /// What the process before this one was told by operators, beside the list that it had.
     pub fn take_over(&mut self, hands: Vec<Hand>, sides: &mut Sides, now: Instant) {
         for (news, changes) in self.directory.take_over(hands, &self.names) {
+            self.monitor.hands(&news, now);
             self.listed(news, changes, sides, now);
         }
     }
--- /dev/null
+++ b/crates/rig/tests/sites.rs
@@ -0,0 +1,119 @@
+//! What several processes know of their sites: each by itself, by what it proves.
+
+mod common;
+use common::{answered, setup, sound, start, SECOND};
+use rig::process::PATIENCE;
+use rig::{Rig, Setup};
+use std::time::Instant;
+use world::catalog;
+use world::site::{ServerId, Trouble};
+
+const SITES: &str = "sites {\n lost-after 300ms\n return-after 1s\n dwell 500ms\n}\n";
+const PROXIES: usize = 4;
+/// Answers of the whole fleet until all know of a loss: at 200 in a second, as many as come in 10 s.
+const BOUND: u64 = 2_000;
+
+/// Two groups of four before two sites; both primaries stand in the first.
+fn two_sites(length: u64) -> Setup {
+    let mut setup = setup(PROXIES, 200.0, length);
+    setup.site.group.members = 4;
+    (setup.site.group.give_up, setup.site.group.take_over) = (300_000, 300_000);
+    // Less the slack they have two seconds.
+    setup.clients.kinds.iter_mut().for_each(|kind| (kind.aim, kind.deadline) = (SECOND, 7 * SECOND));
+    setup.operators = SITES.into();
+    setup.admin = true;
+    setup
+}
+
+fn at(rig: &Rig, place: u16) -> Vec<ServerId> {
+    let inner = rig.truth.look();
+    (0..2).flat_map(|g| inner.site.members(g).to_vec()).filter(|s| inner.site.place(*s) == place).collect()
+}
+
+fn state(place: u16, state: &str) -> String {
+    format!("lb_site_state{{site=\"p{place}\",state=\"{state}\"}}")
+}
+
+fn figure(rig: &Rig, proxy: usize, name: &str) -> u64 {
+    let figures = rig.figures(proxy).unwrap_or_else(|fault| panic!("{fault}"));
+    *figures.get(name).unwrap_or_else(|| panic!("no {name}"))
+}
+
+/// Until each of these says so.
+fn say(rig: &Rig, proxies: impl IntoIterator<Item = usize>, place: u16, word: &str) {
+    let (end, begun) = (Instant::now() + PATIENCE, Instant::now());
+    for proxy in proxies {
+        while figure(rig, proxy, &state(place, word)) == 0 {
+            let figures = || rig.figures(proxy);
+            assert!(Instant::now() < end, "proxy {proxy} never says {word}: {:#?}", figures());
+        }
+    }
+    println!("{word} after {:?}", begun.elapsed());
+}
+
+fn losses(rig: &Rig, proxy: usize, place: u16) -> u64 {
+    figure(rig, proxy, &format!("lb_site_losses_total{{site=\"p{place}\"}}"))
+}
+
+fn all(rig: &Rig, servers: &[ServerId], trouble: impl Fn(ServerId) -> Trouble) {
+    servers.iter().for_each(|server| rig.truth.trouble(trouble(*server)));
+}
+
+/// The site of all primaries dies while the list still names it as ready, and comes back.
+#[test]
+fn a_site_dies_with_its_primaries_and_returns() {
+    let rig = start(two_sites(14 * SECOND));
+    let dead = at(&rig, 0);
+    assert!((0..2).all(|group| dead.contains(&rig.truth.look().site.primary(group).unwrap())));
+    answered(&rig, 200);
+    rig.truth.list(catalog::Event::Behind(8 * SECOND));
+    let before = rig.truth.look().checker.answered;
+    all(&rig, &dead, Trouble::Die);
+    say(&rig, 0..PROXIES, 0, "lost");
+    let took = rig.truth.look().checker.answered - before;
+    println!("lost at all proxies after {took} answers");
+    assert!(took <= BOUND, "{took} answers until all knew");
+    // The other site serves alone, and writes have moved there.
+    answered(&rig, 200);
+    all(&rig, &dead, Trouble::Start);
+    say(&rig, 0..PROXIES, 0, "returning");
+    say(&rig, 0..PROXIES, 0, "whole");
+    for proxy in 0..PROXIES {
+        assert_eq!((losses(&rig, proxy, 0), losses(&rig, proxy, 1)), (1, 0), "proxy {proxy}");
+    }
+    sound(rig);
+}
+
+#[test]
+fn a_slow_site_and_a_dead_server_are_no_loss() {
+    let rig = start(two_sites(8 * SECOND));
+    let slow = at(&rig, 0);
+    answered(&rig, 100);
+    all(&rig, &slow, |server| Trouble::Slow { server, times: 50.0 });
+    answered(&rig, 300);
+    all(&rig, &slow, |server| Trouble::Slow { server, times: 1.0 });
+    let dead = at(&rig, 1)[0];
+    rig.truth.trouble(Trouble::Die(dead));
+    answered(&rig, 300);
+    for proxy in 0..PROXIES {
+        assert_eq!((losses(&rig, proxy, 0), losses(&rig, proxy, 1)), (0, 0), "proxy {proxy}");
+    }
+    sound(rig);
+}
+
+/// The same site, and half of the proxies can't reach it: it is lost to these.
+#[test]
+fn a_link_cut_for_half_of_the_proxies() {
+    let rig = start(two_sites(14 * SECOND));
+    answered(&rig, 200);
+    let links = rig.links(&[0, 1], Some(0));
+    links.iter().for_each(|link| link.cut());
+    say(&rig, 0..2, 0, "lost");
+    answered(&rig, 100);
+    for proxy in 2..PROXIES {
+        assert_eq!(losses(&rig, proxy, 0), 0, "proxy {proxy}");
+    }
+    links.iter().for_each(|link| link.heal());
+    say(&rig, 0..2, 0, "whole");
+    sound(rig);
+}
--- a/crates/site-plan/src/state.rs
+++ b/crates/site-plan/src/state.rs
@@ -184,8 +184,8 @@
     soft: u8,
     /// When the last of these came that counts: connections reset at one instant are one sign.
     signed: Option<Time>,
-    /// One of these came while others elsewhere were known to answer.
-    sure: bool,
+    /// So many of these came while its site was suspected and others were known to answer.
+    sure: u8,
 }
 
 /// That a site is lost, since a bad sign with no answer behind it.
@@ -248,7 +248,7 @@
 
 impl Server {
     fn clear(&mut self) {
-        (self.hard, self.soft, self.signed, self.sure) = (0, 0, None, false);
+        (self.hard, self.soft, self.signed, self.sure) = (0, 0, None, 0);
     }
 
     fn away(&self) -> bool {
@@ -404,7 +404,7 @@
             losses: 0,
         });
         self.servers
-            .insert(server, Server { site, listed, out: false, hard: 0, soft: 0, signed: None, sure: false });
+            .insert(server, Server { site, listed, out: false, hard: 0, soft: 0, signed: None, sure: 0 });
     }
 
     fn answered(&mut self, server: u32) {
@@ -417,20 +417,22 @@
             return;
         }
         let was = site.suspicion.take();
+        let lost = site.state == State::Lost;
         site.proof = site.proof.saturating_add(1);
-        if site.state == State::Lost {
+        // What was bad everywhere is over: what it left behind proves nothing.
+        let shared = !lost && was.is_some_and(|was| now - was.first >= self.set.lost_after);
+        if was.is_some() {
+            let over = self.servers.values_mut().filter(|server| shared || server.site == id);
+            over.for_each(|server| server.sure = 0);
+        }
+        if lost {
             return;
         }
-        // What was bad everywhere is over: what it left behind proves nothing.
-        let shared = was.is_some_and(|was| now - was.first >= self.set.lost_after);
         for (_, other) in self.sites.iter_mut().filter(|(other, _)| **other != id) {
             if let Some(suspicion) = &mut other.suspicion {
                 suspicion.since = suspicion.since.filter(|_| !shared).or(Some(now));
             }
         }
-        if shared {
-            self.servers.values_mut().for_each(|server| server.sure = false);
-        }
     }
 
     fn bad(&mut self, server: u32, hard: bool) {
@@ -455,7 +457,7 @@
         let since = (!guards.contrast).then_some(self.now);
         let suspicion = site.suspicion.get_or_insert(Suspicion { since, first: self.now, last: self.now });
         suspicion.last = self.now;
-        server.sure = suspicion.since.is_some();
+        server.sure = server.sure.saturating_add(u8::from(suspicion.since.is_some())).min(FAILURES);
     }
 
     fn tally(&self, site: u16) -> Tally {
@@ -468,7 +470,7 @@
                 tally.members += 1;
                 let down = server.down(&self.set.guards);
                 tally.down += usize::from(down);
-                tally.sure += usize::from(down && server.sure);
+                tally.sure += usize::from(server.sure >= FAILURES);
                 tally.silent += usize::from(server.soft >= FAILURES);
             }
         }
