--- a/crates/leverproxy/src/operators.rs
+++ b/crates/leverproxy/src/operators.rs
@@ -239,6 +239,7 @@
         lost_after: stated.lost_after,
         return_after: stated.return_after,
         dwell: stated.dwell,
+        list_late: model.availability.list_late,
         ..site_plan::Settings::default()
     })
 }
--- a/crates/site-plan/src/state.rs
+++ b/crates/site-plan/src/state.rs
@@ -12,6 +12,8 @@
 pub struct Settings {
     /// Bad signs over this long, with no answer between, make a site lost.
     pub lost_after: Duration,
+    /// The list is late by this at the most: what it says of a site that has answered since may be old.
+    pub list_late: Duration,
     /// A site returns for this long at least.
     pub return_after: Duration,
     /// Between two moves into or out of `Lost`, and before `Weakened` is over.
@@ -26,6 +28,7 @@
         let ms = Duration::from_millis;
         Settings {
             lost_after: ms(500),
+            list_late: ms(10_000),
             return_after: ms(5_000),
             dwell: ms(2_000),
             late: ms(500),
@@ -202,6 +205,8 @@
     state: State,
     source: Source,
     since: Time,
+    /// When the list first named it.
+    known: Time,
     /// When it was last lost or ceased to be.
     crossed: Option<Time>,
     /// The last answer of any of its servers, also of those that are away.
@@ -395,6 +400,7 @@
             state: State::Whole,
             source: Source::Answers,
             since: now,
+            known: now,
             crossed: None,
             answered: None,
             suspicion: None,
@@ -462,7 +468,8 @@
 
     fn tally(&self, site: u16) -> Tally {
         let mut tally = Tally::default();
-        for server in self.servers.values().filter(|s| s.site == site && s.listed != Listed::Gone) {
+        for server in self.servers.values().filter(|s| s.site == site && (s.out || s.listed != Listed::Gone))
+        {
             if server.away() {
                 tally.away += 1;
                 tally.out += usize::from(server.out);
@@ -487,11 +494,15 @@
 
     /// Why a site is lost, if it is.
     fn lost(&self, id: u16, site: &Site, tally: Tally) -> Option<Source> {
-        let Settings { lost_after, guards, .. } = self.set;
+        let Settings { lost_after, list_late, guards, .. } = self.set;
         if tally.members == 0 {
-            let until = site.answered.unwrap_or(Time::ZERO) + lost_after;
+            // Operators are never late.
+            let by_hand = tally.out == tally.away && tally.out > 0;
+            let (source, late) =
+                if by_hand { (Source::Operators, lost_after) } else { (Source::List, list_late) };
+            let spoke = site.answered.unwrap_or(site.known);
+            let until = spoke + if guards.list { late } else { lost_after };
             let sure = !guards.list || self.list_heard && self.now >= until;
-            let source = if tally.out > 0 { Source::Operators } else { Source::List };
             return (sure && self.answers_elsewhere(id, until)).then_some(source);
         }
         let Suspicion { since, last, .. } = site.suspicion?;
