site-plan: order of refusal, capacity as shown, and the pace of a return

What a loss would cost was not known beforehand, and a site that came back got all of its load at once. Pure functions: served parts by rank and share, learned capacity, parts of the cold bound by number.

--- a/crates/site-plan/src/lib.rs
+++ b/crates/site-plan/src/lib.rs
@@ -3,8 +3,13 @@
 //! load back ([`Pace`]). Nothing here decides where a request goes. `docs/design/site-loss.md`.
 #![forbid(unsafe_code)]
 
+mod capacity;
+pub mod order;
+mod pace;
 mod state;
 
+pub use capacity::{Capacity, Room};
+pub use pace::{Bound, Pace};
 pub use state::{Event, Guards, Listed, Report, Settings, Sites, Source, State};
 
 use std::time::Duration;
--- /dev/null
+++ b/crates/site-plan/tests/order.rs
@@ -0,0 +1,186 @@
+//! Order of refusal and pace of a return, for any load and any fleet.
+
+use proptest::prelude::*;
+use site_plan::order::{before, headroom, served, Ask, Standing};
+use site_plan::{Bound, Capacity, Pace, Room};
+use std::time::Duration;
+
+const ROOMS: usize = 2;
+const NEARLY: f64 = 1e-6;
+
+fn ask() -> impl Strategy<Value = Ask> {
+    let standing = prop_oneof![Just(Standing::Within), Just(Standing::Borrowed), Just(Standing::Beyond)];
+    (0..ROOMS, 0..4_u16, standing, any::<bool>(), 1..4_u8, 1..3_u8, 0..50_u16).prop_map(
+        |(room, tenant, standing, repeated, worth, work, rate)| Ask {
+            room,
+            tenant,
+            share: f64::from(tenant + 1),
+            standing,
+            repeated,
+            worth: f64::from(worth),
+            work: f64::from(work) * 0.01,
+            rate: f64::from(rate),
+        },
+    )
+}
+
+fn asks() -> impl Strategy<Value = Vec<Ask>> {
+    prop::collection::vec(ask(), 0..24)
+}
+
+fn rooms() -> impl Strategy<Value = Vec<f64>> {
+    prop::collection::vec(0.0..6.0, ROOMS)
+}
+
+fn work(ask: &Ask, part: f64) -> f64 {
+    ask.work * ask.rate * part
+}
+
+proptest! {
+    /// Nothing is served from room that a higher rank is refused for.
+    #[test]
+    fn no_lower_rank_before_a_higher(asks in asks(), rooms in rooms()) {
+        let parts = served(&asks, &rooms);
+        for (high, of_high) in asks.iter().zip(&parts) {
+            for (low, of_low) in asks.iter().zip(&parts) {
+                if high.room == low.room && high.rate > 0.0 && before(high, low) && *of_high < 1.0 {
+                    prop_assert_eq!(*of_low, 0.0, "{:?} is refused and {:?} served", high, low);
+                }
+            }
+        }
+    }
+
+    /// Room is kept to, and all of it used while anything is refused.
+    #[test]
+    fn room_is_kept_and_used(asks in asks(), rooms in rooms()) {
+        let parts = served(&asks, &rooms);
+        for (at, room) in rooms.iter().enumerate() {
+            let here = || asks.iter().zip(&parts).filter(|(ask, _)| ask.room == at);
+            let used: f64 = here().map(|(ask, part)| work(ask, *part)).sum();
+            prop_assert!(used <= room + NEARLY, "{used} of {room}");
+            if here().any(|(ask, part)| ask.rate > 0.0 && *part < 1.0 - NEARLY) {
+                prop_assert!(used >= room - NEARLY, "{used} of {room}");
+            }
+        }
+    }
+
+    /// Of one rank, whoever is refused has as much for its share as anyone.
+    #[test]
+    fn tenants_are_served_by_their_shares(asks in asks(), rooms in rooms()) {
+        let parts = served(&asks, &rooms);
+        for (a, of_a) in asks.iter().zip(&parts) {
+            let equals = |b: &Ask| a.room == b.room && !before(a, b) && !before(b, a);
+            let has = |tenant: u16| -> f64 {
+                let of_tenant = asks.iter().zip(&parts).filter(|(b, _)| equals(b) && b.tenant == tenant);
+                of_tenant.map(|(b, part)| work(b, *part)).sum()
+            };
+            if a.rate == 0.0 || *of_a >= 1.0 - NEARLY {
+                continue;
+            }
+            for b in asks.iter().filter(|b| equals(b)) {
+                let (mine, theirs) = (has(a.tenant) / a.share, has(b.tenant) / b.share);
+                prop_assert!(mine >= theirs - NEARLY, "{a:?} has {mine}, {b:?} {theirs}");
+            }
+        }
+    }
+
+    /// More room is less for nobody.
+    #[test]
+    fn more_room_serves_more(asks in asks(), rooms in rooms(), more in 0.0..4.0) {
+        let wider: Vec<f64> = rooms.iter().map(|room| room + more).collect();
+        for (less, more) in served(&asks, &rooms).into_iter().zip(served(&asks, &wider)) {
+            prop_assert!(more >= less - NEARLY);
+        }
+        let (least, most) = (headroom(&asks, &rooms), headroom(&asks, &wider));
+        prop_assert!(least <= most + NEARLY && (0.0..=1.0 + NEARLY).contains(&least));
+    }
+
+    /// Each proxy sees the return when it likes, loses the site again, and gets answers as they come: together they never have
+    /// more out than the bound of whoever saw the return first.
+    #[test]
+    fn the_sum_is_under_the_bound(
+        proxies in 1..40_u32,
+        (cold, warm) in (0..60_u64, 0..400_u64),
+        steps in prop::collection::vec((0..40_u32, 0..6_u8, 0..300_u64), 0..400),
+    ) {
+        let warm_after = Duration::from_secs(5);
+        let bound = |number| Bound { cold, warm, warm_after, number, proxies };
+        let mut paces: Vec<Pace> = (0..proxies).map(|number| Pace::new(bound(number))).collect();
+        let (mut now, mut first) = (Duration::ZERO, None);
+        for (at, what, millis) in steps {
+            now += Duration::from_millis(millis);
+            let pace = &mut paces[(at % proxies) as usize];
+            match what {
+                0 | 1 => {
+                    first.get_or_insert(now);
+                    pace.returns(now);
+                }
+                2 if millis < 30 => pace.lost(),
+                2 => pace.ended(now, false),
+                _ => pace.ended(now, true),
+            }
+            let sum: u64 = paces.iter().map(|pace| pace.allowed(now)).sum();
+            let most = first.map_or(0, |first| bound(0).at(now - first));
+            prop_assert!(sum <= most, "{sum} of {most}");
+        }
+    }
+
+    /// Parts add up to the whole, and grow with it.
+    #[test]
+    fn parts_add_up(all in 0..2_000_u64, proxies in 1..300_u32) {
+        let part = |number, all| {
+            Bound { cold: 0, warm: 0, warm_after: Duration::ZERO, number, proxies }.part(all)
+        };
+        prop_assert_eq!((0..proxies).map(|k| part(k, all)).sum::<u64>(), all);
+        prop_assert!((0..proxies).all(|k| part(k, all) <= part(k, all + 1)));
+        prop_assert_eq!(part(proxies, all), 0, "a stranger has none");
+    }
+}
+
+/// Proof gives all back, a loss in the midst begins anew, and sessions come last.
+#[test]
+fn a_return_and_a_second_loss() {
+    let bound = Bound { cold: 8, warm: 64, warm_after: Duration::from_secs(4), number: 1, proxies: 4 };
+    let mut pace = Pace::new(bound);
+    let mut now = Duration::from_secs(100);
+    assert_eq!(pace.allowed(now), 0);
+    let prove = |pace: &mut Pace, now| (0..64).for_each(|_| pace.ended(now, true));
+    pace.returns(now);
+    assert_eq!(pace.allowed(now), 1);
+    prove(&mut pace, now);
+    assert_eq!(pace.allowed(now), 2, "a quarter of what is cold");
+    now += Duration::from_secs(2);
+    prove(&mut pace, now);
+    assert_eq!(pace.allowed(now), 9);
+    pace.ended(now, false);
+    assert_eq!(pace.allowed(now), 4);
+    pace.lost();
+    assert_eq!(pace.allowed(now), 0);
+    pace.returns(now);
+    assert_eq!(pace.allowed(now), 1);
+    now += Duration::from_secs(4);
+    assert!(!pace.takes_sessions(now), "warm by time, and not proven");
+    prove(&mut pace, now);
+    assert_eq!((pace.allowed(now), pace.takes_sessions(now)), (16, true));
+}
+
+/// What a site showed counts, fades, and is told apart by group and kind.
+#[test]
+fn capacity_is_what_was_shown() {
+    let mut capacity = Capacity::default();
+    let room = |site, write| Room { group: 7, site, write };
+    let (mut now, ms) = (Duration::ZERO, Duration::from_millis);
+    for n in 0..4_000 {
+        now += ms(1);
+        let slower = if n % 2 == 0 { 1 } else { 3 };
+        capacity.answered(now, room(n % 4 / 2, false), 0, ms(10) * slower);
+    }
+    let shown = capacity.shown(now, room(0, false));
+    // 500 in a second, of 10 ms each as the shortest tell, and a little more by the longer ones.
+    assert!((4.9..5.6).contains(&shown), "{shown}");
+    assert_eq!(capacity.without(now, 0, 7, false), capacity.shown(now, room(1, false)));
+    assert_eq!(capacity.without(now, 0, 7, true), 0.0);
+    assert_eq!(capacity.without(now, 0, 8, false), 0.0);
+    let later = now + Duration::from_secs(60);
+    assert!((capacity.shown(later, room(0, false)) / shown - 0.5).abs() < 0.02);
+}
