Sites: a list that says what the servers' signs say counts at once; four more trials

With a prompt list the module stops asking dead servers, and proxies knew of the loss only by the list, after 10 s. Two servers that failed before it are enough now.

--- a/crates/rig/tests/sites.rs
+++ b/crates/rig/tests/sites.rs
@@ -4,6 +4,7 @@
 use common::{answered, setup, sound, start, SECOND};
 use rig::process::PATIENCE;
 use rig::{Rig, Setup};
+use rustix::process::Signal;
 use std::time::Instant;
 use world::catalog;
 use world::site::{ServerId, Trouble};
@@ -26,8 +27,15 @@
 }
 
 fn at(rig: &Rig, place: u16) -> Vec<ServerId> {
+    at_of(rig, 2, place)
+}
+
+fn at_of(rig: &Rig, groups: u32, place: u16) -> Vec<ServerId> {
     let inner = rig.truth.look();
-    (0..2).flat_map(|g| inner.site.members(g).to_vec()).filter(|s| inner.site.place(*s) == place).collect()
+    (0..groups)
+        .flat_map(|g| inner.site.members(g).to_vec())
+        .filter(|s| inner.site.place(*s) == place)
+        .collect()
 }
 
 fn state(place: u16, state: &str) -> String {
@@ -66,8 +74,12 @@
     println!("{word} after {:?}", begun.elapsed());
 }
 
+fn losses_name(place: u16) -> String {
+    format!("lb_site_losses_total{{site=\"p{place}\"}}")
+}
+
 fn losses(rig: &Rig, proxy: usize, place: u16) -> u64 {
-    figure(rig, proxy, &format!("lb_site_losses_total{{site=\"p{place}\"}}"))
+    figure(rig, proxy, &losses_name(place))
 }
 
 fn all(rig: &Rig, servers: &[ServerId], trouble: impl Fn(ServerId) -> Trouble) {
@@ -139,3 +151,63 @@
     (0..2).for_each(|proxy| until(&rig, proxy, &state(0, "lost"), |n| n == 0));
     sound(rig);
 }
+
+/// The site goes again as soon as it answers: each proxy loses it twice, and no more often.
+#[test]
+fn lost_back_and_lost_again() {
+    let rig = start(two_sites(14 * SECOND));
+    let dead = at(&rig, 0);
+    answered(&rig, 100);
+    rig.truth.list(catalog::Event::Behind(8 * SECOND));
+    all(&rig, &dead, Trouble::Die);
+    say(&rig, 0..PROXIES, 0, "lost");
+    all(&rig, &dead, Trouble::Start);
+    say(&rig, 0..PROXIES, 0, "returning");
+    all(&rig, &dead, Trouble::Die);
+    (0..PROXIES).for_each(|proxy| until(&rig, proxy, &losses_name(0), |n| n == 2));
+    answered(&rig, 100);
+    for proxy in 0..PROXIES {
+        assert_eq!((losses(&rig, proxy, 0), losses(&rig, proxy, 1)), (2, 0), "proxy {proxy}");
+    }
+    sound(rig);
+}
+
+/// A proxy that stood still finds all of its requests overdue, and a connection for none: that is its own doing.
+#[test]
+fn a_proxy_that_stood_still_loses_nothing() {
+    let mut rig = start(two_sites(8 * SECOND));
+    answered(&rig, 100);
+    rig.signal(1, Signal::STOP);
+    answered(&rig, 300);
+    rig.signal(1, Signal::CONT);
+    answered(&rig, 200);
+    for proxy in 0..PROXIES {
+        assert_eq!((losses(&rig, proxy, 0), losses(&rig, proxy, 1)), (0, 0), "proxy {proxy}");
+    }
+    sound(rig);
+}
+
+#[test]
+fn a_site_of_one_server() {
+    let mut setup = two_sites(6 * SECOND);
+    (setup.site.groups, setup.clients.groups, setup.site.group.members) = (1, 1, 2);
+    // Most of two are two: without a quorum the one that is left takes over.
+    setup.site.group.quorum = false;
+    let rig = start(setup);
+    answered(&rig, 100);
+    rig.truth.list(catalog::Event::Behind(8 * SECOND));
+    rig.truth.trouble(Trouble::Die(at_of(&rig, 1, 0)[0]));
+    say(&rig, 0..PROXIES, 0, "lost");
+    sound(rig);
+}
+
+#[test]
+fn one_place_has_no_states() {
+    let mut setup = two_sites(3 * SECOND);
+    setup.site.places = 1;
+    let rig = start(setup);
+    answered(&rig, 100);
+    let figures = rig.figures(0).unwrap_or_else(|fault| panic!("{fault}"));
+    assert!(figures.keys().all(|name| !name.starts_with("lb_site")), "{figures:?}");
+    sound(rig);
+}
--- a/crates/site-plan/src/state.rs
+++ b/crates/site-plan/src/state.rs
@@ -207,6 +207,8 @@
     state: State,
     source: Source,
     since: Time,
+    /// How many members it had when it last had any.
+    size: usize,
     /// When the list first named it.
     known: Time,
     /// When it was last lost or ceased to be.
@@ -250,6 +252,8 @@
     down: usize,
     /// Of these, as others answered.
     sure: usize,
+    /// Servers with a bad sign since their last answer, also those that are away.
+    struck: usize,
     silent: usize,
     away: usize,
     out: usize,
@@ -404,6 +408,7 @@
             state: State::Whole,
             source: Source::Answers,
             since: now,
+            size: 0,
             known: now,
             crossed: None,
             answered: None,
@@ -425,10 +430,10 @@
         let (away, id, now) = (server.away(), server.site, self.now);
         let Some(site) = self.sites.get_mut(&id) else { return };
         site.answered = Some(now);
+        let was = site.suspicion.take();
         if away {
             return;
         }
-        let was = site.suspicion.take();
         let lost = site.state == State::Lost;
         site.proof = site.proof.saturating_add(1);
         // What was bad everywhere is over: what it left behind proves nothing.
@@ -475,14 +480,17 @@
 
     fn tally(&self, site: u16) -> Tally {
         let mut tally = Tally::default();
-        for server in self.servers.values().filter(|s| s.site == site && (s.out || s.listed != Listed::Gone))
-        {
+        for server in self.servers.values().filter(|s| s.site == site) {
+            let known = self.now.saturating_sub(server.last) < FORGOTTEN;
+            tally.struck += usize::from(known && server.hard > 0);
+            if server.listed == Listed::Gone && !server.out {
+                continue;
+            }
             if server.away() {
                 tally.away += 1;
                 tally.out += usize::from(server.out);
             } else {
                 tally.members += 1;
-                let known = self.now.saturating_sub(server.last) < FORGOTTEN;
                 let down = known && server.down(&self.set.guards);
                 tally.down += usize::from(down);
                 tally.sure += usize::from(server.sure >= FAILURES);
@@ -504,12 +512,13 @@
     fn lost(&self, id: u16, site: &Site, tally: Tally) -> Option<Source> {
         let Settings { lost_after, list_late, guards, .. } = self.set;
         if tally.members == 0 {
-            // Operators are never late.
+            // Operators are never late, nor is a list that says what the servers' own signs say.
             let by_hand = tally.out == tally.away && tally.out > 0;
-            let (source, late) =
-                if by_hand { (Source::Operators, lost_after) } else { (Source::List, list_late) };
-            let spoke = site.answered.unwrap_or(site.known);
-            let until = spoke + if guards.list { late } else { lost_after };
+            let struck = site.suspicion.filter(|_| tally.struck >= WITNESSES.min(site.size));
+            let source = if by_hand { Source::Operators } else { Source::List };
+            let late = if guards.list && !by_hand && struck.is_none() { list_late } else { lost_after };
+            let spoke = struck.map(|s| s.first).or(site.answered).unwrap_or(site.known);
+            let until = spoke + late;
             let sure = !guards.list || self.list_heard && self.now >= until;
             return (sure && self.answers_elsewhere(id, until)).then_some(source);
         }
@@ -561,6 +570,9 @@
             },
         };
         let Some(site) = self.sites.get_mut(&id) else { return };
+        if tally.members > 0 {
+            site.size = tally.members;
+        }
         if trouble.is_some() {
             site.troubled = now;
         }
