--- a/crates/site-plan/tests/model.rs
+++ b/crates/site-plan/tests/model.rs
@@ -101,7 +101,7 @@
                 self.proof[at] = 0;
                 // The list is believed about a site that says nothing.
                 let quiet = self.now - self.answered[at] >= LIST_LATE;
-                if !self.died[at] && !(self.dropped[at] && self.heard && quiet) {
+                if !(self.died[at] || self.dropped[at] && self.heard && quiet) {
                     self.broken.push(FALSE_LOSS);
                 }
             }
