--- a/crates/leverproxy/src/stages/mod.rs
+++ b/crates/leverproxy/src/stages/mod.rs
@@ -89,7 +89,7 @@
     pub fn new(
         platform: Decoded,
         rules: steer::Rules,
-        monitor: Monitor,
+        mut monitor: Monitor,
         seed: u64,
         probe_time: Duration,
         now: Instant,
@@ -98,6 +98,7 @@
         let mut quota = quota::Quota::default();
         quota.configure(&platform, now);
         let Decoded { settings, names, max_open, .. } = platform;
+        monitor.configure(&settings);
         Chain {
             counters: Counters::new(&names.classes),
             monitor,
@@ -193,7 +194,7 @@
         self.quota.mark(&mut arrival, request.tenant.is_some(), now);
         self.ledger.admit(&arrival, ticket, class, pool, request);
         self.counters.taken(class);
-        self.monitor.asked(arrival.group, now);
+        self.monitor.arrived(&arrival, now);
         self.decide(Event::Arrived(arrival), sides, now);
     }
 
@@ -242,6 +243,7 @@
         self.writes = settings.classes.iter().map(|c| c.need == Need::Write).collect();
         (self.names, self.probe_time) = (names, probe_time);
         self.ledger.set_limit(max_open);
+        self.monitor.configure(&settings);
         self.route.configure(settings, &heirs);
     }
 
@@ -353,8 +355,10 @@
                 self.counters.lists += 1;
                 let (news, changes) = self.directory.learn(listing, &self.names);
                 self.listed(news, changes, sides, now);
+                self.monitor.list(true, now);
             }
             News::Lost => {
+                self.monitor.list(false, now);
                 self.monitor.event(now, availability::Event::Discovery { heard: false });
                 self.counters.watches_lost += 1;
             }
@@ -464,6 +468,7 @@
     /// Operators take a server out or call it back.
     pub fn hand(&mut self, name: &str, out: bool, sides: &mut Sides, now: Instant) -> Result<(), Unknown> {
         if let Some((news, changes)) = self.directory.hand(name, out, self.clock.unix(now), &self.names)? {
+            self.monitor.hands(&news, now);
             self.listed(news, changes, sides, now);
         }
         Ok(())
@@ -472,6 +477,7 @@
     /// What the process before this one was told by operators, beside the list that it had.
     pub fn take_over(&mut self, hands: Vec<Hand>, sides: &mut Sides, now: Instant) {
         for (news, changes) in self.directory.take_over(hands, &self.names) {
+            self.monitor.hands(&news, now);
             self.listed(news, changes, sides, now);
         }
     }
--- a/crates/leverproxy/src/takeover/recorded.rs
+++ b/crates/leverproxy/src/takeover/recorded.rs
@@ -45,7 +45,13 @@
 /// needs. More than it knows, in the same version, is no reason to refuse.
 #[test]
 fn an_estate_of_a_later_version_is_refused() {
-    assert_eq!(received(&ESTATE.replace("\"version\":1", "\"version\":2")), "its message has version 2, and this process takes 1");
+    assert_eq!(
+        received(&ESTATE.replace("\"version\":1", "\"version\":2")),
+        "its message has version 2, and this process takes 1"
+    );
     assert!(received("{\"version\":2}").contains("missing field"));
-    assert_eq!(received(&ESTATE.replace("\"hands\"", "\"more\":[1],\"hands\"")), "no listener came with its message");
+    assert_eq!(
+        received(&ESTATE.replace("\"hands\"", "\"more\":[1],\"hands\"")),
+        "no listener came with its message"
+    );
 }
