--- a/crates/rig/tests/common/mod.rs
+++ b/crates/rig/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod loans;
+pub mod turns;
 
 use rig::truth::Outcomes;
 use rig::{Rig, Setup};
--- a/crates/rig/tests/sites.rs
+++ b/crates/rig/tests/sites.rs
@@ -1,6 +1,7 @@
 //! What several processes know of their sites: each by itself, by what it proves.
 
 mod common;
+use common::turns::turn;
 use common::{answered, setup, sound, start, SECOND};
 use rig::process::PATIENCE;
 use rig::{Rig, Setup};
@@ -89,6 +90,7 @@
 /// The site of all primaries dies while the list still names it as ready, and comes back.
 #[test]
 fn a_site_dies_with_its_primaries_and_returns() {
+    let _turn = turn();
     let rig = start(two_sites(26 * SECOND));
     let dead = at(&rig, 0);
     assert!((0..2).all(|group| dead.contains(&rig.truth.look().site.primary(group).unwrap())));
@@ -119,6 +121,7 @@
 
 #[test]
 fn a_slow_site_and_a_dead_server_are_no_loss() {
+    let _turn = turn();
     let rig = start(two_sites(8 * SECOND));
     let slow = at(&rig, 0);
     answered(&rig, 100);
@@ -137,6 +140,7 @@
 /// The same site, and half of the proxies can't reach it: it is lost to these.
 #[test]
 fn a_link_cut_for_half_of_the_proxies() {
+    let _turn = turn();
     let rig = start(two_sites(26 * SECOND));
     answered(&rig, 200);
     let links = rig.links(&[0, 1], Some(0));
@@ -155,6 +159,7 @@
 /// The site goes again as soon as it answers: each proxy loses it twice, and no more often.
 #[test]
 fn lost_back_and_lost_again() {
+    let _turn = turn();
     let rig = start(two_sites(26 * SECOND));
     let dead = at(&rig, 0);
     answered(&rig, 100);
@@ -175,6 +180,7 @@
 /// A proxy that stood still finds all of its requests overdue, and a connection for none: that is its own doing.
 #[test]
 fn a_proxy_that_stood_still_loses_nothing() {
+    let _turn = turn();
     let mut rig = start(two_sites(8 * SECOND));
     answered(&rig, 100);
     rig.signal(1, Signal::STOP);
@@ -189,6 +195,7 @@
 
 #[test]
 fn a_site_of_one_server() {
+    let _turn = turn();
     let mut setup = two_sites(6 * SECOND);
     (setup.site.groups, setup.clients.groups, setup.site.group.members) = (1, 1, 2);
     // Most of two are two: without a quorum the one that is left takes over.
@@ -203,6 +210,7 @@
 
 #[test]
 fn one_place_has_no_states() {
+    let _turn = turn();
     let mut setup = two_sites(3 * SECOND);
     setup.site.places = 1;
     let rig = start(setup);
