--- a/crates/mountshift/src/decide.rs
+++ b/crates/mountshift/src/decide.rs
@@ -947,9 +947,9 @@
     /// Whether a new request is taken in at all: the part that the stores have lately shown to bear, the more
     /// valuable for their work sooner. Guards against jams of which no store and no room is the cause: many
     /// routers' attempts, retried by clients and run in vain, keep every store full (flash crowds, mass
-    /// restarts, too few primaries). Harms when a fault that costs worth is over, for the time of memory. What
-    /// is beyond a quota has its own door, its repeats wait until that is quite open; what is borrowed takes
-    /// no place that one within is refused for.
+    /// restarts, too few primaries). Harms when a fault that costs worth is over, for the time of memory.
+    /// What is beyond a quota has its own door, its repeats wait until that is quite open; what is borrowed
+    /// takes no place that one within is refused for.
     fn takes_in(&mut self, id: RequestId) -> bool {
         let value = self.value(id);
         self.usual_value += self.tune.run_weight * (value - self.usual_value);
