Members: an event costs what it changes, not a look at the whole roster

Need: one schedule of 500 members took minutes, so nearly nothing was shown at that size. A profile gave 40 % of the time to Core::handle itself: look went over all members with each datagram that carried any news, heads were counted anew for the fleet and each region, and who is down was collected, sorted and hashed for each comparison of views. Chance and the harness were ruled out: the same fleet in virtual time takes the same events before and after (290,171 among 500).

Now crates/membership/src/seen.rs keeps what is known of members with all that is counted of it, a change moves the counts, and what foca holds is compared place by place. A debug build counts anew with each beat.

What is left in a cut is foca's own list and its queue of updates.

--- a/crates/membership/src/core.rs
+++ b/crates/membership/src/core.rs
@@ -11,6 +11,7 @@
 
 use crate::facts::{Fact, Frame, Limits, Name, Said, Store, Taken, TellError};
 use crate::roster::{number, Known, Roster, RosterError};
+use crate::seen::{is_heard, Seen, Sighting};
 use crate::standing::{rule, Act, Denied, Heads, Rule, Standing, State};
 use crate::swim::{Bad, Id, Pace, Swim, Views, SWIM};
 use crate::view::{Counts, Sight, Status, View};
@@ -119,15 +120,6 @@
     BadRoster(RosterError),
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Seen {
-    status: Status,
-    since: Duration,
-    id: Option<Id>,
-    /// When a datagram of its own last came.
-    heard: Option<Duration>,
-}
-
 pub struct Core {
     me: u32,
     start: u64,
@@ -136,7 +128,9 @@
     swim: Swim,
     store: Store,
     rng: StdRng,
-    seen: BTreeMap<u32, Seen>,
+    seen: Seen,
+    /// What `foca` held when it was last looked at, in its order, which rarely changes.
+    looked: Vec<(Id, Status)>,
     fleet: Standing,
     regions: BTreeMap<String, Standing>,
     shown: State,
@@ -175,7 +169,8 @@
             swim,
             store: Store::new(me, config.start, config.limits),
             rng: StdRng::seed_from_u64(seed ^ 0x6d65_6d62),
-            seen: BTreeMap::new(),
+            seen: Seen::default(),
+            looked: Vec::new(),
             fleet: Standing::default(),
             regions: BTreeMap::new(),
             shown: State::Alone,
@@ -199,18 +194,12 @@
 
     /// Brings what is kept for each member into line with the roster.
     fn fit(&mut self, now: Duration) {
-        let (me, members) = (self.me, &self.roster.members);
-        let gone: Vec<Seen> =
-            self.seen.iter().filter(|(number, _)| !members.contains_key(number)).map(|(_, s)| *s).collect();
-        for id in gone.into_iter().filter_map(|seen| seen.id) {
+        for id in self.seen.fit(now, &self.roster, self.me) {
             self.swim.drop(now, id);
         }
+        self.looked.clear();
+        self.swim.touched = true;
         let members = &self.roster.members;
-        self.seen.retain(|number, _| members.contains_key(number));
-        for number in members.keys().filter(|number| **number != me) {
-            let new = Seen { status: Status::NeverHeard, since: now, id: None, heard: None };
-            self.seen.entry(*number).or_insert(new);
-        }
         self.regions.retain(|region, _| members.values().any(|member| member.region == *region));
         for member in members.values() {
             self.regions.entry(member.region.clone()).or_default();
@@ -222,14 +211,14 @@
             return;
         }
         self.notice_lateness(now);
-        let (mut look, mut adopted) = (false, false);
+        let mut adopted = false;
         match event {
             Event::Start if self.beat.is_none() => {
                 self.beat = Some(now + self.config.period / 2);
                 self.seek(now, 3);
             }
             Event::Start => {}
-            Event::Heard { from, start, bytes } => look = self.heard(now, from, start, bytes, actions),
+            Event::Heard { from, start, bytes } => self.heard(now, from, start, bytes, actions),
             Event::Timer(token) => {
                 if token == self.token {
                     self.armed = None;
@@ -237,7 +226,7 @@
             }
             Event::Roster(roster) => {
                 self.adopt(now, roster, actions);
-                (look, adopted) = (true, true);
+                adopted = true;
             }
             Event::Leave => self.leave(now),
             Event::Tell { kind, key, body, lasts } => match self.store.tell(now, kind, key, body, lasts) {
@@ -250,8 +239,8 @@
         if beat {
             self.on_beat(now);
         }
-        let changed = std::mem::take(&mut self.swim.changed) || look;
-        let news = (beat || changed) && self.look(now, actions);
+        let news = self.look(now, actions);
+        debug_assert!(!beat || self.is_seen());
         // Many datagrams carry news, few of them new here: states are counted when a member changed, and with each beat.
         if beat || news || adopted {
             self.count_states(now, actions);
@@ -294,80 +283,64 @@
         self.beat = self.beat.map(|_| now);
         self.counts.pauses += 1;
         self.doubt = Some(Doubt { since: now, acked: BTreeSet::new() });
-        for seen in self.seen.values_mut().filter(|seen| seen.status == Status::Suspect) {
-            seen.since = now;
-        }
+        self.seen.suspect_anew(now);
         self.fleet.forget();
         self.regions.values_mut().for_each(Standing::forget);
     }
 
-    fn heard(
-        &mut self,
-        now: Duration,
-        from: &str,
-        start: u64,
-        bytes: &[u8],
-        actions: &mut Vec<Action>,
-    ) -> bool {
+    fn heard(&mut self, now: Duration, from: &str, start: u64, bytes: &[u8], actions: &mut Vec<Action>) {
         let from = number(from);
-        let Some(seen) = self.seen.get(&from) else {
+        let Some(seen) = self.seen.get(from) else {
             self.counts.strangers += 1;
-            return false;
+            return;
         };
         if seen.id.is_some_and(|id| id.start > start) {
             self.counts.earlier += 1;
-            return false;
+            return;
         }
         let done = match bytes.split_first() {
             _ if bytes.len() > DATAGRAM_BYTES => Err(Bad::Malformed),
-            Some((&SWIM, packet)) => {
-                let known = |number| self.roster.members.contains_key(&number);
-                self.swim.heard(now, (from, start), packet, known).map(|told| {
-                    self.counts.strangers += told.strangers as u64;
-                    if let Some(number) = told.acked {
-                        self.answered = now;
-                        if let Some(doubt) = &mut self.doubt {
-                            doubt.acked.insert(number);
-                        }
-                    }
-                    told.news
-                })
-            }
-            Some((&FACTS, packet)) => self.heard_facts(now, from, packet, actions).map(|()| false),
-            Some((&VIEWS, packet)) => self.heard_view(now, from, packet).map(|()| false),
+            Some((&SWIM, packet)) => self.heard_swim(now, (from, start), packet),
+            Some((&FACTS, packet)) => self.heard_facts(now, from, packet, actions),
+            Some((&VIEWS, packet)) => self.heard_view(now, from, packet),
             _ => Err(Bad::Malformed),
         };
         match done {
-            Ok(news) => {
-                if let Some(seen) = self.seen.get_mut(&from) {
-                    seen.heard = Some(now);
-                }
-                news
-            }
-            Err(Bad::Malformed) => {
-                self.counts.malformed += 1;
-                false
-            }
-            Err(Bad::Sender) => {
-                self.counts.imposters += 1;
-                false
+            Ok(()) => self.seen.heard_of(from, now),
+            Err(Bad::Malformed) => self.counts.malformed += 1,
+            Err(Bad::Sender) => self.counts.imposters += 1,
+        }
+    }
+
+    fn heard_swim(&mut self, now: Duration, from: (u32, u64), packet: &[u8]) -> Result<(), Bad> {
+        let told = self.swim.heard(now, from, packet, self.me, &self.seen)?;
+        self.counts.strangers += told.strangers as u64;
+        if let Some(number) = told.acked {
+            self.answered = now;
+            if let Some(doubt) = &mut self.doubt {
+                doubt.acked.insert(number);
             }
         }
+        Ok(())
     }
 
     fn heard_view(&mut self, now: Duration, from: u32, packet: &[u8]) -> Result<(), Bad> {
-        let mine = self.swim.downs();
         match postcard::from_bytes(packet).map_err(|_| Bad::Malformed)? {
-            hash @ Views::Hash(_) if hash != Views::hash(&mine) => self.send_downs(from, false, mine),
+            hash @ Views::Hash(_) if hash != *self.seen.downs_hash() => {
+                let mine = self.seen.downs().clone();
+                self.send_downs(from, false, mine);
+            }
             Views::Hash(_) => {}
             Views::Down { answer, ids } => {
                 let theirs: BTreeSet<Id> = ids.into_iter().collect();
+                let mine = self.seen.downs();
+                let (seen, lacking) = (&self.seen, mine.difference(&theirs).copied().collect());
+                let new = theirs.difference(mine).filter(|id| seen.get(id.number).is_some());
+                let new: Vec<Id> = new.copied().collect();
                 if !answer {
-                    self.send_downs(from, true, mine.difference(&theirs).copied().collect());
+                    self.send_downs(from, true, lacking);
                 }
-                let me = self.me;
-                let known = |id: &Id| id.number != me && self.roster.members.contains_key(&id.number);
-                self.swim.take_downs(now, theirs.into_iter().filter(known));
+                self.swim.take_downs(now, new);
             }
         }
         Ok(())
@@ -453,8 +426,11 @@
         // Under a new identity (another roster, a return) `foca` is silent until somebody speaks to it: if all change
         // theirs at once, nobody would. So without answers it is announced to those that are heard as well.
         let silent = now > self.answered + self.config.period * 2;
+        if !silent && self.seen.others().len() == self.seen.len() {
+            return;
+        }
         let unheard = self.seen.iter().filter(|(_, seen)| silent || !is_heard(seen.status));
-        for (number, seen) in unheard.map(|(number, seen)| (*number, *seen)).sample(&mut self.rng, count) {
+        for (number, seen) in unheard.map(|(number, seen)| (number, *seen)).sample(&mut self.rng, count) {
             let unknown = Id { number, start: 0, returns: 0, roster: 0 };
             self.swim.announce(now, seen.id.unwrap_or(unknown));
         }
@@ -463,7 +439,7 @@
     fn on_beat(&mut self, now: Duration) {
         self.beats += 1;
         self.beat = Some(now + self.config.period / 2);
-        let alone = !self.seen.values().any(|seen| is_heard(seen.status));
+        let alone = self.seen.others().is_empty();
         if self.beats.is_multiple_of(2) {
             self.seek(now, if alone { 3 } else { 1 });
             self.store.tidy(now);
@@ -471,12 +447,13 @@
         self.settle_suspicions(now);
         self.spread(now);
         if self.beats < self.lively || self.beats.is_multiple_of(4) {
-            if let Some(to) = self.others().choose(&mut self.rng).copied() {
-                self.send_view(to, &Views::hash(&self.swim.downs()));
+            if let Some(to) = self.seen.others().choose(&mut self.rng).copied() {
+                let hash = self.seen.downs_hash().clone();
+                self.send_view(to, &hash);
             }
         }
         if self.beats.is_multiple_of(4) {
-            let to = self.others().choose(&mut self.rng).copied();
+            let to = self.seen.others().choose(&mut self.rng).copied();
             if let Some(to) = to {
                 let summary = self.store.summary();
                 self.send(to, &summary);
@@ -509,9 +486,9 @@
 
     /// A suspicion ends: by a word of the member, which is asked for, or by calling it down.
     fn settle_suspicions(&mut self, now: Duration) {
-        let suspected = self.seen.iter().filter(|(_, seen)| seen.status == Status::Suspect);
-        let suspected: Vec<_> = suspected.map(|(number, seen)| (*number, now - seen.since)).collect();
-        for (number, waited) in suspected {
+        let suspected: Vec<_> = self.seen.suspected().collect();
+        for (number, since) in suspected {
+            let waited = now - since;
             if waited >= self.config.suspicion * 2 {
                 self.swim.give_up(now, number);
             } else if waited > self.config.suspicion {
@@ -520,17 +497,13 @@
         }
     }
 
-    fn others(&self) -> Vec<u32> {
-        self.seen.iter().filter(|(_, seen)| is_heard(seen.status)).map(|(number, _)| *number).collect()
-    }
-
     /// Sends what is new here to some. What was passed on least goes first, and else by chance: where not all fits, it is
     /// no source in particular that waits for the next beat.
     fn spread(&mut self, now: Duration) {
         if self.fresh.is_empty() {
             return;
         }
-        let to: Vec<u32> = self.others().sample(&mut self.rng, RUMOUR).copied().collect();
+        let to: Vec<u32> = self.seen.others().sample(&mut self.rng, RUMOUR).copied().collect();
         if to.is_empty() {
             return;
         }
@@ -614,49 +587,50 @@
         }
     }
 
-    /// Takes over who is there; whether that is news.
+    /// Takes over who is there, as far as something may have changed; whether that is news.
     fn look(&mut self, now: Duration, actions: &mut Vec<Action>) -> bool {
         let mut news = false;
-        for member in self.swim.members() {
-            let id = *member.id();
-            let Some(seen) = self.seen.get_mut(&id.number) else { continue };
-            let status = match member.state() {
-                foca::State::Alive => Status::Alive,
-                foca::State::Suspect => Status::Suspect,
-                foca::State::Down if id.has_left() => Status::Left,
-                foca::State::Down => Status::Down,
-            };
-            let was = seen.id.replace(id);
-            if was.is_none_or(|was| was.roster != id.roster) && id.roster != self.roster.version {
-                self.counts.roster_differs += 1;
+        if !std::mem::take(&mut self.swim.touched) {
+            return news;
+        }
+        for (at, (id, status)) in self.swim.members().enumerate() {
+            match self.looked.get_mut(at) {
+                Some(looked) if *looked == (id, status) => continue,
+                Some(looked) => *looked = (id, status),
+                None => self.looked.push((id, status)),
             }
-            if status != seen.status || was.is_some_and(|was| was.start != id.start) {
-                if is_heard(status) && !is_heard(seen.status) {
-                    self.returned.insert(id.number);
-                }
+            let Some(change) = self.seen.take(now, &self.roster, id, status) else { continue };
+            self.counts.roster_differs += u64::from(change.differs);
+            if change.back {
+                self.returned.insert(id.number);
+            }
+            if change.news {
+                news = true;
                 if !is_heard(status) {
                     self.lively = self.beats + LIVELY;
                 }
-                seen.status = status;
-                seen.since = now;
-                news = true;
-                if let Some(member) = self.roster.members.get(&id.number) {
-                    actions.push(Action::Changed(member.name.clone(), status));
-                }
+                let name = self.roster.members.get(&id.number).map(|member| member.name.clone());
+                actions.extend(name.map(|name| Action::Changed(name, status)));
             }
         }
         news
     }
 
+    /// Nothing has changed that was not looked at, and all is counted.
+    fn is_seen(&self) -> bool {
+        let same = |(id, status): (Id, Status)| {
+            self.seen.get(id.number).is_none_or(|seen| (seen.id, seen.status) == (Some(id), status))
+        };
+        self.swim.members().all(same) && self.seen.adds_up(&self.roster, self.me)
+    }
+
     /// What state that is.
     fn count_states(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let hold = self.config.regain;
-        self.fleet.step(now, self.heads(None), hold);
-        let regions: Vec<String> = self.regions.keys().cloned().collect();
-        for region in regions {
-            let heads = self.heads(Some(&region));
-            if let Some(standing) = self.regions.get_mut(&region) {
-                standing.step(now, heads, hold);
+        self.fleet.step(now, self.seen.heads(), hold);
+        for (region, heads) in self.seen.regions() {
+            if let Some(standing) = self.regions.get_mut(region) {
+                standing.step(now, *heads, hold);
             }
         }
         let state = self.state(now);
@@ -666,27 +640,6 @@
         }
     }
 
-    fn heads(&self, region: Option<&str>) -> Heads {
-        let mut heads = Heads::default();
-        for (number, member) in &self.roster.members {
-            if region.is_some_and(|region| member.region != region) {
-                continue;
-            }
-            heads.of += 1;
-            match self.seen.get(number).map(|seen| seen.status) {
-                None => {
-                    heads.me = true;
-                    heads.heard += 1;
-                }
-                Some(Status::Alive) => heads.heard += 1,
-                Some(Status::Suspect) => heads.suspect += 1,
-                Some(Status::Left) => heads.left += 1,
-                Some(Status::Down | Status::NeverHeard) => {}
-            }
-        }
-        heads
-    }
-
     fn doubting(&self, now: Duration) -> bool {
         self.doubt.is_some() || self.is_late(now)
     }
@@ -699,14 +652,6 @@
         }
     }
 
-    fn differing(&self) -> usize {
-        let version = self.roster.version;
-        self.seen
-            .values()
-            .filter(|seen| is_heard(seen.status) && seen.id.is_some_and(|id| id.roster != version))
-            .count()
-    }
-
     /// Whether something may be done now; for a region, if it concerns only that.
     pub fn allowed(&self, now: Duration, act: Act, region: Option<&str>) -> Result<(), Denied> {
         let standings: Vec<(Option<&str>, &Standing)> = match region {
@@ -729,7 +674,7 @@
                     return Err(Denied::TooFew { state: standing.state, heard, of, region });
                 }
                 Rule::Agreed if self.left => return Err(Denied::Left),
-                Rule::Agreed => match self.differing() {
+                Rule::Agreed => match self.seen.differing() {
                     0 => {}
                     members => return Err(Denied::RosterDiffers(members)),
                 },
@@ -757,8 +702,8 @@
     pub fn view(&self, now: Duration) -> View {
         // In one round each two members probe each other once, in an order that changes.
         let rounds = self.config.period * (2 * self.seen.len() as u32 + 2);
-        let sight = |(number, seen): (&u32, &Seen)| {
-            let member = self.roster.members.get(number)?;
+        let sight = |(number, seen): (u32, &Sighting)| {
+            let member = self.roster.members.get(&number)?;
             Some(Sight {
                 name: member.name.clone(),
                 address: member.address,
@@ -775,7 +720,7 @@
             doubting: self.doubting(now),
             heads: self.fleet.heads,
             roster: self.roster.version,
-            roster_differs: self.differing(),
+            roster_differs: self.seen.differing(),
             regions: self.regions.iter().map(|(region, part)| (region.clone(), part.state)).collect(),
             members: self.seen.iter().filter_map(sight).collect(),
             facts: self.store.len(),
@@ -789,10 +734,6 @@
     }
 }
 
-fn is_heard(status: Status) -> bool {
-    matches!(status, Status::Alive | Status::Suspect)
-}
-
 fn pace(config: &Config, roster: &Known) -> Pace {
     Pace {
         period: config.period,
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -11,6 +11,7 @@
 #[cfg(test)]
 mod recorded;
 mod roster;
+mod seen;
 mod standing;
 mod swim;
 mod view;
--- a/crates/membership/src/swim.rs
+++ b/crates/membership/src/swim.rs
@@ -13,6 +13,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::roster::hash_bytes;
+use crate::seen::Seen;
+use crate::view::Status;
 
 /// What `foca` may fill of a datagram of 1,200 bytes, beside the byte of its kind.
 const PACKET_BYTES: usize = 1199;
@@ -119,8 +121,6 @@
     pub acked: Option<u32>,
     /// Members that are not in the roster, of whom the packet spoke.
     pub strangers: usize,
-    /// Whether it carried news of members.
-    pub news: bool,
 }
 
 /// A packet whose sender is not who the envelope says, or that is none.
@@ -137,8 +137,9 @@
     count: u64,
     /// Datagrams to send, taken by the core.
     pub out: Vec<(u32, Vec<u8>)>,
-    /// Something changed in who is there.
-    pub changed: bool,
+    /// Something may have changed in who is there, since the core last looked. `foca` tells of who comes and goes, not of
+    /// who is suspected.
+    pub touched: bool,
     /// Calls that `foca` found wrong, which should not be.
     pub errors: u64,
 }
@@ -151,7 +152,7 @@
             timers: BTreeMap::new(),
             count: 0,
             out: Vec::new(),
-            changed: false,
+            touched: false,
             errors: 0,
         }
     }
@@ -160,8 +161,9 @@
         *self.foca.identity()
     }
 
-    pub fn members(&self) -> impl Iterator<Item = &Member<Id>> {
-        self.foca.iter_membership_state()
+    /// Each process that it knows of, and what that is.
+    pub fn members(&self) -> impl Iterator<Item = (Id, Status)> + '_ {
+        self.foca.iter_membership_state().map(|member| (*member.id(), status(member)))
     }
 
     /// When it wants to be woken.
@@ -178,6 +180,8 @@
     pub fn run(&mut self, now: Duration) {
         while self.due().is_some_and(|due| due <= now) {
             let Some((_, timer)) = self.timers.pop_first() else { break };
+            // Whoever did not answer the probe before is suspected now.
+            self.touched |= matches!(timer, Timer::ProbeRandomMember(_));
             let done = self.foca.handle_timer(timer, &mut self.runtime);
             self.after(now, done);
         }
@@ -234,25 +238,18 @@
         self.after(now, done);
     }
 
-    /// Who is down, as it is told to another whose view differs.
-    pub fn downs(&self) -> BTreeSet<Id> {
-        let down = self.members().filter(|member| member.state() == foca::State::Down);
-        down.map(|member| *member.id()).collect()
-    }
-
     /// Takes over who another says is down.
-    pub fn take_downs(&mut self, now: Duration, downs: impl Iterator<Item = Id>) {
-        let known = self.downs();
-        let new: Vec<Member<Id>> = downs.filter(|id| !known.contains(id)).map(Member::down).collect();
-        if !new.is_empty() {
-            self.changed = true;
-            let done = self.foca.apply_many(new.into_iter(), true, &mut self.runtime);
+    pub fn take_downs(&mut self, now: Duration, downs: Vec<Id>) {
+        if !downs.is_empty() {
+            self.touched = true;
+            let done = self.foca.apply_many(downs.into_iter().map(Member::down), true, &mut self.runtime);
             self.after(now, done);
         }
     }
 
     fn suspected(&self, number: u32) -> Option<Member<Id>> {
-        let mut members = self.members().filter(|member| member.state() == foca::State::Suspect);
+        let mut members =
+            self.foca.iter_membership_state().filter(|member| member.state() == foca::State::Suspect);
         members.find(|member| member.id().number == number).cloned()
     }
 
@@ -271,7 +268,8 @@
         now: Duration,
         from: (u32, u64),
         bytes: &[u8],
-        known: impl Fn(u32) -> bool,
+        me: u32,
+        seen: &Seen,
     ) -> Result<Told, Bad> {
         let mut rest = bytes;
         let header: Header<Id> = PostcardCodec.decode_header(&mut rest).map_err(|_| Bad::Malformed)?;
@@ -279,10 +277,18 @@
             return Err(Bad::Sender);
         }
         let mut told = Told::default();
-        let (kept, strangers, news) = members_within(rest, &known).ok_or(Bad::Malformed)?;
+        let mut touched = false;
+        // Whether that is a member of the roster. What says nothing else than is known changes nothing.
+        let mut known = |member: &Member<Id>| {
+            let Some(seen) = seen.get(member.id().number) else { return member.id().number == me };
+            touched |= (seen.id, seen.status) != (Some(*member.id()), status(member));
+            true
+        };
+        known(&Member::alive(header.src));
+        let (kept, strangers) = members_within(rest, &mut known).ok_or(Bad::Malformed)?;
+        self.touched |= touched;
         told.strangers = strangers;
-        told.news = news;
-        if !message_numbers(&header.message).is_none_or(known) {
+        if !message_numbers(&header.message).is_none_or(|of| of == me || seen.get(of).is_some()) {
             // It asks for a probe of a stranger: there is no address to send to.
             told.strangers += 1;
             return Ok(told);
@@ -321,7 +327,7 @@
             self.timers.insert((now + after, self.count), timer);
         }
         while self.runtime.to_notify().is_some() {
-            self.changed = true;
+            self.touched = true;
         }
     }
 }
@@ -335,12 +341,23 @@
     }
 }
 
-/// The updates of a packet behind its header without strangers (none if there are none to take out), how many
-/// those are, and whether any are left. `foca` documents the layout: a count of two bytes, then the members.
-#[allow(clippy::type_complexity)]
-fn members_within(rest: &[u8], known: impl Fn(u32) -> bool) -> Option<(Option<Vec<u8>>, usize, bool)> {
+fn status(member: &Member<Id>) -> Status {
+    match member.state() {
+        foca::State::Alive => Status::Alive,
+        foca::State::Suspect => Status::Suspect,
+        foca::State::Down if member.id().has_left() => Status::Left,
+        foca::State::Down => Status::Down,
+    }
+}
+
+/// The updates of a packet behind its header without strangers (none if there are none to take out), and how many
+/// those are. `foca` documents the layout: a count of two bytes, then the members.
+fn members_within(
+    rest: &[u8],
+    mut known: impl FnMut(&Member<Id>) -> bool,
+) -> Option<(Option<Vec<u8>>, usize)> {
     if rest.is_empty() {
-        return Some((None, 0, false));
+        return Some((None, 0));
     }
     let (count, mut rest) = rest.split_first_chunk::<2>()?;
     let count = u16::from_be_bytes(*count);
@@ -349,7 +366,7 @@
     for _ in 0..count {
         let before = rest;
         let member: Member<Id> = Codec::<Id>::decode_member(&mut PostcardCodec, &mut rest).ok()?;
-        if known(member.id().number) {
+        if known(&member) {
             kept.extend_from_slice(&before[..before.len() - rest.len()]);
             left += 1;
         }
@@ -359,5 +376,5 @@
     }
     kept[..2].copy_from_slice(&left.to_be_bytes());
     let strangers = usize::from(count - left);
-    Some(((strangers > 0).then_some(kept), strangers, left > 0))
+    Some(((strangers > 0).then_some(kept), strangers))
 }
--- a/crates/membership/tests/figures.rs
+++ b/crates/membership/tests/figures.rs
@@ -205,3 +205,32 @@
         held(BEAT),
     );
 }
+
+/// Time on a processor of this thread, in nanoseconds.
+fn processor_ns() -> u64 {
+    let stat = std::fs::read_to_string("/proc/thread-self/schedstat").unwrap();
+    stat.split(' ').next().unwrap().parse().unwrap()
+}
+
+/// What an event costs: among all from the start, and through a cut and its heal.
+#[test]
+#[ignore]
+fn figures_events() {
+    for size in [5, 50, 100, 500] {
+        let mut fleet = Fleet::new(size, 1);
+        fleet.loss = 0.05;
+        let mut lines = Vec::new();
+        for (what, secs) in [("start", 5), ("quiet", 10), ("cut", 5), ("heal", 5)] {
+            match what {
+                "cut" => fleet.split(|who| who % 2),
+                _ => fleet.cut.clear(),
+            }
+            let (events, begun) = (fleet.events, processor_ns());
+            // The clock of a thread moves by ticks: a small fleet is watched for longer.
+            fleet.run(fleet.now + ms(secs * 1000 * (500 / size as u64)));
+            let (events, spent) = (fleet.events - events, processor_ns() - begun);
+            lines.push(format!("{what} {:.1} us of {events}", spent as f64 / 1000.0 / events as f64));
+        }
+        println!("{size} members, an event: {}", lines.join(", "));
+    }
+}
--- a/crates/membership/tests/fleet/mod.rs
+++ b/crates/membership/tests/fleet/mod.rs
@@ -42,6 +42,8 @@
     pub roster: Roster,
     pub sent_bytes: u64,
     pub sent: u64,
+    /// Taken by cores.
+    pub events: u64,
     /// When, at whom, about whom.
     pub changes: Vec<(Duration, usize, usize, Status)>,
     pub set: fn(&mut Config),
@@ -82,6 +84,7 @@
             roster: roster(size),
             sent_bytes: 0,
             sent: 0,
+            events: 0,
             changes: Vec::new(),
             set,
             starts: 1000,
@@ -128,6 +131,7 @@
     pub fn tell(&mut self, who: usize, event: Event<'_>) {
         let Some(process) = &mut self.processes[who] else { return };
         let mut actions = Vec::new();
+        self.events += 1;
         process.core.handle(self.now - process.since, event, &mut actions);
         let start = process.start;
         for action in actions {
