Schedules of members check states, false deaths and known deaths within the bound

Need: the schedules looked for two groups that both promote, and at what all hold after a heal; a wrong state, a false death or a death that not all know could pass in between.

Now, when nothing has changed for 5 s and loss is 5 % at most, each member has the state that follows from its group (no higher one where probes are lost, since a suspected member does not count), holds for alive who lives in its group and no other, and since the bound called nobody of it dead. Steps last up to 9 s so that this is looked at.

The first form asked for the exact state under loss and failed at once: 3 of 5 with one suspected are a minority for a moment, as the design says.

--- a/crates/membership/tests/schedules.rs
+++ b/crates/membership/tests/schedules.rs
@@ -2,6 +2,7 @@
 //! all agree. More and larger: `cargo test --release -p membership --test schedules -- --ignored --nocapture`.
 mod fleet;
 
+use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
 use std::time::Duration;
 
 use fleet::{ms, Fleet};
@@ -41,13 +42,61 @@
         (0..20u8).prop_map(Step::Loss),
         (who, 0..4u8).prop_map(|(who, key)| Step::Tell(who, key)),
     ];
-    proptest::collection::vec((step, 100..6000u64), 1..8)
+    // Some so long that what is to be known after the bound is looked at.
+    proptest::collection::vec((step, 100..9000u64), 1..8)
 }
 
 /// Which of each other's groups hear nothing of each other; none while the cuts do not part the fleet.
 struct Groups {
     of: Option<Box<dyn Fn(usize) -> usize>>,
     since: Duration,
+    /// Some hear of each other one way only.
+    lame: bool,
+}
+
+impl Groups {
+    fn new(now: Duration, of: Option<Box<dyn Fn(usize) -> usize>>) -> Self {
+        Self { of, since: now, lame: false }
+    }
+
+    fn of(&self, who: usize) -> usize {
+        self.of.as_ref().map_or(0, |of| of(who))
+    }
+}
+
+/// Nothing has changed since `still`, and for longer than the bound: each has the state that follows from its group, holds
+/// all who live in it for alive and no other, and since the bound nobody who lives in it was called dead.
+fn all_is_known(fleet: &Fleet, groups: &Groups, still: Duration) -> Result<bool, TestCaseError> {
+    if groups.lame || fleet.loss > 0.05 || fleet.now < still + DETECTED {
+        return Ok(false);
+    }
+    let size = fleet.processes.len();
+    let lives = |who: usize| fleet.processes[who].is_some();
+    let with = |who: usize, other: usize| lives(other) && groups.of(who) == groups.of(other);
+    for (at, who, of, status) in &fleet.changes {
+        let dead = *at > still + DETECTED && *status == Status::Down && with(*who, *of);
+        prop_assert!(!dead, "p{} called p{} dead at {:?}", who, of, at);
+    }
+    for who in (0..size).filter(|who| lives(*who)) {
+        let heard = (0..size).filter(|other| with(who, *other)).count();
+        let wanted = match heard {
+            1 => State::Alone,
+            heard if heard * 2 <= size => State::Minority,
+            heard if heard == size => State::Whole,
+            _ => State::Degraded,
+        };
+        let (core, now) = fleet.core(who);
+        let view = core.view(now);
+        // Where probes are lost some are suspected now and then, and whoever is does not count for a majority.
+        let right = if fleet.loss > 0.0 { view.state <= wanted } else { view.state == wanted };
+        prop_assert!(right, "p{} is {:?} among {} that hear each other", who, view.state, heard);
+        for member in &view.members {
+            let is = matches!(member.status, Status::Alive | Status::Suspect);
+            let other = member.name[1..].parse().unwrap();
+            prop_assert_eq!(is, with(who, other), "p{} sees {:?}", who, member);
+        }
+    }
+    Ok(true)
 }
 
 fn may_promote(fleet: &Fleet, who: usize) -> bool {
@@ -70,29 +119,36 @@
     Ok(())
 }
 
+/// How often it was looked at whether all is known.
+static KNOWN: AtomicU32 = AtomicU32::new(0);
+
 type Steps = Vec<(Step, u64)>;
 
 fn play(size: usize, seed: u64, steps: Steps, set: fn(&mut Config)) -> Result<(), TestCaseError> {
     let mut fleet = Fleet::with(size, seed, set);
     fleet.run(ms(4000));
-    let mut groups = Groups { of: None, since: Duration::ZERO };
+    let mut groups = Groups::new(fleet.now, None);
+    let mut still = fleet.now;
     let mut told = 0u32;
     for (step, dwell) in steps {
-        match step {
+        match step.clone() {
             Step::Split(count, shift) => {
                 let of = move |who: usize| (who + shift) * count / (size + shift).max(1) % count;
                 fleet.split(of);
-                groups = Groups { of: Some(Box::new(of)), since: fleet.now };
+                groups = Groups::new(fleet.now, Some(Box::new(of)));
             }
             Step::Block(tenths) => {
                 let of = move |who: usize| usize::from(who * 10 < size * tenths);
                 fleet.split(of);
-                groups = Groups { of: Some(Box::new(of)), since: fleet.now };
+                groups = Groups::new(fleet.now, Some(Box::new(of)));
+            }
+            Step::OneWay(a, b) => {
+                groups.lame = true;
+                fleet.cut.insert((a % size, b % size));
             }
-            Step::OneWay(a, b) => drop(fleet.cut.insert((a % size, b % size))),
             Step::Heal => {
                 fleet.cut.clear();
-                groups = Groups { of: None, since: fleet.now };
+                groups = Groups::new(fleet.now, None);
             }
             Step::Kill(who) => fleet.kill(who % size),
             Step::Start(who) => fleet.start(who % size),
@@ -105,12 +161,16 @@
                 fleet.tell(who % size, Event::Tell { kind: 1, key, body, lasts: ms(600_000) });
             }
         }
+        let awake = fleet.paused.iter().copied().max().unwrap_or_default();
+        still = if matches!(step, Step::Tell(..)) { still } else { fleet.now }.max(awake);
         // In slices, so that what is allowed is looked at as it changes.
         let until = fleet.now + ms(dwell);
         while fleet.now < until {
             fleet.run((fleet.now + ms(100)).min(until));
             one_group_promotes(&fleet, &groups)?;
         }
+        KNOWN.fetch_add(u32::from(all_is_known(&fleet, &groups, still)?), Relaxed);
+        fleet.changes.clear();
     }
     fleet.cut.clear();
     fleet.loss = 0.0;
@@ -161,7 +221,12 @@
     );
     let begun = std::time::Instant::now();
     runner.run(&(any::<u64>(), steps()), |(seed, steps)| play(size, seed, steps, |_| {})).unwrap();
-    println!("{cases} schedules at {size} members in {:?}", begun.elapsed());
+    let known = KNOWN.swap(0, Relaxed);
+    assert!(known > 0 || cases < 3);
+    println!(
+        "{cases} schedules at {size} members in {:?}, {known} times all was to be known",
+        begun.elapsed()
+    );
 }
 
 #[test]
