Members: who is down elsewhere under an earlier identity is asked at once

It alone had heard of the later identity of a member that its part held for down under the earlier one, so nobody else probed it, and its own probes come round in 10 s. Views were compared all the while, without effect: an earlier identity says nothing to foca.

Change: where another tells of an earlier identity as down, the member is asked out of turn (two a half period), and suspected if it does not answer within two periods. A false one is refuted as any suspicion is.

--- a/crates/membership/src/core.rs
+++ b/crates/membership/src/core.rs
@@ -31,6 +31,8 @@
 const VIEWS: u8 = 3;
 /// Members in one datagram of who is down: so that it is not too long.
 const DOWNS: usize = 40;
+/// Members in dispute that are asked in one beat.
+const DISPUTES: usize = 2;
 /// For so many beats after a change views are compared in each, else in each fourth.
 const LIVELY: u64 = 20;
 
@@ -150,6 +152,8 @@
     answered_with: usize,
     beat: Option<Duration>,
     beats: u64,
+    /// Alive here, and down elsewhere under an earlier identity; when each was asked whether it lives.
+    disputed: BTreeMap<u32, Option<Duration>>,
     /// Until which beat views are compared in each.
     lively: u64,
     armed: Option<Duration>,
@@ -189,6 +193,7 @@
             answered_with: 0,
             beat: None,
             beats: 0,
+            disputed: BTreeMap::new(),
             lively: 0,
             armed: None,
             token: 0,
@@ -346,6 +351,13 @@
                 let (seen, lacking) = (&self.seen, mine.difference(&theirs).copied().collect());
                 let new = theirs.difference(mine).filter(|id| seen.get(id.number).is_some());
                 let new: Vec<Id> = new.copied().collect();
+                let later = |id: &Id, mine: Id| (mine.start, mine.returns) > (id.start, id.returns);
+                let alive = |id: &&Id| {
+                    let seen = seen.get(id.number).filter(|seen| seen.status == Status::Alive);
+                    seen.and_then(|seen| seen.id).is_some_and(|mine| later(id, mine))
+                };
+                let disputed = theirs.iter().filter(alive).map(|id| id.number);
+                disputed.for_each(|number| _ = self.disputed.entry(number).or_default());
                 if !answer {
                     self.send_downs(from, true, lacking);
                 }
@@ -468,6 +480,7 @@
             self.store.tidy(now);
         }
         self.settle_suspicions(now);
+        self.settle_disputes(now);
         self.spread(now);
         if self.beats < self.lively || self.beats.is_multiple_of(4) {
             if let Some(to) = self.seen.others().choose(&mut self.rng).copied() {
@@ -521,6 +534,32 @@
         }
     }
 
+    /// Another holds an earlier identity of a member for down, and nobody else may ever have heard of the later one: it was
+    /// heard of just before a cut. So it is asked, out of turn, and suspected if it does not answer: else it would be this
+    /// process alone that probes it, once in a round of all.
+    fn settle_disputes(&mut self, now: Duration) {
+        let (seen, patience) = (&self.seen, self.config.period * 2);
+        let mut silent = Vec::new();
+        self.disputed.retain(|number, asked| {
+            let Some(of) = seen.get(*number).filter(|of| of.status == Status::Alive) else { return false };
+            let Some(asked) = *asked else { return true };
+            if now >= asked + patience {
+                silent.push(*number);
+            }
+            now < asked + patience && of.heard.is_none_or(|heard| heard <= asked)
+        });
+        for number in silent {
+            self.swim.suspect(now, number);
+        }
+        let waiting = self.disputed.iter_mut().filter(|(_, asked)| asked.is_none());
+        for (number, asked) in waiting.sample(&mut self.rng, DISPUTES) {
+            if let Some(id) = self.seen.get(*number).and_then(|of| of.id) {
+                *asked = Some(now);
+                self.swim.ask(now, id);
+            }
+        }
+    }
+
     /// Sends what is new here to some. What was passed on least goes first, and else by chance: where not all fits, it is
     /// no source in particular that waits for the next beat.
     fn spread(&mut self, now: Duration) {
--- a/crates/membership/src/swim.rs
+++ b/crates/membership/src/swim.rs
@@ -214,22 +214,40 @@
     /// identity: such a member would stay suspected for good.
     pub fn remind(&mut self, now: Duration, number: u32) {
         let Some(member) = self.suspected(number) else { return };
-        let src = self.id();
+        self.say(now, *member.id(), Message::Gossip, Some(&member));
+    }
+
+    /// Asks a member whether it lives, beside the probes: its ack is of no probe, but a word of its own.
+    pub fn ask(&mut self, now: Duration, id: Id) {
+        self.say(now, id, Message::Ping(0), None);
+    }
+
+    fn say(&mut self, now: Duration, dst: Id, message: Message<Id>, news: Option<&Member<Id>>) {
         // An own incarnation below the true one is taken for old news, which is all that it is meant to be.
-        let header = Header { src, src_incarnation: 0, dst: *member.id(), message: Message::Gossip };
+        let header = Header { src: self.id(), src_incarnation: 0, dst, message };
         let mut datagram = vec![SWIM];
         let mut codec = PostcardCodec;
         let done = codec.encode_header(&header, &mut datagram).and_then(|()| {
-            datagram.extend_from_slice(&1_u16.to_be_bytes());
-            codec.encode_member(&member, &mut datagram)
+            datagram.extend_from_slice(&u16::from(news.is_some()).to_be_bytes());
+            news.map_or(Ok(()), |member| codec.encode_member(member, &mut datagram))
         });
         match done {
-            Ok(()) => self.out.push((number, datagram)),
+            Ok(()) => self.out.push((dst.number, datagram)),
             Err(_) => self.errors += 1,
         }
         self.after(now, Ok(()));
     }
 
+    /// Holds a member for suspect that did not answer.
+    pub fn suspect(&mut self, now: Duration, number: u32) {
+        let of = self.foca.iter_membership_state().find(|member| member.id().number == number);
+        let Some(member) = of.filter(|member| member.state() == foca::State::Alive) else { return };
+        let suspect = Member::new(*member.id(), member.incarnation(), foca::State::Suspect);
+        self.touched = true;
+        let done = self.foca.apply_many(std::iter::once(suspect), true, &mut self.runtime);
+        self.after(now, done);
+    }
+
     /// Calls a suspected member down that said nothing for too long.
     pub fn give_up(&mut self, now: Duration, number: u32) {
         let Some(member) = self.suspected(number) else { return };
--- a/crates/membership/tests/behaviour.rs
+++ b/crates/membership/tests/behaviour.rs
@@ -173,6 +173,24 @@
     assert_eq!(state(&fleet, 0), State::Alone);
 }
 
+/// Half of a fleet holds p59 for down since its earlier start; p29, which alone of that half has heard of the later one, has been
+/// cut off with them. It would be a majority to itself until its probes come round to p59.
+#[test]
+fn one_that_is_down_elsewhere_under_an_earlier_start_is_asked() {
+    for seed in 0..4 {
+        let mut fleet = Fleet::new(60, seed);
+        fleet.run(ms(6000));
+        fleet.split(|who| usize::from(who >= 29));
+        fleet.run(ms(12_000));
+        fleet.start(59);
+        fleet.run(ms(24_000));
+        assert_eq!(state(&fleet, 29), State::Degraded);
+        fleet.split(|who| usize::from(who >= 30));
+        fleet.run(ms(27_000));
+        assert_eq!((state(&fleet, 29), fleet.status(29, 59)), (State::Minority, Status::Down), "seed {seed}");
+    }
+}
+
 #[test]
 fn another_roster_is_noticed_and_strangers_do_not_count() {
     let mut fleet = Fleet::new(4, 7);
