--- a/crates/membership/src/core.rs
+++ b/crates/membership/src/core.rs
@@ -7,18 +7,23 @@
 
 use rand_10::rngs::StdRng;
 use rand_10::seq::{IndexedRandom, IteratorRandom, SliceRandom};
-use rand_10::SeedableRng;
+use rand_10::{RngExt, SeedableRng};
 
 use crate::facts::{Fact, Frame, Limits, Name, Said, Store, Taken, TellError};
+use crate::pull::Pull;
 use crate::roster::{number, Known, Roster, RosterError};
+use crate::seen::{is_heard, Seen, Sighting};
 use crate::standing::{rule, Act, Denied, Heads, Rule, Standing, State};
 use crate::swim::{Bad, Id, Pace, Swim, Views, SWIM};
 use crate::view::{Counts, Sight, Status, View};
 
 /// No datagram is longer.
 pub const DATAGRAM_BYTES: usize = 1200;
-/// Datagrams in answer to one.
+/// Datagrams in answer to one, and to all in half a period.
 const ANSWERS: usize = 4;
+const ANSWERED: usize = 64;
+/// So many of those that see a member come back send it their summaries.
+const GREETERS: u32 = 5;
 /// Members that what is new here goes to, twice each.
 const RUMOUR: usize = 2;
 /// The first byte of a datagram about facts.
@@ -26,6 +31,8 @@
 const VIEWS: u8 = 3;
 /// Members in one datagram of who is down: so that it is not too long.
 const DOWNS: usize = 40;
+/// Members in dispute that are asked in one beat.
+const DISPUTES: usize = 2;
 /// For so many beats after a change views are compared in each, else in each fourth.
 const LIVELY: u64 = 20;
 
@@ -119,15 +126,6 @@
     BadRoster(RosterError),
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Seen {
-    status: Status,
-    since: Duration,
-    id: Option<Id>,
-    /// When a datagram of its own last came.
-    heard: Option<Duration>,
-}
-
 pub struct Core {
     me: u32,
     start: u64,
@@ -136,7 +134,9 @@
     swim: Swim,
     store: Store,
     rng: StdRng,
-    seen: BTreeMap<u32, Seen>,
+    seen: Seen,
+    /// What `foca` held when it was last looked at, in its order, which rarely changes.
+    looked: Vec<(Id, Status)>,
     fleet: Standing,
     regions: BTreeMap<String, Standing>,
     shown: State,
@@ -147,8 +147,13 @@
     fresh: BTreeMap<Name, u8>,
     /// Members that all summaries go to at once, since they were not heard before.
     returned: BTreeSet<u32>,
+    pull: Pull,
+    /// Datagrams in answer to others, since the last beat.
+    answered_with: usize,
     beat: Option<Duration>,
     beats: u64,
+    /// Alive here, and down elsewhere under an earlier identity; when each was asked whether it lives.
+    disputed: BTreeMap<u32, Option<Duration>>,
     /// Until which beat views are compared in each.
     lively: u64,
     armed: Option<Duration>,
@@ -175,7 +180,8 @@
             swim,
             store: Store::new(me, config.start, config.limits),
             rng: StdRng::seed_from_u64(seed ^ 0x6d65_6d62),
-            seen: BTreeMap::new(),
+            seen: Seen::default(),
+            looked: Vec::new(),
             fleet: Standing::default(),
             regions: BTreeMap::new(),
             shown: State::Alone,
@@ -183,8 +189,11 @@
             answered: Duration::ZERO,
             fresh: BTreeMap::new(),
             returned: BTreeSet::new(),
+            pull: Pull::new(config.period * 2),
+            answered_with: 0,
             beat: None,
             beats: 0,
+            disputed: BTreeMap::new(),
             lively: 0,
             armed: None,
             token: 0,
@@ -199,18 +208,12 @@
 
     /// Brings what is kept for each member into line with the roster.
     fn fit(&mut self, now: Duration) {
-        let (me, members) = (self.me, &self.roster.members);
-        let gone: Vec<Seen> =
-            self.seen.iter().filter(|(number, _)| !members.contains_key(number)).map(|(_, s)| *s).collect();
-        for id in gone.into_iter().filter_map(|seen| seen.id) {
+        for id in self.seen.fit(now, &self.roster, self.me) {
             self.swim.drop(now, id);
         }
+        self.looked.clear();
+        self.swim.touched = true;
         let members = &self.roster.members;
-        self.seen.retain(|number, _| members.contains_key(number));
-        for number in members.keys().filter(|number| **number != me) {
-            let new = Seen { status: Status::NeverHeard, since: now, id: None, heard: None };
-            self.seen.entry(*number).or_insert(new);
-        }
         self.regions.retain(|region, _| members.values().any(|member| member.region == *region));
         for member in members.values() {
             self.regions.entry(member.region.clone()).or_default();
@@ -222,14 +225,14 @@
             return;
         }
         self.notice_lateness(now);
-        let (mut look, mut adopted) = (false, false);
+        let mut adopted = false;
         match event {
             Event::Start if self.beat.is_none() => {
                 self.beat = Some(now + self.config.period / 2);
                 self.seek(now, 3);
             }
             Event::Start => {}
-            Event::Heard { from, start, bytes } => look = self.heard(now, from, start, bytes, actions),
+            Event::Heard { from, start, bytes } => self.heard(now, from, start, bytes, actions),
             Event::Timer(token) => {
                 if token == self.token {
                     self.armed = None;
@@ -237,7 +240,7 @@
             }
             Event::Roster(roster) => {
                 self.adopt(now, roster, actions);
-                (look, adopted) = (true, true);
+                adopted = true;
             }
             Event::Leave => self.leave(now),
             Event::Tell { kind, key, body, lasts } => match self.store.tell(now, kind, key, body, lasts) {
@@ -250,8 +253,8 @@
         if beat {
             self.on_beat(now);
         }
-        let changed = std::mem::take(&mut self.swim.changed) || look;
-        let news = (beat || changed) && self.look(now, actions);
+        let news = self.look(now, actions);
+        debug_assert!(!beat || self.is_seen());
         // Many datagrams carry news, few of them new here: states are counted when a member changed, and with each beat.
         if beat || news || adopted {
             self.count_states(now, actions);
@@ -294,80 +297,71 @@
         self.beat = self.beat.map(|_| now);
         self.counts.pauses += 1;
         self.doubt = Some(Doubt { since: now, acked: BTreeSet::new() });
-        for seen in self.seen.values_mut().filter(|seen| seen.status == Status::Suspect) {
-            seen.since = now;
-        }
+        self.seen.suspect_anew(now);
         self.fleet.forget();
         self.regions.values_mut().for_each(Standing::forget);
     }
 
-    fn heard(
-        &mut self,
-        now: Duration,
-        from: &str,
-        start: u64,
-        bytes: &[u8],
-        actions: &mut Vec<Action>,
-    ) -> bool {
+    fn heard(&mut self, now: Duration, from: &str, start: u64, bytes: &[u8], actions: &mut Vec<Action>) {
         let from = number(from);
-        let Some(seen) = self.seen.get(&from) else {
+        let Some(seen) = self.seen.get(from) else {
             self.counts.strangers += 1;
-            return false;
+            return;
         };
         if seen.id.is_some_and(|id| id.start > start) {
             self.counts.earlier += 1;
-            return false;
+            return;
         }
         let done = match bytes.split_first() {
             _ if bytes.len() > DATAGRAM_BYTES => Err(Bad::Malformed),
-            Some((&SWIM, packet)) => {
-                let known = |number| self.roster.members.contains_key(&number);
-                self.swim.heard(now, (from, start), packet, known).map(|told| {
-                    self.counts.strangers += told.strangers as u64;
-                    if let Some(number) = told.acked {
-                        self.answered = now;
-                        if let Some(doubt) = &mut self.doubt {
-                            doubt.acked.insert(number);
-                        }
-                    }
-                    told.news
-                })
-            }
-            Some((&FACTS, packet)) => self.heard_facts(now, from, packet, actions).map(|()| false),
-            Some((&VIEWS, packet)) => self.heard_view(now, from, packet).map(|()| false),
+            Some((&SWIM, packet)) => self.heard_swim(now, (from, start), packet),
+            Some((&FACTS, packet)) => self.heard_facts(now, from, packet, actions),
+            Some((&VIEWS, packet)) => self.heard_view(now, from, packet),
             _ => Err(Bad::Malformed),
         };
         match done {
-            Ok(news) => {
-                if let Some(seen) = self.seen.get_mut(&from) {
-                    seen.heard = Some(now);
-                }
-                news
-            }
-            Err(Bad::Malformed) => {
-                self.counts.malformed += 1;
-                false
-            }
-            Err(Bad::Sender) => {
-                self.counts.imposters += 1;
-                false
+            Ok(()) => self.seen.heard_of(from, now),
+            Err(Bad::Malformed) => self.counts.malformed += 1,
+            Err(Bad::Sender) => self.counts.imposters += 1,
+        }
+    }
+
+    fn heard_swim(&mut self, now: Duration, from: (u32, u64), packet: &[u8]) -> Result<(), Bad> {
+        let told = self.swim.heard(now, from, packet, self.me, &self.seen)?;
+        self.counts.strangers += told.strangers as u64;
+        if let Some(number) = told.acked {
+            self.answered = now;
+            if let Some(doubt) = &mut self.doubt {
+                doubt.acked.insert(number);
             }
         }
+        Ok(())
     }
 
     fn heard_view(&mut self, now: Duration, from: u32, packet: &[u8]) -> Result<(), Bad> {
-        let mine = self.swim.downs();
         match postcard::from_bytes(packet).map_err(|_| Bad::Malformed)? {
-            hash @ Views::Hash(_) if hash != Views::hash(&mine) => self.send_downs(from, false, mine),
+            hash @ Views::Hash(_) if hash != *self.seen.downs_hash() => {
+                let mine = self.seen.downs().clone();
+                self.send_downs(from, false, mine);
+            }
             Views::Hash(_) => {}
             Views::Down { answer, ids } => {
                 let theirs: BTreeSet<Id> = ids.into_iter().collect();
+                let mine = self.seen.downs();
+                let (seen, lacking) = (&self.seen, mine.difference(&theirs).copied().collect());
+                let new = theirs.difference(mine).filter(|id| seen.get(id.number).is_some());
+                let new: Vec<Id> = new.copied().collect();
+                let later = |id: &Id, mine: Id| (mine.start, mine.returns) > (id.start, id.returns);
+                let alive = |id: &&Id| {
+                    let seen = seen.get(id.number).filter(|seen| seen.status == Status::Alive);
+                    seen.and_then(|seen| seen.id).is_some_and(|mine| later(id, mine))
+                };
+                let disputed = theirs.iter().filter(alive).map(|id| id.number);
+                disputed.for_each(|number| _ = self.disputed.entry(number).or_default());
                 if !answer {
-                    self.send_downs(from, true, mine.difference(&theirs).copied().collect());
+                    self.send_downs(from, true, lacking);
                 }
-                let me = self.me;
-                let known = |id: &Id| id.number != me && self.roster.members.contains_key(&id.number);
-                self.swim.take_downs(now, theirs.into_iter().filter(known));
+                self.swim.take_downs(now, new);
             }
         }
         Ok(())
@@ -399,16 +393,30 @@
         actions: &mut Vec<Action>,
     ) -> Result<(), Bad> {
         let frame: Frame = postcard::from_bytes(packet).map_err(|_| Bad::Malformed)?;
-        let Frame::Facts(facts) = frame else {
-            let answers = self.store.answer(now, frame);
-            self.pack(from, answers);
-            return Ok(());
+        let facts = match frame {
+            Frame::Facts(facts) => facts,
+            Frame::Summary { sources, .. } => {
+                let mut differing = self.store.differing(sources);
+                differing.retain(|(source, _)| self.roster.members.contains_key(source));
+                self.pull.claimed(from, differing, &mut self.rng);
+                return Ok(());
+            }
+            Frame::Detail { answer, source, part, versions } => {
+                if self.answered_with < ANSWERED {
+                    let answers = self.store.lacking(now, answer, source, part, &versions);
+                    let before = self.swim.out.len();
+                    self.pack(from, answers);
+                    self.answered_with += self.swim.out.len() - before;
+                }
+                return Ok(());
+            }
         };
         for said in facts {
             let Some(source) = self.roster.members.get(&said.source).map(|member| member.name.clone()) else {
                 self.counts.facts_refused += 1;
                 continue;
             };
+            self.pull.got(from, said.source, said.key.len() + said.body.len());
             match self.store.hear(now, said) {
                 Taken::New(name) => {
                     actions.extend(self.store.fact(now, &name, &source).map(Action::Fact));
@@ -453,8 +461,11 @@
         // Under a new identity (another roster, a return) `foca` is silent until somebody speaks to it: if all change
         // theirs at once, nobody would. So without answers it is announced to those that are heard as well.
         let silent = now > self.answered + self.config.period * 2;
+        if !silent && self.seen.others().len() == self.seen.len() {
+            return;
+        }
         let unheard = self.seen.iter().filter(|(_, seen)| silent || !is_heard(seen.status));
-        for (number, seen) in unheard.map(|(number, seen)| (*number, *seen)).sample(&mut self.rng, count) {
+        for (number, seen) in unheard.map(|(number, seen)| (number, *seen)).sample(&mut self.rng, count) {
             let unknown = Id { number, start: 0, returns: 0, roster: 0 };
             self.swim.announce(now, seen.id.unwrap_or(unknown));
         }
@@ -463,34 +474,37 @@
     fn on_beat(&mut self, now: Duration) {
         self.beats += 1;
         self.beat = Some(now + self.config.period / 2);
-        let alone = !self.seen.values().any(|seen| is_heard(seen.status));
+        let alone = self.seen.others().is_empty();
         if self.beats.is_multiple_of(2) {
             self.seek(now, if alone { 3 } else { 1 });
             self.store.tidy(now);
         }
         self.settle_suspicions(now);
+        self.settle_disputes(now);
         self.spread(now);
         if self.beats < self.lively || self.beats.is_multiple_of(4) {
-            if let Some(to) = self.others().choose(&mut self.rng).copied() {
-                self.send_view(to, &Views::hash(&self.swim.downs()));
+            if let Some(to) = self.seen.others().choose(&mut self.rng).copied() {
+                let hash = self.seen.downs_hash().clone();
+                self.send_view(to, &hash);
             }
         }
         if self.beats.is_multiple_of(4) {
-            let to = self.others().choose(&mut self.rng).copied();
+            let to = self.seen.others().choose(&mut self.rng).copied();
             if let Some(to) = to {
                 let summary = self.store.summary();
                 self.send(to, &summary);
             }
         }
-        // One that came back gets a summary a beat, until the window has gone round.
         if let Some(to) = self.returned.pop_first() {
-            for _ in 0..ANSWERS {
-                let summary = self.store.summary();
-                let last = matches!(&summary, Frame::Summary { part, .. } if part.to == u64::MAX);
+            for summary in self.store.summaries() {
                 self.send(to, &summary);
-                if last {
-                    break;
-                }
+            }
+        }
+        self.answered_with = 0;
+        let store = &self.store;
+        for (to, source) in self.pull.asks(now, |source| store.hash(source), &mut self.rng) {
+            for detail in self.store.details(source, false) {
+                self.send(to, &detail);
             }
         }
         // Probes that nobody answers for so long, or none sent: `foca` sends none once it came back under a new
@@ -509,9 +523,9 @@
 
     /// A suspicion ends: by a word of the member, which is asked for, or by calling it down.
     fn settle_suspicions(&mut self, now: Duration) {
-        let suspected = self.seen.iter().filter(|(_, seen)| seen.status == Status::Suspect);
-        let suspected: Vec<_> = suspected.map(|(number, seen)| (*number, now - seen.since)).collect();
-        for (number, waited) in suspected {
+        let suspected: Vec<_> = self.seen.suspected().collect();
+        for (number, since) in suspected {
+            let waited = now - since;
             if waited >= self.config.suspicion * 2 {
                 self.swim.give_up(now, number);
             } else if waited > self.config.suspicion {
@@ -520,8 +534,30 @@
         }
     }
 
-    fn others(&self) -> Vec<u32> {
-        self.seen.iter().filter(|(_, seen)| is_heard(seen.status)).map(|(number, _)| *number).collect()
+    /// Another holds an earlier identity of a member for down, and nobody else may ever have heard of the later one: it was
+    /// heard of just before a cut. So it is asked, out of turn, and suspected if it does not answer: else it would be this
+    /// process alone that probes it, once in a round of all.
+    fn settle_disputes(&mut self, now: Duration) {
+        let (seen, patience) = (&self.seen, self.config.period * 2);
+        let mut silent = Vec::new();
+        self.disputed.retain(|number, asked| {
+            let Some(of) = seen.get(*number).filter(|of| of.status == Status::Alive) else { return false };
+            let Some(asked) = *asked else { return true };
+            if now >= asked + patience {
+                silent.push(*number);
+            }
+            now < asked + patience && of.heard.is_none_or(|heard| heard <= asked)
+        });
+        for number in silent {
+            self.swim.suspect(now, number);
+        }
+        let waiting = self.disputed.iter_mut().filter(|(_, asked)| asked.is_none());
+        for (number, asked) in waiting.sample(&mut self.rng, DISPUTES) {
+            if let Some(id) = self.seen.get(*number).and_then(|of| of.id) {
+                *asked = Some(now);
+                self.swim.ask(now, id);
+            }
+        }
     }
 
     /// Sends what is new here to some. What was passed on least goes first, and else by chance: where not all fits, it is
@@ -530,7 +566,7 @@
         if self.fresh.is_empty() {
             return;
         }
-        let to: Vec<u32> = self.others().sample(&mut self.rng, RUMOUR).copied().collect();
+        let to: Vec<u32> = self.seen.others().sample(&mut self.rng, RUMOUR).copied().collect();
         if to.is_empty() {
             return;
         }
@@ -614,49 +650,54 @@
         }
     }
 
-    /// Takes over who is there; whether that is news.
+    /// Takes over who is there, as far as something may have changed; whether that is news.
     fn look(&mut self, now: Duration, actions: &mut Vec<Action>) -> bool {
         let mut news = false;
-        for member in self.swim.members() {
-            let id = *member.id();
-            let Some(seen) = self.seen.get_mut(&id.number) else { continue };
-            let status = match member.state() {
-                foca::State::Alive => Status::Alive,
-                foca::State::Suspect => Status::Suspect,
-                foca::State::Down if id.has_left() => Status::Left,
-                foca::State::Down => Status::Down,
-            };
-            let was = seen.id.replace(id);
-            if was.is_none_or(|was| was.roster != id.roster) && id.roster != self.roster.version {
-                self.counts.roster_differs += 1;
+        if !std::mem::take(&mut self.swim.touched) {
+            return news;
+        }
+        for (at, (id, status)) in self.swim.members().enumerate() {
+            match self.looked.get_mut(at) {
+                Some(looked) if *looked == (id, status) => continue,
+                Some(looked) => *looked = (id, status),
+                None => self.looked.push((id, status)),
             }
-            if status != seen.status || was.is_some_and(|was| was.start != id.start) {
-                if is_heard(status) && !is_heard(seen.status) {
+            let Some(change) = self.seen.take(now, &self.roster, id, status) else { continue };
+            self.counts.roster_differs += u64::from(change.differs);
+            if change.back {
+                self.pull.back(self.roster.members.len());
+                let others = u32::try_from(self.seen.others().len()).unwrap_or(u32::MAX);
+                if self.rng.random_ratio(GREETERS.min(others), others) {
                     self.returned.insert(id.number);
                 }
+            }
+            if change.news {
+                news = true;
                 if !is_heard(status) {
                     self.lively = self.beats + LIVELY;
                 }
-                seen.status = status;
-                seen.since = now;
-                news = true;
-                if let Some(member) = self.roster.members.get(&id.number) {
-                    actions.push(Action::Changed(member.name.clone(), status));
-                }
+                let name = self.roster.members.get(&id.number).map(|member| member.name.clone());
+                actions.extend(name.map(|name| Action::Changed(name, status)));
             }
         }
         news
     }
 
+    /// Nothing has changed that was not looked at, and all is counted.
+    fn is_seen(&self) -> bool {
+        let same = |(id, status): (Id, Status)| {
+            self.seen.get(id.number).is_none_or(|seen| (seen.id, seen.status) == (Some(id), status))
+        };
+        self.swim.members().all(same) && self.seen.adds_up(&self.roster, self.me)
+    }
+
     /// What state that is.
     fn count_states(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let hold = self.config.regain;
-        self.fleet.step(now, self.heads(None), hold);
-        let regions: Vec<String> = self.regions.keys().cloned().collect();
-        for region in regions {
-            let heads = self.heads(Some(&region));
-            if let Some(standing) = self.regions.get_mut(&region) {
-                standing.step(now, heads, hold);
+        self.fleet.step(now, self.seen.heads(), hold);
+        for (region, heads) in self.seen.regions() {
+            if let Some(standing) = self.regions.get_mut(region) {
+                standing.step(now, *heads, hold);
             }
         }
         let state = self.state(now);
@@ -666,27 +707,6 @@
         }
     }
 
-    fn heads(&self, region: Option<&str>) -> Heads {
-        let mut heads = Heads::default();
-        for (number, member) in &self.roster.members {
-            if region.is_some_and(|region| member.region != region) {
-                continue;
-            }
-            heads.of += 1;
-            match self.seen.get(number).map(|seen| seen.status) {
-                None => {
-                    heads.me = true;
-                    heads.heard += 1;
-                }
-                Some(Status::Alive) => heads.heard += 1,
-                Some(Status::Suspect) => heads.suspect += 1,
-                Some(Status::Left) => heads.left += 1,
-                Some(Status::Down | Status::NeverHeard) => {}
-            }
-        }
-        heads
-    }
-
     fn doubting(&self, now: Duration) -> bool {
         self.doubt.is_some() || self.is_late(now)
     }
@@ -699,14 +719,6 @@
         }
     }
 
-    fn differing(&self) -> usize {
-        let version = self.roster.version;
-        self.seen
-            .values()
-            .filter(|seen| is_heard(seen.status) && seen.id.is_some_and(|id| id.roster != version))
-            .count()
-    }
-
     /// Whether something may be done now; for a region, if it concerns only that.
     pub fn allowed(&self, now: Duration, act: Act, region: Option<&str>) -> Result<(), Denied> {
         let standings: Vec<(Option<&str>, &Standing)> = match region {
@@ -729,7 +741,7 @@
                     return Err(Denied::TooFew { state: standing.state, heard, of, region });
                 }
                 Rule::Agreed if self.left => return Err(Denied::Left),
-                Rule::Agreed => match self.differing() {
+                Rule::Agreed => match self.seen.differing() {
                     0 => {}
                     members => return Err(Denied::RosterDiffers(members)),
                 },
@@ -757,8 +769,8 @@
     pub fn view(&self, now: Duration) -> View {
         // In one round each two members probe each other once, in an order that changes.
         let rounds = self.config.period * (2 * self.seen.len() as u32 + 2);
-        let sight = |(number, seen): (&u32, &Seen)| {
-            let member = self.roster.members.get(number)?;
+        let sight = |(number, seen): (u32, &Sighting)| {
+            let member = self.roster.members.get(&number)?;
             Some(Sight {
                 name: member.name.clone(),
                 address: member.address,
@@ -775,7 +787,7 @@
             doubting: self.doubting(now),
             heads: self.fleet.heads,
             roster: self.roster.version,
-            roster_differs: self.differing(),
+            roster_differs: self.seen.differing(),
             regions: self.regions.iter().map(|(region, part)| (region.clone(), part.state)).collect(),
             members: self.seen.iter().filter_map(sight).collect(),
             facts: self.store.len(),
@@ -789,10 +801,6 @@
     }
 }
 
-fn is_heard(status: Status) -> bool {
-    matches!(status, Status::Alive | Status::Suspect)
-}
-
 fn pace(config: &Config, roster: &Known) -> Pace {
     Pace {
         period: config.period,
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -8,9 +8,11 @@
 mod core;
 mod facts;
 mod pace;
+mod pull;
 #[cfg(test)]
 mod recorded;
 mod roster;
+mod seen;
 mod standing;
 mod swim;
 mod view;
