A member is watched from its stage's begin, and a restart in order is no crash

Seen in the code: 'watch' began with a heard word, so a version that kills its process before that word is out was watched by nobody; and any second restart halted, also an operator's. Ruled out: a shorter period alone, which only narrows the gap.

--- a/crates/leverproxy/src/proxy.rs
+++ b/crates/leverproxy/src/proxy.rs
@@ -140,6 +140,7 @@
         }
         sides.timers.set(now, Timer::LookOver);
         sides.timers.set(now, Timer::Load);
+        let heir = estate.is_some();
         match estate {
             Some(estate) => {
                 log::info!(
@@ -156,14 +157,14 @@
             takeover.join(link, &sides.reactor);
         }
         chain.monitor.event(now, availability::Event::Started);
+        let start = clock::unix_ms();
         let members = config.members.map(|stated| {
-            let start = clock::unix_ms();
             Members::join(stated, config.member_keys, &fixed.name, start, config.seed, now, &sides.reactor)
         });
         let members = members.transpose().map_err(|e| io::Error::new(io::ErrorKind::InvalidInput, e))?;
         let rollout = config.rollout.filter(|_| members.is_some());
         let rollout = rollout.map(|stated| {
-            Rollout::begin(stated, &fixed.name, config.operators.as_deref(), clock::unix_ms(), now)
+            Rollout::begin(stated, &fixed.name, config.operators.as_deref(), (start, heir), now)
         });
         if rollout.is_some() {
             sides.timers.set(now, Timer::Rollout);
@@ -397,6 +398,9 @@
                     if self.sides.takeover.as_ref().is_some_and(Takeover::has_heir) {
                         self.sides.front.close(now, &self.sides.reactor);
                     }
+                    if let (Some(rollout), Some(members)) = (&mut self.rollout, &mut self.members) {
+                        rollout.leave(members, now);
+                    }
                     self.drain(drain::Event::Terminate, now);
                 }
                 Wish::Stop => {}
--- a/crates/leverproxy/src/rollout.rs
+++ b/crates/leverproxy/src/rollout.rs
@@ -142,8 +142,14 @@
 }
 
 impl Rollout {
-    /// `start`: Unix milliseconds of this process's start; `operators`: the file that it runs.
-    pub fn begin(stated: Stated, name: &str, operators: Option<&Path>, start: u64, now: Instant) -> Rollout {
+    /// `start`: as the members know this process, and whether it took over from an elder; `operators`: the file that it runs.
+    pub fn begin(
+        stated: Stated,
+        name: &str,
+        operators: Option<&Path>,
+        (start, heir): (u64, bool),
+        now: Instant,
+    ) -> Rollout {
         let base = operators.and_then(|path| of_file(path).ok()).unwrap_or_default();
         let loaded = stated.state.as_deref().map_or(Ok(None), load);
         let unloaded = loaded.is_err();
@@ -160,7 +166,8 @@
             fresh: stated.period * LASTS_PERIODS,
         };
         let lasts = (stated.period * LASTS_PERIODS).max(LASTS_LEAST);
-        let config = Config { name: name.to_owned(), start, base, limits, dark: stated.dark, lasts, stored };
+        let config =
+            Config { name: name.to_owned(), start, heir, base, limits, dark: stated.dark, lasts, stored };
         Rollout {
             core: Core::new(config, Duration::ZERO),
             name: name.to_owned(),
@@ -186,6 +193,12 @@
         self.handle(event, members, now)
     }
 
+    /// This process was told to end.
+    pub fn leave(&mut self, members: &mut Members, now: Instant) {
+        // Nothing that this gives could be read any more.
+        _ = self.handle(Event::Leave, members, now);
+    }
+
     fn sight(&self, members: &Members, counters: &Counters, now: Instant) -> Look {
         let view = members.view(now);
         let regions = members.regions();
@@ -330,6 +343,9 @@
             Verdict::Soaking => "soaking, nothing shown yet",
             Verdict::TooLittle => "too little traffic, or not on both versions: waiting",
             Verdict::Doubtful => "a sign of harm, not shown: waiting",
+            Verdict::Missing => {
+                "no harm, but a proxy of the stage is missing or does not run it yet: waiting"
+            }
         };
         let (windows, harm, safe) = (status.windows, status.harm, status.safe);
         _ = writeln!(
@@ -345,6 +361,9 @@
             };
             _ = writeln!(text, "  member {name} runs {runs}, votes for {} stages, {ready}", word.votes);
         }
+        for (name, times) in &status.planned {
+            _ = writeln!(text, "  member {name} started anew in order {times} times, which is no fault");
+        }
         text
     }
 
--- a/crates/rollout/src/core.rs
+++ b/crates/rollout/src/core.rs
@@ -2,8 +2,9 @@
 
 use crate::evidence::{Evidence, Limits, Verdict};
 use crate::machine::{Machine, Peer, Phase, Sight, REGIONS};
+use crate::watch::{Said, Sign, Watch};
 use crate::words::{
-    self, Class, Counts, Halted, Hash, Proposal, Ready, Stored, Why, Word, BODY_BYTES, CLASSES,
+    self, Class, Counts, Halted, Hash, Orderly, Proposal, Ready, Stored, Why, Word, BODY_BYTES, CLASSES,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -14,18 +15,19 @@
 const WORD: u8 = 1;
 const HALTS: u8 = 2;
 const COUNTS: u8 = 3;
+const ORDERLY: u8 = 4;
 /// So many kinds are used.
-pub const KINDS: u8 = 4;
-/// Starts of one process during a rollout that are taken for an operator's.
-const STARTS: u32 = 1;
-/// Halts are told for this long, and again before.
-const HALTS_LAST: Duration = Duration::from_secs(600);
+pub const KINDS: u8 = 5;
+/// Halts, and that one goes in order, are told for this long, and again before.
+const LONG: Duration = Duration::from_secs(600);
 
 #[derive(Clone, Debug)]
 pub struct Config {
     pub name: String,
     /// The start of this process.
     pub start: u64,
+    /// It took over from a process of its name that had not ended.
+    pub heir: bool,
     /// What runs now.
     pub base: Hash,
     pub limits: Limits,
@@ -68,6 +70,8 @@
     },
     Halt,
     Return,
+    /// This process was told to end.
+    Leave,
     /// What came of `Check`, or of a `Run` that failed.
     Ready(Hash, Result<(), String>),
 }
@@ -122,14 +126,8 @@
     pub malformed: u64,
     /// What an earlier process left could not be read.
     pub unread: bool,
-}
-
-/// How a member that runs the new version fares.
-#[derive(Clone, Debug, Default)]
-struct Watched {
-    start: u64,
-    starts: u32,
-    unheard: Option<Duration>,
+    /// Members of this rollout that started anew in order, and how often.
+    pub planned: Vec<(String, u32)>,
 }
 
 #[derive(Clone, Debug)]
@@ -138,8 +136,10 @@
     machine: Machine,
     evidence: Evidence,
     look: Look,
-    words: BTreeMap<String, Word>,
-    watched: BTreeMap<String, Watched>,
+    /// By the start that said them.
+    words: BTreeMap<String, Said>,
+    watch: Watch,
+    orderly: Option<Orderly>,
     verdict: Verdict,
     /// Version counted for, and where its counts began.
     turn: u32,
@@ -171,7 +171,8 @@
             machine,
             look: Look::default(),
             words: BTreeMap::new(),
-            watched: BTreeMap::new(),
+            watch: Watch::new(&config.name, config.dark),
+            orderly: config.heir.then_some(Orderly::Heir(config.start)),
             verdict: Verdict::TooLittle,
             turn: 0,
             from: Vec::new(),
@@ -204,6 +205,7 @@
                     return actions.push(Action::Refused(Refused::Nothing));
                 }
             }
+            Event::Leave => self.orderly = Some(Orderly::Left(self.config.start)),
             Event::Ready(hash, result) => {
                 let ready = match result {
                     Ok(()) => Ready::Yes,
@@ -231,7 +233,7 @@
         {
             return Err(Refused::Order(order));
         }
-        let epoch = self.machine.epoch().max(self.words.values().map(|w| w.epoch).max().unwrap_or(0));
+        let epoch = self.machine.epoch().max(self.words.values().map(|(_, w)| w.epoch).max().unwrap_or(0));
         let epoch = epoch.saturating_add(1);
         let proposal = Proposal { epoch, hash, proposer: self.config.name.clone(), order, canary };
         let length = words::encode(&proposal).len();
@@ -244,16 +246,18 @@
 
     fn go_on(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let (mut proposals, mut halts, mut said) = (Vec::new(), Vec::new(), Vec::new());
+        let mut orderly = BTreeMap::new();
         self.words.clear();
         for told in &self.look.facts {
             let read = match told.kind {
                 PROPOSAL => words::decode::<Proposal>(&told.body).map(|p| proposals.push(p)),
                 WORD => words::decode::<Word>(&told.body).map(|w| {
-                    self.words.insert(told.source.clone(), w);
+                    self.words.insert(told.source.clone(), (told.start, w));
                 }),
                 HALTS => words::decode::<Vec<Halted>>(&told.body).map(|h| halts.extend(h)),
                 COUNTS => words::decode::<Counts>(&told.body)
                     .map(|counts| said.push((told.source.as_str(), told.start, counts))),
+                ORDERLY => words::decode(&told.body).map(|how| _ = orderly.insert(told.source.clone(), how)),
                 _ => None,
             };
             self.malformed += u64::from(read.is_none());
@@ -271,18 +275,20 @@
         let all =
             all.filter_map(|(name, start, counts)| Some((name, regions.get(name)?.as_str(), start, counts)));
         self.evidence.look(now, all);
-        self.verdict = match self.watch(now) {
-            Some(why) => Verdict::Harm(why),
-            None => self.evidence.verdict(now),
+        self.verdict = match (self.watch(now, &orderly), self.evidence.verdict(now)) {
+            (Sign::Harm(why), _) => Verdict::Harm(why),
+            (Sign::Waits, Verdict::Clean) => Verdict::Missing,
+            (_, verdict) => verdict,
         };
         let verdict = if self.judged_now() { self.verdict } else { Verdict::TooLittle };
         let under_way = self.machine.under_way();
+        let words = self.words.iter().map(|(name, (_, word))| (name.clone(), word.clone())).collect();
         self.machine.step(
             now,
             &Sight {
                 peers: &self.look.peers,
                 promote: &self.look.promote,
-                words: &self.words,
+                words: &words,
                 proposals: &proposals,
                 halts: &halts,
                 verdict,
@@ -291,6 +297,9 @@
         let before = self.judged.map(|(epoch, hash, _)| (epoch, hash));
         self.begin(now);
         let after = self.judged.map(|(epoch, hash, _)| (epoch, hash));
+        if let Some(current) = self.machine.current().filter(|_| self.machine.under_way()) {
+            self.watch.begin(&current.proposal, current.reached, &self.look.peers, &self.words);
+        }
         self.superseded += u64::from(under_way && before.is_some() && before != after);
         self.act(now, actions);
         self.tell(now, actions);
@@ -316,37 +325,19 @@
             self.evidence.stage(now);
         } else {
             self.evidence = Evidence::new(self.config.limits, now);
-            self.watched.clear();
+            self.watch.clear();
         }
         self.judged = subject;
     }
 
-    /// Those that run the new version: whether they are still there, and are the processes that they were.
-    fn watch(&mut self, now: Duration) -> Option<Why> {
-        let current = self.machine.current()?;
-        if !self.machine.under_way() {
-            self.watched.clear();
-            return None;
-        }
-        for (name, _) in self.words.iter().filter(|(_, w)| w.new && w.of(&current.proposal)) {
-            self.watched.entry(name.clone()).or_default();
-        }
-        let mut found = None;
-        for (name, watched) in &mut self.watched {
-            let Some(peer) = self.look.peers.iter().find(|p| p.name == *name) else { continue };
-            if let Some(start) = peer.start.filter(|&s| s > watched.start) {
-                watched.starts += u32::from(watched.start > 0);
-                watched.start = start;
-            }
-            let missed = !peer.heard && !peer.left;
-            watched.unheard = if missed { watched.unheard.or(Some(now)) } else { None };
-            if watched.starts > STARTS {
-                found = Some(Why::Crash);
-            } else if watched.unheard.is_some_and(|since| now.saturating_sub(since) >= self.config.dark) {
-                found = found.or(Some(Why::Gone));
+    fn watch(&mut self, now: Duration, orderly: &BTreeMap<String, Orderly>) -> Sign {
+        match self.machine.current().filter(|_| self.machine.under_way()) {
+            Some(current) => self.watch.look(now, &current.proposal, &self.look.peers, &self.words, orderly),
+            None => {
+                self.watch.clear();
+                Sign::Well
             }
         }
-        found
     }
 
     fn act(&mut self, now: Duration, actions: &mut Vec<Action>) {
@@ -418,7 +409,7 @@
             }
         };
         if !self.machine.halts().is_empty() {
-            say(HALTS, words::encode(&self.machine.halts()), HALTS_LAST);
+            say(HALTS, words::encode(&self.machine.halts()), LONG);
         }
         if let Some(current) = self.machine.current() {
             say(PROPOSAL, words::encode(&current.proposal), lasts * 6);
@@ -428,13 +419,16 @@
         }
         if let Some(counts) = counts {
             say(COUNTS, words::encode(&counts), lasts);
+            if let Some(orderly) = self.orderly {
+                say(ORDERLY, words::encode(&orderly), LONG);
+            }
         }
     }
 
     pub fn status(&self) -> Status {
         let (windows, harm, safe) = self.evidence.figures();
         let mut members: Vec<(String, Word)> =
-            self.words.iter().map(|(name, word)| (name.clone(), word.clone())).collect();
+            self.words.iter().map(|(name, (_, word))| (name.clone(), word.clone())).collect();
         members.extend(self.machine.word(&self.look.peers).map(|word| (self.config.name.clone(), word)));
         members.sort_by(|a, b| a.0.cmp(&b.0));
         Status {
@@ -450,6 +444,7 @@
             superseded: self.superseded,
             malformed: self.malformed,
             unread: self.unread,
+            planned: self.watch.planned().map(|(name, times)| (name.to_owned(), times)).collect(),
         }
     }
 
--- a/crates/rollout/src/evidence.rs
+++ b/crates/rollout/src/evidence.rs
@@ -40,6 +40,8 @@
     TooLittle,
     /// Neither harm nor its absence is shown yet, and there is a sign of harm.
     Doubtful,
+    /// No harm is shown, and a proxy of the stage is missing or has not said that it runs it.
+    Missing,
 }
 
 #[derive(Clone, Debug, Default)]
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -12,9 +12,10 @@
 mod model;
 #[cfg(test)]
 mod recorded;
+mod watch;
 mod words;
 
 pub use core::{Action, Config, Core, Event, Look, Refused, Status, Told, KINDS};
 pub use evidence::{Evidence, Limits, Verdict};
 pub use machine::{Machine, Peer, Phase, Sight};
-pub use words::{Class, Counts, Halted, Hash, Proposal, Ready, Why, Word, BODY_BYTES};
+pub use words::{Class, Counts, Halted, Hash, Orderly, Proposal, Ready, Why, Word, BODY_BYTES};
--- a/crates/rollout/src/machine.rs
+++ b/crates/rollout/src/machine.rs
@@ -42,6 +42,10 @@
     Remembers,
     OneAtATime,
     Consent,
+    /// One that starts anew and anew is told from one that does not.
+    Crash,
+    /// Nobody votes past a member that has not shown itself.
+    Settled,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -92,6 +96,7 @@
         on
     }};
 }
+pub(crate) use guard;
 
 impl Machine {
     /// `base`: what runs while nothing new does.
--- a/crates/rollout/src/recorded.rs
+++ b/crates/rollout/src/recorded.rs
@@ -1,6 +1,6 @@
 //! Bodies and a state file as a build of the first form wrote them, and what comes of those of a later one.
 
-use crate::words::{self, Class, Counts, Halted, Hash, Proposal, Ready, Stored, Why, Word};
+use crate::words::{self, Class, Counts, Halted, Hash, Orderly, Proposal, Ready, Stored, Why, Word};
 use crate::{Action, Config, Core, Event, Limits, Look, Peer, Phase, Told, KINDS};
 use std::time::Duration;
 
@@ -50,6 +50,8 @@
         classes: vec![Class { class: 0xdead_beef, asked: 400, lost: 3 }],
     };
     assert_eq!(words::decode(&recorded("counts")), Some(counts));
+    assert_eq!(words::decode(&recorded("orderly")), Some(Orderly::Left(300)));
+    assert_eq!(words::decode(&[1, 1, 5]), Some(Orderly::Heir(5)));
 }
 
 #[test]
@@ -100,8 +102,16 @@
         fresh: Duration::from_secs(5),
     };
     let second = Duration::from_secs(1);
-    let config =
-        Config { name: "n0".into(), start: 5, base: [9; 32], limits, dark: second, lasts: second, stored };
+    let config = Config {
+        name: "n0".into(),
+        start: 5,
+        heir: false,
+        base: [9; 32],
+        limits,
+        dark: second,
+        lasts: second,
+        stored,
+    };
     Core::new(config, Duration::ZERO)
 }
 
@@ -114,7 +124,7 @@
 #[test]
 fn facts_of_a_later_form_are_counted_and_not_heard() {
     let mut core = core(None);
-    let bodies = ["proposal", "word", "halts", "counts"];
+    let bodies = ["proposal", "word", "halts", "counts", "orderly"];
     assert_eq!(bodies.len(), usize::from(KINDS));
     let facts = bodies.into_iter().zip(0..).map(|(name, kind)| Told {
         source: "n1".into(),
--- a/crates/rollout/src/words.rs
+++ b/crates/rollout/src/words.rs
@@ -62,8 +62,8 @@
             Why::Return => "an operator asked for the former version",
             Why::Loss => "it loses more than the former version beside it",
             Why::Class => "it loses more of one class than the former version beside it",
-            Why::Crash => "a proxy that ran it started anew more than once",
-            Why::Gone => "a proxy that ran it has not been heard for too long",
+            Why::Crash => "a proxy that was to run it started anew more than once, and not in order",
+            Why::Gone => "a proxy that was to run it has not been heard for too long",
             Why::CutOff => "the proxy that ran it was cut off from the fleet for too long",
         }
     }
@@ -105,6 +105,15 @@
     }
 }
 
+/// That a change of one's process is no crash, by the process's start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Orderly {
+    /// This one was told to end.
+    Left(u64),
+    /// This one took over from its elder.
+    Heir(u64),
+}
+
 /// Worth asked for and lost since the version began to run.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Class {
