Gifts of a line are counted in 64 bits: four wholes given no longer begin at nothing

A lane's gifts only grow. In 32 bits a lane that had given four wholes wrapped, held anew what others have, and the line broke: planted in this build, a schedule says '23443 is owed, 121065 may be lent, of a line of 80000' and the model finds no gifts. Changed: sums and shares in 64 bits; same bytes on the wire and in files for all that earlier builds could say (recorded bytes pass unchanged); 'untrue' is 2^32 - 1 on the wire as before, and no lane gives just that; a gift is made only while its row fits into a fact; no share is more than the whole. Open: a lane has 24 receivers for its life.

--- a/crates/lending/src/book.rs
+++ b/crates/lending/src/book.rs
@@ -18,7 +18,7 @@
     /// What this proxy's part of the line comes to.
     pub part: Milli,
     /// Lanes of dead proxies held.
-    pub took: u32,
+    pub took: u64,
     pub in_default: bool,
     /// Without a new echo nothing is lent from then on.
     pub lends_until: Duration,
--- a/crates/lending/src/bounds.rs
+++ b/crates/lending/src/bounds.rs
@@ -1,7 +1,7 @@
 //! One member of the fleet that says whatever fits: what is kept of it is bounded, and none of its gifts counts twice.
 
-use crate::core::{RECEIVERS, ROWS, UNTRUE};
-use crate::said::{self, digest, encode, number, Founded, Head, Id, Row, SaidRow, Witness};
+use crate::core::{RECEIVERS, ROWS};
+use crate::said::{self, digest, encode, number, Founded, Given, Head, Id, Row, SaidRow, Witness};
 use crate::{Config, Core, Event};
 use std::time::Duration;
 
@@ -47,7 +47,7 @@
     let mut core = founded();
     for at in (0..40_000).step_by(40) {
         hear(&mut core, "b", said::ROW, &gifts(at..at + 20));
-        let others = (at..at + 40).map(|name| (Id { name, from: 1 }, 1)).collect();
+        let others = (at..at + 40).map(|name| (Id { name, from: 1 }, 1.into())).collect();
         hear(&mut core, "b", said::WITNESS, &Witness { head: head(), founders: vec![], others });
     }
     assert_eq!(core.lanes[&id("b")].rows[&STAND].0.gave.len(), 20);
@@ -59,22 +59,26 @@
 #[test]
 fn a_row_of_more_receivers_than_are_kept_is_witnessed_by_nobody() {
     let most = RECEIVERS as u32;
-    let told = |core: &mut Core, given| {
+    let told = |core: &mut Core, given: Given| {
         let founders = (0..3).filter(|at| core.kept.founders[usize::from(*at)] == id("b"));
         let founders = founders.map(|at| (at, given)).collect();
         hear(core, "c", said::WITNESS, &Witness { head: head(), founders, others: vec![] });
     };
     let mut honest = founded();
     hear(&mut honest, "b", said::ROW, &gifts(0..most));
-    told(&mut honest, most);
+    told(&mut honest, u64::from(most).into());
     assert_eq!(counted(&honest), RECEIVERS, "giver and one more are two of three");
     assert_eq!(honest.malformed(), 0);
 
     let mut core = founded();
     hear(&mut core, "b", said::ROW, &gifts(0..most + 1));
     assert_eq!((counted(&core), core.malformed()), (0, 1));
-    assert_eq!(core.kept.seen[&(id("b"), STAND)], UNTRUE, "nothing of it is left to who takes the lane over");
+    assert_eq!(
+        core.kept.seen[&(id("b"), STAND)],
+        Given::UNTRUE,
+        "nothing of it is left to who takes the lane over"
+    );
     hear(&mut core, "b", said::ROW, &gifts(100..100 + most));
-    told(&mut core, UNTRUE);
+    told(&mut core, Given::UNTRUE);
     assert_eq!(counted(&core), 0, "its other gifts don't count by what was seen of these");
 }
--- a/crates/lending/src/core.rs
+++ b/crates/lending/src/core.rs
@@ -9,21 +9,23 @@
 use crate::help::Help;
 use crate::lanes::Lane;
 use crate::rules::{Milli, Rules};
-use crate::said::{self, decode, digest, encode, mark, number, Head, Id, Pulse, Row, Vote, KEY_BYTES, WHOLE};
+use crate::said::{
+    self, decode, digest, encode, mark, number, Given, Head, Id, Pulse, Row, Vote, KEY_BYTES, WHOLE,
+};
 
 /// Stands with a row: each takes two facts of the 64 of a source.
 pub const STANDS: usize = 20;
 /// Lanes that a proxy gives to for one stand.
 pub const RECEIVERS: usize = 24;
 pub const VOTES: usize = 1024;
+/// Bytes of a row's fact that gifts leave to its other numbers, which grow as well.
+const ROW_ROOM: usize = 32;
 /// Votes and claims said at a time.
 const VOTES_SAID: usize = 16;
 const CLAIMS: usize = 4;
 const LANES: usize = 1024;
 /// Rows of lanes, of which any number is kept.
 pub(crate) const ROWS: usize = LANES * STANDS;
-/// What is seen of a row that no lane has: more than can be given. It witnesses nothing, and leaves nothing to take over.
-pub(crate) const UNTRUE: u32 = u32::MAX;
 
 /// Another proxy, as of its last word.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
@@ -36,7 +38,7 @@
     pub fresh: bool,
     /// When the last of the own beats that it echoed was said.
     pub echoed: Option<Duration>,
-    pub seen: BTreeMap<(Id, u32), u32>,
+    pub seen: BTreeMap<(Id, u32), Given>,
     pub votes: BTreeMap<Id, Vote>,
 }
 
@@ -267,7 +269,7 @@
         let founders = said.founders.into_iter();
         let named =
             founders.filter_map(|(at, given)| Some((*self.kept.founders.get(usize::from(at))?, given)));
-        let all: Vec<(Id, u32)> = named.chain(said.others).collect();
+        let all: Vec<(Id, Given)> = named.chain(said.others).collect();
         let Some(peer) = self.heard(source, &said.head) else { return };
         for (lane, given) in all {
             // What is not kept of its word is one witness less: a gift may not count then, never count twice.
@@ -382,8 +384,8 @@
             mine.merge(&row);
             *held = (*held).max(until);
         }
-        let given = if kept { mine.given() } else { UNTRUE };
-        let seen = self.kept.seen.get(&(lane, stand)).copied().unwrap_or(0);
+        let given = if kept { mine.given() } else { Given::UNTRUE };
+        let seen = self.kept.seen.get(&(lane, stand)).copied().unwrap_or_default();
         let room = self.kept.seen.len() < ROWS || self.kept.seen.contains_key(&(lane, stand));
         if given > seen && !frozen && room {
             self.kept.seen.insert((lane, stand), given);
@@ -488,7 +490,7 @@
         let reserved =
             if self.stored { self.saved.rows.get(&key).map_or(0, |row| row.lent) } else { Milli::MAX };
         let guards = self.guards;
-        let share = (u64::from(self.share(key)) << 10) / u64::from(WHOLE).max(1);
+        let share = (self.share(key) << 10) / WHOLE;
         let rate = (rule.rate_most.saturating_mul(share) >> 10).max(cost);
         let Some(known) = self.stands.get_mut(&key) else { return Err(Reason::Crowded) };
         known.asked = known.asked.saturating_add(cost);
@@ -582,7 +584,7 @@
     }
 
     /// The part of all of a stand's line that this lane holds, of [`WHOLE`], and the start that names the lane.
-    pub fn held(&self, stand: &str) -> (u32, u64) {
+    pub fn held(&self, stand: &str) -> (u64, u64) {
         (self.share(number(stand)), self.kept.lane)
     }
 
@@ -753,16 +755,16 @@
             let share = self.share(*stand);
             let held: u128 = lanes.iter().map(|lane| u128::from(self.guess(*lane, *stand))).sum::<u128>()
                 + u128::from(share);
-            let fair = |demand: u128| (held * (demand + floor) / all) as u32;
+            let fair = |demand: u128| (held * (demand + floor) / all) as u64;
             let used = u128::from(known.loans.owed()) * u128::from(share) / u128::from(known.part.max(1)) + 1;
-            let spare = share.saturating_sub(fair(u128::from(row.demand)).max(used.min(1 << 31) as u32));
+            let spare = share.saturating_sub(fair(u128::from(row.demand)).max(used.min(1 << 62) as u64));
             let lacks = |lane: &Id| (fair(demand(lane)).saturating_sub(self.guess(*lane, *stand)), *lane);
             let full = row.gave.len() >= RECEIVERS;
             let able = lanes.iter().filter(|lane| !full || row.gave.contains_key(lane));
             let Some((lack, to)) = able.map(lacks).max() else { continue };
             let gift = spare.min(lack) / 2;
             // What is not a hundredth of an even part is not worth a word.
-            if gift > WHOLE / 100 / (lanes.len() as u32 + 1) {
+            if gift > WHOLE / 100 / (lanes.len() as u64 + 1) && self.may_give(row, to, gift) {
                 gifts.push((*stand, to, gift));
             }
         }
@@ -775,6 +777,16 @@
         }
     }
 
+    /// With this gift the row still fits into a fact, and its sum says nothing else.
+    fn may_give(&self, row: &Row, to: Id, gift: u64) -> bool {
+        let mut row = row.clone();
+        let gave = row.gave.entry(to).or_default();
+        *gave = gave.saturating_add(gift);
+        let said = row.given() < Given::UNTRUE;
+        let body = encode(&said::SaidRow { head: self.head(), row });
+        said && body.is_some_and(|body| body.len() + ROW_ROOM <= said::BODY_BYTES)
+    }
+
     /// Asks for a file when something is to be kept; without one it is kept as it is.
     fn save(&mut self, now: Duration, actions: &mut Vec<Action>) {
         if !self.dirty || self.saving.is_some() {
--- a/crates/lending/src/file.rs
+++ b/crates/lending/src/file.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
-use crate::said::{Id, Row, Vote};
+use crate::said::{Given, Id, Row, Vote};
 
 const VERSION: u8 = 1;
 const SUM: usize = 32;
@@ -46,11 +46,11 @@
     pub founders: Vec<Id>,
     pub votes: BTreeMap<Id, Vote>,
     /// What a lane gave in all for a stand, as far as seen.
-    pub seen: BTreeMap<(Id, u32), u32>,
+    pub seen: BTreeMap<(Id, u32), Given>,
     /// Gifts that more than half of the founders have seen.
-    pub firm: BTreeMap<(Id, u32), BTreeMap<Id, u32>>,
+    pub firm: BTreeMap<(Id, u32), BTreeMap<Id, u64>>,
     /// Lanes taken over, with what they had given.
-    pub taken: BTreeMap<Id, BTreeMap<u32, u32>>,
+    pub taken: BTreeMap<Id, BTreeMap<u32, Given>>,
     /// Of the own lane; `lent` is what may have been lent until the next file.
     pub rows: BTreeMap<u32, Row>,
 }
--- a/crates/lending/src/lanes.rs
+++ b/crates/lending/src/lanes.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::core::{Core, Peer, ROWS, UNTRUE};
+use crate::core::{Core, Peer, ROWS};
 use crate::file::Kept;
-use crate::said::{Id, Row, Vote, WHOLE};
+use crate::said::{total, Given, Id, Row, Vote, WHOLE};
 
 /// Another's lane, or one of a former life.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
@@ -26,17 +26,17 @@
         self.founders.binary_search(&Id { name, from: memory }).is_ok()
     }
 
-    pub fn initial(&self, lane: Id) -> u32 {
+    pub fn initial(&self, lane: Id) -> u64 {
         match self.founders.binary_search(&lane) {
-            Ok(_) => WHOLE / self.founders.len() as u32,
+            Ok(_) => WHOLE / self.founders.len() as u64,
             Err(_) => 0,
         }
     }
 
     /// What others gave to a lane, in gifts that count.
-    pub fn received(&self, lane: Id, stand: u32) -> u32 {
-        let to = |gave: &BTreeMap<Id, u32>| gave.get(&lane).copied().unwrap_or(0);
-        self.firm.iter().filter(|((_, of), _)| *of == stand).map(|(_, gave)| to(gave)).sum()
+    pub fn received(&self, lane: Id, stand: u32) -> u64 {
+        let of = self.firm.iter().filter(|((_, of), _)| *of == stand);
+        total(of.filter_map(|(_, gave)| gave.get(&lane)))
     }
 }
 
@@ -46,32 +46,29 @@
     }
 
     /// The own share: what may be given away or lent from.
-    pub(crate) fn share(&self, stand: u32) -> u32 {
+    pub(crate) fn share(&self, stand: u32) -> u64 {
         let row = self.kept.rows.get(&stand);
-        let held = self.kept.initial(self.lane())
-            + self.kept.received(self.lane(), stand)
-            + row.map_or(0, |row| row.took);
-        held.saturating_sub(row.map_or(0, Row::given))
+        let lane = self.lane();
+        let received = self.kept.received(lane, stand).saturating_add(row.map_or(0, |row| row.took));
+        let held = self.kept.initial(lane).saturating_add(received);
+        // Whatever others say that they gave, nobody holds more than there is.
+        row.map_or(Given::default(), Row::given).left(held).min(WHOLE)
     }
 
     /// What a lane held in all, gifts that it made not taken off.
-    fn held_by(&self, lane: Id, stand: u32) -> u32 {
+    fn held_by(&self, lane: Id, stand: u32) -> u64 {
         let took =
             self.lanes.get(&lane).and_then(|lane| lane.rows.get(&stand)).map_or(0, |(row, _)| row.took);
-        self.kept.initial(lane) + self.kept.received(lane, stand) + took
+        total(&[self.kept.initial(lane), self.kept.received(lane, stand), took])
     }
 
     /// What another is thought to hold, with gifts that don't count yet: only to judge who lacks.
-    pub(crate) fn guess(&self, lane: Id, stand: u32) -> u32 {
-        let row = |lane: &Lane| lane.rows.get(&stand).map_or(0, |(row, _)| row.given());
-        let to = |row: &Row| row.gave.get(&lane).copied().unwrap_or(0);
-        let others: u32 =
-            self.lanes.values().filter_map(|lane| lane.rows.get(&stand)).map(|(row, _)| to(row)).sum();
-        let mine = self.kept.rows.get(&stand).map_or(0, to);
-        let took =
-            self.lanes.get(&lane).and_then(|lane| lane.rows.get(&stand)).map_or(0, |(row, _)| row.took);
-        (self.kept.initial(lane) + others.saturating_add(mine) + took)
-            .saturating_sub(self.lanes.get(&lane).map_or(0, row))
+    pub(crate) fn guess(&self, lane: Id, stand: u32) -> u64 {
+        let rows = self.lanes.values().filter_map(|lane| lane.rows.get(&stand)).map(|(row, _)| row);
+        let received = total(rows.chain(self.kept.rows.get(&stand)).filter_map(|row| row.gave.get(&lane)));
+        let row = self.lanes.get(&lane).and_then(|lane| lane.rows.get(&stand));
+        let (took, given) = row.map_or((0, Given::default()), |(row, _)| (row.took, row.given()));
+        given.left(total(&[self.kept.initial(lane), received, took])).min(WHOLE)
     }
 
     /// Until when this lane may lend: the time at which the last beat was said that more than half echo, and a lease.
@@ -102,11 +99,11 @@
             for (stand, (row, _)) in &known.rows {
                 let given = row.given();
                 let key = (*lane, *stand);
-                let counted = self.kept.firm.get(&key).map_or(0, |gave| gave.values().sum::<u32>());
-                if given == 0 || counted >= given {
+                let counted = self.kept.firm.get(&key).map_or(0, |gave| total(gave.values()));
+                if given.is_none() || Given::from(counted) >= given {
                     continue;
                 }
-                let witnessed = |seen: &u32| *seen >= given && *seen < UNTRUE;
+                let witnessed = |seen: &Given| seen.witnesses(given);
                 let mut seen = 0;
                 for (name, peer) in &self.peers {
                     // Who gives has seen it, whatever became of its memory since.
@@ -143,9 +140,9 @@
     }
 
     fn worth(&self, lane: Id) -> bool {
-        let given = |stand: u32| self.kept.seen.get(&(lane, stand)).copied().unwrap_or(0);
+        let given = |stand: u32| self.kept.seen.get(&(lane, stand)).copied().unwrap_or_default();
         self.kept.initial(lane) > 0
-            || self.kept.rows.keys().any(|stand| self.held_by(lane, *stand) > given(*stand))
+            || self.kept.rows.keys().any(|stand| given(*stand).left(self.held_by(lane, *stand)) > 0)
     }
 
     /// No new beat of it for so long that all that it lent is over.
@@ -166,7 +163,7 @@
         if self.kept.votes.len() >= crate::core::VOTES {
             return;
         }
-        let of = |((of, stand), given): (&(Id, u32), &u32)| (*of == lane).then_some((*stand, *given));
+        let of = |((of, stand), given): (&(Id, u32), &Given)| (*of == lane).then_some((*stand, *given));
         let given = self.kept.seen.iter().filter_map(of).collect();
         self.kept.votes.insert(lane, Vote { to, given });
         self.dirty = true;
@@ -185,7 +182,7 @@
         if votes.len() < self.kept.majority() {
             return false;
         }
-        let mut given: BTreeMap<u32, u32> = BTreeMap::new();
+        let mut given: BTreeMap<u32, Given> = BTreeMap::new();
         for (stand, gave) in votes.into_iter().flat_map(|vote| &vote.given) {
             let most = given.entry(*stand).or_default();
             *most = (*most).max(*gave);
@@ -210,10 +207,10 @@
     }
 
     /// What is held of dead lanes: it only grows, as more gifts to them become known.
-    pub(crate) fn took(&self, stand: u32) -> u32 {
-        let of = |(lane, given): (&Id, &BTreeMap<u32, u32>)| {
-            self.held_by(*lane, stand).saturating_sub(given.get(&stand).copied().unwrap_or(0))
+    pub(crate) fn took(&self, stand: u32) -> u64 {
+        let of = |(lane, given): (&Id, &BTreeMap<u32, Given>)| {
+            given.get(&stand).copied().unwrap_or_default().left(self.held_by(*lane, stand))
         };
-        self.kept.taken.iter().map(of).sum()
+        self.kept.taken.iter().fold(0, |sum, taken| sum.saturating_add(of(taken)))
     }
 }
--- a/crates/lending/src/recorded.rs
+++ b/crates/lending/src/recorded.rs
@@ -44,7 +44,7 @@
 }
 
 fn vote() -> Vote {
-    Vote { to: id(5, 6), given: [(DEPOT, 300)].into() }
+    Vote { to: id(5, 6), given: [(DEPOT, 300.into())].into() }
 }
 
 #[test]
@@ -60,7 +60,7 @@
     };
     assert_eq!(said::decode(&recorded("founded")), Some(founded));
     assert_eq!(said::decode(&recorded("row")), Some(SaidRow { head, row: row() }));
-    let witness = Witness { head, founders: vec![(1, 129)], others: vec![(id(7, 8), 65_536)] };
+    let witness = Witness { head, founders: vec![(1, 129.into())], others: vec![(id(7, 8), 65_536.into())] };
     assert_eq!(said::decode(&recorded("witness")), Some(witness));
     assert_eq!(said::decode(&recorded("claim")), Some(Claim { head, lane: id(7, 8) }));
     assert_eq!(said::decode(&recorded("vote")), Some(SaidVote { head, lane: id(7, 8), vote: vote() }));
@@ -85,9 +85,9 @@
         lane: 1_800_000_000_002,
         founders: vec![id(1, 2), id(7, 8)],
         votes: [(id(7, 8), vote())].into(),
-        seen: [((id(1, 2), DEPOT), 300)].into(),
+        seen: [((id(1, 2), DEPOT), 300.into())].into(),
         firm: [((id(1, 2), DEPOT), [(id(7, 8), 200)].into())].into(),
-        taken: [(id(7, 8), [(DEPOT, 301)].into())].into(),
+        taken: [(id(7, 8), [(DEPOT, 301.into())].into())].into(),
         rows: [(DEPOT, row())].into(),
     };
     assert_eq!(Kept::read("n0", &recorded("file")), Ok(kept));
--- a/crates/lending/src/said.rs
+++ b/crates/lending/src/said.rs
@@ -31,7 +31,55 @@
 }
 
 /// All lanes of a stand together.
-pub const WHOLE: u32 = 1 << 30;
+pub const WHOLE: u64 = 1 << 30;
+
+/// What a lane gave in all for a stand, as far as seen: it only grows. At half of the whole in each second a lane gives for a
+/// thousand years before 64 bits are full. A number takes as many bytes as it needs, so the numbers of 32 bits that earlier
+/// builds say and keep are the same bytes; what is greater these can't read, and so count it as lost.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(from = "u64", into = "u64")]
+pub struct Given(u64);
+
+impl Given {
+    /// Of a row that no lane has: more than can be given. It witnesses nothing, and leaves nothing to take over.
+    pub const UNTRUE: Given = Given(u64::MAX);
+    /// How it is said and kept, as by builds for which no lane could give more. No lane gives exactly so much.
+    const UNTRUE_SAID: u64 = u32::MAX as u64;
+
+    /// Does who has seen this know of all these gifts?
+    pub fn witnesses(self, given: Given) -> bool {
+        self >= given && self < Given::UNTRUE
+    }
+
+    /// What is left of all that a lane held.
+    pub fn left(self, held: u64) -> u64 {
+        held.saturating_sub(self.0)
+    }
+
+    pub fn is_none(self) -> bool {
+        self.0 == 0
+    }
+}
+
+impl From<u64> for Given {
+    fn from(sum: u64) -> Given {
+        if sum == Given::UNTRUE_SAID {
+            Given::UNTRUE
+        } else {
+            Given(sum)
+        }
+    }
+}
+
+impl From<Given> for u64 {
+    fn from(given: Given) -> u64 {
+        if given == Given::UNTRUE {
+            Given::UNTRUE_SAID
+        } else {
+            given.0
+        }
+    }
+}
 
 /// FNV-1a of 32 bits.
 fn hash(bytes: &[u8]) -> u32 {
@@ -88,6 +136,11 @@
     pub members: Vec<(u32, u64)>,
 }
 
+/// A sum that a liar's numbers do not overflow.
+pub(crate) fn total<'a>(gave: impl IntoIterator<Item = &'a u64>) -> u64 {
+    gave.into_iter().fold(0, |sum, gave| sum.saturating_add(*gave))
+}
+
 /// What a lane says of a stand. One writer; every number but the line and the demand only grows.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Row {
@@ -99,13 +152,13 @@
     /// Asked beyond quota lately.
     pub demand: Milli,
     /// Shares of dead lanes.
-    pub took: u32,
-    pub gave: BTreeMap<Id, u32>,
+    pub took: u64,
+    pub gave: BTreeMap<Id, u64>,
 }
 
 impl Row {
-    pub fn given(&self) -> u32 {
-        self.gave.values().fold(0, |sum, gave| sum.saturating_add(*gave))
+    pub fn given(&self) -> Given {
+        total(self.gave.values()).into()
     }
 
     /// How many both name together.
@@ -143,8 +196,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Witness {
     pub head: Head,
-    pub founders: Vec<(u8, u32)>,
-    pub others: Vec<(Id, u32)>,
+    pub founders: Vec<(u8, Given)>,
+    pub others: Vec<(Id, Given)>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -157,7 +210,7 @@
 pub struct Vote {
     pub to: Id,
     /// What the lane gave in all for each stand, as far as seen; no more is seen of it afterwards.
-    pub given: BTreeMap<u32, u32>,
+    pub given: BTreeMap<u32, Given>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/lending/tests/bytes.rs
+++ b/crates/lending/tests/bytes.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use lending::said::{
-    digest, encode, number, Claim, Founded, Head, Id, Pulse, Row, SaidRow, SaidVote, Vote, Witness,
+    digest, encode, number, Claim, Founded, Given, Head, Id, Pulse, Row, SaidRow, SaidVote, Vote, Witness,
     BODY_BYTES, CLAIM, FOUNDED, PULSE, ROW, VOTE, WITNESS,
 };
 use lending::{Action, Config, Core, Event, Member, Rule, Rules, Verdict};
@@ -30,6 +30,15 @@
     prop_oneof![0..3_u32, Just(1 << 30), Just(u32::MAX), any::<u32>()]
 }
 
+/// Parts of a line, at the bounds of 32 and of 64 bits too.
+fn parts() -> impl Strategy<Value = u64> {
+    prop_oneof![small().prop_map(u64::from), big()]
+}
+
+fn given() -> impl Strategy<Value = Given> {
+    parts().prop_map(Given::from)
+}
+
 fn id() -> impl Strategy<Value = Id> {
     let names = prop_oneof![proptest::sample::select(&NAMES[..]).prop_map(number), any::<u32>()];
     (names, big()).prop_map(|(name, from)| Id { name, from })
@@ -42,7 +51,7 @@
 }
 
 fn row() -> impl Strategy<Value = Row> {
-    ((big(), big(), big(), big(), big()), small(), btree_map(id(), small(), 0..30)).prop_map(
+    ((big(), big(), big(), big(), big()), parts(), btree_map(id(), parts(), 0..30)).prop_map(
         |((line, lent, repaid, written_off, demand), took, gave)| Row {
             line,
             lent,
@@ -65,11 +74,12 @@
         });
     let founded = (head(), big(), vec((small(), big()), 0..60))
         .prop_map(|(head, least, members)| (0, encode(&Founded { head, least, members })));
+    let seen = || vec((any::<u8>(), given()), 0..9);
     let row = (head(), row()).prop_map(|(head, row)| (0, encode(&SaidRow { head, row })));
-    let witness = (head(), few(), lanes())
+    let witness = (head(), seen(), vec((id(), given()), 0..9))
         .prop_map(|(head, founders, others)| (0, encode(&Witness { head, founders, others })));
     let claim = (head(), id()).prop_map(|(head, lane)| (0, encode(&Claim { head, lane })));
-    let vote = (head(), id(), id(), btree_map(small(), small(), 0..9))
+    let vote = (head(), id(), id(), btree_map(small(), given(), 0..9))
         .prop_map(|(head, lane, to, given)| (0, encode(&SaidVote { head, lane, vote: Vote { to, given } })));
     prop_oneof![
         pulse.prop_map(|(start, body)| (PULSE, start, body)),
--- a/crates/lending/tests/fleet/mod.rs
+++ b/crates/lending/tests/fleet/mod.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use lending::said::Id;
+use lending::said::{decode, Id, SaidRow, ROW};
 use lending::{Action, Config, Core, Event, Guards, Member, Rule, Rules, Verdict};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -89,6 +89,7 @@
     pub lent: u64,
     pub takings: usize,
     wrong_views: bool,
+    pub sound_disks: bool,
     /// How readily links heal.
     heals: f64,
     /// Is killed then.
@@ -126,6 +127,7 @@
             lent: 0,
             takings: 0,
             wrong_views: true,
+            sound_disks: false,
             heals: if seed.is_multiple_of(2) { 1.0 } else { 0.2 },
             doomed: None,
         };
@@ -206,7 +208,7 @@
                 }
                 Action::Save { sequence, bytes } => {
                     // A disk that is slow, or gives up: then nothing is confirmed until the next start.
-                    if self.rng.random_range(0..2000) > 0 {
+                    if self.rng.random_range(0..2000) > 0 || self.sound_disks {
                         self.nodes[at].file = Some(bytes);
                         self.event(at, Event::Saved(sequence));
                     }
@@ -440,6 +442,13 @@
         Ok(())
     }
 
+    /// The most that a lane says that it gave in all.
+    pub fn given(&self) -> u64 {
+        let said = self.nodes.iter().flat_map(|node| &node.said).filter(|((_, kind, _), _)| *kind == ROW);
+        let rows = said.filter_map(|(_, versions)| decode::<SaidRow>(&versions.back()?.body));
+        rows.map(|said| said.row.gave.values().sum()).max().unwrap_or(0)
+    }
+
     pub fn founded(&self) -> usize {
         let founded = |node: &&Node| node.process.as_ref().is_some_and(|process| process.core.is_founded());
         self.nodes.iter().filter(founded).count()
@@ -457,7 +466,7 @@
         Ok(fleet)
     }
 
-    fn peace(seed: u64, guards: Guards) -> Result<Fleet, String> {
+    pub fn peace(seed: u64, guards: Guards) -> Result<Fleet, String> {
         let mut fleet = Fleet::new(seed, 5, true, guards);
         // Up to the moment at which another becomes busy.
         while fleet.now < Duration::from_secs(25) {
@@ -466,7 +475,7 @@
         Ok(fleet)
     }
 
-    fn steps(&mut self, steps: usize) -> Result<(), String> {
+    pub fn steps(&mut self, steps: usize) -> Result<(), String> {
         (0..steps).try_for_each(|_| self.step(false))
     }
 
--- a/crates/lending/tests/help.rs
+++ b/crates/lending/tests/help.rs
@@ -129,11 +129,7 @@
         while fleet.cores[0].ask(now, STAND, "any", 1000, &mut actions) == Verdict::Borrowed {}
         fleet.act(0, actions);
         let owed = fleet.book(0).owed;
-        assert!(
-            owed > 10 * QUOTA / 4,
-            "{owed} of {:?}",
-            fleet.cores[0].held(STAND).0 as f64 / f64::from(WHOLE)
-        );
+        assert!(owed > 10 * QUOTA / 4, "{owed} of {:?}", fleet.cores[0].held(STAND).0 as f64 / WHOLE as f64);
         fleet.parts = [0, 500, 500];
         (fleet, owed)
     }
--- a/crates/lending/tests/model.rs
+++ b/crates/lending/tests/model.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use lending::said::Id;
+use lending::said::{decode, Id, SaidRow, ROW};
 use lending::{Action, Config, Core, Event, Guards, Member, Rule, Rules, Verdict};
 use stateright::{Checker, HasDiscoveries, Model, Property};
 
@@ -45,6 +45,8 @@
     guards: Guards,
     ticks: u8,
     faults: u8,
+    /// With a lease in which gifts are made, and from where each has given away more than 32 bits count.
+    gifts: bool,
 }
 
 fn bit(to: usize, from: usize) -> u16 {
@@ -66,6 +68,7 @@
     fn core(&self, at: usize, start: u64, now: Duration, file: Option<&[u8]>) -> Core {
         let mut config = Config::new(NAMES[at], start, true);
         (config.longest, config.lease, config.step) = (Duration::from_millis(900), TICK + TICK / 2, TICK);
+        config.lease += if self.gifts { TICK } else { Duration::ZERO };
         config.guards = self.guards;
         let mut core = Core::new(&config, now, file);
         let rule = Rule {
@@ -111,7 +114,8 @@
         Self::act(proxy, now, actions);
     }
 
-    fn tick(state: &mut State, cut: u16) {
+    /// `busy`: the one that is asked, or all.
+    fn tick(state: &mut State, cut: u16, busy: Option<usize>) {
         state.now += TICK;
         let now = state.now;
         let roster: Vec<String> = NAMES.iter().map(|name| (*name).to_owned()).collect();
@@ -142,9 +146,12 @@
                 }
             }
         }
-        for proxy in &mut state.proxies {
+        for (at, proxy) in state.proxies.iter_mut().enumerate() {
             let longest = Duration::from_millis(900);
             proxy.loans.retain(|since| now < *since + longest);
+            if busy.is_some_and(|busy| busy != at) {
+                continue;
+            }
             for _ in 0..8 {
                 let mut actions = Vec::new();
                 let Some((core, _)) = &mut proxy.core else { break };
@@ -177,14 +184,22 @@
         };
         let proxies = (0..3).map(proxy).collect();
         let mut state = State { now: Duration::ZERO, ticks: 0, proxies, taken: BTreeSet::new(), faults: 0 };
-        (0..16).for_each(|_| Self::tick(&mut state, 0));
+        (0..16).for_each(|_| Self::tick(&mut state, 0, None));
         let founded = |proxy: &Proxy| proxy.core.as_ref().is_some_and(|(core, _)| core.held("s").0 > 0);
         assert!(state.proxies.iter().all(founded), "the fleet is founded");
+        if self.gifts {
+            (0..600).for_each(|tick| Self::tick(&mut state, 0, Some(tick / 8 % 3)));
+            let rows = state.proxies.iter().flat_map(|p| &p.said).filter(|((kind, _), _)| *kind == ROW);
+            let rows = rows.filter_map(|(_, said)| decode::<SaidRow>(&said.1));
+            let most = rows.map(|said| said.row.gave.values().sum::<u64>()).max();
+            assert!(most.is_some_and(|most| most > u64::from(u32::MAX)), "{most:?}");
+        }
         // From there; from one dead for a while; from one cut off for a while.
         let (mut dead, mut apart) = (state.clone(), state.clone());
+        let silent = if self.gifts { 10 } else { 6 };
         dead.proxies[2].core = None;
-        (0..6).for_each(|_| Self::tick(&mut dead, 0));
-        (0..6).for_each(|_| Self::tick(&mut apart, cuts()[5]));
+        (0..silent).for_each(|_| Self::tick(&mut dead, 0, None));
+        (0..silent).for_each(|_| Self::tick(&mut apart, cuts()[5], None));
         vec![state, dead, apart]
     }
 
@@ -208,7 +223,7 @@
         match step {
             Step::Tick(cut) => {
                 state.ticks += 1;
-                Self::tick(&mut state, cut);
+                Self::tick(&mut state, cut, None);
             }
             Step::Kill(at) => {
                 state.faults += 1;
@@ -252,9 +267,9 @@
     }
 }
 
-fn check(guards: Guards, ticks: u8, faults: u8, most: usize) -> (usize, Vec<&'static str>) {
+fn check(guards: Guards, ticks: u8, faults: u8, gifts: bool, most: usize) -> (usize, Vec<&'static str>) {
     let began = std::time::Instant::now();
-    let model = Three { guards, ticks, faults };
+    let model = Three { guards, ticks, faults, gifts };
     let checker = model
         .checker()
         .threads(3)
@@ -276,17 +291,18 @@
 
 #[test]
 fn three_proxies_in_every_order() {
-    let (states, found) = check(Guards::ALL, 4, 2, 2_000_000);
-    assert!(states > 10_000, "{states} states");
-    assert!(!found
-        .iter()
-        .any(|name| ["the line holds", "a lane is taken once", "books add up"].contains(name)));
+    for (gifts, ticks) in [(false, 4), (true, 3)] {
+        let (states, found) = check(Guards::ALL, ticks, 2, gifts, 2_000_000);
+        assert!(states > 10_000, "{states} states");
+        let wrong = ["the line holds", "a lane is taken once", "books add up"];
+        assert!(!found.iter().any(|name| wrong.contains(name)), "{found:?}");
+    }
 }
 
 #[test]
 #[ignore = "a minute"]
 fn three_proxies_in_every_order_deeper() {
-    let (states, found) = check(Guards::ALL, 5, 2, 4_000_000);
+    let (states, found) = check(Guards::ALL, 5, 2, false, 4_000_000);
     assert!(states > 1_000_000, "{states} states");
     assert_eq!(found, ["a lane is taken", "a loan is out"]);
 }
@@ -303,7 +319,7 @@
     ];
     for (name, guards) in without {
         print!("without {name}: ");
-        let (_, found) = check(guards, 4, 2, 400_000);
+        let (_, found) = check(guards, 4, 2, false, 400_000);
         assert!(found.contains(&"the line holds"), "nobody notices that {name} is gone");
     }
 }
--- a/crates/lending/tests/rows_and_files.rs
+++ b/crates/lending/tests/rows_and_files.rs
@@ -8,8 +8,8 @@
 
 fn row() -> impl Strategy<Value = Row> {
     let id = (0..4_u32, 0..2_u64).prop_map(|(name, from)| Id { name, from });
-    let gave = prop::collection::btree_map(id, 0..9_u32, 0..4);
-    ((0..4_u64, 0..4_u64, 0..4_u64, 0..4_u64), 0..4_u64, 0..4_u32, gave).prop_map(
+    let gave = prop::collection::btree_map(id, 0..9_u64, 0..4);
+    ((0..4_u64, 0..4_u64, 0..4_u64, 0..4_u64), 0..4_u64, 0..4_u64, gave).prop_map(
         |((line, lent, repaid, written_off), demand, took, gave)| Row {
             line,
             lent,
--- a/crates/lending/tests/schedules.rs
+++ b/crates/lending/tests/schedules.rs
@@ -96,6 +96,20 @@
     assert!(takings >= 30, "{takings} lanes were taken over in 60 schedules");
 }
 
+/// A busy stand's line goes round the fleet until each lane has given it away many times.
+#[test]
+fn gifts_go_on_beyond_what_thirty_two_bits_count() {
+    for seed in 0..2 {
+        let mut fleet = Fleet::peace(seed, Guards::ALL).unwrap_or_else(|wrong| panic!("{wrong}"));
+        fleet.sound_disks = true;
+        fleet.steps(8000).unwrap_or_else(|wrong| panic!("seed {seed}: {wrong}"));
+        let lent = fleet.lent;
+        assert!(fleet.given() > u64::from(u32::MAX), "seed {seed}: {}", fleet.given());
+        fleet.steps(400).unwrap_or_else(|wrong| panic!("seed {seed}: {wrong}"));
+        assert!(fleet.lent > lent, "seed {seed}: nothing is lent any more");
+    }
+}
+
 #[test]
 fn the_stricter_of_two_lines_holds_for_all() {
     for seed in 0..10 {
