Lanes of loans are those of the roster's names, sixteen of each at most

One member that begins lane after lane filled the 1,024 lanes that a proxy keeps, and proxies that started later got none. Changed: facts of who is neither of the signed roster nor a founder are not kept; of one name 16 lanes are, of which one that is silent for hold and holds nothing makes room; the rest is counted (lb_loans_not_kept_total) and logged once a kind, with advice. A member that says 2,000 lanes and a stranger that says 2,000 leave room for another's: 17 lanes, 3,984 facts counted, two notices. Ruled out: one lane a name; a former life's may hold shares that only a taking over moves.

--- a/crates/lending/src/advice.rs
+++ b/crates/lending/src/advice.rs
@@ -1,7 +1,7 @@
 //! What an operator can do about each error, longer than its message says it. No match has a wildcard: an error without
 //! advice does not compile.
 
-use crate::{BadFile, Notice, RulesError, StoreError};
+use crate::{BadFile, NotKept, Notice, RulesError, StoreError};
 
 impl StoreError {
     pub fn advice(&self) -> &'static str {
@@ -66,6 +66,15 @@
             Notice::WrittenOff { .. } => {
                 "The stand borrowed more than it could repay in its term. If it comes often, lower its line or its floor, or lengthen its term."
             }
+            Notice::NotKept(NotKept::Stranger, _) => {
+                "Loans go on. Look which proxy has that name, and whether the sections `member` here name all of the fleet."
+            }
+            Notice::NotKept(NotKept::Lives, _) => {
+                "Loans go on without its newest lane. It starts again and again without its file: look at the folder that its section `lending` names."
+            }
+            Notice::NotKept(NotKept::Full, _) => {
+                "Loans go on without the newest lanes. If no proxy starts again and again without its file, report it with the build."
+            }
             Notice::Unsaid(_) => {
                 "Others do not hear it and may lend less, never more. Give fewer stands a section `credit`; if it stays, report it with the build."
             }
--- a/crates/lending/src/api.rs
+++ b/crates/lending/src/api.rs
@@ -128,6 +128,17 @@
     Notice(Notice),
 }
 
+/// Why what another says of its lane is not kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, thiserror::Error)]
+pub enum NotKept {
+    #[error("it is neither of the roster nor a founder")]
+    Stranger,
+    #[error("it has as many lanes as are kept of one proxy, and all may hold something")]
+    Lives,
+    #[error("as many lanes are known as are kept")]
+    Full,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, thiserror::Error)]
 pub enum Notice {
     #[error("the file of loans is not used: {0}; this proxy starts without memory and holds no lane until others give")]
@@ -144,6 +155,8 @@
     LaneLost,
     #[error("{amount} thousandths of a request of stand {stand} are written off")]
     WrittenOff { stand: String, amount: Milli },
+    #[error("what proxy number {1} says of loans is not kept: {0}; said once, counted from now on")]
+    NotKept(NotKept, u32),
     #[error("a fact of kind {0} is longer than fits and was not said")]
     Unsaid(u8),
 }
--- a/crates/lending/src/bounds.rs
+++ b/crates/lending/src/bounds.rs
@@ -1,8 +1,8 @@
 //! One member of the fleet that says whatever fits: what is kept of it is bounded, and none of its gifts counts twice.
 
 use crate::core::{RECEIVERS, ROWS};
-use crate::said::{self, digest, encode, number, Founded, Given, Head, Id, Row, SaidRow, Witness};
-use crate::{Config, Core, Event};
+use crate::said::{self, digest, encode, number, Founded, Given, Head, Id, Pulse, Row, SaidRow, Witness};
+use crate::{Action, Config, Core, Event, Notice};
 use std::time::Duration;
 
 const STAND: u32 = 7;
@@ -55,6 +55,27 @@
     assert_eq!(core.malformed(), 999);
 }
 
+/// It begins lane after lane: of it so many are kept, of others theirs, and of who is no member none.
+#[test]
+fn lanes_of_one_member_leave_room_for_the_others() {
+    let mut core = founded();
+    let (roster, mut actions) = (["a", "b", "c"].map(String::from), Vec::new());
+    core.handle(Duration::ZERO, Event::View { lend: true, roster: &roster, members: &[] }, &mut actions);
+    let mut say = |source: &str, lane: u64| {
+        let head = Head { lane, ..head() };
+        let body = encode(&Pulse { head, ripe: true, beat: 1, founders: vec![], others: vec![] }).unwrap();
+        let (kind, key, age) = (said::PULSE, &[][..], Duration::ZERO);
+        core.handle(age, Event::Fact { source, start: 1, kind, key, body: &body, age }, &mut actions);
+    };
+    (1..=2_000).for_each(|lane| say("b", lane));
+    (1..=2_000).for_each(|lane| say("stranger", lane));
+    say("c", 7);
+    assert!(core.lanes.contains_key(&Id { from: 7, ..id("c") }));
+    assert_eq!((core.lanes.len(), core.not_kept()), (17, 3_984));
+    let told = actions.iter().filter(|action| matches!(action, Action::Notice(Notice::NotKept(..))));
+    assert_eq!(told.count(), 2, "once a kind: {actions:?}");
+}
+
 /// `c` heard other gifts of the same sum, and so says that it has seen as much as this row gave.
 #[test]
 fn a_row_of_more_receivers_than_are_kept_is_witnessed_by_nobody() {
--- a/crates/lending/src/core.rs
+++ b/crates/lending/src/core.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-use crate::api::{Action, Config, Event, Guards, Member, Notice, Reason, Verdict, FOUNDERS};
+use crate::api::{Action, Config, Event, Guards, Member, NotKept, Notice, Reason, Verdict, FOUNDERS};
 use crate::book::{Book, Loans};
 use crate::file::{BadFile, Kept};
 use crate::help::Help;
@@ -24,6 +24,8 @@
 const VOTES_SAID: usize = 16;
 const CLAIMS: usize = 4;
 const LANES: usize = 1024;
+/// Lanes of one name: each start without memory begins another. No member's word takes the room of the others' lanes.
+const LIVES: usize = 16;
 /// Rows of lanes, of which any number is kept.
 pub(crate) const ROWS: usize = LANES * STANDS;
 
@@ -89,6 +91,10 @@
     bad: Option<BadFile>,
     help: Help,
     malformed: u64,
+    /// Facts whose lane or proxy there is no room for; why this one; what of that was said.
+    not_kept: u64,
+    unkept: Option<NotKept>,
+    not_kept_said: BTreeSet<NotKept>,
 }
 
 impl Core {
@@ -134,6 +140,9 @@
             bad,
             help: Help::default(),
             malformed: 0,
+            not_kept: 0,
+            unkept: None,
+            not_kept_said: BTreeSet::new(),
         }
     }
 
@@ -150,6 +159,12 @@
                 if source != self.me && self.fact(now, source, start, kind, key, body, age).is_none() {
                     self.malformed = self.malformed.saturating_add(1);
                 }
+                if let Some(why) = self.unkept.take() {
+                    self.not_kept = self.not_kept.saturating_add(1);
+                    if self.not_kept_said.insert(why) {
+                        actions.push(Action::Notice(Notice::NotKept(why, source)));
+                    }
+                }
                 self.refresh(now);
             }
             Event::Rules(rules) => {
@@ -202,6 +217,15 @@
         if key.len() > KEY_BYTES {
             return None;
         }
+        let founder = |id: &Id| id.name == source;
+        // Before the first view nobody is known.
+        if !self.roster.is_empty()
+            && !self.roster.contains(&source)
+            && !self.kept.founders.iter().any(founder)
+        {
+            self.unkept = Some(NotKept::Stranger);
+            return Some(());
+        }
         let stand = || Some(u32::from_le_bytes(key.try_into().ok()?));
         match kind {
             said::PULSE => {
@@ -333,7 +357,7 @@
         }
         peer.echoed = peer.echoed.max(said);
         let lane = Id { name: source, from: pulse.head.lane };
-        if self.lanes.len() < LANES || self.lanes.contains_key(&lane) {
+        if self.has_room(now, lane) {
             let known = self.lanes.entry(lane).or_default();
             if (pulse.head.life, pulse.beat) > known.last {
                 known.last = (pulse.head.life, pulse.beat);
@@ -369,7 +393,7 @@
     /// is, as if it had been lost on its way. But this proxy may have witnessed as great a sum of other gifts of that lane, and
     /// for who heard only these that would make them count: so from now on it says that the lane's row is untrue.
     fn row(&mut self, now: Duration, lane: Id, stand: u32, row: Row, age: Duration) -> Option<()> {
-        if !self.lanes.contains_key(&lane) && self.lanes.len() >= LANES {
+        if !self.has_room(now, lane) {
             return Some(());
         }
         let until = now + self.row_lasts().saturating_sub(age);
@@ -399,6 +423,30 @@
         kept.then_some(())
     }
 
+    /// Whether there is room for what is said of a lane. Of one name the lane that was heard the longest ago makes room, if all
+    /// that it lent is over and it holds nothing: as if its rows had been lost on their way.
+    fn has_room(&mut self, now: Duration, lane: Id) -> bool {
+        if self.lanes.contains_key(&lane) {
+            return true;
+        }
+        let of_name = Id { name: lane.name, from: 0 }..=Id { name: lane.name, from: u64::MAX };
+        let lives: Vec<(Duration, Id)> =
+            self.lanes.range(of_name).map(|(id, known)| (known.heard, *id)).collect();
+        if lives.len() >= LIVES {
+            let idle = |id: Id| self.silent(now, id) && !self.worth(id);
+            let Some((_, oldest)) = lives.into_iter().filter(|(_, id)| idle(*id)).min() else {
+                self.unkept = Some(NotKept::Lives);
+                return false;
+            };
+            self.lanes.remove(&oldest);
+        }
+        if self.lanes.len() >= LANES {
+            self.unkept = Some(NotKept::Full);
+            return false;
+        }
+        true
+    }
+
     fn row_lasts(&self) -> Duration {
         self.lease * 4
     }
@@ -603,6 +651,11 @@
         self.malformed
     }
 
+    /// Facts of proxies and lanes that there is no room for.
+    pub fn not_kept(&self) -> u64 {
+        self.not_kept
+    }
+
     pub fn is_founded(&self) -> bool {
         !self.kept.founders.is_empty()
     }
--- a/crates/lending/src/lanes.rs
+++ b/crates/lending/src/lanes.rs
@@ -139,7 +139,7 @@
         lanes
     }
 
-    fn worth(&self, lane: Id) -> bool {
+    pub(crate) fn worth(&self, lane: Id) -> bool {
         let given = |stand: u32| self.kept.seen.get(&(lane, stand)).copied().unwrap_or_default();
         self.kept.initial(lane) > 0
             || self.kept.rows.keys().any(|stand| given(*stand).left(self.held_by(lane, *stand)) > 0)
--- a/crates/lending/src/lib.rs
+++ b/crates/lending/src/lib.rs
@@ -30,7 +30,7 @@
 pub mod said;
 mod shortage;
 
-pub use crate::api::{Action, Config, Event, Guards, Member, Notice, Reason, Verdict};
+pub use crate::api::{Action, Config, Event, Guards, Member, NotKept, Notice, Reason, Verdict};
 pub use crate::book::Book;
 pub use crate::core::Core;
 pub use crate::file::{BadFile, Store, StoreError};
--- a/crates/leverproxy/src/lending.rs
+++ b/crates/leverproxy/src/lending.rs
@@ -509,6 +509,11 @@
                 "Facts of loans that could not be read.",
                 self.malformed + core.map_or(0, Core::malformed),
             ),
+            (
+                "lb_loans_not_kept_total",
+                "Facts of loans of no member, or of more lanes than are kept.",
+                core.map_or(0, Core::not_kept),
+            ),
             ("lb_loans_saves_total", "Files written.", self.saves),
             ("lb_loans_saves_failed_total", "Files that could not be written.", self.saves_failed),
         ] {
--- a/crates/leverproxy/tests/errors.rs
+++ b/crates/leverproxy/tests/errors.rs
@@ -169,6 +169,7 @@
             Took => E::Took(N),
             LaneLost => E::LaneLost,
             WrittenOff => E::WrittenOff { stand: text("STAND"), amount: N.into() },
+            NotKept => E::NotKept(lending::NotKept::Lives, N),
             Unsaid => E::Unsaid(SMALL),
         ]);
     }
