--- a/crates/lending/src/core.rs
+++ b/crates/lending/src/core.rs
@@ -3,27 +3,31 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-use crate::api::{Action, Config, Event, Guards, Member, Notice, Reason, Verdict, FOUNDERS};
+use crate::api::{Action, Config, Event, Guards, Member, NotKept, Notice, Reason, Verdict, FOUNDERS};
 use crate::book::{Book, Loans};
 use crate::file::{BadFile, Kept};
 use crate::help::Help;
 use crate::lanes::Lane;
 use crate::rules::{Milli, Rules};
-use crate::said::{self, decode, digest, encode, mark, number, Head, Id, Pulse, Row, Vote, KEY_BYTES, WHOLE};
+use crate::said::{
+    self, decode, digest, encode, mark, number, Given, Head, Id, Pulse, Row, Vote, KEY_BYTES, WHOLE,
+};
 
 /// Stands with a row: each takes two facts of the 64 of a source.
 pub const STANDS: usize = 20;
 /// Lanes that a proxy gives to for one stand.
 pub const RECEIVERS: usize = 24;
 pub const VOTES: usize = 1024;
+/// Bytes of a row's fact that gifts leave to its other numbers, which grow as well.
+const ROW_ROOM: usize = 32;
 /// Votes and claims said at a time.
 const VOTES_SAID: usize = 16;
 const CLAIMS: usize = 4;
 const LANES: usize = 1024;
+/// Lanes of one name: each start without memory begins another. No member's word takes the room of the others' lanes.
+const LIVES: usize = 16;
 /// Rows of lanes, of which any number is kept.
 pub(crate) const ROWS: usize = LANES * STANDS;
-/// What is seen of a row that no lane has: more than can be given. It witnesses nothing, and leaves nothing to take over.
-pub(crate) const UNTRUE: u32 = u32::MAX;
 
 /// Another proxy, as of its last word.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
@@ -36,7 +40,7 @@
     pub fresh: bool,
     /// When the last of the own beats that it echoed was said.
     pub echoed: Option<Duration>,
-    pub seen: BTreeMap<(Id, u32), u32>,
+    pub seen: BTreeMap<(Id, u32), Given>,
     pub votes: BTreeMap<Id, Vote>,
 }
 
@@ -87,6 +91,10 @@
     bad: Option<BadFile>,
     help: Help,
     malformed: u64,
+    /// Facts whose lane or proxy there is no room for; why this one; what of that was said.
+    not_kept: u64,
+    unkept: Option<NotKept>,
+    not_kept_said: BTreeSet<NotKept>,
 }
 
 impl Core {
@@ -132,6 +140,9 @@
             bad,
             help: Help::default(),
             malformed: 0,
+            not_kept: 0,
+            unkept: None,
+            not_kept_said: BTreeSet::new(),
         }
     }
 
@@ -148,6 +159,12 @@
                 if source != self.me && self.fact(now, source, start, kind, key, body, age).is_none() {
                     self.malformed = self.malformed.saturating_add(1);
                 }
+                if let Some(why) = self.unkept.take() {
+                    self.not_kept = self.not_kept.saturating_add(1);
+                    if self.not_kept_said.insert(why) {
+                        actions.push(Action::Notice(Notice::NotKept(why, source)));
+                    }
+                }
                 self.refresh(now);
             }
             Event::Rules(rules) => {
@@ -200,6 +217,15 @@
         if key.len() > KEY_BYTES {
             return None;
         }
+        let founder = |id: &Id| id.name == source;
+        // Before the first view nobody is known.
+        if !self.roster.is_empty()
+            && !self.roster.contains(&source)
+            && !self.kept.founders.iter().any(founder)
+        {
+            self.unkept = Some(NotKept::Stranger);
+            return Some(());
+        }
         let stand = || Some(u32::from_le_bytes(key.try_into().ok()?));
         match kind {
             said::PULSE => {
@@ -267,7 +293,7 @@
         let founders = said.founders.into_iter();
         let named =
             founders.filter_map(|(at, given)| Some((*self.kept.founders.get(usize::from(at))?, given)));
-        let all: Vec<(Id, u32)> = named.chain(said.others).collect();
+        let all: Vec<(Id, Given)> = named.chain(said.others).collect();
         let Some(peer) = self.heard(source, &said.head) else { return };
         for (lane, given) in all {
             // What is not kept of its word is one witness less: a gift may not count then, never count twice.
@@ -331,7 +357,7 @@
         }
         peer.echoed = peer.echoed.max(said);
         let lane = Id { name: source, from: pulse.head.lane };
-        if self.lanes.len() < LANES || self.lanes.contains_key(&lane) {
+        if self.has_room(now, lane) {
             let known = self.lanes.entry(lane).or_default();
             if (pulse.head.life, pulse.beat) > known.last {
                 known.last = (pulse.head.life, pulse.beat);
@@ -367,7 +393,7 @@
     /// is, as if it had been lost on its way. But this proxy may have witnessed as great a sum of other gifts of that lane, and
     /// for who heard only these that would make them count: so from now on it says that the lane's row is untrue.
     fn row(&mut self, now: Duration, lane: Id, stand: u32, row: Row, age: Duration) -> Option<()> {
-        if !self.lanes.contains_key(&lane) && self.lanes.len() >= LANES {
+        if !self.has_room(now, lane) {
             return Some(());
         }
         let until = now + self.row_lasts().saturating_sub(age);
@@ -382,8 +408,8 @@
             mine.merge(&row);
             *held = (*held).max(until);
         }
-        let given = if kept { mine.given() } else { UNTRUE };
-        let seen = self.kept.seen.get(&(lane, stand)).copied().unwrap_or(0);
+        let given = if kept { mine.given() } else { Given::UNTRUE };
+        let seen = self.kept.seen.get(&(lane, stand)).copied().unwrap_or_default();
         let room = self.kept.seen.len() < ROWS || self.kept.seen.contains_key(&(lane, stand));
         if given > seen && !frozen && room {
             self.kept.seen.insert((lane, stand), given);
@@ -397,6 +423,30 @@
         kept.then_some(())
     }
 
+    /// Whether there is room for what is said of a lane. Of one name the lane that was heard the longest ago makes room, if all
+    /// that it lent is over and it holds nothing: as if its rows had been lost on their way.
+    fn has_room(&mut self, now: Duration, lane: Id) -> bool {
+        if self.lanes.contains_key(&lane) {
+            return true;
+        }
+        let of_name = Id { name: lane.name, from: 0 }..=Id { name: lane.name, from: u64::MAX };
+        let lives: Vec<(Duration, Id)> =
+            self.lanes.range(of_name).map(|(id, known)| (known.heard, *id)).collect();
+        if lives.len() >= LIVES {
+            let idle = |id: Id| self.silent(now, id) && !self.worth(id);
+            let Some((_, oldest)) = lives.into_iter().filter(|(_, id)| idle(*id)).min() else {
+                self.unkept = Some(NotKept::Lives);
+                return false;
+            };
+            self.lanes.remove(&oldest);
+        }
+        if self.lanes.len() >= LANES {
+            self.unkept = Some(NotKept::Full);
+            return false;
+        }
+        true
+    }
+
     fn row_lasts(&self) -> Duration {
         self.lease * 4
     }
@@ -488,7 +538,7 @@
         let reserved =
             if self.stored { self.saved.rows.get(&key).map_or(0, |row| row.lent) } else { Milli::MAX };
         let guards = self.guards;
-        let share = (u64::from(self.share(key)) << 10) / u64::from(WHOLE).max(1);
+        let share = (self.share(key) << 10) / WHOLE;
         let rate = (rule.rate_most.saturating_mul(share) >> 10).max(cost);
         let Some(known) = self.stands.get_mut(&key) else { return Err(Reason::Crowded) };
         known.asked = known.asked.saturating_add(cost);
@@ -582,7 +632,7 @@
     }
 
     /// The part of all of a stand's line that this lane holds, of [`WHOLE`], and the start that names the lane.
-    pub fn held(&self, stand: &str) -> (u32, u64) {
+    pub fn held(&self, stand: &str) -> (u64, u64) {
         (self.share(number(stand)), self.kept.lane)
     }
 
@@ -601,6 +651,11 @@
         self.malformed
     }
 
+    /// Facts of proxies and lanes that there is no room for.
+    pub fn not_kept(&self) -> u64 {
+        self.not_kept
+    }
+
     pub fn is_founded(&self) -> bool {
         !self.kept.founders.is_empty()
     }
@@ -753,16 +808,16 @@
             let share = self.share(*stand);
             let held: u128 = lanes.iter().map(|lane| u128::from(self.guess(*lane, *stand))).sum::<u128>()
                 + u128::from(share);
-            let fair = |demand: u128| (held * (demand + floor) / all) as u32;
+            let fair = |demand: u128| (held * (demand + floor) / all) as u64;
             let used = u128::from(known.loans.owed()) * u128::from(share) / u128::from(known.part.max(1)) + 1;
-            let spare = share.saturating_sub(fair(u128::from(row.demand)).max(used.min(1 << 31) as u32));
+            let spare = share.saturating_sub(fair(u128::from(row.demand)).max(used.min(1 << 62) as u64));
             let lacks = |lane: &Id| (fair(demand(lane)).saturating_sub(self.guess(*lane, *stand)), *lane);
             let full = row.gave.len() >= RECEIVERS;
             let able = lanes.iter().filter(|lane| !full || row.gave.contains_key(lane));
             let Some((lack, to)) = able.map(lacks).max() else { continue };
             let gift = spare.min(lack) / 2;
             // What is not a hundredth of an even part is not worth a word.
-            if gift > WHOLE / 100 / (lanes.len() as u32 + 1) {
+            if gift > WHOLE / 100 / (lanes.len() as u64 + 1) && self.may_give(row, to, gift) {
                 gifts.push((*stand, to, gift));
             }
         }
@@ -775,6 +830,16 @@
         }
     }
 
+    /// With this gift the row still fits into a fact, and its sum says nothing else.
+    fn may_give(&self, row: &Row, to: Id, gift: u64) -> bool {
+        let mut row = row.clone();
+        let gave = row.gave.entry(to).or_default();
+        *gave = gave.saturating_add(gift);
+        let said = row.given() < Given::UNTRUE;
+        let body = encode(&said::SaidRow { head: self.head(), row });
+        said && body.is_some_and(|body| body.len() + ROW_ROOM <= said::BODY_BYTES)
+    }
+
     /// Asks for a file when something is to be kept; without one it is kept as it is.
     fn save(&mut self, now: Duration, actions: &mut Vec<Action>) {
         if !self.dirty || self.saving.is_some() {
