Sites: what is refused first while one is lost reaches the module, in one order

The plan was told only. A level for reads rises while first tries of kinds that are served in full find no room, and falls while they do; it is spent by order::served and goes with each arrival (shed); the module's door draws for both, so they don't multiply.

--- a/crates/leverlab/build.rs
+++ b/crates/leverlab/build.rs
@@ -17,13 +17,13 @@
 fn main() {
     let own = PathBuf::from(std::env::var("CARGO_MANIFEST_DIR").unwrap_or_default());
     let mut found = Vec::new();
-    for package in ["engine", "ledger", "mountshift", "quota", "world"] {
+    for package in ["engine", "ledger", "mountshift", "quota", "site-plan", "world"] {
         let folder = own.join("..").join(package).join("src");
         println!("cargo:rerun-if-changed={}", folder.display());
         sources(&folder, &mut found);
     }
     // Of this package what plays; not what shows.
-    for part in ["play", "policy.rs", "tally.rs", "scenario.rs"] {
+    for part in ["planned.rs", "play", "policy.rs", "tally.rs", "scenario.rs"] {
         let path = own.join("src").join(part);
         println!("cargo:rerun-if-changed={}", path.display());
         if path.is_dir() {
--- a/crates/leverlab/src/lib.rs
+++ b/crates/leverlab/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod hunt;
 pub mod member;
 pub mod plan;
+pub mod planned;
 pub mod play;
 pub mod policy;
 pub mod report;
--- a/crates/leverlab/src/play/mod.rs
+++ b/crates/leverlab/src/play/mod.rs
@@ -378,6 +378,7 @@
             repeated: asked.repeated,
             standing: Standing::Within,
             tries: None,
+            shed: 0.0,
         };
         self.tell(asked.proxy, Event::Arrived(arrival));
     }
--- a/crates/leverlab/src/policy.rs
+++ b/crates/leverlab/src/policy.rs
@@ -1,6 +1,7 @@
 //! Policies under test, behind one trait: the real decision module, baselines, and an oracle.
 
 use crate::member::Member;
+use crate::planned::Planned;
 use mountshift::{
     Action, Arrival, ClassId, Effect, Event, GroupId, ListNews, Need, Outcome, RequestId, Router, Settings,
     StoreId, Time, TimerToken, Tuning,
@@ -44,6 +45,8 @@
 pub enum Name {
     #[default]
     Module,
+    /// The module, with the plan for the loss of a site before it.
+    Planned,
     PrimaryOnly,
     Random,
     RoundRobin,
@@ -55,8 +58,9 @@
     Oracle,
 }
 
-pub const NAMES: [(&str, Name); 9] = [
+pub const NAMES: [(&str, Name); 10] = [
     ("module", Name::Module),
+    ("planned", Name::Planned),
     ("primary-only", Name::PrimaryOnly),
     ("random", Name::Random),
     ("round-robin", Name::RoundRobin),
@@ -81,9 +85,14 @@
 
     pub fn make(&self, settings: &Settings, seed: u64, now: Time) -> Box<dyn Decider> {
         match self.kind {
-            Name::Module => {
+            Name::Module | Name::Planned => {
                 let member = Member::new(settings);
-                Box::new(Module(Router::tuned(settings.clone(), self.tuning, seed, now), member))
+                let module: Box<dyn Decider> =
+                    Box::new(Module(Router::tuned(settings.clone(), self.tuning, seed, now), member));
+                match self.kind {
+                    Name::Planned => Box::new(Planned::new(module, settings, now)),
+                    _ => module,
+                }
             }
             choice => Box::new(Baseline::new(choice, settings.clone(), seed)),
         }
--- a/crates/leverproxy/src/cli.rs
+++ b/crates/leverproxy/src/cli.rs
@@ -20,7 +20,7 @@
 Environment:
   LB_CONFIG     the platform's JSON file
   LB_OPERATORS  the operators' file, unless --operators names it
-  LB_CONTROL    the control socket, for drain, undrain and status
+  LB_CONTROL    the control socket, for drain, undrain, status, sites and rollout
   LB_NAME, LB_LISTEN, LB_DISCOVERY
                 override what the files say (after SIGHUP the platform's file counts over LB_DISCOVERY)
   RUST_LOG      what is logged; counts over the level of the operators' file
@@ -55,6 +55,10 @@
         .arg(socket());
     let undrain = Command::new("undrain").about("Bring a drained proxy back").arg(socket());
     let status = Command::new("status").about("Print how a serving proxy fares").arg(socket());
+    let sites = Command::new("sites")
+        .about("Print what a serving proxy knows of each site, where its load would go and what would be refused")
+        .arg(Arg::new("name").value_name("SITE").help("Only this one"))
+        .arg(socket());
     let words = ["halt", "return", "status", "resume", "propose"];
     let rollout = Command::new("rollout")
         .about(
@@ -74,7 +78,7 @@
         .subcommand(serve)
         .subcommand(check)
         .subcommand(config::command())
-        .subcommands([drain, undrain, status, rollout])
+        .subcommands([drain, undrain, status, sites, rollout])
         .subcommand(completions)
         .subcommand(Command::new("version").about("Print the version"))
         .arg(
@@ -106,6 +110,10 @@
         Some(("check", with)) => check(variables(with)),
         Some(("config", with)) => config::run(with),
         Some((word @ ("drain" | "undrain" | "status"), with)) => tell(word, with),
+        Some(("sites", with)) => {
+            let name = with.get_one::<String>("name").map_or(String::new(), |name| format!(" {name}"));
+            tell(&format!("sites{name}"), with)
+        }
         Some(("rollout", with)) => roll(with),
         Some(("completions", with)) => {
             if let Some(shell) = with.get_one::<Shell>("shell") {
--- a/crates/leverproxy/src/monitor.rs
+++ b/crates/leverproxy/src/monitor.rs
@@ -6,7 +6,7 @@
 use crate::sites::{self, Sites};
 use crate::upstream::Sign;
 use availability::{Availability, Cause, Condition, Ended, Event, Link, Load, Reason, Report, Settings};
-use mountshift::{Arrival, Entry, GroupId, ListNews, Listed, StoreId, Time};
+use mountshift::{Arrival, Entry, GroupId, ListNews, Listed, RequestId, StoreId, Time};
 use site_plan::Event as SiteEvent;
 use std::time::{Duration, Instant};
 use wire_admin::Figures;
@@ -113,12 +113,18 @@
         }
     }
 
-    /// A request as the module is to hear of it.
-    pub fn arrived(&mut self, arrival: &Arrival, now: Instant) {
+    /// A request as the module is to hear of it; the part of its kind that is to be refused for a lost site.
+    pub fn arrived(&mut self, arrival: &Arrival, now: Instant) -> f64 {
+        self.asked(arrival.group, now);
+        let since = now.saturating_duration_since(self.start);
+        self.sites.as_mut().map_or(0.0, |sites| sites.asked(since, arrival))
+    }
+
+    /// An attempt is made for a request, or it is over; `refused`: for want of room.
+    pub fn settled(&mut self, id: RequestId, refused: bool) {
         if let Some(sites) = &mut self.sites {
-            sites.asked(now.saturating_duration_since(self.start), arrival);
+            sites.plan().settled(id.0, refused);
         }
-        self.asked(arrival.group, now);
     }
 
     /// A request has been taken in.
@@ -127,7 +133,10 @@
     }
 
     /// Its client has left.
-    pub fn left(&mut self, group: GroupId, now: Instant) {
+    pub fn left(&mut self, id: RequestId, group: GroupId, now: Instant) {
+        if let Some(sites) = &mut self.sites {
+            sites.plan().left(id.0);
+        }
         self.event(now, Event::Left { group: group.0 });
     }
 
@@ -275,6 +284,15 @@
         self.sites.as_ref().map_or(String::new(), |sites| sites.lines(now, |p| self.zone(p).to_owned()))
     }
 
+    /// The answer to who asks for sites, or for one by its name.
+    pub fn site_table(&self, named: Option<&str>, names: [&[String]; 2], now: Instant) -> String {
+        let now = now.saturating_duration_since(self.start);
+        match &self.sites {
+            Some(sites) => sites.table(now, named, |place| self.zone(place).to_owned(), names),
+            None => "error: the operators' file has no section sites\n".into(),
+        }
+    }
+
     pub fn site_figures(&self, now: Instant, figures: &mut Figures) {
         if let Some(sites) = &self.sites {
             sites.figures(now.saturating_duration_since(self.start), figures, |place| {
--- a/crates/leverproxy/src/operate.rs
+++ b/crates/leverproxy/src/operate.rs
@@ -8,11 +8,13 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Word {
     Drain,
     Undrain,
     Status,
+    /// All of them, or one by its name.
+    Sites(Option<String>),
     Rollout(Said),
 }
 
@@ -89,6 +91,10 @@
             Some("drain") => Some(Word::Drain),
             Some("undrain") => Some(Word::Undrain),
             Some("status") => Some(Word::Status),
+            Some("sites") => Some(Word::Sites(None)),
+            Some(line) if line.starts_with("sites ") => {
+                Some(Word::Sites(line.strip_prefix("sites ").map(|name| name.trim().to_owned())))
+            }
             Some(line) => line.strip_prefix("rollout ").and_then(crate::rollout::said).map(Word::Rollout),
             None if filled == Filled::Ended || input.len() >= LINE_LIMIT => {
                 self.peers.remove(key);
@@ -102,7 +108,7 @@
         }
         peer.answered = true;
         if word.is_none() {
-            self.answer(key, "error: the words are drain, undrain, status and rollout (propose HASH, resume HASH, halt, return, status)\n");
+            self.answer(key, "error: the words are drain, undrain, status, sites (NAME) and rollout (propose HASH, resume HASH, halt, return, status)\n");
         }
         word.map(|word| (key, word))
     }
--- a/crates/leverproxy/src/proxy.rs
+++ b/crates/leverproxy/src/proxy.rs
@@ -480,10 +480,17 @@
             }
             return;
         }
+        if let Word::Sites(named) = &word {
+            let text = self.chain.sites(named.as_deref(), now);
+            if let Some(operate) = &mut self.sides.operate {
+                operate.answer(key, &text);
+            }
+            return;
+        }
         let event = match word {
             Word::Drain => Some(drain::Event::Drain),
             Word::Undrain => Some(drain::Event::Undrain),
-            Word::Status | Word::Rollout(_) => None,
+            Word::Status | Word::Sites(_) | Word::Rollout(_) => None,
         };
         if let Some(event) = event {
             log::info!(word:? = word; "told by an operator");
--- a/crates/leverproxy/src/stages/mod.rs
+++ b/crates/leverproxy/src/stages/mod.rs
@@ -194,7 +194,7 @@
         self.quota.mark(&mut arrival, request.tenant.is_some(), now);
         self.ledger.admit(&arrival, ticket, class, pool, request);
         self.counters.taken(class);
-        self.monitor.arrived(&arrival, now);
+        arrival.shed = self.monitor.arrived(&arrival, now);
         self.decide(Event::Arrived(arrival), sides, now);
     }
 
@@ -277,7 +277,7 @@
             }
             self.counters.left(open.class);
             self.quota.ended(&open, None, now);
-            self.monitor.left(open.group, now);
+            self.monitor.left(id, open.group, now);
             self.decide(Event::Left(id), sides, now);
         }
     }
@@ -397,6 +397,7 @@
     fn act(&mut self, action: Action, sides: &mut Sides, now: Instant) {
         match action {
             Action::Send { id, store, time_out } => {
+                self.monitor.settled(id, false);
                 let Some(open) = self.ledger.get_mut(id) else { return };
                 let exchange = send::attempt(id, open, time_out, now);
                 self.monitor.sent(Some(open.group), store, now);
@@ -405,9 +406,13 @@
             Action::Probe { store } => self.probe(store, sides, now),
             Action::Cancel { id, attempt } => sides.upstream.cancel(Purpose::Attempt(id, attempt), now),
             Action::Refuse { id, come_back } => {
+                self.monitor.settled(id, true);
                 self.answer(id, Answer::Refused(come_back), sides, now);
             }
-            Action::Fail { id } => self.answer(id, Answer::Failed, sides, now),
+            Action::Fail { id } => {
+                self.monitor.settled(id, false);
+                self.answer(id, Answer::Failed, sides, now);
+            }
             Action::Timer { after, token } => {
                 sides.timers.set(later(now, after), Timer::Module(token.0));
             }
@@ -492,6 +497,11 @@
         (self.directory.hands().listed(), self.route.avoided(self.clock.unix(now)))
     }
 
+    /// What operators are told of sites, or of one.
+    pub fn sites(&self, named: Option<&str>, now: Instant) -> String {
+        self.monitor.site_table(named, [&self.names.classes, &self.names.tenants], now)
+    }
+
     /// Requests that are owed an answer.
     pub fn owed(&self) -> usize {
         self.ledger.len()
--- a/crates/leverproxy/src/stages/take_in.rs
+++ b/crates/leverproxy/src/stages/take_in.rs
@@ -46,6 +46,7 @@
         repeated: request.repeated,
         standing: Standing::Within,
         tries: None,
+        shed: 0.0,
     })
 }
 
--- a/crates/leverproxy/tests/units.rs
+++ b/crates/leverproxy/tests/units.rs
@@ -203,6 +203,7 @@
         repeated: false,
         standing: Standing::Within,
         tries: None,
+        shed: 0.0,
     }
 }
 
--- a/crates/mountshift/src/decide.rs
+++ b/crates/mountshift/src/decide.rs
@@ -949,7 +949,7 @@
     /// routers' attempts, retried by clients and run in vain, keep every store full (flash crowds, mass
     /// restarts, too few primaries). Harms when a fault that costs worth is over, for the time of memory.
     /// What is beyond a quota has its own door, its repeats wait until that is quite open; what is borrowed
-    /// takes no place that one within is refused for.
+    /// takes no place that one within is refused for. `shed` draws with it: of the two the narrower counts.
     fn takes_in(&mut self, id: RequestId) -> bool {
         let value = self.value(id);
         self.usual_value += self.tune.run_weight * (value - self.usual_value);
@@ -960,7 +960,7 @@
             (Standing::Borrowed, _) => self.doors(arrival.group).1.floor(),
             _ => self.doors(arrival.group).1.powf((self.usual_value / value).powi(2)),
         };
-        share_of(self.own_order ^ id.0.rotate_left(32)) < part
+        share_of(self.own_order ^ id.0.rotate_left(32)) < part.min(1.0 - arrival.shed)
     }
 
     /// Of all groups, and of one: a jam there turns no other's requests away, but is seldom heard of by many.
--- a/crates/mountshift/src/interface.rs
+++ b/crates/mountshift/src/interface.rs
@@ -284,6 +284,8 @@
     pub standing: Standing,
     /// Attempts allowed for it, where that is fewer than the settings allow.
     pub tries: Option<u16>,
+    /// The part of its kind that is to be refused whatever room there seems to be, from 0 (none) to 1 (all).
+    pub shed: f64,
 }
 
 /// Where a request stands in its tenant's quota, the best first.
--- a/crates/mountshift/tests/common/mod.rs
+++ b/crates/mountshift/tests/common/mod.rs
@@ -129,6 +129,7 @@
             repeated: false,
             standing: Standing::Within,
             tries: None,
+            shed: 0.0,
         }
     }
 
--- a/crates/rig/tests/sites.rs
+++ b/crates/rig/tests/sites.rs
@@ -3,14 +3,17 @@
 mod common;
 use common::turns::turn;
 use common::{answered, setup, sound, start, SECOND};
-use rig::process::PATIENCE;
+use rig::link::Flow;
+use rig::process::{built, PATIENCE};
 use rig::{Rig, Setup};
 use rustix::process::Signal;
+use std::process::Command;
 use std::time::Instant;
 use world::catalog;
 use world::site::{ServerId, Trouble};
 
-const SITES: &str = "sites {\n lost-after 300ms\n return-after 1s\n dwell 500ms\n}\n";
+const SITES: &str =
+    "control {\n socket {folder}/control\n}\nsites {\n lost-after 300ms\n return-after 1s\n dwell 500ms\n}\n";
 const PROXIES: usize = 4;
 /// Answers of the whole fleet until all know of a loss: at 200 in a second, as many as come in 10 s.
 const BOUND: u64 = 2_000;
@@ -119,6 +122,104 @@
     sound(rig);
 }
 
+/// What `leverproxy sites` prints, and whether it is content.
+fn told(rig: &Rig, proxy: usize, name: &[&str]) -> (bool, String) {
+    let program = built("leverproxy").unwrap_or_else(|fault| panic!("{fault}"));
+    let socket = rig.folder(proxy).join("control");
+    let out = Command::new(program).arg("sites").args(name).arg("--socket").arg(socket).output().unwrap();
+    (out.status.success(), String::from_utf8_lossy(&out.stdout).into_owned())
+}
+
+/// One of three goes while a server of another is drained: the two others stay, and bear its load.
+#[test]
+fn one_of_three_sites_during_a_drain() {
+    let _turn = turn();
+    let mut setup = two_sites(20 * SECOND);
+    (setup.site.places, setup.site.group.members) = (3, 6);
+    let rig = start(setup);
+    answered(&rig, 200);
+    rig.truth.trouble(Trouble::Drain(at(&rig, 1)[0]));
+    rig.truth.list(catalog::Event::Behind(8 * SECOND));
+    all(&rig, &at(&rig, 0), Trouble::Die);
+    say(&rig, 0..PROXIES, 0, "lost");
+    answered(&rig, 100);
+    let (sound_name, text) = told(&rig, 0, &["p0"]);
+    assert!(
+        sound_name && text.contains("p0    lost") && text.contains("p1 ") && text.contains("p2 "),
+        "{text}"
+    );
+    assert_eq!(text.matches("lost").count(), 1, "{text}");
+    let (unknown, text) = told(&rig, 0, &["p7"]);
+    assert!(!unknown && text.contains("no site \"p7\"; of sites p0, p1, p2"), "{text}");
+    for proxy in 0..PROXIES {
+        assert_eq!((losses(&rig, proxy, 1), losses(&rig, proxy, 2)), (0, 0), "proxy {proxy}");
+    }
+    sound(rig);
+}
+
+/// What is left can do half of what is asked: all know, none calls it lost too, and it goes on to serve.
+#[test]
+fn the_surviving_site_has_half_of_the_room() {
+    let _turn = turn();
+    let mut setup = two_sites(16 * SECOND);
+    (setup.site.group.members, setup.site.group.quorum) = (3, false);
+    // One server of two cores in each of two groups, for 400 requests of 10 ms and more in a second.
+    setup.clients.per_s = 400.0;
+    setup.clients.kinds.iter_mut().for_each(|kind| kind.work.mean = 20_000.0);
+    setup.site.server.cores = 2.0;
+    let rig = start(setup);
+    answered(&rig, 300);
+    rig.truth.list(catalog::Event::Behind(8 * SECOND));
+    all(&rig, &at(&rig, 0), Trouble::Die);
+    say(&rig, 0..PROXIES, 0, "lost");
+    answered(&rig, 300);
+    for proxy in 0..PROXIES {
+        assert_eq!(losses(&rig, proxy, 1), 0, "proxy {proxy}");
+    }
+    sound(rig);
+}
+
+/// Requests reach the site, and nothing of it comes back: it is lost from here, and its servers are not dead.
+#[test]
+fn one_direction_is_cut() {
+    let _turn = turn();
+    let rig = start(two_sites(26 * SECOND));
+    answered(&rig, 200);
+    let links = rig.links(&[0], Some(0));
+    links.iter().for_each(|link| link.set(Flow::Passes, Flow::Cut));
+    say(&rig, 0..1, 0, "lost");
+    answered(&rig, 100);
+    assert!((1..PROXIES).all(|proxy| losses(&rig, proxy, 0) == 0));
+    links.iter().for_each(|link| link.heal());
+    until(&rig, 0, &state(0, "lost"), |n| n == 0);
+    sound(rig);
+}
+
+/// Discovery's side alone is gone: nothing is lost. Then, while proxies restart in turn, the site is, to each of them.
+#[test]
+fn no_discovery_and_a_loss_while_proxies_restart() {
+    let _turn = turn();
+    let mut rig = start(two_sites(26 * SECOND));
+    answered(&rig, 100);
+    rig.truth.list(catalog::Event::Down(true));
+    answered(&rig, 300);
+    assert!((0..PROXIES).all(|proxy| losses(&rig, proxy, 0) + losses(&rig, proxy, 1) == 0));
+    rig.truth.list(catalog::Event::Down(false));
+    rig.truth.list(catalog::Event::Behind(8 * SECOND));
+    let dead = at(&rig, 0);
+    for proxy in 0..PROXIES {
+        rig.kill(proxy);
+        rig.restart(proxy).unwrap_or_else(|fault| panic!("{fault}"));
+        if proxy == 1 {
+            all(&rig, &dead, Trouble::Die);
+        }
+    }
+    say(&rig, 0..PROXIES, 0, "lost");
+    answered(&rig, 100);
+    assert!((0..PROXIES).all(|proxy| losses(&rig, proxy, 1) == 0));
+    sound(rig);
+}
+
 #[test]
 fn a_slow_site_and_a_dead_server_are_no_loss() {
     let _turn = turn();
--- a/crates/site-plan/src/capacity.rs
+++ b/crates/site-plan/src/capacity.rs
@@ -90,10 +90,28 @@
         shown.faded(now)
     }
 
+    /// Groups of which a site has served requests.
+    pub fn groups(&self, site: u16) -> impl Iterator<Item = u32> + '_ {
+        self.rooms.keys().filter(move |room| room.site == site).map(|room| room.group)
+    }
+
     /// What a group's other sites have shown.
     pub fn without(&self, now: Time, lost: u16, group: u32, write: bool) -> f64 {
+        self.others(now, lost, group, write).map(|(_, shown)| shown).sum()
+    }
+
+    /// What each of them has.
+    pub fn others(
+        &self,
+        now: Time,
+        lost: u16,
+        group: u32,
+        write: bool,
+    ) -> impl Iterator<Item = (u16, f64)> + '_ {
         let of_group = Room { group, site: 0, write: false }..=Room { group, site: u16::MAX, write: true };
         let others = self.rooms.range(of_group).map(|(room, _)| *room);
-        others.filter(|r| r.site != lost && r.write == write).map(|room| self.shown(now, room)).sum()
+        others
+            .filter(move |r| r.site != lost && r.write == write)
+            .map(move |room| (room.site, self.shown(now, room)))
     }
 }
--- a/crates/site-plan/tests/order.rs
+++ b/crates/site-plan/tests/order.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 use site_plan::order::{before, headroom, served, Ask, Standing};
-use site_plan::{Bound, Capacity, Demand, Kind, Pace, Room};
+use site_plan::{Bound, Capacity, Demand, Kind, Pace, Room, Steer};
 use std::time::Duration;
 
 const ROOMS: usize = 2;
@@ -227,3 +227,33 @@
     assert_eq!(part(4.5), [0.0, 0.5, 1.0, 1.0, 1.0]);
     assert_eq!(part(6.0), [1.0; 5]);
 }
+
+/// Seconds of a proxy that is asked 20 times a second for each of two kinds; of the kind that is worth more, so many find no room.
+fn steered(steer: &mut Steer, from: u64, seconds: u64, on: bool, refused: u64) -> (f64, f64) {
+    let kinds = [(0, 2.0), (1, 1.0)].map(|(class, worth)| {
+        let kind =
+            Kind { group: 0, write: false, class, tenant: 0, standing: Standing::Within, repeated: false };
+        let (room, tenant, standing, repeated) = (0, 0, Standing::Within, false);
+        (kind, Ask { room, tenant, share: 1.0, standing, repeated, worth, work: 0.01, rate: 20.0 })
+    });
+    for look in from * 4..(from + seconds) * 4 {
+        (0..5).for_each(|n| steer.ended(n < refused));
+        steer.look(Duration::from_millis(250 * look), on, &kinds);
+    }
+    (steer.part(&kinds[0].0), steer.part(&kinds[1].0))
+}
+
+#[test]
+fn the_lowest_rank_pays_for_refusals_of_others_and_nobody_without_them() {
+    let mut steer = Steer::default();
+    assert_eq!(steered(&mut steer, 0, 10, true, 0), (0.0, 0.0), "while servers have room");
+    assert_eq!(steered(&mut steer, 10, 10, false, 3), (0.0, 0.0), "while no site is lost");
+    let (high, low) = steered(&mut steer, 20, 2, true, 2);
+    assert!(high == 0.0 && low > 0.3, "{high} {low}");
+    let (high, low) = steered(&mut steer, 22, 10, true, 2);
+    assert!(high > 0.0 && high < 1.0 && low == 1.0, "{high} {low}");
+    // It loosens slower than it tightens, and wholly.
+    assert!(steered(&mut steer, 32, 2, true, 0).1 > 0.9);
+    assert_eq!(steered(&mut steer, 34, 30, false, 0), (0.0, 0.0));
+    assert_eq!(steer.level(), 0.0);
+}
