--- a/crates/configuration/src/schema.rs
+++ b/crates/configuration/src/schema.rs
@@ -339,7 +339,7 @@
     Section {
         keyword: "sites",
         naming: Naming::Unnamed,
-        help: "What is told of each site (a zone of the list) at the control socket and among the figures. Without this section nothing is told; with it, nothing is steered yet.",
+        help: "What is told of each site (a zone of the list) at the control socket and among the figures. Without this section nothing is told. With it, while a site is lost, reads that find no room are refused in one order, the least worth for its work first.",
         directives: &[
             at_start(directive("lost-after", One(time(100, MINUTE)), "500ms", "lost-after 1s", "a site is lost when its servers fail for this long, none answers, and others elsewhere do")),
             at_start(directive("return-after", One(time(100, HOUR)), "5s", "return-after 30s", "a site that answers again returns for this long at least before it counts as whole")),
