--- a/crates/leverlab/src/play/host.rs
+++ b/crates/leverlab/src/play/host.rs
@@ -204,6 +204,10 @@
         self.open.get(&id.0).is_none_or(|open| open.asked.within)
     }
 
+    fn drawn(&self, id: RequestId) -> bool {
+        self.open.get(&id.0).is_none_or(|open| open.drawn)
+    }
+
     fn spare(&self, store: StoreId) -> f64 {
         self.cores - self.site.held(server(store)) as f64 - 1.0
     }
--- a/crates/leverlab/src/play/mod.rs
+++ b/crates/leverlab/src/play/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod fleet;
 mod host;
+mod lots;
 pub(crate) mod troubles;
 
 use crate::file::AFTER;
@@ -13,6 +14,7 @@
 use fleet::Fleet;
 use host::{entry, store, Eyes, Host};
 use ledger::{cold, Checker, Final, Rule};
+use lots::Lots;
 use mountshift::{
     Action, Arrival, AttemptNo, ClassId, Ended, Event, GroupId, ListNews, Listed, Note, Outcome, Report,
     RequestId, SessionKey, Standing, StoreId, TenantId, Time, TimerToken,
@@ -109,6 +111,8 @@
 /// A try that a proxy has taken.
 pub(crate) struct Open {
     asked: Try,
+    /// As `asked.within`, but another request's of its tenant.
+    drawn: bool,
     came: Micros,
     attempts: u16,
     answered: bool,
@@ -163,6 +167,7 @@
     troubles: Troubles,
     checker: Checker,
     cold: cold::Checker,
+    lots: Lots,
     tally: Tally,
     way: Stream,
     mean_work: f64,
@@ -214,6 +219,7 @@
         troubles: Troubles::new(scenario.troubles.len()),
         checker: Checker::new(scenario.platform.tries, scenario.platform.drain_grace),
         cold: cold::Checker::new(scenario.bounds(mean_work), mean_work),
+        lots: Lots::new(scenario.clients.tenants.len(), &streams),
         tally: Tally::new(scenario),
         way: streams.stream("network", 0),
         mean_work,
@@ -340,7 +346,10 @@
                 }
                 clients::Action::Ask(asked) => self.ask(asked),
                 clients::Action::Leave { id, proxy } => self.left(id, proxy),
-                clients::Action::Settled(settled) => self.tally.settled(&settled),
+                clients::Action::Settled(settled) => {
+                    self.lots.settled(settled.request);
+                    self.tally.settled(&settled);
+                }
             }
         }
         // What they did may have made them do more, with a buffer of its own.
@@ -365,7 +374,8 @@
         };
         self.tally.counts().tries += 1;
         self.checker.asks(asked.id, asked.request, kind.repeat, write, asked.proxy, now + asked.wait);
-        self.open.insert(asked.id, Open { asked, came: now, attempts: 0, answered: false, need });
+        let drawn = self.lots.draw(asked.request, asked.tenant, asked.within);
+        self.open.insert(asked.id, Open { asked, drawn, came: now, attempts: 0, answered: false, need });
         let sessions = matches!(kind.need, clients::Need::Session | clients::Need::Write);
         let arrival = Arrival {
             id: RequestId(asked.id),
--- a/crates/leverlab/src/policy.rs
+++ b/crates/leverlab/src/policy.rs
@@ -26,6 +26,8 @@
     fn position(&mut self, store: StoreId) -> Time;
     /// The request is within its tenant's quota, by the fleet's one account.
     fn within(&self, id: RequestId) -> bool;
+    /// The mark of another request of its tenant, drawn at random: as many are within, but not the same.
+    fn drawn(&self, id: RequestId) -> bool;
     /// A request more would leave this many cores there that nothing is on.
     fn spare(&self, store: StoreId) -> f64;
 }
@@ -53,9 +55,11 @@
     /// Peak-EWMA behind a plain limiter: each proxy has an even share of each tenant's quota, and refuses the rest.
     LocalQuota,
     Oracle,
+    /// The oracle, told how many of each tenant's requests are within its quota, but not which.
+    BlindOracle,
 }
 
-pub const NAMES: [(&str, Name); 9] = [
+pub const NAMES: [(&str, Name); 10] = [
     ("module", Name::Module),
     ("primary-only", Name::PrimaryOnly),
     ("random", Name::Random),
@@ -65,6 +69,7 @@
     ("peak-ewma", Name::PeakEwma),
     ("local-quota", Name::LocalQuota),
     ("oracle", Name::Oracle),
+    ("blind-oracle", Name::BlindOracle),
 ];
 
 /// A policy under test, and the constants that the module goes by if it is the one.
@@ -172,6 +177,19 @@
         &self.set.classes[usize::from(class.0)]
     }
 
+    fn sees_all(&self) -> bool {
+        matches!(self.choice, Name::Oracle | Name::BlindOracle)
+    }
+
+    /// What an oracle takes to be within its tenant's quota.
+    fn within(&self, id: RequestId, view: &dyn View) -> bool {
+        if self.choice == Name::BlindOracle {
+            view.drawn(id)
+        } else {
+            view.within(id)
+        }
+    }
+
     fn outstanding(&self, store: StoreId) -> u32 {
         self.out.get(&store).copied().unwrap_or(0)
     }
@@ -181,7 +199,7 @@
         let need = self.class(open.arrival.class).need;
         let primary = view.primary(group);
         if matches!(need, Need::Write | Need::Fresh) || self.choice == Name::PrimaryOnly {
-            return primary.filter(|p| self.choice != Name::Oracle || self.in_time(open, *p, now, view));
+            return primary.filter(|p| !self.sees_all() || self.in_time(open, *p, now, view));
         }
         let mut members = view.members(group);
         if members.len() > open.tried.len() {
@@ -190,7 +208,7 @@
         if members.is_empty() {
             return None;
         }
-        if self.choice == Name::Oracle {
+        if self.sees_all() {
             let position = match need {
                 Need::Bounded(age) => now.minus(age),
                 Need::Session => open.arrival.wrote_ago.map_or(Time::ZERO, |ago| open.came.minus(ago)),
@@ -232,7 +250,7 @@
         let worth_for = if class.late_worth > 0.0 { class.deadline } else { class.aim };
         let left = worth_for.saturating_sub(now.since(open.came));
         // What is beyond its tenant's quota is served only from room that is left when those within have theirs.
-        if !view.within(open.arrival.id) && view.spare(store) < KEPT {
+        if !self.within(open.arrival.id, view) && view.spare(store) < KEPT {
             return false;
         }
         // What is worth less gives way before a server is full.
@@ -246,7 +264,7 @@
         let class = self.class(open.arrival.class);
         let worth_for = if class.late_worth > 0.0 { class.deadline } else { class.aim };
         let most = worth_for.min(open.arrival.time_left).mul_f64(HELD);
-        self.choice == Name::Oracle && !open.ran && now.since(open.came) + LOOK_AGAIN < most
+        self.sees_all() && !open.ran && now.since(open.came) + LOOK_AGAIN < most
     }
 
     fn attempt(&mut self, id: RequestId, now: Time, view: &mut dyn View, actions: &mut Vec<Action>) {
@@ -263,7 +281,7 @@
                 // everything has no need of it.
                 let class = self.class(open.arrival.class);
                 let twice = class.effect == Effect::Safe && open.tried.len() == 1 && left / 2 >= class.aim;
-                let time_out = if twice && self.choice != Name::Oracle { left / 2 } else { left };
+                let time_out = if twice && !self.sees_all() { left / 2 } else { left };
                 actions.push(Action::Send { id, store, time_out });
                 self.open.insert(id, open);
             }
@@ -322,7 +340,7 @@
             Event::Timer(_) => {
                 let mut held = std::mem::take(&mut self.held);
                 // Those within their quota first.
-                held.sort_by_key(|id| !view.within(*id));
+                held.sort_by_key(|id| !self.within(*id, view));
                 for id in held {
                     self.attempt(id, now, view, actions);
                 }
--- a/crates/leverlab/tests/quota.rs
+++ b/crates/leverlab/tests/quota.rs
@@ -53,6 +53,9 @@
     fn within(&self, _: RequestId) -> bool {
         true
     }
+    fn drawn(&self, _: RequestId) -> bool {
+        true
+    }
     fn spare(&self, store: StoreId) -> f64 {
         self.0.spare(store)
     }
