--- a/crates/mountshift/src/decide.rs
+++ b/crates/mountshift/src/decide.rs
@@ -68,7 +68,7 @@
     /// shrinks so many times as fast while they are late: what the stores do in vain stays under a fifth.
     door: 1.5,
     door_fall: 4.0,
-    /// What is beyond a quota has a door of its own, which falls so fast that few answers are late for it.
+    /// The door for what is beyond a quota falls so fast that few answers are late for it; by half at once.
     spare_fall: 30.0,
     /// How fast what nothing more is heard of is forgotten, as a share of other memories' speed.
     door_fade: 0.1,
@@ -512,7 +512,7 @@
             };
             let (all, here) = self.doors(at_group);
             let (here, weight) = (judged(here, 1.0, step) - 1.0, 1.0 - self.kept(self.all.judged));
-            self.spare = judged(self.spare, weight, earns(tune.spare_fall));
+            self.spare = judged(self.spare, weight.min(0.5 / tune.spare_fall), earns(tune.spare_fall));
             (self.all.door, self.all.judged) = (judged(all, weight, step) - 1.0, now);
             if let Some(group) = self.groups.get_mut(&at_group) {
                 (group.door, group.judged) = (here, now);
