--- a/crates/leverlab/src/member.rs
+++ b/crates/leverlab/src/member.rs
@@ -124,7 +124,8 @@
     pub fn new(settings: &Settings) -> Member {
         let quotas: Vec<f64> = settings.tenants.iter().map(|tenant| tenant.quota_per_s).collect();
         let stands = vec![Stand::default(); quotas.len()];
-        let quota = Quota::new(&quota::Settings { proxies: settings.routers, quotas });
+        let worths = settings.classes.iter().map(|class| class.worth).collect();
+        let quota = Quota::new(&quota::Settings { proxies: settings.routers, quotas, worths });
         Member { quota, stands, waiting: FxHashMap::default(), talking: None }
     }
 
@@ -159,7 +160,7 @@
 
     pub fn arrived(&mut self, now: Time, arrival: &Arrival) -> Standing {
         let tenant = usize::from(arrival.tenant.0);
-        let mark = self.quota.asked(now.0, tenant, arrival.repeated);
+        let mark = self.quota.asked(now.0, tenant, arrival.class.0.into(), arrival.repeated);
         let Some(talking) = self.talking.as_mut().filter(|_| tenant < self.stands.len()) else {
             return if matches!(mark, Mark::Free | Mark::Within) {
                 Standing::Within
--- a/crates/leverproxy/src/stages/quota.rs
+++ b/crates/leverproxy/src/stages/quota.rs
@@ -35,7 +35,8 @@
         let Decoded { settings, names: Names { tenants: names, classes, .. }, .. } = platform;
         let quotas: Vec<f64> = settings.tenants.iter().map(|tenant| tenant.quota_per_s).collect();
         self.quotas.clone_from(&quotas);
-        let settings = ::quota::Settings { proxies: settings.routers, quotas };
+        let worths = settings.classes.iter().map(|class| class.worth).collect();
+        let settings = ::quota::Settings { proxies: settings.routers, quotas, worths };
         let former = |at: usize| self.names.iter().position(|name| names.get(at) == Some(name));
         self.account.configure(&settings, former);
         self.names.clone_from(names);
@@ -60,8 +61,8 @@
         if !named {
             return;
         }
-        let since = self.since(now);
-        arrival.standing = match self.account.asked(since, arrival.tenant.0.into(), arrival.repeated) {
+        let (since, tenant, class) = (self.since(now), arrival.tenant.0.into(), arrival.class.0.into());
+        arrival.standing = match self.account.asked(since, tenant, class, arrival.repeated) {
             Mark::Free | Mark::Within => Standing::Within,
             Mark::Beyond if self.lent(arrival, now) => Standing::Borrowed,
             // Who repays does not borrow for it.
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -34,6 +34,8 @@
 /// And so many deviations of a Poisson stream over that time, and requests, which no rate explains.
 const DEVIATIONS: f64 = 3.0;
 const SPARE: f64 = 3.0;
+/// Of the bucket, what those that are worth nothing leave to others; those worth less than the middle leave a share of it.
+const LEFT: f64 = 0.5;
 /// Where others tell of what they see, each proxy has this much of its even part beside what it sees: a tenant that was
 /// never seen here is not wholly beyond with its first requests.
 const PRIOR: f64 = 0.1;
@@ -44,6 +46,8 @@
     pub proxies: u32,
     /// By tenant, in requests a second over all proxies; 0: all that it asks counts in full.
     pub quotas: Vec<f64>,
+    /// By class: what a request is worth, in any unit. One of a class that is not stated leaves nothing.
+    pub worths: Vec<f64>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -113,6 +117,8 @@
 pub struct Quota {
     proxies: u32,
     tenants: Vec<Tenant>,
+    /// By class: the share of a bucket that it leaves to dearer ones.
+    leaves: Vec<f64>,
     started: Option<Time>,
     judged: Time,
     /// The part of the fleet's requests that this proxy is taken to see; none: nothing tells yet.
@@ -137,14 +143,20 @@
             Tenant { quota, ..known }
         };
         self.tenants = settings.quotas.iter().enumerate().map(tenant).collect();
+        let mut sorted = settings.worths.clone();
+        sorted.sort_by(f64::total_cmp);
+        // Not the dearest: this knows no work, and of two dear classes the dearer often takes the more of it.
+        let middle = sorted.get(sorted.len().saturating_sub(1) / 2).map_or(0.0, |m| m.max(f64::MIN_POSITIVE));
+        let leaves = |worth: &f64| LEFT * (1.0 - worth / middle).clamp(0.0, 1.0);
+        self.leaves = settings.worths.iter().map(leaves).collect();
         if std::mem::replace(&mut self.proxies, settings.proxies.max(1)) != self.proxies {
             self.part = None;
         }
     }
 
-    /// A request of this tenant has come. A repeat takes nothing: the quota is of requests, not of tries. It is
-    /// what a first try would be now.
-    pub fn asked(&mut self, now: Time, tenant: usize, repeated: bool) -> Mark {
+    /// A request of this tenant and class has come. A repeat takes nothing: the quota is of requests, not of tries. It
+    /// is what a first try would be now.
+    pub fn asked(&mut self, now: Time, tenant: usize, class: usize, repeated: bool) -> Mark {
         if self.tenants.get(tenant).is_none_or(|t| t.quota <= 0.0) {
             return Mark::Free;
         }
@@ -152,7 +164,8 @@
         let rate = self.rate_of(tenant);
         let Some(tenant) = self.tenants.get_mut(tenant) else { return Mark::Free };
         let Bucket { left, whole, depth } = tenant.bucket(now, rate);
-        let least = if repeated { depth / 2.0 } else { 1.0 };
+        let leaves = self.leaves.get(class).copied().unwrap_or(0.0);
+        let least = if repeated { depth / 2.0 } else { 1.0 + leaves * depth };
         let (within, owed) = (left >= least, whole >= least);
         let taken = if repeated { 0.0 } else { 1.0 };
         tenant.left = Some((if within { left - taken } else { left }, now));
--- a/crates/quota/tests/fleet.rs
+++ b/crates/quota/tests/fleet.rs
@@ -37,7 +37,8 @@
 /// is missing from the marks, and of what is within that is marked, since it can't be told which of them came first.
 fn mislabelled(fleet: &Fleet, seed: u64) -> [f64; 3] {
     let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
-    let settings = Settings { proxies: fleet.proxies as u32, quotas: fleet.quotas.to_vec() };
+    let settings =
+        Settings { proxies: fleet.proxies as u32, quotas: fleet.quotas.to_vec(), ..Settings::default() };
     let mut proxies = vec![Quota::new(&settings); fleet.proxies];
     let mut buckets = fleet.quotas.to_vec();
     let (mut now, mut counts) = (0.0, [[[0u32; 2]; 2]; 2]);
@@ -71,7 +72,7 @@
         }
         let beyond = buckets[tenant] < 1.0;
         buckets[tenant] -= if beyond { 0.0 } else { 1.0 };
-        let marked = proxies[proxy].asked(Duration::from_secs_f64(now), tenant, false) == Mark::Beyond;
+        let marked = proxies[proxy].asked(Duration::from_secs_f64(now), tenant, 0, false) == Mark::Beyond;
         let exceeds = fleet.usual[tenant].max(fleet.surge[tenant]) > 1.0;
         counts[usize::from(exceeds)][usize::from(beyond)][usize::from(marked)] += 1;
     }
@@ -142,7 +143,7 @@
 /// What a tenant does without is told to the last request, whether it would have used it or not.
 #[test]
 fn what_is_withheld_is_counted_and_missing() {
-    let settings = Settings { proxies: 1, quotas: vec![100.0] };
+    let settings = Settings { proxies: 1, quotas: vec![100.0], ..Settings::default() };
     let (mut plain, mut short) = (Quota::new(&settings), Quota::new(&settings));
     let (mut within, mut withheld, mut repaying) = ([0u32; 2], 0.0, 0u32);
     for tick in 0..60_000u64 {
@@ -152,7 +153,7 @@
         }
         if tick % 5 == 0 {
             for (quota, within) in [&mut plain, &mut short].into_iter().zip(&mut within) {
-                let mark = quota.asked(now, 0, false);
+                let mark = quota.asked(now, 0, 0, false);
                 *within += u32::from(mark == Mark::Within);
                 repaying += u32::from(mark == Mark::Withheld);
             }
@@ -165,10 +166,30 @@
     assert!((f64::from(repaying) - withheld).abs() <= 2.0, "{repaying} repay of {withheld}");
 }
 
+/// At three times the quota dear requests get the tokens, and as many as without; who keeps to its quota loses none.
+#[test]
+fn tokens_go_to_dearer_requests_first() {
+    let shares = |worths: Vec<f64>, per_s: u64| {
+        let mut quota = Quota::new(&Settings { proxies: 1, quotas: vec![100.0], worths });
+        let mut within = [0u64; 3];
+        for n in 0..per_s * 60 {
+            let class = (n % 3) as usize;
+            let mark = quota.asked(Duration::from_micros(n * 1_000_000 / per_s), 0, class, false);
+            within[class] += u64::from(mark == Mark::Within);
+        }
+        within.map(|within| within as f64 / (20 * per_s) as f64)
+    };
+    let [cheap, dear, dearest] = shares(vec![1.0, 2.0, 3.0], 300);
+    assert!(cheap < 0.02 && dear + dearest > 0.98, "{cheap} {dear} {dearest}");
+    let alike: f64 = shares(Vec::new(), 300).iter().sum();
+    assert!((cheap + dear + dearest - alike).abs() < 0.02, "{alike}");
+    assert_eq!(shares(vec![1.0, 2.0, 3.0], 100), [1.0; 3]);
+}
+
 /// A day of a fleet that tells keeps the quota within a hundredth; alone, each would have guessed.
 #[test]
 fn parts_that_are_told_add_up_to_the_quota() {
-    let settings = Settings { proxies: 12, quotas: vec![1_200.0] };
+    let settings = Settings { proxies: 12, quotas: vec![1_200.0], ..Settings::default() };
     let mut proxies = vec![Quota::new(&settings); 12];
     let mut said = vec![vec![0.0]; 12];
     let (mut within, mut seed) = (0u64, Xoshiro256PlusPlus::seed_from_u64(5));
@@ -182,7 +203,7 @@
             let busy = (milli / 60_000 * 5) as usize;
             let any = seed.random_range(0..12);
             let proxy = if seed.random_bool(0.7) { (busy + any % 3) % 12 } else { any };
-            within += u64::from(proxies[proxy].asked(now, 0, false) == Mark::Within);
+            within += u64::from(proxies[proxy].asked(now, 0, 0, false) == Mark::Within);
         }
     }
     let part = within as f64 / (1_200.0 * 600.0);
@@ -194,15 +215,15 @@
     /// Alone, a proxy lets no more through as within than the quota and the depth of its bucket; repeats take nothing.
     #[test]
     fn one_proxy_keeps_to_the_quota(quota in 1.0f64..500.0, gaps in proptest::collection::vec(0u64..20_000, 1..400)) {
-        let mut account = Quota::new(&Settings { proxies: 1, quotas: vec![quota, 0.0] });
+        let mut account = Quota::new(&Settings { proxies: 1, quotas: vec![quota, 0.0], ..Settings::default() });
         let (mut now, mut within, mut first) = (Duration::ZERO, 0u32, true);
         let begun = now;
         for gap in gaps {
             now += Duration::from_micros(gap);
-            proptest::prop_assert_eq!(account.asked(now, 1, false), Mark::Free);
-            proptest::prop_assert_eq!(account.asked(now, 2, false), Mark::Free);
-            account.asked(now, 0, true);
-            let mark = account.asked(now, 0, false);
+            proptest::prop_assert_eq!(account.asked(now, 1, 0, false), Mark::Free);
+            proptest::prop_assert_eq!(account.asked(now, 2, 0, false), Mark::Free);
+            account.asked(now, 0, 0, true);
+            let mark = account.asked(now, 0, 0, false);
             proptest::prop_assert!(!first || mark == Mark::Within);
             first = false;
             within += u32::from(mark == Mark::Within);
--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -54,7 +54,7 @@
                         .map_err(|e| reader.fault(format!("settings are not sound: {e}")))?;
                     let quotas = decoded.settings.tenants.iter().map(|tenant| tenant.quota_per_s).collect();
                     let proxies = decoded.settings.routers;
-                    let quota = Quota::new(&quota::Settings { proxies, quotas });
+                    let quota = Quota::new(&quota::Settings { proxies, quotas, worths: Vec::new() });
                     let router = Router::new(decoded.settings, seed, now);
                     let (fields, zero) = (decoded.fields, decoded.zero);
                     self.instances.insert(inst, Instance { router, quota, fields, zero });
@@ -86,7 +86,8 @@
                 Record::Incoming { inst, mut arrival } => {
                     if let Some(instance) = self.instances.get_mut(&inst) {
                         let (now, tenant) = (now.since(Time::ZERO), arrival.tenant.0.into());
-                        let mark = instance.quota.asked(now, tenant, arrival.repeated);
+                        let mark =
+                            instance.quota.asked(now, tenant, arrival.class.0.into(), arrival.repeated);
                         if mark == Mark::Beyond {
                             arrival.standing = Standing::Beyond;
                         }
