Quota: the account's error by the age of what others say is measured, cuts too

Only words of a second were tested, and no cut. The fleets of crates/quota's test now hear 0.25, 1 and 3 s late and are cut in a third and two, or in halves. A forecast from own growth was weighed and not built.

--- a/crates/quota/tests/fleet.rs
+++ b/crates/quota/tests/fleet.rs
@@ -4,6 +4,7 @@
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, Exp};
 use rand_xoshiro::Xoshiro256PlusPlus;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 struct Fleet {
@@ -16,37 +17,68 @@
     surge: &'static [f64],
     /// Two of three proxies are gone in the surge, and the rest get their requests.
     shrinks: bool,
-    /// They tell each other what they see, and hear it a second late.
-    shares: bool,
+    /// They tell each other what they see, and hear it so many quarters of a second late; so many are cut off from 30 s on.
+    late: Option<usize>,
+    cut: usize,
 }
 
-/// Each hears what all others said the last time.
-fn tell(proxies: &mut [Quota], said: &mut Vec<Vec<f64>>, now: Duration) {
-    let tenants = said.first().map_or(0, Vec::len);
-    let sum = |at: usize| said.iter().map(|rates| rates[at]).sum::<f64>();
-    let sums: Vec<f64> = (0..tenants).map(sum).collect();
-    let others = proxies.len() as u32 - 1;
-    for (proxy, own) in proxies.iter_mut().zip(said) {
-        let rates = sums.iter().zip(own.iter()).map(|(sum, own)| sum - own).collect();
-        proxy.heard(Some(&Others { proxies: others, rates }));
-        *own = proxy.rates(now).collect();
+/// What proxies have said, the oldest first: each hears the oldest. From some time on the first `cut` and the others don't
+/// hear each other: the larger part takes the smaller for dead, who can't tell and go by what was said last.
+#[derive(Default)]
+struct Words {
+    age: usize,
+    cut: usize,
+    past: VecDeque<Vec<Vec<f64>>>,
+    last: Vec<Vec<f64>>,
+}
+
+impl Words {
+    fn tell(&mut self, proxies: &mut [Quota], now: Duration, apart: bool) {
+        self.past.push_back(proxies.iter_mut().map(|proxy| proxy.rates(now).collect()).collect());
+        if self.past.len() > self.age + 1 {
+            self.past.pop_front();
+        }
+        let said = &self.past[0];
+        if !apart {
+            self.last.clone_from(said);
+        }
+        let tenants = said.first().map_or(0, Vec::len);
+        let sums = |said: &[Vec<f64>]| -> Vec<f64> {
+            (0..tenants).map(|at| said.iter().map(|rates| rates[at]).sum()).collect()
+        };
+        let (near, far) = said.split_at(self.cut);
+        let (smaller, larger) = (sums(near), sums(far));
+        let last = sums(&self.last[self.cut..]);
+        let all = proxies.len() as u32 - 1;
+        for (number, (proxy, own)) in proxies.iter_mut().zip(said).enumerate() {
+            let (seen, unseen, told) = match (number < self.cut, apart) {
+                (true, true) => (&smaller, Some(&last), all),
+                (true, false) => (&smaller, Some(&larger), all),
+                (false, true) => (&larger, None, all - self.cut as u32),
+                (false, false) => (&larger, Some(&smaller), all),
+            };
+            let rate = |at: usize| seen[at] + unseen.map_or(0.0, |unseen| unseen[at]) - own[at];
+            proxy.heard(Some(&Others { proxies: told, rates: (0..tenants).map(rate).collect() }));
+        }
     }
 }
 
 /// Of tenants that keep to their quotas: the share marked beyond. Of the others: the share of what is beyond that
-/// is missing from the marks, and of what is within that is marked, since it can't be told which of them came first.
-fn mislabelled(fleet: &Fleet, seed: u64) -> [f64; 3] {
+/// is missing from the marks, and of what is within that is marked, since it can't be told which of them came first;
+/// and in the surge what passes as within, of the quota: in all, and in its worst second.
+fn mislabelled(fleet: &Fleet, seed: u64) -> [f64; 5] {
     let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
     let settings =
         Settings { proxies: fleet.proxies as u32, quotas: fleet.quotas.to_vec(), ..Settings::default() };
     let mut proxies = vec![Quota::new(&settings); fleet.proxies];
     let mut buckets = fleet.quotas.to_vec();
     let (mut now, mut counts) = (0.0, [[[0u32; 2]; 2]; 2]);
-    let (mut said, mut tells) = (vec![vec![0.0; fleet.quotas.len()]; fleet.proxies], 0.0);
+    let mut words = Words { age: fleet.late.unwrap_or(0), cut: fleet.cut, ..Words::default() };
+    let (mut tells, mut passed) = (0.0, [0u32; 72]);
     while now < 72.0 {
-        if fleet.shares && now >= tells {
-            tell(&mut proxies, &mut said, Duration::from_secs_f64(now));
-            tells += 1.0;
+        if fleet.late.is_some() && now >= tells {
+            words.tell(&mut proxies, Duration::from_secs_f64(now), fleet.cut > 0 && now >= 30.0);
+            tells += 0.25;
         }
         let surge = (40.0..52.0).contains(&now);
         let uses = if surge { fleet.surge } else { fleet.usual };
@@ -75,14 +107,19 @@
         let marked = proxies[proxy].asked(Duration::from_secs_f64(now), tenant, 0, false) == Mark::Beyond;
         let exceeds = fleet.usual[tenant].max(fleet.surge[tenant]) > 1.0;
         counts[usize::from(exceeds)][usize::from(beyond)][usize::from(marked)] += 1;
+        passed[now as usize % 72] += u32::from(exceeds && !marked);
     }
     let share = |part: u32, all: u32| f64::from(part) / f64::from(all).max(1.0);
     let [[keep, _], [within, beyond]] = counts;
     let over: u32 = beyond.iter().sum();
+    let surging = |at: &usize| fleet.usual[*at].max(fleet.surge[*at]) > 1.0;
+    let quota: f64 = (0..fleet.quotas.len()).filter(surging).map(|at| fleet.quotas[at]).sum::<f64>().max(1.0);
     [
         share(keep[1], keep.iter().sum()),
         share(over.saturating_sub(beyond[1] + within[1]), over),
         share(within[1], within.iter().sum()),
+        f64::from(passed[40..52].iter().sum::<u32>()) / quota / 12.0,
+        f64::from(passed[40..52].iter().copied().max().unwrap_or(0)) / quota,
     ]
 }
 
@@ -100,7 +137,8 @@
         usual: USUAL,
         surge: SMALLEST,
         shrinks: false,
-        shares: false,
+        late: None,
+        cut: 0,
     };
     let fleets = [
         ("6 proxies", Fleet { proxies: 6, ..base }, 0.005, 0.3),
@@ -122,19 +160,24 @@
             0.35,
         ),
         ("600 proxies", Fleet { proxies: 600, ..base }, 0.005, 0.8),
-        ("60 that tell each other", Fleet { shares: true, ..base }, 0.005, 0.15),
-        ("60 that tell, unequal", Fleet { shares: true, unequal: true, ..base }, 0.005, 0.15),
+        ("60 that tell, 0.25 s late", Fleet { late: Some(1), ..base }, 0.005, 0.15),
+        ("60 that tell, 1 s late", Fleet { late: Some(4), ..base }, 0.005, 0.15),
+        ("60 that tell, 3 s late", Fleet { late: Some(12), ..base }, 0.005, 0.25),
+        ("60 that tell, a third cut off", Fleet { late: Some(4), cut: 20, ..base }, 0.005, 0.4),
+        ("60 that tell, halves", Fleet { late: Some(4), cut: 30, ..base }, 0.005, 0.4),
+        ("60 that tell, unequal", Fleet { late: Some(4), unequal: true, ..base }, 0.005, 0.15),
         (
             "60 that tell, all surge",
-            Fleet { shares: true, surge: &[3.0, 3.0, 3.0, 3.0], ..base },
+            Fleet { late: Some(4), surge: &[3.0, 3.0, 3.0, 3.0], ..base },
             0.005,
             0.15,
         ),
     ];
     for (name, fleet, dear, cheap) in fleets {
-        let [within, missed, swapped] = mislabelled(&fleet, 11);
+        let [within, missed, swapped, passed, worst] = mislabelled(&fleet, 11);
         println!(
-            "{name}: of those within marked {within:.4}, beyond missed {missed:.3}, swapped {swapped:.3}"
+            "{name}: of those within marked {within:.4}, beyond missed {missed:.3}, swapped {swapped:.3}, \
+             passed {passed:.2} of the quota, {worst:.2} in the worst second"
         );
         assert!(within <= dear && missed <= cheap, "{name}: {within:.4} of within, {missed:.3} of beyond");
     }
@@ -191,13 +234,13 @@
 fn parts_that_are_told_add_up_to_the_quota() {
     let settings = Settings { proxies: 12, quotas: vec![1_200.0], ..Settings::default() };
     let mut proxies = vec![Quota::new(&settings); 12];
-    let mut said = vec![vec![0.0]; 12];
+    let mut words = Words { age: 1, ..Words::default() };
     let (mut within, mut seed) = (0u64, Xoshiro256PlusPlus::seed_from_u64(5));
     // Four times the quota asks, most of it of a few proxies that change every minute.
     for milli in 0..600_000u64 {
         let now = Duration::from_millis(milli);
         if milli % 1_000 == 0 {
-            tell(&mut proxies, &mut said, now);
+            words.tell(&mut proxies, now, false);
         }
         for _ in 0..5 {
             let busy = (milli / 60_000 * 5) as usize;
