Quota's test of late words: one rule for who hears whom

The sums of either part of a cut fleet were kept apart for speed that the test does not need. Each proxy now takes what each other said, or said last before the cut, or nothing if it takes it for dead.

--- a/crates/quota/tests/fleet.rs
+++ b/crates/quota/tests/fleet.rs
@@ -38,27 +38,17 @@
         if self.past.len() > self.age + 1 {
             self.past.pop_front();
         }
-        let said = &self.past[0];
+        let (said, cut) = (&self.past[0], if apart { self.cut } else { 0 });
         if !apart {
             self.last.clone_from(said);
         }
-        let tenants = said.first().map_or(0, Vec::len);
-        let sums = |said: &[Vec<f64>]| -> Vec<f64> {
-            (0..tenants).map(|at| said.iter().map(|rates| rates[at]).sum()).collect()
-        };
-        let (near, far) = said.split_at(self.cut);
-        let (smaller, larger) = (sums(near), sums(far));
-        let last = sums(&self.last[self.cut..]);
-        let all = proxies.len() as u32 - 1;
-        for (number, (proxy, own)) in proxies.iter_mut().zip(said).enumerate() {
-            let (seen, unseen, told) = match (number < self.cut, apart) {
-                (true, true) => (&smaller, Some(&last), all),
-                (true, false) => (&smaller, Some(&larger), all),
-                (false, true) => (&larger, None, all - self.cut as u32),
-                (false, false) => (&larger, Some(&smaller), all),
-            };
-            let rate = |at: usize| seen[at] + unseen.map_or(0.0, |unseen| unseen[at]) - own[at];
-            proxy.heard(Some(&Others { proxies: told, rates: (0..tenants).map(rate).collect() }));
+        for (number, proxy) in proxies.iter_mut().enumerate() {
+            let heard = |n: usize| if (n < cut) == (number < cut) { Some(&said[n]) } else { None };
+            let last = |n: usize| if number < cut { Some(&self.last[n]) } else { None };
+            let told: Vec<_> =
+                (0..said.len()).filter(|n| *n != number).filter_map(|n| heard(n).or(last(n))).collect();
+            let rates = (0..said[0].len()).map(|at| told.iter().map(|rates| rates[at]).sum()).collect();
+            proxy.heard(Some(&Others { proxies: told.len() as u32, rates }));
         }
     }
 }
