--- a/crates/quota/tests/fleet.rs
+++ b/crates/quota/tests/fleet.rs
@@ -4,6 +4,7 @@
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, Exp};
 use rand_xoshiro::Xoshiro256PlusPlus;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 struct Fleet {
@@ -16,36 +17,58 @@
     surge: &'static [f64],
     /// Two of three proxies are gone in the surge, and the rest get their requests.
     shrinks: bool,
-    /// They tell each other what they see, and hear it a second late.
-    shares: bool,
+    /// They tell each other what they see, and hear it so many quarters of a second late; so many are cut off from 30 s on.
+    late: Option<usize>,
+    cut: usize,
 }
 
-/// Each hears what all others said the last time.
-fn tell(proxies: &mut [Quota], said: &mut Vec<Vec<f64>>, now: Duration) {
-    let tenants = said.first().map_or(0, Vec::len);
-    let sum = |at: usize| said.iter().map(|rates| rates[at]).sum::<f64>();
-    let sums: Vec<f64> = (0..tenants).map(sum).collect();
-    let others = proxies.len() as u32 - 1;
-    for (proxy, own) in proxies.iter_mut().zip(said) {
-        let rates = sums.iter().zip(own.iter()).map(|(sum, own)| sum - own).collect();
-        proxy.heard(Some(&Others { proxies: others, rates }));
-        *own = proxy.rates(now).collect();
+/// What proxies have said, the oldest first: each hears the oldest. From some time on the first `cut` and the others don't
+/// hear each other: the larger part takes the smaller for dead, who can't tell and go by what was said last.
+#[derive(Default)]
+struct Words {
+    age: usize,
+    cut: usize,
+    past: VecDeque<Vec<Vec<f64>>>,
+    last: Vec<Vec<f64>>,
+}
+
+impl Words {
+    fn tell(&mut self, proxies: &mut [Quota], now: Duration, apart: bool) {
+        self.past.push_back(proxies.iter_mut().map(|proxy| proxy.rates(now).collect()).collect());
+        if self.past.len() > self.age + 1 {
+            self.past.pop_front();
+        }
+        let (said, cut) = (&self.past[0], if apart { self.cut } else { 0 });
+        if !apart {
+            self.last.clone_from(said);
+        }
+        for (number, proxy) in proxies.iter_mut().enumerate() {
+            let heard = |n: usize| if (n < cut) == (number < cut) { Some(&said[n]) } else { None };
+            let last = |n: usize| if number < cut { Some(&self.last[n]) } else { None };
+            let told: Vec<_> =
+                (0..said.len()).filter(|n| *n != number).filter_map(|n| heard(n).or(last(n))).collect();
+            let rates = (0..said[0].len()).map(|at| told.iter().map(|rates| rates[at]).sum()).collect();
+            proxy.heard(Some(&Others { proxies: told.len() as u32, rates }));
+        }
     }
 }
 
 /// Of tenants that keep to their quotas: the share marked beyond. Of the others: the share of what is beyond that
-/// is missing from the marks, and of what is within that is marked, since it can't be told which of them came first.
-fn mislabelled(fleet: &Fleet, seed: u64) -> [f64; 3] {
+/// is missing from the marks, and of what is within that is marked, since it can't be told which of them came first;
+/// and in the surge what passes as within, of the quota: in all, and in its worst second.
+fn mislabelled(fleet: &Fleet, seed: u64) -> [f64; 5] {
     let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
-    let settings = Settings { proxies: fleet.proxies as u32, quotas: fleet.quotas.to_vec() };
+    let settings =
+        Settings { proxies: fleet.proxies as u32, quotas: fleet.quotas.to_vec(), ..Settings::default() };
     let mut proxies = vec![Quota::new(&settings); fleet.proxies];
     let mut buckets = fleet.quotas.to_vec();
     let (mut now, mut counts) = (0.0, [[[0u32; 2]; 2]; 2]);
-    let (mut said, mut tells) = (vec![vec![0.0; fleet.quotas.len()]; fleet.proxies], 0.0);
+    let mut words = Words { age: fleet.late.unwrap_or(0), cut: fleet.cut, ..Words::default() };
+    let (mut tells, mut passed) = (0.0, [0u32; 72]);
     while now < 72.0 {
-        if fleet.shares && now >= tells {
-            tell(&mut proxies, &mut said, Duration::from_secs_f64(now));
-            tells += 1.0;
+        if fleet.late.is_some() && now >= tells {
+            words.tell(&mut proxies, Duration::from_secs_f64(now), fleet.cut > 0 && now >= 30.0);
+            tells += 0.25;
         }
         let surge = (40.0..52.0).contains(&now);
         let uses = if surge { fleet.surge } else { fleet.usual };
@@ -71,17 +94,22 @@
         }
         let beyond = buckets[tenant] < 1.0;
         buckets[tenant] -= if beyond { 0.0 } else { 1.0 };
-        let marked = proxies[proxy].asked(Duration::from_secs_f64(now), tenant, false) == Mark::Beyond;
+        let marked = proxies[proxy].asked(Duration::from_secs_f64(now), tenant, 0, false) == Mark::Beyond;
         let exceeds = fleet.usual[tenant].max(fleet.surge[tenant]) > 1.0;
         counts[usize::from(exceeds)][usize::from(beyond)][usize::from(marked)] += 1;
+        passed[now as usize % 72] += u32::from(exceeds && !marked);
     }
     let share = |part: u32, all: u32| f64::from(part) / f64::from(all).max(1.0);
     let [[keep, _], [within, beyond]] = counts;
     let over: u32 = beyond.iter().sum();
+    let surging = |at: &usize| fleet.usual[*at].max(fleet.surge[*at]) > 1.0;
+    let quota: f64 = (0..fleet.quotas.len()).filter(surging).map(|at| fleet.quotas[at]).sum::<f64>().max(1.0);
     [
         share(keep[1], keep.iter().sum()),
         share(over.saturating_sub(beyond[1] + within[1]), over),
         share(within[1], within.iter().sum()),
+        f64::from(passed[40..52].iter().sum::<u32>()) / quota / 12.0,
+        f64::from(passed[40..52].iter().copied().max().unwrap_or(0)) / quota,
     ]
 }
 
@@ -99,7 +127,8 @@
         usual: USUAL,
         surge: SMALLEST,
         shrinks: false,
-        shares: false,
+        late: None,
+        cut: 0,
     };
     let fleets = [
         ("6 proxies", Fleet { proxies: 6, ..base }, 0.005, 0.3),
@@ -121,19 +150,24 @@
             0.35,
         ),
         ("600 proxies", Fleet { proxies: 600, ..base }, 0.005, 0.8),
-        ("60 that tell each other", Fleet { shares: true, ..base }, 0.005, 0.15),
-        ("60 that tell, unequal", Fleet { shares: true, unequal: true, ..base }, 0.005, 0.15),
+        ("60 that tell, 0.25 s late", Fleet { late: Some(1), ..base }, 0.005, 0.15),
+        ("60 that tell, 1 s late", Fleet { late: Some(4), ..base }, 0.005, 0.15),
+        ("60 that tell, 3 s late", Fleet { late: Some(12), ..base }, 0.005, 0.25),
+        ("60 that tell, a third cut off", Fleet { late: Some(4), cut: 20, ..base }, 0.005, 0.4),
+        ("60 that tell, halves", Fleet { late: Some(4), cut: 30, ..base }, 0.005, 0.4),
+        ("60 that tell, unequal", Fleet { late: Some(4), unequal: true, ..base }, 0.005, 0.15),
         (
             "60 that tell, all surge",
-            Fleet { shares: true, surge: &[3.0, 3.0, 3.0, 3.0], ..base },
+            Fleet { late: Some(4), surge: &[3.0, 3.0, 3.0, 3.0], ..base },
             0.005,
             0.15,
         ),
     ];
     for (name, fleet, dear, cheap) in fleets {
-        let [within, missed, swapped] = mislabelled(&fleet, 11);
+        let [within, missed, swapped, passed, worst] = mislabelled(&fleet, 11);
         println!(
-            "{name}: of those within marked {within:.4}, beyond missed {missed:.3}, swapped {swapped:.3}"
+            "{name}: of those within marked {within:.4}, beyond missed {missed:.3}, swapped {swapped:.3}, \
+             passed {passed:.2} of the quota, {worst:.2} in the worst second"
         );
         assert!(within <= dear && missed <= cheap, "{name}: {within:.4} of within, {missed:.3} of beyond");
     }
@@ -142,7 +176,7 @@
 /// What a tenant does without is told to the last request, whether it would have used it or not.
 #[test]
 fn what_is_withheld_is_counted_and_missing() {
-    let settings = Settings { proxies: 1, quotas: vec![100.0] };
+    let settings = Settings { proxies: 1, quotas: vec![100.0], ..Settings::default() };
     let (mut plain, mut short) = (Quota::new(&settings), Quota::new(&settings));
     let (mut within, mut withheld, mut repaying) = ([0u32; 2], 0.0, 0u32);
     for tick in 0..60_000u64 {
@@ -152,7 +186,7 @@
         }
         if tick % 5 == 0 {
             for (quota, within) in [&mut plain, &mut short].into_iter().zip(&mut within) {
-                let mark = quota.asked(now, 0, false);
+                let mark = quota.asked(now, 0, 0, false);
                 *within += u32::from(mark == Mark::Within);
                 repaying += u32::from(mark == Mark::Withheld);
             }
@@ -165,24 +199,44 @@
     assert!((f64::from(repaying) - withheld).abs() <= 2.0, "{repaying} repay of {withheld}");
 }
 
+/// At three times the quota dear requests get the tokens, and as many as without; who keeps to its quota loses none.
+#[test]
+fn tokens_go_to_dearer_requests_first() {
+    let shares = |worths: Vec<f64>, per_s: u64| {
+        let mut quota = Quota::new(&Settings { proxies: 1, quotas: vec![100.0], worths });
+        let mut within = [0u64; 3];
+        for n in 0..per_s * 60 {
+            let class = (n % 3) as usize;
+            let mark = quota.asked(Duration::from_micros(n * 1_000_000 / per_s), 0, class, false);
+            within[class] += u64::from(mark == Mark::Within);
+        }
+        within.map(|within| within as f64 / (20 * per_s) as f64)
+    };
+    let [cheap, dear, dearest] = shares(vec![1.0, 2.0, 3.0], 300);
+    assert!(cheap < 0.02 && dear + dearest > 0.98, "{cheap} {dear} {dearest}");
+    let alike: f64 = shares(Vec::new(), 300).iter().sum();
+    assert!((cheap + dear + dearest - alike).abs() < 0.02, "{alike}");
+    assert_eq!(shares(vec![1.0, 2.0, 3.0], 100), [1.0; 3]);
+}
+
 /// A day of a fleet that tells keeps the quota within a hundredth; alone, each would have guessed.
 #[test]
 fn parts_that_are_told_add_up_to_the_quota() {
-    let settings = Settings { proxies: 12, quotas: vec![1_200.0] };
+    let settings = Settings { proxies: 12, quotas: vec![1_200.0], ..Settings::default() };
     let mut proxies = vec![Quota::new(&settings); 12];
-    let mut said = vec![vec![0.0]; 12];
+    let mut words = Words { age: 1, ..Words::default() };
     let (mut within, mut seed) = (0u64, Xoshiro256PlusPlus::seed_from_u64(5));
     // Four times the quota asks, most of it of a few proxies that change every minute.
     for milli in 0..600_000u64 {
         let now = Duration::from_millis(milli);
         if milli % 1_000 == 0 {
-            tell(&mut proxies, &mut said, now);
+            words.tell(&mut proxies, now, false);
         }
         for _ in 0..5 {
             let busy = (milli / 60_000 * 5) as usize;
             let any = seed.random_range(0..12);
             let proxy = if seed.random_bool(0.7) { (busy + any % 3) % 12 } else { any };
-            within += u64::from(proxies[proxy].asked(now, 0, false) == Mark::Within);
+            within += u64::from(proxies[proxy].asked(now, 0, 0, false) == Mark::Within);
         }
     }
     let part = within as f64 / (1_200.0 * 600.0);
@@ -194,15 +248,15 @@
     /// Alone, a proxy lets no more through as within than the quota and the depth of its bucket; repeats take nothing.
     #[test]
     fn one_proxy_keeps_to_the_quota(quota in 1.0f64..500.0, gaps in proptest::collection::vec(0u64..20_000, 1..400)) {
-        let mut account = Quota::new(&Settings { proxies: 1, quotas: vec![quota, 0.0] });
+        let mut account = Quota::new(&Settings { proxies: 1, quotas: vec![quota, 0.0], ..Settings::default() });
         let (mut now, mut within, mut first) = (Duration::ZERO, 0u32, true);
         let begun = now;
         for gap in gaps {
             now += Duration::from_micros(gap);
-            proptest::prop_assert_eq!(account.asked(now, 1, false), Mark::Free);
-            proptest::prop_assert_eq!(account.asked(now, 2, false), Mark::Free);
-            account.asked(now, 0, true);
-            let mark = account.asked(now, 0, false);
+            proptest::prop_assert_eq!(account.asked(now, 1, 0, false), Mark::Free);
+            proptest::prop_assert_eq!(account.asked(now, 2, 0, false), Mark::Free);
+            account.asked(now, 0, 0, true);
+            let mark = account.asked(now, 0, 0, false);
             proptest::prop_assert!(!first || mark == Mark::Within);
             first = false;
             within += u32::from(mark == Mark::Within);
