Evidence of a rollout counts worth as the settings price it, not requests

Each request counted 1 and any answer was whole, so a version that only answers late looked well, and requests beyond quota weighed as any other. Ruled out: worth a second, whose bound no setting states; one unit for total and classes, which hides a cheap class that is refused whole.

--- a/crates/leverproxy/src/counters.rs
+++ b/crates/leverproxy/src/counters.rs
@@ -1,9 +1,11 @@
 //! What the proxy has taken in, sent and answered.
 
 use crate::request::{Answer, Verdict};
-use mountshift::ClassId;
+use crate::worth::Worth;
+use mountshift::{ClassId, Standing};
 use std::collections::BTreeMap;
 use std::fmt;
+use std::time::Duration;
 
 #[derive(Debug, Default)]
 struct Class {
@@ -18,6 +20,7 @@
     classes: Vec<(String, Class)>,
     probes: BTreeMap<&'static str, u64>,
     probes_sent: u64,
+    pub worth: Worth,
     /// Requests of no class that is known.
     pub rejected: u64,
     pub lists: u64,
@@ -53,7 +56,8 @@
         }
     }
 
-    pub fn answered(&mut self, class: ClassId, answer: &Answer) {
+    pub fn answered(&mut self, class: ClassId, standing: Standing, answer: &Answer, took: Duration) {
+        self.worth.answered(class, standing, answer, took);
         if let Some(class) = self.class(class) {
             *class.answers.entry(answer.kind()).or_default() += 1;
         }
--- a/crates/leverproxy/src/lib.rs
+++ b/crates/leverproxy/src/lib.rs
@@ -45,3 +45,4 @@
 pub mod takeover;
 pub mod upstream;
 mod usage;
+mod worth;
--- a/crates/leverproxy/src/rollout.rs
+++ b/crates/leverproxy/src/rollout.rs
@@ -8,6 +8,7 @@
 use crate::operate::Said;
 use crate::operators::Disk;
 use crate::reload::Ask;
+use crate::worth::Sum;
 use configuration::load::{Loader, FILE_LIMIT};
 use configuration::model::Rollout as Stated;
 use membership::{Act, Status as Heard};
@@ -259,12 +260,17 @@
                 body: fact.body,
             })
         };
-        let counts = counters.requests().map(|(class, [(_, served), (_, refused), (_, failed)])| Class {
-            class: membership::number(class),
-            asked: served + refused + failed,
-            lost: refused + failed,
-        });
-        Look { peers, promote, facts: (0..KINDS).flat_map(told).collect(), counts: counts.collect() }
+        // Places of one name are one class.
+        let mut sums: BTreeMap<u32, Sum> = BTreeMap::new();
+        for (class, more) in counters.worth.classes() {
+            let sum = sums.entry(membership::number(counters.name(class))).or_default();
+            (sum.asked, sum.lost) = (sum.asked + more.asked, sum.lost + more.lost);
+        }
+        // Whole ones: what is cut off here comes with the next.
+        let whole = |class: u32, sum: Sum| Class { class, asked: sum.asked as u64, lost: sum.lost as u64 };
+        let counts = sums.into_iter().map(|(class, sum)| whole(class, sum)).collect();
+        let total = whole(0, counters.worth.total());
+        Look { peers, promote, facts: (0..KINDS).flat_map(told).collect(), counts, total }
     }
 
     /// What came of reading a version.
--- a/crates/leverproxy/src/stages/mod.rs
+++ b/crates/leverproxy/src/stages/mod.rs
@@ -25,7 +25,7 @@
 use crate::takeover::Takeover;
 use crate::upstream::{Due, Upstream};
 use maintenance::{Hand, Unknown};
-use mountshift::{Action, Event, ListNews, Need, RequestId, StoreId, TimerToken};
+use mountshift::{Action, Event, ListNews, Need, RequestId, Standing, StoreId, TimerToken};
 use mountshift_settings::{Decoded, Names, Succession};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -99,8 +99,10 @@
         quota.configure(&platform, now);
         let Decoded { settings, names, max_open, .. } = platform;
         monitor.configure(&settings);
+        let mut counters = Counters::new(&names.classes);
+        counters.worth.configure(&settings);
         Chain {
-            counters: Counters::new(&names.classes),
+            counters,
             monitor,
             rejections: Seldom::default(),
             end: None,
@@ -211,7 +213,7 @@
             return self.reject(ticket, Some(class), why, sides, now);
         }
         self.counters.taken(class);
-        self.counters.answered(class, &answer);
+        self.counters.answered(class, Standing::Within, &answer, Duration::ZERO);
         sides.front.answer(ticket, answer, now, &sides.reactor);
     }
 
@@ -239,6 +241,7 @@
         self.quota.configure(&next, now);
         let Decoded { settings, names, max_open, .. } = next;
         self.counters.extend(&names.classes);
+        self.counters.worth.configure(&settings);
         self.deadlines = settings.classes.iter().map(|c| c.deadline).collect();
         self.writes = settings.classes.iter().map(|c| c.need == Need::Write).collect();
         (self.names, self.probe_time) = (names, probe_time);
@@ -263,7 +266,7 @@
         self.rejections.warn(now, || format!("front: a request is rejected: {why}"));
         let answer = Answer::Rejected(why);
         match class {
-            Some(class) => self.counters.answered(class, &answer),
+            Some(class) => self.counters.answered(class, Standing::Within, &answer, Duration::ZERO),
             None => self.counters.rejected += 1,
         }
         sides.front.answer(ticket, answer, now, &sides.reactor);
@@ -436,7 +439,8 @@
 
     fn relay(&mut self, open: admit::Open, answer: Answer, sides: &mut Sides, now: Instant) {
         log::debug!("{}: {}", self.counters.name(open.class), relay::account(&open, &answer, now));
-        self.counters.answered(open.class, &answer);
+        let took = now.saturating_duration_since(open.read_at);
+        self.counters.answered(open.class, open.standing, &answer, took);
         self.quota.ended(&open, Some(&answer), now);
         let write = self.writes.get(usize::from(open.class.0)).copied().unwrap_or(false);
         self.monitor.answered(open.group, write, &answer, now);
--- a/crates/rollout/src/core.rs
+++ b/crates/rollout/src/core.rs
@@ -55,8 +55,10 @@
     pub peers: Vec<Peer>,
     pub promote: BTreeSet<String>,
     pub facts: Vec<Told>,
-    /// Worth asked for and lost since the start of the process, by class.
+    /// Worth asked for and lost since the start of the process, by class, each in requests of that class.
     pub counts: Vec<Class>,
+    /// The same of all classes together, in requests of the dearest.
+    pub total: Class,
 }
 
 #[derive(Clone, Debug)]
@@ -147,7 +149,7 @@
     verdict: Verdict,
     /// Version counted for, and where its counts began.
     turn: u32,
-    from: Vec<Class>,
+    from: (Vec<Class>, Class),
     runs: Hash,
     phase: Phase,
     checked: Option<(u64, Hash, Duration)>,
@@ -185,7 +187,7 @@
             orderly: config.heir.then_some(Orderly::Heir(config.start)),
             verdict: Verdict::TooLittle,
             turn: 0,
-            from: Vec::new(),
+            from: Default::default(),
             phase: Phase::Idle,
             checked: None,
             judged: None,
@@ -390,7 +392,7 @@
         if runs != self.runs && may {
             self.runs = runs;
             self.turn += 1;
-            self.from.clone_from(&self.look.counts);
+            self.from = (self.look.counts.clone(), self.look.total);
             actions.push(Action::Run(runs));
         }
         kept
@@ -410,17 +412,13 @@
     }
 
     fn counts(&self) -> Counts {
+        let (from, from_total) = &self.from;
         let since = |class: &Class| {
-            let from = self.from.iter().find(|c| c.class == class.class).copied().unwrap_or_default();
-            Class {
-                class: class.class,
-                asked: class.asked.saturating_sub(from.asked),
-                lost: class.lost.saturating_sub(from.lost),
-            }
+            let was = from.iter().find(|c| c.class == class.class).copied().unwrap_or_default();
+            class.since(was)
         };
         let mut classes: Vec<Class> = self.look.counts.iter().map(since).collect();
-        let sum = |of: fn(&Class) -> u64| classes.iter().map(of).sum();
-        let total = Class { class: 0, asked: sum(|c| c.asked), lost: sum(|c| c.lost) };
+        let total = self.look.total.since(*from_total);
         classes.sort_by_key(|c| std::cmp::Reverse(c.asked));
         classes.truncate(CLASSES);
         let hash = self.machine.current().map(|c| c.proposal.hash);
--- a/crates/rollout/src/evidence.rs
+++ b/crates/rollout/src/evidence.rs
@@ -1,4 +1,4 @@
-//! New against old, side by side in the same windows, by a test that may be looked at at any time.
+//! New against old, the lost part of the worth asked for, side by side in the same windows, by a test that may be looked at at any time.
 //!
 //! A bettor stakes a part of its wealth on each window. Where the null holds its wealth is a supermartingale that began
 //! at 1, so by Ville's inequality it ever reaches 1/error with a chance of `error` at most, however often one looks and
@@ -130,6 +130,7 @@
     for class in side.values().filter(|c| c.asked > 0) {
         let weight = class.asked.min(most) as f64;
         weights += weight;
+        // Of a whole window: fractions of worth may be told a little late. So a side's part is within [0, 1].
         sum += weight * (class.lost.min(class.asked) as f64 / class.asked as f64);
     }
     if weights > 0.0 {
@@ -185,7 +186,7 @@
             }) else {
                 continue;
             };
-            let total = more(before.total, counts.total);
+            let total = counts.total.since(before.total);
             self.total.add((name, region), counts.new, total);
             self.stage_asked = self.stage_asked.saturating_add(if counts.new { total.asked } else { 0 });
             for class in &counts.classes {
@@ -194,7 +195,7 @@
                     self.classes.entry(class.class).or_default().add(
                         (name, region),
                         counts.new,
-                        more(*was, *class),
+                        class.since(*was),
                     );
                 }
             }
@@ -244,9 +245,3 @@
         (self.windows, self.total.harm.wealth(), self.safe.wealth())
     }
 }
-
-/// Counts only grow; what falls is another process's, or a lie.
-fn more(was: Class, is: Class) -> Class {
-    let asked = is.asked.saturating_sub(was.asked);
-    Class { class: is.class, asked, lost: is.lost.saturating_sub(was.lost).min(asked) }
-}
--- a/crates/rollout/src/recorded.rs
+++ b/crates/rollout/src/recorded.rs
@@ -183,7 +183,7 @@
         peers: vec![peer("n0"), peer("n1")],
         promote: ["east".to_owned()].into(),
         facts: facts.collect(),
-        counts: Vec::new(),
+        ..Look::default()
     };
     let mut actions = Vec::new();
     core.handle(Duration::from_secs(1), Event::Look(look), &mut actions);
--- a/crates/rollout/src/words.rs
+++ b/crates/rollout/src/words.rs
@@ -123,6 +123,14 @@
     pub lost: u64,
 }
 
+impl Class {
+    /// What has come since. Counts only grow; what falls is another process's, or a lie.
+    pub(crate) fn since(self, was: Class) -> Class {
+        let (asked, lost) = (self.asked.saturating_sub(was.asked), self.lost.saturating_sub(was.lost));
+        Class { class: self.class, asked, lost }
+    }
+}
+
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Counts {
     pub epoch: u64,
--- a/crates/rollout/tests/bytes.rs
+++ b/crates/rollout/tests/bytes.rs
@@ -129,6 +129,7 @@
         promote: ["east", "west"].map(String::from).into(),
         facts,
         counts: vec![Class { class: 1, asked: 1_000, lost: 20 }],
+        total: Class { class: 0, asked: 1_000, lost: 20 },
     }
 }
 
--- a/crates/rollout/tests/simulation.rs
+++ b/crates/rollout/tests/simulation.rs
@@ -17,6 +17,8 @@
     /// Requests a second of each proxy, in two classes of three and one parts.
     asked: u64,
     loss: f64,
+    /// Worth of a request of the larger class, where one of the smaller is worth 1.
+    worth: f64,
     /// What the new version loses beyond that, of all and of the smaller class.
     harm: f64,
     class_harm: f64,
@@ -31,6 +33,7 @@
 const SITE: Site = Site {
     asked: 40,
     loss: 0.02,
+    worth: 1.0,
     harm: 0.0,
     class_harm: 0.0,
     west: 0.0,
@@ -129,11 +132,16 @@
                 kind: *kind,
                 body: body.clone(),
             };
+            let worth = |of: fn(&Class) -> u64| {
+                (of(&counts[at][0]) as f64 * site.worth + of(&counts[at][1]) as f64) as u64
+            };
+            let total = Class { class: 0, asked: worth(|c| c.asked), lost: worth(|c| c.lost) };
             let look = Look {
                 peers: peers.clone(),
                 promote: ["east", "west"].map(String::from).into(),
                 facts: heard[at].iter().map(told).collect(),
                 counts: counts[at].to_vec(),
+                total,
             };
             let mut look = look;
             let seen = &mut look.peers[0];
@@ -266,7 +274,7 @@
             left: false,
         };
         let peers = FLEET.iter().map(peer).collect();
-        let look = Look { peers, promote: ["east".to_owned()].into(), facts: vec![told], counts: Vec::new() };
+        let look = Look { peers, promote: ["east".to_owned()].into(), facts: vec![told], ..Look::default() };
         core.handle(Duration::from_secs(second), Event::Look(look), &mut actions);
     }
     assert!(!actions.iter().any(|action| matches!(action, Action::Run(_))));
@@ -286,4 +294,9 @@
     table("harm 0.05, loss 0.2", Site { harm: 0.05, loss: 0.2, ..SITE }, 100);
     table("harm 0.2", Site { harm: 0.2, ..SITE }, 100);
     table("refuses a class of a quarter", Site { class_harm: 1.0, ..SITE }, 100);
+    let cheap = Site { worth: 0.1, ..SITE };
+    table("A against A, larger class worth 0.1", cheap, 400);
+    table("harm 0.05, larger class worth 0.1", Site { harm: 0.05, ..cheap }, 200);
+    table("0.3 of the smaller class, worth 1 to 1", Site { class_harm: 0.3, ..SITE }, 100);
+    table("0.3 of the smaller class, worth 1 to 0.1", Site { class_harm: 0.3, ..cheap }, 100);
 }
