--- a/crates/rollout/tests/simulation.rs
+++ b/crates/rollout/tests/simulation.rs
@@ -47,8 +47,10 @@
     Well,
     /// Of the new version, before anyone has heard that it runs it, and starts again.
     Dies,
-    /// It is told to end every so often, and starts again.
+    /// Every so often it is told to end, and starts again, or its heir takes over.
     Leaves,
+    /// The regions don't hear each other for two minutes; their facts are what they were.
+    Apart,
     Silent,
 }
 
@@ -79,7 +81,7 @@
         let config = Config {
             name: FLEET[at].0.into(),
             start,
-            heir: false,
+            heir: start % 20 == 10,
             base: OLD,
             limits: limits(),
             dark: Duration::from_secs(60),
@@ -147,6 +149,9 @@
             let seen = &mut look.peers[0];
             match site.canary {
                 Canary::Silent if second >= 30 => seen.heard = at == 0,
+                Canary::Apart if (30..150).contains(&second) => {
+                    look.peers.iter_mut().for_each(|peer| peer.heard = peer.region == FLEET[at].1);
+                }
                 _ => {}
             }
             let mut actions = Vec::new();
@@ -160,7 +165,7 @@
                 let event = Event::Propose { hash: NEW, order, canary: 1, again: false };
                 cores[at].handle(now, event, &mut actions);
             }
-            if at == 0 && site.canary == Canary::Leaves && second >= 30 && second % 10 == 9 {
+            if at == 0 && site.canary == Canary::Leaves && second >= 30 && second % 20 == 19 {
                 cores[0].handle(now, Event::Leave, &mut actions);
             }
             let dies = match site.canary {
@@ -237,6 +242,7 @@
         (Canary::Dies, Phase::Halted(Why::Crash), 1),
         (Canary::Silent, Phase::Halted(Why::Gone), 1),
         (Canary::Leaves, Phase::Whole, FLEET.len()),
+        (Canary::Apart, Phase::Whole, FLEET.len()),
     ] {
         let end = play(Site { asked: 5, canary, ..SITE }, 1);
         assert_eq!((end.phase, end.exposed), (phase, exposed));
