--- a/crates/leverlab/src/policy.rs
+++ b/crates/leverlab/src/policy.rs
@@ -62,7 +62,7 @@
     BlindOracle,
 }
 
-pub const NAMES: [(&str, Name); 10] = [
+pub const NAMES: [(&str, Name); 11] = [
     ("module", Name::Module),
     ("planned", Name::Planned),
     ("primary-only", Name::PrimaryOnly),
