The simulator's host and the module's example state what is shed of an arrival: nothing

Cause: the arrival has a field more, and two places that build one were not touched, so the workspace did not build. Change: both say 0, that is nothing is refused beyond what the module refuses. Measured: release build green.

--- a/crates/mountshift/src/lib.rs
+++ b/crates/mountshift/src/lib.rs
@@ -61,6 +61,7 @@
 //!     wrote_ago: None,
 //!     repeated: false,
 //!     standing: Standing::Within,
+//!     shed: 0.0,
 //!     tries: None,
 //! };
 //! router.handle(Time::from_micros(1_000), Event::Arrived(read), &mut actions);
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -242,6 +242,7 @@
             wrote_ago,
             repeated,
             standing: Standing::Within,
+            shed: 0.0,
             tries: None,
         };
         Ok(Record::Incoming { inst, arrival })
