Lab: replay says by second who was turned away, within quota and beyond

Changed: each member counts what is beyond and refused before any attempt; replay has a table by second where something is lent.

--- a/crates/leverlab/src/cli/show.rs
+++ b/crates/leverlab/src/cli/show.rs
@@ -1,6 +1,7 @@
 //! Tables for the terminal, and files for those who go on with the figures.
 
 use super::say;
+use crate::member::Stand;
 use crate::results::{Day, Line, Manifest};
 use crate::scenario::{Scenario, SECOND};
 use crate::store::{Cell, Store, SOURCES};
@@ -173,9 +174,35 @@
     }
     if out.row_count() > 0 {
         say(format!("{out}\n"));
+        turned_away(outcomes);
     }
 }
 
+/// Where requests beyond quota come, who was turned away meanwhile: of all tenants, by second.
+fn turned_away(outcomes: &Outcomes) {
+    let mut out = table(&["second", "within", "refused", "borrowed", "given back", "beyond", "refused"]);
+    let seconds = outcomes.loans.iter().map(|loans| loans.seconds.len()).max().unwrap_or(0);
+    let sum = |second: usize| {
+        let mut sum = Stand::default();
+        outcomes.loans.iter().filter_map(|loans| loans.seconds.get(second)).for_each(|stand| sum.add(stand));
+        sum
+    };
+    let mut former = Stand::default();
+    for second in 0..seconds {
+        let now = sum(second);
+        // A proxy that has died has lost what it counted since the last look.
+        let of = |count: fn(&Stand) -> u64| count(&now).saturating_sub(count(&former));
+        if of(|s| s.borrowed + s.beyond) > 0 {
+            let counts = [of(|s| s.within), of(|s| s.refused), of(|s| s.borrowed)];
+            let counts =
+                counts.into_iter().chain([of(|s| s.back / 1000), of(|s| s.beyond), of(|s| s.turned)]);
+            out.add_row(std::iter::once(second as u64).chain(counts).map(|n| n.to_string()));
+        }
+        former = now;
+    }
+    say(format!("{out}\n"));
+}
+
 /// The cold starts that came nearest to what they bear.
 fn nearest(outcomes: &Outcomes) {
     let mut peaks: Vec<&Peak> = outcomes.cold.iter().collect();
--- a/crates/leverlab/src/member.rs
+++ b/crates/leverlab/src/member.rs
@@ -65,6 +65,8 @@
     pub beyond: u64,
     /// Of those within, those that were refused before any attempt.
     pub refused: u64,
+    /// Of those beyond and not lent, likewise.
+    pub turned: u64,
     /// Loans that were given back unused; repaid; written off: thousandths.
     pub back: u64,
     pub repaid: u64,
@@ -73,11 +75,12 @@
 
 impl Stand {
     pub fn add(&mut self, other: &Stand) {
-        let Stand { within, borrowed, beyond, refused, back, repaid, written_off } = other;
+        let Stand { within, borrowed, beyond, refused, turned, back, repaid, written_off } = other;
         self.within += within;
         self.borrowed += borrowed;
         self.beyond += beyond;
         self.refused += refused;
+        self.turned += turned;
         self.back += back;
         self.repaid += repaid;
         self.written_off += written_off;
@@ -170,15 +173,13 @@
         let standing = match mark {
             Mark::Free | Mark::Within => Standing::Within,
             Mark::Beyond if talking.lends(now, tenant, arrival, &mut self.stands) => Standing::Borrowed,
-            Mark::Withheld | Mark::Beyond => {
-                self.stands[tenant].beyond += 1;
-                return Standing::Beyond;
-            }
+            Mark::Withheld | Mark::Beyond => Standing::Beyond,
         };
         let stand = &mut self.stands[tenant];
         match standing {
             Standing::Borrowed => stand.borrowed += 1,
-            _ => {
+            Standing::Beyond => stand.beyond += 1,
+            Standing::Within => {
                 // A repeat is no request more, and takes nothing.
                 stand.within += u64::from(!arrival.repeated);
             }
@@ -191,9 +192,8 @@
     pub fn did(&mut self, now: Time, action: &Action) {
         match action {
             Action::Send { id, .. } => {
-                let within =
-                    self.waiting.remove(id).is_some_and(|(_, standing)| standing == Standing::Within);
-                if let Some(talking) = self.talking.as_mut().filter(|_| within) {
+                let standing = self.waiting.remove(id).map(|(_, standing)| standing);
+                if let (Some(talking), Some(Standing::Within)) = (&mut self.talking, standing) {
                     talking.shortage.ended(now.0, false);
                 }
             }
@@ -207,11 +207,14 @@
     pub fn ended(&mut self, now: Time, id: RequestId, refused: bool) {
         let Some((tenant, standing)) = self.waiting.remove(&id) else { return };
         let (Some(talking), stand) = (&mut self.talking, &mut self.stands[tenant]) else { return };
-        if standing == Standing::Borrowed {
-            stand.back += talking.core.give_back(&talking.place.tenants[tenant], ONE);
-        } else if refused {
-            stand.refused += 1;
-            talking.shortage.ended(now.0, true);
+        match standing {
+            Standing::Borrowed => stand.back += talking.core.give_back(&talking.place.tenants[tenant], ONE),
+            Standing::Beyond => stand.turned += u64::from(refused),
+            Standing::Within if refused => {
+                stand.refused += 1;
+                talking.shortage.ended(now.0, true);
+            }
+            Standing::Within => {}
         }
     }
 
