--- a/crates/mountshift/tests/fleet.rs
+++ b/crates/mountshift/tests/fleet.rs
@@ -330,7 +330,7 @@
 }
 
 /// Of two hundred requests in as many fleets, how many are sent after three answers, the last of a full store or not.
-fn sent_of_those(full: bool, standing: Standing, over_share_worth: f64) -> usize {
+fn sent_of_those(full: bool, standing: Standing, over_share_worth: f64, shed: f64) -> usize {
     let mut sent = 0;
     for seed in 0..200 {
         let mut bench = Bench::seeded(Settings { over_share_worth, ..settings() }, 3, seed);
@@ -342,7 +342,7 @@
             bench.end(id, 0, sends(&actions)[0], outcome);
             bench.event(Event::Left(id));
         }
-        let arrival = Arrival { standing, ..bench.arrival(ANY) };
+        let arrival = Arrival { standing, shed, ..bench.arrival(ANY) };
         sent += sends(&bench.event(Event::Arrived(arrival))).len();
     }
     sent
@@ -350,12 +350,17 @@
 
 #[test]
 fn what_is_beyond_a_quota_is_refused_first_and_served_when_there_is_room() {
-    assert_eq!(sent_of_those(false, Standing::Beyond, 0.05), 200);
-    assert!(sent_of_those(true, Standing::Beyond, 0.05) < 40);
-    assert!(sent_of_those(true, Standing::Within, 0.05) > 120);
+    assert_eq!(sent_of_those(false, Standing::Beyond, 0.05, 0.0), 200);
+    assert!(sent_of_those(true, Standing::Beyond, 0.05, 0.0) < 40);
+    assert!(sent_of_those(true, Standing::Within, 0.05, 0.0) > 120);
     // Where it is worth as much as any, it is served as any.
-    assert!(sent_of_those(true, Standing::Beyond, 1.0) > 120);
+    assert!(sent_of_those(true, Standing::Beyond, 1.0, 0.0) > 120);
     // What is borrowed takes nobody's place.
-    assert_eq!(sent_of_those(false, Standing::Borrowed, 0.05), 200);
-    assert_eq!(sent_of_those(true, Standing::Borrowed, 0.05), 0);
+    assert_eq!(sent_of_those(false, Standing::Borrowed, 0.05, 0.0), 200);
+    assert_eq!(sent_of_those(true, Standing::Borrowed, 0.05, 0.0), 0);
+    // What is to be shed is, and no more: of the two doors the narrower counts, not their product.
+    assert!((80..120).contains(&sent_of_those(false, Standing::Within, 0.05, 0.5)));
+    assert_eq!(sent_of_those(false, Standing::Within, 0.05, 1.0), 0);
+    let beyond = |shed| sent_of_those(true, Standing::Beyond, 0.05, shed);
+    assert!(beyond(0.0) > 0 && beyond(0.5) == beyond(0.0), "{} {}", beyond(0.0), beyond(0.5));
 }
