--- a/crates/leverlab/src/table.rs
+++ b/crates/leverlab/src/table.rs
@@ -191,7 +191,7 @@
         naming: Naming::Named,
         help: "Who decides in the proxies.",
         directives: &[
-            directive("kind", One(Type::Choice(&["module", "primary-only", "random", "round-robin", "least-outstanding", "two-choices", "peak-ewma", "local-quota", "oracle"])), "module", "kind two-choices", "the decision module, a baseline, or who sees everything"),
+            directive("kind", One(Type::Choice(&["module", "planned", "primary-only", "random", "round-robin", "least-outstanding", "two-choices", "peak-ewma", "local-quota", "oracle"])), "module", "kind two-choices", "the decision module, a baseline, or who sees everything"),
             directive("tuning", One(Type::Reference("tuning")), "", "tuning patient", "of the module"),
         ],
     },
