--- a/crates/leverproxy/src/proxy.rs
+++ b/crates/leverproxy/src/proxy.rs
@@ -140,6 +140,7 @@
         }
         sides.timers.set(now, Timer::LookOver);
         sides.timers.set(now, Timer::Load);
+        let heir = estate.is_some();
         match estate {
             Some(estate) => {
                 log::info!(
@@ -156,15 +157,17 @@
             takeover.join(link, &sides.reactor);
         }
         chain.monitor.event(now, availability::Event::Started);
+        let start = clock::unix_ms();
         let members = config.members.map(|stated| {
-            let start = clock::unix_ms();
             Members::join(stated, config.member_keys, &fixed.name, start, config.seed, now, &sides.reactor)
         });
         let members = members.transpose().map_err(|e| io::Error::new(io::ErrorKind::InvalidInput, e))?;
         let rollout = config.rollout.filter(|_| members.is_some());
         let rollout = rollout.map(|stated| {
-            Rollout::begin(stated, &fixed.name, config.operators.as_deref(), clock::unix_ms(), now)
+            let (name, operators) = (&fixed.name, config.operators.as_deref());
+            Ok::<_, io::Error>(Rollout::begin(stated, name, operators, (start, heir), wishes.waker()?, now))
         });
+        let rollout = rollout.transpose()?;
         if rollout.is_some() {
             sides.timers.set(now, Timer::Rollout);
         }
@@ -397,6 +400,9 @@
                     if self.sides.takeover.as_ref().is_some_and(Takeover::has_heir) {
                         self.sides.front.close(now, &self.sides.reactor);
                     }
+                    if let (Some(rollout), Some(members)) = (&mut self.rollout, &mut self.members) {
+                        rollout.leave(members, now);
+                    }
                     self.drain(drain::Event::Terminate, now);
                 }
                 Wish::Stop => {}
@@ -407,6 +413,10 @@
                 },
             }
         }
+        if let (Some(rollout), Some(members)) = (&mut self.rollout, &mut self.members) {
+            let asks = rollout.kept(members, now);
+            self.ask(asks);
+        }
         while let Some((ask, read)) = self.reloads.as_mut().and_then(Reloads::ended) {
             let result = match ask {
                 Ask::Again => {
@@ -550,11 +560,17 @@
             takeover::Word::Said(Said::Serving) => {
                 log::info!("takeover: the next process serves; it is left to accept");
                 front.leave_to_heir(true, reactor);
+                if let Some(rollout) = &mut self.rollout {
+                    rollout.hand_over(true);
+                }
                 return self.share_limits();
             }
             takeover::Word::Gone => {
                 log::info!("takeover: the other process is gone");
                 front.leave_to_heir(takeover.has_heir(), reactor);
+                if let Some(rollout) = &mut self.rollout {
+                    rollout.hand_over(takeover.has_heir());
+                }
                 if front.listener().is_some() {
                     takeover.listen_again(reactor);
                 }
--- a/crates/leverproxy/src/rollout.rs
+++ b/crates/leverproxy/src/rollout.rs
@@ -3,11 +3,12 @@
 
 use crate::config::ConfigError;
 use crate::counters::Counters;
-use crate::kept;
+use crate::kept::{self, Writer};
 use crate::members::Members;
 use crate::operate::Said;
 use crate::operators::Disk;
 use crate::reload::Ask;
+use crate::worth::Sum;
 use configuration::load::{Loader, FILE_LIMIT};
 use configuration::model::Rollout as Stated;
 use membership::{Act, Status as Heard};
@@ -15,9 +16,10 @@
     Action, Class, Config, Core, Event, Hash, Limits, Look, Peer, Phase, Ready, Told, Verdict, KINDS,
 };
 use sha2::{Digest, Sha256};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::fmt::Write;
 use std::io;
+use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 use thiserror::Error;
@@ -31,6 +33,8 @@
 /// Files of a directory of candidates that are looked at.
 const FILES: usize = 256;
 const STATE_FILE: &str = "rollout.state";
+/// Starts of one member in order, in one rollout, that nobody wonders at.
+const PLANNED: u32 = 3;
 /// A state file is far smaller.
 const STATE_LIMIT: u64 = 16 << 10;
 
@@ -49,7 +53,7 @@
     Forgotten(PathBuf, #[source] io::Error),
     #[error("{} is torn, or of a later build: this proxy starts without it, and replaces it", .0.display())]
     NoState(PathBuf),
-    #[error("{} can't be written: {}; a restart would not know of it", .0.display(), .1)]
+    #[error("{} can't be written: {}; this proxy votes for nothing new until it can", .0.display(), .1)]
     Unkept(PathBuf, #[source] io::Error),
 }
 
@@ -71,7 +75,7 @@
                 "After a return to a former build: nothing, the rollout is heard from the others. Else look at the disk, and give `state` a directory that nothing else writes to. Halts that all proxies have forgotten have to be told again."
             }
             Fault::Unkept(..) => {
-                "The rollout goes on. Look at room and rights of `state`; until it can be written, do not start all proxies anew at once."
+                "The rollout waits for this proxy's vote, and a halt is told all the same. Look at room and rights of `state`; it is tried again every few seconds."
             }
         }
     }
@@ -88,6 +92,11 @@
     runs_failed: u64,
     /// There is a state file that could not be loaded.
     unloaded: bool,
+    /// Of the state file, from the first that is kept on.
+    writer: Option<Writer>,
+    waker: UnixStream,
+    /// Another process of this name serves, and the file is its.
+    handed: bool,
 }
 
 pub fn hex(hash: &Hash) -> String {
@@ -142,8 +151,15 @@
 }
 
 impl Rollout {
-    /// `start`: Unix milliseconds of this process's start; `operators`: the file that it runs.
-    pub fn begin(stated: Stated, name: &str, operators: Option<&Path>, start: u64, now: Instant) -> Rollout {
+    /// `start`: as the members know this process, and whether it took over from an elder; `operators`: the file that it runs.
+    pub fn begin(
+        stated: Stated,
+        name: &str,
+        operators: Option<&Path>,
+        (start, heir): (u64, bool),
+        waker: UnixStream,
+        now: Instant,
+    ) -> Rollout {
         let base = operators.and_then(|path| of_file(path).ok()).unwrap_or_default();
         let loaded = stated.state.as_deref().map_or(Ok(None), load);
         let unloaded = loaded.is_err();
@@ -160,7 +176,8 @@
             fresh: stated.period * LASTS_PERIODS,
         };
         let lasts = (stated.period * LASTS_PERIODS).max(LASTS_LEAST);
-        let config = Config { name: name.to_owned(), start, base, limits, dark: stated.dark, lasts, stored };
+        let config =
+            Config { name: name.to_owned(), start, heir, base, limits, dark: stated.dark, lasts, stored };
         Rollout {
             core: Core::new(config, Duration::ZERO),
             name: name.to_owned(),
@@ -169,6 +186,9 @@
             refused: None,
             runs_failed: 0,
             unloaded,
+            writer: None,
+            waker,
+            handed: false,
             stated,
         }
     }
@@ -186,6 +206,27 @@
         self.handle(event, members, now)
     }
 
+    /// This process was told to end.
+    pub fn leave(&mut self, members: &mut Members, now: Instant) {
+        // Nothing that this gives could be read any more.
+        _ = self.handle(Event::Leave, members, now);
+    }
+
+    /// Whether an heir serves: the state file is written by one process of a name alone.
+    pub fn hand_over(&mut self, handed: bool) {
+        self.handed = handed;
+    }
+
+    /// What came of what was to be kept.
+    pub fn kept(&mut self, members: &mut Members, now: Instant) -> Vec<Ask> {
+        let mut asks = Vec::new();
+        while let Some(saved) = self.writer.as_ref().and_then(Writer::ended) {
+            let done = saved.map_err(|error| self.unkept(error)).is_ok();
+            asks.extend(self.handle(Event::Kept(done), members, now));
+        }
+        asks
+    }
+
     fn sight(&self, members: &Members, counters: &Counters, now: Instant) -> Look {
         let view = members.view(now);
         let regions = members.regions();
@@ -219,12 +260,17 @@
                 body: fact.body,
             })
         };
-        let counts = counters.requests().map(|(class, [(_, served), (_, refused), (_, failed)])| Class {
-            class: membership::number(class),
-            asked: served + refused + failed,
-            lost: refused + failed,
-        });
-        Look { peers, promote, facts: (0..KINDS).flat_map(told).collect(), counts: counts.collect() }
+        // Places of one name are one class.
+        let mut sums: BTreeMap<u32, Sum> = BTreeMap::new();
+        for (class, more) in counters.worth.classes() {
+            let sum = sums.entry(membership::number(counters.name(class))).or_default();
+            (sum.asked, sum.lost) = (sum.asked + more.asked, sum.lost + more.lost);
+        }
+        // Whole ones: what is cut off here comes with the next.
+        let whole = |class: u32, sum: Sum| Class { class, asked: sum.asked as u64, lost: sum.lost as u64 };
+        let counts = sums.into_iter().map(|(class, sum)| whole(class, sum)).collect();
+        let total = whole(0, counters.worth.total());
+        Look { peers, promote, facts: (0..KINDS).flat_map(told).collect(), counts, total }
     }
 
     /// What came of reading a version.
@@ -280,10 +326,12 @@
 
     fn handle(&mut self, event: Event, members: &mut Members, now: Instant) -> Vec<Ask> {
         let (mut actions, mut asks) = (Vec::new(), Vec::new());
-        self.core.handle(now.saturating_duration_since(self.origin), event, &mut actions);
+        let since = now.saturating_duration_since(self.origin);
+        self.core.handle(since, event, &mut actions);
         let folder =
             |hash: &Hash, base: &Hash, stated: &Stated| (hash != base).then(|| stated.candidates.clone());
-        for action in actions {
+        let mut actions = VecDeque::from(actions);
+        while let Some(action) = actions.pop_front() {
             match action {
                 Action::Say(kind, body, lasts) => members.say(KIND + kind, Vec::new(), body, lasts, now),
                 Action::Check(hash) => asks.push(Ask::Check(hash, self.stated.candidates.clone())),
@@ -291,7 +339,13 @@
                     log::warn!("rollout: {} is to run here", hex(&hash));
                     asks.push(Ask::Run(hash, folder(&hash, &self.base, &self.stated)));
                 }
-                Action::Save(bytes) => self.save(&bytes),
+                Action::Save(bytes) => {
+                    if let Some(done) = self.save(bytes) {
+                        let mut more = Vec::new();
+                        self.core.handle(since, Event::Kept(done), &mut more);
+                        actions.extend(more);
+                    }
+                }
                 Action::Phase(phase) => log::warn!("rollout: {}", words(phase)),
                 Action::Refused(why) => self.refused = Some(format!("{why}. {}", why.advice())),
                 Action::Unread => {
@@ -304,13 +358,28 @@
         asks
     }
 
-    /// It is small and rare. One that can't be kept is heard from the others after a restart.
-    fn save(&self, bytes: &[u8]) {
-        let Some(folder) = &self.stated.state else { return };
+    /// None: it is under way; else whether it is kept.
+    fn save(&mut self, bytes: Vec<u8>) -> Option<bool> {
+        let Some(folder) = &self.stated.state else { return Some(true) };
+        if self.handed {
+            return Some(false);
+        }
         let path = folder.join(STATE_FILE);
-        if let Err(error) = kept::save(&path, bytes) {
-            log::error!("rollout: {}", Fault::Unkept(path, error));
+        let start = |waker| Writer::start(path, waker);
+        let started = self.writer.take().map_or_else(|| self.waker.try_clone().and_then(start), Ok);
+        self.writer = started.map_err(|error| self.unkept(error)).ok();
+        let under_way = self.writer.as_ref().is_some_and(|writer| writer.save(bytes));
+        if !under_way {
+            // A thread that has ended is begun again.
+            self.writer = None;
         }
+        (!under_way).then_some(false)
+    }
+
+    fn unkept(&self, error: io::Error) {
+        let path = self.stated.state.as_deref().unwrap_or(Path::new("")).join(STATE_FILE);
+        let fault = Fault::Unkept(path, error);
+        log::error!("rollout: {fault}. {}", fault.advice());
     }
 
     pub fn lines(&self) -> String {
@@ -330,6 +399,9 @@
             Verdict::Soaking => "soaking, nothing shown yet",
             Verdict::TooLittle => "too little traffic, or not on both versions: waiting",
             Verdict::Doubtful => "a sign of harm, not shown: waiting",
+            Verdict::Missing => {
+                "no harm, but a proxy of the stage is missing or does not run it yet: waiting"
+            }
         };
         let (windows, harm, safe) = (status.windows, status.harm, status.safe);
         _ = writeln!(
@@ -345,6 +417,13 @@
             };
             _ = writeln!(text, "  member {name} runs {runs}, votes for {} stages, {ready}", word.votes);
         }
+        for (name, times) in &status.planned {
+            let often = if *times > PLANNED { ": more often than a change of builds needs" } else { "" };
+            _ = writeln!(text, "  member {name} started anew in order {times} times{often}");
+        }
+        if status.unkept {
+            text.push_str("  its state can't be kept: it votes for nothing new until it can\n");
+        }
         text
     }
 
@@ -375,6 +454,11 @@
                 "Whether this process began without the state that was kept: it could not be read.",
                 u64::from(self.unloaded || status.unread),
             ),
+            (
+                "lb_rollout_state_unkept",
+                "Whether its state can't be kept at present.",
+                u64::from(status.unkept),
+            ),
             ("lb_rollout_runs_failed_total", "Versions that could not be read here.", self.runs_failed),
         ] {
             figures.one(name, help, value);
--- a/crates/rollout/src/recorded.rs
+++ b/crates/rollout/src/recorded.rs
@@ -1,6 +1,6 @@
 //! Bodies and a state file as a build of the first form wrote them, and what comes of those of a later one.
 
-use crate::words::{self, Class, Counts, Halted, Hash, Proposal, Ready, Stored, Why, Word};
+use crate::words::{self, Class, Counts, Halted, Hash, Orderly, Proposal, Ready, Stored, Why, Word};
 use crate::{Action, Config, Core, Event, Limits, Look, Peer, Phase, Told, KINDS};
 use std::time::Duration;
 
@@ -50,6 +50,8 @@
         classes: vec![Class { class: 0xdead_beef, asked: 400, lost: 3 }],
     };
     assert_eq!(words::decode(&recorded("counts")), Some(counts));
+    assert_eq!(words::decode(&recorded("orderly")), Some(Orderly::Left(300)));
+    assert_eq!(words::decode(&[1, 1, 5]), Some(Orderly::Heir(5)));
 }
 
 #[test]
@@ -100,11 +102,59 @@
         fresh: Duration::from_secs(5),
     };
     let second = Duration::from_secs(1);
-    let config =
-        Config { name: "n0".into(), start: 5, base: [9; 32], limits, dark: second, lasts: second, stored };
+    let config = Config {
+        name: "n0".into(),
+        start: 5,
+        heir: false,
+        base: [9; 32],
+        limits,
+        dark: second,
+        lasts: second,
+        stored,
+    };
     Core::new(config, Duration::ZERO)
 }
 
+/// A disk that takes its time, and fails at first: nothing is said or run that a restart from it would not know.
+#[test]
+fn nothing_is_said_before_it_is_kept() {
+    let mut core = core(None);
+    let peer = Peer { name: "n0".into(), region: "east".into(), start: Some(5), heard: true, left: false };
+    let promote = ["east".to_owned()].into();
+    let look = Look { peers: vec![peer], promote, ..Look::default() };
+    let (mut kept, mut saving, mut told_new, mut ran) = (Vec::new(), None, None, None);
+    for second in 0..20 {
+        let now = Duration::from_secs(second);
+        let mut actions = Vec::new();
+        if let Some(bytes) = saving.take() {
+            let done = second > 3;
+            core.handle(now, Event::Kept(done), &mut actions);
+            kept = if done { bytes } else { kept };
+        }
+        core.handle(now, Event::Look(look.clone()), &mut actions);
+        if second == 1 {
+            let order = vec!["east".to_owned()];
+            core.handle(now, Event::Propose { hash: hash(), order, canary: 1, again: false }, &mut actions);
+        }
+        let has = words::decode::<Stored>(&kept);
+        for action in actions {
+            match action {
+                Action::Save(bytes) => assert!(saving.replace(bytes).is_none(), "one at a time"),
+                Action::Say(0, ..) => assert!(has.as_ref().is_some_and(|s| s.proposal.is_some())),
+                Action::Say(1, body, _) => {
+                    let word: Word = words::decode(&body).unwrap();
+                    assert!(has.as_ref().is_some_and(|s| s.proposal.is_some() && s.reached >= word.reached));
+                    told_new = told_new.or(word.new.then_some(second));
+                }
+                Action::Check(hash) => core.handle(now, Event::Ready(hash, Ok(())), &mut Vec::new()),
+                Action::Run(_) => ran = Some(second),
+                _ => {}
+            }
+        }
+    }
+    assert!(told_new.is_some() && told_new < ran, "{told_new:?} {ran:?}");
+}
+
 fn later(mut body: Vec<u8>) -> Vec<u8> {
     body[0] += 1;
     body
@@ -114,7 +164,7 @@
 #[test]
 fn facts_of_a_later_form_are_counted_and_not_heard() {
     let mut core = core(None);
-    let bodies = ["proposal", "word", "halts", "counts"];
+    let bodies = ["proposal", "word", "halts", "counts", "orderly"];
     assert_eq!(bodies.len(), usize::from(KINDS));
     let facts = bodies.into_iter().zip(0..).map(|(name, kind)| Told {
         source: "n1".into(),
@@ -133,7 +183,7 @@
         peers: vec![peer("n0"), peer("n1")],
         promote: ["east".to_owned()].into(),
         facts: facts.collect(),
-        counts: Vec::new(),
+        ..Look::default()
     };
     let mut actions = Vec::new();
     core.handle(Duration::from_secs(1), Event::Look(look), &mut actions);
