--- a/crates/mountshift/tests/fleet.rs
+++ b/crates/mountshift/tests/fleet.rs
@@ -330,7 +330,7 @@
 }
 
 /// Of two hundred requests in as many fleets, how many are sent after six answers, so many of the last of a full store.
-fn sent_of_those(full: usize, standing: Standing, over_share_worth: f64) -> usize {
+fn sent_of_those(full: usize, standing: Standing, over_share_worth: f64, shed: f64) -> usize {
     let mut sent = 0;
     for seed in 0..200 {
         let mut bench = Bench::seeded(Settings { over_share_worth, ..settings() }, 3, seed);
@@ -344,7 +344,7 @@
             }
             bench.event(Event::Left(id));
         }
-        let arrival = Arrival { standing, ..bench.arrival(ANY) };
+        let arrival = Arrival { standing, shed, ..bench.arrival(ANY) };
         sent += sends(&bench.event(Event::Arrived(arrival))).len();
     }
     sent
@@ -352,17 +352,22 @@
 
 #[test]
 fn what_is_beyond_a_quota_is_refused_first_and_served_when_there_is_room() {
-    assert_eq!(sent_of_those(0, Standing::Beyond, 0.05), 200);
+    assert_eq!(sent_of_those(0, Standing::Beyond, 0.05, 0.0), 200);
     // One alone may be chance.
-    let one = sent_of_those(1, Standing::Beyond, 0.05);
+    let one = sent_of_those(1, Standing::Beyond, 0.05, 0.0);
     assert!((70..140).contains(&one), "{one}");
-    assert!(sent_of_those(3, Standing::Beyond, 0.05) < 50);
-    assert!(sent_of_those(1, Standing::Within, 0.05) > 120);
+    assert!(sent_of_those(3, Standing::Beyond, 0.05, 0.0) < 50);
+    assert!(sent_of_those(1, Standing::Within, 0.05, 0.0) > 120);
     // Where it is worth as much as any, it is served as any.
-    assert!(sent_of_those(1, Standing::Beyond, 1.0) > 120);
+    assert!(sent_of_those(1, Standing::Beyond, 1.0, 0.0) > 120);
+    // What is to be shed is, and no more: of the two doors the narrower counts, not their product.
+    assert!((80..120).contains(&sent_of_those(0, Standing::Within, 0.05, 0.5)));
+    assert_eq!(sent_of_those(0, Standing::Within, 0.05, 1.0), 0);
+    let beyond = |shed| sent_of_those(3, Standing::Beyond, 0.05, shed);
+    assert!(beyond(0.0) > 0 && beyond(0.5) == beyond(0.0), "{} {}", beyond(0.0), beyond(0.5));
     // What is borrowed takes nobody's place.
-    assert_eq!(sent_of_those(0, Standing::Borrowed, 0.05), 200);
-    assert_eq!(sent_of_those(3, Standing::Borrowed, 0.05), 0);
+    assert_eq!(sent_of_those(0, Standing::Borrowed, 0.05, 0.0), 200);
+    assert_eq!(sent_of_those(3, Standing::Borrowed, 0.05, 0.0), 0);
 }
 
 #[test]
