--- a/crates/membership/src/pull.rs
+++ b/crates/membership/src/pull.rs
@@ -13,7 +13,7 @@
 /// Asks in one beat, and without an answer at a time.
 const ASKS: usize = 16;
 const UNDER_WAY: usize = 32;
-/// Asks for one source that bring nothing.
+/// Asks for one source, of which nothing is held, that bring nothing.
 const TRIES: u8 = 3;
 /// An answer of so many bytes has filled its datagrams: there may be more.
 const FULL: usize = 3_000;
@@ -83,7 +83,10 @@
         let patience = self.patience;
         self.wants.retain(|source, want| {
             let over = want.asked.is_some_and(|asked| now >= asked + patience);
-            if held(*source) == Some(want.hash) || over && (1..FULL).contains(&want.got) {
+            // Of what is held in part the next summary tells: mostly it is this one that holds the later version.
+            let known = held(*source);
+            let done = over && (want.got > 0 || known.is_some()) && want.got < FULL;
+            if done || known == Some(want.hash) {
                 return false;
             }
             if over {
