An heir takes its elder's control socket, and gives it back by ending first

Ruled out: a socket left over (that was replaced). Change: who got an estate takes the place in one step, as with the takeover's socket (one function for both); who ends removes the socket only if it is still its own; an elder whose heir is gone listens again.

--- a/crates/leverproxy/src/net.rs
+++ b/crates/leverproxy/src/net.rs
@@ -44,6 +44,16 @@
     Ok(fd)
 }
 
+/// Listens at a place that may be another process's: in one step, so that whoever connects finds the one or the other.
+pub fn take_unix(path: &Path) -> io::Result<OwnedFd> {
+    let own = std::path::PathBuf::from(format!("{}.{}", path.display(), std::process::id()));
+    // Of a former process with the same number.
+    _ = std::fs::remove_file(&own);
+    let listener = listen_unix(&own)?;
+    std::fs::rename(&own, path)?;
+    Ok(listener)
+}
+
 pub fn local_address(fd: &OwnedFd) -> Option<SocketAddr> {
     SocketAddr::try_from(net::getsockname(fd).ok()?).ok()
 }
--- a/crates/leverproxy/src/operate.rs
+++ b/crates/leverproxy/src/operate.rs
@@ -5,6 +5,8 @@
 use ::rollout::Hash;
 use std::io;
 use std::os::fd::OwnedFd;
+use std::os::unix::fs::MetadataExt;
+use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
@@ -37,6 +39,8 @@
 pub struct Operate {
     listener: OwnedFd,
     path: PathBuf,
+    /// Which file of the place is this process's.
+    file: u64,
     peers: Slots<Peer>,
 }
 
@@ -48,20 +52,36 @@
 }
 
 impl Operate {
-    /// A socket that is left over from a process that is gone is replaced; one that answers is another proxy's.
-    pub fn listen(path: &Path, reactor: &Reactor) -> io::Result<Operate> {
-        if path.exists() {
-            if std::os::unix::net::UnixStream::connect(path).is_ok() {
-                return Err(io::Error::new(
-                    io::ErrorKind::AddrInUse,
-                    "the control socket is another proxy's",
-                ));
+    /// A socket that is left over from a process that is gone is replaced; one that answers is another proxy's, but an
+    /// heir takes that of its elder, whose words are its own from then on.
+    pub fn listen(path: &Path, heir: bool, reactor: &Reactor) -> io::Result<Operate> {
+        if !heir && UnixStream::connect(path).is_ok() {
+            return Err(io::Error::new(io::ErrorKind::AddrInUse, "the control socket is another proxy's"));
+        }
+        let (listener, file) = Operate::bind(path, reactor)?;
+        Ok(Operate { listener, path: path.to_owned(), file, peers: Slots::default() })
+    }
+
+    /// The place was an heir's that is gone.
+    pub fn listen_again(&mut self, reactor: &Reactor) {
+        if UnixStream::connect(&self.path).is_ok() {
+            return;
+        }
+        match Operate::bind(&self.path, reactor) {
+            Ok((listener, file)) => (self.listener, self.file) = (listener, file),
+            Err(error) => {
+                let path = self.path.display();
+                log::warn!(
+                    "control: nobody listens at {path} any more: {error}. Send SIGTERM to drain, or restart."
+                );
             }
-            std::fs::remove_file(path)?;
         }
-        let listener = net::listen_unix(path)?;
+    }
+
+    fn bind(path: &Path, reactor: &Reactor) -> io::Result<(OwnedFd, u64)> {
+        let listener = net::take_unix(path)?;
         reactor.add(&listener, Token::OperateListener, Interest::READ)?;
-        Ok(Operate { listener, path: path.to_owned(), peers: Slots::default() })
+        Ok((listener, std::fs::symlink_metadata(path)?.ino()))
     }
 
     pub fn accept(&mut self, now: Instant, reactor: &Reactor) {
@@ -133,6 +153,8 @@
 
 impl Drop for Operate {
     fn drop(&mut self) {
-        _ = std::fs::remove_file(&self.path);
+        if std::fs::symlink_metadata(&self.path).is_ok_and(|at| at.ino() == self.file) {
+            _ = std::fs::remove_file(&self.path);
+        }
     }
 }
--- a/crates/leverproxy/src/proxy.rs
+++ b/crates/leverproxy/src/proxy.rs
@@ -95,6 +95,7 @@
                 (Some(listener).filter(|_| ours), Some(estate), Some(link), false)
             }
         };
+        let heir = estate.is_some();
         let elder_holds = estate.as_ref().map_or((0, 0), |estate| (estate.clients, estate.upstream));
         let limits = config.limits.beside(elder_holds);
         let shared = config.takeover.is_some();
@@ -111,7 +112,8 @@
             sites: config.sites,
         };
         let health = Health::new(&config.health, &reactor)?;
-        let operate = config.control.as_deref().map(|path| Operate::listen(path, &reactor)).transpose()?;
+        let operate =
+            config.control.as_deref().map(|path| Operate::listen(path, heir, &reactor)).transpose()?;
         let timers = Timers::default();
         let admin = config.admin.map(|address| Admin::listen(address, &reactor)).transpose();
         let admin = admin.map_err(|e| io::Error::new(e.kind(), format!("admin: {e}")))?;
@@ -554,7 +556,7 @@
 
     /// What another process of this proxy has to tell.
     fn linked(&mut self, from: Key, word: takeover::Word, now: Instant) {
-        let Sides { reactor, front, takeover, .. } = &mut self.sides;
+        let Sides { reactor, front, takeover, operate, .. } = &mut self.sides;
         let Some(takeover) = takeover else { return };
         let said = match word {
             takeover::Word::Said(Said::Serving) => {
@@ -573,6 +575,9 @@
                 }
                 if front.listener().is_some() {
                     takeover.listen_again(reactor);
+                    if let Some(operate) = operate.as_mut().filter(|_| !takeover.has_heir()) {
+                        operate.listen_again(reactor);
+                    }
                 }
                 if !takeover.has_elder() {
                     self.elder_holds = (0, 0);
--- a/crates/leverproxy/src/takeover.rs
+++ b/crates/leverproxy/src/takeover.rs
@@ -171,11 +171,7 @@
     }
 
     fn bind(path: &Path, reactor: &Reactor) -> io::Result<OwnedFd> {
-        let own = PathBuf::from(format!("{}.{}", path.display(), std::process::id()));
-        // Of a former process with the same number.
-        _ = std::fs::remove_file(&own);
-        let listener = net::listen_unix(&own)?;
-        std::fs::rename(&own, path)?;
+        let listener = net::take_unix(path)?;
         reactor.add(&listener, Token::TakeoverListener, Interest::READ)?;
         Ok(listener)
     }
--- a/crates/leverproxy/tests/upgrade.rs
+++ b/crates/leverproxy/tests/upgrade.rs
@@ -2,9 +2,9 @@
 
 mod common;
 use common::{get, post, read, served, until, Listener, Peer, Scratch, Stage};
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::SocketAddr;
-use std::os::unix::net::UnixListener;
+use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::Path;
 use std::thread;
 
@@ -12,11 +12,20 @@
     let stage = Stage::with(servers, |config| {
         config.admin = Some("127.0.0.1:0".parse().unwrap());
         config.takeover = Some(place.to_owned());
+        config.control = Some(place.with_extension("control"));
     });
     let admin = stage.admin.unwrap();
     (stage, admin)
 }
 
+/// Whether one of them takes operators' words.
+fn hears(place: &Path) -> bool {
+    let Ok(mut socket) = UnixStream::connect(place.with_extension("control")) else { return false };
+    let mut text = String::new();
+    let told = socket.write_all(b"status\n").and_then(|()| socket.read_to_string(&mut text));
+    told.is_ok() && text.starts_with("phase serving\n")
+}
+
 fn place() -> Scratch {
     let scratch = Scratch::new("");
     std::fs::remove_file(&scratch.0).unwrap();
@@ -50,6 +59,7 @@
     assert_eq!(old.reply().value.as_deref(), Some("late"));
     assert!(old.ended(), "nothing is owed on it");
     elder.end();
+    assert!(hears(&place.0), "the elder leaves the control socket to its heir");
     let mut after = Peer::client(heir.address);
     let mut at_heir = served(&mut after, &server, 2, "new");
     between.ask(&read(3, "any", 19000));
@@ -67,6 +77,10 @@
     heir.end();
     let mut client = Peer::client(elder.address);
     drop(served(&mut client, &server, 1, "value"));
+    // Its place among operators is the elder's again, as soon as that has heard.
+    while !hears(&place.0) {
+        thread::yield_now();
+    }
     // The next one finds the elder as the first did.
     assert_eq!(get(elder_admin, "/api/ready").0, 200);
     let (second, admin) = stage(&place.0, &[]);
