--- a/crates/rig/tests/rollout.rs
+++ b/crates/rig/tests/rollout.rs
@@ -315,10 +315,17 @@
     propose(&rig, 2);
     for planned in 1..=2 {
         each(&rig, 0..1, NEW, 1);
-        rig.signal(0, rustix::process::Signal::TERM);
-        assert_eq!(rig.proxies[0].process.as_mut().unwrap().wait(), Some(0));
-        rig.truth.away(0);
-        rig.restart(0).unwrap_or_else(|fault| panic!("{fault}"));
+        if planned == 1 {
+            rig.signal(0, rustix::process::Signal::TERM);
+            assert_eq!(rig.proxies[0].process.as_mut().unwrap().wait(), Some(0));
+            rig.truth.away(0);
+            rig.restart(0).unwrap_or_else(|fault| panic!("{fault}"));
+        } else {
+            // An upgrade: the heir has the control socket while its elder still serves.
+            let mut heir = rig.heir(0).unwrap_or_else(|fault| panic!("{fault}"));
+            heir.line(": serving on ", 0).unwrap_or_else(|fault| panic!("{fault}"));
+            assert_eq!(rig.succeed(0, heir).unwrap_or_else(|fault| panic!("{fault}")), Some(0));
+        }
         let end = Instant::now() + process::PATIENCE;
         let told = format!("member n0 started anew in order {planned} times");
         while !say(&rig, 1, &["status"]).contains(&told) {
