--- a/fuzz/fuzz_targets/lending.rs
+++ b/fuzz/fuzz_targets/lending.rs
@@ -38,7 +38,7 @@
     let file = part(&mut bytes);
     let mut core = Core::new(&Config::new("a", 1, true), Duration::ZERO, file);
     let rule = Rule {
-        line_seconds: 10,
+        line_time: Duration::from_secs(10),
         quota: 10_000,
         term: Duration::from_secs(10),
         write_off: Duration::from_secs(10),
--- a/fuzz/fuzz_targets/rollout.rs
+++ b/fuzz/fuzz_targets/rollout.rs
@@ -2,7 +2,7 @@
 //! nothing else runs: one of three in a region is no quorum.
 #![no_main]
 
-use rollout::{Action, Config, Core, Event, Limits, Look, Peer, Told, BODY_BYTES, KINDS};
+use rollout::{Action, Class, Config, Core, Event, Limits, Look, Peer, Told, BODY_BYTES, KINDS};
 use std::time::Duration;
 
 const FLEET: [(&str, &str); 6] =
@@ -31,7 +31,8 @@
     };
     let (dark, lasts) = (Duration::from_secs(60), Duration::from_secs(10));
     let stored = part(&mut bytes).map(<[u8]>::to_vec);
-    let config = Config { name: "a".into(), start: 1, base: [0; 32], limits, dark, lasts, stored };
+    let config =
+        Config { name: "a".into(), start: 1, heir: false, base: [0; 32], limits, dark, lasts, stored };
     let mut core = Core::new(config, Duration::ZERO);
     let peer = |(name, region): &(&str, &str)| Peer {
         name: (*name).into(),
@@ -50,6 +51,7 @@
             promote: ["east", "west"].map(String::from).into(),
             facts: vec![Told { source: "b".into(), start: 1, kind, body }],
             counts: Vec::new(),
+            total: Class { class: 0, asked: 1_000, lost: 20 },
         };
         let (mut actions, mut next) = (Vec::new(), 0);
         core.handle(now, Event::Look(look), &mut actions);
@@ -57,10 +59,13 @@
             next += 1;
             match action {
                 Action::Say(_, body, _) => assert!(body.len() <= BODY_BYTES),
-                Action::Save(bytes) => assert!(bytes.len() <= STATE_BYTES),
+                Action::Save(bytes) => {
+                    assert!(bytes.len() <= STATE_BYTES);
+                    core.handle(now, Event::Kept(true), &mut actions);
+                }
                 Action::Run(_) => panic!("runs by one member's word"),
                 Action::Check(hash) => core.handle(now, Event::Ready(hash, Ok(())), &mut actions),
-                Action::Phase(_) | Action::Refused(_) => {}
+                Action::Phase(_) | Action::Refused(_) | Action::Unread => {}
             }
         }
         assert_eq!(core.status().runs, [0; 32]);
