Members whose clock was set back go on under a later start; liars and clocks on the rig

Cause: a process's start is its clock's, and one that starts behind its former start is refused by all others as stale (peers/src/open.rs, first_time; membership/src/core.rs, heard: counts.earlier) for as long as it lives. After a power loss with empty clocks, or a step of NTP between two starts, such a proxy neither lends nor promotes, and nobody but its log says why. Seen on the rig without renewal: the restarted proxy is `alone` and holds all others for down, for the 30 s of the wait. Ruled out: that others fall silent towards it; in these 30 s 905 packets and facts came to it that were meant for, or said by, its former start, which is the word that it needs.

Change: who hears at its own address a packet that is meant for a later start of its name, or a fact that such a one said, goes on under the next number, with its view and its facts; loans and rollouts begin under it as after a restart. The rig gets a ghost: a member that it plays itself under a proxy's name, by any start, which says what it is told to.

--- a/crates/leverproxy/src/members.rs
+++ b/crates/leverproxy/src/members.rs
@@ -62,7 +62,7 @@
 pub struct Members {
     stated: Stated,
     name: String,
-    /// Of this process, in Unix milliseconds.
+    /// Of this process, in Unix milliseconds, or later than that where others know its name by a later one.
     start: u64,
     socket: Option<UdpSocket>,
     core: Core,
@@ -250,6 +250,16 @@
                     log::warn!("members: what this proxy says of itself is not told: {error}")
                 }
                 Action::BadRoster(error) => log::error!("members: {error}; the former roster stays"),
+                Action::Renewed(start) => {
+                    log::warn!(
+                        "members: others know this name by start {} or later, and this process had {}: its clock was set back, \
+                         and it goes on under {start}. If that comes again, two processes have this name",
+                        start.saturating_sub(1),
+                        self.start
+                    );
+                    self.start = start;
+                    self.sealer.renew(start);
+                }
             }
         }
     }
@@ -421,7 +431,26 @@
         let unread = unread.map(|(of, n)| (vec![("of", of)], n));
         figures.many("lb_members_facts_unread_total", "Facts of another version, or torn.", unread);
         for (name, help, value) in [
-            ("lb_start_ms", "When this process started, in Unix milliseconds.", self.start),
+            (
+                "lb_start_ms",
+                "When this process started, in Unix milliseconds, or the later start that it goes on under.",
+                self.start,
+            ),
+            (
+                "lb_members_renewals_total",
+                "Times that it went on under a later start, since others knew its name by one.",
+                counts.renewals,
+            ),
+            (
+                "lb_members_renewals_held_total",
+                "Words of a later start that came too soon after the last renewal.",
+                counts.renewals_held,
+            ),
+            (
+                "lb_members_renewals_spent_total",
+                "Words of a start beyond all clocks; they are not believed.",
+                counts.renewals_spent,
+            ),
             ("lb_members_heard", "Members heard, this one too.", view.heads.heard as u64),
             ("lb_members_roster_version", "Version of the roster.", view.roster),
             (
--- a/crates/leverproxy/src/rollout.rs
+++ b/crates/leverproxy/src/rollout.rs
@@ -235,7 +235,7 @@
             .map(|(name, region)| Peer {
                 name: name.clone(),
                 region: region.clone(),
-                start: None,
+                start: (*name == self.name).then(|| members.start()),
                 heard: *name == self.name,
                 left: false,
             })
--- a/crates/membership/src/core.rs
+++ b/crates/membership/src/core.rs
@@ -14,6 +14,7 @@
 use crate::roster::{number, Known, Roster, RosterError};
 use crate::seen::{is_heard, Seen, Sighting};
 use crate::standing::{rule, Act, Denied, Heads, Rule, Standing, State};
+use crate::starts::{Later, Starts};
 use crate::swim::{Bad, Id, Pace, Swim, Views, SWIM};
 use crate::view::{Counts, Sight, Status, View};
 
@@ -124,11 +125,14 @@
     Untold(TellError),
     /// A roster was not taken; the former stays.
     BadRoster(RosterError),
+    /// Others know this name by a later start than this process had: it goes on under this one, in the envelope too, for all
+    /// that is sent from now on.
+    Renewed(u64),
 }
 
 pub struct Core {
     me: u32,
-    start: u64,
+    starts: Starts,
     config: Config,
     roster: Known,
     swim: Swim,
@@ -176,7 +180,7 @@
         let swim = Swim::new(id, pace(&config, &roster), seed);
         let mut core = Self {
             me,
-            start: config.start,
+            starts: Starts::new(config.start, config.settle),
             swim,
             store: Store::new(me, config.start, config.limits),
             rng: StdRng::seed_from_u64(seed ^ 0x6d65_6d62),
@@ -314,7 +318,7 @@
         }
         let done = match bytes.split_first() {
             _ if bytes.len() > DATAGRAM_BYTES => Err(Bad::Malformed),
-            Some((&SWIM, packet)) => self.heard_swim(now, (from, start), packet),
+            Some((&SWIM, packet)) => self.heard_swim(now, (from, start), packet, actions),
             Some((&FACTS, packet)) => self.heard_facts(now, from, packet, actions),
             Some((&VIEWS, packet)) => self.heard_view(now, from, packet),
             _ => Err(Bad::Malformed),
@@ -326,7 +330,13 @@
         }
     }
 
-    fn heard_swim(&mut self, now: Duration, from: (u32, u64), packet: &[u8]) -> Result<(), Bad> {
+    fn heard_swim(
+        &mut self,
+        now: Duration,
+        from: (u32, u64),
+        packet: &[u8],
+        actions: &mut Vec<Action>,
+    ) -> Result<(), Bad> {
         let told = self.swim.heard(now, from, packet, self.me, &self.seen)?;
         self.counts.strangers += told.strangers as u64;
         if let Some(number) = told.acked {
@@ -335,9 +345,28 @@
                 doubt.acked.insert(number);
             }
         }
+        if let Some(later) = told.later {
+            self.known_by(now, later, actions);
+        }
         Ok(())
     }
 
+    /// Others know this name by a later start.
+    fn known_by(&mut self, now: Duration, later: u64, actions: &mut Vec<Action>) {
+        match self.starts.known(now, later) {
+            Later::Renewed(start) => {
+                self.counts.renewals += 1;
+                self.swim.renew(now, start);
+                for name in self.store.renew(now, start) {
+                    self.pass_on(name);
+                }
+                actions.push(Action::Renewed(start));
+            }
+            Later::Held => self.counts.renewals_held += 1,
+            Later::Spent => self.counts.renewals_spent += 1,
+        }
+    }
+
     fn heard_view(&mut self, now: Duration, from: u32, packet: &[u8]) -> Result<(), Bad> {
         match postcard::from_bytes(packet).map_err(|_| Bad::Malformed)? {
             hash @ Views::Hash(_) if hash != *self.seen.downs_hash() => {
@@ -424,6 +453,7 @@
                 }
                 Taken::Known => {}
                 Taken::Invented => self.counts.invented += 1,
+                Taken::Later(start) => self.known_by(now, start, actions),
                 Taken::Full => self.counts.facts_refused += 1,
             }
         }
@@ -797,7 +827,7 @@
     }
 
     pub fn start(&self) -> u64 {
-        self.start
+        self.starts.now()
     }
 }
 
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -14,6 +14,7 @@
 mod roster;
 mod seen;
 mod standing;
+mod starts;
 mod swim;
 mod view;
 
--- a/crates/membership/src/swim.rs
+++ b/crates/membership/src/swim.rs
@@ -121,6 +121,8 @@
     pub acked: Option<u32>,
     /// Members that are not in the roster, of whom the packet spoke.
     pub strangers: usize,
+    /// It is meant for a process of this name that started later than this one.
+    pub later: Option<u64>,
 }
 
 /// A packet whose sender is not who the envelope says, or that is none.
@@ -203,6 +205,16 @@
         }
     }
 
+    /// Goes on as a process of a later start.
+    pub fn renew(&mut self, now: Duration, start: u64) {
+        // What waits is signed by nobody any more.
+        self.out.clear();
+        self.touched = true;
+        let id = Id { start, returns: 0, ..self.id() };
+        let done = self.foca.change_identity(id, &mut self.runtime);
+        self.after(now, done);
+    }
+
     /// A member is no longer in the roster: it is not probed any more, and no other is told that it died.
     pub fn drop(&mut self, now: Duration, id: Id) {
         let done = self.foca.apply_many(std::iter::once(Member::down(id)), false, &mut self.runtime);
@@ -312,6 +324,7 @@
             return Ok(told);
         }
         let mine = header.dst.number == self.id().number;
+        told.later = (mine && header.dst.start > self.id().start).then_some(header.dst.start);
         told.acked = match &header.message {
             Message::Ack(_) if mine => Some(header.src.number),
             Message::ForwardedAck { origin, .. } if mine => Some(origin.number),
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -66,6 +66,11 @@
     pub rosters_refused: u64,
     /// Facts that are to be ours and are not.
     pub invented: u64,
+    /// Times that this process went on under a later start, since others knew its name by one; and words of such a one that
+    /// it did not follow: too soon after the last time, or beyond all clocks.
+    pub renewals: u64,
+    pub renewals_held: u64,
+    pub renewals_spent: u64,
     /// Facts of others there was no room for, or of members not in the roster.
     pub facts_refused: u64,
     /// Times that this process was late enough to doubt itself.
--- a/crates/membership/tests/behaviour.rs
+++ b/crates/membership/tests/behaviour.rs
@@ -352,3 +352,110 @@
     assert_eq!(pace(100, 2, second, minute), ms(4000));
     assert_eq!(pace(usize::MAX, usize::MAX, ms(30_000), minute), ms(30_000));
 }
+
+/// By a clock that was set back it starts behind what others know of its name: it is heard again, and what it says counts.
+#[test]
+fn one_whose_clock_was_set_back_goes_on_under_a_later_start() {
+    for at_once in [false, true] {
+        let mut fleet = Fleet::new(5, 3);
+        let say = |fleet: &mut Fleet, body: &[u8]| {
+            let (key, body, lasts) = (b"k".to_vec(), body.to_vec(), ms(600_000));
+            fleet.tell(0, Event::Tell { kind: 1, key, body, lasts });
+        };
+        say(&mut fleet, b"of the former");
+        fleet.run(ms(5000));
+        let former = fleet.processes[0].as_ref().unwrap().start;
+        fleet.kill(0);
+        if !at_once {
+            fleet.run(ms(12_000));
+            assert!((1..5).all(|who| fleet.status(who, 0) == Status::Down));
+        }
+        fleet.start_behind(0);
+        say(&mut fleet, b"of this one");
+        fleet.run(ms(22_000));
+        let start = fleet.processes[0].as_ref().unwrap().start;
+        assert_eq!(start, former + 1);
+        assert!((0..5).all(|who| state(&fleet, who) == State::Whole));
+        for who in 1..5 {
+            let (core, now) = fleet.core(who);
+            let said: Vec<_> = core.facts(now, 1).into_iter().map(|fact| (fact.start, fact.body)).collect();
+            assert_eq!(said, [(start, b"of this one".to_vec())]);
+            assert_eq!(core.view(now).counts.errors, 0);
+        }
+        let (core, now) = fleet.core(0);
+        assert_eq!(core.view(now).counts.renewals, 1);
+        assert!(core.allowed(now, Act::Promote, None).is_ok() && core.facts(now, 1).is_empty());
+    }
+}
+
+/// Of two processes of one name the one at its address stays: they do not drive each other on.
+#[test]
+fn two_of_one_name_do_not_drive_each_other_on() {
+    let mut fleet = Fleet::new(4, 8);
+    fleet.run(ms(4000));
+    // What another process of p0 says from elsewhere; all that is for p0 comes to the first.
+    let twin = fleet.processes[0].as_ref().unwrap().start + 1_000;
+    let roster = fleet.roster.clone();
+    let mut other = membership::Core::new(membership::Config::new("p0", twin, roster), 5).unwrap();
+    let mut timer = None;
+    for beat in 0..600 {
+        let now = ms(100 * beat);
+        let mut actions = Vec::new();
+        let event = timer.take().map_or(Event::Start, Event::Timer);
+        other.handle(now, event, &mut actions);
+        for action in actions {
+            match action {
+                membership::Action::Send { to, bytes, .. } => {
+                    let to: usize = to[1..].parse().unwrap();
+                    fleet.tell(to, Event::Heard { from: "p0", start: twin, bytes: &bytes });
+                }
+                membership::Action::Timer { token, .. } => timer = Some(token),
+                _ => {}
+            }
+        }
+        fleet.run(ms(4000) + now);
+    }
+    let (core, now) = fleet.core(0);
+    assert!(core.start() > twin, "{}", core.start());
+    assert_eq!((core.view(now).counts.renewals, other.start()), (1, twin));
+    assert!((1..4).all(|who| fleet.status(who, 0) == Status::Alive));
+}
+
+/// A member that says that this one ran in the far future does not take its numbers away for good.
+#[test]
+fn a_start_beyond_all_clocks_is_not_believed() {
+    let mut fleet = Fleet::new(3, 4);
+    fleet.run(ms(3000));
+    let roster = fleet.roster.clone();
+    let before = fleet.processes[0].as_ref().unwrap().start;
+    for later in [u64::MAX, 1 << 43] {
+        // A process that ran as p0 told p2 of itself, and p2 announces itself to that.
+        let mut heard =
+            membership::Core::new(membership::Config::new("p2", 2_000, roster.clone()), 1).unwrap();
+        let mut former =
+            membership::Core::new(membership::Config::new("p0", later, roster.clone()), 2).unwrap();
+        let mut passes = |from: &mut membership::Core, to: &mut membership::Core, name: &str, at: u64| {
+            let mut actions = Vec::new();
+            from.handle(ms(at), Event::Start, &mut actions);
+            for token in 0..20 {
+                from.handle(ms(at + 100 * token), Event::Timer(token), &mut actions);
+            }
+            let start = from.start();
+            for action in actions {
+                if let membership::Action::Send { to: whom, bytes, .. } = action {
+                    if whom == "p0" || whom == "p2" {
+                        to.handle(ms(at), Event::Heard { from: name, start, bytes: &bytes }, &mut Vec::new());
+                        if name == "p2" {
+                            fleet.tell(0, Event::Heard { from: name, start, bytes: &bytes });
+                        }
+                    }
+                }
+            }
+        };
+        passes(&mut former, &mut heard, "p0", 0);
+        passes(&mut heard, &mut former, "p2", 100);
+    }
+    let (core, now) = fleet.core(0);
+    assert!(core.view(now).counts.renewals_spent > 0);
+    assert_eq!((core.start(), core.view(now).counts.renewals), (before, 0));
+}
--- a/crates/membership/tests/schedules.rs
+++ b/crates/membership/tests/schedules.rs
@@ -24,6 +24,7 @@
     Heal,
     Kill(usize),
     Start(usize),
+    StartBehind(usize),
     Pause(usize, u64),
     Loss(u8),
     Tell(usize, u8),
@@ -38,6 +39,7 @@
         Just(Step::Heal),
         who.clone().prop_map(Step::Kill),
         who.clone().prop_map(Step::Start),
+        who.clone().prop_map(Step::StartBehind),
         (who.clone(), 300..6000u64).prop_map(|(who, ms)| Step::Pause(who, ms)),
         (0..20u8).prop_map(Step::Loss),
         (who, 0..4u8).prop_map(|(who, key)| Step::Tell(who, key)),
@@ -156,6 +158,7 @@
             }
             Step::Kill(who) => fleet.kill(who % size),
             Step::Start(who) => fleet.start(who % size),
+            Step::StartBehind(who) => fleet.start_behind(who % size),
             Step::Pause(who, for_ms) => fleet.paused[who % size] = fleet.now + ms(for_ms),
             Step::Loss(percent) => fleet.loss = f64::from(percent) / 100.0,
             Step::Tell(who, key) => {
--- a/crates/peers/src/open.rs
+++ b/crates/peers/src/open.rs
@@ -43,7 +43,7 @@
     OwnName,
     #[error("a datagram is from {0:?}, which has no section member: state it in the roster, or take the key from it")]
     UnknownSender(String),
-    #[error("a datagram is of a start {start} of its sender, and a later one is known ({known}): it was sent again, or the sender was started with its clock set back (set it right and start it anew, or take it out of the roster and state it again)")]
+    #[error("a datagram is of a start {start} of its sender, and a later one is known ({known}): it was sent again, or the sender was started with its clock set back (it goes on under a later start by itself as soon as it hears others; a build before that has to be started anew with its clock right)")]
     Stale { start: u64, known: u64 },
     #[error(
         "a datagram came twice or very late: the network doubles or delays it, or somebody sends it again"
--- a/crates/peers/src/seal.rs
+++ b/crates/peers/src/seal.rs
@@ -42,6 +42,13 @@
         self.keys = keys;
     }
 
+    /// Goes on under a later start, with numbers of its own.
+    pub fn renew(&mut self, start: u64) {
+        if start > self.start {
+            (self.start, self.sequence) = (start, 0);
+        }
+    }
+
     /// A datagram in place of what is in `out`, which is empty after an error.
     pub fn seal(
         &mut self,
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod books;
 pub mod datagrams;
 pub mod discovery;
+pub mod ghost;
 pub mod link;
 mod load;
 pub mod members;
--- a/crates/rig/tests/lending.rs
+++ b/crates/rig/tests/lending.rs
@@ -6,7 +6,7 @@
 use rig::process::PATIENCE;
 use rig::Setup;
 use rustix::process::Signal;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// A bus arrives: its stand borrows at each proxy, nothing beyond the line, and repays it when the bus is gone.
 #[test]
@@ -109,6 +109,24 @@
     fleet.settle();
 }
 
+/// One that comes back by a clock that was set back is behind its former start: what it kept and what others hold of it goes
+/// on under the start that it takes then.
+#[test]
+fn one_whose_clock_was_set_back_lends_again() {
+    let mut fleet = Fleet::start(3, |_| {});
+    fleet.surge(true);
+    fleet.lends(0..3, 5);
+    fleet.kill(1);
+    let clock = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
+    let ghost = fleet.rig.ghost(1, clock + 3_600_000).unwrap_or_else(|fault| panic!("{fault}"));
+    ghost.until_whole().unwrap_or_else(|fault| panic!("{fault}"));
+    drop(ghost);
+    fleet.restart(1);
+    fleet.until([1], "lb_members_renewals_total", |n| n == 1);
+    fleet.lends(0..3, 5);
+    fleet.settle();
+}
+
 /// All die and start at once: with files they are founders still and lend as soon as they hear each other.
 #[test]
 fn all_that_start_again_at_once_go_on() {
--- a/crates/rig/tests/rollout.rs
+++ b/crates/rig/tests/rollout.rs
@@ -5,12 +5,14 @@
 use common::turns::{turn, Turn};
 use common::{answered, setup, SECOND};
 use ledger::versions::Checker;
+use rig::ghost::Ghost;
 use rig::members::Members;
 use rig::{process, Rig};
+use rollout::{Class, Counts, Proposal, Ready, Word};
 use std::cell::RefCell;
 use std::ops::{Deref, DerefMut};
 use std::process::Command;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 const OPERATORS: &str = "control {\n socket {folder}/control\n}\nrollout {\n candidates {folder}/candidates\n \
                          state {folder}/candidates/state\n soak 2s\n dark 1min\n period 200ms\n window-least 3\n \
@@ -354,3 +356,96 @@
     each(&rig, 0..4, "lb_members_allowed{act=\"promote\"}", 1);
     each(&rig, 0..4, &phase("whole"), 1);
 }
+
+/// What a proxy says of rollouts, by the kinds of facts that it says it in.
+const PROPOSAL: u8 = 20;
+const WORD: u8 = 21;
+const COUNTS: u8 = 23;
+/// An hour in the future.
+const AHEAD_MS: u64 = 3_600_000;
+
+/// A proxy whose process has been killed, and that the rig speaks for; `ahead`: by a clock that is so many milliseconds fast.
+fn ghost(rig: &mut Fleet, proxy: usize, ahead: u64) -> Ghost {
+    rig.kill(proxy);
+    let clock = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
+    let ghost = rig.ghost(proxy, clock + ahead).unwrap_or_else(|fault| panic!("{fault}"));
+    ghost.until_whole().unwrap_or_else(|fault| panic!("{fault}"));
+    ghost
+}
+
+fn said<T: serde::Serialize>(what: &T) -> Vec<u8> {
+    postcard::to_extend(what, vec![1]).unwrap()
+}
+
+fn read<T: serde::de::DeserializeOwned>(body: &[u8]) -> Option<T> {
+    postcard::from_bytes(body.get(1..)?).ok()
+}
+
+/// Votes for all stages, goes along with the others, and says that the version loses nothing, while `until` does not hold.
+fn lie(rig: &Fleet, ghost: &Ghost, mut until: impl FnMut(&Fleet) -> bool) {
+    let proposal = ghost.until_said(PROPOSAL, |fact| read::<Proposal>(&fact.body));
+    let Proposal { epoch, hash, proposer, order, .. } = proposal.unwrap_or_else(|fault| panic!("{fault}"));
+    let votes = order.len() as u8 + 2;
+    let end = Instant::now() + process::PATIENCE;
+    let mut asked = 0;
+    while !until(rig) {
+        assert!(Instant::now() < end, "{}", say(rig, 2, &["status"]));
+        asked += 20;
+        let words = ghost.facts(WORD).into_iter().filter_map(|fact| read::<Word>(&fact.body));
+        let reached = words.filter(|word| word.epoch == epoch).map(|word| word.reached).max().unwrap_or(0);
+        let new = reached > 0;
+        let proposer = proposer.clone();
+        let word = Word { epoch, hash, proposer, votes, reached, new, ready: Ready::Yes };
+        let total = Class { class: 0, asked, lost: 0 };
+        let counts = Counts { epoch, new, turn: u32::from(new), total, classes: Vec::new() };
+        ghost.say(WORD, said(&word), VOTES_LAST);
+        ghost.say(COUNTS, said(&counts), VOTES_LAST);
+        answered(rig, 20);
+    }
+}
+
+/// A voter that votes for all at once and says that a bad version loses nothing moves nobody: the canary's own seconds halt it.
+#[test]
+fn a_voter_that_lies_well_promotes_nothing() {
+    let mut rig = fleet(5, BAD);
+    let liar = ghost(&mut rig, 1, 0);
+    propose(&rig, 2);
+    let halted = phase("halted");
+    lie(&rig, &liar, |rig| figure(rig, 2, &halted) == 1);
+    each(&rig, [0, 2, 3, 4], &halted, 1);
+    let ran = |proxies: [usize; 3]| proxies.map(|proxy| figure(&rig, proxy, "lb_reloads_ok_total"));
+    assert_eq!(ran([2, 3, 4]), [0; 3], "only the canary ran it");
+}
+
+/// A canary that lies well hides the harm as long as it is all of the evidence: it ends in the first region.
+#[test]
+fn a_canary_that_lies_well_is_found_out_in_its_region() {
+    let mut rig = fleet(5, BAD);
+    let liar = ghost(&mut rig, 0, 0);
+    propose(&rig, 2);
+    let halted = phase("halted");
+    lie(&rig, &liar, |rig| figure(rig, 2, &halted) == 1);
+    each(&rig, 1..5, &halted, 1);
+    let ran = |proxies: [usize; 3]| proxies.map(|proxy| figure(&rig, proxy, "lb_reloads_ok_total"));
+    assert!(figure(&rig, 1, "lb_reloads_ok_total") > 0, "the next of the region ran it");
+    assert_eq!(ran([2, 3, 4]), [0; 3], "nobody beyond it did");
+}
+
+/// A host whose clock was an hour fast and was set right starts behind itself, and once more in mid-stage: each time it goes on
+/// under a later start, and its restart is one like any other.
+#[test]
+fn a_clock_that_was_set_back_does_not_halt() {
+    let mut rig = fleet_by(4, GOOD, &OPERATORS.replace("soak 2s", "soak 4s"));
+    drop(ghost(&mut rig, 0, AHEAD_MS));
+    let renewed = "lb_members_renewals_total";
+    rig.restart(0).unwrap_or_else(|fault| panic!("{fault}"));
+    each(&rig, [0], renewed, 1);
+    each(&rig, 0..4, "lb_members_state{state=\"whole\"}", 1);
+    propose(&rig, 2);
+    each(&rig, 0..1, NEW, 1);
+    rig.kill(0);
+    rig.restart(0).unwrap_or_else(|fault| panic!("{fault}"));
+    each(&rig, [0], renewed, 1);
+    each(&rig, 0..4, &phase("whole"), 1);
+    each(&rig, 0..4, NEW, 1);
+}
--- a/crates/rollout/src/core.rs
+++ b/crates/rollout/src/core.rs
@@ -210,7 +210,10 @@
             actions.push(Action::Unread);
         }
         match event {
-            Event::Look(look) => self.look = look,
+            Event::Look(look) => {
+                self.look = look;
+                self.mind_start();
+            }
             Event::Propose { hash, order, canary, again } => match self.propose(hash, order, canary, again) {
                 Ok(()) => {}
                 Err(refused) => return actions.push(Action::Refused(refused)),
@@ -238,6 +241,19 @@
         self.go_on(now, actions);
     }
 
+    /// The members may go on under a later start of this process, and what it says of its start goes with that.
+    fn mind_start(&mut self) {
+        let me = self.look.peers.iter().find(|peer| peer.name == self.config.name);
+        let Some(start) = me.and_then(|me| me.start).filter(|start| *start != self.config.start) else {
+            return;
+        };
+        self.config.start = start;
+        self.orderly = self.orderly.map(|orderly| match orderly {
+            Orderly::Left(_) => Orderly::Left(start),
+            Orderly::Heir(_) => Orderly::Heir(start),
+        });
+    }
+
     fn propose(&mut self, hash: Hash, order: Vec<String>, canary: u16, again: bool) -> Result<(), Refused> {
         if self.machine.under_way() {
             return Err(Refused::UnderWay(self.machine.epoch()));
