One draw a request among starting members: what one may not have another may

At 21 s, five seconds after the power, 1,674 of 5,155 first tries were refused since none of the members, all starting, would have them, at 25 s 545, while members got at most 0.50 of what they bear. Each member drew for itself (cold_room: the draw's seed held the member), so with five that bear a part b/5 each, (1 - b/5)^5 of the requests found none: 0.33 where b is 1. Ruled out: the list (known from 20 s on), repeats (refused there by rule), the door (182 and 41 first tries).

Change: one draw a request; each member has a part of all draws to itself by its place in the group, as far as they go round. What a member gets at most stays.

--- a/crates/mountshift/src/decide.rs
+++ b/crates/mountshift/src/decide.rs
@@ -854,7 +854,9 @@
         }
         // Freshness: only a told position counts, unless the member is primary or checks by itself.
         let primary = self.primary(store.group) == Some(id);
-        if !self.cold_room(request, id, store, primary) {
+        let capacity = store.capacity(&self.set, self.now);
+        if capacity < 1.0 && !self.cold_room(request, id, store, capacity * self.set.overload_factor, primary)
+        {
             return Err(Bar::No);
         }
         if let Some(need) = self.needed(request).filter(|_| !primary) {
@@ -871,26 +873,25 @@
         Ok(())
     }
 
-    /// Whether a starting store may get this request: a draw that is made once for the two, so that looking
-    /// again changes nothing, and an attempt there that failed is the last. It lets the part through that the
-    /// store bears even if the group is full, and more as its answers prove it (`learn`). Reads are for as
-    /// many members as it ever had; one bears all that needs the primary. Guards against many routers that
-    /// each send just one; keeps no count, so it holds for any number of them, however unequal.
-    fn cold_room(&self, request: &Request, id: StoreId, store: &Store, primary: bool) -> bool {
-        let capacity = store.capacity(&self.set, self.now);
-        if capacity >= 1.0 {
-            return true;
-        }
+    /// Whether a starting store, tipped over by `most` times a warm one's work, may get this request: by one
+    /// draw a request, so that looking again changes nothing, and an attempt there that failed is the last.
+    /// Each member has a part of all draws to itself, as far as they go round: what one may not have another
+    /// may. It is what it bears even if the group is full, and more as answers prove it (`learn`). Reads are
+    /// for as many members as it ever had; one bears all that needs the primary. Guards against many routers
+    /// that each send just one; keeps no count, so it holds for any number of them, however unequal.
+    fn cold_room(&self, request: &Request, id: StoreId, store: &Store, most: f64, primary: bool) -> bool {
         let trust = self.trust + self.kept(store.judged) * (store.trust - self.trust);
-        let bears = self.tune.cold_caution * trust * self.set.overload_factor * capacity;
+        let bears = self.tune.cold_caution * trust * most;
         let needs_primary = matches!(self.class(request.arrival.class).need, Need::Write | Need::Fresh);
+        let widest = self.groups[&store.group].widest as f64;
         let part = match (primary, needs_primary) {
             (true, true) => bears,
-            (false, _) if !request.arrival.repeated => bears / self.groups[&store.group].widest as f64,
+            (false, _) if !request.arrival.repeated => bears / widest,
             _ => 0.0,
         };
-        let drawn = share_of(self.own_order ^ request.arrival.id.0 ^ u64::from(id.0) << 32);
-        drawn < part && !request.tried.contains(&id)
+        let place = self.members(store.group).iter().take_while(|&m| *m != id).count() as f64;
+        let drawn = place / widest + share_of(self.own_order ^ request.arrival.id.0.rotate_left(16));
+        drawn.fract() < part && !request.tried.contains(&id)
     }
 
     fn send(&mut self, id: RequestId, to: StoreId, out: &mut Out) {
--- a/crates/mountshift/tests/rules.rs
+++ b/crates/mountshift/tests/rules.rs
@@ -388,6 +388,28 @@
     assert_eq!(sent_by_many_to_a_starting_member(ANY, true), 0, "reads have others to go to");
 }
 
+#[test]
+fn what_one_starting_store_may_not_have_another_may() {
+    // Seen in the lab's day of a power loss: where all of a group start, one draw for each member refused more than they
+    // left in sum. Three of four bear a part of 0.15 each, as the list and the settings have it.
+    let bears = 0.8 * 3.0 * 0.25;
+    let mut sent = 0;
+    for seed in 0..1_000 {
+        let mut bench = Bench::seeded(Settings { routers: 100, ..settings() }, 4, seed);
+        bench.list((1..=4).map(|s| Entry { started: bench.now, ..entry(s, Listed::Ready) }).collect());
+        bench.wait(MS);
+        for store in 1..=4 {
+            bench.report(store, store == 1, Duration::ZERO);
+        }
+        let (_, mut actions) = bench.ask(ANY);
+        actions.extend(bench.pass(200));
+        sent += usize::from(!sends(&actions).is_empty());
+    }
+    let (apart, together) = (1.0 - (1.0 - bears / 4.0_f64).powi(3), bears * 3.0 / 4.0);
+    let served = sent as f64 / 1_000.0;
+    assert!(served > (apart + together) / 2.0 && served < together + 0.04, "{served}");
+}
+
 fn probed(actions: &[Action]) -> Vec<u32> {
     let of = |a: &Action| if let Action::Probe { store } = a { Some(store.0) } else { None };
     actions.iter().filter_map(of).collect()
