--- a/crates/memoir/src/file.rs
+++ b/crates/memoir/src/file.rs
@@ -12,9 +12,8 @@
 pub const LIST_MOST: usize = 4 << 20;
 /// Servers that are out by hand, or were; of more the newest words are kept.
 pub const HANDS_MOST: usize = 10_000;
-const NAME_MOST: usize = 256;
-/// No file of this program is longer.
-pub const FILE_MOST: u64 = LIST_MOST as u64 + (HANDS_MOST as u64) * (NAME_MOST as u64 + 64) + 4_096;
+/// No file of this program is longer: discovery's names are bounded by what one of its answers may have.
+pub const FILE_MOST: u64 = LIST_MOST as u64 + (32 << 20);
 
 /// The operators' word on one record server, in Unix milliseconds.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
