--- a/crates/leverlab/src/play/mod.rs
+++ b/crates/leverlab/src/play/mod.rs
@@ -442,7 +442,7 @@
         let now = self.now;
         let epoch = self.hosts[proxy].epoch;
         match action {
-            Action::Send { id, store, time_out } => self.send(proxy, id.0, store, time_out),
+            Action::Send { id, store, time_out, .. } => self.send(proxy, id.0, store, time_out),
             Action::Cancel { id, attempt } => {
                 let wanted = |a: &Attempt| a.id == id.0 && a.no == attempt.0 && a.proxy == proxy;
                 let found = self.attempts.iter().find(|(_, a)| wanted(a)).map(|(number, _)| *number);
--- a/crates/leverlab/src/policy.rs
+++ b/crates/leverlab/src/policy.rs
@@ -293,7 +293,7 @@
                 let class = self.class(open.arrival.class);
                 let twice = class.effect == Effect::Safe && open.tried.len() == 1 && left / 2 >= class.aim;
                 let time_out = if twice && !self.sees_all() { left / 2 } else { left };
-                actions.push(Action::Send { id, store, time_out });
+                actions.push(Action::Send { id, store, time_out, begin_within: left });
                 self.open.insert(id, open);
             }
             None if self.waits(&open, now) => {
--- a/crates/leverlab/tests/runs.rs
+++ b/crates/leverlab/tests/runs.rs
@@ -132,7 +132,8 @@
         let id = arrival.id;
         let refuse = Action::Refuse { id, come_back: None };
         let Some(store) = view.primary(arrival.group) else { return actions.push(refuse) };
-        let send = |store| Action::Send { id, store, time_out: Duration::from_millis(400) };
+        let (time_out, begin_within) = (Duration::from_millis(400), Duration::from_millis(400));
+        let send = |store| Action::Send { id, store, time_out, begin_within };
         match self.rule {
             Rule::Unanswered => {}
             Rule::AnsweredTwice => actions.extend([refuse.clone(), refuse]),
--- a/crates/leverproxy/src/counters.rs
+++ b/crates/leverproxy/src/counters.rs
@@ -69,8 +69,8 @@
         for (name, class) in &self.classes {
             let sums = by_name.entry(name).or_insert([("served", 0), ("refused", 0), ("failed", 0)]);
             for (kind, count) in &class.answers {
-                // What makes no sense is answered with an error, and has failed for whoever asked.
-                let kind = if *kind == "rejected" { "failed" } else { kind };
+                // Both are answered with an error, and have failed for whoever asked.
+                let kind = if matches!(*kind, "rejected" | "cancelled") { "failed" } else { kind };
                 if let Some((_, sum)) = sums.iter_mut().find(|(outcome, _)| *outcome == kind) {
                     *sum += count;
                 }
@@ -85,6 +85,12 @@
         }
     }
 
+    pub fn cancelled(&mut self, class: ClassId) {
+        if let Some(class) = self.class(class) {
+            *class.answers.entry(Answer::Cancelled.kind()).or_default() += 1;
+        }
+    }
+
     pub fn probe_sent(&mut self) {
         self.probes_sent += 1;
     }
--- a/crates/leverproxy/src/front.rs
+++ b/crates/leverproxy/src/front.rs
@@ -2,7 +2,7 @@
 
 use crate::config::{Limits, Patience};
 use crate::net::{self, Filled, Refusal, Stream};
-use crate::pg::server::{self, Asked, Startup};
+use crate::pg::server::{self, Asked, CancelKey, Startup};
 use crate::pg::statement::{self, Query};
 use crate::pg::Malformed;
 use crate::reactor::{Interest, Key, Reactor, Slots, Token};
@@ -10,6 +10,7 @@
 use crate::seldom::Seldom;
 use ipnet::IpNet;
 use std::collections::VecDeque;
+use std::hash::{BuildHasher, RandomState};
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::os::fd::OwnedFd;
@@ -46,6 +47,8 @@
     Asked(Ticket, Request),
     /// Nobody waits for the answer any more.
     Left(Ticket),
+    /// The client has taken its request back on another connection.
+    Cancelled(Ticket),
     /// More of an answer that passes in pieces may come, after [`Front::pass`] had no room.
     Room(Ticket),
 }
@@ -84,10 +87,27 @@
     checking: usize,
     /// No more than what is under way is served: each client goes once it waits for nothing.
     closing: bool,
+    cancel_keys: CancelKeys,
+}
+
+/// Makes the keys by which sessions' requests can be cancelled. Nobody can guess one from others.
+#[derive(Default)]
+struct CancelKeys {
+    secret: RandomState,
+    made: u64,
+}
+
+impl CancelKeys {
+    fn next(&mut self) -> CancelKey {
+        self.made += 1;
+        let hash = self.secret.hash_one(self.made);
+        CancelKey { process: (hash >> 32) as u32, secret: hash as u32 }
+    }
 }
 
 struct Client {
     stream: Stream,
+    cancel_key: CancelKey,
     peer: IpAddr,
     /// A header has to name the client first.
     headed: bool,
@@ -175,6 +195,7 @@
             proxy_from: Vec::new(),
             checking: 0,
             closing: false,
+            cancel_keys: CancelKeys::default(),
         })
     }
 
@@ -253,8 +274,10 @@
         // Bounded: whatever calls itself a balancer beyond that is a client like any other.
         let check = within(&self.checks) && self.checking < CHECKS;
         self.checking += usize::from(check);
+        let cancel_key = self.cancel_keys.next();
         let key = self.clients.insert(Client {
             stream,
+            cancel_key,
             peer,
             headed,
             check,
@@ -363,8 +386,10 @@
                 *heard += thrown_away;
                 filled == Filled::Ended || ended && *heard >= LEAVE_BYTES
             }
+            // What it sent before it left needs no answer, read or not.
+            (None, _) if ended => true,
             (None, true) => client.stream.fill(server::INPUT_LIMIT) == Filled::Ended,
-            (None, false) => ended,
+            (None, false) => false,
         };
         if gone {
             return self.drop_client(key, reactor);
@@ -377,6 +402,7 @@
     fn read(&mut self, key: Key, now: Instant) {
         let Some(client) = self.clients.get_mut(key) else { return };
         let first = client.stream.input.len();
+        let mut cancels = None;
         while client.takes_more(&self.patience) {
             let greeted = client.greeted;
             let step = match greeted {
@@ -390,6 +416,11 @@
                     client.gone = true;
                     break;
                 }
+                Ok(Step::Cancel(named)) => {
+                    client.gone = true;
+                    cancels = Some(named);
+                    break;
+                }
                 Ok(Step::Next) if greeted => client.quiet_since = now,
                 Ok(Step::Next) => {}
                 Ok(Step::Asked(ticket, request)) => {
@@ -408,6 +439,9 @@
                 }
             }
         }
+        if let Some(named) = cancels {
+            return self.cancel(named);
+        }
         let partial = client.takes_more(&self.patience) && !client.stream.input.is_empty();
         // Guards against commands that are begun by many at once and never ended: each is within its limit, all of
         // them together are not.
@@ -423,6 +457,16 @@
         client.begun = same.or(Some(now)).filter(|_| partial);
     }
 
+    /// The request that the session of this key waits for is cancelled; there may be none.
+    fn cancel(&mut self, named: CancelKey) {
+        let Some((key, client)) = self.clients.iter().find(|(_, c)| c.cancel_key == named) else { return };
+        let waits = |slot: &Slot| matches!(slot, Slot::Waiting);
+        if let Some(place) = client.answers.iter().position(waits) {
+            let number = client.first + place as u64;
+            self.events.push_back(Event::Cancelled(Ticket { client: key, number }));
+        }
+    }
+
     /// The last word to a client: nothing more is taken in from it.
     fn turn_out(&mut self, key: Key, why: Vec<u8>) {
         if let Some(client) = self.clients.get_mut(key) {
@@ -564,6 +608,8 @@
 
     fn drop_client(&mut self, key: Key, reactor: &Reactor) {
         let Some(client) = self.remove(key) else { return };
+        // Nothing that the chain has not seen yet is begun for it.
+        self.events.retain(|event| !matches!(event, Event::Asked(ticket, _) if ticket.client == key));
         for (number, answer) in (client.first..).zip(&client.answers) {
             if !matches!(answer, Slot::Ready(_)) {
                 self.events.push_back(Event::Left(Ticket { client: key, number }));
@@ -606,6 +652,8 @@
     Next,
     /// The client takes its leave.
     Gone,
+    /// The client came to cancel another session's request, and goes.
+    Cancel(CancelKey),
     Asked(Ticket, Request),
 }
 
@@ -622,7 +670,9 @@
 }
 
 fn greet(client: &mut Client) -> Result<Step, Malformed> {
-    let Some((startup, used)) = server::startup(client.stream.input.unused())? else { return Ok(Step::Wait) };
+    let Some((startup, used)) = server::startup(client.stream.input.unused(), client.cancel_key)? else {
+        return Ok(Step::Wait);
+    };
     client.stream.input.consume(used);
     match startup {
         Startup::Session(welcome) => {
@@ -630,7 +680,7 @@
             client.expect(Some(welcome));
         }
         Startup::Encryption => _ = client.expect(Some(b"N".to_vec())),
-        Startup::Cancel => return Ok(Step::Gone),
+        Startup::Cancel(named) => return Ok(Step::Cancel(named)),
     }
     Ok(Step::Next)
 }
--- a/crates/leverproxy/src/monitor.rs
+++ b/crates/leverproxy/src/monitor.rs
@@ -235,7 +235,7 @@
                 self.failed += 1;
                 self.event(now, Event::Failed { group });
             }
-            Answer::Rejected(_) => {}
+            Answer::Cancelled | Answer::Rejected(_) => {}
         }
     }
 
--- a/crates/leverproxy/src/pg/client.rs
+++ b/crates/leverproxy/src/pg/client.rs
@@ -12,12 +12,12 @@
     super::server::startup_packet("app", "shop")
 }
 
-/// The query for a question. A command passes as it came, but for the time that its answer is waited for.
-pub fn question(question: &Question) -> Vec<u8> {
+/// The query for a question whose answer is waited for so long. A command passes as it came, but for that time.
+pub fn question(question: &Question, wait: Duration) -> Vec<u8> {
     let mut out = Vec::new();
     put(&mut out, b'Q', |body| {
         match question {
-            Question::Command(command, wait) => {
+            Question::Command(command) => {
                 body.extend_from_slice(&command.before_wait);
                 body.extend_from_slice(wait.as_millis().max(1).to_string().as_bytes());
                 body.extend_from_slice(&command.after_wait);
@@ -179,7 +179,7 @@
             (Some(sqlstate::READ_ONLY_SQL_TRANSACTION | sqlstate::SNAPSHOT_TOO_OLD), _) => Verdict::Miss,
             (Some(_), _) if self.turned_away() => Verdict::Full,
             (Some(_), _) => Verdict::Failed,
-            (None, Question::Command(..)) => Verdict::Served(self.relayed),
+            (None, Question::Command(_)) => Verdict::Served(self.relayed),
             (None, Question::Load) => {
                 Verdict::Reported(first_value(&self.relayed).and_then(load_fields).unwrap_or_default())
             }
--- a/crates/leverproxy/src/pg/mod.rs
+++ b/crates/leverproxy/src/pg/mod.rs
@@ -22,6 +22,7 @@
     pub const TRANSACTION_RESOLUTION_UNKNOWN: &str = "08007";
     pub const FEATURE_NOT_SUPPORTED: &str = "0A000";
     pub const SYNTAX_ERROR: &str = "42601";
+    pub const QUERY_CANCELED: &str = "57014";
     pub const READ_ONLY_SQL_TRANSACTION: &str = "25006";
     pub const SNAPSHOT_TOO_OLD: &str = "72000";
     pub const OUT_OF_MEMORY: &str = "53200";
--- a/crates/leverproxy/src/pg/server.rs
+++ b/crates/leverproxy/src/pg/server.rs
@@ -21,12 +21,35 @@
     Session(Vec<u8>),
     /// Encryption, which is not offered here.
     Encryption,
-    /// The end of another session's query, which nothing here can bring about.
-    Cancel,
+    /// The end of what another session has asked for.
+    Cancel(CancelKey),
 }
 
-/// Reads the untagged first packet; how many bytes it took.
-pub fn startup(bytes: &[u8]) -> Result<Option<(Startup, usize)>, Malformed> {
+/// What a client has to name to cancel a request of a session: its process and its secret, as the welcome told them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CancelKey {
+    pub process: u32,
+    pub secret: u32,
+}
+
+impl CancelKey {
+    /// Of a server whose requests can't be cancelled.
+    pub const NONE: CancelKey = CancelKey { process: 0, secret: 0 };
+
+    fn to_bytes(self) -> [u8; 8] {
+        (u64::from(self.process) << 32 | u64::from(self.secret)).to_be_bytes()
+    }
+
+    fn read(bytes: &[u8]) -> Result<CancelKey, Malformed> {
+        let bytes: [u8; 8] =
+            bytes.try_into().map_err(|_| Malformed("a cancel request names no process and secret".into()))?;
+        let both = u64::from_be_bytes(bytes);
+        Ok(CancelKey { process: (both >> 32) as u32, secret: both as u32 })
+    }
+}
+
+/// Reads the untagged first packet, which a session is welcomed for with this key; how many bytes it took.
+pub fn startup(bytes: &[u8], key: CancelKey) -> Result<Option<(Startup, usize)>, Malformed> {
     let Some((head, _)) = bytes.split_first_chunk::<4>() else { return Ok(None) };
     let length = u32::from_be_bytes(*head) as usize;
     if !(8..=STARTUP_LIMIT).contains(&length) {
@@ -36,14 +59,14 @@
     let Some((code, options)) = packet.split_first_chunk::<4>() else { return Ok(None) };
     let startup = match u32::from_be_bytes(*code) {
         SSL_REQUEST | GSS_REQUEST => Startup::Encryption,
-        CANCEL_REQUEST => Startup::Cancel,
-        version if version >> 16 == 3 => Startup::Session(welcome(version, options)?),
+        CANCEL_REQUEST => Startup::Cancel(CancelKey::read(options)?),
+        version if version >> 16 == 3 => Startup::Session(welcome(version, options, key)?),
         other => return Err(Malformed(format!("protocol {}.{} is not spoken", other >> 16, other & 0xffff))),
     };
     Ok(Some((startup, length)))
 }
 
-fn welcome(version: u32, mut options: &[u8]) -> Result<Vec<u8>, Malformed> {
+fn welcome(version: u32, mut options: &[u8], key: CancelKey) -> Result<Vec<u8>, Malformed> {
     let mut out = Vec::new();
     let mut user = false;
     while !matches!(options, [] | [0]) {
@@ -75,8 +98,7 @@
             put_text(body, value);
         });
     }
-    // Cancelling does nothing here, so the key is no secret.
-    put(&mut out, b'K', |body| body.extend([0; 8]));
+    put(&mut out, b'K', |body| body.extend(key.to_bytes()));
     put_ready(&mut out);
     Ok(out)
 }
@@ -120,6 +142,10 @@
             let text = "no answer came; whether the statement ran is not known";
             put_error(&mut out, "ERROR", sqlstate::TRANSACTION_RESOLUTION_UNKNOWN, text, None);
         }
+        Answer::Cancelled => {
+            let text = "cancelled by the client; whether the statement ran is not known";
+            put_error(&mut out, "ERROR", sqlstate::QUERY_CANCELED, text, None);
+        }
         Answer::Rejected(why) => put_error(&mut out, "ERROR", sqlstate::SYNTAX_ERROR, &why, None),
     }
     put_ready(&mut out);
@@ -175,6 +201,16 @@
     out
 }
 
+/// What a client sends on a connection of its own to cancel a request.
+pub fn cancel_packet(key: CancelKey) -> Vec<u8> {
+    let mut out = Vec::new();
+    put_untagged(&mut out, |body| {
+        body.extend(CANCEL_REQUEST.to_be_bytes());
+        body.extend(key.to_bytes());
+    });
+    out
+}
+
 /// A client's startup packet, as record servers get it too.
 pub fn startup_packet(user: &str, database: &str) -> Vec<u8> {
     let mut out = Vec::new();
--- a/crates/leverproxy/src/proxy.rs
+++ b/crates/leverproxy/src/proxy.rs
@@ -260,7 +260,7 @@
             let woken = Instant::now();
             // How late it was for what it should have done before.
             self.chain.monitor.busy(until.map_or(Duration::ZERO, |at| woken.saturating_duration_since(at)));
-            ready.sort_by_key(|one| !one.token.first());
+            ready.sort_by_key(|one| one.turn());
             for &one in &ready {
                 self.on_ready(one);
             }
--- a/crates/leverproxy/src/reactor.rs
+++ b/crates/leverproxy/src/reactor.rs
@@ -105,8 +105,8 @@
 }
 
 impl Token {
-    /// Balancers' checks and operators' calls: whatever else is ready, they are answered first.
-    pub fn first(self) -> bool {
+    /// Balancers' checks and operators' calls.
+    fn is_operations(self) -> bool {
         matches!(self, Token::Health(_) | Token::HealthListener(_) | Token::Admin(_) | Token::AdminListener)
     }
 
@@ -181,6 +181,27 @@
     pub ended: bool,
 }
 
+/// The order in which the events of one batch are worked through.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Turn {
+    /// Whatever else is ready, operators and balancers are answered first.
+    Operations,
+    /// A client that has left: nothing may be sent for it by what the other events bring about.
+    Departure,
+    Other,
+}
+
+impl Ready {
+    /// When it is this event's turn.
+    pub fn turn(&self) -> Turn {
+        match self.token {
+            token if token.is_operations() => Turn::Operations,
+            Token::Client(_) if self.ended => Turn::Departure,
+            _ => Turn::Other,
+        }
+    }
+}
+
 pub struct Reactor {
     epoll: OwnedFd,
 }
--- a/crates/leverproxy/src/request.rs
+++ b/crates/leverproxy/src/request.rs
@@ -48,6 +48,8 @@
     /// Nothing ran that a repeat could double; the client may come back after so long.
     Refused(Option<Duration>),
     Failed,
+    /// Its client has taken it back.
+    Cancelled,
     /// The request makes no sense.
     Rejected(String),
 }
@@ -58,6 +60,7 @@
             Answer::Served(_) => "served",
             Answer::Refused(_) => "refused",
             Answer::Failed => "failed",
+            Answer::Cancelled => "cancelled",
             Answer::Rejected(_) => "rejected",
         }
     }
@@ -73,8 +76,8 @@
 /// What a record server is asked.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Question {
-    /// A client's command, and how long its answer is waited for.
-    Command(Arc<Command>, Duration),
+    /// A client's command.
+    Command(Arc<Command>),
     /// Its load report.
     Load,
 }
--- a/crates/leverproxy/src/stages/mod.rs
+++ b/crates/leverproxy/src/stages/mod.rs
@@ -146,6 +146,7 @@
                 match event {
                     front::Event::Asked(ticket, request) => self.on_request(ticket, request, sides, now),
                     front::Event::Left(ticket) => self.on_left(ticket, sides, now),
+                    front::Event::Cancelled(ticket) => self.on_cancelled(ticket, sides, now),
                     front::Event::Room(ticket) => self.on_room(ticket, sides, now),
                 }
             } else {
@@ -275,18 +276,40 @@
     }
 
     fn on_left(&mut self, ticket: Ticket, sides: &mut Sides, now: Instant) {
-        let Some(id) = self.ledger.id(ticket) else { return };
-        if let Some(open) = self.close(id, now) {
-            if let Some((_, from)) = open.passing {
-                sides.upstream.stop(from, now);
-            }
+        if let Some(open) = self.abandon(ticket, sides, now) {
             self.counters.left(open.class);
-            self.quota.ended(&open, None, now);
-            self.monitor.left(id, open.group, now);
-            self.decide(Event::Left(id), sides, now);
         }
     }
 
+    /// The client does not want the answer any more, and is told that this was heard. One that has begun to reach it
+    /// goes on.
+    fn on_cancelled(&mut self, ticket: Ticket, sides: &mut Sides, now: Instant) {
+        let open = self.ledger.id(ticket).and_then(|id| self.ledger.get_mut(id));
+        if open.is_none_or(|open| open.passing.is_some()) {
+            return;
+        }
+        if let Some(open) = self.abandon(ticket, sides, now) {
+            self.counters.cancelled(open.class);
+            sides.front.answer(ticket, Answer::Cancelled, now, &sides.reactor);
+        }
+    }
+
+    /// Strikes off a request that nobody waits for: nothing new is sent for it.
+    fn abandon(&mut self, ticket: Ticket, sides: &mut Sides, now: Instant) -> Option<admit::Open> {
+        let id = self.ledger.id(ticket)?;
+        let open = self.close(id, now)?;
+        if open.attempts() > 0 {
+            sides.upstream.call_off(id, now);
+        }
+        if let Some((_, from)) = open.passing {
+            sides.upstream.stop(from, now);
+        }
+        self.quota.ended(&open, None, now);
+        self.monitor.left(id, open.group, now);
+        self.decide(Event::Left(id), sides, now);
+        Some(open)
+    }
+
     /// A part of an answer that is too large to be kept goes to the client at once. With the first the module hears that
     /// the attempt was answered: that is what is timed.
     fn on_piece(&mut self, piece: Piece, sides: &mut Sides, now: Instant) {
@@ -401,10 +424,10 @@
 
     fn act(&mut self, action: Action, sides: &mut Sides, now: Instant) {
         match action {
-            Action::Send { id, store, time_out } => {
+            Action::Send { id, store, time_out, begin_within } => {
                 self.monitor.settled(id, false);
                 let Some(open) = self.ledger.get_mut(id) else { return };
-                let exchange = send::attempt(id, open, time_out, now);
+                let exchange = send::attempt(id, open, time_out, begin_within, now);
                 self.monitor.sent(Some(open.group), store, now);
                 sides.upstream.start(store, exchange, now, &sides.reactor);
             }
@@ -440,6 +463,9 @@
 
     fn answer(&mut self, id: RequestId, answer: Answer, sides: &mut Sides, now: Instant) {
         if let Some(open) = self.close(id, now) {
+            if open.attempts() > 0 {
+                sides.upstream.call_off(id, now);
+            }
             self.relay(open, answer, sides, now);
         }
     }
@@ -453,7 +479,10 @@
         self.monitor.answered(open.group, write, &answer, now);
         match (open.passing, &answer) {
             // It has begun to reach the client, and won't be finished: the client sees that by its connection.
-            (Some((_, from)), Answer::Refused(_) | Answer::Failed | Answer::Rejected(_)) => {
+            (
+                Some((_, from)),
+                Answer::Refused(_) | Answer::Failed | Answer::Cancelled | Answer::Rejected(_),
+            ) => {
                 sides.upstream.stop(from, now);
                 sides.front.cut(open.ticket, now, &sides.reactor);
             }
--- a/crates/leverproxy/src/stages/send.rs
+++ b/crates/leverproxy/src/stages/send.rs
@@ -1,21 +1,29 @@
 //! Send: an attempt or a probe that the module wants becomes an exchange with a record server.
 
 use super::admit::Open;
+use crate::reactor::later;
 use crate::request::{Purpose, Question};
 use crate::upstream::Exchange;
 use mountshift::RequestId;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// An attempt tells the record server how long it is waited for; else it passes the command on as it came.
-pub fn attempt(id: RequestId, open: &mut Open, time_out: Duration, now: Instant) -> Exchange {
+/// An attempt whose answer is waited for until its time-out, and that is dropped unsent if it can't begin in time.
+pub fn attempt(
+    id: RequestId,
+    open: &mut Open,
+    time_out: Duration,
+    begin_within: Duration,
+    now: Instant,
+) -> Exchange {
     Exchange {
         purpose: Purpose::Attempt(id, open.next_attempt()),
         class: Some(open.class),
         group: Some(open.group),
-        question: Question::Command(Arc::clone(&open.command), time_out),
+        question: Question::Command(Arc::clone(&open.command)),
         sent: now,
-        until: crate::reactor::later(now, time_out),
+        until: later(now, time_out),
+        begin_by: later(now, begin_within.min(time_out)),
     }
 }
 
@@ -27,6 +35,7 @@
         group: None,
         question: Question::Load,
         sent: now,
-        until: crate::reactor::later(now, time_out),
+        until: later(now, time_out),
+        begin_by: later(now, time_out),
     }
 }
--- a/crates/leverproxy/src/upstream.rs
+++ b/crates/leverproxy/src/upstream.rs
@@ -5,10 +5,10 @@
 
 use crate::net::{Filled, Stream};
 use crate::pg::client::{self, AnswerReader};
-use crate::reactor::{Interest, Key, Reactor, Slots, Token};
+use crate::reactor::{later, Interest, Key, Reactor, Slots, Token};
 use crate::request::{Done, Piece, Purpose, Question, Verdict};
 use crate::seldom::Seldom;
-use mountshift::{ClassId, GroupId, Note, StoreId};
+use mountshift::{ClassId, GroupId, Note, RequestId, StoreId};
 use std::collections::{BTreeMap, VecDeque};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -21,6 +21,10 @@
 /// aims, so that another attempt can still meet them; record servers write an answer in one go.
 const ANSWER_STALL: Duration = Duration::from_millis(40);
 
+/// A statement that is longer than the socket takes at once is written within this. The time that it tells its server is
+/// reckoned when the first byte is written.
+const WRITE_STALL: Duration = Duration::from_millis(100);
+
 /// An answer that passes on in pieces goes on within this. Its server may be slow, and what has begun can't be had
 /// elsewhere; a machine that has fallen silent must not keep its client for good.
 const PIECE_STALL: Duration = Duration::from_secs(5);
@@ -38,6 +42,15 @@
     pub sent: Instant,
     /// Nobody waits for it after this.
     pub until: Instant,
+    /// It is dropped unsent if its last byte is not written by then.
+    pub begin_by: Instant,
+}
+
+impl Exchange {
+    /// The latest that it waits for a connection.
+    fn waits_until(&self, dial_timeout: Duration) -> Instant {
+        self.until.min(self.begin_by).min(self.sent + dial_timeout)
+    }
 }
 
 /// What to look after when a timer is due.
@@ -199,7 +212,7 @@
         let Some(pool) = self.pools.get_mut(&store) else {
             return self.finish(exchange, store, Verdict::NeverSent, Note::default(), now);
         };
-        let queue_until = exchange.until.min(exchange.sent + self.dial_timeout);
+        let queue_until = exchange.waits_until(self.dial_timeout);
         pool.waiting.push_back(exchange);
         self.serve_queue(store, now, reactor);
         if self.pools.get(&store).is_some_and(|pool| !pool.waiting.is_empty()) {
@@ -209,6 +222,7 @@
 
     /// Gives waiting exchanges the idle connections, and dials for the rest.
     fn serve_queue(&mut self, store: StoreId, now: Instant, reactor: &Reactor) {
+        self.drop_late(store, now);
         while let Some(pool) = self.pools.get_mut(&store).filter(|p| !p.waiting.is_empty()) {
             let Some(key) = pool.idle.pop() else { break };
             // Its end may have come unnoticed: a request written then would count as one that may have run.
@@ -223,6 +237,18 @@
         self.dial_for_queue(store, now, reactor);
     }
 
+    /// Ends what has waited too long for a connection. A dial that comes up after that must not carry it.
+    fn drop_late(&mut self, store: StoreId, now: Instant) {
+        let Some(pool) = self.pools.get_mut(&store) else { return };
+        let dial_timeout = self.dial_timeout;
+        let late = |exchange: &Exchange| exchange.waits_until(dial_timeout) <= now;
+        let (late, left): (VecDeque<_>, VecDeque<_>) = pool.waiting.drain(..).partition(late);
+        pool.waiting = left;
+        for exchange in late {
+            self.finish(exchange, store, Verdict::ConnectFailed, Note::default(), now);
+        }
+    }
+
     fn dial_for_queue(&mut self, store: StoreId, now: Instant, reactor: &Reactor) {
         while let Some(pool) = self.pools.get_mut(&store) {
             if pool.waiting.len() <= pool.dialling || pool.dialling >= DIALS_AT_ONCE {
@@ -293,9 +319,11 @@
 
     fn give(&mut self, key: Key, exchange: Exchange, now: Instant, reactor: &Reactor) {
         let Some(connection) = self.connections.get_mut(key) else { return };
-        connection.stream.push(&client::question(&exchange.question));
-        connection.until = exchange.until;
-        self.due.push((exchange.until, Due::Connection(key)));
+        // From now, not from when it was decided: a dial took its time, and the client has less left.
+        let wait = exchange.until.saturating_duration_since(now);
+        connection.stream.push(&client::question(&exchange.question, wait));
+        connection.until = exchange.begin_by.min(later(now, WRITE_STALL));
+        self.due.push((connection.until, Due::Connection(key)));
         connection.state = State::Busy {
             exchange,
             reader: AnswerReader::default(),
@@ -330,10 +358,17 @@
     /// Writes and reads what there is, and acts on an answer that is whole or a connection that has ended.
     fn advance(&mut self, key: Key, now: Instant, reactor: &Reactor) {
         let Some(connection) = self.connections.get_mut(key) else { return };
+        if matches!(connection.state, State::Busy { written: false, .. }) && connection.until <= now {
+            return self.close(key, Verdict::ConnectFailed, now);
+        }
         let flushed = connection.stream.flush();
-        if let (State::Busy { exchange, written, .. }, Ok(true)) = (&mut connection.state, &flushed) {
-            self.attempts += u64::from(!*written && exchange.purpose != Purpose::Probe);
+        if let (State::Busy { exchange, written: written @ false, .. }, Ok(true)) =
+            (&mut connection.state, &flushed)
+        {
+            self.attempts += u64::from(exchange.purpose != Purpose::Probe);
             *written = true;
+            connection.until = exchange.until;
+            self.due.push((exchange.until, Due::Connection(key)));
         }
         let passing = match connection.state {
             State::Busy { passing, .. } => passing,
@@ -410,7 +445,7 @@
         if let State::Busy { passing, .. } = &mut connection.state {
             *passing = Passing::HeldBack;
             // The client's own patience counts now.
-            connection.until = crate::reactor::later(now, Duration::MAX);
+            connection.until = later(now, Duration::MAX);
             connection.stream.unwatch(reactor);
         }
     }
@@ -561,6 +596,28 @@
         }
     }
 
+    /// The request is over: what is not written of it yet never will be. What is written goes on.
+    pub fn call_off(&mut self, id: RequestId, now: Instant) {
+        let of_request = |e: &Exchange| matches!(e.purpose, Purpose::Attempt(of, _) if of == id);
+        let mut called_off = Vec::new();
+        for (&store, pool) in &mut self.pools {
+            if let Some(at) = pool.waiting.iter().position(of_request) {
+                called_off.extend(pool.waiting.remove(at).map(|exchange| (store, exchange)));
+            }
+        }
+        for (store, exchange) in called_off {
+            self.finish(exchange, store, Verdict::NeverSent, Note::default(), now);
+        }
+        let unwritten = |connection: &Connection| match &connection.state {
+            State::Busy { exchange, written: false, .. } => of_request(exchange),
+            _ => false,
+        };
+        let found = self.connections.iter().find(|(_, c)| unwritten(c)).map(|(key, _)| key);
+        if let Some(key) = found {
+            self.close(key, Verdict::NeverSent, now);
+        }
+    }
+
     pub fn on_due(&mut self, due: Due, now: Instant, reactor: &Reactor) {
         match due {
             Due::Connection(key) => {
@@ -586,13 +643,7 @@
                 }
             }
             Due::Queue(store) => {
-                let Some(pool) = self.pools.get_mut(&store) else { return };
-                let over = |e: &Exchange| e.until.min(e.sent + self.dial_timeout) <= now;
-                let (over, left): (VecDeque<_>, VecDeque<_>) = pool.waiting.drain(..).partition(over);
-                pool.waiting = left;
-                for exchange in over {
-                    self.finish(exchange, store, Verdict::ConnectFailed, Note::default(), now);
-                }
+                self.drop_late(store, now);
                 self.dial_for_queue(store, now, reactor);
             }
         }
--- a/crates/leverproxy/src/worth.rs
+++ b/crates/leverproxy/src/worth.rs
@@ -60,7 +60,7 @@
         let earned = match answer {
             Answer::Served(_) if took <= price.aim => 1.0,
             Answer::Served(_) => price.late,
-            Answer::Refused(_) | Answer::Failed | Answer::Rejected(_) => 0.0,
+            Answer::Refused(_) | Answer::Failed | Answer::Cancelled | Answer::Rejected(_) => 0.0,
         };
         sum.add(asked, earned);
         self.total.add(asked * price.worth, earned);
--- /dev/null
+++ b/crates/leverproxy/tests/attempts.rs
@@ -0,0 +1,149 @@
+//! When an attempt may still begin, and the time that it tells: the upstream side on real connections, at instants that
+//! the test chooses.
+
+mod common;
+use common::{Listener, Peer, PATIENCE};
+use leverproxy::reactor::{Reactor, Token};
+use leverproxy::request::{Command, Done, Purpose, Question, Verdict};
+use leverproxy::upstream::{Due, Exchange, Upstream};
+use mountshift::{AttemptNo, RequestId, StoreId};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const MS: Duration = Duration::from_millis(1);
+const SERVER: StoreId = StoreId(1);
+const DIAL_TIMEOUT: Duration = Duration::from_millis(300);
+/// More than a loopback connection takes in while its other end reads nothing.
+const LONGER_THAN_A_SOCKET: usize = 32 << 20;
+
+struct Upstreams {
+    reactor: Reactor,
+    upstream: Upstream,
+    server: Listener,
+    begun: Instant,
+}
+
+impl Upstreams {
+    fn new() -> Upstreams {
+        let server = Listener::new();
+        let mut upstream = Upstream::new(10, DIAL_TIMEOUT, PATIENCE);
+        upstream.serves(SERVER, server.address);
+        Upstreams { reactor: Reactor::new().unwrap(), upstream, server, begun: Instant::now() }
+    }
+
+    fn at(&self, since: Duration) -> Instant {
+        self.begun + since
+    }
+
+    /// Starts an attempt at the beginning that is waited for and may begin for so long.
+    fn start(&mut self, id: u64, waits: Duration, begins: Duration, padding: usize) {
+        let command = Command {
+            before_wait: format!("SELECT '{}' /* d=", "x".repeat(padding)).into_bytes(),
+            after_wait: b" */".to_vec(),
+        };
+        let exchange = Exchange {
+            purpose: Purpose::Attempt(RequestId(id), AttemptNo(0)),
+            class: None,
+            group: None,
+            question: Question::Command(Arc::new(command)),
+            sent: self.begun,
+            until: self.at(waits),
+            begin_by: self.at(begins),
+        };
+        self.upstream.start(SERVER, exchange, self.begun, &self.reactor);
+    }
+
+    /// Hands on the next batch of events as if they had come at `since`.
+    fn turn(&mut self, since: Duration) {
+        let mut ready = Vec::new();
+        while ready.is_empty() {
+            self.reactor.wait(Some(Instant::now() + PATIENCE), &mut ready).unwrap();
+        }
+        for event in ready {
+            let Token::Upstream(key) = event.token else { panic!("{event:?}") };
+            self.upstream.ready(key, self.at(since), &self.reactor);
+        }
+    }
+
+    /// Dials come up and are welcomed at `since`; the record server's end.
+    fn welcomed(&mut self, since: Duration) -> Peer {
+        let mut peer = self.server.accept();
+        // Up, and the startup written.
+        self.turn(since);
+        peer.startup();
+        self.turn(since);
+        peer
+    }
+
+    fn done(&mut self) -> Option<Done> {
+        self.upstream.pop()
+    }
+}
+
+fn told(peer: &mut Peer) -> String {
+    let query = peer.query();
+    query[query.find("d=").unwrap()..].to_owned()
+}
+
+#[test]
+fn the_time_told_is_what_is_left_when_the_attempt_is_written() {
+    let mut upstreams = Upstreams::new();
+    upstreams.start(1, 400 * MS, 400 * MS, 0);
+    let mut peer = upstreams.welcomed(250 * MS);
+    assert_eq!(told(&mut peer), "d=150 */");
+}
+
+#[test]
+fn a_dial_that_is_up_too_late_carries_nothing() {
+    for (waits, begins) in [(400 * MS, 100 * MS), (100 * MS, 400 * MS)] {
+        let mut upstreams = Upstreams::new();
+        upstreams.start(1, waits, begins, 0);
+        let mut peer = upstreams.welcomed(100 * MS);
+        assert_eq!(upstreams.done().unwrap().verdict, Verdict::ConnectFailed);
+        assert_eq!(upstreams.upstream.attempts, 0);
+        // The connection is there for the next.
+        upstreams.start(2, PATIENCE, PATIENCE, 0);
+        assert_eq!(told(&mut peer), "d=10000 */");
+    }
+}
+
+#[test]
+fn an_attempt_that_is_called_off_during_the_dial_is_never_written() {
+    let mut upstreams = Upstreams::new();
+    upstreams.start(1, 400 * MS, 400 * MS, 0);
+    upstreams.upstream.call_off(RequestId(1), upstreams.at(10 * MS));
+    assert_eq!(upstreams.done().unwrap().verdict, Verdict::NeverSent);
+    let mut peer = upstreams.welcomed(20 * MS);
+    upstreams.start(2, PATIENCE, PATIENCE, 0);
+    assert_eq!(told(&mut peer), "d=10000 */");
+}
+
+/// Half of it is with the server, which has not begun: the rest must not follow.
+#[test]
+fn an_attempt_that_is_called_off_half_written_ends_its_connection() {
+    let mut upstreams = Upstreams::new();
+    upstreams.start(1, PATIENCE, PATIENCE, LONGER_THAN_A_SOCKET);
+    let mut peer = upstreams.welcomed(20 * MS);
+    assert!(upstreams.done().is_none());
+    upstreams.upstream.call_off(RequestId(1), upstreams.at(30 * MS));
+    assert_eq!(upstreams.done().unwrap().verdict, Verdict::NeverSent);
+    assert_eq!(upstreams.upstream.connections(), 0);
+    assert!(peer.ended());
+}
+
+/// The time that it told is not true any more once its last bytes have waited for long.
+#[test]
+fn an_attempt_that_is_not_written_in_time_is_dropped() {
+    let mut upstreams = Upstreams::new();
+    upstreams.start(1, PATIENCE, PATIENCE, LONGER_THAN_A_SOCKET);
+    let mut peer = upstreams.welcomed(20 * MS);
+    let (at, due) = upstreams.upstream.take_due().into_iter().rfind(|(_, d)| is_connection(d)).unwrap();
+    assert_eq!(at, upstreams.at(120 * MS));
+    upstreams.upstream.on_due(due, at, &upstreams.reactor);
+    assert_eq!(upstreams.done().unwrap().verdict, Verdict::ConnectFailed);
+    assert!(peer.ended());
+}
+
+fn is_connection(due: &Due) -> bool {
+    matches!(due, Due::Connection(_))
+}
--- a/crates/leverproxy/tests/common/mod.rs
+++ b/crates/leverproxy/tests/common/mod.rs
@@ -5,7 +5,7 @@
 use leverproxy::control::Control;
 use leverproxy::pg::{self, server};
 use leverproxy::proxy::Proxy;
-use rustix::process::{kill_process, Pid, Signal};
+use rustix::process::{kill_process, waitpid, Pid, Signal, WaitOptions};
 use std::io::{self, BufRead, BufReader, Lines, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
@@ -156,13 +156,25 @@
         assert!(self.ended());
     }
 
+    /// Waits until the other side's kernel has all that was sent, an end too, whether or not anybody there reads it.
+    pub fn delivered(&self) {
+        let begun = std::time::Instant::now();
+        let (local, peer) = (self.stream.local_addr().unwrap(), self.stream.peer_addr().unwrap());
+        while !acknowledged(local, peer) {
+            assert!(begun.elapsed() < PATIENCE, "{peer} does not acknowledge");
+            thread::yield_now();
+        }
+    }
+
     // ---- As a record server ----
 
     pub fn startup(&mut self) {
-        while server::startup(&self.input).unwrap().is_none() {
+        let key = server::CancelKey::NONE;
+        while server::startup(&self.input, key).unwrap().is_none() {
             self.more().unwrap();
         }
-        let Some((server::Startup::Session(welcome), used)) = server::startup(&self.input).unwrap() else {
+        let Some((server::Startup::Session(welcome), used)) = server::startup(&self.input, key).unwrap()
+        else {
             panic!("no session is asked for");
         };
         self.input.drain(..used);
@@ -252,6 +264,21 @@
     }
 }
 
+/// Whether the system's table of connections has nothing unacknowledged from one address to the other.
+fn acknowledged(local: SocketAddr, peer: SocketAddr) -> bool {
+    const ESTABLISHED: &str = "01";
+    const END_ACKNOWLEDGED: &str = "05";
+    const NOTHING_QUEUED: &str = "00000000";
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let port = |address: &str| u16::from_str_radix(address.rsplit(':').next().unwrap(), 16).ok();
+    table.lines().skip(1).any(|line| {
+        let columns: Vec<&str> = line.split_whitespace().collect();
+        let ours = port(columns[1]) == Some(local.port()) && port(columns[2]) == Some(peer.port());
+        let sent = columns[4].starts_with(NOTHING_QUEUED);
+        ours && sent && matches!(columns[3], ESTABLISHED | END_ACKNOWLEDGED)
+    })
+}
+
 /// An answer as a record server gives it.
 pub fn answer(value: &str, parameters: &[(&str, &str)]) -> Vec<u8> {
     let mut out = Vec::new();
@@ -492,6 +519,13 @@
         kill_process(Pid::from_child(&self.child), signal).unwrap();
     }
 
+    /// Stops it, and returns once it has stopped: what comes until SIGCONT is one batch of events.
+    pub fn pause(&self) {
+        self.signal(Signal::STOP);
+        let stopped = waitpid(Some(Pid::from_child(&self.child)), WaitOptions::UNTRACED).unwrap();
+        assert!(stopped.is_some_and(|(_, status)| status.stopped()));
+    }
+
     /// All that its log still holds, until it ends.
     pub fn rest(&mut self) -> Vec<String> {
         self.log.by_ref().map(Result::unwrap).collect()
--- /dev/null
+++ b/crates/leverproxy/tests/departures.rs
@@ -0,0 +1,156 @@
+//! A client that leaves or cancels: whatever else happens at the same moment, nothing of its request is begun after
+//! that.
+
+mod common;
+use common::*;
+use leverproxy::pg;
+use leverproxy::pg::server::{self, CancelKey};
+use rustix::process::Signal;
+use std::net::Shutdown;
+
+/// A client and the key by which its requests can be cancelled.
+fn client_with_key(stage: &Stage) -> (Peer, CancelKey) {
+    let mut peer = Peer::connect(stage.address);
+    peer.write(&server::startup_packet("app", "shop"));
+    let mut key = None;
+    loop {
+        match peer.message().unwrap() {
+            (b'K', body) => {
+                let number = |at: usize| u32::from_be_bytes(body[at..at + 4].try_into().unwrap());
+                key = Some(CancelKey { process: number(0), secret: number(4) });
+            }
+            (b'Z', _) => return (peer, key.expect("a key comes before the welcome ends")),
+            _ => {}
+        }
+    }
+}
+
+/// The next query on the connection is that of request `id`.
+fn next_is(upstream: &mut Peer, id: u32) {
+    let query = upstream.query();
+    assert!(query.contains(&format!("id={id:016x}")), "{query}");
+}
+
+/// Request `id` of this client is the next that reaches the record server, and is served.
+fn served_next(client: &mut Peer, upstream: &mut Peer, id: u32) {
+    client.ask(&read(id, "any", 19000));
+    next_is(upstream, id);
+    upstream.answer("value", &[]);
+    assert_eq!(client.reply().value.as_deref(), Some("value"));
+}
+
+/// The other side of a dial that is accepted but not welcomed yet, with request 1 of `client` waiting for it.
+fn dialled(server: &Listener, client: &mut Peer) -> Peer {
+    client.ask(&read(1, "any", 19000));
+    server.accept()
+}
+
+#[test]
+fn nothing_is_sent_for_a_client_that_left_during_the_dial() {
+    let server = Listener::new();
+    let stage = Stage::new(&[("s-1", &server)]);
+    let mut client = Peer::client(stage.address);
+    let mut upstream = dialled(&server, &mut client);
+    client.leave();
+    upstream.startup();
+    served_next(&mut Peer::client(stage.address), &mut upstream, 2);
+}
+
+#[test]
+fn nothing_is_sent_for_a_request_that_was_cancelled_during_the_dial() {
+    let server = Listener::new();
+    let stage = Stage::new(&[("s-1", &server)]);
+    let (mut client, key) = client_with_key(&stage);
+    let mut upstream = dialled(&server, &mut client);
+    let mut canceller = Peer::connect(stage.address);
+    canceller.write(&server::cancel_packet(key));
+    assert!(canceller.ended());
+    assert_eq!(client.reply().code.as_deref(), Some("57014"));
+    upstream.startup();
+    // The session goes on.
+    served_next(&mut client, &mut upstream, 2);
+}
+
+#[test]
+fn a_cancel_with_a_wrong_secret_changes_nothing() {
+    let server = Listener::new();
+    let stage = Stage::new(&[("s-1", &server)]);
+    let (mut client, key) = client_with_key(&stage);
+    let mut upstream = dialled(&server, &mut client);
+    let mut canceller = Peer::connect(stage.address);
+    canceller.write(&server::cancel_packet(CancelKey { secret: !key.secret, ..key }));
+    assert!(canceller.ended());
+    upstream.startup();
+    next_is(&mut upstream, 1);
+    upstream.answer("one", &[]);
+    assert_eq!(client.reply().value.as_deref(), Some("one"));
+}
+
+/// With one command of a connection taken at a time, the second stays unread in the socket.
+#[test]
+fn a_client_that_leaves_is_noticed_while_nothing_is_read_from_it() {
+    let server = Listener::new();
+    let stage = Stage::with(&[("s-1", &server)], |config| config.patience.pipeline = 1);
+    let mut client = Peer::client(stage.address);
+    client.ask(&read(1, "any", 19000));
+    let mut upstream = server.welcome();
+    next_is(&mut upstream, 1);
+    client.ask(&read(2, "any", 19000));
+    client.leave();
+    upstream.answer("one", &[]);
+    served_next(&mut Peer::client(stage.address), &mut upstream, 3);
+}
+
+/// A write waits until its group's primary is known; the client leaves meanwhile.
+#[test]
+fn nothing_is_sent_for_a_client_that_left_while_its_request_was_held() {
+    let server = Listener::new();
+    let stage = Stage::new(&[("s-1", &server)]);
+    let mut client = Peer::client(stage.address);
+    client.ask(&read(1, "book", 19000));
+    let mut upstream = server.welcome();
+    assert_eq!(upstream.query(), "SHOW load");
+    client.leave();
+    upstream.answer("x0=1.0,x1=1,backlog=0", &[]);
+    served_next(&mut Peer::client(stage.address), &mut upstream, 2);
+}
+
+/// A query with a goodbye right behind it: both are read at once, and nothing is sent.
+#[test]
+fn nothing_is_sent_for_a_query_whose_client_said_goodbye_behind_it() {
+    let server = Listener::new();
+    let stage = Stage::new(&[("s-1", &server)]);
+    let mut client = Peer::client(stage.address);
+    // A connection is there: whatever is sent goes out at once.
+    let mut upstream = served(&mut client, &server, 3, "value");
+    let mut both = Vec::new();
+    pg::put(&mut both, b'Q', |body| pg::put_text(body, &read(1, "any", 19000)));
+    pg::put(&mut both, b'X', |_| {});
+    client.write(&both);
+    assert!(client.ended());
+    served_next(&mut Peer::client(stage.address), &mut upstream, 2);
+}
+
+/// The program is stopped while the answer that would release a held write and the end of its client come, in this order:
+/// one batch of events holds both.
+#[test]
+fn in_one_batch_of_events_the_client_that_left_comes_first() {
+    let server = Listener::new();
+    let mut program = Program::start("");
+    program.watch.tell(57, &[server.listed("s-1", "Ready")]);
+    let mut client = Peer::client(program.address);
+    client.ask(&read(1, "book", 19000));
+    let mut upstream = server.welcome();
+    assert_eq!(upstream.query(), "SHOW load");
+    // Whoever is welcomed now finds the program done with what came before.
+    let mut next = Peer::client(program.address);
+    program.pause();
+    upstream.answer("x0=1.0,x1=1,backlog=0", &[]);
+    upstream.delivered();
+    client.stream.shutdown(Shutdown::Write).unwrap();
+    client.delivered();
+    program.signal(Signal::CONT);
+    assert!(client.ended());
+    next.ask(&read(2, "book", 19000));
+    next_is(&mut upstream, 2);
+}
--- a/crates/leverproxy/tests/stories.rs
+++ b/crates/leverproxy/tests/stories.rs
@@ -480,7 +480,8 @@
     for no in 0..exchanges {
         let purpose = Purpose::Attempt(RequestId(no), AttemptNo(0));
         let (question, until) = (Question::Load, now + PATIENCE);
-        let exchange = Exchange { purpose, class: None, group: None, question, sent: now, until };
+        let (class, group, begin_by) = (None, None, until);
+        let exchange = Exchange { purpose, class, group, question, sent: now, until, begin_by };
         upstream.start(StoreId(1), exchange, now, &reactor);
     }
     let first_dials = upstream.dials;
--- a/crates/leverproxy/tests/units.rs
+++ b/crates/leverproxy/tests/units.rs
@@ -120,7 +120,7 @@
         assert!(!AnswerReader::default().take(&good[..cut]).unwrap().1, "{cut}");
     }
     assert_eq!(reader.take(&good).unwrap(), (good.len(), true));
-    let question = Question::Command(Arc::new(Command { before_wait: vec![], after_wait: vec![] }), PATIENCE);
+    let question = Question::Command(Arc::new(Command { before_wait: vec![], after_wait: vec![] }));
     let (verdict, note) = reader.verdict(&question);
     assert!(matches!(verdict, Verdict::Served(bytes) if good.starts_with(&bytes)));
     assert_eq!(note, Note { primary: Some(false), position: None });
--- a/crates/mountshift/src/decide.rs
+++ b/crates/mountshift/src/decide.rs
@@ -91,6 +91,8 @@
 const LIST_WAIT: (Duration, Duration) = (Duration::from_millis(125), Duration::from_secs(3));
 /// Beyond a few routers calls are spread so far apart over all, in this share of the time that one may wait.
 const LIST_PACE: (Duration, f64) = (Duration::from_millis(80), 0.75);
+/// Before the end of a keyed window from which on nothing is sent again: for the way to the server and late loops.
+const REPEAT_MARGIN: Duration = Duration::from_millis(20);
 /// Writes remembered; beyond it the old ones are folded into one position that all sessions must see.
 const WRITES_KEPT: usize = 100_000;
 /// An attempt in vain that so many sent later have overtaken tells of its connection, not of the store.
@@ -835,18 +837,13 @@
         if spent || !request.out.is_empty() && !self.set.second_copies {
             return Err(Bar::No);
         }
-        let still_out = request.out.first().and_then(|&(no, s)| {
-            let sent = self.stores.get(&s).and_then(|store| store.out.get(&(request.arrival.id, no)));
-            sent.map(|&(_, at, _)| (at, s))
-        });
-        let earliest = request.may_have_run.into_iter().chain(still_out).min();
-        if let Some((since, at)) = earliest {
+        if let Some((since, at)) = self.earliest_effect(request) {
             match class.effect {
                 Effect::Safe => {}
                 Effect::Unsafe => return Err(Bar::No),
                 Effect::Keyed { scope, window } => {
                     let same_zone = self.stores.get(&at).is_some_and(|s| s.zone == store.zone);
-                    if self.now >= since.plus(window) || scope == Scope::Zone && !same_zone {
+                    if self.now >= last_repeat(since, window) || scope == Scope::Zone && !same_zone {
                         return Err(Bar::No);
                     }
                 }
@@ -873,6 +870,26 @@
         Ok(())
     }
 
+    /// Send time and store of the earliest attempt that may have taken effect, or may yet.
+    fn earliest_effect(&self, request: &Request) -> Option<(Time, StoreId)> {
+        let still_out = request.out.first().and_then(|&(no, store)| {
+            let sent = self.stores.get(&store)?.out.get(&(request.arrival.id, no));
+            sent.map(|&(_, at, _)| (at, store))
+        });
+        request.may_have_run.into_iter().chain(still_out).min()
+    }
+
+    /// The instant by which an attempt sent now has to be on its way. Its connection may have to be dialled first, and a
+    /// keyed repeat that arrives after its window is not recognised as one.
+    fn begins_by(&self, request: &Request) -> Time {
+        match (self.class(request.arrival.class).effect, self.earliest_effect(request)) {
+            (Effect::Keyed { window, .. }, Some((since, _))) => {
+                request.deadline.min(last_repeat(since, window))
+            }
+            _ => request.deadline,
+        }
+    }
+
     /// Whether a starting store, tipped over by `most` times a warm one's work, may get this request: by one
     /// draw a request, so that looking again changes nothing, and an attempt there that failed is the last.
     /// Each member has a part of all draws to itself, as far as they go round: what one may not have another
@@ -896,7 +913,9 @@
 
     fn send(&mut self, id: RequestId, to: StoreId, out: &mut Out) {
         let may = self.requests.get(&id).is_some_and(|request| self.guard(request, to).is_ok());
-        let Some(request) = self.requests.get_mut(&id).filter(|_| may) else { return };
+        let Some(request) = self.requests.get(&id).filter(|_| may) else { return };
+        let begin_within = self.begins_by(request).since(self.now);
+        let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(store) = self.stores.get_mut(&to) else { return };
         let attempt = AttemptNo(request.attempts);
         request.attempts += 1;
@@ -905,7 +924,8 @@
         request.held = false;
         self.held.remove(&(request.arrival.group, request.came, id));
         store.out.insert((id, attempt), (request.arrival.class, self.now, 0));
-        out.push(Action::Send { id, store: to, time_out: request.deadline.since(self.now) });
+        let time_out = request.deadline.since(self.now);
+        out.push(Action::Send { id, store: to, time_out, begin_within });
     }
 
     // ---- Health ----
@@ -990,6 +1010,11 @@
     }
 }
 
+/// Until when a keyed request may be sent again, of which an attempt that may have run was sent at `since`.
+fn last_repeat(since: Time, window: Duration) -> Time {
+    since.plus(window.saturating_sub(REPEAT_MARGIN))
+}
+
 /// A moving average drawn towards a new span by this weight.
 fn drawn(average: Duration, new: Duration, weight: f64) -> Duration {
     average.mul_f64(1.0 - weight) + new.mul_f64(weight)
--- a/crates/mountshift/src/interface.rs
+++ b/crates/mountshift/src/interface.rs
@@ -343,7 +343,10 @@
     Send {
         id: RequestId,
         store: StoreId,
+        /// The answer is waited for no longer than this.
         time_out: Duration,
+        /// The attempt may not begin later than this: whoever has to dial first drops it then, unsent.
+        begin_within: Duration,
     },
     Cancel {
         id: RequestId,
--- a/crates/mountshift/tests/common/mod.rs
+++ b/crates/mountshift/tests/common/mod.rs
@@ -177,6 +177,13 @@
     actions.iter().filter_map(to).collect()
 }
 
+/// How long the first attempt among these may take to begin.
+pub fn begins_within(actions: &[Action]) -> Duration {
+    let within =
+        |a: &Action| if let Action::Send { begin_within, .. } = a { Some(*begin_within) } else { None };
+    actions.iter().find_map(within).expect("an attempt")
+}
+
 pub fn refused(actions: &[Action], wanted: RequestId) -> bool {
     actions.iter().any(|a| matches!(a, Action::Refuse { id, .. } if *id == wanted))
 }
--- a/crates/mountshift/tests/random.rs
+++ b/crates/mountshift/tests/random.rs
@@ -45,12 +45,13 @@
         self.log.extend_from_slice(actions);
         for action in actions {
             match *action {
-                Action::Send { id, store, time_out } => {
+                Action::Send { id, store, time_out, begin_within } => {
                     self.sends += 1;
                     let r = self.requests.get_mut(&id).expect("a send for a request that is open");
                     let class = &self.set.classes[usize::from(r.class)];
                     assert!(!r.answered, "a send after the final answer");
                     assert!(now.plus(time_out) <= r.deadline, "a time-out beyond the deadline");
+                    assert!(now.plus(begin_within) <= r.deadline, "a begin beyond the deadline");
                     assert!(!self.told_leaving.contains_key(&store.0), "a send to a leaving store");
                     assert!(r.sent.len() < usize::from(self.set.try_limit));
                     assert!(self.set.second_copies || r.out.is_empty(), "two attempts at once");
@@ -62,7 +63,8 @@
                         Effect::Keyed { window, .. } => {
                             let since =
                                 r.out.iter().map(|&n| r.sent[usize::from(n)].0).chain(r.earliest_maybe).min();
-                            assert!(since.is_none_or(|s| now < s.plus(window)), "outside the window");
+                            let arrives = now.plus(begin_within);
+                            assert!(since.is_none_or(|s| arrives < s.plus(window)), "outside the window");
                         }
                     }
                     let need = match class.need {
--- a/crates/mountshift/tests/rules.rs
+++ b/crates/mountshift/tests/rules.rs
@@ -140,6 +140,27 @@
     assert!(failed(&actions, id) && !refused(&actions, id));
 }
 
+/// A repeat may have to dial first: what is left of the window goes with it, less the margin for its way.
+#[test]
+fn a_keyed_repeat_tells_how_long_it_may_still_begin() {
+    let mut bench = Bench::new(settings(), 2);
+    let (id, first) = bench.ask(WRITE);
+    let (deadline, window) = (begins_within(&first), 600 * MS);
+    assert!(deadline > window, "the first attempt is bound by its deadline alone: {deadline:?}");
+    bench.wait(100 * MS);
+    let mut repeat = bench.end(id, 0, 1, Outcome::Failed);
+    repeat.extend(bench.pass(100));
+    assert!(begins_within(&repeat) < window - 100 * MS, "{repeat:?}");
+    let mut last = Bench::new(settings(), 2);
+    let (id, _) = last.ask(WRITE);
+    last.wait(window - 30 * MS);
+    let mut actions = last.end(id, 0, 1, Outcome::Failed);
+    // It is looked at again within the window, but in its last moments.
+    last.wait(20 * MS);
+    actions.extend(last.pass(5));
+    assert!(sends(&actions).is_empty(), "it would arrive after the window's end: {actions:?}");
+}
+
 #[test]
 fn every_request_is_answered_once_by_its_deadline_when_nothing_answers() {
     let mut bench = Bench::new(settings(), 2);
--- a/crates/rig/src/misrule.rs
+++ b/crates/rig/src/misrule.rs
@@ -6,7 +6,7 @@
 use crate::truth::Truth;
 use crate::wire::{self, Connection, Reply};
 use ledger::Rule;
-use leverproxy::pg::server::{self, Asked, Startup};
+use leverproxy::pg::server::{self, Asked, CancelKey, Startup};
 use leverproxy::pg::statement::{self, Query};
 use std::io;
 use std::net::SocketAddr;
@@ -63,7 +63,7 @@
         loop {
             if !greeted {
                 if let Some((Startup::Session(welcome), used)) =
-                    server::startup(&input).map_err(|_| strange())?
+                    server::startup(&input, CancelKey::NONE).map_err(|_| strange())?
                 {
                     input.drain(..used);
                     greeted = true;
--- a/crates/rig/src/servers.rs
+++ b/crates/rig/src/servers.rs
@@ -4,7 +4,7 @@
 use crate::process::Fault;
 use crate::truth::Truth;
 use crate::wire;
-use leverproxy::pg::server::{self, Asked, Startup};
+use leverproxy::pg::server::{self, Asked, CancelKey, Startup};
 use leverproxy::pg::sqlstate;
 use leverproxy::pg::statement::{self, Query};
 use std::net::SocketAddr;
@@ -69,7 +69,7 @@
     loop {
         loop {
             let (out, used) = if !greeted {
-                match server::startup(&input).map_err(|_| Over)? {
+                match server::startup(&input, CancelKey::NONE).map_err(|_| Over)? {
                     None => break,
                     Some((Startup::Session(bytes), used)) => {
                         greeted = true;
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -299,7 +299,7 @@
 
     pub fn push(&mut self, inst: u16, action: &Action) {
         match *action {
-            Action::Send { id, store, time_out } => {
+            Action::Send { id, store, time_out, .. } => {
                 self.start(65, inst);
                 self.body.extend(id.0.to_be_bytes());
                 self.body.extend(store.0.to_be_bytes());
--- a/crates/simhost/tests/codec.rs
+++ b/crates/simhost/tests/codec.rs
@@ -88,8 +88,8 @@
 fn actions_of_the_sample_reply() {
     let mut reply = Reply::default();
     let id = RequestId(0x000a_1bbb_5d3a_91c4);
-    reply
-        .push(3, &Action::Send { id, store: StoreId(0x0312_4a07), time_out: Duration::from_micros(0x13880) });
+    let time_out = Duration::from_micros(0x13880);
+    reply.push(3, &Action::Send { id, store: StoreId(0x0312_4a07), time_out, begin_within: time_out });
     reply.push(3, &Action::Timer { after: Duration::from_micros(500_000), token: TimerToken(77) });
     let expected = "00000002 0000001e 41 0003 000a1bbb5d3a91c4 03124a07 00013880 45 0003 0007a120 0000004d";
     assert_eq!(reply.frame(), hex(expected));
