What waits at the listener as it closes is answered before the end

Seen: with nothing owed and no client left, a connection that waits at the listener when the linger is over was accepted, its request read, and the process ended at once: no answer, the connection reset. Cause: Drain::step (crates/drain/src/lib.rs) put End into the same batch as StopListening, by what had been settled before the door closed, while Front::close accepts what waits there. Proxy::drain then set `over`, and run() returned after one turn. Ruled out: a lost accept event; the loop reads the request and owes it when it ends. Change: StopListening makes what was settled unknown; the proxy tells it anew (Proxy::drain sets `settled` false, the next settle() tells). The step that a settled end takes is one event later, no time is lost.

--- a/crates/leverproxy/src/proxy.rs
+++ b/crates/leverproxy/src/proxy.rs
@@ -296,7 +296,11 @@
                     self.chain.monitor.event(now, availability::Event::Stop);
                     self.chain.ends_at(self.start + end);
                 }
-                Action::StopListening => front.close(now, reactor),
+                Action::StopListening => {
+                    front.close(now, reactor);
+                    // Whoever waited at the listener is there now.
+                    self.settled = false;
+                }
                 Action::Listen => {
                     if let Err(error) = front.open(reactor) {
                         log::error!("clients can't be listened to again: {error}");
