Signals are heeded before the configuration is read, not after the start

Seen: SIGHUP while the program still reads its configuration ends it (default action); so does one that comes between the listen call and heed_signals. Cause: cli::serve called Control::heed_signals only behind Proxy::start, which made the control pair itself (cli.rs, proxy.rs). Change: serve makes the pair and heeds signals first; Proxy::start_heeding takes the listening end. A word said early is heeded by the first turn of the loop: a reload reads again, a stop answers what has come. Proxy::start is as before.

--- a/crates/leverproxy/src/cli.rs
+++ b/crates/leverproxy/src/cli.rs
@@ -3,6 +3,7 @@
 pub mod config;
 
 use crate::config::{Config, ConfigError};
+use crate::control;
 use crate::proxy::Proxy;
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use clap_complete::Shell;
@@ -214,6 +215,18 @@
 }
 
 fn serve(variable: impl Fn(&str) -> Option<String> + Clone + Send + 'static) -> ExitCode {
+    // Signals first: what comes while the configuration is read must not end the process.
+    let heeded = control::pair().and_then(|(control, wishes)| {
+        control.heed_signals()?;
+        Ok((control, wishes))
+    });
+    let (_control, wishes) = match heeded {
+        Ok(heeded) => heeded,
+        Err(error) => {
+            eprintln!("leverproxy: signals can't be heeded: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
     // Read on a thread that ends: what reading needed for a while is then there for reloads, and not lost to the
     // serving thread's memory.
     let read = {
@@ -226,7 +239,7 @@
         Err(_) => return ExitCode::FAILURE,
     };
     let whole = config.whole.clone();
-    let (mut proxy, control) = match Proxy::start(config) {
+    let mut proxy = match Proxy::start_heeding(config, wishes) {
         Ok(started) => started,
         Err(error) => {
             // An address that is taken or not of this machine, most of all: nothing has been served.
@@ -243,7 +256,6 @@
             };
             crate::config::reread(with, &whole)
         })
-        .and_then(|()| control.heed_signals())
         .and_then(|()| proxy.run());
     proxy.report();
     match served {
--- a/crates/leverproxy/src/proxy.rs
+++ b/crates/leverproxy/src/proxy.rs
@@ -96,9 +96,14 @@
 impl Proxy {
     /// Listens, and begins with the list of record servers as it was last known.
     pub fn start(config: Config) -> io::Result<(Proxy, Control)> {
+        let (control, wishes) = control::pair()?;
+        Ok((Proxy::start_heeding(config, wishes)?, control))
+    }
+
+    /// The same, for whom words may have been said already: they are heeded once it runs.
+    pub fn start_heeding(config: Config, wishes: control::Listener) -> io::Result<Proxy> {
         let now = Instant::now();
         let reactor = Reactor::new()?;
-        let (control, wishes) = control::pair()?;
         reactor.add(&wishes, Token::Control, Interest::READ)?;
         crate::logging::set(&config.logging);
         let drain = Drain::new(config.drain_settings(), Duration::ZERO);
@@ -213,7 +218,7 @@
             chain.quota.lending = Some(Lending::new(stated, config.windows, wishes.waker()?, now));
             chain.quota.rule(now);
         }
-        let proxy = Proxy {
+        Ok(Proxy {
             rollout,
             memory,
             born: start,
@@ -234,8 +239,7 @@
             unheard,
             platform,
             fixed,
-        };
-        Ok((proxy, control))
+        })
     }
 
     pub fn local_address(&self) -> Option<SocketAddr> {
