Connections between requests end in order, after a last look for a request

Seen, each with the loop stopped so that it found both events at once: - a resting client that sends as it is closed for being one of many, or gives its place to a newcomer, was cut off with its request unread: a reset; - a first request that came as `client-patience` ran out was thrown away and answered 08P01; - with the listener closed, an answer went out and the connection was closed at once over the client's next request: a reset behind the answer, which it can destroy on its way; - a new client that waits for its welcome before it asks was closed with it. Cause (front.rs): clear_idle, accept (gives_way, remove), look_over (turn_out) and the closing branch of write ended connections by what had been read rounds ago, and all but turn_out by close(2), which resets over unread bytes. Ruled out: answers in the program's buffer, idle() holds those back. Change: each of these reads once more first (take_in); a request among it is served. Then the connection ends by shutdown of the sending side and waits for the peer's end without reading: what crosses stays unread, and the client asks it again elsewhere. It gives way at once to a newcomer, and is dropped after `goodbye`. Behind an answer that was cut off nothing is read either. While the proxy closes, a welcomed client has 500 ms from its accept to ask.

--- a/crates/leverproxy/src/front.rs
+++ b/crates/leverproxy/src/front.rs
@@ -25,6 +25,9 @@
 const LEAVE_BYTES: usize = 1 << 20;
 /// At the limit, who has asked for nothing gives way, but not before this: its first words may be on their way.
 const FIRST_WORDS: Duration = Duration::from_millis(100);
+/// While the proxy closes, a new connection that has been welcomed has this long, from its accept, to send its first
+/// request: many clients wait for the welcome first.
+const FIRST_REQUEST: Duration = Duration::from_millis(500);
 
 /// Bytes of an answer passing in pieces that wait for its client: as many while those of all clients are within their
 /// share of the memory, so few when they are not. Less would cost more calls than bytes.
@@ -60,6 +63,23 @@
     Passing(Vec<u8>),
 }
 
+/// Why nothing more is taken in from a client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ending {
+    /// It has been told why. What it still sends is read and thrown away, or it might not come to read that.
+    Told,
+    /// It is between requests, or its answer was cut off. What it still sends stays unread: it asks that again elsewhere.
+    Unread,
+}
+
+/// A connection whose last byte is written, and whose peer has been told so.
+#[derive(Clone, Copy, Debug)]
+struct Leaving {
+    since: Instant,
+    /// Bytes that are still read and thrown away.
+    room: usize,
+}
+
 pub struct Front {
     listener: Option<OwnedFd>,
     /// At the limit of clients the listener is not looked at.
@@ -97,9 +117,8 @@
     /// Ignores messages until Sync, as after any error in the extended protocol.
     skipping: bool,
     /// Nothing more is taken in; the connection ends once everything is written and the peer has read it.
-    ending: bool,
-    /// Since when its last word is written and its end is waited for, and what it has sent since.
-    leaving: Option<(Instant, usize)>,
+    ending: Option<Ending>,
+    leaving: Option<Leaving>,
     /// Some request of it was sound; more than one.
     asked: bool,
     again: bool,
@@ -136,9 +155,38 @@
         !self.asked && self.answers.is_empty() || self.leaving.is_some()
     }
 
+    /// It has run out of time for its first request, or for the rest of a command that it has begun.
+    fn overdue(&self, patience: &Patience, now: Instant) -> bool {
+        let waits = self.answers.is_empty() && self.stream.unsent() == 0;
+        let slow = self.begun.is_some_and(|at| now.saturating_duration_since(at) >= patience.first);
+        let quiet = now.saturating_duration_since(self.quiet_since);
+        waits && (slow || !self.asked && quiet >= patience.first)
+    }
+
+    /// While the proxy closes: nothing is owed on the connection, nor is a first request about to come.
+    fn may_close(&self, now: Instant) -> bool {
+        let quiet = now.saturating_duration_since(self.quiet_since);
+        self.ending.is_none() && self.greeted && self.idle() && (self.asked || quiet >= FIRST_REQUEST)
+    }
+
+    /// Ends the connection between two requests.
+    fn part(&mut self, now: Instant) {
+        self.ending = Some(Ending::Unread);
+        self.leave(now);
+    }
+
+    /// Everything is written: tells the peer so, and waits for its end.
+    fn leave(&mut self, now: Instant) {
+        let room = if self.ending == Some(Ending::Told) { LEAVE_BYTES } else { 0 };
+        self.leaving = Some(Leaving { since: now, room });
+        self.stream.end_output();
+    }
+
     /// Room for more commands, and a peer that takes its answers.
     fn takes_more(&self, patience: &Patience) -> bool {
-        !self.ending && self.answers.len() < patience.pipeline && self.stream.unsent() < patience.unsent
+        self.ending.is_none()
+            && self.answers.len() < patience.pipeline
+            && self.stream.unsent() < patience.unsent
     }
 }
 
@@ -214,9 +262,9 @@
 
     pub fn accept(&mut self, now: Instant, reactor: &Reactor) {
         loop {
-            let full = self.clients.len() - self.checking >= self.limits.clients;
             // Who would give way; nobody does before another client is there for the place.
-            let quiet = if full { self.gives_way(now) } else { None };
+            let quiet = if self.full() { self.find_place(now, reactor) } else { None };
+            let full = self.full();
             // Only its address tells a balancer's check from a client, so it has to be let in to be told.
             let checks = !self.checks.is_empty() && self.checking < CHECKS;
             if full && quiet.is_none() && !checks {
@@ -239,7 +287,10 @@
                 Err(Refusal::Exhausted) => {
                     let clients = self.clients.len();
                     self.exhausted.warn(now, || format!("front: no descriptor left, {clients} clients"));
-                    if self.gives_way(now).and_then(|key| self.remove(key)).is_none() {
+                    let clients_before = self.clients.len();
+                    let quiet = self.find_place(now, reactor);
+                    quiet.and_then(|key| self.remove(key));
+                    if self.clients.len() == clients_before {
                         return self.pause(true, reactor);
                     }
                 }
@@ -260,7 +311,7 @@
             check,
             greeted: false,
             skipping: false,
-            ending: false,
+            ending: None,
             leaving: None,
             asked: false,
             again: false,
@@ -310,6 +361,41 @@
         })
     }
 
+    fn full(&self) -> bool {
+        self.clients.len() - self.checking >= self.limits.clients
+    }
+
+    /// The client that may give way even after what it sent until now has been read.
+    fn find_place(&mut self, now: Instant, reactor: &Reactor) -> Option<Key> {
+        while let Some(key) = self.gives_way(now) {
+            if !self.take_in(key, now, reactor) {
+                // None: it had ended by itself, and its place is free.
+                return self.clients.get(key).map(|_| key);
+            }
+            self.write(key, now, reactor);
+        }
+        None
+    }
+
+    /// Reads what a client has sent until now, before its connection is ended: a request among it is owed an answer.
+    /// Whether anything came.
+    fn take_in(&mut self, key: Key, now: Instant, reactor: &Reactor) -> bool {
+        let Some(client) = self.clients.get_mut(key) else { return false };
+        if !client.takes_more(&self.patience) {
+            return false;
+        }
+        let before = client.stream.input.len();
+        if client.stream.fill(server::INPUT_LIMIT) == Filled::Ended {
+            self.drop_client(key, reactor);
+            return false;
+        }
+        let came = client.stream.input.len() > before;
+        if came {
+            self.read(key, now);
+        }
+        came
+    }
+
     /// Of many clients those go that have asked once and stay, then those that have been idle the longest.
     fn clear_idle(&mut self, now: Instant, reactor: &Reactor) {
         let held = self.clients.iter().filter(|(_, c)| !c.silent());
@@ -321,8 +407,13 @@
         for (_, since, key) in idle {
             let old = now.saturating_duration_since(since) >= self.patience.idle;
             if left > self.limits.packed || old && left > self.limits.crowded {
-                self.drop_client(key, reactor);
-                left -= 1;
+                if !self.take_in(key, now, reactor) {
+                    left -= 1;
+                    if let Some(client) = self.clients.get_mut(key) {
+                        client.part(now);
+                    }
+                }
+                self.write(key, now, reactor);
             }
         }
     }
@@ -332,20 +423,17 @@
         for key in self.clients.keys() {
             let Some(client) = self.clients.get_mut(key) else { continue };
             let quiet = now.saturating_duration_since(client.quiet_since);
-            let waits = client.answers.is_empty() && client.stream.unsent() == 0;
-            let slow =
-                client.begun.is_some_and(|at| now.saturating_duration_since(at) >= self.patience.first);
             match client.leaving {
-                Some((since, _)) if now >= since + self.patience.goodbye => self.drop_client(key, reactor),
+                Some(leaving) if now >= leaving.since + self.patience.goodbye => {
+                    self.drop_client(key, reactor)
+                }
                 Some(_) => {}
                 None if client.stream.unsent() > 0 && quiet >= self.patience.unread => {
                     self.drop_client(key, reactor)
                 }
-                None if waits && (slow || !client.asked && quiet >= self.patience.first) => {
-                    let why = Malformed("nothing whole was asked for in time".into());
-                    self.turn_out(key, server::fatal(&why));
-                    self.write(key, now, reactor);
-                }
+                None if client.overdue(&self.patience, now) => self.put_out(key, now, reactor),
+                // Its time for a first request may be over.
+                None if self.closing => self.write(key, now, reactor),
                 None => {}
             }
         }
@@ -353,16 +441,27 @@
         now + LOOK_OVER
     }
 
+    /// Turns a client out that has run out of time, unless what it has sent until now changes that.
+    fn put_out(&mut self, key: Key, now: Instant, reactor: &Reactor) {
+        self.take_in(key, now, reactor);
+        if self.clients.get(key).is_some_and(|client| client.overdue(&self.patience, now)) {
+            let why = Malformed("nothing whole was asked for in time".into());
+            self.turn_out(key, server::fatal(&why));
+        }
+        self.write(key, now, reactor);
+    }
+
     /// `ended`: the client is known to have closed its side. One that has is gone, even with answers to come.
     pub fn ready(&mut self, key: Key, ended: bool, now: Instant, reactor: &Reactor) {
         let Some(client) = self.clients.get_mut(key) else { return };
         let takes_more = client.takes_more(&self.patience);
         let gone = match (&mut client.leaving, takes_more) {
-            (Some((_, heard)), _) => {
+            (Some(leaving), _) if leaving.room > 0 => {
                 let (filled, thrown_away) = client.stream.drain();
-                *heard += thrown_away;
-                filled == Filled::Ended || ended && *heard >= LEAVE_BYTES
+                leaving.room = leaving.room.saturating_sub(thrown_away);
+                filled == Filled::Ended || ended && leaving.room == 0
             }
+            (Some(_), _) => ended,
             (None, true) => client.stream.fill(server::INPUT_LIMIT) == Filled::Ended,
             (None, false) => ended,
         };
@@ -404,7 +503,7 @@
                     self.misunderstood.warn(now, || format!("front: a client is not understood: {why}"));
                     self.turned_out += 1;
                     client.expect(Some(server::fatal(&why)));
-                    client.ending = true;
+                    client.ending = Some(Ending::Told);
                 }
             }
         }
@@ -428,7 +527,7 @@
         if let Some(client) = self.clients.get_mut(key) {
             self.turned_out += 1;
             client.expect(Some(why));
-            client.ending = true;
+            client.ending = Some(Ending::Told);
         }
     }
 
@@ -492,12 +591,14 @@
             if let Slot::Passing(begun) = slot {
                 *slot = Slot::Ready(std::mem::take(begun));
             }
-            client.ending = true;
+            client.ending = Some(Ending::Unread);
         }
         self.write(ticket.client, now, reactor);
     }
 
     fn write(&mut self, key: Key, now: Instant, reactor: &Reactor) {
+        // Once a call: a client that never stops sending must not hold the loop.
+        let mut looked = false;
         loop {
             let Some(client) = self.clients.get_mut(key) else { return };
             if client.gone {
@@ -533,21 +634,25 @@
             }
             let Some(client) = self.clients.get_mut(key) else { return };
             if written && client.answers.is_empty() {
-                if !client.ending && self.closing && client.greeted && client.idle() {
-                    return self.drop_client(key, reactor);
-                }
-                if client.ending && client.leaving.is_none() {
-                    client.leaving = Some((now, 0));
-                    client.stream.end_output();
+                if self.closing && !looked && client.may_close(now) {
+                    looked = true;
+                    if self.take_in(key, now, reactor) {
+                        continue;
+                    }
+                    let Some(client) = self.clients.get_mut(key) else { return };
+                    client.part(now);
+                } else if client.ending.is_some() && client.leaving.is_none() {
+                    client.leave(now);
                 }
             }
+            let Some(client) = self.clients.get_mut(key) else { return };
             // Commands that had to wait for room are in the buffer, not in the socket: no event tells of them.
             if full && client.takes_more(&self.patience) && !client.stream.input.is_empty() {
                 self.read(key, now);
                 continue;
             }
             let listens =
-                client.leaving.map_or(client.takes_more(&self.patience), |(_, heard)| heard < LEAVE_BYTES);
+                client.leaving.map_or(client.takes_more(&self.patience), |leaving| leaving.room > 0);
             let interest = Interest { read: listens, write: !written };
             if client.stream.watch(reactor, Token::Client(key), interest).is_err() {
                 self.drop_client(key, reactor);
--- /dev/null
+++ b/crates/leverproxy/tests/closing.rs
@@ -0,0 +1,396 @@
+//! Connections that end, from either side, while something is on its way: each order of two events that may cross.
+//!
+//! Where the program's own loop must not see an event before another has come, the program is stopped (SIGSTOP) in
+//! between: what comes meanwhile waits in its sockets, and the loop finds all of it at once.
+
+mod common;
+use common::{message, read, served, Listener, Peer, Program, Reply, Scratch, Stage, PATIENCE, SETTINGS};
+use leverproxy::config::Config;
+use leverproxy::pg::server::startup_packet;
+use rustix::process::{kill_process, waitpid, Pid, Signal, WaitOptions};
+use std::io::{Read, Write};
+use std::process::Command;
+use std::sync::mpsc::channel;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// The program stands still from here on.
+fn freeze(program: &Program) {
+    program.signal(Signal::STOP);
+    let (_, status) = waitpid(Some(Pid::from_child(&program.child)), WaitOptions::UNTRACED).unwrap().unwrap();
+    assert!(status.stopped(), "{status:?}");
+}
+
+fn thaw(program: &Program) {
+    program.signal(Signal::CONT);
+}
+
+/// A program that knows of one record server.
+fn program(operators: &str, server: &Listener) -> Program {
+    let mut program = Program::under("", operators);
+    program.watch.tell(57, &[server.listed("s-1", "Ready")]);
+    program
+}
+
+/// Told to stop, the program has heard of it, stands still, and its time for new connections passes.
+fn freeze_past_the_linger(program: &mut Program) {
+    program.signal(Signal::TERM);
+    program.line("told to stop");
+    freeze(program);
+}
+
+const LINGER: Duration = Duration::from_millis(500);
+
+/// Nothing is owed and no client is left, and one waits at the listener as it closes: it is taken and served.
+#[test]
+fn a_client_at_the_listener_as_it_closes_is_served() {
+    let server = Listener::new();
+    let mut program = program("", &server);
+    freeze_past_the_linger(&mut program);
+    let mut client = Peer::connect(program.address);
+    client.write(&startup_packet("app", "shop"));
+    client.ask(&read(1, "any", 2000));
+    thread::sleep(LINGER);
+    thaw(&program);
+    assert_eq!(client.reply(), Reply::default(), "the welcome");
+    served_last(&mut client, &server, "late");
+    assert!(client.ended());
+    assert!(program.child.wait().unwrap().success());
+}
+
+fn served_last(client: &mut Peer, server: &Listener, value: &str) {
+    let mut upstream = server.welcome();
+    upstream.query();
+    upstream.answer(value, &[]);
+    assert_eq!(client.reply().value.as_deref(), Some(value));
+}
+
+/// One that has waited at the listener since before the word to stop is served as well.
+#[test]
+fn a_client_at_the_listener_when_told_to_stop_is_served() {
+    let server = Listener::new();
+    let mut program = program("", &server);
+    freeze(&program);
+    let mut client = Peer::connect(program.address);
+    client.write(&startup_packet("app", "shop"));
+    client.ask(&read(1, "any", 2000));
+    program.signal(Signal::TERM);
+    thaw(&program);
+    assert_eq!(client.reply(), Reply::default(), "the welcome");
+    served_last(&mut client, &server, "early");
+    assert!(client.ended());
+    assert!(program.child.wait().unwrap().success());
+}
+
+/// Many clients wait for the welcome before they ask: one that gets it as the proxy closes has time to do so.
+#[test]
+fn a_client_welcomed_as_the_listener_closes_may_still_ask() {
+    let server = Listener::new();
+    let mut program = program("", &server);
+    freeze_past_the_linger(&mut program);
+    let mut client = Peer::connect(program.address);
+    client.write(&startup_packet("app", "shop"));
+    thread::sleep(LINGER);
+    thaw(&program);
+    assert_eq!(client.reply(), Reply::default(), "the welcome");
+    client.ask(&read(1, "any", 2000));
+    served_last(&mut client, &server, "first");
+    assert!(client.ended());
+    assert!(program.child.wait().unwrap().success());
+}
+
+/// One that then asks for nothing is closed without a word, and holds the end up no longer.
+#[test]
+fn a_client_that_asks_for_nothing_does_not_hold_up_the_end() {
+    let mut stage =
+        Stage::with(&[], |config| (config.linger, config.give_up) = (Duration::ZERO, 9 * PATIENCE));
+    let mut client = Peer::client(stage.address);
+    stage.control.stop();
+    assert!(client.message().is_err(), "the end, and nothing before it");
+    drop(client);
+    stage.end();
+}
+
+/// With nobody there, the end comes with the listener's.
+#[test]
+fn a_stop_with_nobody_there_ends_at_once() {
+    let mut stage = stage(&Listener::new(), |_| {});
+    let told = Instant::now();
+    stage.control.stop();
+    stage.end();
+    assert!(told.elapsed() < PATIENCE);
+}
+
+/// An answer goes out on a connection that would close behind it, and the client's next request has come already.
+#[test]
+fn a_request_behind_the_last_answer_is_served() {
+    let server = Listener::new();
+    let mut program = program("", &server);
+    // In this order: the program has looked at the client when it closes the other.
+    let mut client = Peer::client(program.address);
+    let mut idle = Peer::client(program.address);
+    client.ask(&read(1, "any", 3000));
+    let mut upstream = server.welcome();
+    upstream.query();
+    program.signal(Signal::TERM);
+    assert!(idle.ended(), "the listener is closed");
+    freeze(&program);
+    // In this order: the program finds the answer first.
+    upstream.answer("one", &[]);
+    client.ask("");
+    thaw(&program);
+    assert_eq!(client.reply().value.as_deref(), Some("one"));
+    assert_eq!(client.reply(), Reply::default(), "the empty one");
+    assert!(client.ended());
+    drop((idle, client));
+    assert!(program.child.wait().unwrap().success());
+}
+
+/// A resting client sends just as the proxy would close its connection, since there are many.
+#[test]
+fn a_request_on_a_resting_connection_is_served_among_many() {
+    let server = Listener::new();
+    let program = program("limits {\n sockets 64\n crowded 1%\n client-idle 2s\n}\n", &server);
+    let mut client = Peer::client(program.address);
+    let mut upstream = served(&mut client, &server, 1, "one");
+    freeze(&program);
+    thread::sleep(Duration::from_millis(2_100));
+    client.ask(&read(2, "any", 2000));
+    thaw(&program);
+    upstream.query();
+    upstream.answer("two", &[]);
+    assert_eq!(client.reply().value.as_deref(), Some("two"));
+}
+
+/// A resting client sends just as a newcomer would get its place: the one that rests next gives way.
+#[test]
+fn a_request_on_a_resting_connection_keeps_its_place() {
+    let server = Listener::new();
+    let program = program("limits {\n sockets 64\n clients 10%\n crowded 90%\n packed 90%\n}\n", &server);
+    let mut clients: Vec<Peer> = (0..3).map(|_| Peer::client(program.address)).collect();
+    let mut upstream = served(&mut clients[0], &server, 1, "one");
+    for (id, client) in (2..).zip(&mut clients[1..]) {
+        client.ask(&read(id, "any", 2000));
+        upstream.query();
+        upstream.answer("each", &[]);
+        assert_eq!(client.reply().value.as_deref(), Some("each"));
+    }
+    // At the limit, the listener is left alone for 100 ms.
+    thread::sleep(Duration::from_millis(200));
+    freeze(&program);
+    // In this order: the program finds the newcomer first.
+    let mut newcomer = Peer::connect(program.address);
+    newcomer.write(&startup_packet("app", "shop"));
+    clients[0].ask(&read(4, "any", 2000));
+    thaw(&program);
+    upstream.query();
+    upstream.answer("four", &[]);
+    assert_eq!(clients[0].reply().value.as_deref(), Some("four"));
+    assert_eq!(newcomer.reply(), Reply::default(), "the welcome");
+    assert!(clients[1].ended(), "the one that rested the longest but for the first");
+}
+
+/// Out of time for its first request, which has come all the same before that was told.
+#[test]
+fn a_first_request_at_the_last_moment_is_served() {
+    let server = Listener::new();
+    let program = program("limits {\n client-patience 1s\n}\n", &server);
+    let mut client = Peer::client(program.address);
+    freeze(&program);
+    thread::sleep(Duration::from_millis(1_100));
+    client.ask(&read(1, "any", 2000));
+    thaw(&program);
+    served_last(&mut client, &server, "in time");
+}
+
+/// A proxy whose listener closes as soon as it is told to stop, and that waits long for what is owed.
+fn stage(server: &Listener, adjust: impl FnOnce(&mut Config)) -> Stage {
+    // Under three names: one that has just come into the list bears little at once.
+    Stage::with(&[("s-1", server), ("s-2", server), ("s-3", server)], |config| {
+        (config.linger, config.give_up) = (Duration::ZERO, 3 * PATIENCE);
+        adjust(config);
+    })
+}
+
+/// Tells it to stop, and waits until its listener is closed.
+fn stop(stage: &Stage, resting: &mut Peer) {
+    stage.control.stop();
+    assert!(resting.ended());
+}
+
+/// A client that rests: it has asked, and is closed with the listener.
+fn resting(stage: &Stage, server: &Listener) -> Peer {
+    let mut client = Peer::client(stage.address);
+    drop(served(&mut client, server, 99, "rests"));
+    client
+}
+
+/// Commands read before the listener closes are answered in their order, then the connection ends.
+#[test]
+fn commands_in_a_row_are_answered_in_order_before_the_end() {
+    let server = Listener::new();
+    let mut stage = stage(&server, |_| {});
+    let mut resting = resting(&stage, &server);
+    let mut client = Peer::client(stage.address);
+    for id in 1..4 {
+        client.ask(&read(id, "any", 19000));
+    }
+    client.ask("");
+    let mut upstreams: Vec<(String, Peer)> = (0..3)
+        .map(|_| {
+            let mut upstream = server.welcome();
+            (upstream.query(), upstream)
+        })
+        .collect();
+    stop(&stage, &mut resting);
+    // The last is answered first.
+    upstreams.sort_by(|a, b| b.0.cmp(&a.0));
+    for (query, upstream) in &mut upstreams {
+        let id = query.split("id=").nth(1).unwrap()[..16].to_owned();
+        upstream.answer(&id, &[]);
+    }
+    for id in 1..4 {
+        assert_eq!(client.reply().value, Some(format!("{id:016x}")));
+    }
+    assert_eq!(client.reply(), Reply::default(), "the empty one");
+    assert!(client.ended());
+    stage.end();
+}
+
+/// Commands that wait for those before them are owed their answers as well.
+#[test]
+fn commands_over_the_limit_of_a_connection_are_answered_before_the_end() {
+    let server = Listener::new();
+    let mut stage = stage(&server, |config| config.patience.pipeline = 1);
+    let mut resting = resting(&stage, &server);
+    let mut client = Peer::client(stage.address);
+    for id in 1..4 {
+        client.ask(&read(id, "any", 19000));
+    }
+    let mut upstream = server.welcome();
+    upstream.query();
+    stop(&stage, &mut resting);
+    for value in ["one", "two", "three"] {
+        upstream.answer(value, &[]);
+        assert_eq!(client.reply().value.as_deref(), Some(value));
+        if value != "three" {
+            upstream.query();
+        }
+    }
+    assert!(client.ended());
+    stage.end();
+}
+
+/// Half of a request had come when the listener closed; the other half still comes.
+#[test]
+fn a_request_half_read_at_the_stop_is_served() {
+    let server = Listener::new();
+    let mut stage = stage(&server, |config| config.patience.first = PATIENCE);
+    let mut resting = resting(&stage, &server);
+    let mut client = Peer::client(stage.address);
+    let request = message(&read(1, "any", 19000));
+    client.write(&request[..40]);
+    // A welcome on another connection: what came before it has been read.
+    drop(Peer::client(stage.address));
+    stop(&stage, &mut resting);
+    client.write(&request[40..]);
+    served_last(&mut client, &server, "whole");
+    assert!(client.ended());
+    stage.end();
+}
+
+/// A client that reads slowly gets all of its answers before the program ends, also what the system would not take yet.
+#[test]
+fn a_slow_reader_gets_its_whole_answer() {
+    // More than the sockets' buffers hold.
+    const ANSWERS: u32 = 100;
+    let value = "v".repeat(60 << 10);
+    let server = Listener::new();
+    let mut stage =
+        stage(&server, |config| (config.patience.pipeline, config.patience.unsent) = (1, 64 << 20));
+    let mut idle = Peer::client(stage.address);
+    let mut client = Peer::client(stage.address);
+    let asked: Vec<u8> = (1..=ANSWERS).flat_map(|id| message(&read(id, "any", 19000))).collect();
+    client.write(&asked);
+    let (tell, told) = channel();
+    let given = value.clone();
+    thread::spawn(move || loop {
+        let (mut upstream, tell, given) = (server.welcome(), tell.clone(), given.clone());
+        thread::spawn(move || {
+            while upstream.message().is_ok() {
+                upstream.answer(&given, &[]);
+                _ = tell.send(());
+            }
+        });
+    });
+    told.iter().take(ANSWERS as usize).for_each(drop);
+    stop(&stage, &mut idle);
+    for _ in 0..ANSWERS {
+        assert!(client.reply().value.as_ref() == Some(&value));
+    }
+    assert!(client.ended());
+    drop(idle);
+    stage.end();
+}
+
+/// A request that crosses the end of its connection is not read, and not answered with a reset either, which could
+/// destroy the answer before it on its way: its client reads the end, and asks elsewhere.
+#[test]
+fn a_request_that_crosses_the_end_is_left_unread() {
+    let server = Listener::new();
+    let mut stage = stage(&server, |config| config.patience.goodbye = PATIENCE);
+    let mut resting = resting(&stage, &server);
+    stop(&stage, &mut resting);
+    resting.ask(&read(1, "any", 19000));
+    assert_eq!(resting.stream.read(&mut [0; 1]).unwrap(), 0, "still the end");
+    assert!(resting.stream.take_error().unwrap().is_none(), "no reset");
+    assert!(server.try_accept().is_none(), "nothing is sent on");
+    drop(resting);
+    stage.end();
+}
+
+/// Told to stop, and then to reread its configuration: what is under way goes on as it was.
+#[test]
+fn a_reload_behind_the_stop_changes_nothing_of_it() {
+    let server = Listener::new();
+    let mut program = program("", &server);
+    let mut client = Peer::client(program.address);
+    client.ask(&read(1, "any", 3000));
+    let mut upstream = server.welcome();
+    upstream.query();
+    program.signal(Signal::TERM);
+    program.line("told to stop");
+    program.steer("drain {\n linger 5min\n}\n");
+    program.line("the configuration is reread");
+    upstream.answer("one", &[]);
+    assert_eq!(client.reply().value.as_deref(), Some("one"));
+    assert!(client.ended(), "after the linger that counted when it was told");
+    drop(client);
+    assert!(program.child.wait().unwrap().success());
+}
+
+/// A word to reread the configuration that comes before the first reading of it is over ends nothing.
+#[test]
+fn a_reload_in_the_middle_of_the_start_is_outlived() {
+    let discovery = Listener::new();
+    let place = Scratch::new("");
+    std::fs::remove_file(&place.0).unwrap();
+    assert!(Command::new("mkfifo").arg(&place.0).status().unwrap().success());
+    let mut child = Command::new(env!("CARGO_BIN_EXE_leverproxy"))
+        .arg("serve")
+        .env("LB_CONFIG", &place.0)
+        .env("LB_LISTEN", "127.0.0.1:0")
+        .env("LB_DISCOVERY", discovery.address.to_string())
+        .env_remove("LB_OPERATORS")
+        .spawn()
+        .unwrap();
+    // Opens once the program reads there.
+    let mut file = std::fs::File::create(&place.0).unwrap();
+    let pid = Pid::from_child(&child);
+    kill_process(pid, Signal::HUP).unwrap();
+    file.write_all(format!(r#"{{"settings":{SETTINGS}}}"#).as_bytes()).unwrap();
+    drop(file);
+    discovery.accept().watch();
+    kill_process(pid, Signal::TERM).unwrap();
+    assert!(child.wait().unwrap().success());
+}
--- a/crates/leverproxy/tests/common/mod.rs
+++ b/crates/leverproxy/tests/common/mod.rs
@@ -226,9 +226,7 @@
     }
 
     pub fn ask(&mut self, query: &str) {
-        let mut out = Vec::new();
-        pg::put(&mut out, b'Q', |body| pg::put_text(body, query));
-        self.write(&out);
+        self.write(&message(query));
     }
 
     /// Everything up to ReadyForQuery, or up to the end after a fatal error.
@@ -252,6 +250,13 @@
     }
 }
 
+/// A query as a client sends it.
+pub fn message(query: &str) -> Vec<u8> {
+    let mut out = Vec::new();
+    pg::put(&mut out, b'Q', |body| pg::put_text(body, query));
+    out
+}
+
 /// An answer as a record server gives it.
 pub fn answer(value: &str, parameters: &[(&str, &str)]) -> Vec<u8> {
     let mut out = Vec::new();
