A closing listener refuses whom there is no place for; a lost address is retried

Seen: (1) at the limit of clients, those who wait in the accept queue are reset when the listener closes, with their requests. (2) After a drain, with the address taken by something else for a moment, `undrain` leaves a proxy that says it serves and never listens again. Cause: (1) Front::close accepts only up to the limit, and the rest goes with the descriptor (front.rs). (2) Proxy::drain logs the error of Front::open and does nothing more (proxy.rs, Action::Listen). Change: (1) close accepts the rest and answers 53300, in order. (2) it is tried again every second while the proxy serves; the message says what to look at.

--- a/crates/leverproxy/src/front.rs
+++ b/crates/leverproxy/src/front.rs
@@ -687,11 +687,21 @@
         self.listener.as_ref()
     }
 
+    /// Whoever there was no place for is told so: closed with the listener, its connection would just be reset.
+    fn refuse_waiting(&mut self, now: Instant, reactor: &Reactor) {
+        while let Some(Ok((stream, peer))) = self.listener.as_ref().map(net::accept) {
+            let key = self.adopt(stream, peer, now, reactor);
+            self.turn_out(key, server::too_many());
+            self.write(key, now, reactor);
+        }
+    }
+
     /// Takes no new connection from now on, once those that wait are taken, and closes each connection as
     /// soon as nothing is owed on it. One that has not sent its startup may have a request right behind it.
     pub fn close(&mut self, now: Instant, reactor: &Reactor) {
         if !self.left_to_heir {
             self.accept(now, reactor);
+            self.refuse_waiting(now, reactor);
         }
         if let Some(listener) = self.listener.take() {
             reactor.remove(&listener);
--- a/crates/leverproxy/src/proxy.rs
+++ b/crates/leverproxy/src/proxy.rs
@@ -35,6 +35,9 @@
 /// A listener that was full is looked at again after this, even if no client has left.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(100);
 
+/// An address that could not be listened on again is tried again after this.
+const LISTEN_AGAIN: Duration = Duration::from_secs(1);
+
 /// What came of an operator's call.
 enum Called {
     Answer(Answer),
@@ -285,11 +288,19 @@
         }
     }
 
+    /// Listens again after a drain, if it does not, and tries until it does.
+    fn listen(&mut self, now: Instant) {
+        let Sides { reactor, timers, front, .. } = &mut self.sides;
+        if let Err(error) = front.open(reactor) {
+            log::error!("clients can't be listened to again: {error}; it is tried again in {LISTEN_AGAIN:?}. See what holds the address, or whether descriptors are short.");
+            timers.set(now + LISTEN_AGAIN, Timer::Accept);
+        }
+    }
+
     fn drain(&mut self, event: drain::Event, now: Instant) {
         let mut actions = Vec::new();
         self.drain.handle(now.saturating_duration_since(self.start), event, &mut actions);
         for action in actions {
-            let Sides { reactor, front, .. } = &mut self.sides;
             match action {
                 Action::Announce if self.drain.ending() => {
                     self.chain.monitor.event(now, availability::Event::Stop);
@@ -301,15 +312,11 @@
                     self.chain.ends_at(self.start + end);
                 }
                 Action::StopListening => {
-                    front.close(now, reactor);
+                    self.sides.front.close(now, &self.sides.reactor);
                     // Whoever waited at the listener is there now.
                     self.settled = false;
                 }
-                Action::Listen => {
-                    if let Err(error) = front.open(reactor) {
-                        log::error!("clients can't be listened to again: {error}");
-                    }
-                }
+                Action::Listen => self.listen(now),
                 Action::GiveUp => self.chain.fail_all(&mut self.sides, now),
                 Action::End => self.over = true,
             }
@@ -416,7 +423,12 @@
                 }
                 self.sides.timers.set(again, Timer::LookOver);
             }
-            Timer::Accept => self.sides.front.resume(&self.sides.reactor),
+            Timer::Accept => {
+                self.sides.front.resume(&self.sides.reactor);
+                if self.drain.phase() == drain::Phase::Serving {
+                    self.listen(now);
+                }
+            }
             Timer::Load => {
                 self.chain.monitor.look(self.usage(), now);
                 self.sides.health.publish(&self.chain.monitor.status());
