An heir at another address leaves the elder accepting at the former one

Seen: a process that takes over with another `listen` makes the elder stop accepting; who comes to the former address waits, and is reset when the elder is told to stop. Cause: Takeover::join said Serving whether or not the listener was inherited (takeover.rs; Proxy::start drops one of another address), and the elder leaves accepting to whoever says it (Proxy::linked). Change: such an heir says ServingElsewhere. The elder hands over what goes by the name (fleet, rollout, control socket) and goes on accepting, with its linger at the end. An elder of an earlier build does not understand the word, warns, and goes on accepting as well.

--- a/crates/leverproxy/src/proxy.rs
+++ b/crates/leverproxy/src/proxy.rs
@@ -28,6 +28,7 @@
 use mountshift_settings::Decoded;
 use std::io;
 use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
 use std::path::Path;
 use std::time::{Duration, Instant};
 use wire_admin::{Answer, Call, Figures, Status};
@@ -111,7 +112,7 @@
         crate::logging::set(&config.logging);
         let drain = Drain::new(config.drain_settings(), Duration::ZERO);
         let elder = config.takeover.as_deref().map_or(Elder::Nobody, takeover::ask);
-        let (inherited, estate, link, unheard) = match elder {
+        let (inherited, estate, link, unheard): (Option<OwnedFd>, _, _, _) = match elder {
             Elder::Nobody => (None, None, None, false),
             Elder::Unheard(why) => {
                 log::warn!("takeover: nothing sound comes from the process before this one: {why}");
@@ -129,6 +130,7 @@
         let elder_holds = estate.as_ref().map_or((0, 0), |estate| (estate.clients, estate.upstream));
         let limits = config.limits.beside(elder_holds);
         let shared = config.takeover.is_some();
+        let in_place = inherited.is_some();
         let mut front = Front::listen(config.listen, inherited, shared, limits, config.patience, &reactor)?;
         front.set_balancers(config.checks.clone(), config.proxy_from.clone());
         let upstream = Upstream::new(limits.upstream, config.dial_timeout, config.idle_limit);
@@ -197,7 +199,7 @@
         }
         chain.set_pushed(pushed, &mut sides, now);
         if let (Some(takeover), Some(link)) = (&mut sides.takeover, link) {
-            takeover.join(link, &sides.reactor);
+            takeover.join(link, in_place, &sides.reactor);
         }
         chain.monitor.event(now, availability::Event::Started);
         let start = clock::unix_ms().max(recalled.start.saturating_add(1));
@@ -466,7 +468,7 @@
                     // Whether anything is owed is told first: it may have changed since the last round.
                     self.settle(now);
                     // Whoever comes from now on is the heir's; waiting for them here would take them from it.
-                    if self.sides.takeover.as_ref().is_some_and(Takeover::has_heir) {
+                    if self.sides.takeover.as_ref().is_some_and(Takeover::heir_accepts) {
                         self.sides.front.close(now, &self.sides.reactor);
                     }
                     if let (Some(rollout), Some(members)) = (&mut self.rollout, &mut self.members) {
@@ -643,9 +645,9 @@
         let Sides { reactor, front, takeover, operate, .. } = &mut self.sides;
         let Some(takeover) = takeover else { return };
         let said = match word {
-            takeover::Word::Said(Said::Serving) => {
-                log::info!("takeover: the next process serves; it is left to accept");
-                front.leave_to_heir(true, reactor);
+            takeover::Word::Said(said @ (Said::Serving | Said::ServingElsewhere)) => {
+                log::info!(said:? = said; "takeover: the next process serves");
+                front.leave_to_heir(takeover.heir_accepts(), reactor);
                 if let Some(rollout) = &mut self.rollout {
                     rollout.hand_over(true);
                 }
@@ -653,7 +655,7 @@
             }
             takeover::Word::Gone => {
                 log::info!("takeover: the other process is gone");
-                front.leave_to_heir(takeover.has_heir(), reactor);
+                front.leave_to_heir(takeover.heir_accepts(), reactor);
                 if let Some(rollout) = &mut self.rollout {
                     rollout.hand_over(takeover.has_heir());
                 }
--- a/crates/leverproxy/src/takeover.rs
+++ b/crates/leverproxy/src/takeover.rs
@@ -51,8 +51,11 @@
 pub enum Said {
     Out(String),
     In(String),
-    /// The heir accepts.
+    /// The heir accepts from the elder's queue.
     Serving,
+    /// The heir accepts, but at another address: who comes to the former one is still the elder's. An elder of an earlier
+    /// build does not understand the word, and goes on as if there were no heir.
+    ServingElsewhere,
 }
 
 /// Why nothing sound came from an elder: this process then shares its address, and starts without what it knew.
@@ -145,6 +148,8 @@
     elder: bool,
     /// The other end is the heir, and accepts.
     serving: bool,
+    /// It accepts from this process's queue.
+    in_place: bool,
 }
 
 /// What a link has to tell.
@@ -176,12 +181,13 @@
         Ok(listener)
     }
 
-    /// Keeps the link to the elder, and tells it that this process accepts.
-    pub fn join(&mut self, stream: UnixStream, reactor: &Reactor) {
+    /// Keeps the link to the elder, and tells it that this process accepts; `in_place`: from the elder's queue.
+    pub fn join(&mut self, stream: UnixStream, in_place: bool, reactor: &Reactor) {
         if stream.set_nonblocking(true).is_ok() {
-            let link = Link { stream: Stream::new(stream.into()), elder: true, serving: false };
-            self.links.insert(link);
-            self.say(&Said::Serving, None, reactor);
+            let stream = Stream::new(stream.into());
+            self.links.insert(Link { stream, elder: true, serving: false, in_place: false });
+            let said = if in_place { Said::Serving } else { Said::ServingElsewhere };
+            self.say(&said, None, reactor);
         }
     }
 
@@ -203,7 +209,7 @@
                 }
             }
             log::info!("takeover: another process has asked for what this one has");
-            let key = self.links.insert(Link { stream, elder: false, serving: false });
+            let key = self.links.insert(Link { stream, elder: false, serving: false, in_place: false });
             self.write(key, reactor);
         }
     }
@@ -215,7 +221,8 @@
         while let Some(end) = link.stream.input.unused().iter().position(|b| *b == b'\n') {
             match serde_json::from_slice(&link.stream.input.unused()[..end]) {
                 Ok(said) => {
-                    link.serving |= said == Said::Serving;
+                    link.in_place |= said == Said::Serving;
+                    link.serving |= matches!(said, Said::Serving | Said::ServingElsewhere);
                     words.push(Word::Said(said));
                 }
                 Err(error) => log::warn!("takeover: a word is not understood: {error}"),
@@ -253,11 +260,16 @@
         }
     }
 
-    /// Another process accepts in place of this one.
+    /// Another process goes on under this one's name.
     pub fn has_heir(&self) -> bool {
         self.links.iter().any(|(_, link)| link.serving)
     }
 
+    /// It accepts in place of this one.
+    pub fn heir_accepts(&self) -> bool {
+        self.links.iter().any(|(_, link)| link.in_place)
+    }
+
     /// The process before this one still serves what it took.
     pub fn has_elder(&self) -> bool {
         self.links.iter().any(|(_, link)| link.elder)
--- a/crates/leverproxy/src/takeover/recorded.rs
+++ b/crates/leverproxy/src/takeover/recorded.rs
@@ -41,6 +41,13 @@
     assert_eq!(said, [Said::Out("s-1".into()), Said::In("s-1".into()), Said::Serving]);
 }
 
+/// Added within the first version: a build that does not know it goes on without it.
+#[test]
+fn a_word_that_came_later_is_read_for_good() {
+    let said: Said = serde_json::from_str("\"ServingElsewhere\"").unwrap();
+    assert_eq!(said, Said::ServingElsewhere);
+}
+
 /// A later version is refused by its number, even where all the rest is as it was; so is one that leaves out what this build
 /// needs. More than it knows, in the same version, is no reason to refuse.
 #[test]
--- a/crates/leverproxy/tests/upgrade.rs
+++ b/crates/leverproxy/tests/upgrade.rs
@@ -1,9 +1,9 @@
 //! One proxy in two processes: what an elder leaves to its heir, at every step of an upgrade.
 
 mod common;
-use common::{get, post, read, served, until, Listener, Peer, Scratch, Stage};
+use common::{get, message, post, read, served, until, Listener, Peer, Scratch, Stage};
 use std::io::{Read, Write};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::Path;
 use std::thread;
@@ -69,6 +69,59 @@
     assert_eq!(between.reply().value.as_deref(), Some("value"));
 }
 
+/// Half of a request has come to the elder when the heir takes over: the other half finds it there.
+#[test]
+fn a_request_half_read_at_the_elder_is_served_by_it() {
+    let (place, server) = (place(), Listener::new());
+    let (mut elder, elder_admin) = stage(&place.0, &[("s-1", &server)]);
+    let mut client = Peer::client(elder.address);
+    drop(served(&mut client, &server, 1, "one"));
+    let request = message(&read(2, "any", 19000));
+    client.write(&request[..40]);
+    let (_heir, heir_admin) = stage(&place.0, &[]);
+    assert_eq!(post(heir_admin, "exclude", "s-1"), 200);
+    until(elder_admin, "lb_record_servers_excluded 1");
+    assert_eq!(post(heir_admin, "include", "s-1"), 200);
+    until(elder_admin, "lb_record_servers_excluded 0");
+    elder.control.stop();
+    client.write(&request[40..]);
+    let mut upstream = server.welcome();
+    upstream.query();
+    upstream.answer("whole", &[]);
+    assert_eq!(client.reply().value.as_deref(), Some("whole"));
+    assert!(client.ended());
+    drop(client);
+    elder.end();
+}
+
+/// An heir that listens elsewhere takes nobody off the elder's queue: the elder goes on accepting, up to its end.
+#[test]
+fn an_heir_at_another_address_leaves_the_elder_accepting() {
+    let (place, server) = (place(), Listener::new());
+    let (mut elder, elder_admin) = stage(&place.0, &[("s-1", &server)]);
+    let elsewhere = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let heir = Stage::with(&[], |config| {
+        config.admin = Some("127.0.0.1:0".parse().unwrap());
+        config.takeover = Some(place.0.clone());
+        config.listen = elsewhere;
+    });
+    assert_eq!(heir.address, elsewhere);
+    // What it says next shows that the elder has heard that it serves.
+    assert_eq!(post(heir.admin.unwrap(), "exclude", "s-1"), 200);
+    until(elder_admin, "lb_record_servers_excluded 1");
+    assert_eq!(post(heir.admin.unwrap(), "include", "s-1"), 200);
+    until(elder_admin, "lb_record_servers_excluded 0");
+    let mut former = Peer::client(elder.address);
+    drop(served(&mut former, &server, 1, "former"));
+    drop(served(&mut Peer::client(heir.address), &server, 2, "new"));
+    elder.control.stop();
+    let mut late = Peer::client(elder.address);
+    drop(served(&mut late, &server, 3, "late"));
+    assert!(former.ended() && late.ended());
+    drop((former, late));
+    elder.end();
+}
+
 #[test]
 fn an_heir_that_dies_leaves_the_elder_serving() {
     let (place, server) = (place(), Listener::new());
