Statements that are no request are counted; a linger never outlasts the end

Seen: (1) statements that are not understood were logged once a second and counted nowhere. (2) A `linger` longer than the time until the end left the listener open when the process ended: who waited there was reset. Cause: (1) front.rs, command; only the chain's rejections have a counter. (2) Drain::terminate (crates/drain/src/lib.rs) did not hold one against the other. Change: (1) `statements not understood` in the report of SIGUSR1 and of the end. (2) the linger counts up to the end at most; who is taken then is refused.

--- a/crates/drain/src/lib.rs
+++ b/crates/drain/src/lib.rs
@@ -183,7 +183,8 @@
                 let until = now + set.wait();
                 (Phase::Announced { until, ending: true }, until + set.give_up)
             }
-            _ => (Phase::Lingering { until: now + set.linger }, now + set.give_up),
+            // A listener that is closed before the end refuses who still waits there.
+            _ => (Phase::Lingering { until: now + set.linger.min(set.give_up) }, now + set.give_up),
         };
         if self.phase == Phase::Serving {
             actions.push(Action::Announce);
--- a/crates/drain/src/tests.rs
+++ b/crates/drain/src/tests.rs
@@ -87,3 +87,12 @@
     assert_eq!(drain.due(), Some(S));
     assert_eq!(acts(&mut drain, S, Event::Tick), [Action::GiveUp, Action::End]);
 }
+
+/// Told to linger beyond the end, it stops listening before that: who waits at the listener is not just cut off.
+#[test]
+fn a_linger_beyond_the_end_is_cut_to_it() {
+    let set = Settings { linger: 9 * S, give_up: S, ..Settings::default() };
+    let mut drain = Drain::new(set, Time::ZERO);
+    acts(&mut drain, Time::ZERO, Event::Terminate);
+    assert_eq!(acts(&mut drain, S, Event::Tick), [Action::StopListening, Action::GiveUp, Action::End]);
+}
--- a/crates/leverproxy/src/front.rs
+++ b/crates/leverproxy/src/front.rs
@@ -92,6 +92,8 @@
     exhausted: Seldom,
     /// Connections ended for what came on them, or for nothing sound having come in time.
     pub turned_out: u64,
+    /// Statements that are answered with an error, since they are no request.
+    pub not_understood: u64,
     /// Where listeners are, to listen there again.
     address: SocketAddr,
     shared: bool,
@@ -216,6 +218,7 @@
             misunderstood: Seldom::default(),
             exhausted: Seldom::default(),
             turned_out: 0,
+            not_understood: 0,
             address,
             shared,
             left_to_heir: false,
@@ -480,7 +483,7 @@
             let greeted = client.greeted;
             let step = match greeted {
                 _ if client.headed => header(client),
-                true => command(client, key, now, &mut self.misunderstood),
+                true => command(client, key, now),
                 false => greet(client),
             };
             match step {
@@ -489,6 +492,12 @@
                     client.gone = true;
                     break;
                 }
+                Ok(Step::Rejected(why)) => {
+                    self.misunderstood.warn(now, || format!("front: a statement is not understood: {why}"));
+                    self.not_understood += 1;
+                    client.expect(Some(server::answer(Answer::Rejected(why))));
+                    client.quiet_since = now;
+                }
                 Ok(Step::Next) if greeted => client.quiet_since = now,
                 Ok(Step::Next) => {}
                 Ok(Step::Asked(ticket, request)) => {
@@ -722,6 +731,8 @@
     /// The client takes its leave.
     Gone,
     Asked(Ticket, Request),
+    /// A statement that is no request, and why.
+    Rejected(String),
 }
 
 /// Who the client is, as the balancer before it says.
@@ -750,9 +761,9 @@
     Ok(Step::Next)
 }
 
-fn command(client: &mut Client, key: Key, now: Instant, log: &mut Seldom) -> Result<Step, Malformed> {
+fn command(client: &mut Client, key: Key, now: Instant) -> Result<Step, Malformed> {
     let Some((asked, used)) = server::asked(client.stream.input.unused())? else { return Ok(Step::Wait) };
-    let mut request = None;
+    let (mut request, mut rejected) = (None, None);
     let answer = match asked {
         Asked::Terminate => return Ok(Step::Gone),
         Asked::Sync => {
@@ -773,8 +784,8 @@
                 None
             }
             Err(why) => {
-                log.warn(now, || format!("front: a statement is not understood: {why}"));
-                Some(server::answer(Answer::Rejected(why)))
+                rejected = Some(why);
+                None
             }
         },
     };
@@ -783,6 +794,9 @@
         let number = client.expect(None);
         return Ok(Step::Asked(Ticket { client: key, number }, request));
     }
+    if let Some(why) = rejected {
+        return Ok(Step::Rejected(why));
+    }
     if answer.is_some() {
         client.expect(answer);
     }
--- a/crates/leverproxy/src/proxy.rs
+++ b/crates/leverproxy/src/proxy.rs
@@ -891,12 +891,12 @@
     /// The counters, on standard error: whoever asks wants them at any log level.
     pub fn report(&self) {
         let Sides { front, upstream, .. } = &self.sides;
-        let (clients, turned_out) = (front.clients(), front.turned_out);
+        let (clients, turned_out, not_understood) = (front.clients(), front.turned_out, front.not_understood);
         let (connections, dials) = (upstream.connections(), upstream.dials);
         let (steering, health) = (self.chain.steering(), self.sides.health.lines());
         let quota = &self.chain.quota;
         crate::logging::say(&format!(
-            "{}\nconnections: clients {clients}, turned out {turned_out}; upstream {connections}; dials {dials}{steering}{quota}{health}",
+            "{}\nstatements not understood {not_understood}\nconnections: clients {clients}, turned out {turned_out}; upstream {connections}; dials {dials}{steering}{quota}{health}",
             self.chain.counters,
         ));
     }
--- a/crates/leverproxy/tests/closing.rs
+++ b/crates/leverproxy/tests/closing.rs
@@ -452,3 +452,34 @@
     kill_process(pid, Signal::TERM).unwrap();
     assert!(child.wait().unwrap().success());
 }
+
+/// What clients send that makes no sense ends no more than their own connections. It is counted, and the log says it
+/// once a second at most.
+#[test]
+fn broken_bytes_are_counted_and_seldom_told() {
+    const EACH: usize = 20;
+    let server = Listener::new();
+    let mut program = program("", &server);
+    let mut bystander = Peer::client(program.address);
+    let mut client = Peer::client(program.address);
+    client.write(&message("SELECT 1").repeat(EACH));
+    for _ in 0..EACH {
+        assert_eq!(client.reply().code.as_deref(), Some("42601"));
+    }
+    let broken = [&[b'Q', 0x7f, 0xff, 0xff, 0xff][..], &[0xff; 64]].concat();
+    let mut clients: Vec<Peer> = (0..EACH).map(|_| Peer::client(program.address)).collect();
+    clients.iter_mut().for_each(|client| client.write(&broken));
+    for client in &mut clients {
+        assert_eq!(client.reply().code.as_deref(), Some("08P01"));
+        assert!(client.ended());
+    }
+    drop(served(&mut bystander, &server, 1, "as ever"));
+    drop((bystander, client, clients));
+    program.signal(Signal::TERM);
+    let log = program.rest();
+    let told = log.iter().filter(|line| line.contains("not understood:")).count();
+    assert!((1..EACH).contains(&told), "{log:#?}");
+    for figure in ["statements not understood 20", "turned out 20;"] {
+        assert!(log.iter().any(|line| line.contains(figure)), "{log:#?}");
+    }
+}
