A fault of either file is told with the file, the line and the key

Seen: a fault of the platform's file names its key, not the file nor the line; a fault of a value in the operators' file names file and line, not the directive ("the time 500 has no unit"). Cause: the JSON is checked as values, which have no place (config.rs); the log's line of a diagnostic is its message alone (operators.rs, faults). Change: locate::line_of finds the line of a key's path in the JSON text, or of what holds a missing key; it is told with the path, unless a variable of the environment states the key. A fault of the operators' file repeats its line. Both at the start (exit code 2) and at SIGHUP, which changes nothing as before.

--- a/crates/leverproxy/src/config.rs
+++ b/crates/leverproxy/src/config.rs
@@ -33,6 +33,17 @@
 }
 
 impl ConfigError {
+    /// A fault of the platform's file: where that is, and in which line the key stands.
+    fn within(self, variable: impl Fn(&str) -> Option<String>, text: &[u8]) -> ConfigError {
+        let first = self.key.split('.').next().unwrap_or_default();
+        let stated = first.is_empty() || PLATFORM_KEYS.contains(&first);
+        let overridden = variable(&format!("LB_{}", first.to_uppercase())).is_some();
+        let path = variable("LB_CONFIG").filter(|_| stated && !overridden);
+        let Some(path) = path else { return self };
+        let line = crate::locate::line_of(text, &self.key).map_or(String::new(), |line| format!(":{line}"));
+        ConfigError { problem: format!("{} ({path}{line})", self.problem), ..self }
+    }
+
     pub(crate) fn new(key: impl Into<String>, problem: impl ToString) -> ConfigError {
         ConfigError { key: key.into(), problem: problem.to_string(), faults: Vec::new() }
     }
@@ -56,6 +67,10 @@
     }
 }
 
+/// What the platform's file may state.
+const PLATFORM_KEYS: [&str; 8] =
+    ["name", "listen", "admin", "discovery", "seed", "limits", "known", "settings"];
+
 struct Further<'a>(&'a [String]);
 
 impl fmt::Display for Further<'_> {
@@ -231,16 +246,20 @@
 
 /// Reads `LB_CONFIG`, `LB_OPERATORS` and what the other variables say over them.
 pub fn from_env(variable: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
-    parse(&file(&variable)?, variable)
+    let text = file(&variable)?;
+    parse(&text, &variable).map_err(|error| error.within(&variable, &text))
 }
 
 /// Reads both files once more, the platform's whole as it was at the start. Where that names discovery, `LB_DISCOVERY` no
 /// longer does.
 pub fn reread(variable: impl Fn(&str) -> Option<String>, whole: &Whole) -> Result<Config, ConfigError> {
     let text = file(&variable)?;
-    let config = checked(&text, variable, Reading::Again)?.0;
-    whole.check(&text, &config.platform)?;
-    Ok(config)
+    let read = || {
+        let config = checked(&text, &variable, Reading::Again)?.0;
+        whole.check(&text, &config.platform)?;
+        Ok(config)
+    };
+    read().map_err(|error: ConfigError| error.within(&variable, &text))
 }
 
 /// What the platform's first file had. A later one that lacks a key of it was cut off or is not the platform's; read with
--- a/crates/leverproxy/src/lib.rs
+++ b/crates/leverproxy/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod http;
 pub mod kept;
 pub mod lending;
+mod locate;
 pub mod logging;
 pub mod members;
 pub mod memory;
--- /dev/null
+++ b/crates/leverproxy/src/locate/tests.rs
@@ -0,0 +1,47 @@
+//! Keys found at their lines, and texts that hold none.
+
+use super::line_of;
+
+const TEXT: &str = r#"{
+  "name": "a\"b: {[",
+  "settings": {"Zones": ["a", "b"],
+    "Classes": [
+      {"Name": "x", "Deadline": 1},
+      {"Name": "y",
+       "Deadline": -1}
+    ],
+    "Rules": {}
+  }
+}"#;
+
+#[test]
+fn keys_are_found_at_their_lines() {
+    for (path, line) in [
+        ("name", 2),
+        ("settings", 3),
+        ("settings.Zones[1]", 3),
+        ("settings.Classes[0].Deadline", 5),
+        ("settings.Classes[1]", 6),
+        ("settings.Classes[1].Deadline", 7),
+        ("settings.Rules", 9),
+    ] {
+        assert_eq!(line_of(TEXT.as_bytes(), path), Some(line), "{path}");
+    }
+}
+
+/// What is missing is missing from the last part that is there.
+#[test]
+fn a_missing_key_is_told_by_what_holds_it() {
+    assert_eq!(line_of(TEXT.as_bytes(), "settings.Classes[1].Effect"), Some(6));
+    assert_eq!(line_of(TEXT.as_bytes(), "settings.RegistryMode"), Some(3));
+    assert_eq!(line_of(TEXT.as_bytes(), "settings.Classes[7].Name"), Some(4));
+    assert_eq!(line_of(TEXT.as_bytes(), "seed"), None);
+}
+
+#[test]
+fn a_text_cut_off_anywhere_is_outlived() {
+    for end in 0..TEXT.len() {
+        _ = line_of(&TEXT.as_bytes()[..end], "settings.Classes[1].Deadline");
+    }
+    assert_eq!(line_of(b"", "settings"), None);
+}
--- a/crates/leverproxy/src/operators.rs
+++ b/crates/leverproxy/src/operators.rs
@@ -2,14 +2,16 @@
 
 use crate::config::ConfigError;
 use crate::health::{Listen, Protocol};
+use crate::request::shown;
 use crate::stages::steer::{Rules, Ruling};
 use bulkheads::{Priority, Rate, Settings as Pool};
-use configuration::diagnostic;
+use configuration::diagnostic::{self, Diagnostic};
 use configuration::index::{Index, Names};
 use configuration::load::Loader;
 use configuration::model::{Members, Model};
 use configuration::platform::{self, Platform};
 use configuration::route::{self, Outcome};
+use configuration::source::Sources;
 use configuration::Reading;
 use mountshift::{ClassId, Effect, Need};
 use mountshift_settings::Decoded;
@@ -72,7 +74,15 @@
 /// Each fault in a line, and what there is beside faults in the log.
 pub fn faults(reading: &Reading) -> Vec<String> {
     let errors = reading.diagnostics.iter().filter(|d| d.is_error());
-    errors.map(|d| diagnostic::line(&reading.sources, d)).collect()
+    errors.map(|d| fault(&reading.sources, d)).collect()
+}
+
+/// In one line, with the directive that it is about: a message may tell of its value alone.
+fn fault(sources: &Sources, diagnostic: &Diagnostic) -> String {
+    let line = sources.place(diagnostic.span).line;
+    let text = sources.get(diagnostic.span.file).and_then(|file| file.text.lines().nth(line.checked_sub(1)?));
+    let said = text.map_or("", str::trim);
+    format!("{}; the line is `{}`", diagnostic::line(sources, diagnostic), shown(said))
 }
 
 /// What the operators' file has to be held against.
--- a/crates/leverproxy/tests/settings.rs
+++ b/crates/leverproxy/tests/settings.rs
@@ -1,7 +1,7 @@
 //! New settings at SIGHUP, to the program as the platform starts it.
 
 mod common;
-use common::{get, read, until, Listener, Peer, Program, Reply, SETTINGS};
+use common::{get, read, until, Listener, Peer, Program, Reply, Scratch, SETTINGS};
 
 fn rejected(client: &mut Peer, id: u32, class: &str) {
     client.ask(&read(id, class, 19000));
@@ -102,3 +102,36 @@
         assert!(said.contains("admin"), "{said}");
     }
 }
+
+/// What is wrong with either file ends the start with exit code 2, and is told by file, line and key.
+#[test]
+fn a_faulty_file_at_the_start_is_named_with_line_and_key() {
+    let sound = format!(r#"{{"settings":{SETTINGS}}}"#);
+    let cut = &sound[..sound.len() / 2];
+    let no_time = sound.replacen("20000000", "0", 1);
+    let missing = sound.replacen(r#""Name": "any", "#, "", 1);
+    for (platform, operators, words) in [
+        (cut, "", ["PLATFORM", "EOF", "line"]),
+        (&no_time, "", ["PLATFORM:2", "settings.Classes[0].Deadline", "zero"]),
+        (&missing, "", ["PLATFORM:2", "settings.Classes[0].Name", "missing"]),
+        ("{}", "", ["PLATFORM", "settings", "missing"]),
+        (&sound, "limits {\n\n client-patience 500\n}\n", ["OPERATORS:3:18", "client-patience", "no unit"]),
+        (&sound, "limits {\n clients-patience 5s\n}\n", ["OPERATORS:2:2", "clients-patience", "fault"]),
+    ] {
+        let (file, ours) = (Scratch::new(platform), Scratch::new(operators));
+        let output = std::process::Command::new(env!("CARGO_BIN_EXE_leverproxy"))
+            .arg("serve")
+            .env("LB_CONFIG", &file.0)
+            .env("LB_OPERATORS", &ours.0)
+            .env("LB_LISTEN", "127.0.0.1:0")
+            .env("LB_DISCOVERY", "127.0.0.1:1")
+            .output()
+            .unwrap();
+        let said = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!(output.status.code(), Some(2), "{said}");
+        for word in words {
+            let word = word.replace("PLATFORM", file.path()).replace("OPERATORS", ours.path());
+            assert!(said.contains(&word), "{word} in {said}");
+        }
+    }
+}
