--- a/crates/leverproxy/src/front.rs
+++ b/crates/leverproxy/src/front.rs
@@ -1,33 +1,28 @@
 //! The clients' side: accepts connections, reads requests off them and writes answers in their order.
 
+mod client;
+
 use crate::config::{Limits, Patience};
 use crate::net::{self, Filled, Refusal, Stream};
-use crate::pg::server::{self, Asked, Startup};
-use crate::pg::statement::{self, Query};
+use crate::pg::server;
 use crate::pg::Malformed;
 use crate::reactor::{Interest, Key, Reactor, Slots, Token};
 use crate::request::{Answer, Request, Ticket};
 use crate::seldom::Seldom;
+use client::{command, greet, header, Client, Ending, Slot, Step};
 use ipnet::IpNet;
 use std::collections::VecDeque;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::os::fd::OwnedFd;
 use std::time::{Duration, Instant};
-use wire_health::proxy::{self, From};
 
 /// An unfinished command of more than this is worth asking how many there are.
 const LARGE: usize = 16 << 10;
 /// The clients are looked over this often for whoever has run out of time.
 const LOOK_OVER: Duration = Duration::from_millis(100);
-/// A client that has been told why its connection ends may still send this much while it has time to read it:
-/// closed at once with bytes unread, the connection would be reset and the word lost on its way.
-const LEAVE_BYTES: usize = 1 << 20;
 /// At the limit, who has asked for nothing gives way, but not before this: its first words may be on their way.
 const FIRST_WORDS: Duration = Duration::from_millis(100);
-/// While the proxy closes, a new connection that has been welcomed has this long, from its accept, to send its first
-/// request: many clients wait for the welcome first.
-const FIRST_REQUEST: Duration = Duration::from_millis(500);
 
 /// Bytes of an answer passing in pieces that wait for its client: as many while those of all clients are within their
 /// share of the memory, so few when they are not. Less would cost more calls than bytes.
@@ -53,33 +48,6 @@
     Room(Ticket),
 }
 
-/// What a command of a client gets.
-#[derive(Debug)]
-enum Slot {
-    Waiting,
-    /// Whole, or all that there will be of it.
-    Ready(Vec<u8>),
-    /// Some of it; it goes out as soon as it is the first.
-    Passing(Vec<u8>),
-}
-
-/// Why nothing more is taken in from a client.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Ending {
-    /// It has been told why. What it still sends is read and thrown away, or it might not come to read that.
-    Told,
-    /// It is between requests, or its answer was cut off. What it still sends stays unread: it asks that again elsewhere.
-    Unread,
-}
-
-/// A connection whose last byte is written, and whose peer has been told so.
-#[derive(Clone, Copy, Debug)]
-struct Leaving {
-    since: Instant,
-    /// Bytes that are still read and thrown away.
-    room: usize,
-}
-
 pub struct Front {
     listener: Option<OwnedFd>,
     /// At the limit of clients the listener is not looked at.
@@ -108,90 +76,6 @@
     closing: bool,
 }
 
-struct Client {
-    stream: Stream,
-    peer: IpAddr,
-    /// A header has to name the client first.
-    headed: bool,
-    /// A balancer's connection that has asked for nothing: no client.
-    check: bool,
-    greeted: bool,
-    /// Ignores messages until Sync, as after any error in the extended protocol.
-    skipping: bool,
-    /// Nothing more is taken in; the connection ends once everything is written and the peer has read it.
-    ending: Option<Ending>,
-    leaving: Option<Leaving>,
-    /// Some request of it was sound; more than one.
-    asked: bool,
-    again: bool,
-    /// It has said that it goes: no answer is of use any more.
-    gone: bool,
-    answers: VecDeque<Slot>,
-    /// More of an answer is held back for it.
-    starved: bool,
-    /// The number of the first of these.
-    first: u64,
-    /// Since when no command has come whole from it and no answer gone to it.
-    quiet_since: Instant,
-    /// Since when it is at a command that has not come whole.
-    begun: Option<Instant>,
-}
-
-impl Client {
-    /// Of a request among those not answered yet.
-    fn place(&self, ticket: Ticket) -> Option<usize> {
-        usize::try_from(ticket.number.checked_sub(self.first)?).ok()
-    }
-
-    fn idle(&self) -> bool {
-        self.answers.is_empty() && self.stream.unsent() == 0 && self.stream.input.is_empty()
-    }
-
-    fn expect(&mut self, answer: Option<Vec<u8>>) -> u64 {
-        self.answers.push_back(answer.map_or(Slot::Waiting, Slot::Ready));
-        self.first + self.answers.len() as u64 - 1
-    }
-
-    /// It has never got as far as a request.
-    fn silent(&self) -> bool {
-        !self.asked && self.answers.is_empty() || self.leaving.is_some()
-    }
-
-    /// It has run out of time for its first request, or for the rest of a command that it has begun.
-    fn overdue(&self, patience: &Patience, now: Instant) -> bool {
-        let waits = self.answers.is_empty() && self.stream.unsent() == 0;
-        let slow = self.begun.is_some_and(|at| now.saturating_duration_since(at) >= patience.first);
-        let quiet = now.saturating_duration_since(self.quiet_since);
-        waits && (slow || !self.asked && quiet >= patience.first)
-    }
-
-    /// While the proxy closes: nothing is owed on the connection, nor is a first request about to come.
-    fn may_close(&self, now: Instant) -> bool {
-        let quiet = now.saturating_duration_since(self.quiet_since);
-        self.ending.is_none() && self.greeted && self.idle() && (self.asked || quiet >= FIRST_REQUEST)
-    }
-
-    /// Ends the connection between two requests.
-    fn part(&mut self, now: Instant) {
-        self.ending = Some(Ending::Unread);
-        self.leave(now);
-    }
-
-    /// Everything is written: tells the peer so, and waits for its end.
-    fn leave(&mut self, now: Instant) {
-        let room = if self.ending == Some(Ending::Told) { LEAVE_BYTES } else { 0 };
-        self.leaving = Some(Leaving { since: now, room });
-        self.stream.end_output();
-    }
-
-    /// Room for more commands, and a peer that takes its answers.
-    fn takes_more(&self, patience: &Patience) -> bool {
-        self.ending.is_none()
-            && self.answers.len() < patience.pipeline
-            && self.stream.unsent() < patience.unsent
-    }
-}
-
 impl Front {
     /// Listens with `inherited` if that is there, else at `address`, which others may share.
     pub fn listen(
@@ -307,24 +191,7 @@
         // Bounded: whatever calls itself a balancer beyond that is a client like any other.
         let check = within(&self.checks) && self.checking < CHECKS;
         self.checking += usize::from(check);
-        let key = self.clients.insert(Client {
-            stream,
-            peer,
-            headed,
-            check,
-            greeted: false,
-            skipping: false,
-            ending: None,
-            leaving: None,
-            asked: false,
-            again: false,
-            gone: false,
-            answers: VecDeque::new(),
-            starved: false,
-            first: 0,
-            quiet_since: now,
-            begun: None,
-        });
+        let key = self.clients.insert(Client::new(stream, peer, headed, check, now));
         // Read in a later round even if it has come: what others sent before is taken in before it.
         self.write(key, now, reactor);
         key
@@ -722,83 +589,3 @@
         }
     }
 }
-
-#[allow(clippy::large_enum_variant, reason = "lives for one call, and the large variant is the usual one")]
-enum Step {
-    /// The next message has not come in full.
-    Wait,
-    Next,
-    /// The client takes its leave.
-    Gone,
-    Asked(Ticket, Request),
-    /// A statement that is no request, and why.
-    Rejected(String),
-}
-
-/// Who the client is, as the balancer before it says.
-fn header(client: &mut Client) -> Result<Step, Malformed> {
-    let found = proxy::parse(client.stream.input.unused()).map_err(|fault| Malformed(fault.to_string()))?;
-    let Some((from, used)) = found else { return Ok(Step::Wait) };
-    client.stream.input.consume(used);
-    client.headed = false;
-    if let From::Client(address) = from {
-        client.peer = address.ip();
-    }
-    Ok(Step::Next)
-}
-
-fn greet(client: &mut Client) -> Result<Step, Malformed> {
-    let Some((startup, used)) = server::startup(client.stream.input.unused())? else { return Ok(Step::Wait) };
-    client.stream.input.consume(used);
-    match startup {
-        Startup::Session(welcome) => {
-            client.greeted = true;
-            client.expect(Some(welcome));
-        }
-        Startup::Encryption => _ = client.expect(Some(b"N".to_vec())),
-        Startup::Cancel => return Ok(Step::Gone),
-    }
-    Ok(Step::Next)
-}
-
-fn command(client: &mut Client, key: Key, now: Instant) -> Result<Step, Malformed> {
-    let Some((asked, used)) = server::asked(client.stream.input.unused())? else { return Ok(Step::Wait) };
-    let (mut request, mut rejected) = (None, None);
-    let answer = match asked {
-        Asked::Terminate => return Ok(Step::Gone),
-        Asked::Sync => {
-            client.skipping = false;
-            Some(server::ready())
-        }
-        Asked::Unsupported(tag) if !client.skipping => {
-            client.skipping = true;
-            Some(server::unsupported(tag))
-        }
-        Asked::Unsupported(_) => None,
-        Asked::Query(_) if client.skipping => None,
-        Asked::Query(text) => match statement::parse(text, now) {
-            Ok(Query::Empty) => Some(server::empty_query()),
-            Ok(Query::Setting(tag)) => Some(server::done(tag)),
-            Ok(Query::Request(read)) => {
-                request = Some(Request { client: client.peer, ..read });
-                None
-            }
-            Err(why) => {
-                rejected = Some(why);
-                None
-            }
-        },
-    };
-    client.stream.input.consume(used);
-    if let Some(request) = request {
-        let number = client.expect(None);
-        return Ok(Step::Asked(Ticket { client: key, number }, request));
-    }
-    if let Some(why) = rejected {
-        return Ok(Step::Rejected(why));
-    }
-    if answer.is_some() {
-        client.expect(answer);
-    }
-    Ok(Step::Next)
-}
