A resting client that does not look at its connection does not hold up the end

Seen: since connections end in order, a client that never closes its side (a pool looks at a connection when it uses it next) holds up the end of the process for `goodbye`, 1 s, after the listener is closed. Cause: Client::part counted from the shutdown (front/client.rs). Change: it counts from the last answer, which is what the client may still have to read.

--- a/crates/leverproxy/src/front.rs
+++ b/crates/leverproxy/src/front.rs
@@ -280,7 +280,7 @@
                 if !self.take_in(key, now, reactor) {
                     left -= 1;
                     if let Some(client) = self.clients.get_mut(key) {
-                        client.part(now);
+                        client.part();
                     }
                 }
                 self.write(key, now, reactor);
@@ -516,7 +516,7 @@
                         continue;
                     }
                     let Some(client) = self.clients.get_mut(key) else { return };
-                    client.part(now);
+                    client.part();
                 } else if client.ending.is_some() && client.leaving.is_none() {
                     client.leave(now);
                 }
--- a/crates/leverproxy/src/front/client.rs
+++ b/crates/leverproxy/src/front/client.rs
@@ -41,6 +41,7 @@
 /// A connection whose last byte is written, and whose peer has been told so.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Leaving {
+    /// Since when it has had time to read all that it gets.
     pub(super) since: Instant,
     /// Bytes that are still read and thrown away.
     pub(super) room: usize,
@@ -130,16 +131,17 @@
         self.ending.is_none() && self.greeted && self.idle() && (self.asked || quiet >= FIRST_REQUEST)
     }
 
-    /// Ends the connection between two requests.
-    pub(super) fn part(&mut self, now: Instant) {
+    /// Ends the connection between two requests. The time since its last answer counts: who has had that long to read it
+    /// need not be waited for.
+    pub(super) fn part(&mut self) {
         self.ending = Some(Ending::Unread);
-        self.leave(now);
+        self.leave(self.quiet_since);
     }
 
     /// Everything is written: tells the peer so, and waits for its end.
-    pub(super) fn leave(&mut self, now: Instant) {
+    pub(super) fn leave(&mut self, since: Instant) {
         let room = if self.ending == Some(Ending::Told) { LEAVE_BYTES } else { 0 };
-        self.leaving = Some(Leaving { since: now, room });
+        self.leaving = Some(Leaving { since, room });
         self.stream.end_output();
     }
 
--- a/crates/leverproxy/tests/closing.rs
+++ b/crates/leverproxy/tests/closing.rs
@@ -166,6 +166,22 @@
     Peer::client(stage.address);
 }
 
+/// Pools look at a connection when they use it next. One that has rested for longer than it takes to read an answer does
+/// not hold up the end, although its client never says that it has seen it.
+#[test]
+fn a_client_that_does_not_look_does_not_hold_up_the_end() {
+    const GOODBYE: Duration = Duration::from_secs(2);
+    let server = Listener::new();
+    let mut stage = stage(&server, |config| config.patience.goodbye = GOODBYE);
+    let resting = resting(&stage, &server);
+    thread::sleep(GOODBYE);
+    let told = Instant::now();
+    stage.control.stop();
+    stage.end();
+    assert!(told.elapsed() < GOODBYE);
+    drop(resting);
+}
+
 /// With nobody there, the end comes with the listener's.
 #[test]
 fn a_stop_with_nobody_there_ends_at_once() {
