--- a/crates/leverproxy/src/front.rs
+++ b/crates/leverproxy/src/front.rs
@@ -1,13 +1,15 @@
 //! The clients' side: accepts connections, reads requests off them and writes answers in their order.
 
+mod client;
+
 use crate::config::{Limits, Patience};
 use crate::net::{self, Filled, Refusal, Stream};
-use crate::pg::server::{self, Asked, CancelKey, Startup};
-use crate::pg::statement::{self, Query};
+use crate::pg::server::{self, CancelKey};
 use crate::pg::Malformed;
 use crate::reactor::{Interest, Key, Reactor, Slots, Token};
 use crate::request::{Answer, Request, Ticket};
 use crate::seldom::Seldom;
+use client::{command, greet, header, Client, Ending, Slot, Step};
 use ipnet::IpNet;
 use std::collections::VecDeque;
 use std::hash::{BuildHasher, RandomState};
@@ -15,15 +17,11 @@
 use std::net::{IpAddr, SocketAddr};
 use std::os::fd::OwnedFd;
 use std::time::{Duration, Instant};
-use wire_health::proxy::{self, From};
 
 /// An unfinished command of more than this is worth asking how many there are.
 const LARGE: usize = 16 << 10;
 /// The clients are looked over this often for whoever has run out of time.
 const LOOK_OVER: Duration = Duration::from_millis(100);
-/// A client that has been told why its connection ends may still send this much while it has time to read it:
-/// closed at once with bytes unread, the connection would be reset and the word lost on its way.
-const LEAVE_BYTES: usize = 1 << 20;
 /// At the limit, who has asked for nothing gives way, but not before this: its first words may be on their way.
 const FIRST_WORDS: Duration = Duration::from_millis(100);
 
@@ -53,16 +51,6 @@
     Room(Ticket),
 }
 
-/// What a command of a client gets.
-#[derive(Debug)]
-enum Slot {
-    Waiting,
-    /// Whole, or all that there will be of it.
-    Ready(Vec<u8>),
-    /// Some of it; it goes out as soon as it is the first.
-    Passing(Vec<u8>),
-}
-
 pub struct Front {
     listener: Option<OwnedFd>,
     /// At the limit of clients the listener is not looked at.
@@ -75,6 +63,8 @@
     exhausted: Seldom,
     /// Connections ended for what came on them, or for nothing sound having come in time.
     pub turned_out: u64,
+    /// Statements that are answered with an error, since they are no request.
+    pub not_understood: u64,
     /// Where listeners are, to listen there again.
     address: SocketAddr,
     shared: bool,
@@ -105,63 +95,6 @@
     }
 }
 
-struct Client {
-    stream: Stream,
-    cancel_key: CancelKey,
-    peer: IpAddr,
-    /// A header has to name the client first.
-    headed: bool,
-    /// A balancer's connection that has asked for nothing: no client.
-    check: bool,
-    greeted: bool,
-    /// Ignores messages until Sync, as after any error in the extended protocol.
-    skipping: bool,
-    /// Nothing more is taken in; the connection ends once everything is written and the peer has read it.
-    ending: bool,
-    /// Since when its last word is written and its end is waited for, and what it has sent since.
-    leaving: Option<(Instant, usize)>,
-    /// Some request of it was sound; more than one.
-    asked: bool,
-    again: bool,
-    /// It has said that it goes: no answer is of use any more.
-    gone: bool,
-    answers: VecDeque<Slot>,
-    /// More of an answer is held back for it.
-    starved: bool,
-    /// The number of the first of these.
-    first: u64,
-    /// Since when no command has come whole from it and no answer gone to it.
-    quiet_since: Instant,
-    /// Since when it is at a command that has not come whole.
-    begun: Option<Instant>,
-}
-
-impl Client {
-    /// Of a request among those not answered yet.
-    fn place(&self, ticket: Ticket) -> Option<usize> {
-        usize::try_from(ticket.number.checked_sub(self.first)?).ok()
-    }
-
-    fn idle(&self) -> bool {
-        self.answers.is_empty() && self.stream.unsent() == 0 && self.stream.input.is_empty()
-    }
-
-    fn expect(&mut self, answer: Option<Vec<u8>>) -> u64 {
-        self.answers.push_back(answer.map_or(Slot::Waiting, Slot::Ready));
-        self.first + self.answers.len() as u64 - 1
-    }
-
-    /// It has never got as far as a request.
-    fn silent(&self) -> bool {
-        !self.asked && self.answers.is_empty() || self.leaving.is_some()
-    }
-
-    /// Room for more commands, and a peer that takes its answers.
-    fn takes_more(&self, patience: &Patience) -> bool {
-        !self.ending && self.answers.len() < patience.pipeline && self.stream.unsent() < patience.unsent
-    }
-}
-
 impl Front {
     /// Listens with `inherited` if that is there, else at `address`, which others may share.
     pub fn listen(
@@ -188,6 +121,7 @@
             misunderstood: Seldom::default(),
             exhausted: Seldom::default(),
             turned_out: 0,
+            not_understood: 0,
             address,
             shared,
             left_to_heir: false,
@@ -235,9 +169,9 @@
 
     pub fn accept(&mut self, now: Instant, reactor: &Reactor) {
         loop {
-            let full = self.clients.len() - self.checking >= self.limits.clients;
             // Who would give way; nobody does before another client is there for the place.
-            let quiet = if full { self.gives_way(now) } else { None };
+            let quiet = if self.full() { self.find_place(now, reactor) } else { None };
+            let full = self.full();
             // Only its address tells a balancer's check from a client, so it has to be let in to be told.
             let checks = !self.checks.is_empty() && self.checking < CHECKS;
             if full && quiet.is_none() && !checks {
@@ -260,7 +194,10 @@
                 Err(Refusal::Exhausted) => {
                     let clients = self.clients.len();
                     self.exhausted.warn(now, || format!("front: no descriptor left, {clients} clients"));
-                    if self.gives_way(now).and_then(|key| self.remove(key)).is_none() {
+                    let clients_before = self.clients.len();
+                    let quiet = self.find_place(now, reactor);
+                    quiet.and_then(|key| self.remove(key));
+                    if self.clients.len() == clients_before {
                         return self.pause(true, reactor);
                     }
                 }
@@ -275,25 +212,7 @@
         let check = within(&self.checks) && self.checking < CHECKS;
         self.checking += usize::from(check);
         let cancel_key = self.cancel_keys.next();
-        let key = self.clients.insert(Client {
-            stream,
-            cancel_key,
-            peer,
-            headed,
-            check,
-            greeted: false,
-            skipping: false,
-            ending: false,
-            leaving: None,
-            asked: false,
-            again: false,
-            gone: false,
-            answers: VecDeque::new(),
-            starved: false,
-            first: 0,
-            quiet_since: now,
-            begun: None,
-        });
+        let key = self.clients.insert(Client::new(stream, cancel_key, peer, headed, check, now));
         // Read in a later round even if it has come: what others sent before is taken in before it.
         self.write(key, now, reactor);
         key
@@ -333,6 +252,41 @@
         })
     }
 
+    fn full(&self) -> bool {
+        self.clients.len() - self.checking >= self.limits.clients
+    }
+
+    /// The client that may give way even after what it sent until now has been read.
+    fn find_place(&mut self, now: Instant, reactor: &Reactor) -> Option<Key> {
+        while let Some(key) = self.gives_way(now) {
+            if !self.take_in(key, now, reactor) {
+                // None: it had ended by itself, and its place is free.
+                return self.clients.get(key).map(|_| key);
+            }
+            self.write(key, now, reactor);
+        }
+        None
+    }
+
+    /// Reads what a client has sent until now, before its connection is ended: a request among it is owed an answer.
+    /// Whether anything came.
+    fn take_in(&mut self, key: Key, now: Instant, reactor: &Reactor) -> bool {
+        let Some(client) = self.clients.get_mut(key) else { return false };
+        if !client.takes_more(&self.patience) {
+            return false;
+        }
+        let before = client.stream.input.len();
+        if client.stream.fill(server::INPUT_LIMIT) == Filled::Ended {
+            self.drop_client(key, reactor);
+            return false;
+        }
+        let came = client.stream.input.len() > before;
+        if came {
+            self.read(key, now);
+        }
+        came
+    }
+
     /// Of many clients those go that have asked once and stay, then those that have been idle the longest.
     fn clear_idle(&mut self, now: Instant, reactor: &Reactor) {
         let held = self.clients.iter().filter(|(_, c)| !c.silent());
@@ -344,8 +298,13 @@
         for (_, since, key) in idle {
             let old = now.saturating_duration_since(since) >= self.patience.idle;
             if left > self.limits.packed || old && left > self.limits.crowded {
-                self.drop_client(key, reactor);
-                left -= 1;
+                if !self.take_in(key, now, reactor) {
+                    left -= 1;
+                    if let Some(client) = self.clients.get_mut(key) {
+                        client.part();
+                    }
+                }
+                self.write(key, now, reactor);
             }
         }
     }
@@ -355,20 +314,17 @@
         for key in self.clients.keys() {
             let Some(client) = self.clients.get_mut(key) else { continue };
             let quiet = now.saturating_duration_since(client.quiet_since);
-            let waits = client.answers.is_empty() && client.stream.unsent() == 0;
-            let slow =
-                client.begun.is_some_and(|at| now.saturating_duration_since(at) >= self.patience.first);
             match client.leaving {
-                Some((since, _)) if now >= since + self.patience.goodbye => self.drop_client(key, reactor),
+                Some(leaving) if now >= leaving.since + self.patience.goodbye => {
+                    self.drop_client(key, reactor)
+                }
                 Some(_) => {}
                 None if client.stream.unsent() > 0 && quiet >= self.patience.unread => {
                     self.drop_client(key, reactor)
                 }
-                None if waits && (slow || !client.asked && quiet >= self.patience.first) => {
-                    let why = Malformed("nothing whole was asked for in time".into());
-                    self.turn_out(key, server::fatal(&why));
-                    self.write(key, now, reactor);
-                }
+                None if client.overdue(&self.patience, now) => self.put_out(key, now, reactor),
+                // Its time for a first request may be over.
+                None if self.closing => self.write(key, now, reactor),
                 None => {}
             }
         }
@@ -376,16 +332,27 @@
         now + LOOK_OVER
     }
 
+    /// Turns a client out that has run out of time, unless what it has sent until now changes that.
+    fn put_out(&mut self, key: Key, now: Instant, reactor: &Reactor) {
+        self.take_in(key, now, reactor);
+        if self.clients.get(key).is_some_and(|client| client.overdue(&self.patience, now)) {
+            let why = Malformed("nothing whole was asked for in time".into());
+            self.turn_out(key, server::fatal(&why));
+        }
+        self.write(key, now, reactor);
+    }
+
     /// `ended`: the client is known to have closed its side. One that has is gone, even with answers to come.
     pub fn ready(&mut self, key: Key, ended: bool, now: Instant, reactor: &Reactor) {
         let Some(client) = self.clients.get_mut(key) else { return };
         let takes_more = client.takes_more(&self.patience);
         let gone = match (&mut client.leaving, takes_more) {
-            (Some((_, heard)), _) => {
+            (Some(leaving), _) if leaving.room > 0 => {
                 let (filled, thrown_away) = client.stream.drain();
-                *heard += thrown_away;
-                filled == Filled::Ended || ended && *heard >= LEAVE_BYTES
+                leaving.room = leaving.room.saturating_sub(thrown_away);
+                filled == Filled::Ended || ended && leaving.room == 0
             }
+            (Some(_), _) => ended,
             // What it sent before it left needs no answer, read or not.
             (None, _) if ended => true,
             (None, true) => client.stream.fill(server::INPUT_LIMIT) == Filled::Ended,
@@ -407,7 +374,7 @@
             let greeted = client.greeted;
             let step = match greeted {
                 _ if client.headed => header(client),
-                true => command(client, key, now, &mut self.misunderstood),
+                true => command(client, key, now),
                 false => greet(client),
             };
             match step {
@@ -421,6 +388,12 @@
                     cancels = Some(named);
                     break;
                 }
+                Ok(Step::Rejected(why)) => {
+                    self.misunderstood.warn(now, || format!("front: a statement is not understood: {why}"));
+                    self.not_understood += 1;
+                    client.expect(Some(server::answer(Answer::Rejected(why))));
+                    client.quiet_since = now;
+                }
                 Ok(Step::Next) if greeted => client.quiet_since = now,
                 Ok(Step::Next) => {}
                 Ok(Step::Asked(ticket, request)) => {
@@ -435,7 +408,7 @@
                     self.misunderstood.warn(now, || format!("front: a client is not understood: {why}"));
                     self.turned_out += 1;
                     client.expect(Some(server::fatal(&why)));
-                    client.ending = true;
+                    client.ending = Some(Ending::Told);
                 }
             }
         }
@@ -472,7 +445,7 @@
         if let Some(client) = self.clients.get_mut(key) {
             self.turned_out += 1;
             client.expect(Some(why));
-            client.ending = true;
+            client.ending = Some(Ending::Told);
         }
     }
 
@@ -536,12 +509,14 @@
             if let Slot::Passing(begun) = slot {
                 *slot = Slot::Ready(std::mem::take(begun));
             }
-            client.ending = true;
+            client.ending = Some(Ending::Unread);
         }
         self.write(ticket.client, now, reactor);
     }
 
     fn write(&mut self, key: Key, now: Instant, reactor: &Reactor) {
+        // Once a call: a client that never stops sending must not hold the loop.
+        let mut looked = false;
         loop {
             let Some(client) = self.clients.get_mut(key) else { return };
             if client.gone {
@@ -577,21 +552,25 @@
             }
             let Some(client) = self.clients.get_mut(key) else { return };
             if written && client.answers.is_empty() {
-                if !client.ending && self.closing && client.greeted && client.idle() {
-                    return self.drop_client(key, reactor);
-                }
-                if client.ending && client.leaving.is_none() {
-                    client.leaving = Some((now, 0));
-                    client.stream.end_output();
+                if self.closing && !looked && client.may_close(now) {
+                    looked = true;
+                    if self.take_in(key, now, reactor) {
+                        continue;
+                    }
+                    let Some(client) = self.clients.get_mut(key) else { return };
+                    client.part();
+                } else if client.ending.is_some() && client.leaving.is_none() {
+                    client.leave(now);
                 }
             }
+            let Some(client) = self.clients.get_mut(key) else { return };
             // Commands that had to wait for room are in the buffer, not in the socket: no event tells of them.
             if full && client.takes_more(&self.patience) && !client.stream.input.is_empty() {
                 self.read(key, now);
                 continue;
             }
             let listens =
-                client.leaving.map_or(client.takes_more(&self.patience), |(_, heard)| heard < LEAVE_BYTES);
+                client.leaving.map_or(client.takes_more(&self.patience), |leaving| leaving.room > 0);
             let interest = Interest { read: listens, write: !written };
             if client.stream.watch(reactor, Token::Client(key), interest).is_err() {
                 self.drop_client(key, reactor);
@@ -628,11 +607,21 @@
         self.listener.as_ref()
     }
 
+    /// Whoever there was no place for is told so: closed with the listener, its connection would just be reset.
+    fn refuse_waiting(&mut self, now: Instant, reactor: &Reactor) {
+        while let Some(Ok((stream, peer))) = self.listener.as_ref().map(net::accept) {
+            let key = self.adopt(stream, peer, now, reactor);
+            self.turn_out(key, server::too_many());
+            self.write(key, now, reactor);
+        }
+    }
+
     /// Takes no new connection from now on, once those that wait are taken, and closes each connection as
     /// soon as nothing is owed on it. One that has not sent its startup may have a request right behind it.
     pub fn close(&mut self, now: Instant, reactor: &Reactor) {
         if !self.left_to_heir {
             self.accept(now, reactor);
+            self.refuse_waiting(now, reactor);
         }
         if let Some(listener) = self.listener.take() {
             reactor.remove(&listener);
@@ -644,82 +633,3 @@
         }
     }
 }
-
-#[allow(clippy::large_enum_variant, reason = "lives for one call, and the large variant is the usual one")]
-enum Step {
-    /// The next message has not come in full.
-    Wait,
-    Next,
-    /// The client takes its leave.
-    Gone,
-    /// The client came to cancel another session's request, and goes.
-    Cancel(CancelKey),
-    Asked(Ticket, Request),
-}
-
-/// Who the client is, as the balancer before it says.
-fn header(client: &mut Client) -> Result<Step, Malformed> {
-    let found = proxy::parse(client.stream.input.unused()).map_err(|fault| Malformed(fault.to_string()))?;
-    let Some((from, used)) = found else { return Ok(Step::Wait) };
-    client.stream.input.consume(used);
-    client.headed = false;
-    if let From::Client(address) = from {
-        client.peer = address.ip();
-    }
-    Ok(Step::Next)
-}
-
-fn greet(client: &mut Client) -> Result<Step, Malformed> {
-    let Some((startup, used)) = server::startup(client.stream.input.unused(), client.cancel_key)? else {
-        return Ok(Step::Wait);
-    };
-    client.stream.input.consume(used);
-    match startup {
-        Startup::Session(welcome) => {
-            client.greeted = true;
-            client.expect(Some(welcome));
-        }
-        Startup::Encryption => _ = client.expect(Some(b"N".to_vec())),
-        Startup::Cancel(named) => return Ok(Step::Cancel(named)),
-    }
-    Ok(Step::Next)
-}
-
-fn command(client: &mut Client, key: Key, now: Instant, log: &mut Seldom) -> Result<Step, Malformed> {
-    let Some((asked, used)) = server::asked(client.stream.input.unused())? else { return Ok(Step::Wait) };
-    let mut request = None;
-    let answer = match asked {
-        Asked::Terminate => return Ok(Step::Gone),
-        Asked::Sync => {
-            client.skipping = false;
-            Some(server::ready())
-        }
-        Asked::Unsupported(tag) if !client.skipping => {
-            client.skipping = true;
-            Some(server::unsupported(tag))
-        }
-        Asked::Unsupported(_) => None,
-        Asked::Query(_) if client.skipping => None,
-        Asked::Query(text) => match statement::parse(text, now) {
-            Ok(Query::Empty) => Some(server::empty_query()),
-            Ok(Query::Setting(tag)) => Some(server::done(tag)),
-            Ok(Query::Request(read)) => {
-                request = Some(Request { client: client.peer, ..read });
-                None
-            }
-            Err(why) => {
-                log.warn(now, || format!("front: a statement is not understood: {why}"));
-                Some(server::answer(Answer::Rejected(why)))
-            }
-        },
-    };
-    client.stream.input.consume(used);
-    if let Some(request) = request {
-        let number = client.expect(None);
-        return Ok(Step::Asked(Ticket { client: key, number }, request));
-    }
-    if answer.is_some() {
-        client.expect(answer);
-    }
-    Ok(Step::Next)
-}
--- a/crates/leverproxy/src/proxy.rs
+++ b/crates/leverproxy/src/proxy.rs
@@ -28,6 +28,7 @@
 use mountshift_settings::Decoded;
 use std::io;
 use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
 use std::path::Path;
 use std::time::{Duration, Instant};
 use wire_admin::{Answer, Call, Figures, Status};
@@ -35,6 +36,9 @@
 /// A listener that was full is looked at again after this, even if no client has left.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(100);
 
+/// An address that could not be listened on again is tried again after this.
+const LISTEN_AGAIN: Duration = Duration::from_secs(1);
+
 /// What came of an operator's call.
 enum Called {
     Answer(Answer),
@@ -96,14 +100,19 @@
 impl Proxy {
     /// Listens, and begins with the list of record servers as it was last known.
     pub fn start(config: Config) -> io::Result<(Proxy, Control)> {
+        let (control, wishes) = control::pair()?;
+        Ok((Proxy::start_heeding(config, wishes)?, control))
+    }
+
+    /// The same, for whom words may have been said already: they are heeded once it runs.
+    pub fn start_heeding(config: Config, wishes: control::Listener) -> io::Result<Proxy> {
         let now = Instant::now();
         let reactor = Reactor::new()?;
-        let (control, wishes) = control::pair()?;
         reactor.add(&wishes, Token::Control, Interest::READ)?;
         crate::logging::set(&config.logging);
         let drain = Drain::new(config.drain_settings(), Duration::ZERO);
         let elder = config.takeover.as_deref().map_or(Elder::Nobody, takeover::ask);
-        let (inherited, estate, link, unheard) = match elder {
+        let (inherited, estate, link, unheard): (Option<OwnedFd>, _, _, _) = match elder {
             Elder::Nobody => (None, None, None, false),
             Elder::Unheard(why) => {
                 log::warn!("takeover: nothing sound comes from the process before this one: {why}");
@@ -121,6 +130,7 @@
         let elder_holds = estate.as_ref().map_or((0, 0), |estate| (estate.clients, estate.upstream));
         let limits = config.limits.beside(elder_holds);
         let shared = config.takeover.is_some();
+        let in_place = inherited.is_some();
         let mut front = Front::listen(config.listen, inherited, shared, limits, config.patience, &reactor)?;
         front.set_balancers(config.checks.clone(), config.proxy_from.clone());
         let upstream = Upstream::new(limits.upstream, config.dial_timeout, config.idle_limit);
@@ -189,7 +199,7 @@
         }
         chain.set_pushed(pushed, &mut sides, now);
         if let (Some(takeover), Some(link)) = (&mut sides.takeover, link) {
-            takeover.join(link, &sides.reactor);
+            takeover.join(link, in_place, &sides.reactor);
         }
         chain.monitor.event(now, availability::Event::Started);
         let start = clock::unix_ms().max(recalled.start.saturating_add(1));
@@ -213,7 +223,7 @@
             chain.quota.lending = Some(Lending::new(stated, config.windows, wishes.waker()?, now));
             chain.quota.rule(now);
         }
-        let proxy = Proxy {
+        Ok(Proxy {
             rollout,
             memory,
             born: start,
@@ -234,8 +244,7 @@
             unheard,
             platform,
             fixed,
-        };
-        Ok((proxy, control))
+        })
     }
 
     pub fn local_address(&self) -> Option<SocketAddr> {
@@ -281,11 +290,19 @@
         }
     }
 
+    /// Listens again after a drain, if it does not, and tries until it does.
+    fn listen(&mut self, now: Instant) {
+        let Sides { reactor, timers, front, .. } = &mut self.sides;
+        if let Err(error) = front.open(reactor) {
+            log::error!("clients can't be listened to again: {error}; it is tried again in {LISTEN_AGAIN:?}. See what holds the address, or whether descriptors are short.");
+            timers.set(now + LISTEN_AGAIN, Timer::Accept);
+        }
+    }
+
     fn drain(&mut self, event: drain::Event, now: Instant) {
         let mut actions = Vec::new();
         self.drain.handle(now.saturating_duration_since(self.start), event, &mut actions);
         for action in actions {
-            let Sides { reactor, front, .. } = &mut self.sides;
             match action {
                 Action::Announce if self.drain.ending() => {
                     self.chain.monitor.event(now, availability::Event::Stop);
@@ -296,12 +313,12 @@
                     self.chain.monitor.event(now, availability::Event::Stop);
                     self.chain.ends_at(self.start + end);
                 }
-                Action::StopListening => front.close(now, reactor),
-                Action::Listen => {
-                    if let Err(error) = front.open(reactor) {
-                        log::error!("clients can't be listened to again: {error}");
-                    }
+                Action::StopListening => {
+                    self.sides.front.close(now, &self.sides.reactor);
+                    // Whoever waited at the listener is there now.
+                    self.settled = false;
                 }
+                Action::Listen => self.listen(now),
                 Action::GiveUp => self.chain.fail_all(&mut self.sides, now),
                 Action::End => self.over = true,
             }
@@ -408,7 +425,12 @@
                 }
                 self.sides.timers.set(again, Timer::LookOver);
             }
-            Timer::Accept => self.sides.front.resume(&self.sides.reactor),
+            Timer::Accept => {
+                self.sides.front.resume(&self.sides.reactor);
+                if self.drain.phase() == drain::Phase::Serving {
+                    self.listen(now);
+                }
+            }
             Timer::Load => {
                 self.chain.monitor.look(self.usage(), now);
                 self.sides.health.publish(&self.chain.monitor.status());
@@ -446,7 +468,7 @@
                     // Whether anything is owed is told first: it may have changed since the last round.
                     self.settle(now);
                     // Whoever comes from now on is the heir's; waiting for them here would take them from it.
-                    if self.sides.takeover.as_ref().is_some_and(Takeover::has_heir) {
+                    if self.sides.takeover.as_ref().is_some_and(Takeover::heir_accepts) {
                         self.sides.front.close(now, &self.sides.reactor);
                     }
                     if let (Some(rollout), Some(members)) = (&mut self.rollout, &mut self.members) {
@@ -623,9 +645,9 @@
         let Sides { reactor, front, takeover, operate, .. } = &mut self.sides;
         let Some(takeover) = takeover else { return };
         let said = match word {
-            takeover::Word::Said(Said::Serving) => {
-                log::info!("takeover: the next process serves; it is left to accept");
-                front.leave_to_heir(true, reactor);
+            takeover::Word::Said(said @ (Said::Serving | Said::ServingElsewhere)) => {
+                log::info!(said:? = said; "takeover: the next process serves");
+                front.leave_to_heir(takeover.heir_accepts(), reactor);
                 if let Some(rollout) = &mut self.rollout {
                     rollout.hand_over(true);
                 }
@@ -633,7 +655,7 @@
             }
             takeover::Word::Gone => {
                 log::info!("takeover: the other process is gone");
-                front.leave_to_heir(takeover.has_heir(), reactor);
+                front.leave_to_heir(takeover.heir_accepts(), reactor);
                 if let Some(rollout) = &mut self.rollout {
                     rollout.hand_over(takeover.has_heir());
                 }
@@ -869,12 +891,12 @@
     /// The counters, on standard error: whoever asks wants them at any log level.
     pub fn report(&self) {
         let Sides { front, upstream, .. } = &self.sides;
-        let (clients, turned_out) = (front.clients(), front.turned_out);
+        let (clients, turned_out, not_understood) = (front.clients(), front.turned_out, front.not_understood);
         let (connections, dials) = (upstream.connections(), upstream.dials);
         let (steering, health) = (self.chain.steering(), self.sides.health.lines());
         let quota = &self.chain.quota;
         crate::logging::say(&format!(
-            "{}\nconnections: clients {clients}, turned out {turned_out}; upstream {connections}; dials {dials}{steering}{quota}{health}",
+            "{}\nstatements not understood {not_understood}\nconnections: clients {clients}, turned out {turned_out}; upstream {connections}; dials {dials}{steering}{quota}{health}",
             self.chain.counters,
         ));
     }
