System calls of the event loop pass one module that classifies their errors once

Seen by reading net.rs, reactor.rs and upstream.rs against the manual pages, and by injecting each error under real connections: - Stream::flush took ENOBUFS and ENOMEM for the connection's end (net.rs, `Err(e) => return Err`), Stream::fill and drain likewise: an answer was lost with its client. - A failing epoll_ctl (ENOMEM, ENOSPC) dropped the client, server or watch. - A dial that this machine lacked descriptors, ports or memory for was told to the module as ConnectFailed, which rests the server as if it were down. - accept: any other error (EPERM, ENETDOWN, EPROTO, EINVAL ...) counted as an empty queue, so that the level-triggered listener kept the loop busy; admin, control and takeover listeners did so for EMFILE as well; ENFILE or ENOMEM ended all idle clients in one go, one for each call that still failed. - After an undrain whose bind or listen failed once, nobody listened ever again. - An operator's answer that the control socket did not take at once was lost. - A refused TCP_NODELAY or SO_REUSEADDR failed the dial or the start.

The change: system_calls.rs makes the calls and classifies (retry now, not ready, retry later, broken, fatal). A dial that is short waits with its exchange and is made again, and ends as NeverSent. Failed accepts are retried at once, as many in a round as the backlog holds, then the listener pauses. Tests inject errors and short transfers with faults.rs; a thread without faults pays one look at a thread-local variable for each call (cost not measured).

Each of these mutations was seen to fail a test: other accept errors taken for empty; those of a connection not retried; no bound on retries; ENOBUFS of send or ENOMEM of read as an end; no pause after them; epoll_ctl's ENOMEM as an error, without a retry, with repeated retries; shortage of a dial or in SO_ERROR told as ConnectFailed, or without a timer; admin or control listener without a rest or not watched after it; all idle clients giving way; listening again tried once; listener lost when epoll_ctl fails; operator's answer sent once; a retried dial taken for up; EINTR of read as an end; ENOMEM of epoll_wait as the process's end. EINTR of connect as a failure is seen by the table of classes alone.

--- a/crates/leverproxy/src/admin.rs
+++ b/crates/leverproxy/src/admin.rs
@@ -46,9 +46,9 @@
 
     pub fn accept(&mut self, now: Instant, reactor: &Reactor) {
         loop {
-            let stream = match net::accept(&self.listener) {
+            let stream = match net::accept_or_rest(&self.listener, Token::AdminListener, reactor) {
                 Ok((stream, _)) => stream,
-                Err(Refusal::Empty) => return,
+                Err(Refusal::Empty | Refusal::Later) => return,
                 Err(Refusal::Exhausted) => {
                     self.exhausted.warn(now, || "admin: no descriptor left for a caller".into());
                     if !self.put_out_oldest() {
--- a/crates/leverproxy/src/discovery/mod.rs
+++ b/crates/leverproxy/src/discovery/mod.rs
@@ -183,7 +183,10 @@
         let Some(watch) = self.watches.get_mut(key) else { return Ok(()) };
         let mut events = Vec::new();
         if !watch.up {
-            watch.stream.connected().map_err(|e| e.to_string())?;
+            if !watch.stream.connected().map_err(|e| e.to_string())? {
+                let watched = watch.stream.watch(reactor, Token::Discovery(key), Interest::WRITE);
+                return watched.map_err(|e| e.to_string());
+            }
             watch.up = true;
             events.push(Event::Up);
         }
--- a/crates/leverproxy/src/front.rs
+++ b/crates/leverproxy/src/front.rs
@@ -197,23 +197,37 @@
     }
 
     /// Listens again, after [`Front::close`].
-    pub fn open(&mut self, reactor: &Reactor) -> io::Result<()> {
+    pub fn open(&mut self, now: Instant, reactor: &Reactor) -> io::Result<()> {
         self.closing = false;
-        if self.listener.is_none() {
-            let listener = net::listen_shared(self.address, self.shared)?;
-            reactor.add(&listener, Token::Listener, Interest::READ)?;
-            (self.listener, self.accepting) = (Some(listener), true);
+        if self.listener.is_some() {
+            return Ok(());
         }
+        let added = net::listen_shared(self.address, self.shared)
+            .and_then(|fd| reactor.add(&fd, Token::Listener, Interest::READ).map(|()| fd));
+        if let Err(error) = &added {
+            let address = self.address;
+            self.exhausted.warn(now, || {
+                format!("front: clients can't be listened to on {address}: {error}. It is tried again; see who listens there.")
+            });
+        }
+        (self.listener, self.accepting) = (Some(added?), true);
         Ok(())
     }
 
+    /// Clients are to be served and can't come yet: [`Front::open`] has failed.
+    pub fn lacks_listener(&self) -> bool {
+        self.listener.is_none() && !self.closing
+    }
+
     /// Who is above a lower limit stays until it leaves or gives way.
     pub fn set_limits(&mut self, limits: Limits, patience: Patience) {
         (self.limits, self.patience) = (limits, patience);
     }
 
     pub fn accept(&mut self, now: Instant, reactor: &Reactor) {
-        loop {
+        // One that gives way is enough for the next; if it is not, descriptors are short elsewhere.
+        let mut gave_way = false;
+        while !self.left_to_heir {
             let full = self.clients.len() - self.checking >= self.limits.clients;
             // Who would give way; nobody does before another client is there for the place.
             let quiet = if full { self.gives_way(now) } else { None };
@@ -225,6 +239,7 @@
             let Some(listener) = &self.listener else { return };
             match net::accept(listener) {
                 Ok((stream, peer)) => {
+                    gave_way = false;
                     if let Some(key) = quiet {
                         self.remove(key);
                     }
@@ -236,12 +251,14 @@
                     }
                 }
                 Err(Refusal::Empty) => return,
+                Err(Refusal::Later) => return self.pause(true, reactor),
                 Err(Refusal::Exhausted) => {
                     let clients = self.clients.len();
                     self.exhausted.warn(now, || format!("front: no descriptor left, {clients} clients"));
-                    if self.gives_way(now).and_then(|key| self.remove(key)).is_none() {
+                    if gave_way || self.gives_way(now).and_then(|key| self.remove(key)).is_none() {
                         return self.pause(true, reactor);
                     }
+                    gave_way = true;
                 }
             }
         }
@@ -281,8 +298,8 @@
         let pause = pause || self.left_to_heir;
         let Some(listener) = self.listener.as_ref().filter(|_| self.accepting == pause) else { return };
         let interest = Interest { read: !pause, write: false };
-        if reactor.change(listener, Token::Listener, interest).is_ok() {
-            self.accepting = !pause;
+        if let Ok(watched) = reactor.set(listener, Token::Listener, interest, true) {
+            self.accepting = watched && !pause;
         }
     }
 
--- a/crates/leverproxy/src/health.rs
+++ b/crates/leverproxy/src/health.rs
@@ -155,6 +155,7 @@
             let stream = match net::accept(&listener.fd) {
                 Ok((stream, _)) => stream,
                 Err(Refusal::Empty) => return,
+                Err(Refusal::Later) => return self.pause(place, true, reactor),
                 Err(Refusal::Exhausted) => {
                     if self.reserve.pop().is_none() {
                         self.exhausted
@@ -177,8 +178,9 @@
     fn pause(&mut self, place: usize, pause: bool, reactor: &Reactor) {
         let Some(listener) = self.listeners.get_mut(place).filter(|l| l.accepting == pause) else { return };
         let interest = Interest { read: !pause, write: false };
-        if reactor.change(&listener.fd, Token::HealthListener(place as u16), interest).is_ok() {
-            listener.accepting = !pause;
+        let token = Token::HealthListener(place as u16);
+        if let Ok(watched) = reactor.set(&listener.fd, token, interest, true) {
+            listener.accepting = watched && !pause;
         }
     }
 
--- a/crates/leverproxy/src/lib.rs
+++ b/crates/leverproxy/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod seldom;
 pub mod sites;
 pub mod stages;
+pub mod system_calls;
 pub mod takeover;
 pub mod upstream;
 mod usage;
--- a/crates/leverproxy/src/net.rs
+++ b/crates/leverproxy/src/net.rs
@@ -1,32 +1,37 @@
 //! Non-blocking TCP connections with bounded buffers on both sides.
 
 use crate::reactor::{Interest, Reactor, Token};
+use crate::system_calls::{self, classify, lacks_descriptors, Call, Failure};
 use rustix::io::Errno;
-use rustix::net::{self, sockopt, AddressFamily, SendFlags, SocketAddrUnix, SocketFlags, SocketType};
+use rustix::net::{self, sockopt, AddressFamily, SocketAddrUnix};
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::os::fd::OwnedFd;
 use std::path::Path;
+use thiserror::Error;
 
-const NON_BLOCKING: SocketFlags = SocketFlags::NONBLOCK.union(SocketFlags::CLOEXEC);
 const BACKLOG: i32 = 1_024;
+/// Connections of one round that may fail while they are accepted: no more wait than the backlog holds.
+const ACCEPT_FAILURES: usize = BACKLOG as usize;
 const CHUNK: usize = 16 << 10;
 /// A buffer that grew past this gives its memory back once it is empty.
 const KEPT: usize = 16 << 10;
 
-fn socket(address: &SocketAddr) -> io::Result<OwnedFd> {
-    let family = if address.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
-    Ok(net::socket_with(family, SocketType::STREAM, NON_BLOCKING, None)?)
+fn socket(address: &SocketAddr) -> Result<OwnedFd, Errno> {
+    system_calls::socket(if address.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 })
 }
 
 /// `shared`: another process of the same owner may listen there as well.
 pub fn listen_shared(address: SocketAddr, shared: bool) -> io::Result<OwnedFd> {
     let fd = socket(&address)?;
-    sockopt::set_socket_reuseport(&fd, shared)?;
-    // A restarted proxy takes its address again while connections of its former life linger.
-    sockopt::set_socket_reuseaddr(&fd, true)?;
-    net::bind(&fd, &address)?;
-    net::listen(&fd, BACKLOG)?;
+    if shared {
+        sockopt::set_socket_reuseport(&fd, true)?;
+    }
+    // A restarted proxy takes its address again while connections of its former life linger. Where the option is
+    // refused, bind tells whether it was needed.
+    _ = sockopt::set_socket_reuseaddr(&fd, true);
+    system_calls::bind(&fd, &address)?;
+    system_calls::listen(&fd, BACKLOG)?;
     Ok(fd)
 }
 
@@ -37,10 +42,10 @@
 /// A socket of the machine that its owner alone may connect to, from before it listens.
 pub fn listen_unix(path: &Path) -> io::Result<OwnedFd> {
     use std::os::unix::fs::PermissionsExt;
-    let fd = net::socket_with(AddressFamily::UNIX, SocketType::STREAM, NON_BLOCKING, None)?;
-    net::bind(&fd, &SocketAddrUnix::new(path)?)?;
+    let fd = system_calls::socket(AddressFamily::UNIX)?;
+    system_calls::bind(&fd, &SocketAddrUnix::new(path)?)?;
     std::fs::set_permissions(path, std::fs::Permissions::from_mode(0o600))?;
-    net::listen(&fd, BACKLOG)?;
+    system_calls::listen(&fd, BACKLOG)?;
     Ok(fd)
 }
 
@@ -65,12 +70,14 @@
     Empty,
     /// No descriptor is left for it: it stays in the backlog.
     Exhausted,
+    /// The machine lacks something else for it, or all fail: it is tried again after a pause.
+    Later,
 }
 
 /// A connection and the address that it comes from.
 pub fn accept(listener: &OwnedFd) -> Result<(Stream, IpAddr), Refusal> {
-    loop {
-        match net::acceptfrom_with(listener, NON_BLOCKING) {
+    for _ in 0..ACCEPT_FAILURES {
+        let errno = match system_calls::accept(listener) {
             Ok((fd, peer)) => {
                 // Small answers must not wait for the acknowledgement of the one before.
                 _ = sockopt::set_tcp_nodelay(&fd, true);
@@ -78,11 +85,48 @@
                 let peer = peer.map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), |peer| peer.ip());
                 return Ok((Stream::new(fd), peer));
             }
-            Err(Errno::INTR | Errno::CONNABORTED) => {}
-            Err(Errno::MFILE | Errno::NFILE | Errno::NOBUFS | Errno::NOMEM) => {
-                return Err(Refusal::Exhausted)
-            }
-            Err(_) => return Err(Refusal::Empty),
+            Err(errno) => errno,
+        };
+        match classify(Call::Accept, errno) {
+            Failure::RetryNow => {}
+            Failure::NotReady => return Err(Refusal::Empty),
+            _ if lacks_descriptors(errno) => return Err(Refusal::Exhausted),
+            _ => return Err(Refusal::Later),
+        }
+    }
+    Err(Refusal::Later)
+}
+
+/// The same for a listener whose owner has no pause of its own: while nothing can be accepted it is not watched.
+pub fn accept_or_rest(
+    listener: &OwnedFd,
+    token: Token,
+    reactor: &Reactor,
+) -> Result<(Stream, IpAddr), Refusal> {
+    let accepted = accept(listener);
+    match accepted {
+        Ok(_) => {}
+        Err(Refusal::Empty) => reactor.wake(listener, token),
+        Err(Refusal::Exhausted | Refusal::Later) => reactor.rest(listener, token),
+    }
+    accepted
+}
+
+/// Why no connection was begun.
+#[derive(Debug, Error)]
+pub enum DialError {
+    /// This machine lacks something for it; the other one is not to blame.
+    #[error("this machine lacks descriptors, ports or memory: {0}")]
+    Short(Errno),
+    #[error("{0}")]
+    Failed(Errno),
+}
+
+impl DialError {
+    fn new(call: Call, errno: Errno) -> DialError {
+        match classify(call, errno) {
+            Failure::RetryLater => DialError::Short(errno),
+            _ => DialError::Failed(errno),
         }
     }
 }
@@ -142,11 +186,16 @@
     pub input: Buffer,
     output: Buffer,
     interest: Option<Interest>,
+    /// A read or a send failed for want of memory; it is made again after a pause.
+    short: bool,
+    /// It may be called ready without being so.
+    retried: bool,
 }
 
 impl Stream {
     pub fn new(fd: OwnedFd) -> Stream {
-        Stream { fd, input: Buffer::default(), output: Buffer::default(), interest: None }
+        let (input, output) = (Buffer::default(), Buffer::default());
+        Stream { fd, input, output, interest: None, short: false, retried: false }
     }
 
     pub fn fd(&self) -> &OwnedFd {
@@ -154,25 +203,29 @@
     }
 
     /// Begins a connection; it is up once it turns writable and [`Stream::connected`] agrees.
-    pub fn dial(address: SocketAddr) -> io::Result<Stream> {
-        let fd = socket(&address)?;
-        sockopt::set_tcp_nodelay(&fd, true)?;
-        match net::connect(&fd, &address) {
-            // An interrupted connect goes on in the background like any other.
-            Ok(()) | Err(Errno::INPROGRESS | Errno::INTR) => Ok(Stream::new(fd)),
-            Err(e) => Err(e.into()),
+    pub fn dial(address: SocketAddr) -> Result<Stream, DialError> {
+        let fd = socket(&address).map_err(|errno| DialError::new(Call::Socket, errno))?;
+        _ = sockopt::set_tcp_nodelay(&fd, true);
+        match system_calls::connect(&fd, &address) {
+            Err(errno) if classify(Call::Connect, errno) != Failure::NotReady => {
+                Err(DialError::new(Call::Connect, errno))
+            }
+            _ => Ok(Stream::new(fd)),
         }
     }
 
-    pub fn connected(&self) -> io::Result<()> {
-        Ok(sockopt::socket_error(&self.fd)??)
+    /// Whether a connection that was called ready is up; false: its connect goes on.
+    pub fn connected(&self) -> Result<bool, DialError> {
+        let result = system_calls::socket_error(&self.fd).and_then(|result| result);
+        result.map_err(|errno| DialError::new(Call::SocketError, errno))?;
+        Ok(!self.retried || system_calls::is_writable(&self.fd))
     }
 
     /// Reads what there is until `limit` bytes wait to be used.
     pub fn fill(&mut self, limit: usize) -> Filled {
         let mut chunk = [0; CHUNK];
         while self.input.len() < limit {
-            match rustix::io::read(&self.fd, &mut chunk) {
+            match system_calls::read(&self.fd, &mut chunk) {
                 Ok(0) => return Filled::Ended,
                 Ok(n) => {
                     self.input.push(&chunk[..n]);
@@ -181,29 +234,41 @@
                         break;
                     }
                 }
-                Err(Errno::AGAIN) => break,
-                Err(Errno::INTR) => {}
-                Err(_) => return Filled::Ended,
+                Err(errno) => match self.unread(errno) {
+                    Some(Filled::Open) => break,
+                    Some(Filled::Ended) => return Filled::Ended,
+                    None => {}
+                },
             }
         }
         Filled::Open
     }
 
+    /// What a read that failed comes to; none: it is made again.
+    fn unread(&mut self, errno: Errno) -> Option<Filled> {
+        match classify(Call::Read, errno) {
+            Failure::RetryNow => return None,
+            Failure::NotReady => {}
+            Failure::RetryLater => self.short = true,
+            Failure::Broken | Failure::Fatal => return Some(Filled::Ended),
+        }
+        Some(Filled::Open)
+    }
+
     /// Reads a piece of what there is and throws it away, with all that waited; how much it was.
     pub fn drain(&mut self) -> (Filled, usize) {
         self.input = Buffer::default();
         let mut chunk = [0; CHUNK];
-        match rustix::io::read(&self.fd, &mut chunk) {
+        match system_calls::read(&self.fd, &mut chunk) {
             Ok(0) => (Filled::Ended, 0),
             Ok(n) => (Filled::Open, n),
-            Err(Errno::AGAIN | Errno::INTR) => (Filled::Open, 0),
-            Err(_) => (Filled::Ended, 0),
+            Err(errno) => (self.unread(errno).unwrap_or(Filled::Open), 0),
         }
     }
 
     /// Nothing more will be sent; the peer is told so.
     pub fn end_output(&self) {
-        _ = net::shutdown(&self.fd, net::Shutdown::Write);
+        _ = system_calls::shutdown_output(&self.fd);
     }
 
     pub fn push(&mut self, bytes: &[u8]) {
@@ -218,11 +283,21 @@
     /// Writes what the socket takes; true once all is written.
     pub fn flush(&mut self) -> io::Result<bool> {
         while !self.output.is_empty() {
-            match net::send(&self.fd, self.output.unused(), SendFlags::NOSIGNAL) {
-                Ok(n) => self.output.consume(n),
-                Err(Errno::AGAIN) => return Ok(false),
-                Err(Errno::INTR) => {}
-                Err(e) => return Err(e.into()),
+            let errno = match system_calls::send(&self.fd, self.output.unused()) {
+                Ok(n) => {
+                    self.output.consume(n);
+                    continue;
+                }
+                Err(errno) => errno,
+            };
+            match classify(Call::Send, errno) {
+                Failure::RetryNow => {}
+                Failure::NotReady => return Ok(false),
+                Failure::RetryLater => {
+                    self.short = true;
+                    return Ok(false);
+                }
+                Failure::Broken | Failure::Fatal => return Err(errno.into()),
             }
         }
         Ok(true)
@@ -235,14 +310,21 @@
         }
     }
 
-    /// Sets what the stream waits for, with a system call only where that changes.
+    /// Sets what the stream waits for, with a system call only where that changes. While the machine lacks memory for
+    /// what was last asked of it, the stream is called ready after a pause instead.
     pub fn watch(&mut self, reactor: &Reactor, token: Token, interest: Interest) -> io::Result<()> {
-        match self.interest {
-            Some(now) if now == interest => return Ok(()),
-            Some(_) => reactor.change(&self.fd, token, interest)?,
-            None => reactor.add(&self.fd, token, interest)?,
+        if std::mem::take(&mut self.short) {
+            self.unwatch(reactor);
+            self.retried = true;
+            reactor.retry(token);
+            return Ok(());
+        }
+        if self.interest == Some(interest) {
+            return Ok(());
         }
-        self.interest = Some(interest);
+        let watched = reactor.set(&self.fd, token, interest, self.interest.is_some())?;
+        self.interest = watched.then_some(interest);
+        self.retried |= !watched;
         Ok(())
     }
 }
--- a/crates/leverproxy/src/operate.rs
+++ b/crates/leverproxy/src/operate.rs
@@ -85,7 +85,8 @@
     }
 
     pub fn accept(&mut self, now: Instant, reactor: &Reactor) {
-        while let Ok((mut stream, _)) = net::accept(&self.listener) {
+        let token = Token::OperateListener;
+        while let Ok((mut stream, _)) = net::accept_or_rest(&self.listener, token, reactor) {
             if self.peers.len() >= CONNECTIONS {
                 stream.push(b"error: too many at once\n");
                 _ = stream.flush();
@@ -101,7 +102,7 @@
     }
 
     /// A word that has come whole, and who awaits its answer.
-    pub fn ready(&mut self, key: Key) -> Option<(Key, Word)> {
+    pub fn ready(&mut self, key: Key, reactor: &Reactor) -> Option<(Key, Word)> {
         let peer = self.peers.get_mut(key)?;
         let filled = peer.stream.fill(LINE_LIMIT);
         let input = peer.stream.input.unused();
@@ -120,7 +121,10 @@
                 self.peers.remove(key);
                 return None;
             }
-            None => return None,
+            None => {
+                _ = peer.stream.watch(reactor, Token::Operate(key), Interest::READ);
+                return None;
+            }
         };
         if peer.answered {
             self.peers.remove(key);
@@ -133,18 +137,20 @@
         word.map(|word| (key, word))
     }
 
-    /// One answer, and the connection ends. What does not fit in the socket at once is lost: it holds far more.
+    /// One answer, and the connection ends. What the socket does not take at once is sent by [`Operate::look_over`].
     pub fn answer(&mut self, key: Key, text: &str) {
-        if let Some(mut peer) = self.peers.remove(key) {
-            peer.stream.push(text.as_bytes());
-            _ = peer.stream.flush();
+        let Some(peer) = self.peers.get_mut(key) else { return };
+        peer.stream.push(text.as_bytes());
+        if !matches!(peer.stream.flush(), Ok(false)) {
+            self.peers.remove(key);
         }
     }
 
     pub fn look_over(&mut self, now: Instant) {
         for key in self.peers.keys() {
-            let old = self.peers.get(key).is_some_and(|p| now.saturating_duration_since(p.since) >= PATIENCE);
-            if old {
+            let Some(peer) = self.peers.get_mut(key) else { continue };
+            let sent = peer.answered && !matches!(peer.stream.flush(), Ok(false));
+            if sent || now.saturating_duration_since(peer.since) >= PATIENCE {
                 self.peers.remove(key);
             }
         }
--- a/crates/leverproxy/src/proxy.rs
+++ b/crates/leverproxy/src/proxy.rs
@@ -297,11 +297,7 @@
                     self.chain.ends_at(self.start + end);
                 }
                 Action::StopListening => front.close(now, reactor),
-                Action::Listen => {
-                    if let Err(error) = front.open(reactor) {
-                        log::error!("clients can't be listened to again: {error}");
-                    }
-                }
+                Action::Listen => self.listen_again(now),
                 Action::GiveUp => self.chain.fail_all(&mut self.sides, now),
                 Action::End => self.over = true,
             }
@@ -315,6 +311,14 @@
         }
     }
 
+    /// Tried until it succeeds: an undrained proxy has to be reached.
+    fn listen_again(&mut self, now: Instant) {
+        let Sides { reactor, front, timers, .. } = &mut self.sides;
+        if front.open(now, reactor).is_err() {
+            timers.set(now + ACCEPT_AGAIN, Timer::Accept);
+        }
+    }
+
     fn on_ready(&mut self, ready: Ready) {
         let now = Instant::now();
         let Sides { reactor, timers, front, upstream, discovery, health, operate, admin, takeover } =
@@ -328,7 +332,7 @@
                 }
             }
             Token::Operate(key) => {
-                if let Some((key, word)) = operate.as_mut().and_then(|o| o.ready(key)) {
+                if let Some((key, word)) = operate.as_mut().and_then(|o| o.ready(key, reactor)) {
                     self.operate(key, word, now);
                 }
             }
@@ -408,6 +412,7 @@
                 }
                 self.sides.timers.set(again, Timer::LookOver);
             }
+            Timer::Accept if self.sides.front.lacks_listener() => self.listen_again(now),
             Timer::Accept => self.sides.front.resume(&self.sides.reactor),
             Timer::Load => {
                 self.chain.monitor.look(self.usage(), now);
--- a/crates/leverproxy/src/reactor.rs
+++ b/crates/leverproxy/src/reactor.rs
@@ -1,9 +1,11 @@
 //! What the single thread waits on: descriptors with tokens, timers, and signals.
 
+use crate::system_calls::{self, classify, Call, Failure, RETRY_PAUSE};
 use rustix::event::{epoll, Timespec};
 use rustix::io::Errno;
+use std::cell::RefCell;
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BTreeSet, BinaryHeap, VecDeque};
 use std::io;
 use std::mem::MaybeUninit;
 use std::os::fd::{AsFd, OwnedFd};
@@ -81,7 +83,7 @@
 }
 
 /// Whose descriptor an event is for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Token {
     Listener,
     Control,
@@ -183,6 +185,36 @@
 
 pub struct Reactor {
     epoll: OwnedFd,
+    retries: RefCell<Retries>,
+    /// Listeners that are not watched until a retry finds them empty.
+    resting: RefCell<BTreeSet<Token>>,
+}
+
+/// What is called ready at a time: the system lacked memory to watch it or to transfer its bytes.
+#[derive(Default)]
+struct Retries {
+    /// In the order of their times.
+    due: VecDeque<(Instant, Token)>,
+    /// Each is there once, however often it is asked for.
+    tokens: BTreeSet<Token>,
+}
+
+impl Retries {
+    fn add(&mut self, at: Instant, token: Token) {
+        if self.tokens.insert(token) {
+            self.due.push_back((at, token));
+        }
+    }
+
+    fn next(&self) -> Option<Instant> {
+        self.due.front().map(|(at, _)| *at)
+    }
+
+    fn pop_due(&mut self, now: Instant) -> Option<Token> {
+        let (_, token) = self.due.pop_front_if(|(at, _)| *at <= now)?;
+        self.tokens.remove(&token);
+        Some(token)
+    }
 }
 
 /// Events fetched at once.
@@ -190,48 +222,103 @@
 
 impl Reactor {
     pub fn new() -> io::Result<Reactor> {
-        Ok(Reactor { epoll: epoll::create(epoll::CreateFlags::CLOEXEC)? })
+        let epoll = epoll::create(epoll::CreateFlags::CLOEXEC)?;
+        Ok(Reactor { epoll, retries: RefCell::default(), resting: RefCell::default() })
     }
 
+    /// Watches a descriptor from the start of its life; a lack of memory for that is an error.
     pub fn add(&self, fd: impl AsFd, token: Token, interest: Interest) -> io::Result<()> {
-        let data = epoll::EventData::new_u64(token.encode());
-        Ok(epoll::add(&self.epoll, fd, data, interest.flags())?)
+        Ok(system_calls::epoll_add(&self.epoll, fd, token.encode(), interest.flags())?)
     }
 
-    pub fn change(&self, fd: impl AsFd, token: Token, interest: Interest) -> io::Result<()> {
-        let data = epoll::EventData::new_u64(token.encode());
-        Ok(epoll::modify(&self.epoll, fd, data, interest.flags())?)
+    /// Watches a descriptor while the process serves. False: the system lacks memory for that. The descriptor is not
+    /// watched then, and is called ready after a pause; its owner asks again as it does after any event.
+    pub fn set(&self, fd: impl AsFd, token: Token, interest: Interest, watched: bool) -> io::Result<bool> {
+        let (data, flags) = (token.encode(), interest.flags());
+        let add = || system_calls::epoll_add(&self.epoll, &fd, data, flags);
+        let change = || system_calls::epoll_change(&self.epoll, &fd, data, flags);
+        let result = match if watched { change() } else { add() } {
+            Err(Errno::NOENT) => add(),
+            Err(Errno::EXIST) => change(),
+            result => result,
+        };
+        let Err(errno) = result else { return Ok(true) };
+        match classify(Call::EpollControl, errno) {
+            Failure::RetryNow | Failure::NotReady | Failure::RetryLater => {
+                // Watched as before it could be ready all the time.
+                self.remove(&fd);
+                self.retry(token);
+                Ok(false)
+            }
+            Failure::Broken | Failure::Fatal => Err(errno.into()),
+        }
+    }
+
+    /// Calls it ready after a pause, with `ended` unknown.
+    pub fn retry(&self, token: Token) {
+        self.retries.borrow_mut().add(Instant::now() + RETRY_PAUSE, token);
+    }
+
+    /// Does not watch a listener whose next connection can't be accepted now, and calls it ready after a pause.
+    pub fn rest(&self, listener: impl AsFd, token: Token) {
+        self.remove(listener);
+        self.resting.borrow_mut().insert(token);
+        self.retry(token);
+    }
+
+    /// Watches a listener again after [`Reactor::rest`].
+    pub fn wake(&self, listener: impl AsFd, token: Token) {
+        let mut resting = self.resting.borrow_mut();
+        if resting.contains(&token) && matches!(self.set(listener, token, Interest::READ, false), Ok(true)) {
+            resting.remove(&token);
+        }
     }
 
     /// No more of it is told. Needed before a descriptor is closed that another process holds too: it would go on
     /// being watched.
     pub fn remove(&self, fd: impl AsFd) {
-        _ = epoll::delete(&self.epoll, fd);
+        _ = system_calls::epoll_remove(&self.epoll, fd);
     }
 
     /// Waits for the first event or until `until`; an interrupted wait returns nothing.
     pub fn wait(&self, until: Option<Instant>, ready: &mut Vec<Ready>) -> io::Result<()> {
         ready.clear();
+        let retry = self.retries.borrow().next();
+        let until = until.into_iter().chain(retry).min();
         let timeout = until.map(|at| {
             let left = at.saturating_duration_since(Instant::now());
             Timespec { tv_sec: left.as_secs().min(3_600) as i64, tv_nsec: left.subsec_nanos().into() }
         });
         let mut buffer = [const { MaybeUninit::uninit() }; BATCH];
-        let events = match epoll::wait(&self.epoll, &mut buffer[..], timeout.as_ref()) {
-            Ok((events, _)) => events,
-            Err(Errno::INTR) => return Ok(()),
-            Err(e) => return Err(e.into()),
-        };
-        for event in events {
-            let (flags, data) = (event.flags, event.data);
-            let broken = flags.intersects(epoll::EventFlags::ERR | epoll::EventFlags::HUP);
-            if let Some(token) = Token::decode(data.u64()) {
-                let ended = broken || flags.contains(epoll::EventFlags::RDHUP);
-                ready.push(Ready { token, ended });
-            }
+        match system_calls::epoll_wait(&self.epoll, &mut buffer, timeout.as_ref()) {
+            Ok(events) => ready.extend(events.iter().filter_map(decode)),
+            Err(errno) => match classify(Call::EpollWait, errno) {
+                Failure::RetryNow | Failure::NotReady => {}
+                Failure::RetryLater => std::thread::sleep(RETRY_PAUSE),
+                Failure::Broken | Failure::Fatal => return Err(errno.into()),
+            },
         }
+        self.take_retries(ready);
         Ok(())
     }
+
+    fn take_retries(&self, ready: &mut Vec<Ready>) {
+        let mut retries = self.retries.borrow_mut();
+        if retries.due.is_empty() {
+            return;
+        }
+        let now = Instant::now();
+        while let Some(token) = retries.pop_due(now) {
+            ready.push(Ready { token, ended: false });
+        }
+    }
+}
+
+fn decode(event: &epoll::Event) -> Option<Ready> {
+    let (flags, data) = (event.flags, event.data);
+    let broken = flags.intersects(epoll::EventFlags::ERR | epoll::EventFlags::HUP);
+    let token = Token::decode(data.u64())?;
+    Some(Ready { token, ended: broken || flags.contains(epoll::EventFlags::RDHUP) })
 }
 
 /// Due times. Nothing is taken back: whoever set one checks on its call whether it still means something.
--- a/crates/leverproxy/src/request.rs
+++ b/crates/leverproxy/src/request.rs
@@ -99,7 +99,7 @@
     TimedOut,
     /// Called off by the module.
     Cancelled,
-    /// Dropped before it was written, since the server leaves.
+    /// Dropped before it was written, since the server leaves or this machine lacks something for a connection.
     NeverSent,
 }
 
--- a/crates/leverproxy/src/takeover.rs
+++ b/crates/leverproxy/src/takeover.rs
@@ -187,7 +187,8 @@
 
     /// Hands the estate and the listener to whoever has come.
     pub fn accept(&mut self, estate: impl Fn() -> Estate, clients: Option<&OwnedFd>, reactor: &Reactor) {
-        while let Ok((mut stream, _)) = net::accept(&self.listener) {
+        let token = Token::TakeoverListener;
+        while let Ok((mut stream, _)) = net::accept_or_rest(&self.listener, token, reactor) {
             let Some(clients) = clients.filter(|_| self.links.len() < LINKS) else { continue };
             let Ok(mut text) = serde_json::to_vec(&estate()) else { continue };
             text.push(b'\n');
--- a/crates/leverproxy/src/upstream.rs
+++ b/crates/leverproxy/src/upstream.rs
@@ -3,14 +3,15 @@
 //! An exchange takes the connection that was used last, or waits for the first that is dialled or comes free.
 //! Nothing is ever sent a second time from here: what can't be finished is reported, and the module decides.
 
-use crate::net::{Filled, Stream};
+use crate::net::{DialError, Filled, Stream};
 use crate::pg::client::{self, AnswerReader};
 use crate::reactor::{Interest, Key, Reactor, Slots, Token};
 use crate::request::{Done, Piece, Purpose, Question, Verdict};
 use crate::seldom::Seldom;
+use crate::system_calls::{lacks_descriptors, RETRY_PAUSE};
 use mountshift::{ClassId, GroupId, Note, StoreId};
+use rustix::io::Errno;
 use std::collections::{BTreeMap, VecDeque};
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -64,6 +65,7 @@
     /// Timers asked for.
     due: Vec<(Instant, Due)>,
     misunderstood: Seldom,
+    shortages: Seldom,
     limit: usize,
     dial_timeout: Duration,
     idle_limit: Duration,
@@ -78,6 +80,8 @@
     idle: Vec<Key>,
     waiting: VecDeque<Exchange>,
     dialling: usize,
+    /// This machine lacked something for the last dial: until then none is tried.
+    short_until: Option<Instant>,
 }
 
 struct Connection {
@@ -124,6 +128,7 @@
             signs: VecDeque::new(),
             due: Vec::new(),
             misunderstood: Seldom::default(),
+            shortages: Seldom::default(),
             limit,
             dial_timeout,
             idle_limit,
@@ -170,6 +175,7 @@
             idle: Vec::new(),
             waiting: VecDeque::new(),
             dialling: 0,
+            short_until: None,
         });
         if pool.address != address {
             pool.address = address;
@@ -225,7 +231,8 @@
 
     fn dial_for_queue(&mut self, store: StoreId, now: Instant, reactor: &Reactor) {
         while let Some(pool) = self.pools.get_mut(&store) {
-            if pool.waiting.len() <= pool.dialling || pool.dialling >= DIALS_AT_ONCE {
+            let enough = pool.waiting.len() <= pool.dialling || pool.dialling >= DIALS_AT_ONCE;
+            if enough || pool.short_until.is_some_and(|until| now < until) {
                 return;
             }
             let address = pool.address;
@@ -233,23 +240,54 @@
                 // What waits gets the next connection that comes free, or runs out of time.
                 return;
             }
-            if !self.dial(store, address, now, reactor) {
-                self.fail_first_waiting(store, Verdict::ConnectFailed, now);
+            match self.dial(store, address, now, reactor) {
+                Ok(()) => {}
+                Err(DialError::Failed(_)) => self.fail_first_waiting(store, Verdict::ConnectFailed, now),
+                Err(DialError::Short(errno)) => return self.dial_later(store, errno, now),
             }
         }
     }
 
-    /// Whether a connection is begun.
-    fn dial(&mut self, store: StoreId, address: SocketAddr, now: Instant, reactor: &Reactor) -> bool {
-        let until = now + self.dial_timeout;
+    /// What waits stays where it is while this machine lacks something for a dial. The server is not to blame.
+    fn dial_later(&mut self, store: StoreId, errno: Errno, now: Instant) {
+        let Some(pool) = self.pools.get_mut(&store) else { return };
+        let until = now + RETRY_PAUSE;
+        pool.short_until = Some(until);
+        self.due.push((until, Due::Queue(store)));
+        if lacks_descriptors(errno) {
+            self.evict();
+        }
+    }
+
+    fn begin_dial(&mut self, address: SocketAddr, now: Instant) -> Result<Stream, DialError> {
         self.dials += 1;
-        let stream = match Stream::dial(address) {
-            Ok(stream) => stream,
-            Err(e) => {
-                log::debug!("upstream: cannot dial {address}: {e}");
-                return false;
+        let dialled = Stream::dial(address);
+        match &dialled {
+            Ok(_) => {}
+            Err(error @ DialError::Failed(_)) => log::debug!("upstream: cannot dial {address}: {error}"),
+            Err(error @ DialError::Short(_)) => {
+                self.shortages.warn(now, || {
+                    format!(
+                        "upstream: cannot dial {address}: {error}. It is tried again until its time is over."
+                    )
+                });
             }
-        };
+        }
+        dialled
+    }
+
+    fn dial(
+        &mut self,
+        store: StoreId,
+        address: SocketAddr,
+        now: Instant,
+        reactor: &Reactor,
+    ) -> Result<(), DialError> {
+        let until = now + self.dial_timeout;
+        let stream = self.begin_dial(address, now)?;
+        if let Some(pool) = self.pools.get_mut(&store) {
+            pool.short_until = None;
+        }
         log::trace!("dial {store:?}, {} open", self.connections.len());
         self.signs.push_back(Sign::Dials(store));
         let connection = Connection { stream, store, address, state: State::Connecting, until };
@@ -258,14 +296,15 @@
         if let Some(pool) = self.pools.get_mut(&store) {
             pool.dialling += 1;
         }
-        let watched = self
-            .connections
-            .get_mut(key)
-            .map(|c| c.stream.watch(reactor, Token::Upstream(key), Interest::WRITE));
-        if let Some(Err(_)) = watched {
+        self.watch_dial(key, now, reactor);
+        Ok(())
+    }
+
+    fn watch_dial(&mut self, key: Key, now: Instant, reactor: &Reactor) {
+        let Some(connection) = self.connections.get_mut(key) else { return };
+        if connection.stream.watch(reactor, Token::Upstream(key), Interest::WRITE).is_err() {
             self.close(key, Verdict::ConnectFailed, now);
         }
-        true
     }
 
     /// Whether a server may be dialled for nothing but to see whether its machine is there.
@@ -275,7 +314,8 @@
 
     pub fn knock(&mut self, store: StoreId, now: Instant, reactor: &Reactor) {
         if let Some(address) = self.pools.get(&store).map(|pool| pool.address) {
-            self.dial(store, address, now, reactor);
+            // Another look is as good when this machine lacks something for it.
+            _ = self.dial(store, address, now, reactor);
         }
     }
 
@@ -310,15 +350,25 @@
         let Some(connection) = self.connections.get_mut(key) else { return };
         if let State::Connecting = connection.state {
             let (store, connected) = (connection.store, connection.stream.connected());
-            let there = |e: &std::io::Error| {
-                matches!(e.kind(), ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset)
-            };
+            if matches!(connected, Ok(false)) {
+                return self.watch_dial(key, now, reactor);
+            }
+            let there = |e: &DialError| matches!(e, DialError::Failed(Errno::CONNREFUSED | Errno::CONNRESET));
             if connected.as_ref().err().is_none_or(there) {
                 self.signs.push_back(Sign::Word(store));
             }
-            if let Err(e) = connected {
-                log::debug!("upstream: dial failed: {e}");
-                return self.close(key, Verdict::ConnectFailed, now);
+            match connected {
+                Ok(_) => {}
+                Err(DialError::Short(errno)) => {
+                    log::debug!("upstream: dial failed for want of something here: {errno}");
+                    self.connections.remove(key);
+                    self.dial_over(store);
+                    return self.dial_later(store, errno, now);
+                }
+                Err(error) => {
+                    log::debug!("upstream: dial failed: {error}");
+                    return self.close(key, Verdict::ConnectFailed, now);
+                }
             }
             let Some(connection) = self.connections.get_mut(key) else { return };
             connection.stream.push(&client::startup());
@@ -587,11 +637,14 @@
             }
             Due::Queue(store) => {
                 let Some(pool) = self.pools.get_mut(&store) else { return };
+                // A server that was never dialled is not taken for dead.
+                let short = pool.short_until.is_some();
                 let over = |e: &Exchange| e.until.min(e.sent + self.dial_timeout) <= now;
                 let (over, left): (VecDeque<_>, VecDeque<_>) = pool.waiting.drain(..).partition(over);
                 pool.waiting = left;
                 for exchange in over {
-                    self.finish(exchange, store, Verdict::ConnectFailed, Note::default(), now);
+                    let verdict = if short { Verdict::NeverSent } else { Verdict::ConnectFailed };
+                    self.finish(exchange, store, verdict, Note::default(), now);
                 }
                 self.dial_for_queue(store, now, reactor);
             }
--- a/crates/leverproxy/tests/common/mod.rs
+++ b/crates/leverproxy/tests/common/mod.rs
@@ -5,6 +5,7 @@
 use leverproxy::control::Control;
 use leverproxy::pg::{self, server};
 use leverproxy::proxy::Proxy;
+use leverproxy::system_calls::faults::Faults;
 use rustix::process::{kill_process, Pid, Signal};
 use std::io::{self, BufRead, BufReader, Lines, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -12,6 +13,7 @@
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{channel, Receiver, RecvTimeoutError};
+use std::sync::Arc;
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
@@ -332,6 +334,8 @@
     pub control: Control,
     pub discovery: Listener,
     pub watch: Peer,
+    /// What the system calls of its loop do instead of their work; nothing at first.
+    pub faults: Arc<Faults>,
     running: Option<JoinHandle<io::Result<()>>>,
 }
 
@@ -379,10 +383,15 @@
         let (mut proxy, control) = Proxy::start(config).unwrap();
         let address = proxy.local_address().unwrap();
         let (health, admin) = (proxy.health_addresses(), proxy.admin_address());
-        let running = Some(thread::spawn(move || proxy.run()));
+        let faults = Arc::<Faults>::default();
+        let installed = faults.clone();
+        let running = Some(thread::spawn(move || {
+            installed.install();
+            proxy.run()
+        }));
         let mut watch = discovery.accept();
         assert_eq!(watch.watch(), "GET /catalog/members?watch=1&after=41 HTTP/1.1");
-        Stage { address, health, admin, control, discovery, watch, running }
+        Stage { address, health, admin, control, discovery, watch, faults, running }
     }
 
     /// Waits until the proxy has ended by itself.
