Memory: a word that is taken back is kept once no former write can bring it back

Seen by reading memoir's core: has_words() compared what operators said with the last write that succeeded alone. A state that returned to the former one while a write was under way counted as kept at once, though the write landed after; after a write that failed once its file was in place (the directory could not be synced) nothing was written any more. A restart then found the state in between.

The cause: core.rs `Kept(false)` forgot what it had tried to write, and `has_words` and `is_due` left out the write under way. Now a failed write leaves the disk unsure until one succeeds, and a yes waits for the write under way too.

Not seen in the proxy: `exclude` and `include` of one server leave a trace (`before`) in what is kept, so that the state does not return to the very former one there. The core promises it by itself now.

--- a/crates/memoir/src/core.rs
+++ b/crates/memoir/src/core.rs
@@ -36,6 +36,8 @@
     every: Duration,
     now: Memory,
     kept: Option<Memory>,
+    /// A write has failed since: the disk may have what it was to write all the same.
+    unsure: bool,
     saving: Option<Memory>,
     /// A list is not written before that.
     list_due: Duration,
@@ -53,6 +55,7 @@
             every,
             now: found.clone().unwrap_or_default(),
             kept: found,
+            unsure: false,
             saving: None,
             list_due: Duration::ZERO,
             again: None,
@@ -84,10 +87,12 @@
             }
             Event::Kept(true) => {
                 self.kept = self.saving.take().or_else(|| self.kept.take());
+                self.unsure = false;
                 self.wait = AGAIN;
             }
             Event::Kept(false) => {
                 self.saving = None;
+                self.unsure = true;
                 self.again = Some(now + self.wait);
                 self.wait = (self.wait * 2).min(AGAIN_MOST);
             }
@@ -107,6 +112,9 @@
     }
 
     fn is_due(&self, now: Duration) -> bool {
+        if self.unsure {
+            return true;
+        }
         let Some(kept) = &self.kept else { return self.now != Memory::default() };
         let said = (kept.start, &kept.hands) != (self.now.start, &self.now.hands);
         said || kept.list != self.now.list && now >= self.list_due
@@ -122,17 +130,17 @@
         self.saving.is_none() && now >= self.list_due
     }
 
-    /// The disk has what operators said, and the start.
+    /// The disk has what operators said, and the start, whatever comes of the write that is under way.
     pub fn has_words(&self) -> bool {
         let nothing = Memory::default();
-        let kept = self.kept.as_ref().unwrap_or(&nothing);
-        (kept.start, &kept.hands) == (self.now.start, &self.now.hands)
+        let has = |memory: &Memory| (memory.start, &memory.hands) == (self.now.start, &self.now.hands);
+        !self.unsure && has(self.kept.as_ref().unwrap_or(&nothing)) && self.saving.as_ref().is_none_or(has)
     }
 
     /// The disk has all that is to be remembered.
     pub fn is_kept(&self) -> bool {
         let nothing = Memory::default();
-        self.saving.is_none() && *self.kept.as_ref().unwrap_or(&nothing) == self.now
+        !self.unsure && self.saving.is_none() && *self.kept.as_ref().unwrap_or(&nothing) == self.now
     }
 
     /// The last write failed, and none has succeeded since.
--- a/crates/memoir/tests/crashes.rs
+++ b/crates/memoir/tests/crashes.rs
@@ -100,6 +100,9 @@
                         let fails = rng.random_bool(0.3);
                         if !fails {
                             (disk, sure) = (Some(bytes), place);
+                        } else if rng.random_bool(0.5) {
+                            // The name was in place; only its directory could not be synced.
+                            disk = Some(bytes);
                         }
                         Event::Kept(!fails)
                     }
@@ -132,6 +135,8 @@
                 assert_eq!(found.unwrap_or_default(), memory, "seed {seed}");
                 sure = was.len() - 1;
             }
+            let promised = core.has_words().then_some((memory.start, memory.hands));
+            let mut whole = true;
             if let Some((bytes, _)) = writing {
                 let torn = match rng.random_range(0..10) {
                     0 => Torn::Short(rng.random_range(0..1_000)),
@@ -143,16 +148,21 @@
                     Torn::Former => disk,
                     Torn::Whole => Some(bytes),
                     Torn::Short(part) => {
-                        sure = 0;
+                        (sure, whole) = (0, false);
                         // A file system without order may even do that, though what is put in place was synced.
                         Some(bytes[..bytes.len() * part / 1_000].to_vec()).filter(|b| b.len() > 4)
                     }
                     Torn::Zeroes => {
-                        sure = 0;
+                        (sure, whole) = (0, false);
                         Some([&bytes[..5], &vec![0; bytes.len() - 5][..]].concat())
                     }
                 };
             }
+            if let Some(promised) = promised.filter(|_| whole) {
+                // A file that was torn in a former life, and not written since, holds nothing.
+                let found = recall("n0", disk.as_deref(), NOBODY).unwrap_or_default().0;
+                assert_eq!((found.start, found.hands), promised, "seed {seed}: a yes is forgotten");
+            }
         }
     }
     assert!((50..2_000).contains(&lost_words), "{lost_words} files were torn");
@@ -184,6 +194,25 @@
     assert_eq!(at(20_002, Event::Start(3)), (0, true));
 }
 
+#[test]
+fn a_word_that_is_taken_back_waits_for_the_write_that_it_takes_back() {
+    let mut core = Core::new("n0", ms(0), None);
+    let mut at = |now: u64, event: Event| {
+        let mut actions = Vec::new();
+        core.handle(ms(now), event, &mut actions);
+        (actions.len(), core.has_words())
+    };
+    assert_eq!(at(0, Event::Start(1)), (1, false));
+    assert_eq!(at(1, Event::Kept(true)), (0, true));
+    assert_eq!(at(2, Event::Hands(vec![hand("a", 1)])), (1, false));
+    // The disk has the former word and may have the later one at any moment.
+    assert_eq!(at(3, Event::Hands(Vec::new())), (0, false));
+    // A write that is said to have failed may be on the disk.
+    assert_eq!(at(4, Event::Kept(false)), (0, false));
+    assert_eq!(at(1_004, Event::Tick), (1, false));
+    assert_eq!(at(1_005, Event::Kept(true)), (0, true));
+}
+
 #[test]
 fn a_disk_that_fails_is_asked_ever_more_rarely() {
     let mut core = Core::new("n0", ms(0), None);
