Kept files: one owner of each step of a save, drafts of a kill removed, failing disks tested

Seen by reading kept.rs and atomic-write-file: the order of the steps was right (write, sync, rename, sync of the directory), but - each kill in mid-write left a file of a random hidden name for good, in a directory that may be small; - no step could be made to fail, so nothing showed what ENOSPC, EIO, EROFS or a failed fsync leave.

The change: kept.rs makes the steps itself. Each save is a new file (after a failed fsync all is written anew, as the system may have dropped the pages), which is removed when a step fails; the thread that writes removes drafts that a kill has left, for the loans' file too. Tests put errors and short writes in place of each step, by the faults of the loop's thread. Rights of the former file are kept as before, its owner is not. The package atomic-write-file is no longer needed. The tests of kept.rs move to a file.

--- a/crates/leverproxy/src/kept.rs
+++ b/crates/leverproxy/src/kept.rs
@@ -1,9 +1,13 @@
 //! Small files that outlive the process, in a directory that the operators' file names. Each is written whole to a new name,
 //! synced, and put in the place of the former one: what is found is one or the other, never half of each.
 
-use atomic_write_file::AtomicWriteFile;
-use std::fs::{File, OpenOptions, TryLockError};
-use std::io::{self, Read, Write};
+use crate::system_calls::faults::{self, injected, limited};
+use crate::system_calls::Call;
+use std::collections::hash_map::RandomState;
+use std::ffi::OsString;
+use std::fs::{self, File, OpenOptions, TryLockError};
+use std::hash::BuildHasher;
+use std::io::{self, ErrorKind, Read, Write};
 use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
@@ -51,11 +55,74 @@
     }
 }
 
-/// It has reached the disk when this returns.
+/// Names of files that are being written end like this.
+const DRAFT: &str = ".draft";
+
+/// It has reached the disk when this returns. After an error the file is whole all the same, the former one or this;
+/// the next save writes a new file: what a failed sync has left in the system's cache is not to be trusted.
 pub fn save(path: &Path, bytes: &[u8]) -> io::Result<()> {
-    let mut file = AtomicWriteFile::open(path)?;
-    file.write_all(bytes)?;
-    file.commit()
+    let draft = draft(path)?;
+    let placed = write(&draft, path, bytes).and_then(|()| rename(&draft, path));
+    if placed.is_err() {
+        // Its room may be what the next one lacks.
+        _ = fs::remove_file(&draft);
+    }
+    placed?;
+    sync_folder(path)
+}
+
+/// A name that no other process writes to: in an upgrade two may save.
+fn draft(path: &Path) -> io::Result<PathBuf> {
+    let mut name = path.file_name().ok_or(ErrorKind::IsADirectory)?.to_os_string();
+    name.push(format!(".{:016x}{DRAFT}", RandomState::new().hash_one(())));
+    Ok(path.with_file_name(name))
+}
+
+fn write(draft: &Path, path: &Path, bytes: &[u8]) -> io::Result<()> {
+    injected(Call::FileCreate, || None)?;
+    let mut file = OpenOptions::new().write(true).create_new(true).open(draft)?;
+    if let Ok(former) = fs::metadata(path) {
+        // Who may read it stays as an operator has set it.
+        _ = file.set_permissions(former.permissions());
+    }
+    let mut left = bytes;
+    while !left.is_empty() {
+        let most = limited(Call::FileWrite, left.len(), || None)?;
+        match file.write(&left[..most]) {
+            Ok(0) => return Err(ErrorKind::WriteZero.into()),
+            Ok(written) => left = &left[written..],
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            Err(error) => return Err(error),
+        }
+    }
+    injected(Call::FileSync, || None)?;
+    file.sync_all()
+}
+
+fn rename(draft: &Path, path: &Path) -> io::Result<()> {
+    injected(Call::FileRename, || None)?;
+    fs::rename(draft, path)
+}
+
+/// Without that a loss of power may bring the former file back.
+fn sync_folder(path: &Path) -> io::Result<()> {
+    injected(Call::FolderSync, || None)?;
+    let folder = path.parent().filter(|folder| !folder.as_os_str().is_empty());
+    File::open(folder.unwrap_or(Path::new(".")))?.sync_all()
+}
+
+/// Removes what a process that was killed has left half written, and nobody else writes now.
+pub fn remove_drafts(path: &Path) {
+    let (Some(folder), Some(name)) = (path.parent(), path.file_name()) else { return };
+    let mut start = OsString::from(name);
+    start.push(".");
+    for entry in fs::read_dir(folder).into_iter().flatten().flatten() {
+        let (name, start) = (entry.file_name(), start.as_encoded_bytes());
+        let bytes = name.as_encoded_bytes();
+        if bytes.starts_with(start) && bytes.ends_with(DRAFT.as_bytes()) {
+            _ = fs::remove_file(entry.path());
+        }
+    }
 }
 
 /// Saves on a thread of its own, so that nobody waits for the disk. One at a time.
@@ -70,7 +137,12 @@
     pub fn start(path: PathBuf, mut waker: UnixStream) -> io::Result<Writer> {
         let (jobs, wanted) = sync_channel::<Vec<u8>>(1);
         let (tell, done) = sync_channel(1);
+        let faults = faults::installed();
         let work = move || {
+            if let Some(faults) = faults {
+                faults.install();
+            }
+            remove_drafts(&path);
             for bytes in wanted {
                 if tell.send(save(&path, &bytes)).is_err() {
                     return;
@@ -93,7 +165,8 @@
     }
 }
 
-/// None: there is none. One longer than `limit` was not written by this program.
+/// What a former process has saved, at a start. None: there is none. One longer than `limit` was not written by this
+/// program.
 pub fn load(path: &Path, limit: u64) -> io::Result<Option<Vec<u8>>> {
     let file = match File::open(path) {
         Ok(file) => file,
@@ -109,44 +182,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn what_is_saved_is_found_whole_and_one_holds_the_lock() {
-        let folder = std::env::temp_dir().join(format!("kept-{}", std::process::id()));
-        std::fs::create_dir_all(&folder).unwrap();
-        let path = folder.join("state");
-        assert_eq!(load(&path, 9).unwrap(), None);
-        save(&path, b"former one").unwrap();
-        save(&path, b"later").unwrap();
-        assert_eq!(load(&path, 9).unwrap().as_deref(), Some(&b"later"[..]));
-        assert_eq!(load(&path, 4).unwrap_err().kind(), io::ErrorKind::InvalidData);
-        let lock = Lock::take(&folder, "lock").unwrap();
-        assert!(matches!(Lock::take(&folder, "lock"), Err(LockError::Held(_))));
-        drop(lock);
-        assert!(Lock::take(&folder, "lock").is_ok());
-        assert!(matches!(Lock::take(&folder.join("none"), "lock"), Err(LockError::Io(..))));
-        std::fs::remove_dir_all(&folder).unwrap();
-    }
-
-    #[test]
-    #[ignore = "a figure of the results: what a save costs on this disk"]
-    fn saves_take() {
-        let folder = std::env::current_dir().unwrap().join(format!("kept-{}", std::process::id()));
-        std::fs::create_dir_all(&folder).unwrap();
-        let mut took: Vec<u128> = (0..1_000_u32)
-            .map(|n| {
-                let begun = std::time::Instant::now();
-                save(&folder.join("state"), &[n.to_le_bytes(); 64].concat()).unwrap();
-                begun.elapsed().as_micros()
-            })
-            .collect();
-        std::fs::remove_dir_all(&folder).unwrap();
-        took.sort_unstable();
-        println!(
-            "1,000 saves of 256 bytes: p50 {} us, p99 {} us, most {} us",
-            took[500], took[990], took[999]
-        );
-    }
-}
+mod tests;
--- a/crates/leverproxy/src/lending.rs
+++ b/crates/leverproxy/src/lending.rs
@@ -91,6 +91,7 @@
         let (jobs, wanted) = channel::<(u64, Vec<u8>)>();
         let (tell, done) = channel();
         let work = move || {
+            kept::remove_drafts(&disk.path);
             for (sequence, bytes) in wanted {
                 let saved = disk.save(&bytes);
                 if tell.send((sequence, bytes, saved)).is_err() {
--- a/crates/leverproxy/src/system_calls.rs
+++ b/crates/leverproxy/src/system_calls.rs
@@ -1,6 +1,6 @@
 //! The system calls of the event loop, and what each error that Linux documents for them means.
 //!
-//! Every socket and epoll call of the loop is made here. The errors of a call are classified once, in [`classify`];
+//! Every call on its connections and on epoll is made here. The errors of a call are classified once, in [`classify`];
 //! its callers act on the class. Tests put errors and short transfers in place of the system's answers with
 //! [`faults::Faults`].
 
@@ -37,6 +37,12 @@
     /// epoll_ctl that adds or changes.
     EpollControl,
     EpollWait,
+    /// Steps of a file's replacement: see [`crate::kept::save`].
+    FileCreate,
+    FileWrite,
+    FileSync,
+    FileRename,
+    FolderSync,
 }
 
 /// What a failed call means for its caller.
@@ -72,6 +78,10 @@
             Failure::Fatal
         }
         (Call::Connect | Call::SocketError | Call::Read | Call::Send | Call::Shutdown, _) => Failure::Broken,
+        // Whatever a disk refuses now it may take after a pause.
+        (Call::FileCreate | Call::FileWrite | Call::FileSync | Call::FileRename | Call::FolderSync, _) => {
+            Failure::RetryLater
+        }
     }
 }
 
--- a/crates/leverproxy/src/system_calls/faults.rs
+++ b/crates/leverproxy/src/system_calls/faults.rs
@@ -14,7 +14,7 @@
     Fail(Errno),
     /// The call does its work and gives this error all the same, as an interrupted connect does.
     FailAfter(Errno),
-    /// Reads and sends transfer no more bytes than this.
+    /// Reads, sends and writes of files transfer no more bytes than this.
     AtMost(usize),
 }
 
@@ -29,7 +29,7 @@
     pub times: u64,
 }
 
-const CALLS: usize = 11;
+const CALLS: usize = Call::FolderSync as usize + 1;
 
 /// The faults of one thread; shared with the test that sets them.
 #[doc(hidden)]
@@ -92,12 +92,17 @@
     }
 }
 
+/// Those of this thread, for a thread that works for it.
+pub(crate) fn installed() -> Option<Arc<Faults>> {
+    FAULTS.with(|faults| faults.borrow().clone())
+}
+
 fn fault(call: Call, address: impl FnOnce() -> Option<SocketAddr>) -> Option<Fault> {
     FAULTS.with(|faults| faults.borrow().as_ref()?.fault(call, address))
 }
 
 /// The error that this call is to give in place of its work.
-pub(super) fn injected(call: Call, address: impl FnOnce() -> Option<SocketAddr>) -> Result<(), Errno> {
+pub(crate) fn injected(call: Call, address: impl FnOnce() -> Option<SocketAddr>) -> Result<(), Errno> {
     match fault(call, address) {
         Some(Fault::Fail(errno) | Fault::FailAfter(errno)) => Err(errno),
         Some(Fault::AtMost(_)) | None => Ok(()),
@@ -118,7 +123,7 @@
 }
 
 /// How many of these bytes this call may transfer, or the error that it is to give.
-pub(super) fn limited(
+pub(crate) fn limited(
     call: Call,
     bytes: usize,
     address: impl FnOnce() -> Option<SocketAddr>,
