A probe that this machine can't dial for says nothing of its server

The probes ended as NeverSent, which the module takes for a probe without an answer, and their servers rested.

The cause: a shortage used up the time of what waited for the dial (upstream.rs, dial_later and Due::Queue). A probe has no client whose time runs: its time now begins with each dial that is tried, and ends as before once one has begun. Requests keep theirs.

--- a/crates/leverproxy/src/upstream.rs
+++ b/crates/leverproxy/src/upstream.rs
@@ -253,6 +253,12 @@
         let Some(pool) = self.pools.get_mut(&store) else { return };
         let until = now + RETRY_PAUSE;
         pool.short_until = Some(until);
+        // A probe has no client whose time runs, and its time begins with the dial: told as failed it would have its
+        // server rest.
+        for probe in pool.waiting.iter_mut().filter(|exchange| exchange.purpose == Purpose::Probe) {
+            let allowed = probe.until.saturating_duration_since(probe.sent);
+            (probe.sent, probe.until) = (now, now + allowed);
+        }
         self.due.push((until, Due::Queue(store)));
         if lacks_descriptors(errno) {
             self.evict();
@@ -285,8 +291,9 @@
     ) -> Result<(), DialError> {
         let until = now + self.dial_timeout;
         let stream = self.begin_dial(address, now)?;
-        if let Some(pool) = self.pools.get_mut(&store) {
-            pool.short_until = None;
+        if self.pools.get_mut(&store).is_some_and(|pool| pool.short_until.take().is_some()) {
+            // A probe whose time began anew.
+            self.due.push((until, Due::Queue(store)));
         }
         log::trace!("dial {store:?}, {} open", self.connections.len());
         self.signs.push_back(Sign::Dials(store));
--- a/crates/leverproxy/tests/system_calls.rs
+++ b/crates/leverproxy/tests/system_calls.rs
@@ -238,6 +238,28 @@
     }
 }
 
+/// The time for a dial is over before there is a port; the other server has none either.
+#[test]
+fn a_shortage_that_outlasts_the_dial_is_answered_and_no_server_rests_after_it() {
+    let (first, second) = (Listener::new(), Listener::new());
+    let stage = Stage::with(&[("s-1", &first), ("s-2", &second)], |config| {
+        config.dial_timeout = Duration::from_millis(50);
+    });
+    serve(first, "v");
+    serve(second, "v");
+    let mut client = Peer::client(stage.address);
+    stage.fail(Call::Connect, None, Errno::ADDRNOTAVAIL, ALWAYS);
+    let begun = Instant::now();
+    client.ask(&request().replace("d=19000", "d=400"));
+    let reply = client.reply();
+    assert!(reply.value.is_none() && reply.code.is_some(), "{reply:?}");
+    assert!(begun.elapsed() < Duration::from_secs(2), "{:?}", begun.elapsed());
+    stage.faults.clear();
+    let begun = Instant::now();
+    asked(&mut client, "v");
+    assert!(begun.elapsed() < Duration::from_secs(1), "a server rests: {:?}", begun.elapsed());
+}
+
 #[test]
 fn a_server_without_a_route_is_passed_over() {
     for errno in [Errno::NETUNREACH, Errno::HOSTUNREACH, Errno::TIMEDOUT, Errno::PERM] {
