--- a/crates/leverproxy/src/proxy.rs
+++ b/crates/leverproxy/src/proxy.rs
@@ -293,8 +293,7 @@
     /// Listens again after a drain, if it does not, and tries until it does.
     fn listen(&mut self, now: Instant) {
         let Sides { reactor, timers, front, .. } = &mut self.sides;
-        if let Err(error) = front.open(reactor) {
-            log::error!("clients can't be listened to again: {error}; it is tried again in {LISTEN_AGAIN:?}. See what holds the address, or whether descriptors are short.");
+        if front.open(now, reactor).is_err() {
             timers.set(now + LISTEN_AGAIN, Timer::Accept);
         }
     }
@@ -345,7 +344,7 @@
                 }
             }
             Token::Operate(key) => {
-                if let Some((key, word)) = operate.as_mut().and_then(|o| o.ready(key)) {
+                if let Some((key, word)) = operate.as_mut().and_then(|o| o.ready(key, reactor)) {
                     self.operate(key, word, now);
                 }
             }
@@ -425,12 +424,8 @@
                 }
                 self.sides.timers.set(again, Timer::LookOver);
             }
-            Timer::Accept => {
-                self.sides.front.resume(&self.sides.reactor);
-                if self.drain.phase() == drain::Phase::Serving {
-                    self.listen(now);
-                }
-            }
+            Timer::Accept if self.sides.front.lacks_listener() => self.listen(now),
+            Timer::Accept => self.sides.front.resume(&self.sides.reactor),
             Timer::Load => {
                 self.chain.monitor.look(self.usage(), now);
                 self.sides.health.publish(&self.chain.monitor.status());
