A clock that is wrong lets no old data pass: tokens stay positions, bounds go by evidence

A clock that is ahead, and steps in mid-run, were ruled out as causes of old data: the process's clock is anchored.

Change: Arrival::wrote names a position (Wrote::At) or, in the simulator, an age (Wrote::Ago). clock/evidence.rs keeps how far true time may be ahead of the process's clock: proven by two witnesses that agree, in doubt for 2 s after one, by the system's clock as it is now, and taken back by three words of primaries in a row. Route narrows bounds by it; one that is used up leaves the primary. book.rs believes positions up to it, and keeps the rest of a report whose position is not believed yet. Config::wall_clock is where tests put a clock of their own.

--- a/crates/leverlab/src/play/mod.rs
+++ b/crates/leverlab/src/play/mod.rs
@@ -17,7 +17,7 @@
 use lots::Lots;
 use mountshift::{
     Action, Arrival, AttemptNo, ClassId, Ended, Event, GroupId, ListNews, Listed, Note, Outcome, Report,
-    RequestId, SessionKey, Standing, StoreId, TenantId, Time, TimerToken,
+    RequestId, SessionKey, Standing, StoreId, TenantId, Time, TimerToken, Wrote,
 };
 use rand::SeedableRng;
 use rand_xoshiro::Xoshiro256PlusPlus;
@@ -384,7 +384,7 @@
             group: GroupId(asked.group),
             session: sessions.then_some(SessionKey(asked.session)),
             time_left: span(asked.wait.saturating_sub(MARGIN).max(1)),
-            wrote_ago: (asked.wrote > 0).then(|| span(now.saturating_sub(asked.wrote))),
+            wrote: (asked.wrote > 0).then(|| Wrote::Ago(span(now.saturating_sub(asked.wrote)))),
             repeated: asked.repeated,
             standing: Standing::Within,
             tries: None,
--- a/crates/leverlab/src/policy.rs
+++ b/crates/leverlab/src/policy.rs
@@ -4,7 +4,7 @@
 use crate::planned::Planned;
 use mountshift::{
     Action, Arrival, ClassId, Effect, Event, GroupId, ListNews, Need, Outcome, RequestId, Router, Settings,
-    StoreId, Time, TimerToken, Tuning,
+    StoreId, Time, TimerToken, Tuning, Wrote,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -222,7 +222,11 @@
         if self.sees_all() {
             let position = match need {
                 Need::Bounded(age) => now.minus(age),
-                Need::Session => open.arrival.wrote_ago.map_or(Time::ZERO, |ago| open.came.minus(ago)),
+                Need::Session => match open.arrival.wrote {
+                    Some(Wrote::Ago(ago)) => open.came.minus(ago),
+                    Some(Wrote::At(position)) => position,
+                    None => Time::ZERO,
+                },
                 _ => Time::ZERO,
             };
             members.retain(|m| self.in_time(open, *m, now, view) && view.position(*m) >= position);
--- a/crates/leverproxy/src/config.rs
+++ b/crates/leverproxy/src/config.rs
@@ -4,6 +4,7 @@
 //! there is one. What the platform states holds; the operators' file sets what is ours to choose, tightens, and
 //! never loosens. Variables of the environment count over both.
 
+use crate::clock::Source;
 use crate::discovery::wire::{Listing, ListingError};
 use crate::health::Listen;
 use crate::operators;
@@ -110,6 +111,8 @@
     /// The list as this proxy last had it, maybe old.
     pub known: Listing,
     pub platform: Decoded,
+    /// Where wall time is read.
+    pub wall_clock: Source,
     /// What a later file has to state as this one does.
     pub whole: Whole,
     pub dial_timeout: Duration,
@@ -460,6 +463,7 @@
         linger: model.linger.unwrap_or(LINGER),
         give_up,
         whole: Whole::of(text, &platform),
+        wall_clock: Source::default(),
         platform,
     };
     Ok((config, told))
--- a/crates/leverproxy/src/proxy.rs
+++ b/crates/leverproxy/src/proxy.rs
@@ -155,6 +155,7 @@
             Monitor::new(config.availability, config.sites, zones, now),
             config.seed,
             config.dial_timeout,
+            config.wall_clock,
             now,
         );
         let address = sides.front.local_address().unwrap_or(config.listen);
--- a/crates/leverproxy/src/stages/book.rs
+++ b/crates/leverproxy/src/stages/book.rs
@@ -1,13 +1,14 @@
 //! Book: how an exchange ended, as the module is told of it.
 
+use crate::clock::evidence::{Told, REPORT_AGE};
 use crate::request::{Done, Purpose, Verdict};
 use mountshift::{Ended, Event, Note, Outcome, Report, Time};
 use std::time::Duration;
 
-/// `last`: the request is owed nothing more. A position ahead of `now` is no position: believed, it would make a
+/// `last`: the request is owed nothing more. A position ahead of `latest` is no position: believed, it would make a
 /// replica seem to hold what is not written yet.
-pub fn book(done: &Done, last: bool, now: Time) -> Event {
-    let known = |position: &Time| *position <= now.plus(CLOCKS_APART);
+pub fn book(done: &Done, last: bool, latest: Time) -> Event {
+    let known = |position: &Time| *position <= latest;
     match done.purpose {
         Purpose::Attempt(id, attempt) => Event::Ended(Ended {
             id,
@@ -23,8 +24,11 @@
                 Verdict::Reported(fields) => report(fields),
                 _ => Report::default(),
             };
-            // A report that can't be read, or can't be true, is none; the server has answered all the same.
-            let sound = report.position.as_ref().is_none_or(known);
+            // A report that can't be read, or can't be true, is none; the server has answered all the same. Of one
+            // whose position may be true, but is not believed yet, the rest counts.
+            let possible = |position: &Time| *position <= latest.plus(BEHIND_MOST);
+            let sound = report.position.as_ref().is_none_or(possible);
+            let report = Report { position: report.position.filter(known), ..report };
             let ok = matches!(done.verdict, Verdict::Reported(_));
             let (store, elapsed) = (done.store, done.elapsed);
             Event::Probed { store, ok, elapsed, report: if sound { report } else { Report::default() } }
@@ -32,6 +36,22 @@
     }
 }
 
+/// What an exchange tells of the time, by the clock of this process.
+pub fn told(done: &Done, now: Time) -> Option<Told> {
+    let since = now.minus(done.elapsed);
+    let (position, primary, since) = match (done.purpose, &done.verdict) {
+        (_, Verdict::Spoilt) => return None,
+        (Purpose::Attempt(..), _) => (done.note.position, done.note.primary, since),
+        (Purpose::Probe, Verdict::Reported(fields)) => {
+            let report = report(fields);
+            (report.position, report.primary, since.minus(REPORT_AGE))
+        }
+        (Purpose::Probe, _) => return None,
+    };
+    let present_since = (primary == Some(true)).then_some(since);
+    position.map(|position| Told { server: done.store, position, present_since })
+}
+
 fn outcome(verdict: &Verdict) -> Outcome {
     match verdict {
         Verdict::Served(_) | Verdict::Reported(_) => Outcome::Ok,
@@ -47,8 +67,8 @@
     }
 }
 
-/// All machines read one clock, give or take this.
-const CLOCKS_APART: Duration = Duration::from_secs(1);
+/// No clock that serves is taken to be further behind.
+pub const BEHIND_MOST: Duration = Duration::from_secs(24 * 60 * 60);
 
 /// What a position in seconds may be off by as a 64-bit float: it is told rounded towards the past.
 const ROUNDING: Duration = Duration::from_micros(1);
--- a/crates/leverproxy/src/stages/mod.rs
+++ b/crates/leverproxy/src/stages/mod.rs
@@ -10,7 +10,8 @@
 pub mod take_in;
 
 use crate::admin::Admin;
-use crate::clock::Clock;
+use crate::clock::evidence::Evidence;
+use crate::clock::{Clock, Source};
 use crate::counters::Counters;
 use crate::discovery::directory::{Change, Directory};
 use crate::discovery::wire::Listing;
@@ -20,16 +21,19 @@
 use crate::monitor::Monitor;
 use crate::operate::Operate;
 use crate::reactor::{later, Reactor, Timers};
-use crate::request::{Answer, Done, Piece, Purpose, Request, Ticket};
+use crate::request::{Answer, Done, Piece, Purpose, Request, Ticket, Verdict};
 use crate::seldom::Seldom;
 use crate::takeover::Takeover;
 use crate::upstream::{Due, Upstream};
 use maintenance::{Hand, Unknown};
-use mountshift::{Action, Event, ListNews, Need, RequestId, Standing, StoreId, TimerToken};
+use mountshift::{Action, Event, ListNews, Need, RequestId, Standing, StoreId, Time, TimerToken};
 use mountshift_settings::{Decoded, Names, Succession};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+/// The system's clock is looked at no more often than this.
+const CLOCK_LOOK: Duration = Duration::from_millis(10);
+
 /// What a timer is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Timer {
@@ -69,6 +73,9 @@
 
 pub struct Chain {
     clock: Clock,
+    /// What is known of the clock's error.
+    evidence: Evidence,
+    clock_looked: Option<Instant>,
     names: Names,
     /// Of the classes, by id.
     deadlines: Vec<Duration>,
@@ -94,9 +101,10 @@
         mut monitor: Monitor,
         seed: u64,
         probe_time: Duration,
+        wall_clock: Source,
         now: Instant,
     ) -> Chain {
-        let clock = Clock::start();
+        let clock = Clock::start(wall_clock);
         let mut quota = quota::Quota::default();
         quota.configure(&platform, now);
         let Decoded { settings, names, max_open, .. } = platform;
@@ -118,6 +126,8 @@
             quota,
             route: route::Route::new(settings, seed, clock.unix(now)),
             clock,
+            evidence: Evidence::default(),
+            clock_looked: None,
         }
     }
 
@@ -176,8 +186,8 @@
     fn on_request(&mut self, ticket: Ticket, request: Request, sides: &mut Sides, now: Instant) {
         let id = self.ledger.next_id();
         let margin = self.steering.rules().margin;
-        let Chain { names, deadlines, clock, .. } = self;
-        let mut arrival = match take_in::take_in(id, &request, names, deadlines, clock, margin, now) {
+        let Chain { names, deadlines, .. } = self;
+        let mut arrival = match take_in::take_in(id, &request, names, deadlines, margin, now) {
             Ok(arrival) => take_in::end_by(arrival, self.end, margin, now),
             Err(why) => {
                 let known = self.names.classes.iter().position(|name| *name == request.class);
@@ -191,6 +201,9 @@
             return self.turn_away(ticket, class, answer, sides, now);
         }
         let unix = self.clock.unix(now);
+        if let Some(after) = request.after {
+            self.evidence.written(Time(after), unix);
+        }
         let pool = match self.steering.steer(&mut arrival, &request, unix, now) {
             Ok(pool) => pool,
             Err(answer) => return self.turn_away(ticket, class, answer, sides, now),
@@ -295,12 +308,14 @@
             // Its client has left, or gets another attempt's answer.
             return sides.upstream.stop(from, now);
         };
-        let first = open.passing.replace((attempt, from)).is_none();
+        let (first, class) = (open.passing.replace((attempt, from)).is_none(), open.class);
         if !sides.front.pass(open.ticket, &bytes, now, &sides.reactor) {
             sides.upstream.hold_back(from, now, &sides.reactor);
         }
         if first {
-            let note = mountshift::Note::default();
+            let write = self.is_write(Some(class));
+            let position = self.least_commit(now).filter(|_| write);
+            let note = mountshift::Note { position, ..mountshift::Note::default() };
             let outcome = mountshift::Outcome::Ok;
             let ended = mountshift::Ended { id, attempt, store, outcome, elapsed, last: true, note };
             self.learn(Event::Ended(ended), sides, now);
@@ -317,8 +332,9 @@
     fn on_done(&mut self, mut done: Done, sides: &mut Sides, now: Instant) {
         self.counters.ended(done.class, &done.verdict);
         self.monitor.ended(&done, now);
+        let latest = self.believed(&done, now);
         let Purpose::Attempt(id, attempt) = done.purpose else {
-            return self.learn(book::book(&done, true, self.clock.unix(now)), sides, now);
+            return self.learn(book::book(&done, true, latest), sides, now);
         };
         if let Some((open, answer)) = relay::served(id, attempt, &mut done.verdict, &mut self.ledger, now) {
             self.vacate(&open, now);
@@ -328,7 +344,48 @@
             return self.answer(id, Answer::Failed, sides, now);
         }
         let last = self.ledger.get_mut(id).is_none();
-        self.learn(book::book(&done, last, self.clock.unix(now)), sides, now);
+        let latest = if self.commits(&mut done, now) { latest.plus(book::BEHIND_MOST) } else { latest };
+        self.learn(book::book(&done, last, latest), sides, now);
+    }
+
+    /// The latest position that is believed, after what this exchange tells of the time.
+    fn believed(&mut self, done: &Done, now: Instant) -> Time {
+        let unix = self.clock.unix(now);
+        if let Some(told) = book::told(done, unix) {
+            self.evidence.told(told, unix);
+        }
+        self.evidence.latest(unix)
+    }
+
+    /// Whether it is a write that went through. Its commit is what later reads of its session have to see: it counts
+    /// although it lies ahead, and where none is told it may be as late as true time may be.
+    fn commits(&self, done: &mut Done, now: Instant) -> bool {
+        let commits = self.is_write(done.class) && matches!(done.verdict, Verdict::Served(_));
+        if commits {
+            done.note.position = done.note.position.or(self.least_commit(now));
+        }
+        commits
+    }
+
+    fn is_write(&self, class: Option<mountshift::ClassId>) -> bool {
+        let class = class.map(|class| usize::from(class.0));
+        class.and_then(|class| self.writes.get(class)).copied().unwrap_or(false)
+    }
+
+    /// What a commit of just now counts as, if it does not tell; none: the module's own time will do.
+    fn least_commit(&self, now: Instant) -> Option<Time> {
+        let unix = self.clock.unix(now);
+        let lead = self.evidence.lead(unix);
+        (!lead.is_zero()).then(|| unix.plus(lead))
+    }
+
+    /// Needs for fresh data follow what is known of the clock's error.
+    fn look_at_clock(&mut self, now: Instant) {
+        if self.clock_looked.is_none_or(|at| now.saturating_duration_since(at) >= CLOCK_LOOK) {
+            self.clock_looked = Some(now);
+            self.evidence.system(self.clock.system_lead());
+        }
+        self.route.set_lead(self.evidence.lead(self.clock.unix(now)));
     }
 
     /// What a record server has told goes to both who ask for it.
@@ -393,6 +450,7 @@
     /// What the module hears and says is told at the level of traces: whoever counts over many proxies reads it there.
     fn decide(&mut self, event: Event, sides: &mut Sides, now: Instant) {
         log::trace!("event {event:?}");
+        self.look_at_clock(now);
         for action in self.route.decide(self.clock.unix(now), event) {
             log::trace!("action {action:?}");
             self.act(action, sides, now);
--- a/crates/leverproxy/src/stages/take_in.rs
+++ b/crates/leverproxy/src/stages/take_in.rs
@@ -1,20 +1,18 @@
 //! Take in: a request in the words of its protocol becomes one in the module's ids.
 
-use crate::clock::Clock;
 use crate::request::{shown, Request};
-use mountshift::{Arrival, ClassId, GroupId, RequestId, SessionKey, Standing, TenantId, Time};
+use mountshift::{Arrival, ClassId, GroupId, RequestId, SessionKey, Standing, TenantId, Time, Wrote};
 use mountshift_settings::Names;
 use std::time::{Duration, Instant};
 
 /// The arrival, or what the client is told of a request that makes no sense. The client's time counts from its
 /// send, and an answer has to reach it inside that time: the margin is kept back for both ways and for the proxy's
-/// own delays.
+/// own delays. The position of its last write stays as the client named it, whatever the clock here says.
 pub fn take_in(
     id: RequestId,
     request: &Request,
     names: &Names,
     deadlines: &[Duration],
-    clock: &Clock,
     margin: Duration,
     now: Instant,
 ) -> Result<Arrival, String> {
@@ -34,7 +32,6 @@
     let longest = deadlines.get(usize::from(class.0)).copied().unwrap_or(request.wait);
     let wait = request.wait.min(longest);
     let spent = now.saturating_duration_since(request.read_at) + margin;
-    let unix_now = clock.unix(now);
     Ok(Arrival {
         id,
         class,
@@ -42,7 +39,7 @@
         group: GroupId(request.group),
         session: request.session.map(SessionKey),
         time_left: wait.saturating_sub(spent),
-        wrote_ago: request.after.map(|at| unix_now.since(Time(at))),
+        wrote: request.after.map(|at| Wrote::At(Time(at))),
         repeated: request.repeated,
         standing: Standing::Within,
         tries: None,
--- a/crates/leverproxy/tests/units.rs
+++ b/crates/leverproxy/tests/units.rs
@@ -199,7 +199,7 @@
         group: GroupId(2),
         session: None,
         time_left: Duration::from_millis(480),
-        wrote_ago: None,
+        wrote: None,
         repeated: false,
         standing: Standing::Within,
         tries: None,
--- a/crates/mountshift/src/decide.rs
+++ b/crates/mountshift/src/decide.rs
@@ -404,8 +404,9 @@
     fn on_arrival(&mut self, mut arrival: Arrival, out: &mut Out) {
         arrival.standing = if self.set.over_share_worth < 1.0 { arrival.standing } else { Standing::Within };
         let id = arrival.id;
-        let token = match (arrival.wrote_ago, arrival.session) {
-            (Some(ago), _) => self.now.minus(ago),
+        let token = match (arrival.wrote, arrival.session) {
+            (Some(Wrote::Ago(ago)), _) => self.now.minus(ago),
+            (Some(Wrote::At(position)), _) => position,
             (None, Some(key)) if !self.set.tokens_carried => {
                 self.written.get(&key).copied().unwrap_or(self.forgotten)
             }
--- a/crates/mountshift/src/interface.rs
+++ b/crates/mountshift/src/interface.rs
@@ -267,6 +267,15 @@
     Failed,
 }
 
+/// How a session's last write is named: what a read of the session must see.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wrote {
+    /// So long before the arrival.
+    Ago(Duration),
+    /// By its position, on the clock that positions are told by, however the router's own is set.
+    At(Time),
+}
+
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Arrival {
     pub id: RequestId,
@@ -276,8 +285,8 @@
     pub session: Option<SessionKey>,
     /// Until the client gives up this try.
     pub time_left: Duration,
-    /// Age of the session's last write, where carried.
-    pub wrote_ago: Option<Duration>,
+    /// The session's last write, where carried.
+    pub wrote: Option<Wrote>,
     /// The client says that it repeats itself.
     pub repeated: bool,
     /// Whether its tenant may ask so much.
--- a/crates/mountshift/src/lib.rs
+++ b/crates/mountshift/src/lib.rs
@@ -58,7 +58,7 @@
 //!     group: GroupId(0),
 //!     session: None,
 //!     time_left: Duration::from_secs(1),
-//!     wrote_ago: None,
+//!     wrote: None,
 //!     repeated: false,
 //!     standing: Standing::Within,
 //!     shed: 0.0,
--- a/crates/mountshift/tests/common/mod.rs
+++ b/crates/mountshift/tests/common/mod.rs
@@ -125,7 +125,7 @@
             group: GroupId(0),
             session: Some(SessionKey(7)),
             time_left: 1_000 * MS,
-            wrote_ago: None,
+            wrote: None,
             repeated: false,
             standing: Standing::Within,
             tries: None,
--- a/crates/mountshift/tests/rules.rs
+++ b/crates/mountshift/tests/rules.rs
@@ -638,13 +638,29 @@
     let mut bench = Bench::new(Settings { tokens_carried: true, ..settings() }, 2);
     bench.pass(100);
     let mut ask = |wrote_ago| {
-        let arrival = Arrival { wrote_ago: Some(wrote_ago), ..bench.arrival(SESSION) };
+        let arrival = Arrival { wrote: Some(Wrote::Ago(wrote_ago)), ..bench.arrival(SESSION) };
         sends(&bench.event(Event::Arrived(arrival)))
     };
     assert_ne!(ask(50 * MS), [2], "the replica was last known at 100 ms ago");
     assert_eq!(ask(150 * MS), [2], "a write before that is there; the primary is busy");
 }
 
+#[test]
+fn a_carried_position_counts_however_the_routers_clock_is_set() {
+    // Positions are told by another clock, which is five seconds ahead of the router's.
+    let mut bench = Bench::new(Settings { tokens_carried: true, ..settings() }, 2);
+    bench.pass(100);
+    let there = bench.now.plus(5_000 * MS);
+    let report = Report { position: Some(there), ..Report::default() };
+    bench.event(Event::Probed { store: StoreId(2), ok: true, elapsed: MS, report });
+    let mut ask = |position| {
+        let arrival = Arrival { wrote: Some(Wrote::At(position)), ..bench.arrival(SESSION) };
+        sends(&bench.event(Event::Arrived(arrival)))
+    };
+    assert_eq!(ask(there.plus(MS)), [1], "not there yet");
+    assert_eq!(ask(there), [2], "the primary is busy");
+}
+
 #[test]
 fn attempts_stop_at_the_limit() {
     let mut bench = Bench::new(Settings { try_limit: 2, ..settings() }, 4);
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -2,7 +2,7 @@
 
 use mountshift::{
     Action, Arrival, AttemptNo, ClassId, Entry, GroupId, KindId, Listed, Outcome, RequestId, SessionKey,
-    Standing, StoreId, TenantId, Time, TimerToken, ZoneId,
+    Standing, StoreId, TenantId, Time, TimerToken, Wrote, ZoneId,
 };
 use std::fmt;
 use std::time::Duration;
@@ -227,7 +227,8 @@
         // Rounding an age up keeps the write that it points at in the past of the true commit at most
         // by less than a microsecond, so the age is rounded down: a later commit asks for more.
         let wrote_ms = self.f32()?;
-        let wrote_ago = (wrote_ms > 0.0).then_some(Duration::from_micros((f64::from(wrote_ms) * 1e3) as u64));
+        let micros = (f64::from(wrote_ms) * 1e3) as u64;
+        let wrote = (wrote_ms > 0.0).then_some(Wrote::Ago(Duration::from_micros(micros)));
         let set = self.f32()?;
         let group = GroupId(if set >= 0.0 { set as u32 } else { u32::MAX });
         let _work = self.u32()?;
@@ -239,7 +240,7 @@
             group,
             session,
             time_left,
-            wrote_ago,
+            wrote,
             repeated,
             standing: Standing::Within,
             shed: 0.0,
--- a/crates/simhost/tests/codec.rs
+++ b/crates/simhost/tests/codec.rs
@@ -52,7 +52,7 @@
     assert_eq!(arrival.id, RequestId(0x000a_1bbb_5d3a_91c4));
     assert_eq!(arrival.session, Some(SessionKey(0x91f0_3b7c_55d2_0a64)));
     assert_eq!(arrival.time_left, Duration::from_micros(240_000));
-    assert_eq!(arrival.wrote_ago, Some(Duration::from_micros(412_500)));
+    assert_eq!(arrival.wrote, Some(Wrote::Ago(Duration::from_micros(412_500))));
     assert_eq!(arrival.group, GroupId(11));
     assert!(!arrival.repeated);
     assert_eq!(reader.record().unwrap(), Record::Alarm { inst: 3, token: TimerToken(77) });
