Tests: steps of the wall clock move no window of a key, no silence and no idle time

Already handled right: the module goes by the process's anchored clock, all else by Instant. New in wall_clock.rs, each with steps of 2 s and an hour both ways while the proxy runs.

--- a/crates/leverproxy/tests/wall_clock.rs
+++ b/crates/leverproxy/tests/wall_clock.rs
@@ -491,3 +491,98 @@
         assert!(took > 300 * MS && took < 2_000 * MS, "a step of {step} ms: {took:?}");
     }
 }
+
+// ---- Spans over a step ----
+
+const STEPS: [i64; 4] = [2_000, -2_000, HOUR_MS, -HOUR_MS];
+
+/// Returns once so much time has gone by; what is waited for is that it has.
+fn pass(span: Duration) {
+    let begun = Instant::now();
+    while begun.elapsed() < span {
+        thread::yield_now();
+    }
+}
+
+/// The next query that is no probe, on any connection.
+fn next_query(server: &common::Listener) -> (Peer, String) {
+    let mut peer = server.welcome();
+    loop {
+        match peer.query() {
+            probe if probe == "SHOW load" => peer.answer("x0=1.0,x1=1,backlog=0", &[]),
+            query => return (peer, query),
+        }
+    }
+}
+
+/// A keyed write whose first attempt may have run, `after` which the clock is stepped and the connection breaks.
+fn broken_keyed_write(window: Duration, after: Duration, step: i64) -> (Stage, Peer, common::Listener) {
+    let keyed = format!(r#""Effect": "keyed", "Group": "all", "Window": {}"#, window.as_micros());
+    let settings = SETTINGS.replace(r#""Effect": "unsafe""#, &keyed);
+    let (clock, server) = (off(0), common::Listener::new());
+    let stage = Stage::with(&[("s-1", &server)], |config| {
+        config.platform = mountshift_settings::decode(settings.as_bytes()).unwrap();
+        config.wall_clock = wall(&clock);
+    });
+    let mut client = Peer::client(stage.address);
+    client.ask("INSERT INTO items (id, doc) VALUES ('7f', '\\x9f') RETURNING doc /* id=1,c=book,t=acme,d=4900,k=5c0f,cluster=3 */");
+    let (upstream, query) = next_query(&server);
+    assert!(query.contains(",k=5c0f"), "{query}");
+    pass(after);
+    clock.store(step, Ordering::SeqCst);
+    drop(upstream);
+    (stage, client, server)
+}
+
+/// The window of a key is a span: a step forward does not end it, and a step back does not open it again.
+#[test]
+fn a_step_moves_no_window_of_a_key() {
+    for step in STEPS {
+        let (_stage, mut client, server) = broken_keyed_write(Duration::from_secs(4), Duration::ZERO, step);
+        let (mut upstream, query) = next_query(&server);
+        assert!(query.contains(",k=5c0f"), "a step of {step} ms, inside the window: {query}");
+        upstream.answer("one", &[("role", "primary")]);
+        assert_eq!(client.reply().value.as_deref(), Some("one"));
+        let (_stage, mut client, _server) = broken_keyed_write(200 * MS, 300 * MS, step);
+        // Sent again, it would be waited for until its client's time is over.
+        let begun = Instant::now();
+        assert!(client.reply().code.is_some());
+        assert!(begun.elapsed() < 2_500 * MS, "a step of {step} ms, behind the window: it is sent again");
+    }
+}
+
+/// A watch is replaced once it has been silent for its time, not sooner, and not an hour later.
+#[test]
+fn a_step_moves_no_silence_of_discovery() {
+    for step in STEPS {
+        let clock = off(0);
+        let stage = Stage::with(&[], |config| {
+            config.watch_silence = 400 * MS;
+            config.wall_clock = wall(&clock);
+        });
+        let begun = Instant::now();
+        clock.store(step, Ordering::SeqCst);
+        stage.discovery.accept().watch();
+        let took = begun.elapsed();
+        assert!(took > 200 * MS && took < 2_000 * MS, "a step of {step} ms: after {took:?}");
+    }
+}
+
+/// A pooled connection is closed once it has been idle for its time.
+#[test]
+fn a_step_moves_no_idle_time() {
+    for step in STEPS {
+        let (clock, server) = (off(0), common::Listener::new());
+        let stage = Stage::with(&[("s-1", &server)], |config| {
+            config.idle_limit = 400 * MS;
+            config.wall_clock = wall(&clock);
+        });
+        let mut client = Peer::client(stage.address);
+        let mut upstream = common::served(&mut client, &server, 1, "one");
+        let begun = Instant::now();
+        clock.store(step, Ordering::SeqCst);
+        assert!(upstream.ended());
+        let took = begun.elapsed();
+        assert!(took > 200 * MS && took < 2_000 * MS, "a step of {step} ms: after {took:?}");
+    }
+}
