A list counts as soon as it is whole, whatever comes behind it; tests of lists and calls

Seen: a list that came whole in one piece with bytes that make no sense (no JSON, a chunk cut wrongly) was thrown away with them, though discovery had written it: a drain in it was missed until the next call. And of a list of some kilobytes whose last bytes came in one piece with the beginning of the next, nothing was taken in until that one was whole; a reset or silence before lost both.

Cause: discovery/mod.rs, advance: an error of the reader returned before the parts that it had found were looked at. http.rs, Reader::body: an unfinished object was looked at again only when what had come ended with a brace or a sixteenth more had come. Ruled out: the read itself; bytes that came before a reset are read before it is told.

--- a/crates/leverproxy/src/discovery/mod.rs
+++ b/crates/leverproxy/src/discovery/mod.rs
@@ -193,8 +193,8 @@
             events.push(Event::Bytes);
         }
         let mut parts = Vec::new();
-        let used = watch.reader.take(watch.stream.input.unused(), &mut parts);
-        watch.stream.input.consume(used.map_err(|e| e.to_string())?);
+        let taken = watch.reader.take(watch.stream.input.unused(), &mut parts);
+        watch.stream.input.consume(*taken.as_ref().unwrap_or(&0));
         if !parts.is_empty() {
             watch.spoke = true;
             events.push(Event::Whole);
@@ -216,6 +216,8 @@
                 self.let_go_former();
             }
         }
+        // What came whole counts, whatever came behind it.
+        taken.map_err(|e| e.to_string())?;
         if ended {
             return Err("the watch ended".into());
         }
--- a/crates/leverproxy/src/http.rs
+++ b/crates/leverproxy/src/http.rs
@@ -2,17 +2,14 @@
 //! they come. Objects may be cut anywhere, indented, or several at once; white space between them says that nothing has
 //! changed.
 
-use serde_json::value::RawValue;
+mod objects;
+
+use objects::{Objects, OBJECT_LIMIT};
 use thiserror::Error;
 
 const HEAD_LIMIT: usize = 16 << 10;
 const HEADERS: usize = 64;
 const SIZE_LINE_LIMIT: usize = 256;
-/// Largest object of a body.
-const OBJECT_LIMIT: usize = 4 << 20;
-/// An unfinished object is looked at again when this part more of it has come: a list of megabytes in small pieces
-/// would else be read a thousand times.
-const LOOK_AGAIN: usize = 16;
 
 /// What is wrong with an answer, and where to look.
 #[derive(Debug, PartialEq, Eq, Error)]
@@ -66,13 +63,11 @@
 #[derive(Debug, Default)]
 pub struct Reader {
     state: State,
-    body: Vec<u8>,
-    /// Length of the body at the last look that found its object unfinished.
-    looked: usize,
+    objects: Objects,
 }
 
 impl Reader {
-    /// Uses up what it can of `bytes` and says how much.
+    /// Uses up what it can of `bytes` and says how much. What came whole before a fault is among the parts.
     pub fn take(&mut self, bytes: &[u8], parts: &mut Vec<Part>) -> Result<usize, Fault> {
         let mut at = 0;
         loop {
@@ -95,7 +90,7 @@
                     let n = rest.len().min(usize::try_from(*left).unwrap_or(usize::MAX));
                     *left -= n as u64;
                     let whole = *left == 0;
-                    self.body(&rest[..n], parts)?;
+                    self.objects.take(&rest[..n], parts)?;
                     at += n;
                     if !whole {
                         return Ok(at);
@@ -115,14 +110,14 @@
                     let n = rest.len().min(most);
                     *left = left.map(|left| left - n as u64);
                     let done = *left == Some(0);
-                    self.body(&rest[..n], parts)?;
+                    self.objects.take(&rest[..n], parts)?;
                     if done {
                         self.state = State::Done;
                     }
                     return Ok(at + n);
                 }
-                State::Done if self.body.is_empty() => return Ok(at),
-                State::Done => return Err(Fault::Cut),
+                State::Done if self.objects.begun() => return Err(Fault::Cut),
+                State::Done => return Ok(at),
             }
         }
     }
@@ -131,44 +126,6 @@
     pub fn done(&self) -> bool {
         matches!(self.state, State::Done)
     }
-
-    fn body(&mut self, bytes: &[u8], parts: &mut Vec<Part>) -> Result<(), Fault> {
-        self.body.extend_from_slice(bytes);
-        let begun = self.looked > 0;
-        if begun && !self.body.trim_ascii_end().ends_with(b"}") {
-            let more = self.body.len() - self.looked;
-            if more < self.looked / LOOK_AGAIN {
-                return self.bounded();
-            }
-        }
-        let mut objects = serde_json::Deserializer::from_slice(&self.body).into_iter::<&RawValue>();
-        let mut found = false;
-        let unfinished = loop {
-            match objects.next() {
-                None => break false,
-                Some(Ok(object)) => {
-                    found = true;
-                    parts.push(Part::Object(object.get().to_owned()));
-                }
-                Some(Err(e)) if e.is_eof() => break true,
-                Some(Err(e)) => return Err(Fault::NotJson(e.to_string())),
-            }
-        };
-        let used = if unfinished { objects.byte_offset() } else { self.body.len() };
-        if !found && !unfinished && used > 0 {
-            parts.push(Part::Alive);
-        }
-        self.body.drain(..used);
-        self.looked = self.body.len();
-        self.bounded()
-    }
-
-    fn bounded(&self) -> Result<(), Fault> {
-        if self.body.len() > OBJECT_LIMIT {
-            return Err(Fault::TooLong);
-        }
-        Ok(())
-    }
 }
 
 /// The head of an answer, if it is there whole: its length and how the body comes.
--- /dev/null
+++ b/crates/leverproxy/tests/discovery.rs
@@ -0,0 +1,296 @@
+//! Lists as discovery may send them, whole and broken: what counts, and when the next call is made.
+
+mod common;
+use common::{read, served, Listener, Peer, Stage, PATIENCE};
+use leverproxy::discovery::{Discovery, News};
+use leverproxy::http::{Part, Reader};
+use leverproxy::reactor::{Reactor, Token};
+use list_clock::{AGAIN, DIAL, OBJECT, RETRY, SILENCE};
+use rustix::net::sockopt;
+use std::net::Shutdown;
+use std::time::{Duration, Instant};
+
+/// How a body comes.
+#[derive(Clone, Copy, Debug)]
+enum Framing {
+    Chunked,
+    Length,
+    NoLength,
+}
+
+const FRAMINGS: [Framing; 3] = [Framing::Chunked, Framing::Length, Framing::NoLength];
+
+impl Framing {
+    /// The beginning of an answer with this body, of which so many bytes are still to come.
+    fn answer(self, body: &str, missing: usize) -> String {
+        let length = body.len() + missing;
+        match self {
+            Framing::Chunked => {
+                format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{length:x}\r\n{body}")
+            }
+            Framing::Length => format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}"),
+            Framing::NoLength => format!("HTTP/1.1 200 OK\r\n\r\n{body}"),
+        }
+    }
+}
+
+/// A list on one line, or over many.
+fn list(index: u64, snapshot: bool, entries: &[String]) -> String {
+    format!(r#"{{"index":{index},"snapshot":{snapshot},"endpoints":[{}]}}"#, entries.join(","))
+}
+
+fn indented(text: &str) -> String {
+    text.replace(',', ",\n    ").replace('{', "{\n  ").replace('}', "\n}")
+}
+
+/// The connection is reset, with what has been written before it.
+fn reset(peer: Peer) -> Option<Peer> {
+    sockopt::set_socket_linger(&peer.stream, Some(Duration::ZERO)).unwrap();
+    None
+}
+
+/// The next call, with the index after which it asks for changes.
+fn call(discovery: &Listener) -> (Peer, u64) {
+    let mut peer = discovery.accept();
+    let head = peer.head();
+    let line = head.lines().next().unwrap();
+    let index =
+        line.strip_prefix("GET /catalog/members?watch=1&after=").unwrap().strip_suffix(" HTTP/1.1").unwrap();
+    (peer, index.parse().unwrap())
+}
+
+/// Ends the watch of a stage; the next call.
+fn again(stage: &mut Stage, index: u64) -> Peer {
+    stage.watch.stream.shutdown(Shutdown::Both).unwrap();
+    let (next, after) = call(&stage.discovery);
+    assert_eq!(after, index);
+    next
+}
+
+/// A whole list counts in whatever form it comes, and the next call goes on from it.
+#[test]
+fn a_whole_list_is_taken_in_any_form() {
+    for framing in FRAMINGS {
+        for form in [str::to_owned, indented] {
+            let server = Listener::new();
+            let mut stage = Stage::new(&[]);
+            let mut peer = again(&mut stage, 41);
+            let whole = form(&list(57, true, &[server.listed("s-1", "Ready")]));
+            peer.write(framing.answer(&whole, 0).as_bytes());
+            let mut client = Peer::client(stage.address);
+            served(&mut client, &server, 1, "listed");
+            stage.watch = peer;
+            again(&mut stage, 57);
+        }
+    }
+}
+
+/// A reset is no end: half a list is no list. What came whole before it counts, a drain as the last thing too.
+#[test]
+fn of_a_list_cut_by_a_reset_only_whole_objects_count() {
+    for framing in FRAMINGS {
+        let (first, second) = (Listener::new(), Listener::new());
+        let mut stage = Stage::new(&[("s-1", &first), ("s-2", &second)]);
+        let mut peer = again(&mut stage, 41);
+        // Cut behind a whole entry: the first record server would be gone by it.
+        let half = list(58, true, &[second.listed("s-2", "Ready")]);
+        peer.write(framing.answer(half.strip_suffix("]}").unwrap(), 2).as_bytes());
+        reset(peer);
+        let (mut peer, after) = call(&stage.discovery);
+        assert_eq!(after, 41, "{framing:?}: half a list is none");
+        let drain = list(59, false, &[second.listed("s-2", "Terminating")]);
+        peer.write(framing.answer(&format!("{drain}\n{half:.40}"), 100).as_bytes());
+        reset(peer);
+        let (_peer, after) = call(&stage.discovery);
+        assert_eq!(after, 59, "{framing:?}: what came whole counts");
+        let mut client = Peer::client(stage.address);
+        let mut upstream = served(&mut client, &first, 1, "first");
+        for id in 2..8 {
+            client.ask(&read(id, "any", 19000));
+            upstream.query();
+            upstream.answer("first", &[]);
+            assert_eq!(client.reply().value.as_deref(), Some("first"));
+        }
+        assert!(second.try_accept().is_none(), "{framing:?}: the drain is heeded");
+    }
+}
+
+/// A list counts as soon as it is whole, with the next one begun right behind it, and before anything that is none.
+#[test]
+fn a_list_counts_whatever_comes_behind_it() {
+    let server = Listener::new();
+    let listed: Vec<String> = (0..100).map(|n| server.listed(&format!("s-{n}"), "Ready")).collect();
+    let whole = list(57, true, &listed);
+    let (begin, end) = whole.split_at(whole.len() - 5);
+    let (mut reader, mut parts) = (Reader::default(), Vec::new());
+    for text in [Framing::NoLength.answer(begin, 0), format!("{end}\n{{\"in")] {
+        assert_eq!(parts, []);
+        assert_eq!(reader.take(text.as_bytes(), &mut parts), Ok(text.len()));
+    }
+    assert_eq!(parts, [Part::Object(whole)], "before the next one is whole");
+    let mut stage = Stage::new(&[]);
+    let mut peer = again(&mut stage, 41);
+    let drain = list(58, false, &[server.listed("s-1", "Terminating")]);
+    peer.write(Framing::Length.answer(&format!("{drain}<html>"), 0).as_bytes());
+    let (mut peer, after) = call(&stage.discovery);
+    assert_eq!(after, 58, "before what is no JSON");
+    let drain = list(59, false, &[server.listed("s-2", "Terminating")]);
+    let text =
+        format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{drain}xx\r\n", drain.len());
+    peer.write(text.as_bytes());
+    let (mut peer, after) = call(&stage.discovery);
+    assert_eq!(after, 59, "before chunks that are cut wrongly");
+    let text = format!("{}{{\"index\":\"soon\"}}", list(60, false, &[]));
+    peer.write(Framing::NoLength.answer(&text, 0).as_bytes());
+    assert_eq!(call(&stage.discovery).1, 60, "before an object that is no list");
+}
+
+/// Discovery turns calls away: each is followed by another, and what was known stays known.
+#[test]
+fn a_call_that_is_turned_away_is_made_again() {
+    let server = Listener::new();
+    let mut stage = Stage::new(&[("s-1", &server)]);
+    let mut peer = again(&mut stage, 41);
+    for answer in
+        ["HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy", "HTTP/1.1 503 Busy\r\n\r\n", "SSH-2.0\r\n"]
+    {
+        peer.write(answer.as_bytes());
+        let (next, after) = call(&stage.discovery);
+        assert_eq!(after, 41);
+        peer = next;
+    }
+    let mut client = Peer::client(stage.address);
+    served(&mut client, &server, 1, "known");
+}
+
+/// Discovery alone, on a clock that the test sets.
+struct Alone {
+    reactor: Reactor,
+    discovery: Discovery,
+    now: Instant,
+    listener: Listener,
+}
+
+impl Alone {
+    fn new(pushed: bool) -> Alone {
+        let (reactor, listener, now) = (Reactor::new().unwrap(), Listener::new(), Instant::now());
+        let mut discovery = Discovery::new(listener.address, SILENCE, pushed, now);
+        discovery.subscribe(1, now, &reactor);
+        Alone { reactor, discovery, now, listener }
+    }
+
+    /// Waits for what comes next and lets it take that in.
+    fn step(&mut self) {
+        let mut ready = Vec::new();
+        self.reactor.wait(Some(Instant::now() + PATIENCE), &mut ready).unwrap();
+        assert!(!ready.is_empty(), "nothing comes");
+        for event in &ready {
+            let Token::Discovery(key) = event.token else { panic!("{event:?}") };
+            self.discovery.ready(key, self.now, &self.reactor);
+        }
+    }
+
+    /// What it has to tell next.
+    fn news(&mut self) -> News {
+        loop {
+            if let Some(news) = self.discovery.pop() {
+                return news;
+            }
+            self.step();
+        }
+    }
+
+    /// Lets it come up and write its call.
+    fn called(&mut self) -> Peer {
+        let mut peer = self.listener.accept();
+        self.step();
+        peer.head();
+        peer
+    }
+
+    /// When something is due next, from now; then it is that time.
+    fn due(&mut self) -> Duration {
+        // A timer that is set stays set, so each time is told once.
+        let due = self.discovery.alarm().unwrap();
+        let after = due.saturating_duration_since(self.now);
+        self.now = due;
+        self.discovery.check(1, self.now, &self.reactor);
+        after
+    }
+}
+
+/// Silence breaks a watch and a call, wherever it begins, and the next call is made at once.
+#[test]
+fn silence_breaks_what_is_out() {
+    for begun in
+        ["", "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n{\"index\":3", "HTTP/1.1 200 OK\r\n\r\n{}"]
+    {
+        let mut alone = Alone::new(false);
+        let mut peer = alone.called();
+        peer.write(begun.as_bytes());
+        if begun.ends_with("{}") {
+            assert!(matches!(alone.news(), News::Listing(_)));
+        }
+        assert!(alone.due() <= SILENCE);
+        assert!(matches!(alone.news(), News::Lost), "{begun:?}");
+        assert!(peer.ended());
+        alone.called();
+    }
+}
+
+/// A dial that hangs and a trickle without end are given up, and the next call is made at once.
+#[test]
+fn what_never_comes_whole_is_given_up() {
+    let mut alone = Alone::new(false);
+    assert_eq!(alone.due(), DIAL);
+    assert!(matches!(alone.news(), News::Lost));
+    let _given_up = alone.listener.accept();
+    let mut peer = alone.called();
+    peer.write(b"HTTP/1.1 200 OK\r\n\r\n{");
+    let begun = alone.now;
+    for _ in 0..100 {
+        peer.write(b" ");
+        alone.step();
+        alone.now += Duration::from_millis(50);
+    }
+    assert_eq!(alone.due() + (alone.now - begun), OBJECT);
+    assert!(matches!(alone.news(), News::Lost));
+    alone.called();
+}
+
+/// Where the list is asked for, whoever orders calls hears of a failure; nobody's order is waited for too long.
+#[test]
+fn after_an_end_the_next_call_is_made_in_time() {
+    // The peer stays open behind what it says; one that says nothing is reset.
+    for end in
+        ["", "HTTP/1.1 503 Busy\r\n\r\n", "SSH-2.0\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{ \n"]
+    {
+        for (pushed, again) in [(false, RETRY), (true, AGAIN)] {
+            let mut alone = Alone::new(pushed);
+            let mut peer = alone.called();
+            peer.write(end.as_bytes());
+            let _open = if end.is_empty() { reset(peer) } else { Some(peer) };
+            assert!(matches!(alone.news(), News::Lost));
+            let told = alone.discovery.pop();
+            assert_eq!(matches!(told, Some(News::Failed)), !pushed, "{told:?}");
+            assert_eq!(alone.due(), again);
+            alone.called();
+        }
+    }
+}
+
+/// An order that was given before discovery moved does not cut off the watch that stands there since.
+#[test]
+fn an_order_while_a_call_is_out_changes_nothing() {
+    let mut alone = Alone::new(false);
+    reset(alone.called());
+    assert!(matches!(alone.news(), News::Lost));
+    assert!(matches!(alone.news(), News::Failed));
+    alone.listener = Listener::new();
+    alone.discovery.move_to(alone.listener.address, 1, alone.now, &alone.reactor);
+    let mut peer = alone.called();
+    alone.discovery.subscribe(1, alone.now, &alone.reactor);
+    peer.write(Framing::Chunked.answer(&list(2, true, &[]), 0).as_bytes());
+    let News::Listing(listing) = alone.news() else { panic!("the watch is cut off") };
+    assert_eq!(listing.index, 2);
+}
