--- a/crates/configuration/src/schema.rs
+++ b/crates/configuration/src/schema.rs
@@ -198,14 +198,14 @@
         naming: Naming::Named,
         help: "The first route whose conditions all hold says what becomes of a request. A condition with several values holds if one of them does.",
         directives: &[
-            directive("class", Many(Type::Name), "", "class nearby-cabs trip-history", "condition: the class of the request"),
-            directive("tenant", Many(Type::Name), "", "tenant ratna-park", "condition: whose request it is"),
+            directive("class", Many(Type::Name), "", "class search history", "condition: the class of the request"),
+            directive("tenant", Many(Type::Name), "", "tenant acme", "condition: whose request it is"),
             directive("group", Many(Type::Groups), "", "group 0-4 7", "condition: the group of the request"),
             directive("statement", Many(Type::Text { most: 256 }), "", "statement \"SELECT doc FROM items\"", "condition: how the statement begins, after blanks and in small letters or large"),
             directive("network", Many(Type::Network), "", "network 10.1.0.0/16 2001:db8::/32", "condition: the client's address"),
-            directive("during", Many(Type::Reference("window")), "", "during dashain", "condition: the time at which the request came"),
+            directive("during", Many(Type::Reference("window")), "", "during festival", "condition: the time at which the request came"),
             directive("pool", One(Type::Reference("pool")), "", "pool festival", "the pool that the request counts against"),
-            directive("as-class", One(Type::Name), "", "as-class trip-history", "the request is treated as one of this class, which must need no less of the data and allow no more repeats"),
+            directive("as-class", One(Type::Name), "", "as-class history", "the request is treated as one of this class, which must need no less of the data and allow no more repeats"),
             directive("deadline", One(time(1, HOUR)), "", "deadline 300ms", "the longest that the request is worked on"),
             directive("priority", One(Type::Choice(&["low", "normal", "high"])), "normal", "priority high", "how much of its pool it may fill"),
             directive("tries", One(count(1, 1_000)), "", "tries 1", "attempts for the request"),
@@ -290,7 +290,7 @@
         help: "A proxy of the fleet, by the name that the platform gives it (`LB_NAME`), of at most 64 bytes. All proxies have the same sections, their own among them; at most 1,000.",
         directives: &[
             directive("address", One(Type::Address), "", "address 10.0.0.4:7946", "required; where it hears the others"),
-            directive("region", One(Type::Name), "", "region thamel", "the part of a rollout that it belongs to"),
+            directive("region", One(Type::Name), "", "region north", "the part of a rollout that it belongs to"),
         ],
     },
     Section {
@@ -299,7 +299,7 @@
         help: "How a new operators' file reaches the fleet in stages, and halts by itself; needs the section `members`. Without this section there are no rollouts.",
         directives: &[
             at_start(directive("candidates", One(Type::Text { most: 4_096 }), "", "candidates /etc/leverproxy/candidates", "required; the directory in which new operators' files are placed, on each host by the operators' own means")),
-            at_start(directive("order", Many(Type::Name), "", "order thamel patan", "the regions, in the order in which they get a new version; if not stated, by their names")),
+            at_start(directive("order", Many(Type::Name), "", "order north south", "the regions, in the order in which they get a new version; if not stated, by their names")),
             at_start(directive("canary", One(count(1, 100)), "1", "canary 2", "proxies of the first region that run a new version before all others")),
             at_start(directive("least-harm", One(share((1, 200), (1, 2))), "5%", "least-harm 2%", "the least loss, as a part of what is asked, that has to be found")),
             at_start(directive("error", One(share((1, 10_000), (1, 10))), "1%", "error 0.5%", "the chance that a version which does no harm is halted by the comparison")),
@@ -340,9 +340,9 @@
             directive("term", One(time(100, 12 * HOUR)), "60s", "term 30s", "a loan is repaid within this"),
             directive("write-off", One(time(0, 12 * HOUR)), "60s", "write-off 30s", "what is still owed so long after the term is written off"),
             directive("floor", One(share((0, 1), (99, 100))), "50%", "floor 80%", "the part of the quota that always stays, whatever is repaid"),
-            directive("class", Many(Type::Name), "", "class nearby-cabs trip-history", "required; the classes that loans are made for"),
+            directive("class", Many(Type::Name), "", "class search history", "required; the classes that loans are made for"),
             directive("rate", One(Type::Rate { least: 1, most: 1_000_000 }), "", "rate 100/s", "required; the most that all proxies together lend, a second"),
-            directive("not-during", Many(Type::Reference("window")), "", "not-during dashain", "windows in which nothing is lent"),
+            directive("not-during", Many(Type::Reference("window")), "", "not-during festival", "windows in which nothing is lent"),
         ],
     },
     Section {
