A group whose answers take seconds is not called hung between two of them

Seen by reading: the silence after which a group counts as hung is four times what its answers usually take, but at most 700 ms (crates/availability/src/group.rs, LONGEST in Group::look). Where answers take longer than that as a rule, four requests out and 700 ms without an answer made the group hung, and the proxy's weight fell to its floor, against the comment that no silence shorter than its answers take counts. The bound came from deployments whose answers take a tenth of that. Change: a silence is never shorter than what the answers usually take; below 700 ms nothing changes. Not changed: until ten answers of a window are known the usual is not, and availability's silence (350 ms, an operators' value) counts alone. Test: eight requests every two seconds, three seconds each; fails without the change ("after 20 bursts"). It also holds that the group still shows as hung after its usual time.

--- a/crates/availability/src/group.rs
+++ b/crates/availability/src/group.rs
@@ -75,7 +75,8 @@
 const PROOF: u32 = 3;
 /// Times what its answers usually take that a silence lasts.
 const LONG: u32 = 4;
-/// No silence shorter than its answers take counts, and none needs more than this: the aim is to tell within 1 s.
+/// No silence needs more than this, the aim being to tell within 1 s, unless its answers take longer as a rule: a silence
+/// that is shorter than they take is none.
 const LONGEST: Duration = Duration::from_millis(700);
 
 impl Group {
@@ -204,8 +205,8 @@
     pub fn look(&mut self, now: Time, set: &Settings, damping: u32) {
         self.latency.turn(now);
         self.decay(now);
-        let usual = self.latency.usual() * LONG;
-        let silence = usual.clamp(set.silence, LONGEST.max(set.silence));
+        let usual = self.latency.usual();
+        let silence = (usual * LONG).clamp(set.silence, LONGEST.max(set.silence).max(usual));
         let quiet = now.saturating_sub(self.heard);
         let failing = self.unserved / (self.served + self.unserved + PRIOR);
         let found = if self.broken >= set.failures {
--- a/crates/availability/tests/model.rs
+++ b/crates/availability/tests/model.rs
@@ -206,6 +206,34 @@
     }
 }
 
+/// Eight come every two seconds and take three: nothing is heard for longer than most groups need to answer at all.
+#[test]
+fn a_group_whose_answers_take_seconds_is_not_hung_between_two_of_them() {
+    let mut world = World::new(1, 0);
+    let ask = |world: &mut World, answered: bool| {
+        for _ in 0..8 {
+            world.model.handle(world.now, Event::Asked { group: 0 });
+            world.model.handle(world.now, Event::Sent { group: 0 });
+            if answered {
+                world.out.push((world.now + 3 * SECOND, 0, Ended::Answered, 3 * SECOND));
+            }
+        }
+    };
+    for burst in 0..60 {
+        ask(&mut world, true);
+        for _ in 0..20 {
+            world.run(100 * MS);
+            // What is usual is learnt first.
+            assert!(burst < 20 || world.condition(0) == Condition::Serving, "after {burst} bursts");
+        }
+    }
+    world.run(3 * SECOND);
+    // It still shows when it hangs: once it has said nothing for as long as an answer takes.
+    ask(&mut world, false);
+    let told = world.until(4 * SECOND, |w| w.condition(0) == Condition::Hung);
+    assert!(told >= 3 * SECOND - 200 * MS, "{told:?}");
+}
+
 #[test]
 fn a_drain_is_told_at_once_and_stays_until_undone() {
     let mut world = World::new(2, 20);
