After failed calls the list is asked for within the time that the settings give

Seen by reading: after failures the next call for the list is up to 4.5 s away (crates/mountshift/src/decide.rs, LIST_WAIT: 3 s and half as much again), whatever AskWithin says. Where that is 3 s or less, a proxy without a watch asks too late by its own settings. Change: the wait is at most half of list_within, so that it and its jitter stay within it; never under the least wait, so that a time of zero makes no loop. Ruled out: the spread over a fleet (LIST_PACE) already goes by list_within.

--- a/crates/mountshift/src/decide.rs
+++ b/crates/mountshift/src/decide.rs
@@ -87,7 +87,7 @@
 }
 
 /// Least wait before the list is asked for again after a failure, and the most; doubled and jittered between.
-/// Half as much again as the most is under six seconds: what one has missed so long counts as told.
+/// Half as much again is under six seconds, when what was missed counts as told; half of `list_within` at most.
 const LIST_WAIT: (Duration, Duration) = (Duration::from_millis(125), Duration::from_secs(3));
 /// Beyond a few routers calls are spread so far apart over all, in this share of the time that one may wait.
 const LIST_PACE: (Duration, f64) = (Duration::from_millis(80), 0.75);
@@ -397,6 +397,7 @@
     fn ask_list(&mut self, wait: Duration) {
         let fleet = LIST_PACE.0 * self.set.routers.saturating_sub(self.tune.few as u32);
         let fleet = fleet.min(self.set.list_within.mul_f64(LIST_PACE.1));
+        let wait = wait.min(LIST_WAIT.0.max(self.set.list_within / 2));
         let due = self.now.plus(wait / 2 + wait.max(fleet).mul_f64(self.chance()));
         self.agenda.insert((due, Task::AskList));
     }
@@ -602,8 +603,7 @@
     /// News of a store: whatever is held in its group gets another look, the most valuable first.
     fn wake(&mut self, store: StoreId, out: &mut Out) {
         let Some(group) = self.stores.get(&store).map(|s| s.group) else { return };
-        let first = (group, Time::ZERO, RequestId(0));
-        let last = (group, Time::MAX, RequestId(u64::MAX));
+        let (first, last) = ((group, Time::ZERO, RequestId(0)), (group, Time::MAX, RequestId(u64::MAX)));
         let here = self.held.range(first..=last).map(|h| h.2);
         // Of equal value the newest first: it has the most time left to be served in, while the oldest
         // would be served just too late, all of them, whenever more waits than can be served.
--- a/crates/mountshift/tests/rules.rs
+++ b/crates/mountshift/tests/rules.rs
@@ -282,6 +282,24 @@
     assert_eq!(asked(&after), 1);
 }
 
+/// However many calls have failed, the next comes within the time that the settings give for asking.
+#[test]
+fn the_list_is_asked_for_within_its_time_where_that_is_short() {
+    for (within, routers) in [(1_000_u32, 2), (1_000, 300), (3_000, 2), (3_000, 300)] {
+        let settings = Settings { list_on_request: true, list_within: within * MS, routers, ..settings() };
+        let mut bench = Bench::unheard(settings, 0);
+        for failures in 1..20 {
+            let mut after = bench.event(Event::List(ListNews::Failed));
+            after.extend(bench.pass(within.into()));
+            let calls = after.iter().filter(|a| matches!(a, Action::Subscribe)).count();
+            assert_eq!(
+                calls, 1,
+                "within {within} ms after {failures} failed calls, one of {routers} routers"
+            );
+        }
+    }
+}
+
 #[test]
 fn a_retry_time_far_away_does_not_leak_requests_into_later_events() {
     let mut bench = Bench::new(settings(), 2);
