--- a/crates/mountshift/src/decide.rs
+++ b/crates/mountshift/src/decide.rs
@@ -347,8 +347,10 @@
             ListNews::Complete(entries) | ListNews::Cached(entries) => (entries, true),
             ListNews::Failed => {
                 self.list_failures += 1;
-                let wait = (LIST_WAIT * (1 << self.list_failures.min(16))).min(list_clock::RETRY);
-                let latest = wait.max(self.list_spread(list_clock::RETRY));
+                // Where the settings give less time for asking, that binds after a failure too.
+                let most = list_clock::RETRY.min(self.set.list_within);
+                let wait = (LIST_WAIT * (1 << self.list_failures.min(16))).min(most);
+                let latest = wait.max(self.list_spread(most));
                 let placed = self.list_failures > 1;
                 let earliest = if placed { latest.mul_f64(LIST_PACE.1) } else { wait / 2 };
                 return self.ask_list(earliest, latest);
@@ -401,8 +403,8 @@
         }
     }
 
-    /// The list is one service for all routers, which takes calls in turn and wastes those that waited too
-    /// long: started or cut off together they would keep each other from it for good.
+    /// How far calls are spread. The list is one service for all routers, which takes calls in turn and wastes those that
+    /// waited too long: started or cut off together they would keep each other from it for good.
     fn list_spread(&self, most: Duration) -> Duration {
         (LIST_PACE.0 * self.set.routers.saturating_sub(self.tune.few as u32)).min(most)
     }
@@ -615,8 +617,7 @@
     /// News of a store: whatever is held in its group gets another look, the most valuable first.
     fn wake(&mut self, store: StoreId, out: &mut Out) {
         let Some(group) = self.stores.get(&store).map(|s| s.group) else { return };
-        let first = (group, Time::ZERO, RequestId(0));
-        let last = (group, Time::MAX, RequestId(u64::MAX));
+        let (first, last) = ((group, Time::ZERO, RequestId(0)), (group, Time::MAX, RequestId(u64::MAX)));
         let here = self.held.range(first..=last).map(|h| h.2);
         // Of equal value the newest first: it has the most time left to be served in, while the oldest
         // would be served just too late, all of them, whenever more waits than can be served.
