Cold starts are held to N + 2 roots of N + 2, and mostly told times apart

ledger::cold measured against N + 3 roots of N + 3. The operators' term is N + 2 roots of N + 2, and 3 roots and 3 where N is under 30 (cold::line). Beside the fullest time of each start the fullest is kept of which over two thirds came from proxies that had been told of the start: a fuller one that was not hid it. The work of probes and of new connections counts as well; it was left out. leverlab prints and writes the figures of mostly told times apart.

--- a/crates/ledger/src/cold.rs
+++ b/crates/ledger/src/cold.rs
@@ -1,8 +1,10 @@
 //! How near cold servers come to what they bear of all proxies together.
 //!
-//! In the time that the settings name a cold server bears the N requests of mean work that they allow it then, and three
-//! roots of N and three more for chance. Of each start the fullest such time is kept: it ends with an arrival, since what
-//! is allowed only grows from one to the next.
+//! In the time that the settings name a cold server bears the N requests of mean work that they allow it then, and two
+//! roots of N and two more for chance; where N is under 30, three roots and three. Of each start the fullest such time is
+//! kept: it ends with an arrival, since what is allowed only grows from one to the next. The fullest of those is kept
+//! beside it of which over two thirds came from proxies that had been told of the start: only such a fall breaks the
+//! rule.
 
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
@@ -10,6 +12,18 @@
 use world::site::ServerId;
 use world::Micros;
 
+/// Under this N the allowance for chance is wider.
+const FEW: f64 = 30.0;
+/// Roots of N, and requests, that a server bears beyond N, and the same where N is under [`FEW`].
+const CHANCE: f64 = 2.0;
+const CHANCE_OF_FEW: f64 = 3.0;
+
+/// Requests of mean work that a server falls beyond, where the settings allow it `allowed` of them.
+pub fn line(allowed: f64) -> f64 {
+    let chance = if allowed < FEW { CHANCE_OF_FEW } else { CHANCE };
+    allowed + chance * allowed.sqrt() + chance
+}
+
 /// What the settings allow.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
@@ -51,7 +65,12 @@
 impl Peak {
     /// Of what the server bears; above 1 it falls.
     pub fn ratio(&self) -> f64 {
-        self.got / (self.allowed + 3.0 * self.allowed.sqrt() + 3.0)
+        self.got / line(self.allowed)
+    }
+
+    /// Whether over two thirds came from proxies that had been told of the start.
+    pub fn mostly_told(&self) -> bool {
+        3.0 * self.told > 2.0 * self.got
     }
 
     /// Of N alone.
@@ -66,6 +85,7 @@
     work: Micros,
     proxy: usize,
     told: bool,
+    request: bool,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -74,7 +94,10 @@
     /// Of those.
     work: Micros,
     told: Micros,
+    requests: u64,
     peak: Peak,
+    /// The fullest that was mostly told.
+    told_peak: Option<Peak>,
 }
 
 #[derive(Clone, Debug)]
@@ -103,16 +126,35 @@
 
     /// A request has reached a server that runs since `started`; 0: since long ago.
     pub fn got(&mut self, now: Micros, proxy: usize, server: ServerId, started: Micros, work: Micros) {
+        self.count(now, proxy, server, started, work, true);
+    }
+
+    /// The same of a probe or a new connection: its work counts, and it is no request.
+    pub fn got_chore(&mut self, now: Micros, proxy: usize, server: ServerId, started: Micros, work: Micros) {
+        self.count(now, proxy, server, started, work, false);
+    }
+
+    fn count(
+        &mut self,
+        now: Micros,
+        proxy: usize,
+        server: ServerId,
+        started: Micros,
+        work: Micros,
+        request: bool,
+    ) {
         let age = now.saturating_sub(started);
         let Some(allowed) = self.bounds.allowed(age).filter(|_| started > 0) else { return };
         let told = self.told.get(&(proxy, server)).is_some_and(|at| *at >= started);
         let start = self.starts.entry((server, started)).or_default();
-        start.recent.push_back(Came { at: now, work, proxy, told });
+        start.recent.push_back(Came { at: now, work, proxy, told, request });
+        start.requests += u64::from(request);
         start.work += work;
         start.told += if told { work } else { 0 };
         while let Some(old) = start.recent.front().filter(|old| old.at + self.bounds.window <= now) {
             start.work -= old.work;
             start.told -= if old.told { old.work } else { 0 };
+            start.requests -= u64::from(old.request);
             start.recent.pop_front();
         }
         let peak = Peak {
@@ -122,14 +164,17 @@
             got: start.work as f64 / self.mean_work,
             told: start.told as f64 / self.mean_work,
             allowed,
-            requests: start.recent.len() as u64,
+            requests: start.requests,
             proxies: 0,
         };
+        let former = start.told_peak.map_or(0.0, |former| former.ratio());
+        if peak.mostly_told() && peak.ratio() > former {
+            start.told_peak = Some(Peak { proxies: proxies_of(&start.recent), ..peak });
+        }
         let former = start.peak.ratio();
-        if peak.ratio() > former || start.peak.requests == 0 {
-            let proxies = start.recent.iter().map(|came| came.proxy).collect::<BTreeSet<_>>().len() as u64;
+        if peak.ratio() > former {
             self.breaches += u64::from(peak.ratio() > 1.0 && former <= 1.0);
-            start.peak = Peak { proxies, ..peak };
+            start.peak = Peak { proxies: proxies_of(&start.recent), ..peak };
         }
     }
 
@@ -137,4 +182,13 @@
     pub fn peaks(&self) -> Vec<Peak> {
         self.starts.values().map(|start| start.peak).collect()
     }
+    /// One for each start that had a time in which it got something and over two thirds came from proxies that had been
+    /// told, by server and start.
+    pub fn told_peaks(&self) -> Vec<Peak> {
+        self.starts.values().filter_map(|start| start.told_peak).collect()
+    }
+}
+
+fn proxies_of(recent: &VecDeque<Came>) -> u64 {
+    recent.iter().map(|came| came.proxy).collect::<BTreeSet<_>>().len() as u64
 }
--- a/crates/ledger/tests/cold.rs
+++ b/crates/ledger/tests/cold.rs
@@ -1,6 +1,6 @@
 //! The margin of cold servers, by plain counts and by planted breaches.
 
-use ledger::cold::{Bounds, Checker, Peak};
+use ledger::cold::{line, Bounds, Checker, Peak};
 use proptest::prelude::*;
 
 /// In a second, 16 requests of mean work at the start, then more, up to 64 when the server is warm after 10 s.
@@ -26,6 +26,38 @@
     }
 }
 
+#[test]
+fn the_line_is_two_roots_of_n_beyond_it_and_three_where_n_is_under_thirty() {
+    assert_eq!(line(16.0), 16.0 + 3.0 * 4.0 + 3.0);
+    assert_eq!(line(25.0), 25.0 + 3.0 * 5.0 + 3.0);
+    assert_eq!(line(30.0), 30.0 + 2.0 * 30.0_f64.sqrt() + 2.0);
+    assert_eq!(line(100.0), 100.0 + 2.0 * 10.0 + 2.0);
+}
+
+#[test]
+fn the_fullest_mostly_told_time_is_kept_beside_a_fuller_one_that_was_not() {
+    let mut checker = Checker::new(BOUNDS, MEAN as f64);
+    checker.told(0, 7, START);
+    // Thirty from one that was not told; two seconds later seven told and three not, then a fourth that was not: two
+    // thirds exactly are not over two thirds.
+    (0..30).for_each(|_| checker.got(START, 1, 7, START, MEAN));
+    let later = START + 2 * BOUNDS.window;
+    (0..8).for_each(|_| checker.got(later, 0, 7, START, MEAN));
+    (0..4).for_each(|_| checker.got(later, 1, 7, START, MEAN));
+    let [fullest] = checker.peaks()[..] else { panic!("one start") };
+    assert_eq!((fullest.got, fullest.told, fullest.mostly_told()), (30.0, 0.0, false));
+    let [told] = checker.told_peaks()[..] else { panic!("one start") };
+    assert_eq!((told.got, told.told, told.proxies), (11.0, 8.0, 2));
+}
+
+#[test]
+fn the_work_of_probes_and_new_connections_counts_but_they_are_no_requests() {
+    let mut checker = burst(20, 1);
+    (0..4).for_each(|_| checker.got_chore(START, 0, 7, START, MEAN / 2));
+    let [peak] = checker.peaks()[..] else { panic!("one start") };
+    assert_eq!((peak.got, peak.requests), (22.0, 20));
+}
+
 #[test]
 fn only_cold_starts_count_and_each_by_itself() {
     let mut checker = burst(20, 1);
--- a/crates/leverlab/src/play/mod.rs
+++ b/crates/leverlab/src/play/mod.rs
@@ -258,6 +258,7 @@
         self.tally.counts().loans = self.loans();
         self.checker.close();
         self.tally.counts().cold = self.cold.peaks();
+        self.tally.counts().cold_told = self.cold.told_peaks();
         if !self.scenario.site.server.falls {
             (0..self.cold.breaches).for_each(|_| self.checker.breaks(Rule::Collapsed));
         }
@@ -296,7 +297,8 @@
             }
             Step::ProbeReach(exchange) => {
                 if let Some(probe) = self.probes.get(&exchange) {
-                    let server = probe.server;
+                    let (proxy, server) = (probe.proxy, probe.server);
+                    self.chore(proxy, server, self.scenario.site.probe_work);
                     self.site(site::Event::Probe { exchange: exchange << 1 | 1, server });
                 }
             }
@@ -543,6 +545,9 @@
         let (server, proxy) = (attempt.server, attempt.proxy);
         let mut actions = std::mem::take(&mut self.site_actions);
         let up = self.site.dial(server, self.now, &mut actions);
+        if up {
+            self.chore(proxy, server, self.scenario.site.dial_work);
+        }
         if let Some(attempt) = self.attempts.get_mut(&number) {
             attempt.connected = up;
         }
@@ -571,6 +576,14 @@
         }
     }
 
+    /// A probe or a new connection has reached a server.
+    fn chore(&mut self, proxy: usize, server: ServerId, work: Micros) {
+        if self.site.runs(server) {
+            let started = self.site.started(server);
+            self.cold.got_chore(self.now, proxy, server, started, work);
+        }
+    }
+
     fn reach(&mut self, number: u64) {
         if let Some(attempt) = self.attempts.get(&number) {
             let (server, ask) = (attempt.server, attempt.ask);
--- a/crates/leverlab/src/results.rs
+++ b/crates/leverlab/src/results.rs
@@ -37,6 +37,10 @@
     pub cold_p50: f64,
     pub cold_p99: f64,
     pub cold_max: f64,
+    /// The same of those times alone of which over two thirds came from proxies that had been told of the start.
+    pub cold_told_starts: usize,
+    pub cold_told_p99: f64,
+    pub cold_told_max: f64,
     /// The run itself, by its key.
     pub cell: String,
 }
@@ -45,7 +49,8 @@
     pub fn new(cell: &Cell, o: &Outcomes) -> Line {
         let varied: Vec<String> = cell.varied.iter().map(|(k, v)| format!("{k}={v}")).collect();
         let latencies = merged(std::iter::once(o), None);
-        let cold = Cold::of(std::iter::once(o));
+        let cold = Cold::of(&o.cold);
+        let told = Cold::of(&o.cold_told);
         Line {
             scenario: cell.scenario.name.clone(),
             varied: varied.join(" "),
@@ -73,6 +78,9 @@
             cold_p50: cold.p50,
             cold_p99: cold.p99,
             cold_max: cold.max,
+            cold_told_starts: told.starts,
+            cold_told_p99: told.p99,
+            cold_told_max: told.max,
             cell: cell.key(),
         }
     }
--- a/crates/leverlab/src/summary.rs
+++ b/crates/leverlab/src/summary.rs
@@ -21,8 +21,8 @@
 }
 
 impl Cold {
-    pub fn of<'a>(runs: impl Iterator<Item = &'a Outcomes>) -> Cold {
-        let peaks: Vec<&Peak> = runs.flat_map(|o| &o.cold).collect();
+    pub fn of<'a>(peaks: impl IntoIterator<Item = &'a Peak>) -> Cold {
+        let peaks: Vec<&Peak> = peaks.into_iter().collect();
         let mut ratios: Vec<f64> = peaks.iter().map(|peak| peak.ratio()).collect();
         ratios.sort_by(f64::total_cmp);
         let at = |q: f64| {
@@ -55,6 +55,9 @@
     pub p99: u64,
     #[serde(default)]
     pub cold: Cold,
+    /// The same of mostly told times alone.
+    #[serde(default)]
+    pub cold_told: Cold,
     pub broken: BTreeMap<Rule, u64>,
     /// This policy's score, and its goodput, less that of the one which it is compared with.
     pub against: Option<(Difference, Difference)>,
@@ -153,7 +156,8 @@
         probes: each(|o| o.probes),
         p50: all.value_at_quantile(0.5),
         p99: all.value_at_quantile(0.99),
-        cold: Cold::of(runs.iter().map(|(_, o)| *o)),
+        cold: Cold::of(runs.iter().flat_map(|(_, o)| &o.cold)),
+        cold_told: Cold::of(runs.iter().flat_map(|(_, o)| &o.cold_told)),
         broken,
         against,
     }
--- a/crates/leverlab/src/tally.rs
+++ b/crates/leverlab/src/tally.rs
@@ -116,6 +116,9 @@
     /// The fullest time of each cold start.
     #[serde(default)]
     pub cold: Vec<Peak>,
+    /// Of each that had one, the fullest time in which over two thirds came from proxies that had been told of the start.
+    #[serde(default)]
+    pub cold_told: Vec<Peak>,
     pub broken: BTreeMap<Rule, u64>,
     pub marks: Vec<Mark>,
     /// By tenant, where proxies talk.
