Starting stores get their part by slices of time and turns, not by a draw a request

Of many, the fullest time ended at the age of 4 s, in the moment in which the list told of the start: five to seven heavy requests of as many proxies at once.

Cause: `cold_room` let a part of the requests through by an independent draw each (`share_of(own_order ^ id)`). That keeps the mean only: (1) what was held until the store was listed came in one moment, (2) a request of 2.6 times the mean work counted as one, (3) the draws of many routers added up by chance, (4) a burst brought as much more.

Change: `slow_start.rs`. The age of the store, which the list tells all routers, is cut into slices of half the time that a collapse takes. In each a router may send its part of the work that usually comes to it in such a time, or of one request; parts of requests are rounded by a point that lies evenly over the routers' numbers and moves on with each slice. Heavier requests get less of it (`cold_light`). Where less than a request usually comes in a slice, one that waits has the turn of the slice that it came in only.

--- a/crates/mountshift/src/decide.rs
+++ b/crates/mountshift/src/decide.rs
@@ -17,6 +17,7 @@
 //! - a dead or cut-off store rests (`rest`); a starting one gets its part only (`cold_room`).
 
 use crate::interface::*;
+use crate::slow_start::{Sent, Turn, UsualWork};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -44,6 +45,11 @@
     /// Of the multiple of a cold store's capacity that makes it collapse, this share is used, of what first
     /// tries bring a fully used group: a quarter more demand, or as much by chance, still does not reach it.
     cold_caution: 0.8,
+    /// What a starting store bears is shared out by slices of this part of the time that a collapse takes.
+    cold_slice: 0.5,
+    /// The part of what is heavier than the mean is less by this power of how much heavier it is: where a store
+    /// bears a few requests, some heavy ones at once are what tips it.
+    cold_light: 1.5,
     /// That part grows so much within the time that a collapse takes, while answers take under so many times
     /// what one so cold needs and this share of their aims; how far at most; else it is cut to this.
     trust_rise: 1.0,
@@ -139,6 +145,8 @@
     rests_until: Time,
     /// Times the part that a starting store gets without proof that it bears more.
     trust: f64,
+    /// What it got of this router in the present slice of its start.
+    sent: Sent,
 }
 
 impl Store {
@@ -149,6 +157,10 @@
         (set.cold_share + (1.0 - set.cold_share) * warmth).min(1.0)
     }
 
+    fn starts(&self, set: &Settings, now: Time) -> bool {
+        self.capacity(set, now) < 1.0
+    }
+
     /// The list's word on its state. Draining binds; gone does too unless the settings say that it does not.
     fn leave(&mut self, listed: Listed, soft: bool, now: Time) {
         self.listed = listed;
@@ -168,6 +180,8 @@
     /// How much more or less than all of its requests is taken in, and when that was last judged.
     door: f64,
     judged: Time,
+    /// Work that usually comes: what needs the primary, and what does not.
+    usual: [UsualWork; 2],
 }
 
 #[derive(Default)]
@@ -366,6 +380,7 @@
                 store.started = e.started;
                 store.role = store.role.filter(|&(_, as_of)| as_of > e.started);
                 (store.trust, store.judged) = (1.0, Time::ZERO);
+                store.sent = Sent::default();
                 (store.setbacks, store.rests_until) = (0, Time::ZERO);
             }
             store.listed_primary = e.primary;
@@ -419,10 +434,22 @@
         if !known || !self.takes_in(id) {
             return self.give_up(id, out);
         }
+        self.note_usual(id);
         self.agenda.insert((deadline, Task::Deadline(id)));
         self.dispatch(id, out);
     }
 
+    /// Repeats are no usual work: starting replicas get none of them.
+    fn note_usual(&mut self, id: RequestId) {
+        let Some(Request { arrival, .. }) = self.requests.get(&id) else { return };
+        let (work, memory) = (self.work[usize::from(arrival.class.0)], self.set.warm_after.max(LEAST));
+        let needs_primary = self.needs_primary(arrival.class);
+        if needs_primary || !arrival.repeated {
+            let group = self.groups.entry(arrival.group).or_default();
+            group.usual[usize::from(needs_primary)].add(work, self.now, memory);
+        }
+    }
+
     fn on_end(&mut self, ended: Ended, out: &mut Out) {
         let Ended { id, attempt, store, outcome, elapsed, last, note } = ended;
         let known = self.stores.get_mut(&store).and_then(|s| s.out.remove(&(id, attempt)));
@@ -854,9 +881,7 @@
         }
         // Freshness: only a told position counts, unless the member is primary or checks by itself.
         let primary = self.primary(store.group) == Some(id);
-        let capacity = store.capacity(&self.set, self.now);
-        if capacity < 1.0 && !self.cold_room(request, id, store, capacity * self.set.overload_factor, primary)
-        {
+        if store.starts(&self.set, self.now) && !self.cold_room(request, id, store, primary) {
             return Err(Bar::No);
         }
         if let Some(need) = self.needed(request).filter(|_| !primary) {
@@ -873,30 +898,64 @@
         Ok(())
     }
 
-    /// Whether a starting store, tipped over by `most` times a warm one's work, may get this request: by one
-    /// draw a request, so that looking again changes nothing, and an attempt there that failed is the last.
-    /// Each member has a part of all draws to itself, as far as they go round: what one may not have another
-    /// may. It is what it bears even if the group is full, and more as answers prove it (`learn`). Reads are
-    /// for as many members as it ever had; one bears all that needs the primary. Guards against many routers
-    /// that each send just one; keeps no count, so it holds for any number of them, however unequal.
-    fn cold_room(&self, request: &Request, id: StoreId, store: &Store, most: f64, primary: bool) -> bool {
+    /// Whether a starting store may get this request: in each slice of its start this router's part of the work
+    /// that usually comes, in turns of all routers (`slow_start`). An attempt there that failed is the last.
+    /// Each member has turns of its own, as far as they go round: what one may not have another may. The part is
+    /// what it bears even if the group is full, and more as answers prove it (`learn`). Reads are for as many
+    /// members as it ever had; one bears all that needs the primary. Guards against many routers that each send
+    /// just one, and against all that was held for the store at once.
+    fn cold_room(&self, request: &Request, id: StoreId, store: &Store, primary: bool) -> bool {
+        let repeated = !primary && request.arrival.repeated;
+        let read_at_primary = primary && !self.needs_primary(request.arrival.class);
+        if repeated || read_at_primary || request.tried.contains(&id) {
+            return false;
+        }
+        let work = self.work[usize::from(request.arrival.class.0)];
+        let (memory, least) = (self.set.warm_after.max(LEAST), self.set.tip_after.max(LEAST));
+        let usual = self.groups[&store.group].usual[usize::from(primary)].over(self.now, memory, least);
+        let part = self.cold_part(store, primary);
+        let turn = self.turn(id, store, self.now);
+        // One that waits would have a turn in each slice, with a part of what would come in all of them.
+        let waits = self.turn(id, store, request.came).slice != turn.slice;
+        if waits && usual.is_less(self.cold_slice(), work) {
+            return false;
+        }
+        store.sent.allows(turn, part * usual.quota(self.cold_slice(), work, self.tune.cold_light), work)
+    }
+
+    /// The part of the work for its role that a starting store may get.
+    fn cold_part(&self, store: &Store, primary: bool) -> f64 {
         let trust = self.trust + self.kept(store.judged) * (store.trust - self.trust);
+        let most = store.capacity(&self.set, self.now) * self.set.overload_factor;
         let bears = self.tune.cold_caution * trust * most;
-        let needs_primary = matches!(self.class(request.arrival.class).need, Need::Write | Need::Fresh);
-        let widest = self.groups[&store.group].widest as f64;
-        let part = match (primary, needs_primary) {
-            (true, true) => bears,
-            (false, _) if !request.arrival.repeated => bears / widest,
-            _ => 0.0,
-        };
-        let place = self.members(store.group).iter().take_while(|&m| *m != id).count() as f64;
-        let drawn = place / widest + share_of(self.own_order ^ request.arrival.id.0.rotate_left(16));
-        drawn.fract() < part && !request.tried.contains(&id)
+        if primary {
+            bears
+        } else {
+            bears / self.groups[&store.group].widest as f64
+        }
+    }
+
+    fn cold_slice(&self) -> Duration {
+        self.set.tip_after.mul_f64(self.tune.cold_slice).max(LEAST)
+    }
+
+    fn turn(&self, id: StoreId, store: &Store, at: Time) -> Turn {
+        let place = self.members(store.group).iter().filter(|&&member| member < id).count() as f64;
+        let place = place / self.groups[&store.group].widest as f64;
+        Turn::at(at.since(store.started), self.cold_slice(), self.set.number, place)
+    }
+
+    fn needs_primary(&self, class: ClassId) -> bool {
+        matches!(self.class(class).need, Need::Write | Need::Fresh)
     }
 
     fn send(&mut self, id: RequestId, to: StoreId, out: &mut Out) {
         let may = self.requests.get(&id).is_some_and(|request| self.guard(request, to).is_ok());
-        let Some(request) = self.requests.get_mut(&id).filter(|_| may) else { return };
+        if !may {
+            return;
+        }
+        self.count_starting(id, to);
+        let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(store) = self.stores.get_mut(&to) else { return };
         let attempt = AttemptNo(request.attempts);
         request.attempts += 1;
@@ -908,6 +967,17 @@
         out.push(Action::Send { id, store: to, time_out: request.deadline.since(self.now) });
     }
 
+    fn count_starting(&mut self, id: RequestId, to: StoreId) {
+        let (Some(request), Some(store)) = (self.requests.get(&id), self.stores.get(&to)) else { return };
+        if !store.starts(&self.set, self.now) {
+            return;
+        }
+        let (turn, work) = (self.turn(to, store, self.now), self.work[usize::from(request.arrival.class.0)]);
+        if let Some(store) = self.stores.get_mut(&to) {
+            store.sent.add(turn, work);
+        }
+    }
+
     // ---- Health ----
 
     /// The store is down, cut off or full: it is left alone for a while, longer each time.
--- a/crates/mountshift/src/lib.rs
+++ b/crates/mountshift/src/lib.rs
@@ -71,6 +71,7 @@
 
 mod decide;
 mod interface;
+mod slow_start;
 
 pub use decide::{Router, Tuning};
 pub use interface::*;
