A read begins only while its replica's data is new enough; writes look for a primary unasked

Module: Action::Send's begin_within ends with the position told plus the bound too (`fresh_until`), but for the primary and where servers check by themselves. A write now goes to members that have not said of late that they are none; a miss runs nothing and tells the role. Where probes are allowed nothing changes.

--- a/crates/leverproxy/src/upstream.rs
+++ b/crates/leverproxy/src/upstream.rs
@@ -250,10 +250,11 @@
         let late = |exchange: &Exchange| exchange.waits_until(dial_timeout) <= now;
         let (late, left): (VecDeque<_>, VecDeque<_>) = pool.waiting.drain(..).partition(late);
         pool.waiting = left;
-        // A server that was never dialled is not taken for dead.
-        let verdict = || if short { Verdict::NeverSent } else { Verdict::ConnectFailed };
         for exchange in late {
-            self.finish(exchange, store, verdict(), Note::default(), now);
+            // A server that was never dialled, or had no time for it, is not taken for dead.
+            let own_time = exchange.until.min(exchange.sent + dial_timeout);
+            let verdict = if short || now < own_time { Verdict::NeverSent } else { Verdict::ConnectFailed };
+            self.finish(exchange, store, verdict, Note::default(), now);
         }
     }
 
--- a/crates/mountshift/src/decide.rs
+++ b/crates/mountshift/src/decide.rs
@@ -699,6 +699,7 @@
         let primary = self.primary(request.arrival.group);
         let needs_primary = matches!(class.need, Need::Write | Need::Fresh);
         let spares_primary = matches!(class.need, Need::Bounded(_) | Need::Any);
+        let seeks_primary = class.need == Need::Write && primary.is_none() && !self.set.may_probe;
         // (kept for when no replica meets the need, cost, member, may go now)
         let mut best: Option<(bool, Duration, StoreId, bool)> = None;
         let (mut some_later, mut busy, mut shut) = (false, false, false);
@@ -712,7 +713,8 @@
             }
             some_later = true;
             let store = &self.stores[&id];
-            if needs_primary && !is_primary || self.now < store.rests_until || request.avoid.contains(&id) {
+            let fits = is_primary || !needs_primary || seeks_primary && self.may_be_primary(store);
+            if !fits || self.now < store.rests_until || request.avoid.contains(&id) {
                 continue;
             }
             let wait = if is_primary { Duration::ZERO } else { self.catch_up(request, store) };
@@ -749,6 +751,13 @@
         }
     }
 
+    /// Nothing that it has told of late says that it is none. Where nobody may be asked, a write finds that out: a store
+    /// that is no primary turns it away untouched, and tells its role.
+    fn may_be_primary(&self, store: &Store) -> bool {
+        let lasts = self.tightest_bound.max(self.tightest_aim);
+        store.role.is_none_or(|(_, as_of)| self.now.since(as_of) >= lasts)
+    }
+
     fn primary_share(&self, class: ClassId) -> f64 {
         if matches!(self.class(class).need, Need::Write | Need::Fresh) {
             return 1.0;
@@ -916,14 +925,24 @@
         request.may_have_run.into_iter().chain(still_out).min()
     }
 
-    /// The instant by which an attempt sent now has to be on its way. Its connection may have to be dialled first, and a
-    /// keyed repeat that arrives after its window is not recognised as one.
-    fn begins_by(&self, request: &Request) -> Time {
-        match (self.class(request.arrival.class).effect, self.earliest_effect(request)) {
-            (Effect::Keyed { window, .. }, Some((since, _))) => {
-                request.deadline.min(last_repeat(since, window))
-            }
-            _ => request.deadline,
+    /// The instant by which an attempt sent there now has to be on its way. Its connection may have to be dialled first:
+    /// a keyed repeat that arrives after its window is not recognised as one, and a read is not to find data that has
+    /// become too old meanwhile.
+    fn begins_by(&self, request: &Request, to: StoreId) -> Time {
+        let window_end = match (self.class(request.arrival.class).effect, self.earliest_effect(request)) {
+            (Effect::Keyed { window, .. }, Some((since, _))) => last_repeat(since, window),
+            _ => Time::MAX,
+        };
+        request.deadline.min(window_end).min(self.fresh_until(request, to))
+    }
+
+    /// Until when a store that answers reads however old its data is may get this one, by what it has told.
+    fn fresh_until(&self, request: &Request, id: StoreId) -> Time {
+        let store = &self.stores[&id];
+        let primary = self.primary(store.group) == Some(id);
+        match (self.class(request.arrival.class).need, self.set.checks, store.position) {
+            (Need::Bounded(bound), Checks::None, Some(position)) if !primary => position.plus(bound),
+            _ => Time::MAX,
         }
     }
 
@@ -981,7 +1000,7 @@
     fn send(&mut self, id: RequestId, to: StoreId, out: &mut Out) {
         let may = self.requests.get(&id).is_some_and(|request| self.guard(request, to).is_ok());
         let Some(request) = self.requests.get(&id).filter(|_| may) else { return };
-        let begin_within = self.begins_by(request).since(self.now);
+        let begin_within = self.begins_by(request, to).since(self.now);
         self.count_starting(id, to);
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(store) = self.stores.get_mut(&to) else { return };
--- a/crates/mountshift/tests/rules.rs
+++ b/crates/mountshift/tests/rules.rs
@@ -161,6 +161,41 @@
     assert!(sends(&actions).is_empty(), "it would arrive after the window's end: {actions:?}");
 }
 
+/// A replica that checks nothing answers from what it has: the read may begin only while its position is new enough.
+#[test]
+fn a_bounded_read_tells_how_long_its_replica_is_fresh() {
+    let mut bench = Bench::new(settings(), 2);
+    bench.pass(50);
+    bench.report(2, false, Duration::ZERO);
+    bench.pass(200);
+    let (_, actions) = bench.ask(BOUNDED);
+    assert_eq!(sends(&actions), [2]);
+    assert_eq!(begins_within(&actions), 300 * MS, "of a bound of 500 ms");
+    let mut checked = Bench::new(Settings { checks: Checks::Refuse, ..settings() }, 2);
+    checked.pass(50);
+    checked.report(2, false, Duration::ZERO);
+    checked.pass(200);
+    let (_, actions) = checked.ask(BOUNDED);
+    assert!(begins_within(&actions) > 500 * MS, "the replica turns it away by itself: {actions:?}");
+}
+
+/// Seen on a variant of the deployments that allows no probes: on a calm day half of the writes were refused.
+#[test]
+fn where_nobody_may_be_probed_a_write_looks_for_the_primary_itself() {
+    let mut bench = Bench::unheard(Settings { may_probe: false, ..settings() }, 2);
+    let (id, actions) = bench.ask(UNSAFE_WRITE);
+    let tried = sends(&actions);
+    assert_eq!(tried.len(), 1, "{actions:?}");
+    let replica = Note { primary: Some(false), position: None };
+    let mut actions = bench.end_with(id, 0, tried[0], Outcome::Miss, replica);
+    actions.extend(bench.pass(100));
+    let other = sends(&actions);
+    assert!(other.len() == 1 && other != tried, "the member that has not said no: {actions:?}");
+    // Where they may be probed, they are asked first.
+    let mut bench = Bench::unheard(settings(), 2);
+    assert!(sends(&bench.ask(UNSAFE_WRITE).1).is_empty());
+}
+
 #[test]
 fn every_request_is_answered_once_by_its_deadline_when_nothing_answers() {
     let mut bench = Bench::new(settings(), 2);
