The former list is in doubt from 3 s to 6 s after a start, and a word without changes confirms it

A silent or unheard discovery would have kept a new process from serving for good: only a list or a failed call lifted the limit, and a call that is silent is made anew without the module hearing of it; a watch on which nothing has changed may bring an empty line alone, of which the module was not told either.

Change: the limit ends when all that counts as told has had its time (list_clock::TOLD after the start), and the first word that nothing has changed goes to the module as an empty change (stages/mod.rs on_news). That the empty line reaches the module has no test on a connection: it would have to wait for 3 s.

--- a/crates/leverproxy/src/stages/mod.rs
+++ b/crates/leverproxy/src/stages/mod.rs
@@ -83,6 +83,8 @@
     writes: Vec<bool>,
     probe_time: Duration,
     directory: Directory,
+    /// Discovery has spoken to this process.
+    list_confirmed: bool,
     ledger: admit::Ledger,
     route: route::Route,
     steering: steer::Steering,
@@ -121,6 +123,7 @@
             writes: settings.classes.iter().map(|c| c.need == Need::Write).collect(),
             probe_time,
             directory: Directory::default(),
+            list_confirmed: false,
             ledger: admit::Ledger::new(max_open),
             steering: steer::Steering::new(rules),
             quota,
@@ -433,11 +436,18 @@
 
     fn on_news(&mut self, news: News, sides: &mut Sides, now: Instant) {
         match news {
-            News::Heard => self.monitor.event(now, availability::Event::ListHeard),
+            News::Heard => {
+                self.monitor.event(now, availability::Event::ListHeard);
+                if !std::mem::replace(&mut self.list_confirmed, true) {
+                    // Nothing has changed since the list that this process began with.
+                    self.decide(Event::List(ListNews::Changes(Vec::new())), sides, now);
+                }
+            }
             News::Listing(listing) => {
                 self.monitor.event(now, availability::Event::Discovery { heard: true });
                 self.monitor.event(now, availability::Event::ListHeard);
                 self.counters.lists += 1;
+                self.list_confirmed = true;
                 let (news, changes) = self.directory.learn(listing, &self.names);
                 self.listed(news, changes, sides, now);
                 self.monitor.list(true, now);
--- a/crates/mountshift/src/decide.rs
+++ b/crates/mountshift/src/decide.rs
@@ -759,9 +759,11 @@
         }
     }
 
-    /// The list of the process before this one is too old to go by: members of it may have left that count as told.
+    /// The list of the process before this one is too old to go by: members of it may have left that count as told. Without
+    /// a word for as long as it takes to count as told, discovery can't be reached, and the list is all that there is.
     fn list_is_unconfirmed(&self) -> bool {
-        self.cached_since.is_some_and(|since| self.now.since(since) >= list_clock::CACHED)
+        let doubtful = list_clock::CACHED..list_clock::TOLD;
+        self.cached_since.is_some_and(|since| doubtful.contains(&self.now.since(since)))
     }
 
     /// Nothing that it has told of late says that it is none. Where nobody may be asked, a write finds that out: a store
--- a/crates/mountshift/tests/fleet.rs
+++ b/crates/mountshift/tests/fleet.rs
@@ -198,6 +198,13 @@
     assert!(sends(&actions).is_empty() && !refused(&actions, id), "held: {actions:?}");
     let actions = old.event(Event::List(ListNews::Changes(vec![entry(1, Listed::Gone)])));
     assert_eq!(sends(&actions), [2], "served as soon as the list is known");
+    let mut same = bench();
+    same.wait(list_clock::CACHED);
+    same.event(Event::List(ListNews::Changes(Vec::new())));
+    assert_eq!(sends(&same.ask(ANY).1).len(), 1, "nothing has changed");
+    let mut silent = bench();
+    silent.wait(list_clock::TOLD);
+    assert_eq!(sends(&silent.ask(ANY).1).len(), 1, "discovery says nothing at all: the list is all there is");
     let mut failed = bench();
     failed.wait(list_clock::CACHED);
     failed.event(Event::List(ListNews::Failed));
