--- a/crates/leverproxy/tests/answers.rs
+++ b/crates/leverproxy/tests/answers.rs
@@ -38,6 +38,18 @@
     upstream
 }
 
+/// Half of an answer and a reset come in one batch of events.
+fn break_off(program: &Program, mut upstream: Peer) {
+    // Whoever is welcomed now finds the program done with what came before.
+    Peer::client(program.address);
+    program.pause();
+    let whole = answer("whole", &[]);
+    upstream.write(&whole[..whole.len() / 2]);
+    upstream.delivered();
+    reset(upstream);
+    program.signal(Signal::CONT);
+}
+
 #[test]
 fn an_answer_with_a_reset_right_behind_it_is_served() {
     let server = Listener::new();
@@ -58,14 +70,8 @@
 fn a_read_whose_answer_breaks_off_is_served_by_another_attempt() {
     let server = Listener::new();
     let (program, mut client) = started(&[("s-1", &server)]);
-    let mut upstream = asked(&mut client, &server, "any");
-    Peer::client(program.address);
-    program.pause();
-    let whole = answer("whole", &[]);
-    upstream.write(&whole[..whole.len() / 2]);
-    upstream.delivered();
-    reset(upstream);
-    program.signal(Signal::CONT);
+    let upstream = asked(&mut client, &server, "any");
+    break_off(&program, upstream);
     let mut second = server.welcome();
     second.query();
     second.answer("again", &[]);
@@ -76,14 +82,8 @@
 fn a_write_whose_answer_breaks_off_fails() {
     let server = Listener::new();
     let (program, mut client) = started(&[("s-1", &server)]);
-    let mut upstream = asked(&mut client, &server, "book");
-    Peer::client(program.address);
-    program.pause();
-    let whole = answer("whole", &[]);
-    upstream.write(&whole[..whole.len() / 2]);
-    upstream.delivered();
-    reset(upstream);
-    program.signal(Signal::CONT);
+    let upstream = asked(&mut client, &server, "book");
+    break_off(&program, upstream);
     assert_eq!(client.reply(), unknown());
     assert!(server.try_accept().is_none());
 }
