Descriptors are shared out within what the system allows; many restarts whatever discovery does

Seen: with 1 024 sockets stated (the default) and `ulimit -n 128`, a crowd of 200 connections that say nothing held every descriptor: a record server was not dialled within 10 s ("a connection" was waited for in vain).

Cause: config.rs, share_out: the parts were of `limits.sockets` alone, so the clients' part could be more than the system lets the process open, and Front never met its own limit. Ruled out: with `limits.sockets` of 128 under the same limit discovery (two watches while it moves, reset three times), the second address and a new connection to a record server all get theirs.

Change: at a start and at SIGHUP the parts are of RLIMIT_NOFILE where that is lower, and a warning says so with what to do. What SPARE_SOCKETS is kept for is counted in its comment.

Tests: tests/discovery.rs, a_crowd_takes_no_descriptor_that_others_need (both cases; the second failed before the change); many_that_start_together_are_ready_whatever_discovery_does: 24 programs of a fleet of 300 at once, discovery down, silent and with dials that hang, pushed and asked, record servers that refuse: each answers an empty query with EmptyQueryResponse. With a dial that blocks in place of the present one an earlier form of it never ended; its log is now read with a time limit, and that mutation was not run again.

--- a/crates/leverproxy/src/config.rs
+++ b/crates/leverproxy/src/config.rs
@@ -15,6 +15,7 @@
 use configuration::value;
 use ipnet::IpNet;
 use mountshift_settings::{BadSetting, Decoded, Shape};
+use rustix::process::{getrlimit, Resource};
 use serde::Deserialize;
 use std::fmt;
 use std::net::SocketAddr;
@@ -178,7 +179,10 @@
 
 /// Of the memory, for large answers on their way: an eighth, as for unfinished commands.
 const PASSING_SHARE: usize = 8;
-/// Kept for the listener, epoll, signals, discovery, the standard streams and a margin.
+/// Kept for what serves no client: the standard streams (3), epoll, what wakes the loop (2, and a copy for each of four
+/// signals and five threads), the listener and a connection that is accepted to be turned away, two watches while
+/// discovery moves, the next process (a listener, four links, and one turned away), the fleet's socket, and files for a
+/// moment (the load, a configuration, a memory with its lock and its place).
 const SPARE_SOCKETS: usize = 32;
 /// Kept for balancers' connections to the clients' listener that ask for nothing.
 const BALANCERS: usize = crate::front::CHECKS;
@@ -231,14 +235,20 @@
 
 /// Reads `LB_CONFIG`, `LB_OPERATORS` and what the other variables say over them.
 pub fn from_env(variable: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
-    parse(&file(&variable)?, variable)
+    let text = file(&variable)?;
+    Ok(checked(&text, variable, Reading::First, open_files())?.0)
+}
+
+/// How many files the system lets this process hold open; none: any number.
+fn open_files() -> Option<usize> {
+    usize::try_from(getrlimit(Resource::Nofile).current?).ok()
 }
 
 /// Reads both files once more, the platform's whole as it was at the start. Where that names discovery, `LB_DISCOVERY` no
 /// longer does.
 pub fn reread(variable: impl Fn(&str) -> Option<String>, whole: &Whole) -> Result<Config, ConfigError> {
     let text = file(&variable)?;
-    let config = checked(&text, variable, Reading::Again)?.0;
+    let config = checked(&text, variable, Reading::Again, open_files())?.0;
     whole.check(&text, &config.platform)?;
     Ok(config)
 }
@@ -282,7 +292,7 @@
 /// Every value that counts, with where it comes from, and the texts of the operators' file.
 pub fn effective(variable: impl Fn(&str) -> Option<String>) -> Result<(Vec<Entry>, Sources), ConfigError> {
     let text = file(&variable)?;
-    let (config, told) = checked(&text, &variable, Reading::First)?;
+    let (config, told) = checked(&text, &variable, Reading::First, None)?;
     let limits = platform_file(&text)?.limits;
     let reading = match variable("LB_OPERATORS").filter(|path| !path.is_empty()) {
         Some(path) => operators::read(Path::new(&path), None, false),
@@ -322,7 +332,7 @@
 }
 
 pub fn parse(text: &[u8], variable: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
-    Ok(checked(text, variable, Reading::First)?.0)
+    Ok(checked(text, variable, Reading::First, None)?.0)
 }
 
 /// What the platform's file says that an operators' file is held against.
@@ -383,6 +393,7 @@
     text: &[u8],
     variable: impl Fn(&str) -> Option<String>,
     reading: Reading,
+    open_files: Option<usize>,
 ) -> Result<(Config, Told), ConfigError> {
     let file = platform_file(text)?;
     let mut platform = decode(&file)?;
@@ -420,7 +431,7 @@
     let admin = stated("LB_ADMIN", "admin", &file.admin);
     let admin = admin.map(|stated| address("admin", Some(stated), None, "LB_ADMIN")).transpose()?;
     let admin = admin.map(|(address, _)| address);
-    let limits = share_out(&file.limits, &model, admin.is_some())?;
+    let limits = share_out(&file.limits, &model, admin.is_some(), open_files)?;
     let told = Told { listen: listen_from, discovery: discovery_from };
     let name = variable("LB_NAME").or(file.name).unwrap_or_else(|| "leverproxy".into());
     let member_keys = model.members.as_ref().map(|m| operators::member_keys(m, &name)).transpose()?;
@@ -484,7 +495,12 @@
     }
 }
 
-fn share_out(stated: &FileLimits, model: &Model, admin: bool) -> Result<Limits, ConfigError> {
+fn share_out(
+    stated: &FileLimits,
+    model: &Model,
+    admin: bool,
+    open_files: Option<usize>,
+) -> Result<Limits, ConfigError> {
     let sockets = stated.sockets.unwrap_or(DEFAULT_SOCKETS);
     let memory_mb = stated.memory_mb.unwrap_or(DEFAULT_MEMORY_MB);
     if memory_mb < LEAST_MEMORY_MB {
@@ -506,6 +522,7 @@
         let problem = format!("{sockets} are too few for the health listeners, which take {checks}");
         return Err(ConfigError::new("limits.sockets", problem));
     }
+    let sockets = open_files.map_or(sockets, |most| within(most, sockets, spare));
     let shared = sockets - spare;
     let clients = ours.clients.of(shared);
     // Clients hold a third of the descriptors at most: of these a quarter is for those who come to ask, and a half
@@ -523,6 +540,21 @@
     })
 }
 
+/// The descriptors to share out where the system allows so many. Guards against clients that fill up what discovery and record
+/// servers need: the limit of their part must be met before the system's is.
+fn within(most: usize, sockets: usize, spare: usize) -> usize {
+    if most >= sockets {
+        return sockets;
+    }
+    let advice = "Raise the limit (`ulimit -n`, `LimitNOFILE=`), or state no more `sockets` than it allows.";
+    if most < spare + LEAST_SOCKETS / 2 {
+        log::warn!(advice; "configuration: {most} open files are allowed, too few to keep any from clients");
+        return sockets;
+    }
+    log::warn!(advice; "configuration: {most} open files are allowed, fewer than {sockets} sockets");
+    most
+}
+
 fn check(platform: &Decoded) -> Result<(), ConfigError> {
     if platform.settings.classes.is_empty() {
         return Err(ConfigError::new("settings.Classes", "names no class"));
--- a/crates/leverproxy/tests/discovery.rs
+++ b/crates/leverproxy/tests/discovery.rs
@@ -1,13 +1,17 @@
 //! Lists as discovery may send them, whole and broken: what counts, and when the next call is made.
 
 mod common;
-use common::{read, served, Listener, Peer, Stage, PATIENCE};
+use common::{read, served, Listener, Peer, Program, Reply, Scratch, Stage, PATIENCE};
 use leverproxy::discovery::{Discovery, News};
 use leverproxy::http::{Part, Reader};
 use leverproxy::reactor::{Reactor, Token};
 use list_clock::{AGAIN, DIAL, OBJECT, RETRY, SILENCE};
 use rustix::net::sockopt;
-use std::net::Shutdown;
+use std::io::{BufRead, BufReader};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver};
+use std::thread;
 use std::time::{Duration, Instant};
 
 /// How a body comes.
@@ -294,3 +298,109 @@
     let News::Listing(listing) = alone.news() else { panic!("the watch is cut off") };
     assert_eq!(listing.index, 2);
 }
+
+/// Under a real limit of descriptors, a crowd that says nothing and holds all that clients may have keeps neither
+/// discovery, not two watches of it, nor record servers nor operators from theirs: whether the configuration states
+/// the limit or more than it.
+#[test]
+fn a_crowd_takes_no_descriptor_that_others_need() {
+    for stated in ["limits {\n sockets 128\n}", ""] {
+        let (server, elsewhere) = (Listener::new(), Listener::new());
+        let mut program = Program::under("export LB_ADMIN=127.0.0.1:0; ulimit -n 128;", stated);
+        let line = program.line("admin: answering calls on ");
+        let admin = line.rsplit(' ').next().unwrap().parse().unwrap();
+        program.watch.tell(57, &[server.listed("s-1", "Ready")]);
+        let mut client = Peer::client(program.address);
+        let upstream = served(&mut client, &server, 1, "before");
+        let crowd: Vec<Peer> = (0..200).map(|_| Peer::connect(program.address)).collect();
+        // The crowd is let in before these are taken up.
+        let mut last = Peer::client(program.address);
+        last.ask("");
+        assert_eq!(last.reply(), Reply::default());
+        program.reload(&format!(r#""discovery":"{}","#, elsewhere.address));
+        for _ in 0..3 {
+            let (peer, after) = call(&elsewhere);
+            assert_eq!(after, 57);
+            assert_eq!(common::get(admin, "/api/telemetry").0, 200);
+            reset(peer);
+        }
+        upstream.leave();
+        served(&mut client, &server, 2, "new connection");
+        drop(crowd);
+    }
+}
+
+/// A program of its own, with discovery and record servers as they may be, but without a scripted peer for each.
+struct Started {
+    child: Child,
+    /// Lines of its log, which another thread reads: one that never serves is not waited for.
+    log: Receiver<String>,
+    _file: Scratch,
+}
+
+impl Started {
+    fn new(discovery: SocketAddr, server: SocketAddr, pushed: bool) -> Started {
+        let mode = if pushed { "pushed" } else { "on_request" };
+        let settings = common::SETTINGS.replace("\"on_request\"", &format!("\"{mode}\""));
+        let settings = settings.replace("\"Balancers\": 1", "\"Balancers\": 300");
+        let entry = format!(
+            r#"{{"name":"s-1","address":"{server}","zone":"a","type":"m","group":3,"status":"Ready","since_ms":0}}"#
+        );
+        let known = list(41, true, &[entry]);
+        let file = Scratch::new(&format!(r#"{{"known":{known},"settings":{settings}}}"#));
+        let mut child = Command::new(env!("CARGO_BIN_EXE_leverproxy"))
+            .arg("serve")
+            .env("LB_CONFIG", &file.0)
+            .env("LB_LISTEN", "127.0.0.1:0")
+            .env("LB_DISCOVERY", discovery.to_string())
+            .env_remove("LB_OPERATORS")
+            .env_remove("RUST_LOG")
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let (send, log) = channel();
+        let lines = BufReader::new(child.stderr.take().unwrap()).lines();
+        thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| send.send(line)));
+        Started { child, log, _file: file }
+    }
+
+    fn address(&mut self) -> SocketAddr {
+        let line = loop {
+            let line = self.log.recv_timeout(PATIENCE).expect("it serves");
+            if line.contains("serving on ") {
+                break line;
+            }
+        };
+        line.rsplit(' ').next().unwrap().parse().unwrap()
+    }
+}
+
+impl Drop for Started {
+    fn drop(&mut self) {
+        _ = self.child.kill();
+        _ = self.child.wait();
+    }
+}
+
+/// Many proxies started at once are ready at once, with record servers that refuse and discovery that is down, silent, or
+/// slower than a call waits, pushed and asked for.
+#[test]
+fn many_that_start_together_are_ready_whatever_discovery_does() {
+    let nobody = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let silent = Listener::new();
+    // One connection fills its backlog, and further dials hang.
+    let hung = TcpListener::bind("127.0.0.1:0").unwrap();
+    rustix::net::listen(&hung, 0).unwrap();
+    let hung_at = hung.local_addr().unwrap();
+    let _filled = TcpStream::connect(hung_at).unwrap();
+    let begun = Instant::now();
+    let mut started: Vec<Started> =
+        (0..24).map(|n| Started::new([nobody, silent.address, hung_at][n % 3], nobody, n % 2 == 0)).collect();
+    for (n, one) in started.iter_mut().enumerate() {
+        let address = one.address();
+        let mut client = Peer::client(address);
+        client.ask("");
+        assert_eq!(client.message().unwrap().0, b'I', "EmptyQueryResponse");
+        assert!(begun.elapsed() < PATIENCE, "number {n} after {:?}", begun.elapsed());
+    }
+}
