--- /dev/null
+++ b/review/standin/src/cases/mod.rs
@@ -0,0 +1,23 @@
+//! The cases: those with a folder of their own (`copies`, `flood`, `held-back`), and further plays that the report names.
+
+mod copies;
+mod cut_off;
+mod exclude;
+mod flood;
+mod held_back;
+mod slow_reader;
+
+use crate::{Play, Verdict};
+use std::io;
+
+pub fn play(case: &str, play: &Play) -> io::Result<Verdict> {
+    match case {
+        "copies" => copies::play(play),
+        "flood" => flood::play(play),
+        "held-back" => held_back::play(play),
+        "exclude" => exclude::play(play),
+        "cut-off" => cut_off::play(play),
+        "slow-reader" => slow_reader::play(play),
+        _ => Err(io::Error::other("no such case")),
+    }
+}
