--- a/review/standin/src/cases/mod.rs
+++ b/review/standin/src/cases/mod.rs
@@ -2,6 +2,7 @@
 
 mod copies;
 mod cut_off;
+mod drain_in_upgrade;
 mod exclude;
 mod flood;
 mod held_back;
@@ -16,6 +17,7 @@
         "flood" => flood::play(play),
         "held-back" => held_back::play(play),
         "exclude" => exclude::play(play),
+        "drain-in-upgrade" => drain_in_upgrade::play(play),
         "cut-off" => cut_off::play(play),
         "slow-reader" => slow_reader::play(play),
         _ => Err(io::Error::other("no such case")),
