--- a/review/standin/src/cases/mod.rs
+++ b/review/standin/src/cases/mod.rs
@@ -6,6 +6,7 @@
 mod exclude;
 mod flood;
 mod held_back;
+mod late_restart;
 mod slow_reader;
 
 use crate::{Play, Verdict};
@@ -18,6 +19,7 @@
         "held-back" => held_back::play(play),
         "exclude" => exclude::play(play),
         "drain-in-upgrade" => drain_in_upgrade::play(play),
+        "late-restart" => late_restart::play(play),
         "cut-off" => cut_off::play(play),
         "slow-reader" => slow_reader::play(play),
         _ => Err(io::Error::other("no such case")),
--- a/review/standin/src/sys.rs
+++ b/review/standin/src/sys.rs
@@ -10,6 +10,7 @@
 }
 
 extern "C" {
+    fn prctl(option: i32, value: u64) -> i32;
     fn shutdown(fd: i32, how: i32) -> i32;
     fn kill(pid: i32, signal: i32) -> i32;
     fn setsockopt(fd: i32, level: i32, name: i32, value: *const Linger, length: u32) -> i32;
@@ -58,3 +59,10 @@
 pub fn set_receive_buffer(stream: &TcpStream, bytes: i32) {
     unsafe { setsockopt_int(stream.as_raw_fd(), 1, 8, &bytes, 4) };
 }
+
+/// Has the calling process killed when the one that started it ends.
+pub fn end_with_parent() {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    // SAFETY: plain system call without pointers.
+    unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL as u64) };
+}
