--- a/review/standin/src/cases/mod.rs
+++ b/review/standin/src/cases/mod.rs
@@ -7,6 +7,7 @@
 mod flood;
 mod held_back;
 mod late_restart;
+mod left_writer;
 mod slow_reader;
 
 use crate::{Play, Verdict};
@@ -20,6 +21,7 @@
         "exclude" => exclude::play(play),
         "drain-in-upgrade" => drain_in_upgrade::play(play),
         "late-restart" => late_restart::play(play),
+        "left-writer" => left_writer::play(play),
         "cut-off" => cut_off::play(play),
         "slow-reader" => slow_reader::play(play),
         _ => Err(io::Error::other("no such case")),
--- a/review/standin/src/server.rs
+++ b/review/standin/src/server.rs
@@ -4,7 +4,7 @@
 use crate::{sys, wire};
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -43,15 +43,14 @@
 /// Pause between an answer and its second copy.
 const COPY_GAP: Duration = Duration::from_micros(100);
 
-/// How far a replica is behind, in milliseconds.
-const REPLICA_LAG_MS: u64 = 10;
-
 type Plan = dyn Fn(&str) -> Reply + Send + Sync;
 
 pub struct Inner {
     pub name: String,
     pub address: SocketAddr,
     primary: bool,
+    /// How far a replica is behind, in milliseconds.
+    lag_ms: AtomicU64,
     /// The process runs.
     alive: AtomicBool,
     connections: Mutex<Vec<TcpStream>>,
@@ -79,6 +78,7 @@
             name: name.into(),
             address: listener.local_addr()?,
             primary,
+            lag_ms: AtomicU64::new(10),
             alive: AtomicBool::new(true),
             connections: Mutex::default(),
             listener: listener.try_clone()?,
@@ -92,6 +92,11 @@
         Ok(server)
     }
 
+    /// Sets how far the replica is behind.
+    pub fn set_lag(&self, ms: u64) {
+        self.0.lag_ms.store(ms, Ordering::SeqCst);
+    }
+
     /// The process dies: its connections are reset and new ones refused.
     pub fn die(&self) {
         self.0.alive.store(false, Ordering::SeqCst);
@@ -128,7 +133,7 @@
         if self.is_primary() {
             unix_ms()
         } else {
-            unix_ms() - REPLICA_LAG_MS
+            unix_ms() - self.0.lag_ms.load(Ordering::SeqCst)
         }
     }
 
