Upstream: a second copy of an answer is not served to the next request

Cause: `complete` returned a connection to its pool with the last byte of a response, and `serve_queue` wrote the next request on it in the same round. Responses carry no identifier, so a copy that was still in transit was taken for the next response. `is_reusable` sees only bytes that have arrived.

Evidence: a scripted server that writes the copy only once bytes of the next request have arrived. On the code before, the next client got "one" for "two"; with a late error 53300 in place of a value a write was received twice; noise failed the next request with 08007. A copy in one packet with its response was harmless there, which rules out that bytes already here are overlooked.

Change: an empty query follows each response, and the connection is idle only once its response has arrived (upstream/synchronize.rs). Servers handle the queries of a connection in order, so whatever was sent for earlier queries arrives first, however late; an EmptyQueryResponse cannot be a response to a request. Other bytes close the connection and fail no request. The metric lb_unrequested_responses_total and a warning tell of such servers. Requests that wait use a connection that is being synchronized before they dial (40 ms at most). Scripted record servers of the tests answer empty queries; where the program is stopped by SIGSTOP, they write the response alone (write_answer), as it cannot send the query then.

Looked at: probes and error responses share the path; greetings cannot pass for a response; cancels, time-outs and drains close the connection; discovery makes one call a connection; an upgrade hands over no connection to a record server.

--- a/crates/leverproxy/src/protocol/postgres/mod.rs
+++ b/crates/leverproxy/src/protocol/postgres/mod.rs
@@ -1,9 +1,11 @@
 //! Codec of version 3 of PostgreSQL's wire protocol: `server` is the proxy's side towards clients, `client` its side
-//! towards record servers, and `statement` parses the metadata in the comment of a query.
+//! towards record servers, `statement` parses the metadata in the comment of a query, and `synchronization` confirms that
+//! a connection to a record server has no more bytes of earlier responses.
 
 pub mod client;
 pub mod server;
 pub mod statement;
+pub mod synchronization;
 
 use thiserror::Error;
 
--- a/crates/leverproxy/src/proxy/metrics.rs
+++ b/crates/leverproxy/src/proxy/metrics.rs
@@ -48,6 +48,11 @@
                 "Attempts written completely to record servers.",
                 self.io.upstream.attempts,
             ),
+            (
+                "lb_unrequested_responses_total",
+                "Connections closed because their record server sent bytes that no request had asked for.",
+                self.io.upstream.unrequested_responses,
+            ),
             (
                 "lb_in_flight",
                 "Requests admitted and not yet answered.",
--- a/crates/leverproxy/src/upstream/connection.rs
+++ b/crates/leverproxy/src/upstream/connection.rs
@@ -3,6 +3,7 @@
 use super::exchange::Exchange;
 use crate::event_loop::stream::Stream;
 use crate::protocol::postgres::client::ResponseReader;
+use crate::protocol::postgres::synchronization::SynchronizationReader;
 use crate::protocol::postgres::Malformed;
 use crate::request::ExchangeOutcome;
 use routing::ServerId;
@@ -26,6 +27,11 @@
     Handshake(ResponseReader),
     Idle,
     Busy(ActiveExchange),
+    /// The response is complete. The connection becomes idle once the server has answered the empty query behind it.
+    Synchronizing {
+        reader: SynchronizationReader,
+        since: Instant,
+    },
 }
 
 /// An exchange on a connection.
@@ -89,6 +95,10 @@
         matches!(self.state, State::Idle)
     }
 
+    pub(super) fn is_synchronizing(&self) -> bool {
+        matches!(self.state, State::Synchronizing { .. })
+    }
+
     pub(super) fn streaming(&self) -> Streaming {
         self.active()
             .map_or(Streaming::No, |active| active.streaming)
@@ -103,6 +113,7 @@
             State::Idle => Err(Malformed("unexpected bytes on an idle connection".into())),
             State::Handshake(reader) => reader.parse(input),
             State::Busy(active) => active.reader.parse(input),
+            State::Synchronizing { reader, .. } => reader.parse(input),
         }
     }
 }
--- a/crates/leverproxy/src/upstream/dial.rs
+++ b/crates/leverproxy/src/upstream/dial.rs
@@ -3,6 +3,7 @@
 use super::connection::{Connection, State};
 use super::events::{HealthSignal, UpstreamTimer};
 use super::exchange::Exchange;
+use super::synchronize::SYNCHRONIZATION_GRACE;
 use super::Upstream;
 use crate::event_loop::reactor::{Interest, Reactor};
 use crate::event_loop::slab::Key;
@@ -22,14 +23,21 @@
 const MAX_PARALLEL_DIALS: usize = 32;
 
 impl Upstream {
-    /// Dials until each queued exchange has a dial in progress, within the limits.
+    /// Dials until each queued exchange has a dial in progress or a connection that is about to become idle, within the
+    /// limits.
     pub(super) fn dial_for_queue(&mut self, server: ServerId, now: Instant, reactor: &Reactor) {
-        while let Some(pool) = self.pools.get_mut(&server) {
-            let enough = pool.queue.len() <= pool.dialling || pool.dialling >= MAX_PARALLEL_DIALS;
+        while let Some(pool) = self.pools.get(&server) {
+            let address = pool.address;
+            let undialled = pool.queue.len().saturating_sub(pool.dialling);
+            let enough = undialled == 0 || pool.dialling >= MAX_PARALLEL_DIALS;
             if enough || pool.dial_backoff_until.is_some_and(|until| now < until) {
                 return;
             }
-            let address = pool.address;
+            if undialled <= self.soon_synchronized(server, now) {
+                let retry = now + SYNCHRONIZATION_GRACE;
+                self.timers.push((retry, UpstreamTimer::Queue(server)));
+                return;
+            }
             if self.connections.len() >= self.connection_limit && !self.evict_idle() {
                 // Queued exchanges wait for the next connection that becomes free, or expire.
                 return;
--- a/crates/leverproxy/src/upstream/mod.rs
+++ b/crates/leverproxy/src/upstream/mod.rs
@@ -12,6 +12,7 @@
 //! | `queue` | assignment of exchanges to connections, expiry, cancellation |
 //! | `dial` | dials, their limits, and the backoff while this machine lacks a resource |
 //! | `transfer` | writing requests, reading responses, the end of a connection |
+//! | `synchronize` | the way of a connection from a response back into its pool |
 //! | `streaming` | large responses, which are forwarded in chunks |
 //! | `timers` | deadlines of connections and queues |
 //! | `events` | timers to set, and health signals about a server's machine |
@@ -23,6 +24,7 @@
 mod pool;
 mod queue;
 mod streaming;
+mod synchronize;
 mod timers;
 mod transfer;
 
@@ -56,6 +58,9 @@
     pub dials: u64,
     /// Number of attempts that were written in full since the start of the process.
     pub attempts: u64,
+    /// Number of connections closed since the start of the process because their server sent bytes that no request had
+    /// asked for.
+    pub unrequested_responses: u64,
 }
 
 impl Upstream {
@@ -79,6 +84,7 @@
             idle_timeout,
             dials: 0,
             attempts: 0,
+            unrequested_responses: 0,
         }
     }
 
--- a/crates/leverproxy/src/upstream/queue.rs
+++ b/crates/leverproxy/src/upstream/queue.rs
@@ -66,7 +66,7 @@
                 break;
             }
             let Some(key) = pool.idle.pop() else { break };
-            if !self.is_reusable(key) {
+            if !self.is_reusable(key, now) {
                 self.connections.remove(key);
                 continue;
             }
@@ -79,13 +79,18 @@
         self.dial_for_queue(server, now, reactor);
     }
 
-    /// Whether an idle connection is still open. The server may have closed it without an event having been handled
+    /// Whether an idle connection is still open and free of unread bytes. The server may have closed it without an event having been handled
     /// yet; a request written after that would count as possibly executed.
-    fn is_reusable(&mut self, key: Key) -> bool {
+    fn is_reusable(&mut self, key: Key, now: Instant) -> bool {
         let Some(connection) = self.connections.get_mut(key) else {
             return false;
         };
-        connection.stream.fill(1) != ReadStatus::Ended && connection.stream.input.is_empty()
+        let is_open = connection.stream.fill(1) != ReadStatus::Ended;
+        if connection.stream.input.is_empty() {
+            return is_open;
+        }
+        self.note_unrequested(key, "unexpected bytes on an idle connection", now);
+        false
     }
 
     /// Ends the exchanges that were queued for too long, so that a connection established later does not send them.
@@ -107,13 +112,14 @@
         }
     }
 
-    /// Closes the idle connection that would time out first. Returns false if no connection is idle.
+    /// Closes the idle connection that would time out first, otherwise a connection that is about to become idle. Returns
+    /// false if there is neither.
     pub(super) fn evict_idle(&mut self) -> bool {
         let oldest = self
             .connections
             .iter()
-            .filter(|(_, connection)| connection.is_idle())
-            .min_by_key(|(_, connection)| connection.deadline)
+            .filter(|(_, connection)| connection.is_idle() || connection.is_synchronizing())
+            .min_by_key(|(_, connection)| (connection.is_synchronizing(), connection.deadline))
             .map(|(key, connection)| (key, connection.server));
         let Some((key, server)) = oldest else {
             return false;
--- a/crates/leverproxy/src/upstream/timers.rs
+++ b/crates/leverproxy/src/upstream/timers.rs
@@ -39,7 +39,9 @@
             State::Busy(active) if active.written => {
                 self.close(key, ExchangeOutcome::TimedOut, now)
             }
-            State::Busy(_) | State::Idle => self.close(key, ExchangeOutcome::ConnectFailed, now),
+            State::Busy(_) | State::Idle | State::Synchronizing { .. } => {
+                self.close(key, ExchangeOutcome::ConnectFailed, now)
+            }
             State::Connecting | State::Handshake(_) => {
                 // Queued exchanges have their own deadlines, so a dial that times out does not end any of them.
                 self.connections.remove(key);
--- a/crates/leverproxy/src/upstream/transfer.rs
+++ b/crates/leverproxy/src/upstream/transfer.rs
@@ -14,7 +14,6 @@
 use crate::protocol::postgres::Malformed;
 use crate::request::{ExchangeOutcome, Purpose};
 use routing::ServerId;
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 /// Longest pause within a response that has begun, regardless of the client's deadline. Record servers write a response
@@ -160,17 +159,20 @@
         }
     }
 
-    /// Handles a complete response or greeting: the server is ready for the next request, and the connection becomes
-    /// idle.
+    /// Handles a complete response or greeting. After a greeting the connection becomes idle, after a response only once
+    /// it is synchronized.
     fn complete(&mut self, key: Key, ended: bool, now: Instant, reactor: &Reactor) {
         let Some(connection) = self.connections.get_mut(key) else {
             return;
         };
         let (server, address) = (connection.server, connection.address);
         let half_written = connection.is_unwritten();
-        connection.deadline = now + self.idle_timeout;
+        let mut is_synchronized = true;
         match std::mem::replace(&mut connection.state, State::Idle) {
-            State::Busy(active) => self.finish_with_response(active, server, now),
+            State::Busy(active) => {
+                is_synchronized = false;
+                self.finish_with_response(active, server, now);
+            }
             State::Handshake(reader) => {
                 self.end_dial(server);
                 if reader.has_error() {
@@ -178,42 +180,21 @@
                     return self.fail_first_queued(server, rejection_outcome(&reader), now);
                 }
             }
-            State::Connecting | State::Idle => {}
+            State::Connecting | State::Idle | State::Synchronizing { .. } => {}
         }
-        let watched = self.watch_idle(key, reactor);
-        if !ended && !half_written && watched {
-            self.return_to_pool(key, server, address, now);
-        } else {
+        let is_reusable = !ended && !half_written && self.may_reuse(key, server, address, now);
+        let is_kept = is_reusable
+            && if is_synchronized {
+                self.return_to_pool(key, server, now, reactor)
+            } else {
+                self.synchronize(key, now, reactor)
+            };
+        if !is_kept {
             self.connections.remove(key);
         }
         self.serve_queue(server, now, reactor);
     }
 
-    /// Watches an idle connection. Returns false if the connection cannot be reused.
-    fn watch_idle(&mut self, key: Key, reactor: &Reactor) -> bool {
-        let Some(connection) = self.connections.get_mut(key) else {
-            return false;
-        };
-        let token = Token::Upstream(key);
-        connection.stream.input.is_empty()
-            && connection
-                .stream
-                .watch(reactor, token, Interest::READ)
-                .is_ok()
-    }
-
-    /// Returns a connection to its pool, or closes it if its server has been removed or has another address.
-    fn return_to_pool(&mut self, key: Key, server: ServerId, address: SocketAddr, now: Instant) {
-        let pool = self.pools.get_mut(&server);
-        let Some(pool) = pool.filter(|pool| pool.address == address) else {
-            self.connections.remove(key);
-            return;
-        };
-        pool.idle.push(key);
-        let deadline = now + self.idle_timeout;
-        self.timers.push((deadline, UpstreamTimer::Connection(key)));
-    }
-
     /// Closes a connection that has failed or that its server has ended.
     pub(super) fn close_broken(&mut self, key: Key, now: Instant) {
         let connection = self.connections.get(key);
@@ -226,7 +207,13 @@
     }
 
     fn reject_malformed(&mut self, key: Key, error: &Malformed, now: Instant) {
-        if let Some(address) = self.connections.get(key).map(|c| c.address) {
+        let Some(connection) = self.connections.get(key) else {
+            return;
+        };
+        let address = connection.address;
+        if connection.is_idle() || connection.is_synchronizing() {
+            self.note_unrequested(key, &error.0, now);
+        } else {
             let text = || format!("upstream: response of {address} not understood: {error}");
             self.malformed_log.warn(now, text);
         }
@@ -262,6 +249,7 @@
                 self.finish(active.exchange, server, outcome, now);
             }
             State::Idle => self.remove_idle(server, key),
+            State::Synchronizing { .. } => {}
             State::Connecting => {
                 self.end_dial(server);
                 self.fail_first_queued(server, outcome, now);
--- a/crates/leverproxy/tests/answers.rs
+++ b/crates/leverproxy/tests/answers.rs
@@ -65,7 +65,7 @@
     let mut upstream = request_in_flight(&mut client, &server, "any");
     Peer::client(program.address);
     program.pause();
-    upstream.answer("whole", &[]);
+    upstream.write_answer("whole", &[]);
     upstream.wait_until_acknowledged();
     reset(upstream);
     program.signal(Signal::CONT);
@@ -162,13 +162,13 @@
             staying.endpoint_entry("s-2", "Ready"),
         ];
         if answer_first {
-            upstream.answer("one", &[]);
+            upstream.write_answer("one", &[]);
             upstream.wait_until_acknowledged();
         }
         program.watch.send_list(58, &drain);
         program.watch.wait_until_acknowledged();
         if !answer_first {
-            upstream.answer("one", &[]);
+            upstream.write_answer("one", &[]);
             upstream.wait_until_acknowledged();
         }
         program.signal(Signal::CONT);
--- a/crates/leverproxy/tests/closing.rs
+++ b/crates/leverproxy/tests/closing.rs
@@ -245,7 +245,7 @@
     assert!(idle.ended(), "the listener is closed");
     pause(&program);
     // In this order, the program handles the response first.
-    upstream.answer("one", &[]);
+    upstream.write_answer("one", &[]);
     client.ask("");
     resume(&program);
     assert_eq!(client.reply().value.as_deref(), Some("one"));
--- a/crates/leverproxy/tests/common/mod.rs
+++ b/crates/leverproxy/tests/common/mod.rs
@@ -100,6 +100,9 @@
     }
 }
 
+/// Body of the message of an empty query.
+const EMPTY_QUERY: &[u8] = b"\0";
+
 /// A connection of the proxy, seen from its other end.
 pub struct Peer {
     pub stream: TcpStream,
@@ -215,18 +218,41 @@
         self.write(&welcome);
     }
 
+    /// Reads the next query other than the empty ones, which are answered.
     pub fn query(&mut self) -> String {
-        let (tag, body) = self.message().expect("a query");
-        assert_eq!(tag, b'Q');
-        String::from_utf8(body[..body.len() - 1].to_vec()).unwrap()
+        loop {
+            let (tag, body) = self.message().expect("a query");
+            assert_eq!(tag, b'Q');
+            if body != EMPTY_QUERY {
+                return String::from_utf8(body[..body.len() - 1].to_vec()).unwrap();
+            }
+            self.write(&server::empty_query());
+        }
     }
 
+    /// Sends a response, and answers the empty query with which the proxy makes sure that nothing follows it.
     pub fn answer(&mut self, value: &str, parameters: &[(&str, &str)]) {
+        self.write_answer(value, parameters);
+        self.synchronize();
+    }
+
+    /// Sends a response and returns at once, for a proxy that is stopped and so sends no empty query.
+    pub fn write_answer(&mut self, value: &str, parameters: &[(&str, &str)]) {
         self.write(&answer(value, parameters));
     }
 
+    /// Answers the empty query behind a response, unless the proxy ends the connection instead.
+    pub fn synchronize(&mut self) {
+        if let Ok(message) = self.message() {
+            assert_eq!(message, (b'Q', EMPTY_QUERY.to_vec()));
+            // The proxy may have ended the connection meanwhile.
+            _ = self.stream.write_all(&server::empty_query());
+        }
+    }
+
     pub fn error(&mut self, code: &str) {
         assert!(self.try_error(code));
+        self.synchronize();
     }
 
     /// Sends an error response; false if the other side has ended the connection.
--- a/crates/leverproxy/tests/departures.rs
+++ b/crates/leverproxy/tests/departures.rs
@@ -161,7 +161,7 @@
     // Once this client is greeted, the program has handled all earlier events.
     let mut next = Peer::client(program.address);
     program.pause();
-    upstream.answer("x0=1.0,x1=1,backlog=0", &[]);
+    upstream.write_answer("x0=1.0,x1=1,backlog=0", &[]);
     upstream.wait_until_acknowledged();
     client.stream.shutdown(Shutdown::Write).unwrap();
     client.wait_until_acknowledged();
