Downstream: a client that sends without a pause no longer holds the event loop

Cause: `find_evictable` selected the longest silent client, read what it had sent, and selected again, without end: a client that repeats its first packet stays as silent as it was. One that repeats a setting after a request stays as idle as it was. The same holds for loops that accept until no connection waits, which peers that connect without a pause feed.

Evidence: tests/floods.rs counts system calls in one call of `accept`.

Change: for an eviction each client is read once, and 16 clients at most. One that has sent no request by then is evicted, as it was when it was selected a second time. One event accepts at most 64 connections of a listener (clients, admin, control socket, health checks, upgrade); epoll reports the rest again, and a listener that is unwatched after a failed accept is retried. A draining process takes all that can wait before it closes its listener.

--- a/crates/leverproxy/src/control/admin.rs
+++ b/crates/leverproxy/src/control/admin.rs
@@ -59,10 +59,10 @@
         self.address
     }
 
-    /// Accepts all pending connections.
+    /// Accepts pending connections, up to the limit of one event.
     pub fn accept(&mut self, now: Instant, reactor: &Reactor) {
         let token = Token::AdminListener;
-        loop {
+        for _ in 0..listener::MAX_ACCEPTS_PER_EVENT {
             match listener::accept_or_pause(&self.listener, token, reactor) {
                 Ok((stream, _)) => self.add_connection(stream, now, reactor),
                 Err(AcceptError::Empty | AcceptError::RetryLater) => return,
@@ -75,6 +75,7 @@
                 }
             }
         }
+        listener::continue_later(token, reactor);
     }
 
     fn add_connection(&mut self, stream: Stream, now: Instant, reactor: &Reactor) {
--- a/crates/leverproxy/src/control/control_socket.rs
+++ b/crates/leverproxy/src/control/control_socket.rs
@@ -90,10 +90,14 @@
         }
     }
 
-    /// Accepts all pending connections.
+    /// Accepts pending connections, up to the limit of one event.
     pub fn accept(&mut self, now: Instant, reactor: &Reactor) {
         let token = Token::ControlSocketListener;
-        while let Ok((mut stream, _)) = listener::accept_or_pause(&self.listener, token, reactor) {
+        for _ in 0..listener::MAX_ACCEPTS_PER_EVENT {
+            let Ok((mut stream, _)) = listener::accept_or_pause(&self.listener, token, reactor)
+            else {
+                return;
+            };
             if self.connections.len() >= MAX_CONNECTIONS {
                 stream.push(b"error: too many at once\n");
                 _ = stream.flush();
@@ -101,6 +105,7 @@
             }
             self.add_connection(stream, now, reactor);
         }
+        listener::continue_later(token, reactor);
     }
 
     fn add_connection(&mut self, stream: Stream, now: Instant, reactor: &Reactor) {
--- a/crates/leverproxy/src/downstream/accept.rs
+++ b/crates/leverproxy/src/downstream/accept.rs
@@ -17,16 +17,28 @@
 /// Time for which a client without a request is not evicted at the limit of clients: its first bytes may be in transit.
 const SILENT_CLIENT_GRACE: Duration = Duration::from_millis(100);
 
+/// Maximum number of clients whose pending bytes are read to find one that can be evicted.
+const MAX_EVICTION_CANDIDATES: usize = 16;
+
 /// Clients that have sent requests are evicted only while the silent clients number at most the limit divided by this.
 const SILENT_CLIENTS_DIVISOR: usize = 4;
 
 impl Downstream {
-    /// Accepts all waiting connections, as far as there is capacity.
+    /// Accepts waiting connections, as far as there is capacity. Those beyond the limit of one event are accepted in the
+    /// next event.
     pub fn accept(&mut self, now: Instant, reactor: &Reactor) {
+        self.accept_at_most(listener::MAX_ACCEPTS_PER_EVENT, now, reactor);
+    }
+
+    /// Accepts up to `count` waiting connections, as far as there is capacity.
+    pub(super) fn accept_at_most(&mut self, count: usize, now: Instant, reactor: &Reactor) {
         // Evicting a client frees a descriptor for the next connection. If accepting still fails, the shortage of
         // descriptors has another cause.
         let mut freed_descriptor = false;
-        while !self.new_process_accepts {
+        for _ in 0..count {
+            if self.new_process_accepts {
+                return;
+            }
             // Selected first, but closed only once another client has been accepted in its place.
             let evictable = if self.is_full() {
                 self.find_evictable(now, reactor)
@@ -132,37 +144,43 @@
         self.clients.len() - self.balancer_connections >= self.limits.clients
     }
 
-    /// Finds a client that can be evicted, after reading the bytes that it has sent until now.
+    /// Finds a client that can be evicted, after reading the bytes that it has sent until now. Each client is read once:
+    /// one that sends continuously would be selected again and again.
     fn find_evictable(&mut self, now: Instant, reactor: &Reactor) -> Option<Key> {
-        while let Some(key) = self.select_evictable(now) {
-            if !self.read_pending(key, now, reactor) {
-                // `None` if the client has closed its connection, which makes room already.
-                return self.clients.get(key).map(|_| key);
+        let mut examined = Vec::new();
+        while examined.len() < MAX_EVICTION_CANDIDATES {
+            let key = self.select_evictable(&examined, now)?;
+            examined.push(key);
+            let has_sent = self.read_pending(key, now, reactor);
+            if has_sent {
+                self.advance(key, now, reactor);
+            }
+            // `None` if the client has closed its connection, which makes room already.
+            let client = self.clients.get(key)?;
+            if !has_sent || is_evictable_silent(client, now) {
+                return Some(key);
             }
-            self.advance(key, now, reactor);
         }
         None
     }
 
-    /// Selects the client to evict first: one that has sent no request, otherwise the one that has been idle the
-    /// longest between its requests. While many clients send no request, clients that have sent requests are not
-    /// evicted, and silent clients are evicted as soon as they can be distinguished from new clients.
-    fn select_evictable(&self, now: Instant) -> Option<Key> {
+    /// Selects the client to evict first, other than those examined before: one that has sent no request, otherwise the
+    /// one that has been idle the longest between its requests. While many clients send no request, clients that have
+    /// sent requests are not evicted, and silent clients are evicted as soon as they can be distinguished from new
+    /// clients.
+    fn select_evictable(&self, examined: &[Key], now: Instant) -> Option<Key> {
         let longest_idle = |is_candidate: &dyn Fn(&Client) -> bool| {
-            let candidates = self.clients.iter().filter(|(_, c)| is_candidate(c));
-            candidates
-                .min_by_key(|(_, c)| c.quiet_since)
+            self.clients
+                .iter()
+                .filter(|(key, client)| is_candidate(client) && !examined.contains(key))
+                .min_by_key(|(_, client)| client.quiet_since)
                 .map(|(key, _)| key)
         };
-        let is_past_grace =
-            |c: &Client| now.saturating_duration_since(c.quiet_since) >= SILENT_CLIENT_GRACE;
         let silent = self.clients.iter().filter(|(_, c)| c.is_silent()).count();
-        longest_idle(&|c| c.is_silent() && (is_past_grace(c) || c.end.is_lingering())).or_else(
-            || {
-                longest_idle(&|c| c.is_started && c.has_requested && c.is_idle())
-                    .filter(|_| silent <= self.limits.clients / SILENT_CLIENTS_DIVISOR)
-            },
-        )
+        longest_idle(&|client| is_evictable_silent(client, now)).or_else(|| {
+            longest_idle(&|c| c.is_started && c.has_requested && c.is_idle())
+                .filter(|_| silent <= self.limits.clients / SILENT_CLIENTS_DIVISOR)
+        })
     }
 
     /// Whether accepting is paused, until a client leaves or [`Downstream::resume_accept`] is called.
@@ -198,3 +216,9 @@
         }
     }
 }
+
+/// Whether a client has sent no request although there was time for one, or its connection is about to close.
+fn is_evictable_silent(client: &Client, now: Instant) -> bool {
+    let quiet = now.saturating_duration_since(client.quiet_since);
+    client.is_silent() && (quiet >= SILENT_CLIENT_GRACE || client.end.is_lingering())
+}
--- a/crates/leverproxy/src/downstream/close.rs
+++ b/crates/leverproxy/src/downstream/close.rs
@@ -16,7 +16,7 @@
     /// it. A connection without a startup message stays open, since a request may follow that message immediately.
     pub fn start_draining(&mut self, now: Instant, reactor: &Reactor) {
         if !self.new_process_accepts {
-            self.accept(now, reactor);
+            self.accept_at_most(listener::MAX_WAITING, now, reactor);
             self.reject_waiting(now, reactor);
         }
         if let Some(listener) = self.listener.take() {
@@ -32,7 +32,10 @@
     /// Rejects the waiting connections above the limit of clients with an error. Closing the listener alone would reset
     /// them.
     fn reject_waiting(&mut self, now: Instant, reactor: &Reactor) {
-        while let Some(Ok((stream, peer))) = self.listener.as_ref().map(listener::accept) {
+        for _ in 0..listener::MAX_WAITING {
+            let Some(Ok((stream, peer))) = self.listener.as_ref().map(listener::accept) else {
+                return;
+            };
             let key = self.add_client(stream, peer, now, reactor);
             self.reject_client(key, server::too_many_connections());
             self.advance(key, now, reactor);
--- a/crates/leverproxy/src/event_loop/listener.rs
+++ b/crates/leverproxy/src/event_loop/listener.rs
@@ -15,6 +15,11 @@
 
 /// Maximum number of connections that wait to be accepted.
 const BACKLOG: i32 = 1_024;
+/// Maximum number of connections that can wait when a listener stops accepting; Linux queues one more than the backlog.
+pub const MAX_WAITING: usize = BACKLOG as usize + 1;
+/// Maximum number of connections that are accepted in one event. Peers that connect without a pause must not keep the event
+/// loop from other events; epoll is level-triggered, so the remaining connections are reported again.
+pub const MAX_ACCEPTS_PER_EVENT: usize = 64;
 /// Maximum number of failed connections that one call skips; the backlog holds no more connections.
 const MAX_FAILED_ACCEPTS: usize = BACKLOG as usize;
 /// The permissions of a Unix socket: only its owner may connect.
@@ -99,7 +104,7 @@
 }
 
 /// Accepts a connection from a listener whose owner does not implement a pause: the listener is not watched while no
-/// connection can be accepted.
+/// connection can be accepted. A caller that stops before an error has to call [`continue_later`].
 pub fn accept_or_pause(
     listener: &OwnedFd,
     token: Token,
@@ -113,3 +118,9 @@
     }
     accepted
 }
+
+/// Continues accepting after a pause, for a caller of [`accept_or_pause`] that has reached [`MAX_ACCEPTS_PER_EVENT`]. The
+/// listener may be unwatched, since it is watched again only once no connection waits.
+pub fn continue_later(token: Token, reactor: &Reactor) {
+    reactor.retry_later(token);
+}
--- a/crates/leverproxy/src/health/mod.rs
+++ b/crates/leverproxy/src/health/mod.rs
@@ -174,10 +174,10 @@
         }
     }
 
-    /// Accepts the pending connections of a listener.
+    /// Accepts pending connections of a listener, up to the limit of one event.
     pub fn accept(&mut self, at: u16, status: &Status, now: Instant, reactor: &Reactor) {
         let index = usize::from(at);
-        loop {
+        for _ in 0..listener::MAX_ACCEPTS_PER_EVENT {
             let Some(listener) = self.listeners.get(index) else {
                 return;
             };
--- a/crates/leverproxy/src/persistence/hot_restart/links.rs
+++ b/crates/leverproxy/src/persistence/hot_restart/links.rs
@@ -155,7 +155,10 @@
         reactor: &Reactor,
     ) {
         let token = Token::HotRestartListener;
-        while let Ok((stream, _)) = listener::accept_or_pause(&self.listener, token, reactor) {
+        for _ in 0..listener::MAX_ACCEPTS_PER_EVENT {
+            let Ok((stream, _)) = listener::accept_or_pause(&self.listener, token, reactor) else {
+                return;
+            };
             let Some(clients) = clients.filter(|_| self.links.len() < MAX_LINKS) else {
                 continue;
             };
@@ -164,6 +167,7 @@
             };
             self.hand_over(stream, text, clients, reactor);
         }
+        listener::continue_later(token, reactor);
     }
 
     fn hand_over(
--- /dev/null
+++ b/crates/leverproxy/tests/floods.rs
@@ -0,0 +1,204 @@
+//! Peers that send or connect without a pause: one event of the event loop does a bounded amount of work for them.
+
+mod common;
+use common::{read_statement, Listener, Peer, TestProxy, TEST_TIMEOUT};
+use leverproxy::config::{self, Config};
+use leverproxy::downstream::{Downstream, Event};
+use leverproxy::event_loop::reactor::Reactor;
+use leverproxy::event_loop::system_calls::errors::Call;
+use leverproxy::event_loop::system_calls::faults::Faults;
+use leverproxy::event_loop::token::Token;
+use leverproxy::protocol::postgres::server;
+use leverproxy::request::Answer;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+const SSL_REQUEST: [u8; 8] = [0, 0, 0, 8, 0x04, 0xd2, 0x16, 0x2f];
+/// Longer than a client without a request is protected from eviction.
+const LONG_SILENCE: Duration = Duration::from_secs(1);
+/// A statement that the proxy answers itself. The size of its message divides that of a read, so that a read ends with a
+/// whole message and the client counts as idle.
+const SETTING: &str = "SET a = 1;";
+/// Bytes that a client sends at a time.
+const BURST_BYTES: usize = 4 << 20;
+/// Number of reads that take as many bytes as may wait to be parsed of one client, and a last one that finds no more.
+const READS_OF_ONE_CLIENT: u64 = (server::INPUT_LIMIT / (16 << 10)) as u64 + 2;
+
+/// The clients' side of a proxy alone, driven by the test. System calls of the test's thread are counted.
+struct ClientSide {
+    reactor: Reactor,
+    downstream: Downstream,
+    address: SocketAddr,
+    calls: Arc<Faults>,
+}
+
+impl ClientSide {
+    fn new(max_clients: usize) -> ClientSide {
+        let calls = Arc::<Faults>::default();
+        calls.clone().install();
+        let reactor = Reactor::new().unwrap();
+        let text = format!(
+            r#"{{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":{}}}"#,
+            common::SETTINGS
+        );
+        let Config {
+            listen,
+            mut limits,
+            client_limits,
+            ..
+        } = config::parse(text.as_bytes(), |_| None).unwrap();
+        limits.clients = max_clients;
+        let downstream =
+            Downstream::listen(listen, None, false, limits, client_limits, &reactor).unwrap();
+        let address = downstream.local_address().unwrap();
+        ClientSide {
+            reactor,
+            downstream,
+            address,
+            calls,
+        }
+    }
+
+    /// Handles events until `is_done`. Each request is answered with an error.
+    fn run_until(&mut self, is_done: impl Fn(&Downstream) -> bool) {
+        let mut ready = Vec::new();
+        let started_at = Instant::now();
+        while !is_done(&self.downstream) {
+            assert!(started_at.elapsed() < TEST_TIMEOUT);
+            let until = Instant::now() + Duration::from_millis(10);
+            self.reactor.wait(Some(until), &mut ready).unwrap();
+            let now = Instant::now();
+            for event in &ready {
+                match event.token {
+                    Token::Listener => self.downstream.accept(now, &self.reactor),
+                    Token::Client(key) => {
+                        self.downstream.ready(key, event.ended, now, &self.reactor)
+                    }
+                    _ => {}
+                }
+            }
+            while let Some(event) = self.downstream.next_event() {
+                if let Event::Request(slot, _) = event {
+                    self.downstream
+                        .answer(slot, Answer::Failed, now, &self.reactor);
+                }
+            }
+        }
+    }
+
+    /// The number of reads of one call of `accept`, by which time the clients have been silent for long.
+    fn reads_of_one_accept(&mut self) -> u64 {
+        let before = self.calls.calls(Call::Read);
+        self.downstream
+            .accept(Instant::now() + LONG_SILENCE, &self.reactor);
+        self.calls.calls(Call::Read) - before
+    }
+}
+
+/// Sends `bursts` bursts of `packet` in a thread, and reads whatever is sent back in another. Returns once bytes wait at the
+/// other end.
+fn flood(stream: &TcpStream, packet: &[u8], bursts: usize) {
+    let (mut reader, mut writer) = (stream.try_clone().unwrap(), stream.try_clone().unwrap());
+    let burst = packet.repeat(BURST_BYTES / packet.len());
+    thread::spawn(move || (0..bursts).all(|_| writer.write_all(&burst).is_ok()));
+    thread::spawn(move || {
+        let mut bytes = vec![0; 64 << 10];
+        while reader.read(&mut bytes).is_ok_and(|n| n > 0) {}
+    });
+    thread::sleep(Duration::from_millis(100));
+}
+
+/// Guards against the event loop reading one client as long as it sends, to find a client that can be evicted.
+#[test]
+fn a_client_that_repeats_its_first_packet_does_not_hold_up_the_eviction_at_the_limit() {
+    let mut clients = ClientSide::new(1);
+    let repeating = Peer::connect(clients.address);
+    clients.run_until(|downstream| downstream.client_count() == 1);
+    flood(&repeating.stream, &SSL_REQUEST, 1);
+    let _waiting = Peer::connect(clients.address);
+    let reads = clients.reads_of_one_accept();
+    assert!(reads <= READS_OF_ONE_CLIENT, "{reads} reads in one event");
+}
+
+/// Guards against the same of a client that has sent a request before, and that is answered without a record server.
+#[test]
+fn a_client_that_repeats_a_setting_does_not_hold_up_the_eviction_at_the_limit() {
+    let mut clients = ClientSide::new(1);
+    let mut repeating = Peer::connect(clients.address);
+    repeating.write(&server::startup_packet("app", "shop"));
+    repeating.ask(&read_statement(1, "any", 19000));
+    clients.run_until(|_| is_answered(&repeating));
+    flood(&repeating.stream, &common::message(SETTING), 1);
+    let _waiting = Peer::connect(clients.address);
+    let reads = clients.reads_of_one_accept();
+    assert!(reads <= READS_OF_ONE_CLIENT, "{reads} reads in one event");
+}
+
+/// Whether the greeting and a response have arrived; they stay unread.
+fn is_answered(client: &Peer) -> bool {
+    let mut bytes = [0; 4096];
+    client.stream.set_nonblocking(true).unwrap();
+    let arrived = client.stream.peek(&mut bytes).unwrap_or(0);
+    client.stream.set_nonblocking(false).unwrap();
+    // Both end with ReadyForQuery.
+    let ready = b"Z\x00\x00\x00\x05I";
+    bytes[..arrived]
+        .windows(ready.len())
+        .filter(|w| w == ready)
+        .count()
+        == 2
+}
+
+/// Guards against clients that connect without a pause keeping the event loop in one event.
+#[test]
+fn one_event_accepts_a_bounded_number_of_connections_and_later_events_the_rest() {
+    const WAITING: usize = 200;
+    let mut clients = ClientSide::new(2 * WAITING);
+    let connected: Vec<Peer> = (0..WAITING)
+        .map(|_| Peer::connect(clients.address))
+        .collect();
+    clients.downstream.accept(Instant::now(), &clients.reactor);
+    let accepted = clients.downstream.client_count();
+    assert!(accepted < WAITING, "{accepted} are accepted at once");
+    clients.run_until(|downstream| downstream.client_count() == WAITING);
+    drop(connected);
+}
+
+/// Guards against connections that are left waiting when a draining proxy closes its listener, which would reset them.
+#[test]
+fn all_waiting_connections_are_accepted_before_a_draining_proxy_closes_its_listener() {
+    const WAITING: usize = 200;
+    let mut clients = ClientSide::new(2 * WAITING);
+    let connected: Vec<Peer> = (0..WAITING)
+        .map(|_| Peer::connect(clients.address))
+        .collect();
+    let now = Instant::now();
+    clients.downstream.start_draining(now, &clients.reactor);
+    assert_eq!(clients.downstream.client_count(), WAITING);
+    drop(connected);
+}
+
+/// Guards against requests and admin calls that are not answered while silent clients fill the limit and one client
+/// repeats its first packet.
+#[test]
+fn requests_and_admin_calls_are_answered_beside_a_client_that_repeats_its_first_packet() {
+    const MAX_CLIENTS: usize = 8;
+    let server = Listener::new();
+    let test_proxy = TestProxy::with_config(&[("s-1", &server)], |config| {
+        config.limits.clients = MAX_CLIENTS;
+        config.admin = Some("127.0.0.1:0".parse().unwrap());
+    });
+    let repeating = Peer::connect(test_proxy.address);
+    flood(&repeating.stream, &SSL_REQUEST, usize::MAX);
+    let silent: Vec<Peer> = (0..2 * MAX_CLIENTS)
+        .map(|_| Peer::connect(test_proxy.address))
+        .collect();
+    thread::sleep(Duration::from_millis(200));
+    let mut client = Peer::client(test_proxy.address);
+    common::serve_request(&mut client, &server, 1, "value");
+    assert_eq!(common::get(test_proxy.admin.unwrap(), "/api/ready").0, 200);
+    drop(silent);
+}
