Downstream: each large response on a connection has its own pause

Cause: `Client::is_backpressured` was one flag for all responses of a client, but each response that is held back waits with a record server of its own. The second response set it as it was not the first; the next write of the first cleared it and resumed the first one's server alone; when the second became the first, nobody resumed its server, and a paused exchange has no time-out.

Evidence: two tests in tests/large.rs with two to four values at once, in several orders and sizes, written whole or in pieces, and with a client that begins to read late. On the code before both got no further byte within 10 s. The earlier test with one large value behind a small one passed there, as nothing clears the flag in between; that rules out that the bytes or the server are lost.

Change: the pause is kept with each response (`PendingResponse::Streaming`). A response is resumed when it is the first one and its client has read enough, also when it becomes the first. In `large_answers_keep_the_order_of_commands` the scripted server no longer waits for the empty query behind a response that is held back; what the test asserts is the same.

--- a/crates/leverproxy/src/downstream/client.rs
+++ b/crates/leverproxy/src/downstream/client.rs
@@ -21,8 +21,13 @@
     Waiting,
     /// The response is complete, or was aborted and ends with these bytes.
     Ready(Vec<u8>),
-    /// Chunks of the response that are not written yet. They are written once all earlier responses have been written.
-    Streaming(Vec<u8>),
+    /// A response that arrives in chunks. They are written once all earlier responses have been written.
+    Streaming {
+        /// The chunks that are not written yet.
+        chunks: Vec<u8>,
+        /// Whether no more chunks are accepted until [`Event::Writable`](super::event::Event::Writable).
+        is_paused: bool,
+    },
 }
 
 /// A client, or a balancer's health check that has sent no request.
@@ -48,8 +53,6 @@
     pub(super) responses: VecDeque<PendingResponse>,
     /// The number of the first response in `responses`.
     pub(super) first_number: u64,
-    /// Whether chunks of the response are held back until the client has read more of it.
-    pub(super) is_backpressured: bool,
     /// Time of the last complete command that was received or the last response that was sent.
     pub(super) quiet_since: Instant,
     /// Time since which a command of the client has been incomplete.
@@ -79,7 +82,6 @@
             has_requested_again: false,
             responses: VecDeque::new(),
             first_number: 0,
-            is_backpressured: false,
             quiet_since: now,
             partial_since: None,
         }
@@ -117,7 +119,7 @@
             let (bytes, is_complete) = match response {
                 PendingResponse::Waiting => break,
                 PendingResponse::Ready(bytes) => (std::mem::take(bytes), true),
-                PendingResponse::Streaming(bytes) => (std::mem::take(bytes), false),
+                PendingResponse::Streaming { chunks, .. } => (std::mem::take(chunks), false),
             };
             self.stream.push(&bytes);
             if self.has_requested {
--- a/crates/leverproxy/src/downstream/write.rs
+++ b/crates/leverproxy/src/downstream/write.rs
@@ -28,7 +28,7 @@
             return;
         };
         let mut bytes = server::response(answer);
-        if let PendingResponse::Streaming(chunks) = response {
+        if let PendingResponse::Streaming { chunks, .. } = response {
             chunks.append(&mut bytes);
             bytes = std::mem::take(chunks);
         }
@@ -52,8 +52,13 @@
         };
         match client.response(slot) {
             None | Some(PendingResponse::Ready(_)) => return true,
-            Some(PendingResponse::Streaming(chunks)) => chunks.extend_from_slice(bytes),
-            Some(response) => *response = PendingResponse::Streaming(bytes.to_vec()),
+            Some(PendingResponse::Streaming { chunks, .. }) => chunks.extend_from_slice(bytes),
+            Some(response) => {
+                *response = PendingResponse::Streaming {
+                    chunks: bytes.to_vec(),
+                    is_paused: false,
+                }
+            }
         }
         self.advance(slot.client, now, reactor);
         let window = self.stream_window();
@@ -61,8 +66,13 @@
             return true;
         };
         let is_first = client.first_number == slot.number;
-        client.is_backpressured |= !is_first || client.stream.unsent() >= window;
-        !client.is_backpressured
+        let is_window_full = client.stream.unsent() >= window;
+        let Some(PendingResponse::Streaming { is_paused, .. }) = client.response(slot) else {
+            return true;
+        };
+        // Each response has its own pause, since each has a record server of its own to resume.
+        *is_paused |= !is_first || is_window_full;
+        !*is_paused
     }
 
     fn stream_window(&self) -> usize {
@@ -91,7 +101,7 @@
             }
         }
         if let Some(response) = client.responses.get_mut(index) {
-            if let PendingResponse::Streaming(chunks) = response {
+            if let PendingResponse::Streaming { chunks, .. } = response {
                 *response = PendingResponse::Ready(std::mem::take(chunks));
             }
             client.end.start_closing(CloseReason::Ended);
@@ -146,31 +156,33 @@
         false
     }
 
-    /// Requests more chunks once the unsent bytes of a client have dropped to half of its window.
+    /// Requests more chunks of the first response once the unsent bytes of a client have dropped to half of its window.
     fn resume_chunks(&mut self, key: Key) {
         let Some(client) = self.clients.get(key) else {
             return;
         };
-        let is_streaming = matches!(
+        let is_paused = matches!(
             client.responses.front(),
-            Some(PendingResponse::Streaming(_))
+            Some(PendingResponse::Streaming {
+                is_paused: true,
+                ..
+            })
         );
         let unsent = client.stream.unsent();
         // The window depends on a sum over all clients, so it is computed last.
-        if !client.is_backpressured
-            || !is_streaming
-            || unsent > STREAM_WINDOW / 2
-            || unsent > self.stream_window() / 2
-        {
+        if !is_paused || unsent > STREAM_WINDOW / 2 || unsent > self.stream_window() / 2 {
             return;
         }
-        if let Some(client) = self.clients.get_mut(key) {
-            client.is_backpressured = false;
-            let number = client.first_number;
-            self.events.push_back(Event::Writable(ResponseSlot {
-                client: key,
-                number,
-            }));
+        let Some(client) = self.clients.get_mut(key) else {
+            return;
+        };
+        let slot = ResponseSlot {
+            client: key,
+            number: client.first_number,
+        };
+        if let Some(PendingResponse::Streaming { is_paused, .. }) = client.responses.front_mut() {
+            *is_paused = false;
+            self.events.push_back(Event::Writable(slot));
         }
     }
 
--- a/crates/leverproxy/tests/large.rs
+++ b/crates/leverproxy/tests/large.rs
@@ -5,10 +5,18 @@
 use leverproxy::downstream::{Downstream, Event};
 use leverproxy::event_loop::reactor::Reactor;
 use leverproxy::event_loop::token::Token;
+use leverproxy::protocol::postgres;
 use leverproxy::request::{Answer, ResponseSlot};
 use std::io::{Read, Write};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+/// Size in bytes of a value that is forwarded as a whole.
+const SMALL: usize = 200;
+/// Pause between two pieces of a response, so that the pieces of several responses arrive in a known order.
+const WRITE_INTERVAL: Duration = Duration::from_millis(30);
+
 /// A value of `bytes` letters that depend on their position.
 fn value(bytes: usize) -> String {
     (0..bytes)
@@ -136,19 +144,125 @@
     let mut second = other.accept_session();
     second.query();
     let large = value(200 << 10);
-    second.answer(&large, &[]);
+    // The rest of it is held back until the first response has been sent.
+    second.write_answer(&large, &[]);
     first.answer("first", &[]);
     assert_eq!(client.reply().value.as_deref(), Some("first"));
     assert!(client.reply().value == Some(large));
 }
 
+/// Asks for values of `sizes` bytes at once on one connection, each from a server of its own. The servers
+/// write in the order of `writers`, each in `rounds` pieces. Checks that the client gets every value whole.
+fn check_pipelined_values(sizes: &[usize], writers: &[usize], rounds: usize) {
+    let servers: Vec<Listener> = sizes.iter().map(|_| Listener::new()).collect();
+    let names: Vec<String> = (0..sizes.len()).map(|n| format!("s-{n}")).collect();
+    let endpoints: Vec<(&str, &Listener)> =
+        names.iter().map(String::as_str).zip(&servers).collect();
+    let test_proxy = TestProxy::new(&endpoints);
+    let mut client = Peer::client(test_proxy.address);
+    for id in 0..sizes.len() {
+        client.ask(&read_statement(id as u32, "any", 19000));
+    }
+    // Responses that are held back block their servers, so each server has a thread.
+    let writing: Vec<_> = servers
+        .into_iter()
+        .map(|server| {
+            let (sizes, writers) = (sizes.to_vec(), writers.to_vec());
+            std::thread::spawn(move || {
+                let mut upstream = server.accept_session();
+                let query = upstream.query();
+                let asked = |id: &usize| query.contains(&format!("id={id:016x}"));
+                let id = (0..sizes.len()).find(asked).unwrap();
+                let turn = writers.iter().position(|&writer| writer == id).unwrap();
+                let bytes = answer(&value(sizes[id]), &[]);
+                // A response that is not forwarded in chunks has to arrive without a pause.
+                let rounds = if sizes[id] > SMALL { rounds } else { 1 };
+                for piece in bytes.chunks(bytes.len().div_ceil(rounds)) {
+                    std::thread::sleep(WRITE_INTERVAL * (turn as u32 + 1));
+                    upstream.write(piece);
+                }
+                upstream.synchronize();
+            })
+        })
+        .collect();
+    for &size in sizes {
+        assert!(
+            client.reply().value == Some(value(size)),
+            "{size} bytes, written in the order {writers:?} in {rounds} pieces"
+        );
+    }
+    for server in writing {
+        server.join().unwrap();
+    }
+}
+
+/// Guards against a large response that is held back behind another large one and is never continued.
+#[test]
+fn large_answers_that_arrive_together_on_one_connection_all_arrive_whole() {
+    const LARGE: usize = 1 << 20;
+    for rounds in [1, 5] {
+        check_pipelined_values(&[LARGE, LARGE], &[1, 0], rounds);
+        check_pipelined_values(&[LARGE, LARGE], &[0, 1], rounds);
+        check_pipelined_values(&[LARGE, 4 * LARGE, LARGE], &[2, 1, 0], rounds);
+        check_pipelined_values(&[LARGE, SMALL, LARGE, 70 << 10], &[3, 2, 0, 1], rounds);
+        check_pipelined_values(&[SMALL, LARGE, LARGE], &[1, 2, 0], rounds);
+    }
+}
+
+/// Serves every query on every connection with these bytes, until `stopped` is set.
+fn serve_all(server: Listener, bytes: Vec<u8>, stopped: Arc<AtomicBool>) {
+    while !stopped.load(Ordering::SeqCst) {
+        let Some(mut upstream) = server.try_accept() else {
+            std::thread::sleep(Duration::from_millis(1));
+            continue;
+        };
+        let bytes = bytes.clone();
+        std::thread::spawn(move || {
+            upstream.startup();
+            while let Ok((b'Q', body)) = upstream.message() {
+                let is_empty = body == *b"\0";
+                let empty_response = postgres::server::empty_query();
+                let response = if is_empty { &empty_response } else { &bytes };
+                if upstream.stream.write_all(response).is_err() {
+                    return;
+                }
+            }
+        });
+    }
+}
+
+/// Guards against the same where the client begins to read late, so that the first response is held back as well.
+#[test]
+fn large_answers_on_one_connection_arrive_whole_though_their_client_reads_late() {
+    let (one, two) = (Listener::new(), Listener::new());
+    let test_proxy = TestProxy::new(&[("s-1", &one), ("s-2", &two)]);
+    let mut client = Peer::client(test_proxy.address);
+    let large = value(4 << 20);
+    for id in 0..4 {
+        client.ask(&read_statement(id, "any", 19000));
+    }
+    let stopped = Arc::<AtomicBool>::default();
+    let servers = [one, two].map(|server| {
+        let (bytes, stopped) = (answer(&large, &[]), stopped.clone());
+        std::thread::spawn(move || serve_all(server, bytes, stopped))
+    });
+    std::thread::sleep(Duration::from_millis(300));
+    for id in 0..4 {
+        assert!(client.reply().value.as_ref() == Some(&large), "value {id}");
+    }
+    stopped.store(true, Ordering::SeqCst);
+    for server in servers {
+        server.join().unwrap();
+    }
+}
+
 /// Several clients do not read their large responses, so the proxy stops reading from the servers' connections. Small
 /// requests of other clients are still answered.
 #[test]
 fn small_requests_pass_beside_large_answers_that_are_held_back() {
     let server = Listener::new();
     let test_proxy = TestProxy::new(&[("s-1", &server)]);
-    let bytes = std::sync::Arc::new(answer(&value(4 << 20), &[]));
+    let bytes = Arc::new(answer(&value(4 << 20), &[]));
     let held: Vec<Peer> = (0..12)
         .map(|id| {
             let mut client = Peer::client(test_proxy.address);
