--- a/crates/leverproxy/tests/floods.rs
+++ b/crates/leverproxy/tests/floods.rs
@@ -24,6 +24,8 @@
 const SETTING: &str = "SET a = 1;";
 /// Bytes that a client sends at a time.
 const BURST_BYTES: usize = 4 << 20;
+/// Number of connections, more than one event accepts.
+const WAITING: usize = 200;
 /// Number of reads that take as many bytes as may wait to be parsed of one client, and a last one that finds no more.
 const READS_OF_ONE_CLIENT: u64 = (server::INPUT_LIMIT / (16 << 10)) as u64 + 2;
 
@@ -152,14 +154,19 @@
         == 2
 }
 
+/// [`WAITING`] connections that wait to be accepted, below the limit of clients.
+fn waiting_connections() -> (ClientSide, Vec<Peer>) {
+    let clients = ClientSide::new(2 * WAITING);
+    let connected = (0..WAITING)
+        .map(|_| Peer::connect(clients.address))
+        .collect();
+    (clients, connected)
+}
+
 /// Guards against clients that connect without a pause keeping the event loop in one event.
 #[test]
 fn one_event_accepts_a_bounded_number_of_connections_and_later_events_the_rest() {
-    const WAITING: usize = 200;
-    let mut clients = ClientSide::new(2 * WAITING);
-    let connected: Vec<Peer> = (0..WAITING)
-        .map(|_| Peer::connect(clients.address))
-        .collect();
+    let (mut clients, connected) = waiting_connections();
     clients.downstream.accept(Instant::now(), &clients.reactor);
     let accepted = clients.downstream.client_count();
     assert!(accepted < WAITING, "{accepted} are accepted at once");
@@ -170,11 +177,7 @@
 /// Guards against connections that are left waiting when a draining proxy closes its listener, which would reset them.
 #[test]
 fn all_waiting_connections_are_accepted_before_a_draining_proxy_closes_its_listener() {
-    const WAITING: usize = 200;
-    let mut clients = ClientSide::new(2 * WAITING);
-    let connected: Vec<Peer> = (0..WAITING)
-        .map(|_| Peer::connect(clients.address))
-        .collect();
+    let (mut clients, connected) = waiting_connections();
     let now = Instant::now();
     clients.downstream.start_draining(now, &clients.reactor);
     assert_eq!(clients.downstream.client_count(), WAITING);
