Downstream: one event answers a bounded number of commands of a client's buffer

Evidence: `one_event_answers_a_bounded_number_of_commands_and_later_events_the_rest` counted 313 sends in one event on the code before, and passes now with 5 at most.

Change: four rounds of writing and reading an event; what is left in the buffer is taken up after a pause of 5 ms or with the next bytes. Commands that record servers answer are not affected: each answer is an event of its own.

Tests: the record server of tests/wall_clock.rs took the empty query behind a response for a request, so that `a_step_between_arrival_and_retry_is_heeded_until_it_is_refuted` failed once beside load: the step was used up before the read came.

--- a/crates/leverproxy/src/downstream/write.rs
+++ b/crates/leverproxy/src/downstream/write.rs
@@ -17,6 +17,9 @@
 /// The corresponding number of bytes while the unsent bytes of all clients exceed their memory limit. A smaller window
 /// would need too many system calls for its bytes.
 const REDUCED_STREAM_WINDOW: usize = 4 << 10;
+/// Maximum number of times that one event writes the responses of a client and reads commands that waited for them. A
+/// client's buffer holds thousands of commands that the proxy answers itself, and other clients wait meanwhile.
+const MAX_ROUNDS_PER_EVENT: usize = 4;
 
 impl Downstream {
     /// Sets the final answer to a request. It is sent after all earlier responses on the connection.
@@ -113,7 +116,13 @@
     pub(super) fn advance(&mut self, key: Key, now: Instant, reactor: &Reactor) {
         // Input is read at most once per call, so that a client that sends continuously does not block the event loop.
         let mut has_read = false;
-        while self.advance_once(key, &mut has_read, now, reactor) {}
+        for _ in 0..MAX_ROUNDS_PER_EVENT {
+            if !self.advance_once(key, &mut has_read, now, reactor) {
+                return;
+            }
+        }
+        // The commands that are left are in the buffer, not in the socket, so no event reports them.
+        reactor.retry_later(Token::Client(key));
     }
 
     /// Writes once. Returns whether to write again, since more requests were read and some of them may be answered
--- a/crates/leverproxy/tests/common/mod.rs
+++ b/crates/leverproxy/tests/common/mod.rs
@@ -99,7 +99,7 @@
 }
 
 /// Body of the message of an empty query.
-const EMPTY_QUERY: &[u8] = b"\0";
+pub const EMPTY_QUERY: &[u8] = b"\0";
 
 /// A connection of the proxy, seen from its other end.
 pub struct Peer {
@@ -224,7 +224,7 @@
             if body != EMPTY_QUERY {
                 return String::from_utf8(body[..body.len() - 1].to_vec()).unwrap();
             }
-            self.write(&server::empty_query());
+            self.write_empty_query_response();
         }
     }
 
@@ -243,11 +243,15 @@
     pub fn synchronize(&mut self) {
         if let Ok(message) = self.message() {
             assert_eq!(message, (b'Q', EMPTY_QUERY.to_vec()));
-            // The proxy may have ended the connection meanwhile.
-            _ = self.stream.write_all(&server::empty_query());
+            self.write_empty_query_response();
         }
     }
 
+    /// Answers an empty query. The proxy may have ended the connection meanwhile.
+    pub fn write_empty_query_response(&mut self) {
+        _ = self.stream.write_all(&server::empty_query());
+    }
+
     pub fn error(&mut self, code: &str) {
         assert!(self.try_error(code));
         self.synchronize();
--- a/crates/leverproxy/tests/floods.rs
+++ b/crates/leverproxy/tests/floods.rs
@@ -4,7 +4,7 @@
 use common::{read_statement, Listener, Peer, TestProxy, TEST_TIMEOUT};
 use leverproxy::config::{self, Config};
 use leverproxy::downstream::{Downstream, Event};
-use leverproxy::event_loop::reactor::Reactor;
+use leverproxy::event_loop::reactor::{Reactor, Ready};
 use leverproxy::event_loop::system_calls::errors::Call;
 use leverproxy::event_loop::system_calls::faults::Faults;
 use leverproxy::event_loop::token::Token;
@@ -26,6 +26,8 @@
 const BURST_BYTES: usize = 4 << 20;
 /// Number of connections, more than one event accepts.
 const WAITING: usize = 200;
+/// Number of sends of one event for a client that reads its responses.
+const MAX_SENDS: u64 = 5;
 /// Number of reads that take as many bytes as may wait to be parsed of one client, and a last one that finds no more.
 const READS_OF_ONE_CLIENT: u64 = (server::INPUT_LIMIT / (16 << 10)) as u64 + 2;
 
@@ -64,29 +66,32 @@
         }
     }
 
-    /// Handles events until `is_done`. Each request is answered with an error.
+    /// Handles events until `is_done`.
     fn run_until(&mut self, is_done: impl Fn(&Downstream) -> bool) {
         let mut ready = Vec::new();
         let started_at = Instant::now();
         while !is_done(&self.downstream) {
             assert!(started_at.elapsed() < TEST_TIMEOUT);
-            let until = Instant::now() + Duration::from_millis(10);
-            self.reactor.wait(Some(until), &mut ready).unwrap();
-            let now = Instant::now();
-            for event in &ready {
-                match event.token {
-                    Token::Listener => self.downstream.accept(now, &self.reactor),
-                    Token::Client(key) => {
-                        self.downstream.ready(key, event.ended, now, &self.reactor)
-                    }
-                    _ => {}
-                }
+            self.handle_events(&mut ready);
+        }
+    }
+
+    /// Handles the events of one round. Each request is answered with an error.
+    fn handle_events(&mut self, ready: &mut Vec<Ready>) {
+        let until = Instant::now() + Duration::from_millis(10);
+        self.reactor.wait(Some(until), ready).unwrap();
+        let now = Instant::now();
+        for event in ready {
+            match event.token {
+                Token::Listener => self.downstream.accept(now, &self.reactor),
+                Token::Client(key) => self.downstream.ready(key, event.ended, now, &self.reactor),
+                _ => {}
             }
-            while let Some(event) = self.downstream.next_event() {
-                if let Event::Request(slot, _) = event {
-                    self.downstream
-                        .answer(slot, Answer::Failed, now, &self.reactor);
-                }
+        }
+        while let Some(event) = self.downstream.next_event() {
+            if let Event::Request(slot, _) = event {
+                self.downstream
+                    .answer(slot, Answer::Failed, now, &self.reactor);
             }
         }
     }
@@ -154,6 +159,24 @@
         == 2
 }
 
+/// Guards against one event answering all the commands that a client's buffer holds while other clients wait.
+#[test]
+fn one_event_answers_a_bounded_number_of_commands_and_later_events_the_rest() {
+    const PACKETS: usize = 10_000;
+    let mut clients = ClientSide::new(1);
+    let mut client = Peer::connect(clients.address);
+    clients.run_until(|downstream| downstream.client_count() == 1);
+    client.write(&SSL_REQUEST.repeat(PACKETS));
+    client.wait_until_acknowledged();
+    let (before, mut ready) = (clients.calls.calls(Call::Send), Vec::new());
+    clients.handle_events(&mut ready);
+    let sends = clients.calls.calls(Call::Send) - before;
+    assert!(sends <= MAX_SENDS, "{sends} sends in one event");
+    let reading = thread::spawn(move || client.stream.read_exact(&mut [0; PACKETS]));
+    clients.run_until(|_| reading.is_finished());
+    reading.join().unwrap().unwrap();
+}
+
 /// [`WAITING`] connections that wait to be accepted, below the limit of clients.
 fn waiting_connections() -> (ClientSide, Vec<Peer>) {
     let clients = ClientSide::new(2 * WAITING);
--- a/crates/leverproxy/tests/large.rs
+++ b/crates/leverproxy/tests/large.rs
@@ -5,7 +5,6 @@
 use leverproxy::downstream::{Downstream, Event};
 use leverproxy::event_loop::reactor::Reactor;
 use leverproxy::event_loop::token::Token;
-use leverproxy::protocol::postgres;
 use leverproxy::request::{Answer, ResponseSlot};
 use std::io::{Read, Write};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -220,10 +219,9 @@
         std::thread::spawn(move || {
             upstream.startup();
             while let Ok((b'Q', body)) = upstream.message() {
-                let is_empty = body == *b"\0";
-                let empty_response = postgres::server::empty_query();
-                let response = if is_empty { &empty_response } else { &bytes };
-                if upstream.stream.write_all(response).is_err() {
+                if body == common::EMPTY_QUERY {
+                    upstream.write_empty_query_response();
+                } else if upstream.stream.write_all(&bytes).is_err() {
                     return;
                 }
             }
--- a/crates/leverproxy/tests/wall_clock.rs
+++ b/crates/leverproxy/tests/wall_clock.rs
@@ -383,6 +383,10 @@
                 thread::spawn(move || {
                     peer.startup();
                     while let Ok((b'Q', body)) = peer.message() {
+                        if body == common::EMPTY_QUERY {
+                            peer.write_empty_query_response();
+                            continue;
+                        }
                         let position = true_ms() - lag.load(Ordering::SeqCst).unsigned_abs();
                         if !body.starts_with(b"SHOW load")
                             && reset_next_query.swap(false, Ordering::SeqCst)
