--- a/crates/leverproxy/src/upstream/queue.rs
+++ b/crates/leverproxy/src/upstream/queue.rs
@@ -79,8 +79,8 @@
         self.dial_for_queue(server, now, reactor);
     }
 
-    /// Whether an idle connection is still open and free of unread bytes. The server may have closed it without an event having been handled
-    /// yet; a request written after that would count as possibly executed.
+    /// Whether an idle connection is still open and free of unread bytes. The server may have closed it without an event
+    /// having been handled yet; a request written after that would count as possibly executed.
     fn is_reusable(&mut self, key: Key, now: Instant) -> bool {
         let Some(connection) = self.connections.get_mut(key) else {
             return false;
