Tests: two regression tests that could not fail for their fault; claims that were too wide

Cause: on reading the change once more, `all_waiting_connections_are_accepted_before_a_draining_proxy_closes_its_listener` counted rejected connections as accepted, and `a_connection_that_is_not_synchronized_delays_no_request` noticed delays of 10 s only.

Change: the first checks that none is rejected, the second that the request is sent within 1 s. `unused_imports` is allowed for one line of tests/common instead of the module. The program is as before.

--- a/crates/leverproxy/tests/common/mod.rs
+++ b/crates/leverproxy/tests/common/mod.rs
@@ -1,7 +1,9 @@
 //! Scripted discovery, record servers and clients that run against a real proxy, all on loopback.
-#![allow(dead_code, unused_imports)]
+#![allow(dead_code)]
 
 mod program;
+// Not every test starts the program.
+#[allow(unused_imports)]
 pub use program::Program;
 
 use leverproxy::config::{self, Config};
--- a/crates/leverproxy/tests/floods.rs
+++ b/crates/leverproxy/tests/floods.rs
@@ -197,13 +197,15 @@
     drop(connected);
 }
 
-/// Guards against connections that are left waiting when a draining proxy closes its listener, which would reset them.
+/// Guards against a drain that accepts only as many connections as one event, and rejects or resets the others that wait.
 #[test]
 fn all_waiting_connections_are_accepted_before_a_draining_proxy_closes_its_listener() {
     let (mut clients, connected) = waiting_connections();
     let now = Instant::now();
     clients.downstream.start_draining(now, &clients.reactor);
     assert_eq!(clients.downstream.client_count(), WAITING);
+    // Those that the drain does not accept are rejected, as above the limit of clients.
+    assert_eq!(clients.downstream.rejected_clients, 0);
     drop(connected);
 }
 
--- a/crates/leverproxy/tests/unrequested.rs
+++ b/crates/leverproxy/tests/unrequested.rs
@@ -7,8 +7,10 @@
 use leverproxy::protocol::postgres::synchronization::SynchronizationReader;
 use leverproxy::protocol::postgres::{put, put_error, put_ready_for_query, put_text, server};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+/// Longest delay of a request by a connection that cannot be used: the 40 ms for which it waits, on a busy machine.
+const MAX_DELAY: Duration = Duration::from_secs(1);
 const PRIMARY: &[(&str, &str)] = &[("role", "primary")];
 
 fn with_admin(config: &mut Config) {
@@ -120,16 +122,19 @@
     }
 }
 
-/// Guards against a request that waits for a connection whose server does not answer the empty query.
+/// Guards against a request that waits until a connection times out whose server does not answer the empty query.
 #[test]
 fn a_connection_that_is_not_synchronized_delays_no_request() {
     let server = Listener::new();
     let test_proxy = TestProxy::new(&[("s-1", &server)]);
     let mut client = Peer::client(test_proxy.address);
     let silent = serve_first_request(&mut client, &server);
+    let asked_at = Instant::now();
     client.ask(&read_statement(2, "any", 19000));
     let mut other = server.accept_session();
     other.query();
+    let delay = asked_at.elapsed();
+    assert!(delay < MAX_DELAY, "sent after {delay:?}");
     other.answer("two", PRIMARY);
     assert_eq!(client.reply(), served("two"));
     drop(silent);
