Review: case 10, a large value that its record server writes slowly is cut off

Cause: until the head of a large row has come, a pause of 40 ms between two pieces of an answer ends its connection.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# Record servers that write a large value slowly, in pieces.
+# Ends with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")/../.." || exit 2
+player=review/standin-2/target/release/standin-2
+[ -x target/release/leverproxy ] && [ -x "$player" ] || exit 2
+exec "$player" slow-value review/10
