--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -3,14 +3,15 @@
 //! Ends with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. With `TROUBLE=0` in the
 //! environment the disruption is left out.
 
-mod abandoned_write;
 mod client;
 mod commands_in_memory;
 mod discovery;
+mod long_ids;
 mod longer_window;
 mod platform;
 mod record;
 mod server;
+mod sessions;
 mod slow_value;
 mod upgrade_forgets;
 mod wire;
@@ -65,9 +66,9 @@
         stage.trouble
     ));
     let play = || match case.as_str() {
-        "abandoned-write" => abandoned_write::play(&stage),
         "upgrade-forgets" => upgrade_forgets::play(&stage),
         "commands-in-memory" => commands_in_memory::play(&stage),
+        "long-ids" => long_ids::play(&stage),
         "longer-window" => longer_window::play(&stage),
         "slow-value" => slow_value::play(&stage),
         _ => Err(std::io::Error::other("no such case")),
--- a/review/standin-2/src/upgrade_forgets.rs
+++ b/review/standin-2/src/upgrade_forgets.rs
@@ -1,11 +1,11 @@
 //! Sessions write through the old process of an upgrade, and read through the new one.
 
-use crate::abandoned_write::{group, is_stale};
 use crate::client::{read, write, Client};
 use crate::discovery::Discovery;
 use crate::platform::{Machine, Settings};
 use crate::record::unix_ms;
 use crate::server::Log;
+use crate::sessions::{group, is_stale};
 use crate::{Stage, Verdict};
 use std::io;
 use std::thread::{self, sleep};
