--- a/review/standin-2/src/platform.rs
+++ b/review/standin-2/src/platform.rs
@@ -161,6 +161,7 @@
             .stdout(file.try_clone()?)
             .stderr(file)
             .spawn()?;
+        let guard = guard(child.id())?;
         RUNNING
             .lock()
             .unwrap_or_else(|e| e.into_inner())
@@ -169,6 +170,7 @@
             .line(format!("platform: process {number} started, admin {admin}"));
         Ok(Proxy {
             child,
+            guard,
             number,
             admin,
             listen: self.listen,
@@ -194,6 +196,17 @@
         .ok_or_else(|| io::Error::other("the deploy file has no run"))
 }
 
+/// A shell that kills the process with this id once this program has ended, in whatever way: then its input ends.
+fn guard(pid: u32) -> io::Result<Child> {
+    Command::new("/bin/sh")
+        .arg("-c")
+        .arg(format!("read -r _; kill -KILL {pid}"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+}
+
 /// Process ids of the proxies that have not been killed.
 static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
@@ -212,6 +225,7 @@
 /// A running process of the proxy. It is killed when dropped.
 pub struct Proxy {
     child: Child,
+    guard: Child,
     pub number: usize,
     admin: SocketAddr,
     listen: SocketAddr,
@@ -282,6 +296,9 @@
     }
 
     pub fn kill(&mut self) {
+        // The guard first: the id may belong to another process once the proxy is gone.
+        _ = self.guard.kill();
+        _ = self.guard.wait();
         _ = self.child.kill();
         _ = self.child.wait();
         let pid = self.pid();
