Review: case 8, no answer behind a large value that breaks (entry cut-off)

Change: case 8 is that test now; the former one stays as a play of standin-2. A shell kills each proxy once the test is gone.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,7 +1,10 @@
 #!/bin/sh
-# Bad clients that send a hundred writes of 64 KiB values at once.
-# Ends with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
+# Plays the case on loopback; TROUBLE=0 plays it without the disruption. Exit code: 1 if the rule was broken, 0 if it
+# held, 2 if the case couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
-player=review/standin-2/target/release/standin-2
-[ -x target/release/leverproxy ] && [ -x "$player" ] || exit 2
-exec "$player" commands-in-memory review/8
+test=review/standin-3/target/release/review-standin-3
+[ -x "$test" ] && [ -x target/release/leverproxy ] || {
+    echo "build first: the deploy file's build, and review/build-2.sh" >&2
+    exit 2
+}
+exec "$test" broken-value review/8/record.txt
--- a/review/standin-3/src/broken_value.rs
+++ b/review/standin-3/src/broken_value.rs
@@ -39,6 +39,7 @@
             me: 0,
             behind: "reject",
             tokens: "client",
+            pushed: false,
         }),
     };
     let proxy = Proxy::start(&place, 0);
--- a/review/standin-3/src/client.rs
+++ b/review/standin-3/src/client.rs
@@ -2,7 +2,7 @@
 
 use crate::wire;
 use std::io::{self, Write};
-use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
 /// The final answer to a query, or the end of the connection.
@@ -100,10 +100,6 @@
             Err(fault) => Answer::Ended(fault.to_string()),
         }
     }
-
-    pub fn leave(self) {
-        _ = self.stream.shutdown(Shutdown::Both);
-    }
 }
 
 fn code(body: &[u8]) -> String {
--- a/review/standin-3/src/copied_id.rs
+++ b/review/standin-3/src/copied_id.rs
@@ -37,6 +37,7 @@
             me: 0,
             behind: "reject",
             tokens: "client",
+            pushed: false,
         }),
     };
     let old = Proxy::start(&place, 0);
--- a/review/standin-3/src/discovery.rs
+++ b/review/standin-3/src/discovery.rs
@@ -4,7 +4,6 @@
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -19,8 +18,6 @@
 #[derive(Clone)]
 pub struct Discovery {
     state: Arc<Mutex<State>>,
-    /// How long a new call waits for its answer.
-    wait_ms: Arc<AtomicU64>,
     record: Record,
     pub address: SocketAddr,
 }
@@ -30,7 +27,6 @@
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
         let discovery = Discovery {
             state: Arc::default(),
-            wait_ms: Arc::default(),
             record,
             address: listener.local_addr().unwrap(),
         };
@@ -44,16 +40,18 @@
         discovery
     }
 
-    /// New calls wait so long for their answers from now on.
-    pub fn set_wait(&self, ms: u64) {
-        self.wait_ms.store(ms, Ordering::SeqCst);
-        self.record
-            .note(format!("discovery: new calls are answered after {ms} ms"));
+    pub fn set(&self, name: &str, address: SocketAddr, status: &str) {
+        self.put(name, address, status, "");
     }
 
-    pub fn set(&self, name: &str, address: SocketAddr, status: &str) {
+    /// An entry that shows a role.
+    pub fn set_with_role(&self, name: &str, address: SocketAddr, status: &str, role: &str) {
+        self.put(name, address, status, &format!(",\"role\":\"{role}\""));
+    }
+
+    fn put(&self, name: &str, address: SocketAddr, status: &str, more: &str) {
         let entry = format!(
-            "{{\"name\":\"{name}\",\"address\":\"{address}\",\"zone\":\"a\",\"type\":\"std\",\"group\":0,\"status\":\"{status}\",\"weight\":1.0,\"since_ms\":0}}"
+            "{{\"name\":\"{name}\",\"address\":\"{address}\",\"zone\":\"a\",\"type\":\"std\",\"group\":0,\"status\":\"{status}\",\"weight\":1.0,\"since_ms\":0{more}}}"
         );
         let mut state = self.state.lock().unwrap();
         state.index += 1;
@@ -105,7 +103,6 @@
         let peer = stream.peer_addr()?.port();
         self.record
             .note(format!("discovery: a watch from port {peer} after {after}"));
-        thread::sleep(Duration::from_millis(self.wait_ms.load(Ordering::SeqCst)));
         stream.write_all(
             b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n",
         )?;
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -7,14 +7,12 @@
 mod client;
 mod copied_id;
 mod discovery;
-mod drain_after_yes;
 mod proxy;
 mod record;
 mod role_in_large;
 mod server;
 mod settings;
 mod wire;
-mod write_of_left;
 
 use record::Record;
 use std::panic;
@@ -60,9 +58,7 @@
 fn play(case: String, trouble: bool, record: Record) -> Verdict {
     let run = thread::spawn(move || match case.as_str() {
         "broken-value" => broken_value::run(trouble, &record),
-        "write-of-left" => write_of_left::run(trouble, &record),
         "role-in-large" => role_in_large::run(trouble, &record),
-        "drain-after-yes" => drain_after_yes::run(trouble, &record),
         "copied-id" => copied_id::run(trouble, &record),
         other => Verdict::CannotRun(format!("there is no case {other}")),
     });
--- a/review/standin-3/src/proxy.rs
+++ b/review/standin-3/src/proxy.rs
@@ -51,6 +51,8 @@
 
 pub struct Proxy {
     child: Child,
+    /// A shell that kills the process once this test is gone, however it ends.
+    guard: Option<Child>,
     pub listen: SocketAddr,
     pub admin: SocketAddr,
 }
@@ -88,8 +90,19 @@
             .spawn()
             .expect("the proxy starts");
         RUNNING.lock().unwrap().push(child.id());
+        let (test, id) = (std::process::id(), child.id());
+        let guard = Command::new("/bin/sh")
+            .arg("-c")
+            .arg(format!(
+                "while kill -0 {test}; do sleep 0.2; done 2>/dev/null; kill -KILL {id}"
+            ))
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()
+            .ok();
         Proxy {
             child,
+            guard,
             listen: place.listen,
             admin,
         }
@@ -124,6 +137,10 @@
 
 impl Drop for Proxy {
     fn drop(&mut self) {
+        if let Some(guard) = &mut self.guard {
+            _ = guard.kill();
+            _ = guard.wait();
+        }
         _ = self.child.kill();
         _ = self.child.wait();
         RUNNING
--- a/review/standin-3/src/role_in_large.rs
+++ b/review/standin-3/src/role_in_large.rs
@@ -51,7 +51,8 @@
     let group = Group::start(3, kind, record.clone());
     let discovery = Discovery::start(record.clone());
     for (number, address) in group.addresses.iter().enumerate() {
-        discovery.set(&Group::name(number), *address, "Ready");
+        let role = if number == 0 { "primary" } else { "replica" };
+        discovery.set_with_role(&Group::name(number), *address, "Ready", role);
     }
     let start = |me: usize| {
         let place = Place {
@@ -65,6 +66,7 @@
                 me,
                 behind: "off",
                 tokens: "client",
+                pushed: true,
             }),
         };
         Proxy::start(&place, 0)
--- a/review/standin-3/src/server.rs
+++ b/review/standin-3/src/server.rs
@@ -37,10 +37,6 @@
     number: u64,
     /// Ids of the statements that have come whole.
     got: BTreeSet<String>,
-    /// When statements came whole, by server.
-    got_at: Vec<(u64, usize)>,
-    /// Writes whose answers the proxy has read, by key: time and number.
-    answered: BTreeMap<String, Vec<(u64, u64)>>,
     /// Reads that have run, by id.
     reads: BTreeMap<String, RanRead>,
     /// When servers told in an answer to a read that they are replicas.
@@ -96,8 +92,6 @@
                 last_commit: 0,
                 number: 0,
                 got: BTreeSet::new(),
-                got_at: Vec::new(),
-                answered: BTreeMap::new(),
                 reads: BTreeMap::new(),
                 told_replica: Vec::new(),
             })),
@@ -155,23 +149,6 @@
         self.state.lock().unwrap().got.contains(id)
     }
 
-    /// When a server got statements after a time.
-    pub fn got_after(&self, server: usize, after: u64) -> Vec<u64> {
-        let state = self.state.lock().unwrap();
-        let got = state.got_at.iter();
-        got.filter(|(at, by)| *by == server && *at > after)
-            .map(|(at, _)| *at)
-            .collect()
-    }
-
-    /// The highest number of the key's writes whose answers the proxy had read before a time.
-    pub fn answered_write(&self, key: &str, before: u64) -> Option<u64> {
-        let state = self.state.lock().unwrap();
-        let writes = state.answered.get(key)?.iter();
-        let read = writes.filter(|(at, _)| *at <= before);
-        read.map(|(_, number)| *number).max()
-    }
-
     pub fn last_commit(&self, key: &str) -> Option<u64> {
         let state = self.state.lock().unwrap();
         state.commits.get(key)?.last().map(|(commit, _)| *commit)
@@ -210,14 +187,8 @@
         greeting.extend(wire::message(b'K', &[0; 8]));
         greeting.extend(wire::ready());
         stream.write_all(&greeting)?;
-        // The write that was answered last on this connection. More bytes from the proxy show that it has read the answer.
-        let mut answered: Option<(u64, String, u64)> = None;
         loop {
             let (tag, body) = wire::read_message(&mut stream)?;
-            if let Some((at, key, version)) = answered.take() {
-                let mut state = self.state.lock().unwrap();
-                state.answered.entry(key).or_default().push((at, version));
-            }
             if tag != b'Q' {
                 return Ok(());
             }
@@ -250,11 +221,6 @@
                 if state.primary != number && is_read {
                     state.told_replica.push((unix_ms(), number));
                 }
-                if text.starts_with("INSERT") {
-                    let key = wire::key(&text).to_owned();
-                    let version = state.commits.get(&key).and_then(|c| c.last().map(|c| c.1));
-                    answered = version.map(|version| (unix_ms(), key, version));
-                }
                 drop(state);
                 self.record.note(format!(
                     "server {}: answered {}",
@@ -290,11 +256,7 @@
             if is_write { "write" } else { "read" },
             wire::field(text, "d").unwrap_or("?")
         ));
-        {
-            let mut state = self.state.lock().unwrap();
-            state.got.insert(id.clone());
-            state.got_at.push((unix_ms(), number));
-        }
+        self.state.lock().unwrap().got.insert(id.clone());
         let work = if is_write {
             self.kind.write_ms
         } else {
