--- a/review/standin-3/src/broken_value.rs
+++ b/review/standin-3/src/broken_value.rs
@@ -19,6 +19,7 @@
         read_ms: 30,
         write_ms: 300,
         value: 200,
+        tells_position: true,
         rejects: true,
         large: 1 << 20,
         reset_after: trouble.then_some(300_000),
--- a/review/standin-3/src/copied_id.rs
+++ b/review/standin-3/src/copied_id.rs
@@ -17,6 +17,7 @@
         read_ms: 30,
         write_ms: 1_500,
         value: 200,
+        tells_position: true,
         rejects: true,
         large: 200,
         reset_after: None,
--- a/review/standin-3/src/role_in_large.rs
+++ b/review/standin-3/src/role_in_large.rs
@@ -44,6 +44,7 @@
         read_ms: 30,
         write_ms: 60,
         value,
+        tells_position: false,
         rejects: false,
         large: value,
         reset_after: None,
--- a/review/standin-3/src/server.rs
+++ b/review/standin-3/src/server.rs
@@ -57,6 +57,8 @@
     pub write_ms: u64,
     /// Length of the values of reads.
     pub value: usize,
+    /// Answers other than to writes tell the position.
+    pub tells_position: bool,
     /// A replica turns away reads that it is too far behind for.
     pub rejects: bool,
     /// Length of the values of reads whose key begins with "large", and the number of bytes after which the server's
@@ -266,7 +268,9 @@
         let role = |primary: bool| if primary { "primary" } else { "replica" };
         let end = |mut answer: Vec<u8>, primary: bool, position: u64| {
             answer.extend(wire::parameter("role", role(primary)));
-            answer.extend(wire::parameter("applied_ms", &position.to_string()));
+            if is_write && primary || self.kind.tells_position {
+                answer.extend(wire::parameter("applied_ms", &position.to_string()));
+            }
             answer.extend(wire::ready());
             answer
         };
--- a/review/standin-3/src/settings.rs
+++ b/review/standin-3/src/settings.rs
@@ -22,6 +22,8 @@
         tokens,
         pushed,
     } = settings;
+    // Where lists are pushed here, answers to reads tell no positions either, as at the site of case 9.
+    let positions = !pushed;
     let (registry, roles) = if *pushed {
         ("pushed", "initial")
     } else {
@@ -39,7 +41,7 @@
     .join(",");
     format!(
         r#"{{"Balancers":{balancers},"Classes":[{classes}],"Clients":{{"MarksRetry":true}},"DomainType":"replicas",
-"FamilyInfo":{{"Behind":"{behind}","CountedFrom":0,"HoldsFor":0,"NeedsByClass":["recent","own_writes","loose","update"],"Notes":"","Positions":true,"ReportX0":"position","ReportX1":"1 from a primary","RoleListed":"{roles}","StalenessBound":[3000000,0,0,0],"Synchronous":false,"TokenMode":"{tokens}"}},
+"FamilyInfo":{{"Behind":"{behind}","CountedFrom":0,"HoldsFor":0,"NeedsByClass":["recent","own_writes","loose","update"],"Notes":"","Positions":{positions},"ReportX0":"position","ReportX1":"1 from a primary","RoleListed":"{roles}","StalenessBound":[3000000,0,0,0],"Synchronous":false,"TokenMode":"{tokens}"}},
 "Granularity":5000,"HostTypes":["std"],"Layers":["booking-db"],"LoadReport":{{"Fields":["x0","x1","backlog"],"How":"on_probe"}},"Me":{me},"MyZone":0,"OverShareWorth":0.05,
 "PolicyLimits":{{"CpuUsPerRequest":0.0,"CpuUsPerS":97483,"DialTimeout":250000,"Keepalive":30000000,"MaxOpen":24370,"MaxRetryAfter":2000000,"MayCancel":true,"MayTell":false,"Probing":true,"RetryAfter":true,"SecondCopies":true,"StreamsPerConn":1,"TryLimit":8}},
 "Prices":{{}},"Realms":[{{"Name":"t1","QuotaPerS":500.0,"Share":1.0}}],"RegistryMode":"{registry}",
