--- a/crates/leverproxy/src/config/limits.rs
+++ b/crates/leverproxy/src/config/limits.rs
@@ -18,6 +18,8 @@
     pub upstream: usize,
     /// Maximum bytes of incompletely received commands, over all clients.
     pub unfinished: usize,
+    /// Bytes of requests and their answers, over all clients, above which reading from clients is held back.
+    pub requests: usize,
     /// Maximum bytes of large answers that are not sent yet, over all clients.
     pub unsent_answers: usize,
     /// Maximum memory of the whole process, in bytes.
@@ -35,10 +37,22 @@
             ..self
         }
     }
+
+    /// The limits on memory while two processes of the same proxy run: each has half.
+    pub fn with_half_the_memory(self) -> Limits {
+        Limits {
+            unfinished: self.unfinished / 2,
+            requests: self.requests / 2,
+            unsent_answers: self.unsent_answers / 2,
+            ..self
+        }
+    }
 }
 
 /// Divisor of the memory for unsent large answers; the default for incompletely received commands is the same.
 const UNSENT_ANSWERS_SHARE: usize = 8;
+/// Divisor of the memory for requests and their answers. Buffers may take twice the bytes that are counted in them.
+const REQUESTS_SHARE: usize = 4;
 /// Descriptors reserved for uses other than connections of clients and record servers:
 ///
 /// - the standard streams (3) and epoll;
@@ -84,6 +98,7 @@
         packed: operators.packed.of(sockets),
         upstream: shared - clients,
         unfinished: operators.unfinished.of(memory),
+        requests: memory / REQUESTS_SHARE,
         unsent_answers: memory / UNSENT_ANSWERS_SHARE,
         memory,
     })
--- a/crates/leverproxy/src/downstream/accept.rs
+++ b/crates/leverproxy/src/downstream/accept.rs
@@ -1,6 +1,6 @@
 //! Accepting connections, the limit of clients, and which client is evicted at the limit.
 
-use super::client::Client;
+use super::client::{Client, ClientMemory};
 use super::state::Downstream;
 use crate::config::MAX_BALANCER_CONNECTIONS;
 use crate::event_loop::listener;
@@ -115,6 +115,10 @@
             peer,
             awaits_proxy_header,
             is_balancer,
+            ClientMemory {
+                buffers: self.memory.reserve(0),
+                open_commands: self.open_commands.clone(),
+            },
             now,
         );
         let key = self.clients.insert(client);
--- a/crates/leverproxy/src/downstream/client.rs
+++ b/crates/leverproxy/src/downstream/client.rs
@@ -2,8 +2,10 @@
 
 use super::connection_end::{CloseReason, ConnectionEnd};
 use crate::config::ClientLimits;
+use crate::event_loop::memory::{MemoryMeter, Reservation};
 use crate::event_loop::stream::Stream;
 use crate::protocol::postgres::server::CancelKey;
+use crate::protocol::postgres::WHOLE_ANSWER_LIMIT;
 use crate::request::ResponseSlot;
 use std::collections::VecDeque;
 use std::io;
@@ -18,7 +20,10 @@
 #[derive(Debug)]
 pub(super) enum PendingResponse {
     /// No part of the response is available.
-    Waiting,
+    Waiting {
+        /// The bytes of the command.
+        command: Reservation,
+    },
     /// The response is complete, or was aborted and ends with these bytes.
     Ready(Vec<u8>),
     /// A response that arrives in chunks. They are written once all earlier responses have been written.
@@ -30,6 +35,14 @@
     },
 }
 
+/// The memory that a client occupies.
+pub(super) struct ClientMemory {
+    /// The bytes of the client's buffers, and those that are set aside for its responses.
+    pub(super) buffers: Reservation,
+    /// Meter in which the commands that wait for a response count.
+    pub(super) open_commands: MemoryMeter,
+}
+
 /// A client, or a balancer's health check that has sent no request.
 pub(super) struct Client {
     pub(super) stream: Stream,
@@ -57,6 +70,13 @@
     pub(super) quiet_since: Instant,
     /// Time since which a command of the client has been incomplete.
     pub(super) partial_since: Option<Instant>,
+    memory: ClientMemory,
+    /// The reservation for a large command that has not arrived in full.
+    pub(super) large_command: Option<Reservation>,
+    /// Whether commands that have arrived in full may wait to be decoded.
+    pub(super) has_undecoded: bool,
+    /// Whether the client is in the queue of those that are not read for lack of memory.
+    pub(super) is_held_back: bool,
 }
 
 impl Client {
@@ -67,6 +87,7 @@
         peer: IpAddr,
         awaits_proxy_header: bool,
         is_balancer: bool,
+        memory: ClientMemory,
         now: Instant,
     ) -> Client {
         Client {
@@ -84,6 +105,10 @@
             first_number: 0,
             quiet_since: now,
             partial_since: None,
+            memory,
+            large_command: None,
+            has_undecoded: false,
+            is_held_back: false,
         }
     }
 
@@ -98,13 +123,57 @@
         usize::try_from(slot.number.checked_sub(self.first_number)?).ok()
     }
 
-    /// Appends a response, or a placeholder for a response that is not available yet. Returns its number.
-    pub(super) fn push_response(&mut self, response: Option<Vec<u8>>) -> u64 {
+    /// Appends a response.
+    pub(super) fn push_response(&mut self, response: Vec<u8>) {
+        self.responses.push_back(PendingResponse::Ready(response));
+    }
+
+    /// Appends a placeholder for the response to a command of this many bytes. Returns its number.
+    pub(super) fn push_waiting(&mut self, command_bytes: usize) -> u64 {
+        let command = self.memory.open_commands.reserve(command_bytes);
         self.responses
-            .push_back(response.map_or(PendingResponse::Waiting, PendingResponse::Ready));
+            .push_back(PendingResponse::Waiting { command });
         self.first_number + self.responses.len() as u64 - 1
     }
 
+    /// Number of bytes of the commands that wait for a response.
+    fn command_bytes(&self) -> usize {
+        let responses = self.responses.iter();
+        responses
+            .map(|response| match response {
+                PendingResponse::Waiting { command } => command.bytes(),
+                PendingResponse::Ready(_) | PendingResponse::Streaming { .. } => 0,
+            })
+            .sum()
+    }
+
+    /// Number of bytes of the client's buffers, and of the responses that may have to wait for an earlier one.
+    fn buffer_bytes(&self) -> usize {
+        let responses = self.responses.iter().enumerate();
+        let response_bytes: usize = responses
+            .map(|(index, response)| match response {
+                // The first response is sent as soon as it is available.
+                PendingResponse::Waiting { .. } if index == 0 => 0,
+                PendingResponse::Waiting { .. } => WHOLE_ANSWER_LIMIT,
+                PendingResponse::Ready(bytes) => bytes.len(),
+                PendingResponse::Streaming { chunks, .. } => chunks.len(),
+            })
+            .sum();
+        let reserved = self.large_command.as_ref().map_or(0, Reservation::bytes);
+        self.stream.input.len().max(reserved) + self.stream.unsent() + response_bytes
+    }
+
+    /// Number of bytes that this client's commands and responses occupy, or that are set aside for them.
+    pub(super) fn held_bytes(&self) -> usize {
+        self.command_bytes() + self.buffer_bytes()
+    }
+
+    /// Updates the reservation of this client's memory. Commands have reservations of their own.
+    pub(super) fn update_memory(&mut self) {
+        let bytes = self.buffer_bytes();
+        self.memory.buffers.resize(bytes);
+    }
+
     /// The numbers of the responses that are not complete, in ascending order.
     pub(super) fn incomplete_responses(&self) -> impl Iterator<Item = u64> + '_ {
         let numbered = (self.first_number..).zip(&self.responses);
@@ -117,7 +186,7 @@
     pub(super) fn queue_responses(&mut self, now: Instant) {
         while let Some(response) = self.responses.front_mut() {
             let (bytes, is_complete) = match response {
-                PendingResponse::Waiting => break,
+                PendingResponse::Waiting { .. } => break,
                 PendingResponse::Ready(bytes) => (std::mem::take(bytes), true),
                 PendingResponse::Streaming { chunks, .. } => (std::mem::take(chunks), false),
             };
@@ -147,9 +216,14 @@
         Ok(is_written)
     }
 
+    /// Whether the client waits for a response, or has not read it.
+    pub(super) fn is_waiting(&self) -> bool {
+        !self.responses.is_empty() || self.stream.unsent() > 0
+    }
+
     /// Whether the client waits for no response, and no part of a command has arrived.
     pub(super) fn is_idle(&self) -> bool {
-        self.responses.is_empty() && self.stream.unsent() == 0 && self.stream.input.is_empty()
+        !self.is_waiting() && self.stream.input.is_empty()
     }
 
     /// Whether the client has never sent a request, or its connection is about to close.
@@ -159,10 +233,11 @@
 
     /// Whether the time for the client's first request, or for the rest of a command, is over.
     pub(super) fn is_overdue(&self, timeouts: &ClientLimits, now: Instant) -> bool {
-        let has_no_output = self.responses.is_empty() && self.stream.unsent() == 0;
         let is_over = |since| now.saturating_duration_since(since) >= timeouts.first_request;
         let is_partial_over = self.partial_since.is_some_and(is_over);
-        has_no_output && (is_partial_over || !self.has_requested && is_over(self.quiet_since))
+        !self.is_waiting()
+            && !self.is_held_back
+            && (is_partial_over || !self.has_requested && is_over(self.quiet_since))
     }
 
     /// While the process drains: whether the connection can be closed, as no response is pending on it and its first
@@ -199,7 +274,7 @@
     pub(super) fn wants_input(&self, timeouts: &ClientLimits) -> bool {
         match self.end.discard_budget() {
             Some(budget) => budget > 0,
-            None => self.accepts_requests(timeouts),
+            None => self.accepts_requests(timeouts) && !self.is_held_back,
         }
     }
 }
--- a/crates/leverproxy/src/downstream/close.rs
+++ b/crates/leverproxy/src/downstream/close.rs
@@ -46,7 +46,7 @@
     pub(super) fn reject_client(&mut self, key: Key, error: Vec<u8>) {
         if let Some(client) = self.clients.get_mut(key) {
             self.rejected_clients += 1;
-            client.push_response(Some(error));
+            client.push_response(error);
             client.end.start_closing(CloseReason::Rejected);
         }
     }
--- a/crates/leverproxy/src/downstream/decode.rs
+++ b/crates/leverproxy/src/downstream/decode.rs
@@ -66,9 +66,9 @@
     match startup {
         Startup::Session(greeting) => {
             client.is_started = true;
-            client.push_response(Some(greeting));
+            client.push_response(greeting);
         }
-        Startup::Encryption => _ = client.push_response(Some(b"N".to_vec())),
+        Startup::Encryption => client.push_response(b"N".to_vec()),
         Startup::Cancel(cancel_key) => return Ok(Step::Cancel(cancel_key)),
     }
     Ok(Step::Done)
@@ -98,11 +98,11 @@
     client.stream.input.consume(used);
     match decoded {
         Decoded::Ignored => {}
-        Decoded::Answer(answer) => _ = client.push_response(Some(answer)),
+        Decoded::Answer(answer) => client.push_response(answer),
         Decoded::Rejected(reason) => return Ok(Step::Rejected(reason)),
         Decoded::Request(mut request) => {
             request.client = client.peer;
-            let number = client.push_response(None);
+            let number = client.push_waiting(request.command.byte_count());
             let slot = ResponseSlot {
                 client: key,
                 number,
--- a/crates/leverproxy/src/downstream/idle.rs
+++ b/crates/leverproxy/src/downstream/idle.rs
@@ -21,7 +21,7 @@
     }
 
     fn check_timeouts(&mut self, key: Key, now: Instant, reactor: &Reactor) {
-        let Some(client) = self.clients.get_mut(key) else {
+        let Some(client) = self.clients.get(key) else {
             return;
         };
         if client.end.is_lingering() {
@@ -33,6 +33,9 @@
         let quiet = now.saturating_duration_since(client.quiet_since);
         if client.stream.unsent() > 0 && quiet >= self.timeouts.unread_response {
             self.drop_client(key, reactor);
+        } else if self.holds_stalled_command(client, now) {
+            self.reject_client(key, server::out_of_memory());
+            self.advance(key, now, reactor);
         } else if client.is_overdue(&self.timeouts, now) {
             self.disconnect_overdue(key, now, reactor);
         } else if self.is_draining {
--- a/crates/leverproxy/src/downstream/mod.rs
+++ b/crates/leverproxy/src/downstream/mod.rs
@@ -8,6 +8,7 @@
 //! | `read` | reading bytes of a client and decoding requests |
 //! | `write` | writing responses and chunks of responses to a client |
 //! | `close` | rejecting clients, and closing connections while the process drains |
+//! | `memory` | which clients are read while requests and answers occupy much memory |
 //! | `idle` | closing clients that exceed a timeout, and idle clients |
 //! | `connection_end` | state machine: how one connection ends |
 //! | `client` | one client's connection |
@@ -22,6 +23,7 @@
 mod decode;
 mod event;
 mod idle;
+mod memory;
 mod read;
 mod state;
 mod write;
--- a/crates/leverproxy/src/downstream/read.rs
+++ b/crates/leverproxy/src/downstream/read.rs
@@ -12,9 +12,6 @@
 use crate::request::{Answer, Request, ResponseSlot};
 use std::time::Instant;
 
-/// Incomplete commands of more bytes than this are checked against the limit for all incomplete commands together.
-const LARGE_PARTIAL_BYTES: usize = 16 << 10;
-
 /// Whether to read further messages of a client.
 enum Progress {
     Continue,
@@ -53,26 +50,26 @@
             // Requests that the client sent before it left need no answer, whether they were read or not.
             return true;
         }
-        client.accepts_requests(&self.timeouts)
-            && client.stream.fill(server::INPUT_LIMIT) == ReadStatus::Ended
+        client.accepts_requests(&self.timeouts) && self.fill_input(key) == ReadStatus::Ended
     }
 
     /// Reads the bytes that a client has sent until now, before its connection is closed: a request among them has to
     /// be answered. Returns whether any bytes were read.
     pub(super) fn read_pending(&mut self, key: Key, now: Instant, reactor: &Reactor) -> bool {
-        let Some(client) = self.clients.get_mut(key) else {
+        let Some(client) = self.clients.get(key) else {
             return false;
         };
         if !client.accepts_requests(&self.timeouts) {
             return false;
         }
         let before = client.stream.input.len();
-        if client.stream.fill(server::INPUT_LIMIT) == ReadStatus::Ended {
+        if self.fill_input(key) == ReadStatus::Ended {
             self.handle_final_cancel(key, now);
             self.drop_client(key, reactor);
             return false;
         }
-        let has_input = client.stream.input.len() > before;
+        let client = self.clients.get(key);
+        let has_input = client.is_some_and(|client| client.stream.input.len() > before);
         if has_input {
             self.read(key, now);
         }
@@ -96,14 +93,21 @@
     }
 
     fn read_next(&mut self, key: Key, now: Instant) -> Progress {
+        let reading = self.reading_limits();
         let Some(client) = self.clients.get_mut(key) else {
             return Progress::Stop;
         };
-        if !client.accepts_requests(&self.timeouts) {
+        let may_decode = client.accepts_requests(&self.timeouts) && reading.may_decode(client);
+        client.has_undecoded = !may_decode && !client.stream.input.is_empty();
+        if !may_decode {
             return Progress::Stop;
         }
         let was_started = client.is_started;
-        match decode_next(client, key, now) {
+        let decoded = decode_next(client, key, now);
+        if !matches!(decoded, Ok(Step::Incomplete)) {
+            client.large_command = None;
+        }
+        match decoded {
             Ok(Step::Incomplete) => return Progress::Stop,
             Ok(Step::Terminate) => {
                 client.end.set_peer_left();
@@ -142,7 +146,7 @@
         });
         self.malformed_statements += 1;
         if let Some(client) = self.clients.get_mut(key) {
-            client.push_response(Some(server::response(Answer::Invalid(reason))));
+            client.push_response(server::response(Answer::Invalid(reason)));
             client.quiet_since = now;
         }
     }
@@ -155,26 +159,21 @@
         self.reject_client(key, server::protocol_violation(reason));
     }
 
-    /// Records the time since which a command is incomplete. Rejects the client if the incomplete commands of all
-    /// clients together take too much memory: each command is within its limit, but many clients may start a command
-    /// and never complete it.
+    /// Records the time since which a command is incomplete. The time for which the command is not read does not count.
     fn check_partial(&mut self, key: Key, unread_before: usize, now: Instant) {
-        let Some(client) = self.clients.get(key) else {
+        let reading = self.reading_limits();
+        let Some(client) = self.clients.get_mut(key) else {
             return;
         };
+        client.update_memory();
         let unread = client.stream.input.len();
-        let is_partial = client.accepts_requests(&self.timeouts) && unread > 0;
-        if is_partial && unread > LARGE_PARTIAL_BYTES {
-            let inputs = self.clients.iter().map(|(_, c)| c.stream.input.len());
-            if inputs.sum::<usize>() > self.limits.unfinished {
-                return self.reject_client(key, server::out_of_memory());
-            }
-        }
-        if let Some(client) = self.clients.get_mut(key) {
-            // If any bytes were consumed, the remaining bytes belong to another command than before.
-            let since = client.partial_since.filter(|_| unread == unread_before);
-            client.partial_since = since.or(Some(now)).filter(|_| is_partial);
-        }
+        let is_partial = client.accepts_requests(&self.timeouts)
+            && !client.has_undecoded
+            && !reading.is_exhausted(client)
+            && unread > 0;
+        // If any bytes were consumed, the remaining bytes belong to another command than before.
+        let since = client.partial_since.filter(|_| unread == unread_before);
+        client.partial_since = since.or(Some(now)).filter(|_| is_partial);
     }
 
     /// Handles a cancel request of a client that has left without starting a session. The request is valid even though
@@ -204,7 +203,8 @@
         let Some((key, client)) = clients.find(|(_, c)| c.cancel_key == cancel_key) else {
             return;
         };
-        let is_waiting = |response: &PendingResponse| matches!(response, PendingResponse::Waiting);
+        let is_waiting =
+            |response: &PendingResponse| matches!(response, PendingResponse::Waiting { .. });
         if let Some(index) = client.responses.iter().position(is_waiting) {
             let number = client.first_number + index as u64;
             self.events.push_back(Event::Cancelled(ResponseSlot {
--- a/crates/leverproxy/src/downstream/state.rs
+++ b/crates/leverproxy/src/downstream/state.rs
@@ -5,8 +5,9 @@
 use super::event::Event;
 use crate::config::{ClientLimits, Limits};
 use crate::event_loop::listener;
+use crate::event_loop::memory::MemoryMeter;
 use crate::event_loop::reactor::{Interest, Reactor};
-use crate::event_loop::slab::Slab;
+use crate::event_loop::slab::{Key, Slab};
 use crate::event_loop::token::Token;
 use crate::observability::log_rate_limit::LogRateLimit;
 use ipnet::IpNet;
@@ -49,6 +50,14 @@
     /// Whether the process drains: each client's connection is closed once no response is pending on it.
     pub(super) is_draining: bool,
     pub(super) cancel_keys: CancelKeys,
+    /// The memory that requests and their answers occupy in the whole process.
+    pub(super) memory: MemoryMeter,
+    /// The memory that is reserved for large commands that have not arrived in full.
+    pub(super) large_commands: MemoryMeter,
+    /// The commands that wait for a response. Each counts in `memory` too, for as long as the pipeline holds it.
+    pub(super) open_commands: MemoryMeter,
+    /// Clients that are not read for lack of memory, those that have waited longest first.
+    pub(super) held_back: VecDeque<Key>,
 }
 
 impl Downstream {
@@ -90,6 +99,10 @@
             balancer_connections: 0,
             is_draining: false,
             cancel_keys: CancelKeys::default(),
+            memory: MemoryMeter::default(),
+            large_commands: MemoryMeter::default(),
+            open_commands: MemoryMeter::default(),
+            held_back: VecDeque::new(),
         })
     }
 
--- a/crates/leverproxy/src/downstream/write.rs
+++ b/crates/leverproxy/src/downstream/write.rs
@@ -156,6 +156,7 @@
         };
         // Commands that had to wait because of the client's limits are in the buffer, not in the socket, so no event
         // reports them.
+        client.update_memory();
         let accepts_again = was_full && client.accepts_requests(&self.timeouts);
         if accepts_again && !client.stream.input.is_empty() {
             self.read(key, now);
@@ -225,6 +226,7 @@
     }
 
     fn watch(&mut self, key: Key, is_written: bool, reactor: &Reactor) {
+        self.hold_back_if_needed(key);
         let Some(client) = self.clients.get_mut(key) else {
             return;
         };
--- a/crates/leverproxy/src/event_loop/mod.rs
+++ b/crates/leverproxy/src/event_loop/mod.rs
@@ -8,11 +8,13 @@
 //! | `timers` | due times |
 //! | `slab` | storage of connections under keys that become stale on removal |
 //! | `stream`, `buffer` | connections with buffers on both sides |
+//! | `memory` | accounting of the bytes that requests and answers occupy |
 //! | `listener` | listening sockets and accepting connections |
 //! | `system_calls` | the system calls and the classification of their errors |
 
 pub mod buffer;
 pub mod listener;
+pub mod memory;
 pub mod reactor;
 mod retries;
 pub mod slab;
--- a/crates/leverproxy/src/event_loop/stream.rs
+++ b/crates/leverproxy/src/event_loop/stream.rs
@@ -97,15 +97,16 @@
         Ok(!self.retried || system_calls::is_writable(&self.fd))
     }
 
-    /// Reads the bytes that have arrived, until at least `limit` bytes wait to be used.
+    /// Reads the bytes that have arrived, until `limit` bytes wait to be used.
     pub fn fill(&mut self, limit: usize) -> ReadStatus {
         let mut chunk = [0; CHUNK];
         while self.input.len() < limit {
-            match system_calls::read(&self.fd, &mut chunk) {
+            let wanted = CHUNK.min(limit - self.input.len());
+            match system_calls::read(&self.fd, &mut chunk[..wanted]) {
                 Ok(0) => return ReadStatus::Ended,
                 Ok(n) => {
                     self.input.push(&chunk[..n]);
-                    if n < chunk.len() {
+                    if n < wanted {
                         // epoll is level-triggered, so bytes that have arrived meanwhile are reported again.
                         break;
                     }
--- a/crates/leverproxy/src/pipeline/admit.rs
+++ b/crates/leverproxy/src/pipeline/admit.rs
@@ -1,24 +1,20 @@
 //! Admit: the table of open requests. A request is added once, and removed when it gets its final answer.
 
+use super::client_request_ids::{ClientRequestId, ClientRequestIds};
+use crate::event_loop::memory::{MemoryMeter, Reservation};
 use crate::event_loop::slab::Key;
 use crate::event_loop::timers::deadline_after;
 use crate::request::{truncate_for_display, Answer, Command, Request, ResponseSlot};
 use bulkheads::PoolId;
 use routing::{Arrival, AttemptNumber, ClassId, GroupId, QuotaStatus, RequestId, TenantId};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// A client request id stays reserved for this long after its request has ended: a client that copies another client's
-/// requests may still send them shortly after the originals are answered.
-const CLIENT_REQUEST_ID_RETENTION: Duration = Duration::from_secs(5);
-/// Maximum number of reserved ids of ended requests.
-const MAX_ENDED_CLIENT_REQUEST_IDS: usize = 20_000;
-
 /// A request that has no final answer yet.
 #[derive(Debug)]
 pub struct OpenRequest {
-    client_request_id: Box<str>,
+    client_request_id: ClientRequestId,
     /// Slot of the answer on the client's connection.
     pub slot: ResponseSlot,
     /// Class that the client gave.
@@ -40,6 +36,8 @@
     /// The attempt whose answer is being forwarded in chunks, and its upstream connection.
     pub streaming: Option<(AttemptNumber, Key)>,
     attempts: u16,
+    /// The memory that the command occupies.
+    _memory: Reservation,
 }
 
 impl OpenRequest {
@@ -60,10 +58,9 @@
 pub struct OpenRequests {
     open: BTreeMap<RequestId, OpenRequest>,
     ids_by_slot: BTreeMap<ResponseSlot, RequestId>,
-    /// Client request ids of open and recently ended requests.
-    client_request_ids: BTreeSet<Box<str>>,
-    /// Client request ids of ended requests with the time of their end, the oldest first.
-    ended_client_request_ids: VecDeque<(Instant, Box<str>)>,
+    client_request_ids: ClientRequestIds,
+    /// Meter in which the commands of open requests count.
+    memory: MemoryMeter,
     last_id: u64,
     /// Maximum number of open requests; 0: no limit.
     limit: usize,
@@ -78,6 +75,11 @@
         }
     }
 
+    /// Sets the meter in which the commands of requests that are admitted from now on count.
+    pub fn set_memory_meter(&mut self, memory: MemoryMeter) {
+        self.memory = memory;
+    }
+
     /// Sets the limit. Open requests are kept even if there are more than a lower limit allows.
     pub fn set_limit(&mut self, limit: usize) {
         self.limit = limit;
@@ -96,7 +98,7 @@
         if self.limit > 0 && self.open.len() >= self.limit {
             return Some(Answer::Rejected(None));
         }
-        self.expire_client_request_ids(request.read_at);
+        self.client_request_ids.expire(request.read_at);
         let in_use = self.client_request_ids.contains(&request.id);
         in_use.then(|| {
             Answer::Invalid(format!(
@@ -117,15 +119,15 @@
     ) {
         let id = arrival.id;
         self.ids_by_slot.insert(slot, id);
-        self.client_request_ids.insert(request.id.clone());
         let open = OpenRequest {
-            client_request_id: request.id,
+            client_request_id: self.client_request_ids.reserve(&request.id),
             slot,
             class,
             group: GroupId(request.group),
             tenant: arrival.tenant,
             quota_status: arrival.quota_status,
             pool,
+            _memory: self.memory.reserve(request.command.byte_count()),
             command: Arc::new(request.command),
             read_at: request.read_at,
             timeout: request.timeout,
@@ -140,33 +142,16 @@
         self.open.get_mut(&id)
     }
 
-    fn expire_client_request_ids(&mut self, now: Instant) {
-        let expired =
-            |at: Instant| now.saturating_duration_since(at) >= CLIENT_REQUEST_ID_RETENTION;
-        while self.ended_client_request_ids.len() > MAX_ENDED_CLIENT_REQUEST_IDS
-            || self
-                .ended_client_request_ids
-                .front()
-                .is_some_and(|(at, _)| expired(*at))
-        {
-            let Some((_, id)) = self.ended_client_request_ids.pop_front() else {
-                return;
-            };
-            self.client_request_ids.remove(&id);
-        }
-    }
-
     /// Number of client request ids that no new request may have.
     pub fn reserved_client_request_ids(&self) -> usize {
-        self.client_request_ids.len()
+        self.client_request_ids.reserved_count()
     }
 
     /// Removes a request. The caller must send the answer, as the request can't be found any more.
     pub fn close(&mut self, id: RequestId, now: Instant) -> Option<OpenRequest> {
         let open = self.open.remove(&id)?;
         self.ids_by_slot.remove(&open.slot);
-        self.ended_client_request_ids
-            .push_back((now, open.client_request_id.clone()));
+        self.client_request_ids.end(open.client_request_id, now);
         Some(open)
     }
 
--- a/crates/leverproxy/src/pipeline/events.rs
+++ b/crates/leverproxy/src/pipeline/events.rs
@@ -7,10 +7,14 @@
 use routing::{Event, TimerToken};
 use std::time::Instant;
 
+/// Maximum number of clients that one event reads again.
+const MAX_RESUMED_PER_EVENT: usize = 16;
+
 impl Pipeline {
     /// Handles all queued events, and sets the timers that the upstream side and discovery request.
     pub fn process_events(&mut self, io: &mut Io, now: Instant) {
         while self.process_next_event(io, now) {}
+        self.resume_held_back(io, now);
         for (at, timer) in io.upstream.take_timers() {
             io.timers.set(at, TimerKind::Upstream(timer));
         }
@@ -19,6 +23,18 @@
         }
     }
 
+    /// Reads clients that were held back for lack of memory. What one sends is admitted before the next is read, as its
+    /// commands take up memory.
+    fn resume_held_back(&mut self, io: &mut Io, now: Instant) {
+        for _ in 0..MAX_RESUMED_PER_EVENT {
+            if !io.downstream.resume_held_back(now, &io.reactor) {
+                return;
+            }
+            while self.process_next_event(io, now) {}
+        }
+        io.downstream.resume_held_back_later(&io.reactor);
+    }
+
     /// Handles the next event; false if there was none. Health signals and endpoint lists are handled first, then
     /// servers' answers, then clients: a request is routed with the latest state.
     fn process_next_event(&mut self, io: &mut Io, now: Instant) -> bool {
--- a/crates/leverproxy/src/pipeline/mod.rs
+++ b/crates/leverproxy/src/pipeline/mod.rs
@@ -8,6 +8,7 @@
 //! | `decode`, `route_rules`, `quota`, `admit`, `route`, `send`, `relay`, `record` | the stages |
 //! | `state` | the `Pipeline` type: its state, and settings that change at run time |
 //! | `events` | events of clients, servers and discovery, in the order in which they are handled |
+//! | `client_request_ids` | ids of clients' requests, which must be new |
 //! | `requests` | requests until they are admitted, and requests that end without a server's answer |
 //! | `exchanges` | answers and reports of servers |
 //! | `answers` | the final answer to each request |
@@ -27,6 +28,7 @@
 
 mod actions;
 mod answers;
+mod client_request_ids;
 mod endpoints;
 mod events;
 mod exchanges;
--- a/crates/leverproxy/src/pipeline/state.rs
+++ b/crates/leverproxy/src/pipeline/state.rs
@@ -5,6 +5,7 @@
 use crate::clock::{Clock, WallClock};
 use crate::discovery::directory::Directory;
 use crate::discovery::wire::EndpointList;
+use crate::event_loop::memory::MemoryMeter;
 use crate::health::monitor::Monitor;
 use crate::observability::counters::Counters;
 use crate::observability::log_rate_limit::LogRateLimit;
@@ -88,6 +89,11 @@
         }
     }
 
+    /// Sets the meter in which the commands of open requests count.
+    pub fn set_memory_meter(&mut self, memory: MemoryMeter) {
+        self.open_requests.set_memory_meter(memory);
+    }
+
     /// Applies new platform settings. Requests in flight and all estimates are kept.
     pub fn configure(&mut self, mapping: ClassMapping, probe_timeout: Duration, now: Instant) {
         let ClassMapping {
--- a/crates/leverproxy/src/protocol/postgres/client.rs
+++ b/crates/leverproxy/src/protocol/postgres/client.rs
@@ -18,6 +18,10 @@
 const ROW_HEADER: usize = 11;
 /// Number of bytes that a RowDescription has for a column in addition to its name.
 const COLUMN_FIELDS: usize = 18;
+/// Number of bytes of a query message besides its text: tag, length, terminating zero.
+const QUERY_FRAME: usize = 6;
+/// Maximum number of digits of the time left.
+const MAX_TIME_DIGITS: usize = 40;
 /// Maximum length of the messages of the handshake and of the session's state, in bytes.
 const SHORT_MESSAGE: usize = 1 << 10;
 
@@ -29,7 +33,7 @@
 /// The query message for `query`. A command is relayed unchanged, except that it states the time left until its
 /// client's deadline.
 pub fn query(query: &UpstreamQuery, time_left: Duration) -> Vec<u8> {
-    let mut out = Vec::new();
+    let mut out = Vec::with_capacity(query_capacity(query));
     put(&mut out, b'Q', |body| {
         match query {
             UpstreamQuery::Command(command) => {
@@ -44,6 +48,14 @@
     out
 }
 
+/// Number of bytes that suffice for the query message of `query`.
+fn query_capacity(query: &UpstreamQuery) -> usize {
+    match query {
+        UpstreamQuery::Command(command) => command.byte_count() + MAX_TIME_DIGITS + QUERY_FRAME,
+        UpstreamQuery::Load => FRAME_SLACK,
+    }
+}
+
 /// The stage of a response. Messages in any other order are malformed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Stage {
@@ -241,6 +253,11 @@
         })
     }
 
+    /// Number of bytes that wait to be relayed.
+    pub fn relayed_bytes(&self) -> usize {
+        self.relayed.len()
+    }
+
     /// Whether an error message has arrived, which ends the response even without ReadyForQuery.
     pub fn has_error(&self) -> bool {
         self.error_code.is_some()
--- a/crates/leverproxy/src/protocol/postgres/mod.rs
+++ b/crates/leverproxy/src/protocol/postgres/mod.rs
@@ -13,6 +13,8 @@
 const VALUE_LIMIT: usize = 64 << 10;
 /// Maximum number of bytes of a message in addition to its value.
 const FRAME_SLACK: usize = 4 << 10;
+/// Maximum length of an answer that is relayed as a whole, in bytes.
+pub const WHOLE_ANSWER_LIMIT: usize = VALUE_LIMIT + FRAME_SLACK;
 /// Maximum length of a query, in bytes: a value in hexadecimal digits inside a statement.
 pub const QUERY_LIMIT: usize = 2 * VALUE_LIMIT + FRAME_SLACK;
 /// Maximum length of a message of a record server, in bytes. Values have up to 4 MiB; a greater length is malformed.
--- a/crates/leverproxy/src/protocol/postgres/server.rs
+++ b/crates/leverproxy/src/protocol/postgres/server.rs
@@ -6,6 +6,8 @@
 };
 use crate::request::Answer;
 
+/// Number of bytes of a message's tag and length.
+const MESSAGE_HEAD: usize = 5;
 const VERSION_3: u32 = 3 << 16;
 const SSL_REQUEST: u32 = 80_877_103;
 const GSS_REQUEST: u32 = 80_877_104;
@@ -165,6 +167,18 @@
     Ok(Some((parsed, message.raw.len())))
 }
 
+/// Number of bytes of the first message of `bytes`, as far as it can be told from its beginning. A message that is too
+/// long counts as one of the maximum length.
+pub fn message_length(bytes: &[u8], is_started: bool) -> usize {
+    match *bytes {
+        [_, a, b, c, d, ..] if is_started => {
+            (1 + u32::from_be_bytes([a, b, c, d]) as usize).min(1 + QUERY_LIMIT)
+        }
+        _ if is_started => MESSAGE_HEAD,
+        _ => STARTUP_LIMIT,
+    }
+}
+
 /// The bytes of a final response, with ReadyForQuery.
 pub fn response(answer: Answer) -> Vec<u8> {
     let mut out = Vec::new();
--- a/crates/leverproxy/src/proxy/event_loop.rs
+++ b/crates/leverproxy/src/proxy/event_loop.rs
@@ -161,6 +161,7 @@
             hot_restart.accept(state, downstream.listener(), reactor);
         }
         self.update_handed_over(now);
+        self.share_limits();
     }
 
     fn on_hot_restart_link_ready(&mut self, key: Key, now: Instant) {
--- a/crates/leverproxy/src/proxy/hot_restart.rs
+++ b/crates/leverproxy/src/proxy/hot_restart.rs
@@ -87,10 +87,13 @@
     /// Sets this process's share of the limits. The new process gets what the old process does not use; the old process
     /// opens no more upstream connections than it has.
     pub(super) fn share_limits(&mut self) {
-        let limits = self.limits.remaining_after(self.old_process_usage);
         let io = &mut self.io;
-        io.downstream.set_limits(limits, self.client_limits);
         let hot_restart = io.hot_restart.as_ref();
+        let mut limits = self.limits.remaining_after(self.old_process_usage);
+        if hot_restart.is_some_and(|links| links.has_successor() || links.has_old_process()) {
+            limits = limits.with_half_the_memory();
+        }
+        io.downstream.set_limits(limits, self.client_limits);
         let upstream = if hot_restart.is_some_and(HotRestart::has_new_process) {
             io.upstream.connection_count().max(1).min(limits.upstream)
         } else {
--- a/crates/leverproxy/src/proxy/metrics.rs
+++ b/crates/leverproxy/src/proxy/metrics.rs
@@ -58,6 +58,16 @@
                 "Requests admitted and not yet answered.",
                 self.pipeline.open_request_count() as u64,
             ),
+            (
+                "lb_request_memory_bytes",
+                "Bytes that requests and their answers occupy, or that are set aside for answers.",
+                self.io.downstream.memory().used() as u64,
+            ),
+            (
+                "lb_clients_held_back",
+                "Clients that are not read at present because requests and answers occupy too much memory.",
+                self.io.downstream.held_back_count() as u64,
+            ),
             (
                 "lb_record_servers_known",
                 "Record servers in the endpoint list.",
--- a/crates/leverproxy/src/proxy/startup.rs
+++ b/crates/leverproxy/src/proxy/startup.rs
@@ -76,7 +76,7 @@
     ) -> Proxy {
         let zones = config.platform.names.zones.clone();
         let monitor = Monitor::new(config.availability, config.sites, zones, now);
-        let pipeline = Pipeline::new(
+        let mut pipeline = Pipeline::new(
             config.platform.clone(),
             std::mem::take(&mut config.rules),
             monitor,
@@ -85,6 +85,7 @@
             config.wall_clock.clone(),
             now,
         );
+        pipeline.set_memory_meter(io.downstream.memory().clone());
         Proxy {
             io,
             pipeline,
@@ -274,7 +275,11 @@
     reactor: Reactor,
     now: Instant,
 ) -> io::Result<Io> {
-    let limits = config.limits.remaining_after(handover.usage());
+    let replaces_old_process = handover.state.is_some() || handover.old_process_unknown;
+    let mut limits = config.limits.remaining_after(handover.usage());
+    if replaces_old_process {
+        limits = limits.with_half_the_memory();
+    }
     let mut downstream = Downstream::listen(
         config.listen,
         handover.listener.take(),
@@ -288,14 +293,15 @@
         config.proxy_protocol_networks.clone(),
     );
     let pushed = !config.platform.settings.endpoints_are_polled;
-    let replaces_old_process = handover.state.is_some() || handover.old_process_unknown;
+    let mut upstream = Upstream::new(
+        limits.upstream,
+        config.dial_timeout,
+        config.upstream_idle_timeout,
+    );
+    upstream.set_memory_meter(downstream.memory().clone());
     Ok(Io {
         downstream,
-        upstream: Upstream::new(
-            limits.upstream,
-            config.dial_timeout,
-            config.upstream_idle_timeout,
-        ),
+        upstream,
         discovery: DiscoveryClient::new(config.discovery, config.max_watch_silence, pushed, now),
         health: Health::new(&config.health, &reactor)?,
         control_socket: open_control_socket(config, replaces_old_process, &reactor)?,
--- a/crates/leverproxy/src/request.rs
+++ b/crates/leverproxy/src/request.rs
@@ -47,7 +47,7 @@
 }
 
 /// A command in the bytes of its protocol, in two parts. The time left for it is inserted between them.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Command {
     /// Bytes before the time left.
     pub before_time_left: Vec<u8>,
@@ -55,6 +55,13 @@
     pub after_time_left: Vec<u8>,
 }
 
+impl Command {
+    /// Number of bytes of the command, without the time left.
+    pub fn byte_count(&self) -> usize {
+        self.before_time_left.len() + self.after_time_left.len()
+    }
+}
+
 /// The final answer to a request.
 #[derive(Debug)]
 pub enum Answer {
--- a/crates/leverproxy/src/upstream/connection.rs
+++ b/crates/leverproxy/src/upstream/connection.rs
@@ -1,6 +1,7 @@
 //! The state of one connection to a record server.
 
 use super::exchange::Exchange;
+use crate::event_loop::memory::Reservation;
 use crate::event_loop::stream::Stream;
 use crate::protocol::postgres::client::ResponseReader;
 use crate::protocol::postgres::synchronization::SynchronizationReader;
@@ -43,6 +44,8 @@
     /// Part of the response has arrived.
     pub(super) response_started: bool,
     pub(super) streaming: Streaming,
+    /// The memory that the buffers of the connection occupy.
+    memory: Reservation,
 }
 
 /// Whether a response is forwarded to the client in chunks.
@@ -55,13 +58,14 @@
 }
 
 impl ActiveExchange {
-    pub(super) fn new(exchange: Exchange) -> ActiveExchange {
+    pub(super) fn new(exchange: Exchange, memory: Reservation) -> ActiveExchange {
         ActiveExchange {
             exchange,
             reader: ResponseReader::default(),
             written: false,
             response_started: false,
             streaming: Streaming::No,
+            memory,
         }
     }
 }
@@ -104,6 +108,16 @@
             .map_or(Streaming::No, |active| active.streaming)
     }
 
+    /// Updates the reservation of the memory that the buffers of an exchange occupy.
+    pub(super) fn update_memory(&mut self) {
+        let buffered = self.stream.input.len() + self.stream.unsent();
+        if let State::Busy(active) = &mut self.state {
+            active
+                .memory
+                .resize(buffered + active.reader.relayed_bytes());
+        }
+    }
+
     /// Parses the bytes that have arrived; returns the number of bytes used, and whether the response is complete.
     pub(super) fn parse(&mut self) -> Result<(usize, bool), Malformed> {
         let input = self.stream.input.unused();
--- a/crates/leverproxy/src/upstream/mod.rs
+++ b/crates/leverproxy/src/upstream/mod.rs
@@ -31,13 +31,15 @@
 pub use events::{HealthSignal, UpstreamTimer};
 pub use exchange::Exchange;
 
+use crate::event_loop::memory::MemoryMeter;
 use crate::event_loop::slab::Slab;
 use crate::observability::log_rate_limit::LogRateLimit;
-use crate::request::{CompletedExchange, ResponseChunk};
+use crate::request::{Command, CompletedExchange, ResponseChunk};
 use connection::Connection;
 use pool::Pool;
 use routing::ServerId;
 use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// All connections to record servers, with their reports that the event loop has not taken yet.
@@ -51,6 +53,10 @@
     timers: Vec<(Instant, UpstreamTimer)>,
     malformed_log: LogRateLimit,
     shortage_log: LogRateLimit,
+    /// The memory that requests and their answers occupy in the whole process.
+    memory: MemoryMeter,
+    /// Takes the place of commands that are written in full, so that these occupy no memory for the rest of the exchange.
+    written_command: Arc<Command>,
     connection_limit: usize,
     dial_timeout: Duration,
     idle_timeout: Duration,
@@ -79,6 +85,8 @@
             timers: Vec::new(),
             malformed_log: LogRateLimit::default(),
             shortage_log: LogRateLimit::default(),
+            memory: MemoryMeter::default(),
+            written_command: Arc::default(),
             connection_limit,
             dial_timeout,
             idle_timeout,
@@ -88,6 +96,11 @@
         }
     }
 
+    /// Sets the meter in which the buffers of connections in use count.
+    pub fn set_memory_meter(&mut self, memory: MemoryMeter) {
+        self.memory = memory;
+    }
+
     /// The next completed exchange.
     pub fn pop_completed(&mut self) -> Option<CompletedExchange> {
         self.completed.pop_front()
--- a/crates/leverproxy/src/upstream/transfer.rs
+++ b/crates/leverproxy/src/upstream/transfer.rs
@@ -12,8 +12,9 @@
 use crate::event_loop::token::Token;
 use crate::protocol::postgres::client::{self, ResponseReader};
 use crate::protocol::postgres::Malformed;
-use crate::request::{ExchangeOutcome, Purpose};
+use crate::request::{ExchangeOutcome, Purpose, UpstreamQuery};
 use routing::ServerId;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Longest pause within a response that has begun, regardless of the client's deadline. Record servers write a response
@@ -40,7 +41,8 @@
             .min(deadline_after(now, WRITE_STALL));
         self.timers
             .push((connection.deadline, UpstreamTimer::Connection(key)));
-        connection.state = State::Busy(ActiveExchange::new(exchange));
+        let memory = self.memory.reserve(0);
+        connection.state = State::Busy(ActiveExchange::new(exchange, memory));
         self.advance(key, now, reactor);
     }
 
@@ -80,6 +82,7 @@
         };
         match flushed {
             Ok(written) if filled == ReadStatus::Open => {
+                self.update_memory(key);
                 self.note_progress(key, consumed, now);
                 self.watch(key, !written, now, reactor);
             }
@@ -87,6 +90,12 @@
         }
     }
 
+    fn update_memory(&mut self, key: Key) {
+        if let Some(connection) = self.connections.get_mut(key) {
+            connection.update_memory();
+        }
+    }
+
     /// Notes that the request is written in full.
     fn mark_written(&mut self, key: Key) {
         let Some(connection) = self.connections.get_mut(key) else {
@@ -100,6 +109,9 @@
         }
         self.attempts += u64::from(active.exchange.purpose != Purpose::Probe);
         active.written = true;
+        if let UpstreamQuery::Command(command) = &mut active.exchange.query {
+            *command = Arc::clone(&self.written_command);
+        }
         connection.deadline = active.exchange.deadline;
         self.timers
             .push((connection.deadline, UpstreamTimer::Connection(key)));
