--- a/crates/leverproxy/src/downstream/client.rs
+++ b/crates/leverproxy/src/downstream/client.rs
@@ -16,6 +16,9 @@
 /// Many clients wait for the server's greeting before they send a request.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// The byte with which the row of a response is padded whose rest will not come.
+const PADDING_BYTE: u8 = 0;
+
 /// The response to one command of a client.
 #[derive(Debug)]
 pub(super) enum PendingResponse {
@@ -24,7 +27,7 @@
         /// The bytes of the command.
         command: Reservation,
     },
-    /// The response is complete, or was aborted and ends with these bytes.
+    /// The response is complete, or the connection ends with these bytes of it.
     Ready(Vec<u8>),
     /// A response that arrives in chunks. They are written once all earlier responses have been written.
     Streaming {
@@ -32,6 +35,18 @@
         chunks: Vec<u8>,
         /// Whether no more chunks are accepted until [`Event::Writable`](super::event::Event::Writable).
         is_paused: bool,
+        /// Whether a part of the response has been written to the client.
+        has_begun: bool,
+    },
+    /// A response whose rest will not come although a part of it has been written. Its row is padded to the length that
+    /// its header states, and an error follows in place of the end of the response.
+    Padding {
+        /// The chunks that are not written yet.
+        chunks: Vec<u8>,
+        /// Number of padding bytes that are not written yet.
+        padding: usize,
+        /// The error, up to ReadyForQuery.
+        error: Vec<u8>,
     },
 }
 
@@ -142,7 +157,9 @@
         responses
             .map(|response| match response {
                 PendingResponse::Waiting { command } => command.bytes(),
-                PendingResponse::Ready(_) | PendingResponse::Streaming { .. } => 0,
+                PendingResponse::Ready(_)
+                | PendingResponse::Streaming { .. }
+                | PendingResponse::Padding { .. } => 0,
             })
             .sum()
     }
@@ -157,6 +174,7 @@
                 PendingResponse::Waiting { .. } => WHOLE_ANSWER_LIMIT,
                 PendingResponse::Ready(bytes) => bytes.len(),
                 PendingResponse::Streaming { chunks, .. } => chunks.len(),
+                PendingResponse::Padding { chunks, error, .. } => chunks.len() + error.len(),
             })
             .sum();
         let reserved = self.large_command.as_ref().map_or(0, Reservation::bytes);
@@ -178,20 +196,54 @@
     pub(super) fn incomplete_responses(&self) -> impl Iterator<Item = u64> + '_ {
         let numbered = (self.first_number..).zip(&self.responses);
         numbered
-            .filter(|(_, response)| !matches!(response, PendingResponse::Ready(_)))
+            .filter(|(_, response)| {
+                matches!(
+                    response,
+                    PendingResponse::Waiting { .. } | PendingResponse::Streaming { .. }
+                )
+            })
             .map(|(number, _)| number)
     }
 
-    /// Moves to the stream's output all leading responses that are available.
-    pub(super) fn queue_responses(&mut self, now: Instant) {
+    /// Whether the first response is padded, so that more of it can be written whenever the socket accepts bytes.
+    pub(super) fn is_padding(&self) -> bool {
+        matches!(
+            self.responses.front(),
+            Some(PendingResponse::Padding { .. })
+        )
+    }
+
+    /// Moves to the stream's output all leading responses that are available. Padding is moved as far as the unsent bytes
+    /// stay within `padding_window`.
+    pub(super) fn queue_responses(&mut self, padding_window: usize, now: Instant) {
         while let Some(response) = self.responses.front_mut() {
             let (bytes, is_complete) = match response {
                 PendingResponse::Waiting { .. } => break,
                 PendingResponse::Ready(bytes) => (std::mem::take(bytes), true),
-                PendingResponse::Streaming { chunks, .. } => (std::mem::take(chunks), false),
+                PendingResponse::Streaming {
+                    chunks, has_begun, ..
+                } => {
+                    *has_begun |= !chunks.is_empty();
+                    (std::mem::take(chunks), false)
+                }
+                PendingResponse::Padding {
+                    chunks,
+                    padding,
+                    error,
+                } => {
+                    let mut bytes = std::mem::take(chunks);
+                    let room = padding_window.saturating_sub(self.stream.unsent() + bytes.len());
+                    let added = room.min(*padding);
+                    bytes.resize(bytes.len() + added, PADDING_BYTE);
+                    *padding -= added;
+                    if *padding == 0 {
+                        bytes.append(error);
+                    }
+                    (bytes, *padding == 0)
+                }
             };
             self.stream.push(&bytes);
-            if self.has_requested {
+            if self.has_requested && !bytes.is_empty() {
                 self.quiet_since = now;
             }
             if !is_complete {
--- a/crates/leverproxy/src/downstream/connection_end.rs
+++ b/crates/leverproxy/src/downstream/connection_end.rs
@@ -27,7 +27,7 @@
     /// The client is sent an error. Bytes that it still sends are read and discarded: left unread, they would cause a
     /// reset, and the client might not receive the error.
     Rejected,
-    /// The client is between requests, or its response was aborted. Bytes that it still sends stay unread, so that it
+    /// The client is between requests, or its last response cannot be completed. Bytes that it still sends stay unread, so that it
     /// sends them again on another connection.
     Ended,
 }
--- a/crates/leverproxy/src/downstream/write.rs
+++ b/crates/leverproxy/src/downstream/write.rs
@@ -1,6 +1,6 @@
 //! Writes responses and chunks of responses to a client.
 
-use super::client::PendingResponse;
+use super::client::{Client, PendingResponse};
 use super::connection_end::CloseReason;
 use super::event::Event;
 use super::state::Downstream;
@@ -54,12 +54,15 @@
             return true;
         };
         match client.response(slot) {
-            None | Some(PendingResponse::Ready(_)) => return true,
+            None | Some(PendingResponse::Ready(_) | PendingResponse::Padding { .. }) => {
+                return true
+            }
             Some(PendingResponse::Streaming { chunks, .. }) => chunks.extend_from_slice(bytes),
             Some(response) => {
                 *response = PendingResponse::Streaming {
                     chunks: bytes.to_vec(),
                     is_paused: false,
+                    has_begun: false,
                 }
             }
         }
@@ -78,6 +81,17 @@
         !*is_paused
     }
 
+    /// Number of unsent bytes up to which padding is written to a client.
+    fn padding_window(&self, key: Key) -> usize {
+        // The window depends on a sum over all clients.
+        let is_padding = self.clients.get(key).is_some_and(Client::is_padding);
+        if is_padding {
+            self.stream_window()
+        } else {
+            0
+        }
+    }
+
     fn stream_window(&self) -> usize {
         if self.unsent_bytes() >= self.limits.unsent_answers {
             REDUCED_STREAM_WINDOW
@@ -86,32 +100,74 @@
         }
     }
 
-    /// Ends a response that has begun and cannot be completed. The connection is closed, so that the client detects the
-    /// truncated response.
-    pub fn abort_response(&mut self, slot: ResponseSlot, now: Instant, reactor: &Reactor) {
+    /// Ends a response whose rest will not come. `answer`: the error that the client gets; `missing`: the number of bytes of
+    /// its row that were not passed to [`Downstream::send_chunk`].
+    ///
+    /// If no part of the response has been written, the error takes its place. Otherwise the client must not take the part
+    /// for the whole. If commands follow on the connection, they are owed their answers: the row is padded, and the error
+    /// follows it. If none follows, the connection is closed before the end of the row.
+    pub fn fail_response(
+        &mut self,
+        slot: ResponseSlot,
+        answer: Answer,
+        missing: usize,
+        now: Instant,
+        reactor: &Reactor,
+    ) {
+        let has_begun = |response: &mut PendingResponse| {
+            matches!(
+                response,
+                PendingResponse::Streaming {
+                    has_begun: true,
+                    ..
+                }
+            )
+        };
+        let client = self.clients.get_mut(slot.client);
+        if !client.is_some_and(|client| client.response(slot).is_some_and(has_begun)) {
+            return self.replace_response(slot, answer, now, reactor);
+        }
+        // A command that has arrived meanwhile is owed its answer too.
+        self.read_pending(slot.client, now, reactor);
         let Some(client) = self.clients.get_mut(slot.client) else {
             return;
         };
-        let Some(index) = client.response_index(slot) else {
+        let is_last = client.responses.len() == 1 && client.stream.input.is_empty();
+        let Some(PendingResponse::Streaming { chunks, .. }) = client.response(slot) else {
             return;
         };
-        let end = (index + 1).min(client.responses.len());
-        let later_responses = client.responses.split_off(end);
-        for (number, response) in (slot.number + 1..).zip(later_responses) {
-            if !matches!(response, PendingResponse::Ready(_)) {
-                self.events
-                    .push_back(Event::ClientLeft(ResponseSlot { number, ..slot }));
-            }
-        }
-        if let Some(response) = client.responses.get_mut(index) {
-            if let PendingResponse::Streaming { chunks, .. } = response {
-                *response = PendingResponse::Ready(std::mem::take(chunks));
-            }
+        let chunks = std::mem::take(chunks);
+        let failed = if is_last {
             client.end.start_closing(CloseReason::Ended);
+            PendingResponse::Ready(chunks)
+        } else {
+            PendingResponse::Padding {
+                chunks,
+                padding: missing,
+                error: server::response(answer),
+            }
+        };
+        if let Some(response) = client.response(slot) {
+            *response = failed;
         }
         self.advance(slot.client, now, reactor);
     }
 
+    /// Replaces a response of which no part has been written.
+    fn replace_response(
+        &mut self,
+        slot: ResponseSlot,
+        answer: Answer,
+        now: Instant,
+        reactor: &Reactor,
+    ) {
+        let client = self.clients.get_mut(slot.client);
+        if let Some(response) = client.and_then(|client| client.response(slot)) {
+            *response = PendingResponse::Ready(server::response(answer));
+            self.advance(slot.client, now, reactor);
+        }
+    }
+
     /// Writes the available responses to a client, and then reads more requests or closes the connection.
     pub(super) fn advance(&mut self, key: Key, now: Instant, reactor: &Reactor) {
         // Input is read at most once per call, so that a client that sends continuously does not block the event loop.
@@ -134,6 +190,7 @@
         now: Instant,
         reactor: &Reactor,
     ) -> bool {
+        let padding_window = self.padding_window(key);
         let Some(client) = self.clients.get_mut(key) else {
             return false;
         };
@@ -142,7 +199,7 @@
             return false;
         }
         let was_full = !client.accepts_requests(&self.timeouts);
-        client.queue_responses(now);
+        client.queue_responses(padding_window, now);
         let Ok(is_written) = client.flush(now) else {
             self.drop_client(key, reactor);
             return false;
@@ -232,7 +289,7 @@
         };
         let interest = Interest {
             read: client.wants_input(&self.timeouts),
-            write: !is_written,
+            write: !is_written || client.is_padding(),
         };
         let watched = client.stream.watch(reactor, Token::Client(key), interest);
         if watched.is_err() {
--- a/crates/leverproxy/src/pipeline/admit.rs
+++ b/crates/leverproxy/src/pipeline/admit.rs
@@ -11,6 +11,17 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+/// An answer that is being forwarded in chunks.
+#[derive(Clone, Copy, Debug)]
+pub struct StreamingAnswer {
+    /// The attempt that it answers.
+    pub attempt: AttemptNumber,
+    /// The upstream connection on which it arrives.
+    pub connection: Key,
+    /// Number of bytes of its row that have not arrived.
+    pub row_bytes_left: usize,
+}
+
 /// A request that has no final answer yet.
 #[derive(Debug)]
 pub struct OpenRequest {
@@ -33,8 +44,8 @@
     pub read_at: Instant,
     /// Timeout of the client, counted from when it sent the request.
     pub timeout: Duration,
-    /// The attempt whose answer is being forwarded in chunks, and its upstream connection.
-    pub streaming: Option<(AttemptNumber, Key)>,
+    /// The answer that is being forwarded in chunks.
+    pub streaming: Option<StreamingAnswer>,
     attempts: u16,
     /// The memory that the command occupies.
     _memory: Reservation,
--- a/crates/leverproxy/src/pipeline/answers.rs
+++ b/crates/leverproxy/src/pipeline/answers.rs
@@ -36,14 +36,15 @@
         self.monitor
             .request_answered(open.group, is_write, &answer, now);
         match (open.streaming, &answer) {
-            // A part of the answer was sent to the client and the rest will not come: the connection is closed, so that
-            // the client detects the incomplete answer.
+            // The rest of the server's answer will not come.
             (
-                Some((_, connection)),
+                Some(streaming),
                 Answer::Rejected(_) | Answer::Failed | Answer::Cancelled | Answer::Invalid(_),
             ) => {
-                io.upstream.abandon_response(connection, now);
-                io.downstream.abort_response(open.slot, now, &io.reactor);
+                io.upstream.abandon_response(streaming.connection, now);
+                let missing = streaming.row_bytes_left;
+                io.downstream
+                    .fail_response(open.slot, answer, missing, now, &io.reactor);
             }
             _ => io.downstream.answer(open.slot, answer, now, &io.reactor),
         }
--- a/crates/leverproxy/src/pipeline/exchanges.rs
+++ b/crates/leverproxy/src/pipeline/exchanges.rs
@@ -1,5 +1,6 @@
 //! Answers and reports of servers: chunks of answers, completed exchanges, and the positions in them.
 
+use super::admit::StreamingAnswer;
 use super::io::Io;
 use super::state::Pipeline;
 use super::{record, relay};
@@ -15,12 +16,20 @@
     pub(super) fn on_response_chunk(&mut self, chunk: ResponseChunk, io: &mut Io, now: Instant) {
         let (attempt, connection) = (chunk.attempt, chunk.connection);
         let open = self.open_requests.get_mut(chunk.id);
-        let open = open.filter(|open| open.streaming.is_none_or(|current| current.0 == attempt));
+        let open = open.filter(|open| {
+            open.streaming
+                .is_none_or(|current| current.attempt == attempt)
+        });
         let Some(open) = open else {
             // The client has left, or another attempt's answer is being forwarded.
             return io.upstream.abandon_response(connection, now);
         };
-        let is_first = open.streaming.replace((attempt, connection)).is_none();
+        let answer = StreamingAnswer {
+            attempt,
+            connection,
+            row_bytes_left: chunk.row_bytes_left,
+        };
+        let is_first = open.streaming.replace(answer).is_none();
         let (slot, class) = (open.slot, open.class);
         if !io
             .downstream
@@ -39,8 +48,9 @@
     pub(super) fn on_client_writable(&mut self, slot: ResponseSlot, io: &mut Io, now: Instant) {
         let id = self.open_requests.id(slot);
         let open = id.and_then(|id| self.open_requests.get_mut(id));
-        if let Some((_, connection)) = open.and_then(|open| open.streaming) {
-            io.upstream.resume_reading(connection, now, &io.reactor);
+        if let Some(answer) = open.and_then(|open| open.streaming) {
+            io.upstream
+                .resume_reading(answer.connection, now, &io.reactor);
         }
     }
 
@@ -77,9 +87,10 @@
     }
 
     fn is_streaming(&mut self, id: RequestId, attempt: AttemptNumber) -> bool {
-        self.open_requests
-            .get_mut(id)
-            .is_some_and(|open| open.streaming.is_some_and(|current| current.0 == attempt))
+        self.open_requests.get_mut(id).is_some_and(|open| {
+            open.streaming
+                .is_some_and(|current| current.attempt == attempt)
+        })
     }
 
     /// Updates the estimate of the clock error from this exchange. Returns the latest plausible position.
--- a/crates/leverproxy/src/pipeline/relay.rs
+++ b/crates/leverproxy/src/pipeline/relay.rs
@@ -19,9 +19,10 @@
     let ExchangeOutcome::Served(bytes) = outcome else {
         return None;
     };
-    open_requests
-        .get_mut(id)
-        .filter(|open| open.streaming.is_none_or(|(current, _)| current == attempt))?;
+    open_requests.get_mut(id).filter(|open| {
+        open.streaming
+            .is_none_or(|answer| answer.attempt == attempt)
+    })?;
     let open = open_requests.close(id, now)?;
     Some((open, Answer::Served(std::mem::take(bytes))))
 }
--- a/crates/leverproxy/src/pipeline/requests.rs
+++ b/crates/leverproxy/src/pipeline/requests.rs
@@ -132,8 +132,8 @@
         if open.attempts() > 0 {
             io.upstream.cancel_unwritten(id, now);
         }
-        if let Some((_, connection)) = open.streaming {
-            io.upstream.abandon_response(connection, now);
+        if let Some(answer) = open.streaming {
+            io.upstream.abandon_response(answer.connection, now);
         }
         self.quota.record_end(&open, None, now);
         self.monitor.client_left(id, open.group, now);
--- a/crates/leverproxy/src/pipeline/response_order.rs
+++ b/crates/leverproxy/src/pipeline/response_order.rs
@@ -37,7 +37,7 @@
             return;
         };
         if open.streaming.is_some() {
-            // The answer is being sent; aborting it would close the connection and also lose the answers that follow it.
+            // The answer is being sent, and its server may still be giving it.
             return;
         }
         let answer = if open.attempts() == 0 {
--- a/crates/leverproxy/src/protocol/postgres/client.rs
+++ b/crates/leverproxy/src/protocol/postgres/client.rs
@@ -253,6 +253,14 @@
         })
     }
 
+    /// Number of bytes that are still to come of a row that is forwarded in chunks.
+    pub fn row_bytes_left(&self) -> usize {
+        match self.stage {
+            Stage::StreamingRow(left) => left,
+            _ => 0,
+        }
+    }
+
     /// Number of bytes that wait to be relayed.
     pub fn relayed_bytes(&self) -> usize {
         self.relayed.len()
--- a/crates/leverproxy/src/request.rs
+++ b/crates/leverproxy/src/request.rs
@@ -151,6 +151,8 @@
     pub elapsed: Duration,
     /// Bytes of the chunk in the server's protocol.
     pub bytes: Vec<u8>,
+    /// Number of bytes of the row that follow this chunk.
+    pub row_bytes_left: usize,
 }
 
 /// A completed exchange with a record server.
--- a/crates/leverproxy/src/upstream/streaming.rs
+++ b/crates/leverproxy/src/upstream/streaming.rs
@@ -46,6 +46,7 @@
             server: connection.server,
             elapsed: now.saturating_duration_since(active.exchange.started),
             bytes,
+            row_bytes_left: active.reader.row_bytes_left(),
         });
     }
 
--- a/crates/leverproxy/tests/large.rs
+++ b/crates/leverproxy/tests/large.rs
@@ -1,7 +1,7 @@
 //! Responses that are too large to be buffered, through a whole proxy and through its downstream side alone.
 
 mod common;
-use common::{answer, read_statement, Listener, Peer, Reply, TestProxy};
+use common::{answer, message, read_statement, Listener, Peer, Reply, TestProxy};
 use leverproxy::downstream::{Downstream, Event};
 use leverproxy::event_loop::reactor::Reactor;
 use leverproxy::event_loop::token::Token;
@@ -9,6 +9,7 @@
 use std::io::{Read, Write};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::thread;
 use std::time::{Duration, Instant};
 
 /// Size in bytes of a value that is forwarded as a whole.
@@ -314,6 +315,105 @@
     );
 }
 
+/// A client that has sent three requests at once on one connection, and the connection of the server that got each.
+fn three_requests_at_once() -> (TestProxy, Peer, [Peer; 3]) {
+    let servers = [Listener::new(), Listener::new(), Listener::new()];
+    let [first, second, third] = &servers;
+    let test_proxy = TestProxy::new(&[("s-1", first), ("s-2", second), ("s-3", third)]);
+    let mut client = Peer::client(test_proxy.address);
+    let ids = [1, 2, 3];
+    client.write(
+        &ids.map(|id| message(&read_statement(id, "any", 19000)))
+            .concat(),
+    );
+    let mut received: Vec<(String, Peer)> = servers
+        .iter()
+        .map(|server| {
+            let mut upstream = server.accept_session();
+            (upstream.query(), upstream)
+        })
+        .collect();
+    let upstreams = ids.map(|id| {
+        let id = format!("id={id:016x}");
+        let at = received.iter().position(|(query, _)| query.contains(&id));
+        received
+            .swap_remove(at.expect("each server gets one request"))
+            .1
+    });
+    (test_proxy, client, upstreams)
+}
+
+/// Number of bytes of a response before the value: RowDescription, and the header of the row.
+fn header_bytes() -> usize {
+    let all = answer("", &[]).len();
+    all - (1 + 4 + "SELECT 1".len() + 1) - (1 + 4 + 1)
+}
+
+/// Guards against requests without an answer behind a large value that breaks off after a part of it was passed on (review/8).
+/// The client sees that the value isn't whole: an error stands in place of its end.
+#[test]
+fn requests_behind_a_large_value_that_breaks_off_are_answered() {
+    const BYTES: usize = 1 << 20;
+    let whole = answer(&value(BYTES), &[]);
+    let row_end = header_bytes() + BYTES;
+    let cuts = [
+        header_bytes() + 1,
+        300_000,
+        row_end - 1,
+        row_end,
+        row_end + 3,
+    ];
+    for cut in cuts {
+        let (_test_proxy, mut client, [mut large, mut second, mut third]) =
+            three_requests_at_once();
+        large.write(&whole[..cut]);
+        assert_eq!(client.message().unwrap().0, b'T', "cut at {cut}");
+        second.write_answer("second", &[]);
+        drop(large);
+        let broken = client.reply();
+        assert_eq!(broken.code.as_deref(), Some("08007"), "cut at {cut}");
+        let length = broken.value.map(|value| value.len());
+        assert_eq!(length, Some(BYTES), "cut at {cut}");
+        assert_eq!(client.reply().value.as_deref(), Some("second"));
+        third.write_answer("third", &[]);
+        assert_eq!(client.reply().value.as_deref(), Some("third"));
+    }
+}
+
+/// Guards against requests without an answer around a large value that breaks off while an earlier request is open (review/8).
+#[test]
+fn requests_around_a_large_value_that_breaks_off_behind_an_open_one_are_answered() {
+    let (_test_proxy, mut client, [mut first, mut large, mut third]) = three_requests_at_once();
+    large.write(&answer(&value(1 << 20), &[])[..300_000]);
+    third.write_answer("third", &[]);
+    thread::sleep(WRITE_INTERVAL);
+    drop(large);
+    thread::sleep(WRITE_INTERVAL);
+    first.write_answer("first", &[]);
+    assert_eq!(client.reply().value.as_deref(), Some("first"));
+    assert_eq!(client.reply().code.as_deref(), Some("08007"));
+    assert_eq!(client.reply().value.as_deref(), Some("third"));
+}
+
+/// Guards against a request that is lost because it arrives while the value before it breaks off: it is answered, or its
+/// client sees that it was not read.
+#[test]
+fn a_request_that_follows_the_beginning_of_a_value_that_breaks_off_is_answered() {
+    let server = Listener::new();
+    let test_proxy = TestProxy::new(&[("s-1", &server)]);
+    let (mut client, mut large) = request_in_flight(&server, &test_proxy);
+    large.write(&answer(&value(1 << 20), &[])[..300_000]);
+    assert_eq!(client.message().unwrap().0, b'T');
+    client.ask(&read_statement(2, "any", 19000));
+    client.wait_until_acknowledged();
+    drop(large);
+    assert_eq!(client.reply().code.as_deref(), Some("08007"));
+    let mut upstream = server.accept_session();
+    upstream.query();
+    upstream.answer("second", &[]);
+    assert_eq!(client.reply().value.as_deref(), Some("second"));
+}
+
 /// Many clients do not read their large responses. Back-pressure stops each server at the client's own window, and the sum of
 /// the buffers stays within its share of the memory. A client that begins to read gets more.
 #[test]
--- a/crates/leverproxy/tests/memory.rs
+++ b/crates/leverproxy/tests/memory.rs
@@ -449,3 +449,90 @@
         assert!(client.stream.read(&mut [0; 1]).is_ok_and(|n| n == 1));
     }
 }
+
+/// Guards against the padding of values that break off taking up memory while their clients read nothing.
+#[test]
+fn the_padding_of_values_that_break_off_takes_no_memory() {
+    const CLIENTS: usize = 20;
+    const MISSING: usize = 4 << 20;
+    const CHUNK: [u8; 16 << 10] = [b'v'; 16 << 10];
+    let mut side = ClientSide::new(|limits| limits.unsent_answers = 1 << 20);
+    let address = side.downstream.local_address().unwrap();
+    let mut clients: Vec<Peer> = (0..CLIENTS as u32)
+        .map(|client| {
+            let mut peer = Peer::connect(address);
+            peer.write(&server::startup_packet("app", "shop"));
+            peer.ask(&read_statement(client << 8, "any", 5_000));
+            peer.ask(&read_statement(client << 8 | 1, "any", 5_000));
+            peer
+        })
+        .collect();
+    while side.open.len() < 2 * CLIENTS {
+        side.handle_events();
+    }
+    let now = Instant::now();
+    let (values, others): (Vec<_>, Vec<_>) =
+        side.open.drain(..).partition(|slot| slot.number % 2 == 1);
+    for &slot in &values {
+        side.downstream.send_chunk(slot, &CHUNK, now, &side.reactor);
+        side.downstream
+            .fail_response(slot, Answer::Failed, MISSING, now, &side.reactor);
+    }
+    for &slot in &others {
+        let answer = Answer::Served(b"later".to_vec());
+        side.downstream.answer(slot, answer, now, &side.reactor);
+    }
+    for _ in 0..20 {
+        side.handle_events();
+        let used = side.downstream.memory().used();
+        assert!(used <= (2 << 20) + CLIENTS * CHUNK.len(), "{used} bytes");
+    }
+    // One client reads all: the chunk, the padding, the error, and the other answer.
+    let mut reader = clients.remove(0);
+    let reading = thread::spawn(move || {
+        let mut bytes = Vec::new();
+        while !bytes.ends_with(b"laterZ\0\0\0\x05I") {
+            let mut piece = [0; 1 << 16];
+            let n = reader.stream.read(&mut piece).unwrap();
+            assert!(n > 0, "the connection has ended");
+            bytes.extend_from_slice(&piece[..n]);
+        }
+        bytes.len()
+    });
+    while !reading.is_finished() {
+        side.handle_events();
+    }
+    assert!(reading.join().unwrap() > MISSING + CHUNK.len());
+}
+
+/// Guards against a padded value, or a closed connection, where no part of a value that breaks off was passed on (review/8):
+/// an error takes its place.
+#[test]
+fn a_value_that_breaks_off_before_its_turn_is_replaced_by_an_error() {
+    let mut side = ClientSide::new(|_| {});
+    let mut client = Peer::connect(side.downstream.local_address().unwrap());
+    client.write(&server::startup_packet("app", "shop"));
+    for id in 0..3 {
+        client.ask(&read_statement(id, "any", 5_000));
+    }
+    while side.open.len() < 3 {
+        side.handle_events();
+    }
+    let now = Instant::now();
+    let [first, broken, last] = side.open[..] else {
+        panic!("three requests are open")
+    };
+    let downstream = &mut side.downstream;
+    downstream.send_chunk(broken, &[b'v'; 1_000], now, &side.reactor);
+    downstream.fail_response(broken, Answer::Failed, 1 << 20, now, &side.reactor);
+    for slot in [last, first] {
+        let bytes = common::answer("value", &[]);
+        let response = bytes[..bytes.len() - server::ready_for_query().len()].to_vec();
+        downstream.answer(slot, Answer::Served(response), now, &side.reactor);
+    }
+    assert_eq!(client.reply(), common::Reply::default());
+    assert_eq!(client.reply().value.as_deref(), Some("value"));
+    let error = client.reply();
+    assert_eq!((error.code.as_deref(), error.value), (Some("08007"), None));
+    assert_eq!(client.reply().value.as_deref(), Some("value"));
+}
