--- a/crates/leverproxy/src/pipeline/actions.rs
+++ b/crates/leverproxy/src/pipeline/actions.rs
@@ -50,11 +50,11 @@
             }
             Action::Reject { id, retry_after } => {
                 self.monitor.record_attempted_or_rejected(id, true);
-                self.answer(id, Answer::Rejected(retry_after), io, now);
+                self.give_up(id, Answer::Rejected(retry_after), io, now);
             }
             Action::Fail { id } => {
                 self.monitor.record_attempted_or_rejected(id, false);
-                self.answer(id, Answer::Failed, io, now);
+                self.give_up(id, Answer::Failed, io, now);
             }
             Action::Timer { after, token } => {
                 io.timers
--- a/crates/leverproxy/src/pipeline/admit.rs
+++ b/crates/leverproxy/src/pipeline/admit.rs
@@ -46,6 +46,8 @@
     pub timeout: Duration,
     /// The answer that is being forwarded in chunks.
     pub streaming: Option<StreamingAnswer>,
+    /// The answer with which the decision module has given up the request, while a stalled attempt may still serve it.
+    pub deferred_answer: Option<Answer>,
     attempts: u16,
     /// The memory that the command occupies.
     _memory: Reservation,
@@ -143,6 +145,7 @@
             read_at: request.read_at,
             timeout: request.timeout,
             streaming: None,
+            deferred_answer: None,
             attempts: 0,
         };
         self.open.insert(id, open);
--- a/crates/leverproxy/src/pipeline/answers.rs
+++ b/crates/leverproxy/src/pipeline/answers.rs
@@ -13,11 +13,22 @@
         if let Some(open) = self.close_request(id, now) {
             if open.attempts() > 0 {
                 io.upstream.cancel_unwritten(id, now);
+                io.upstream.end_stalled_attempts(id, None, now);
             }
             self.finish_request(open, answer, io, now);
         }
     }
 
+    /// Ends a request that the decision module has given up. While a stalled attempt may still serve it, the answer is
+    /// deferred.
+    pub(super) fn give_up(&mut self, id: RequestId, answer: Answer, io: &mut Io, now: Instant) {
+        let open = self.open_requests.get_mut(id);
+        match open.filter(|_| io.upstream.has_stalled_attempt(id)) {
+            Some(open) => open.deferred_answer = Some(answer),
+            None => self.answer(id, answer, io, now),
+        }
+    }
+
     /// Records the final answer, and writes it to the client.
     pub(super) fn finish_request(
         &mut self,
--- a/crates/leverproxy/src/pipeline/events.rs
+++ b/crates/leverproxy/src/pipeline/events.rs
@@ -44,6 +44,8 @@
             self.on_discovery_event(event, io, now);
         } else if let Some(chunk) = io.upstream.pop_chunk() {
             self.on_response_chunk(chunk, io, now);
+        } else if let Some(stalled) = io.upstream.pop_stalled() {
+            self.on_attempt_stalled(stalled, io, now);
         } else if let Some(completed) = io.upstream.pop_completed() {
             self.on_exchange_completed(completed, io, now);
         } else if let Some(event) = io.downstream.next_event() {
--- a/crates/leverproxy/src/pipeline/exchanges.rs
+++ b/crates/leverproxy/src/pipeline/exchanges.rs
@@ -1,12 +1,13 @@
 //! Answers and reports of servers: chunks of answers, completed exchanges, and the positions in them.
 
-use super::admit::StreamingAnswer;
+use super::admit::{OpenRequest, StreamingAnswer};
 use super::io::Io;
 use super::state::Pipeline;
 use super::{record, relay};
 use crate::request::{
     Answer, CompletedExchange, ExchangeOutcome, Purpose, ResponseChunk, ResponseSlot,
 };
+use crate::upstream::StalledAttempt;
 use routing::{AttemptEnded, AttemptNumber, Event, Outcome, RequestId, ResponseMetadata, Time};
 use std::time::Instant;
 
@@ -30,6 +31,7 @@
             row_bytes_left: chunk.row_bytes_left,
         };
         let is_first = open.streaming.replace(answer).is_none();
+        open.deferred_answer = None;
         let (slot, class) = (open.slot, open.class);
         if !io
             .downstream
@@ -38,6 +40,8 @@
             io.upstream.pause_reading(connection, now, &io.reactor);
         }
         if is_first {
+            io.upstream
+                .end_stalled_attempts(chunk.id, Some(connection), now);
             let is_write = self.is_write(Some(class));
             let position = self.commit_position(now).filter(|_| is_write);
             self.record_event(first_chunk_event(&chunk, position), io, now);
@@ -72,6 +76,7 @@
         if let Some((open, answer)) = served {
             self.release_bulkhead(&open, now);
             self.finish_request(open, answer, io, now);
+            io.upstream.end_stalled_attempts(id, None, now);
         } else if self.is_streaming(id, attempt) {
             // The rest of the answer will not come. The attempt was reported to the decision module with the first chunk.
             return self.answer(id, Answer::Failed, io, now);
@@ -84,6 +89,7 @@
         };
         let event = record::record(&completed, request_finished, latest);
         self.record_event(event, io, now);
+        self.answer_deferred(id, io, now);
     }
 
     fn is_streaming(&mut self, id: RequestId, attempt: AttemptNumber) -> bool {
@@ -93,6 +99,44 @@
         })
     }
 
+    /// A response has begun and pauses. The decision module is told that the attempt has failed, and may try the request
+    /// elsewhere; whichever attempt answers first is relayed. The attempt is given up at once where no second one may run
+    /// beside it.
+    pub(super) fn on_attempt_stalled(
+        &mut self,
+        stalled: StalledAttempt,
+        io: &mut Io,
+        now: Instant,
+    ) {
+        let is_streaming = |open: &mut OpenRequest| open.streaming.is_some();
+        let needs_answer = !self
+            .open_requests
+            .get_mut(stalled.id)
+            .is_none_or(is_streaming);
+        if !needs_answer || !self.may_hedge || self.is_write(stalled.class) {
+            return io.upstream.end_stalled_attempt(stalled.connection, now);
+        }
+        let ended = AttemptEnded {
+            id: stalled.id,
+            attempt: stalled.attempt,
+            server: stalled.server,
+            outcome: Outcome::Failed,
+            elapsed: stalled.elapsed,
+            request_finished: false,
+            metadata: ResponseMetadata::default(),
+        };
+        self.record_event(Event::AttemptEnded(ended), io, now);
+    }
+
+    /// Sends the answer with which the decision module has given up a request, once no stalled attempt can serve it.
+    fn answer_deferred(&mut self, id: RequestId, io: &mut Io, now: Instant) {
+        let open = self.open_requests.get_mut(id);
+        let deferred = open.and_then(|open| open.deferred_answer.take());
+        if let Some(answer) = deferred {
+            self.give_up(id, answer, io, now);
+        }
+    }
+
     /// Updates the estimate of the clock error from this exchange. Returns the latest plausible position.
     fn observe_position(&mut self, completed: &CompletedExchange, now: Instant) -> Time {
         let unix = self.clock.unix_time(now);
--- a/crates/leverproxy/src/pipeline/requests.rs
+++ b/crates/leverproxy/src/pipeline/requests.rs
@@ -131,6 +131,7 @@
         let open = self.close_request(id, now)?;
         if open.attempts() > 0 {
             io.upstream.cancel_unwritten(id, now);
+            io.upstream.end_stalled_attempts(id, None, now);
         }
         if let Some(answer) = open.streaming {
             io.upstream.abandon_response(answer.connection, now);
--- a/crates/leverproxy/src/pipeline/state.rs
+++ b/crates/leverproxy/src/pipeline/state.rs
@@ -25,6 +25,8 @@
     pub(super) deadlines: Vec<Duration>,
     /// Whether requests are writes, which only a primary accepts, by class.
     pub(super) write_classes: Vec<bool>,
+    /// Whether an attempt may run beside another one of its request.
+    pub(super) may_hedge: bool,
     pub(super) probe_timeout: Duration,
     pub(super) directory: Directory,
     /// Discovery has sent the endpoint list to this process, or confirmed that it has not changed.
@@ -76,6 +78,7 @@
             names,
             deadlines: class_deadlines(&settings),
             write_classes: find_write_classes(&settings),
+            may_hedge: settings.may_hedge,
             probe_timeout,
             directory: Directory::default(),
             list_confirmed: false,
@@ -112,6 +115,7 @@
         self.counters.goodput.configure(&settings);
         self.deadlines = class_deadlines(&settings);
         self.write_classes = find_write_classes(&settings);
+        self.may_hedge = settings.may_hedge;
         (self.names, self.probe_timeout) = (names, probe_timeout);
         self.open_requests.set_limit(max_open);
         self.monitor.configure(&settings);
--- a/crates/leverproxy/src/upstream/connection.rs
+++ b/crates/leverproxy/src/upstream/connection.rs
@@ -6,8 +6,8 @@
 use crate::protocol::postgres::client::ResponseReader;
 use crate::protocol::postgres::synchronization::SynchronizationReader;
 use crate::protocol::postgres::Malformed;
-use crate::request::ExchangeOutcome;
-use routing::ServerId;
+use crate::request::{ExchangeOutcome, Purpose};
+use routing::{AttemptNumber, RequestId, ServerId};
 use std::net::SocketAddr;
 use std::time::Instant;
 
@@ -44,6 +44,8 @@
     /// Part of the response has arrived.
     pub(super) response_started: bool,
     pub(super) streaming: Streaming,
+    /// The response has paused for longer than a response usually does, and this was reported.
+    pub(super) is_stalled: bool,
     /// The memory that the buffers of the connection occupy.
     memory: Reservation,
 }
@@ -65,6 +67,7 @@
             written: false,
             response_started: false,
             streaming: Streaming::No,
+            is_stalled: false,
             memory,
         }
     }
@@ -85,6 +88,15 @@
         }
     }
 
+    /// The attempt on the connection, if it has stalled.
+    pub(super) fn stalled_attempt(&self) -> Option<(RequestId, AttemptNumber)> {
+        let active = self.active().filter(|active| active.is_stalled)?;
+        match active.exchange.purpose {
+            Purpose::Attempt(id, attempt) => Some((id, attempt)),
+            Purpose::Probe => None,
+        }
+    }
+
     /// Whether the connection has an exchange whose request is written in full.
     pub(super) fn is_written(&self) -> bool {
         self.active().is_some_and(|active| active.written)
--- a/crates/leverproxy/src/upstream/mod.rs
+++ b/crates/leverproxy/src/upstream/mod.rs
@@ -13,6 +13,7 @@
 //! | `dial` | dials, their limits, and the backoff while this machine lacks a resource |
 //! | `transfer` | writing requests, reading responses, the end of a connection |
 //! | `synchronize` | the way of a connection from a response back into its pool |
+//! | `stalled` | responses that have begun and pause |
 //! | `streaming` | large responses, which are forwarded in chunks |
 //! | `timers` | deadlines of connections and queues |
 //! | `events` | timers to set, and health signals about a server's machine |
@@ -23,6 +24,7 @@
 mod exchange;
 mod pool;
 mod queue;
+mod stalled;
 mod streaming;
 mod synchronize;
 mod timers;
@@ -30,14 +32,15 @@
 
 pub use events::{HealthSignal, UpstreamTimer};
 pub use exchange::Exchange;
+pub use stalled::StalledAttempt;
 
 use crate::event_loop::memory::MemoryMeter;
-use crate::event_loop::slab::Slab;
+use crate::event_loop::slab::{Key, Slab};
 use crate::observability::log_rate_limit::LogRateLimit;
 use crate::request::{Command, CompletedExchange, ResponseChunk};
 use connection::Connection;
 use pool::Pool;
-use routing::ServerId;
+use routing::{RequestId, ServerId};
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -49,6 +52,9 @@
     completed: VecDeque<CompletedExchange>,
     chunks: VecDeque<ResponseChunk>,
     signals: VecDeque<HealthSignal>,
+    stalled_events: VecDeque<StalledAttempt>,
+    /// Connections of the attempts that have stalled, by request.
+    stalled: BTreeMap<RequestId, Vec<Key>>,
     /// Timers that the event loop has not set yet.
     timers: Vec<(Instant, UpstreamTimer)>,
     malformed_log: LogRateLimit,
@@ -82,6 +88,8 @@
             completed: VecDeque::new(),
             chunks: VecDeque::new(),
             signals: VecDeque::new(),
+            stalled_events: VecDeque::new(),
+            stalled: BTreeMap::new(),
             timers: Vec::new(),
             malformed_log: LogRateLimit::default(),
             shortage_log: LogRateLimit::default(),
--- a/crates/leverproxy/src/upstream/streaming.rs
+++ b/crates/leverproxy/src/upstream/streaming.rs
@@ -13,7 +13,7 @@
 
 /// Longest time between two chunks of a response that is forwarded in chunks. The server may be slow, and no other
 /// server can continue the response, but a machine that has stopped responding must not block its client forever.
-const CHUNK_STALL: Duration = Duration::from_secs(5);
+pub(super) const CHUNK_STALL: Duration = Duration::from_secs(5);
 /// Maximum number of bytes that are read at a time of such a response, so that other connections are not starved.
 pub(super) const MAX_CHUNK_BYTES: usize = 16 << 10;
 
--- a/crates/leverproxy/src/upstream/timers.rs
+++ b/crates/leverproxy/src/upstream/timers.rs
@@ -34,7 +34,9 @@
         }
         match &connection.state {
             State::Busy(active) if active.written && active.response_started => {
-                self.close_malformed(key, now)
+                if !self.report_stalled(key, now) {
+                    self.close_malformed(key, now);
+                }
             }
             State::Busy(active) if active.written => {
                 self.close(key, ExchangeOutcome::TimedOut, now)
--- a/crates/leverproxy/src/upstream/transfer.rs
+++ b/crates/leverproxy/src/upstream/transfer.rs
@@ -3,7 +3,7 @@
 use super::connection::{rejection_outcome, ActiveExchange, State, Streaming};
 use super::events::UpstreamTimer;
 use super::exchange::Exchange;
-use super::streaming::MAX_CHUNK_BYTES;
+use super::streaming::{CHUNK_STALL, MAX_CHUNK_BYTES};
 use super::Upstream;
 use crate::event_loop::reactor::{Interest, Reactor};
 use crate::event_loop::slab::Key;
@@ -17,8 +17,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Longest pause within a response that has begun, regardless of the client's deadline. Record servers write a response
-/// without pauses. The timeout is well below the latency objectives, so that a retry can still meet them.
+/// Longest pause within a response that has begun before it counts as stalled, regardless of the client's deadline. Record
+/// servers seldom pause within a response that is not forwarded in chunks. The timeout is well below the latency objectives, so that a retry can still meet them.
 const RESPONSE_STALL: Duration = Duration::from_millis(40);
 
 /// Time limit for writing a request that the socket does not accept at once. The remaining time that the request states
@@ -152,7 +152,12 @@
             return;
         }
         active.response_started = true;
-        connection.deadline = active.exchange.deadline.min(now + RESPONSE_STALL);
+        let longest_pause = if active.is_stalled {
+            CHUNK_STALL
+        } else {
+            RESPONSE_STALL
+        };
+        connection.deadline = active.exchange.deadline.min(now + longest_pause);
         self.timers
             .push((connection.deadline, UpstreamTimer::Connection(key)));
     }
@@ -178,11 +183,15 @@
             return;
         };
         let (server, address) = (connection.server, connection.address);
+        let stalled = connection.stalled_attempt();
         let half_written = connection.is_unwritten();
         let mut is_synchronized = true;
         match std::mem::replace(&mut connection.state, State::Idle) {
             State::Busy(active) => {
                 is_synchronized = false;
+                if let Some((id, _)) = stalled {
+                    self.forget_stalled(id, key);
+                }
                 self.finish_with_response(active, server, now);
             }
             State::Handshake(reader) => {
@@ -252,6 +261,9 @@
             return;
         };
         let server = connection.server;
+        if let Some((id, _)) = connection.stalled_attempt() {
+            self.forget_stalled(id, key);
+        }
         match connection.state {
             State::Busy(active) if active.written && active.reader.has_error() => {
                 self.finish_with_response(active, server, now)
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -96,6 +96,7 @@
             links: Arc::clone(&links),
             addresses: Arc::clone(&addresses),
             number,
+            endless_answers: setup.endless_answers,
         };
         runtime.block_on(open_servers(&opener, servers))?;
         runtime.spawn(open_new_servers(opener, outputs.new_servers));
--- a/crates/testbed/src/servers.rs
+++ b/crates/testbed/src/servers.rs
@@ -12,8 +12,13 @@
 use std::time::Instant;
 use tokio::net::{TcpListener, TcpStream};
 
-/// Opens a server's listener. The port stays the same across the server's crashes.
-pub async fn open(history: History, server: ServerIndex) -> Result<SocketAddr, Fault> {
+/// Opens a server's listener. The port stays the same across the server's crashes. One in `endless_answers` answers to reads
+/// begins and never ends; 0: none.
+pub async fn open(
+    history: History,
+    server: ServerIndex,
+    endless_answers: u64,
+) -> Result<SocketAddr, Fault> {
     let bound = TcpListener::bind("127.0.0.1:0").await;
     let listener = bound.map_err(|e| Fault::new(format!("no port for server {server}: {e}")))?;
     let address = listener
@@ -21,7 +26,7 @@
         .map_err(|e| Fault::new(format!("server {server}: {e}")))?;
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(connection(history.clone(), server, stream));
+            tokio::spawn(connection(history.clone(), server, stream, endless_answers));
         }
     });
     Ok(address)
@@ -43,7 +48,12 @@
     }
 }
 
-async fn connection(history: History, server: ServerIndex, stream: TcpStream) {
+async fn connection(
+    history: History,
+    server: ServerIndex,
+    stream: TcpStream,
+    endless_answers: u64,
+) {
     _ = stream.set_nodelay(true);
     let mut life = history.watch_deaths(server);
     let crashes_at_start = *life.borrow_and_update();
@@ -58,7 +68,7 @@
     });
     tokio::select! {
         _ = life.wait_for(|now| *now > crashes_at_start) => reset(&stream),
-        sound = converse(&history, server, &stream, up) => if sound.is_err() {
+        sound = converse(&history, server, &stream, up, endless_answers) => if sound.is_err() {
             reset(&stream);
         }
     }
@@ -73,6 +83,7 @@
     server: ServerIndex,
     stream: &TcpStream,
     welcome: bool,
+    endless_answers: u64,
 ) -> Result<(), CloseConnection> {
     let mut input = Vec::new();
     let mut bytes = vec![0; 16 << 10];
@@ -98,7 +109,12 @@
                 match server::parse_client_message(&input).map_err(|_| CloseConnection)? {
                     None => break,
                     Some((ClientMessage::Query(text), used)) => {
-                        (query(history, server, text).await?, used)
+                        match query(history, server, text, endless_answers).await? {
+                            Response::Whole(bytes) => (bytes, used),
+                            Response::Endless(beginning) => {
+                                return stop_midway(stream, &beginning).await;
+                            }
+                        }
                     }
                     Some((ClientMessage::Terminate, _)) => return Ok(()),
                     Some((ClientMessage::Sync, used)) => (server::ready_for_query(), used),
@@ -122,11 +138,28 @@
     }
 }
 
+/// The response to a query.
+enum Response {
+    Whole(Vec<u8>),
+    /// The beginning of a response that never ends.
+    Endless(Vec<u8>),
+}
+
+/// Writes the beginning of a response, and nothing more until the peer closes the connection.
+async fn stop_midway(stream: &TcpStream, beginning: &[u8]) -> Result<(), CloseConnection> {
+    let written = link::write_all(stream, beginning).await;
+    written.map_err(|_| CloseConnection)?;
+    let mut bytes = [0; 1 << 10];
+    while link::read(stream, &mut bytes).await.is_ok_and(|n| n > 0) {}
+    Ok(())
+}
+
 async fn query(
     history: &History,
     server: ServerIndex,
     text: &str,
-) -> Result<Vec<u8>, CloseConnection> {
+    endless_answers: u64,
+) -> Result<Response, CloseConnection> {
     if text == "SHOW load" || text == "SELECT 1" {
         let Some(report) = history.probe(server).await.ok().flatten() else {
             return Err(CloseConnection);
@@ -134,17 +167,22 @@
         let position = history.unix(report.position).as_secs_f64();
         let (primary, queued, held) = (u8::from(report.primary), report.queued, report.in_flight);
         let all = format!("x0={position:.6},x1={primary},backlog={queued},outstanding={held}");
-        return Ok(wire::row(if text == "SELECT 1" { "1" } else { &all }, &[]));
+        let value = if text == "SELECT 1" { "1" } else { &all };
+        return Ok(Response::Whole(wire::row(value, &[])));
     }
     let request = match statement::parse(text, Instant::now()) {
-        Ok(Query::Empty) => return Ok(server::empty_query()),
-        Ok(Query::Setting(tag)) => return Ok(server::command_complete(tag)),
+        Ok(Query::Empty) => return Ok(Response::Whole(server::empty_query())),
+        Ok(Query::Setting(tag)) => return Ok(Response::Whole(server::command_complete(tag))),
         Ok(Query::Request(request)) => request,
-        Err(_) => return Ok(wire::error(sqlstate::PROTOCOL_VIOLATION, &[])),
+        Err(_) => {
+            let error = wire::error(sqlstate::PROTOCOL_VIOLATION, &[]);
+            return Ok(Response::Whole(error));
+        }
     };
     let id = u64::from_str_radix(&request.id, 16).ok();
     let Some(reply) = id.and_then(|id| history.request(server, id)) else {
-        return Ok(wire::error(sqlstate::PROTOCOL_VIOLATION, &[]));
+        let error = wire::error(sqlstate::PROTOCOL_VIOLATION, &[]);
+        return Ok(Response::Whole(error));
     };
     // A hanging server never answers; a crash resets the connection.
     let reply = reply.await.map_err(|_| CloseConnection)?;
@@ -169,10 +207,17 @@
         ));
         parameters.push(("applied_ms", millis.to_string()));
     }
-    Ok(match reply.answer {
-        Answer::Ok => wire::row(&value(id.unwrap_or(0), reply.exchange), &parameters),
+    let write = text.starts_with("INSERT");
+    Ok(Response::Whole(match reply.answer {
+        Answer::Ok => {
+            let row = wire::row(&value(id.unwrap_or(0), reply.exchange), &parameters);
+            let is_endless = endless_answers > 0 && reply.exchange % endless_answers == 0;
+            if is_endless && !write {
+                return Ok(Response::Endless(row[..row.len() / 2].to_vec()));
+            }
+            row
+        }
         Answer::Misdirected => {
-            let write = text.starts_with("INSERT");
             let code = if write {
                 sqlstate::READ_ONLY_SQL_TRANSACTION
             } else {
@@ -183,7 +228,7 @@
         Answer::Rejected => wire::error(sqlstate::TOO_MANY_CONNECTIONS, &parameters),
         Answer::Failed => wire::error("XX000", &parameters),
         Answer::Reset | Answer::Unreachable => return Err(CloseConnection),
-    })
+    }))
 }
 
 /// Value of an answer, which identifies the attempt and the answer.
--- a/crates/testbed/src/setup.rs
+++ b/crates/testbed/src/setup.rs
@@ -45,6 +45,8 @@
     pub sockets: u64,
     /// Memory limit in each proxy's configuration, in MB.
     pub memory_mb: u64,
+    /// One in this many answers to reads begins and never ends, while its connection stays open; 0: none.
+    pub endless_answers: u64,
     /// Time that clients wait beyond the deadline that they announce: on a busy machine, an answer given in time may arrive
     /// late by as much.
     pub slack: Duration,
@@ -71,6 +73,7 @@
             planted_violation: None,
             sockets: 1_024,
             memory_mb: 192,
+            endless_answers: 0,
             slack: Duration::ZERO,
         })
     }
--- a/crates/testbed/tests/faults.rs
+++ b/crates/testbed/tests/faults.rs
@@ -299,3 +299,28 @@
     assert!(out.late() > testbed::history::LATE, "{:?}", out.late());
     assert_eq!(out.goodput(), None);
 }
+
+/// Guards against reads that wait for an answer that begins and never ends (review/10): one in ten of all servers' answers to
+/// reads does so, and each read has to be served by another server in its time.
+#[test]
+fn reads_whose_answers_never_end_are_served_in_time() {
+    const DEADLINE: u64 = 1_200_000;
+    let mut setup = setup(2, 150.0, 6 * SECOND);
+    setup.endless_answers = 10;
+    setup.slack = Duration::from_millis(200);
+    for class in &mut setup.clients.classes {
+        if class.name != "book" {
+            class.latency_objective = DEADLINE / 2;
+            class.deadline = DEADLINE;
+        }
+    }
+    let outcomes = assert_sound(start(setup));
+    for (class, account) in outcomes.accounts.iter().take(2).enumerate() {
+        let latencies = &outcomes.latencies[class];
+        let (median, late) = (latencies.value_at_quantile(0.5), latencies.max());
+        eprintln!("class {class}: {account:?}, median {median} us, most {late} us");
+        let served = account.served as f64 / account.requests as f64;
+        assert!(served >= 0.99, "{account:?}");
+        assert!(late <= DEADLINE, "class {class}: served after {late} us");
+    }
+}
